--- /dev/null
+++ b/cmd/almondrill/demo.go
@@ -0,0 +1,85 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/google/subcommands"
+
+	"almondrill/io/demo"
+	"almondrill/io/logs"
+)
+
+type demoCommand struct {
+	requests int
+	seed     uint64
+	level    string
+	addr     string
+}
+
+func (*demoCommand) Name() string     { return "demo" }
+func (*demoCommand) Synopsis() string { return "run a small fleet on loopback" }
+
+func (*demoCommand) Usage() string {
+	return `demo [-requests N] [-seed S] [-addr IP:PORT] [-log LEVEL]
+  Runs 3 routers, 12 agents with stand-in engines, 3 with stand-in services, a
+  key-value service and a VM list, in 3 zones, in one process. It prints a curl
+  line to try and stays up until SIGINT. With -requests it sends that many mixed
+  requests instead, prints a line of JSON, and exits with 0 only if every promise
+  held.
+`
+}
+
+func (dc *demoCommand) SetFlags(fs *flag.FlagSet) {
+	fs.IntVar(&dc.requests, "requests", 0, "send this many requests, report, and exit")
+	fs.Uint64Var(&dc.seed, "seed", 1, "seed of the requests")
+	fs.StringVar(&dc.addr, "addr", "127.0.0.1:8080", "address of the first router for callers")
+	fs.StringVar(&dc.level, "log", "warn", "debug, info, warn or error")
+}
+
+func (dc *demoCommand) Execute(ctx context.Context, fs *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if fs.NArg() > 0 || dc.requests < 0 {
+		return usage(fs, "takes no arguments, and -requests is not negative")
+	}
+	fl := &demo.Fleet{Logs: logs.New(os.Stderr, dc.level), CallersAddr: dc.addr}
+	if dc.requests > 0 {
+		fl.CallersAddr = ""
+	}
+	if err := fl.Start(ctx); err != nil {
+		return failure(err)
+	}
+	if dc.requests == 0 {
+		return stayUp(fl)
+	}
+	rep := fl.Drive(ctx, demo.Drive{Requests: dc.requests, Seed: dc.seed})
+	if err := fl.Stop(); err != nil {
+		return failure(err)
+	}
+	line, _ := json.Marshal(rep)
+	fmt.Println(string(line))
+	if !rep.Kept() {
+		return subcommands.ExitFailure
+	}
+	return subcommands.ExitSuccess
+}
+
+func stayUp(fl *demo.Fleet) subcommands.ExitStatus {
+	fmt.Printf(`The fleet is up. Try:
+
+curl -N http://%s/v1/chat/completions -H 'Authorization: Bearer %s' -H 'Content-Type: application/json' -d '{"model":"%s","stream":true,"max_tokens":12,"messages":[{"role":"user","content":"Hello"}]}'
+
+Press Ctrl-C to stop.
+`, fl.RouterAddrs()[0], demo.Key, demo.Model)
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, syscall.SIGINT, syscall.SIGTERM)
+	<-stop
+	if err := fl.Stop(); err != nil {
+		return failure(err)
+	}
+	return subcommands.ExitSuccess
+}
--- /dev/null
+++ b/cmd/almondrill/main.go
@@ -0,0 +1,28 @@
+// Almondrill routes very many returning chats to the model engines and services
+// of a co-operative. Run "almondrill help" for its commands.
+package main
+
+import (
+	"context"
+	"flag"
+	"os"
+
+	"github.com/google/subcommands"
+)
+
+func main() {
+	register(subcommands.DefaultCommander)
+	flag.Parse()
+	os.Exit(int(subcommands.Execute(context.Background())))
+}
+
+// register adds the commands, in groups as the help shows them.
+func register(cd *subcommands.Commander) {
+	cd.Register(cd.HelpCommand(), "")
+	cd.Register(cd.FlagsCommand(), "")
+	cd.Register(&versionCommand{}, "")
+	cd.Register(&processCommand{role: "router"}, "processes")
+	cd.Register(&processCommand{role: "agent"}, "processes")
+	cd.Register(&demoCommand{}, "trying out")
+	cd.Register(&checkCommand{}, "operators")
+}
--- /dev/null
+++ b/cmd/almondrill/process.go
@@ -0,0 +1,68 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+
+	"github.com/google/subcommands"
+
+	"almondrill/core"
+	"almondrill/io/conf"
+	"almondrill/io/logs"
+	"almondrill/io/node"
+)
+
+// processCommand is "router" or "agent".
+type processCommand struct {
+	role string
+	file string
+}
+
+var roles = map[string]core.Role{"router": core.RoleRouter, "agent": core.RoleAgent}
+
+func (*processCommand) Synopsis() string { return "run this VM's process" }
+func (pc *processCommand) Name() string  { return pc.role }
+
+func (pc *processCommand) Usage() string {
+	return fmt.Sprintf(`%s -settings FILE
+  Runs a %s until SIGTERM or SIGINT, then leaves gracefully. FILE is described in
+  docs/SETTINGS.md; check it with: almondrill check -role %s FILE
+`, pc.role, pc.role, pc.role)
+}
+
+func (pc *processCommand) SetFlags(fs *flag.FlagSet) {
+	fs.StringVar(&pc.file, "settings", "", "the YAML file with the process's settings")
+}
+
+func (pc *processCommand) Execute(ctx context.Context, fs *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if pc.file == "" || fs.NArg() > 0 {
+		return usage(fs, "-settings FILE is needed, and nothing else")
+	}
+	data, err := os.ReadFile(pc.file)
+	if err != nil {
+		return failure(err)
+	}
+	se, err := conf.ReadSettings(pc.file, data, roles[pc.role])
+	if err != nil {
+		return failure(err)
+	}
+	pr := &node.Process{Role: roles[pc.role], Settings: se, Logs: logs.New(os.Stderr, se.LogLevel), Signals: true}
+	if err = pr.Run(ctx); err != nil {
+		return failure(err)
+	}
+	return subcommands.ExitSuccess
+}
+
+// usage tells what was wrong with the command line; it exits with 2.
+func usage(fs *flag.FlagSet, what string) subcommands.ExitStatus {
+	fmt.Fprintf(os.Stderr, "almondrill %s: %s\nRun: almondrill help %s\n", fs.Name(), what, fs.Name())
+	return subcommands.ExitUsageError
+}
+
+// failure tells what failed; it exits with 1.
+func failure(err error) subcommands.ExitStatus {
+	fmt.Fprintln(os.Stderr, "almondrill:", err)
+	return subcommands.ExitFailure
+}
--- /dev/null
+++ b/core/admit/gate.go
@@ -0,0 +1,411 @@
+// Package admit decides at an agent which calls its endpoint takes, and when.
+//
+// # Concepts
+//
+// A Gate stands before one endpoint. It counts the work the endpoint has yet to
+// do, running and queued, exactly. A call passes three checks:
+//
+//   - The load cap: load stays within LoadFactor times the pool's mean, or
+//     within FloorWork, or the endpoint is not above the mean at all. Otherwise
+//     the call is refused and the router tries a less loaded peer.
+//   - A slot: Slots calls run at a time, and the last few are kept for customers
+//     that are within their share.
+//   - The queue: bounded; by priority, within a priority by start-time fair
+//     queueing over the customers' shares. When it is full, a newcomer of higher
+//     priority, or of a customer that has less waiting for its share, takes the
+//     place of a waiting call, which is refused as not run.
+//
+// # Invariants
+//
+//   - load is the sum of what is left of all tickets inside, plus the correction
+//     from the engine's own report.
+//   - A refused or pushed-out ticket has never been given a slot.
+//   - No ticket waits behind higher priorities for longer than maxWait plus one
+//     slot's turn.
+//
+// # Usage
+//
+//	run, refusal := ga.Offer(tk)
+//	if !run && refusal == nil { refusal = <-tk.Ready() }
+//	defer ga.Leave(tk)
+package admit
+
+import (
+	"sync"
+	"time"
+
+	"almondrill/core"
+	"almondrill/core/decl"
+	"almondrill/core/loads"
+)
+
+const (
+	// reservePart is the part of the slots kept for customers within their share.
+	reservePart = 8
+	// maxWait is how long a call may be passed over for higher priorities.
+	maxWait = 5 * time.Second
+	// Bounds of the advice when to try again.
+	leastRetryAfter = 100 * time.Millisecond
+	mostRetryAfter  = 30 * time.Second
+	// instead is how many less loaded peers a refusal names.
+	instead = 3
+)
+
+// Gate stands before one endpoint. Set the exported fields before use.
+type Gate struct {
+	Clock core.Clock
+	Rand  core.Rand
+	Loads *loads.Table
+	VM    core.VMID
+	// Gauge, if set, is kept at the load.
+	Gauge *loads.Gauge
+
+	mu       sync.Mutex // guards all below
+	limits   decl.Limits
+	load     core.Work
+	alien    core.Work
+	running  int
+	waiting  int
+	queue    queue
+	accounts map[core.CustomerID]*account
+	weights  float64 // sum over active accounts
+	finished core.Work
+	drain    float64
+	drainAt  time.Time
+}
+
+// account is one customer's standing at the gate. It is active while the
+// customer has a ticket inside.
+type account struct {
+	weight  float64
+	tickets int
+	running int
+	waiting core.Work
+	finish  float64 // virtual time at which its last ticket ends
+}
+
+// Ticket is one call's passage. Set the exported fields, then Offer it once.
+type Ticket struct {
+	Customer core.CustomerID
+	// Weight is the customer's share, above 0.
+	Weight   float64
+	Priority core.Priority
+	Work     core.Work
+
+	left    core.Work
+	account *account
+	start   float64
+	number  uint64
+	since   time.Time
+	state   ticketState
+	ready   chan *core.Refusal
+}
+
+type ticketState uint8
+
+const (
+	ticketNew ticketState = iota
+	ticketWaiting
+	ticketRunning
+	ticketOut
+)
+
+// Ready delivers nil when a waiting ticket gets its slot, or why it never will.
+func (ti *Ticket) Ready() <-chan *core.Refusal { return ti.ready }
+
+// SetLimits takes over limits; calls already inside stay.
+func (ga *Gate) SetLimits(li decl.Limits) {
+	ga.mu.Lock()
+	defer ga.mu.Unlock()
+	ga.limits = li
+	ga.dispatch()
+}
+
+// Offer asks for the ticket's admission. True: it runs now. False without a
+// refusal: wait for Ready, or Withdraw.
+func (ga *Gate) Offer(ti *Ticket) (bool, *core.Refusal) {
+	ga.mu.Lock()
+	defer ga.mu.Unlock()
+	if !ga.fits(ti.Work) {
+		return false, ga.refuseCap(ti.Work)
+	}
+	ti.left = ti.Work
+	ti.account = ga.enterAccount(ti)
+	if ga.running < ga.limits.Slots && ga.waiting == 0 && ga.maySlot(ti.account) {
+		ga.addLoad(ti.Work)
+		ga.startTicket(ti)
+		return true, nil
+	}
+	if ga.waiting >= ga.limits.QueueCalls {
+		victim := ga.queue.worse(ti)
+		if victim == nil {
+			ga.leaveAccount(ti)
+			return false, ga.refuseQueue(ti)
+		}
+		ga.pushOut(victim)
+	}
+	ga.addLoad(ti.Work)
+	ga.enqueue(ti)
+	return false, nil
+}
+
+// fits applies the load cap. An endpoint that is not above the mean may always
+// take one more call, however large: some endpoint always is, so no call is
+// refused everywhere for its size. The load may thus exceed LoadFactor times
+// the mean by one call's work at most.
+func (ga *Gate) fits(wo core.Work) bool {
+	after := ga.load + wo
+	if after <= ga.limits.FloorWork || ga.load == 0 {
+		return true
+	}
+	if float64(after) <= ga.limits.LoadFactor*float64(ga.Loads.Mean(after)) {
+		return true
+	}
+	return ga.load <= ga.Loads.Mean(ga.load)
+}
+
+// maySlot keeps the last slots for customers within their share.
+func (ga *Gate) maySlot(ac *account) bool {
+	free := ga.limits.Slots - ga.running
+	if free > ga.limits.Slots/reservePart {
+		return true
+	}
+	return float64(ac.running)*ga.weights < float64(ga.limits.Slots)*ac.weight
+}
+
+func (ga *Gate) startTicket(ti *Ticket) {
+	ti.state = ticketRunning
+	ti.account.running++
+	ga.running++
+}
+
+func (ga *Gate) enqueue(ti *Ticket) {
+	ti.ready = make(chan *core.Refusal, 1)
+	ti.state = ticketWaiting
+	ti.since = ga.Clock.Now()
+	ti.account.waiting += ti.Work
+	ga.waiting++
+	ga.queue.push(ti)
+}
+
+// dispatch gives free slots to waiting tickets.
+func (ga *Gate) dispatch() {
+	for ga.running < ga.limits.Slots && ga.waiting > 0 {
+		ti := ga.queue.pop(ga.Clock.Now(), ga.maySlot)
+		if ti == nil {
+			return
+		}
+		ga.unqueue(ti)
+		ga.startTicket(ti)
+		ti.ready <- nil
+	}
+}
+
+func (ga *Gate) unqueue(ti *Ticket) {
+	ti.account.waiting -= ti.Work
+	ga.waiting--
+}
+
+func (ga *Gate) pushOut(ti *Ticket) {
+	ga.queue.remove(ti)
+	ga.unqueue(ti)
+	ti.state = ticketOut
+	ga.addLoad(-ti.left)
+	ti.ready <- ga.refuseQueue(ti)
+	ga.leaveAccount(ti)
+}
+
+// Withdraw takes a waiting ticket back. False means that it was given a slot, or
+// refused, in the meantime: read Ready.
+func (ga *Gate) Withdraw(ti *Ticket) bool {
+	ga.mu.Lock()
+	defer ga.mu.Unlock()
+	if ti.state != ticketWaiting {
+		return false
+	}
+	ga.queue.remove(ti)
+	ga.unqueue(ti)
+	ti.state = ticketOut
+	ga.addLoad(-ti.left)
+	ga.leaveAccount(ti)
+	return true
+}
+
+// Progress tells that a running ticket's work has shrunk.
+func (ga *Gate) Progress(ti *Ticket, done core.Work) {
+	ga.mu.Lock()
+	defer ga.mu.Unlock()
+	done = min(done, ti.left)
+	ti.left -= done
+	ga.finished += done
+	ga.addLoad(-done)
+}
+
+// Leave ends a running ticket.
+func (ga *Gate) Leave(ti *Ticket) {
+	ga.mu.Lock()
+	defer ga.mu.Unlock()
+	if ti.state != ticketRunning {
+		return
+	}
+	ti.state = ticketOut
+	ti.account.running--
+	ga.running--
+	ga.finished += ti.left
+	ga.addLoad(-ti.left)
+	ga.leaveAccount(ti)
+	ga.dispatch()
+}
+
+func (ga *Gate) addLoad(wo core.Work) {
+	ga.load += wo
+	if ga.Gauge != nil {
+		ga.Gauge.Set(ga.load)
+	}
+}
+
+// Correct takes in the engine's own, lagging report of its load. Only what it
+// reports beyond everything this gate has given it counts, as work that came
+// past the gate; a report that is too low changes nothing.
+func (ga *Gate) Correct(reported core.Work) {
+	ga.mu.Lock()
+	defer ga.mu.Unlock()
+	own := ga.load - ga.alien
+	alien := max(0, reported-own)
+	ga.addLoad(alien - ga.alien)
+	ga.alien = alien
+}
+
+func (ga *Gate) enterAccount(ti *Ticket) *account {
+	ac := ga.accounts[ti.Customer]
+	if ac == nil {
+		if ga.accounts == nil {
+			ga.accounts = map[core.CustomerID]*account{}
+		}
+		ac = &account{}
+		ga.accounts[ti.Customer] = ac
+	}
+	if ac.tickets == 0 {
+		ac.weight = ti.Weight
+		ga.weights += ac.weight
+	}
+	ac.tickets++
+	ti.start = max(ga.queue.virtual, ac.finish)
+	ac.finish = ti.start + float64(ti.Work)/ac.weight
+	return ac
+}
+
+func (ga *Gate) leaveAccount(ti *Ticket) {
+	ac := ti.account
+	ac.tickets--
+	if ac.tickets > 0 {
+		return
+	}
+	ga.weights = max(0, ga.weights-ac.weight)
+}
+
+// Standing is a gate's state for reports.
+type Standing struct {
+	Load    core.Work
+	Mean    core.Work
+	Drain   core.Work
+	Running int
+	Waiting int
+}
+
+// Standing reads the gate's state. Drain is the work a second finished lately.
+func (ga *Gate) Standing() Standing {
+	ga.mu.Lock()
+	defer ga.mu.Unlock()
+	ga.measureDrain()
+	return Standing{
+		Load: ga.load, Mean: ga.Loads.Mean(ga.load), Drain: core.Work(ga.drain),
+		Running: ga.running, Waiting: ga.waiting,
+	}
+}
+
+const drainEvery = 500 * time.Millisecond
+
+func (ga *Gate) measureDrain() {
+	now := ga.Clock.Now()
+	past := now.Sub(ga.drainAt)
+	if past < drainEvery {
+		return
+	}
+	rate := float64(ga.finished) / past.Seconds()
+	ga.drain = (ga.drain + rate) / 2
+	ga.finished = 0
+	ga.drainAt = now
+}
+
+// WaitFor estimates how long a call of that priority would wait for a slot.
+func (ga *Gate) WaitFor(pr core.Priority) time.Duration {
+	ga.mu.Lock()
+	defer ga.mu.Unlock()
+	ga.measureDrain()
+	ahead := ga.queue.workFrom(pr)
+	if ahead == 0 || ga.drain < 1 {
+		return 0
+	}
+	return time.Duration(float64(ahead) / ga.drain * float64(time.Second))
+}
+
+// PrefillTime estimates how long prefilling that work takes beside what runs.
+func (ga *Gate) PrefillTime(wo core.Work) time.Duration {
+	ga.mu.Lock()
+	defer ga.mu.Unlock()
+	if ga.drain < 1 {
+		return 0
+	}
+	perCall := ga.drain / float64(max(1, ga.running))
+	return time.Duration(float64(wo) / perCall * float64(time.Second))
+}
+
+// Less names less loaded peers.
+func (ga *Gate) Less() []core.VMID {
+	ga.mu.Lock()
+	limit := ga.Loads.Mean(ga.load)
+	ga.mu.Unlock()
+	return ga.Loads.Less(limit, instead, ga.Rand)
+}
+
+func (ga *Gate) refuseCap(wo core.Work) *core.Refusal {
+	mean := ga.Loads.Mean(ga.load)
+	limit := core.Work(ga.limits.LoadFactor*float64(mean)) - wo
+	return &core.Refusal{
+		Outcome: core.NotRun, Reason: core.ReasonLoadCap, Step: "admit", Peer: string(ga.VM),
+		Detail:     "the endpoint is at its multiple of the pool's mean load",
+		Instead:    ga.Loads.Less(max(limit, mean), instead, ga.Rand),
+		RetryAfter: leastRetryAfter,
+	}
+}
+
+func (ga *Gate) refuseQueue(ti *Ticket) *core.Refusal {
+	re := &core.Refusal{
+		Outcome: core.NotRun, Reason: core.ReasonQueueFull, Step: "admit", Peer: string(ga.VM),
+		Detail:     "the endpoint's queue is full",
+		Instead:    ga.Loads.Less(ga.load, instead, ga.Rand),
+		RetryAfter: ga.retryAfter(),
+	}
+	if float64(ti.account.waiting)*ga.weights > float64(ga.queue.work)*ti.account.weight {
+		re.Reason = core.ReasonShareExceeded
+		re.Detail = "the queue is full and the customer is over its share of it"
+	}
+	return re
+}
+
+// retryAfter is when about half the queue will have been worked off.
+func (ga *Gate) retryAfter() time.Duration {
+	if ga.drain < 1 {
+		return time.Second
+	}
+	half := float64(ga.queue.work) / 2 / ga.drain
+	return min(mostRetryAfter, max(leastRetryAfter, time.Duration(half*float64(time.Second))))
+}
+
+// Load is the work inside now.
+func (ga *Gate) Load() core.Work {
+	ga.mu.Lock()
+	defer ga.mu.Unlock()
+	return ga.load
+}
--- /dev/null
+++ b/core/admit/queue.go
@@ -0,0 +1,129 @@
+package admit
+
+import (
+	"slices"
+	"time"
+
+	"almondrill/core"
+)
+
+// queue holds waiting tickets by priority, each priority in order of virtual
+// start time. It is bounded by the gate to some dozens, so plain sorted slices
+// serve it best.
+type queue struct {
+	classes [core.PriorityCount][]*Ticket
+	// virtual is the start tag of the last ticket started.
+	virtual float64
+	work    core.Work
+	numbers uint64
+}
+
+func (qu *queue) push(ti *Ticket) {
+	qu.numbers++
+	ti.number = qu.numbers
+	qu.work += ti.Work
+	class := qu.classes[ti.Priority]
+	at, _ := slices.BinarySearchFunc(class, ti, compareStart)
+	qu.classes[ti.Priority] = slices.Insert(class, at, ti)
+}
+
+func compareStart(one, two *Ticket) int {
+	switch {
+	case one.start < two.start:
+		return -1
+	case one.start > two.start:
+		return 1
+	case one.number < two.number:
+		return -1
+	case one.number > two.number:
+		return 1
+	}
+	return 0
+}
+
+func (qu *queue) remove(ti *Ticket) {
+	class := qu.classes[ti.Priority]
+	at, found := slices.BinarySearchFunc(class, ti, compareStart)
+	if !found {
+		return
+	}
+	qu.work -= ti.Work
+	qu.classes[ti.Priority] = slices.Delete(class, at, at+1)
+}
+
+// pop takes the next ticket whose customer may have a slot. A ticket that has
+// waited beyond maxWait goes before its betters: without that, a steady stream
+// of urgent calls would hold back batch work for ever.
+func (qu *queue) pop(now time.Time, may func(ac *account) bool) *Ticket {
+	ti := qu.overdue(now, may)
+	for pr := len(qu.classes) - 1; ti == nil && pr >= 0; pr-- {
+		for _, head := range qu.classes[pr] {
+			if may(head.account) {
+				ti = head
+				break
+			}
+		}
+	}
+	if ti == nil {
+		return nil
+	}
+	qu.remove(ti)
+	qu.virtual = max(qu.virtual, ti.start)
+	return ti
+}
+
+func (qu *queue) overdue(now time.Time, may func(ac *account) bool) *Ticket {
+	var oldest *Ticket
+	for _, class := range qu.classes {
+		for _, ti := range class {
+			if now.Sub(ti.since) > maxWait && may(ti.account) && (oldest == nil || ti.since.Before(oldest.since)) {
+				oldest = ti
+			}
+		}
+	}
+	return oldest
+}
+
+// worse finds the waiting ticket that should make room for a newcomer: of the
+// lowest priority below the newcomer's, else, within its priority, the last of
+// the customer with most waiting for its share, if that is more than the
+// newcomer's customer would have.
+func (qu *queue) worse(ti *Ticket) *Ticket {
+	for pr := range ti.Priority {
+		if victim := greediest(qu.classes[pr]); victim != nil {
+			return victim
+		}
+	}
+	victim := greediest(qu.classes[ti.Priority])
+	if victim == nil || victim.account == ti.account {
+		return nil
+	}
+	mine := float64(ti.account.waiting+ti.Work) / ti.account.weight
+	if float64(victim.account.waiting)/victim.account.weight <= mine {
+		return nil
+	}
+	return victim
+}
+
+func greediest(class []*Ticket) *Ticket {
+	var found *Ticket
+	var most float64
+	for _, ti := range class {
+		greed := float64(ti.account.waiting) / ti.account.weight
+		if greed >= most {
+			found, most = ti, greed
+		}
+	}
+	return found
+}
+
+// workFrom sums the work waiting at that priority or a higher one.
+func (qu *queue) workFrom(pr core.Priority) core.Work {
+	var sum core.Work
+	for _, class := range qu.classes[pr:] {
+		for _, ti := range class {
+			sum += ti.Work
+		}
+	}
+	return sum
+}
--- /dev/null
+++ b/core/agent/agent.go
@@ -0,0 +1,402 @@
+// Package agent is the process beside the endpoints of one VM: every call for
+// them passes through it, and the promises are kept here.
+//
+// # Concepts
+//
+// Serve takes one call through the checks in a fixed order: is the agent
+// leaving; is the chat's context elsewhere; has the idempotency key been seen;
+// does the gate admit it; is the key claimed; only then the endpoint runs it.
+//
+// # Invariants
+//
+//   - A refusal with outcome NotRun is only returned before Endpoint.Do.
+//   - A call is counted as in progress from the same moment on at which leaving
+//     would have refused it, so Drain waits for each call that was let in.
+//   - What is kept of chats and keys is bounded.
+//
+// # Usage
+//
+//	ag := &agent.Agent{Clock: clock, Rand: rand, Board: bo, Self: vm, Slots: slots}
+//	ag.Init()
+//	go ag.Run(ctx)
+//	report, err := ag.Serve(ctx, call, sink)
+package agent
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"almondrill/core"
+	"almondrill/core/admit"
+	"almondrill/core/board"
+	"almondrill/core/chats"
+	"almondrill/core/decl"
+	"almondrill/core/loads"
+	"almondrill/core/pick"
+	"almondrill/core/ring"
+)
+
+// Slot is one endpoint beside the agent.
+type Slot struct {
+	ID       core.EndpointID
+	Pool     core.PoolID
+	Endpoint core.Endpoint
+
+	gate *admit.Gate
+}
+
+// Gate is the admission before the endpoint.
+func (sl *Slot) Gate() *admit.Gate { return sl.gate }
+
+// Keys decides whether a call with an idempotency key may run. See core/claim.
+type Keys interface {
+	// Begin returns a Run if the call may run, else either the replay of the
+	// outcome, already sent to si, with a nil error, or a refusal.
+	Begin(ctx context.Context, ca *core.Call, si core.Sink) (Run, error)
+}
+
+// Run is the permission to run a call with a key once.
+type Run interface {
+	// Claim makes the claim; the endpoint must not be called before it is nil.
+	Claim(ctx context.Context) *core.Refusal
+	// Sink records what the endpoint answers on its way to the caller.
+	Sink() core.Sink
+	// End settles the key with the call's outcome.
+	End(re *core.Refusal)
+}
+
+// Agent serves calls. Set the exported fields before Init.
+type Agent struct {
+	Clock       core.Clock
+	Rand        core.Rand
+	Board       *board.Board
+	Self        core.VMID
+	Incarnation core.Incarnation
+	Slots       []*Slot
+	Book        *chats.Book
+	Keys        Keys
+	Peers       core.Peers
+	// Sending, if set, is asked before control messages are sent.
+	Sending func(size core.Bytes) bool
+
+	tables map[core.PoolID]*loads.Table
+	places outbox
+
+	mu       sync.Mutex // guards all below
+	draining bool
+	inside   int
+	empty    chan struct{}
+	revision core.Revision
+}
+
+// Init makes the agent ready for Serve.
+func (ag *Agent) Init() {
+	ag.tables = map[core.PoolID]*loads.Table{}
+	for _, sl := range ag.Slots {
+		ta := ag.tables[sl.Pool]
+		if ta == nil {
+			ta = &loads.Table{Clock: ag.Clock, Pool: sl.Pool, Self: ag.Self}
+			ag.tables[sl.Pool] = ta
+		}
+		sl.gate = &admit.Gate{Clock: ag.Clock, Rand: ag.Rand, Loads: ta, VM: ag.Self}
+		sl.gate.SetLimits(defaultLimits())
+	}
+}
+
+func defaultLimits() decl.Limits {
+	return decl.Limits{
+		LoadFactor: decl.DefaultLoadFactor, FloorWork: decl.DefaultFloorWork,
+		Slots: decl.DefaultSlots, QueueCalls: decl.DefaultQueueCalls,
+	}
+}
+
+// Adopt takes over a new snapshot; the board's control goroutine calls it.
+func (ag *Agent) Adopt(sn *board.Snapshot) {
+	for id, ta := range ag.tables {
+		if po := sn.Pools[id]; po != nil {
+			ta.SetPeers(po.VMs())
+		}
+	}
+	if sn.Config == nil || !ag.newer(sn.Revision()) {
+		return
+	}
+	for _, sl := range ag.Slots {
+		if gr := sn.Config.Group(sl.Pool); gr != nil {
+			sl.gate.SetLimits(gr.Limits)
+		}
+	}
+}
+
+func (ag *Agent) newer(rev core.Revision) bool {
+	ag.mu.Lock()
+	defer ag.mu.Unlock()
+	if rev <= ag.revision {
+		return false
+	}
+	ag.revision = rev
+	return true
+}
+
+// Serve runs one call. The error, if any, is a *core.Refusal.
+func (ag *Agent) Serve(ctx context.Context, ca *core.Call, si core.Sink) (*core.Report, error) {
+	if !ag.enter() {
+		return ag.report(nil, core.Usage{}), ag.refuse(core.ReasonDraining, "enter", "the agent is leaving")
+	}
+	defer ag.leave()
+	sn := ag.Board.Snapshot()
+	if sn.Config == nil {
+		return ag.report(nil, core.Usage{}), ag.refuse(core.ReasonNoConfig, "enter", "no configuration yet")
+	}
+	gr := sn.Config.Group(ca.Pool)
+	key := ring.Key(ca.Customer, ca.Pool, ca.Chat)
+	sl, he := ag.choose(ca.Pool, key)
+	if sl == nil || gr == nil {
+		return ag.report(nil, core.Usage{}), ag.refuse(core.ReasonWrongPool, "enter", "no endpoint of pool "+string(ca.Pool))
+	}
+	if !gr.Service {
+		if re := ag.pointElsewhere(sn, gr, sl, ca, key, he); re != nil {
+			return ag.report(sl, core.Usage{}), re
+		}
+	}
+	us, err := ag.keyed(ctx, sn, sl, ca, he, si)
+	if err == nil && !gr.Service {
+		ag.remember(sn, sl, ca, key, us)
+	}
+	return ag.report(sl, us), err
+}
+
+// choose takes the endpoint of the pool that holds the chat's context, else the
+// least loaded.
+func (ag *Agent) choose(po core.PoolID, key uint64) (*Slot, *chats.Held) {
+	he, here := ag.Book.Held(key)
+	var best *Slot
+	var least core.Work
+	for _, sl := range ag.Slots {
+		if sl.Pool != po {
+			continue
+		}
+		if here && sl.ID == he.Endpoint {
+			return sl, &he
+		}
+		if load := sl.gate.Load(); best == nil || load < least {
+			best, least = sl, load
+		}
+	}
+	return best, nil
+}
+
+// pointElsewhere refuses a call whose chat is better served by another agent.
+func (ag *Agent) pointElsewhere(sn *board.Snapshot, gr *decl.Group, sl *Slot, ca *core.Call, key uint64, he *chats.Held) *core.Refusal {
+	if ca.Forced {
+		return nil
+	}
+	if he != nil {
+		return ag.tooBusy(gr, sl, ca)
+	}
+	if vm, away := ag.Book.Away(key); away {
+		if vm == ca.Missed || !ag.worthGoing(sn, gr, sl, ca, vm) {
+			ag.Book.Unpoint(key, vm)
+			return nil
+		}
+		return ag.pointTo(vm, "another agent has the chat's context")
+	}
+	if home := ag.home(sn, ca.Pool, key); home != ag.Self && home != ca.Missed && home != "" {
+		return ag.pointTo(home, "the chat's home is another agent")
+	}
+	return nil
+}
+
+// tooBusy weighs waiting here, where the context is, against prefilling it
+// elsewhere. ReuseBias above 1 waits longer.
+func (ag *Agent) tooBusy(gr *decl.Group, sl *Slot, ca *core.Call) *core.Refusal {
+	wait := sl.gate.WaitFor(ca.Priority)
+	if wait == 0 {
+		return nil
+	}
+	prefill := sl.gate.PrefillTime(core.WorkOf(ca.Prompt, 0))
+	if float64(wait) <= gr.ReuseBias*float64(prefill) {
+		return nil
+	}
+	less := sl.gate.Less()
+	if len(less) == 0 {
+		return nil
+	}
+	re := ag.refuse(core.ReasonBusyHolder, "place", "prefilling elsewhere is quicker than waiting here")
+	re.Instead = less
+	return re
+}
+
+// worthGoing tells whether the holder of the context can be expected to take the
+// call: it is in the pool and not known to be over the cap.
+func (ag *Agent) worthGoing(sn *board.Snapshot, gr *decl.Group, sl *Slot, ca *core.Call, vm core.VMID) bool {
+	po := sn.Pools[ca.Pool]
+	if po == nil || po.Index(vm) < 0 {
+		return false
+	}
+	load, fresh := ag.tables[ca.Pool].LoadOf(vm)
+	if !fresh {
+		return true
+	}
+	st := sl.gate.Standing()
+	limit := max(float64(gr.FloorWork), gr.LoadFactor*float64(st.Mean))
+	saved := gr.ReuseBias * float64(core.WorkOf(ca.Prompt, 0))
+	return float64(load) <= limit && float64(load) <= float64(st.Load)+saved+limit/2
+}
+
+func (ag *Agent) home(sn *board.Snapshot, id core.PoolID, key uint64) core.VMID {
+	po := sn.Pools[id]
+	if po == nil {
+		return ""
+	}
+	ix := pick.Home(po, key)
+	if ix < 0 {
+		return ""
+	}
+	return po.Members[ix].VM
+}
+
+// keyed runs the call under its idempotency key, where it has one.
+func (ag *Agent) keyed(ctx context.Context, sn *board.Snapshot, sl *Slot, ca *core.Call, he *chats.Held, si core.Sink) (core.Usage, error) {
+	if ca.Key == "" || ag.Keys == nil {
+		return ag.admitted(ctx, sn, sl, ca, he, si, nil)
+	}
+	ru, err := ag.Keys.Begin(ctx, ca, si)
+	if err != nil || ru == nil {
+		return core.Usage{}, err
+	}
+	us, err := ag.admitted(ctx, sn, sl, ca, he, ru.Sink(), ru)
+	if err != nil {
+		ru.End(core.AsRefusal(err, "endpoint", string(sl.ID)))
+		return us, err
+	}
+	ru.End(nil)
+	return us, nil
+}
+
+// admitted waits for a slot, makes the claim and calls the endpoint.
+func (ag *Agent) admitted(ctx context.Context, sn *board.Snapshot, sl *Slot, ca *core.Call, he *chats.Held, si core.Sink, ru Run) (core.Usage, error) {
+	ti := &admit.Ticket{
+		Customer: ca.Customer,
+		Weight:   sn.Config.Share(ca.Customer, ca.Pool),
+		Priority: min(ca.Priority, core.PriorityCount-1),
+		Work:     workOf(ca, he),
+	}
+	if re := ag.pass(ctx, sl, ti); re != nil {
+		return core.Usage{}, re
+	}
+	defer sl.gate.Leave(ti)
+	if ru != nil {
+		if re := ru.Claim(ctx); re != nil {
+			return core.Usage{}, re
+		}
+	}
+	us, err := sl.Endpoint.Do(ctx, ca, &progress{sink: si, gate: sl.gate, ticket: ti})
+	if err != nil {
+		return us, core.AsRefusal(err, "endpoint", string(sl.ID))
+	}
+	return us, nil
+}
+
+func workOf(ca *core.Call, he *chats.Held) core.Work {
+	uncached := ca.Prompt
+	if he != nil {
+		uncached = max(0, uncached-he.Tokens)
+	}
+	return core.WorkOf(uncached, ca.Output)
+}
+
+// pass takes the ticket through the gate.
+func (ag *Agent) pass(ctx context.Context, sl *Slot, ti *admit.Ticket) *core.Refusal {
+	run, re := sl.gate.Offer(ti)
+	if run || re != nil {
+		return re
+	}
+	select {
+	case re = <-ti.Ready():
+		return re
+	case <-ctx.Done():
+	}
+	if !sl.gate.Withdraw(ti) {
+		// It was given a slot, or pushed out, at the same moment.
+		if re = <-ti.Ready(); re != nil {
+			return re
+		}
+		sl.gate.Leave(ti)
+	}
+	if context.Cause(ctx) == context.DeadlineExceeded {
+		return ag.refuse(core.ReasonDeadline, "queue", "the deadline passed while waiting for a slot")
+	}
+	return ag.refuse(core.ReasonCallerGone, "queue", "the caller left while waiting for a slot")
+}
+
+// remember notes that the engine now holds the chat, and tells the chat's home
+// if that is another agent.
+func (ag *Agent) remember(sn *board.Snapshot, sl *Slot, ca *core.Call, key uint64, us core.Usage) {
+	tokens := ca.Prompt + ca.Output
+	if us.Prompt > 0 {
+		tokens = us.Prompt + us.Output
+	}
+	pl := core.Placement{Customer: ca.Customer, Pool: ca.Pool, Chat: ca.Chat, VM: ag.Self}
+	_, known := ag.Book.Held(key)
+	ag.Book.Keep(key, chats.Held{Endpoint: sl.ID, Tokens: tokens, Placement: pl})
+	home := ag.home(sn, ca.Pool, key)
+	if !known && home != ag.Self && home != "" {
+		ag.places.add(home, pl)
+	}
+}
+
+// Placed takes in placements sent to this agent as the chats' home.
+func (ag *Agent) Placed(pls []core.Placement) {
+	for _, pl := range pls {
+		key := ring.Key(pl.Customer, pl.Pool, pl.Chat)
+		switch {
+		case pl.Gone:
+			ag.Book.Unpoint(key, pl.VM)
+		case pl.VM != ag.Self:
+			ag.Book.Point(key, pl.VM)
+		}
+	}
+}
+
+func (ag *Agent) pointTo(vm core.VMID, detail string) *core.Refusal {
+	re := ag.refuse(core.ReasonHeldElsewhere, "place", detail)
+	re.Instead = []core.VMID{vm}
+	return re
+}
+
+func (ag *Agent) refuse(reason core.Reason, step, detail string) *core.Refusal {
+	return &core.Refusal{
+		Outcome: core.NotRun, Reason: reason, Step: step, Peer: string(ag.Self), Detail: detail,
+		RetryAfter: time.Second,
+	}
+}
+
+// report tells what the agent is like now.
+func (ag *Agent) report(sl *Slot, us core.Usage) *core.Report {
+	rep := &core.Report{
+		VM: ag.Self, Incarnation: ag.Incarnation, Draining: ag.Draining(),
+		Revision: ag.Board.Snapshot().Revision(), Cached: us.Cached, Tokens: us.Output,
+	}
+	if sl != nil {
+		rep.Load = sl.gate.Load()
+	}
+	return rep
+}
+
+// progress shrinks the ticket's work as the answer's tokens pass.
+type progress struct {
+	sink   core.Sink
+	gate   *admit.Gate
+	ticket *admit.Ticket
+	last   int64
+}
+
+// Send passes a part on.
+func (pr *progress) Send(pa *core.Part) error {
+	if done := pa.Position - pr.last; done > 0 {
+		pr.last = pa.Position
+		pr.gate.Progress(pr.ticket, core.Work(done))
+	}
+	return pr.sink.Send(pa)
+}
--- /dev/null
+++ b/core/agent/control.go
@@ -0,0 +1,130 @@
+package agent
+
+import (
+	"context"
+	"time"
+
+	"almondrill/core"
+	"almondrill/core/board"
+)
+
+const (
+	// exchangeEvery is the pace of exchanges with one random peer of the pool.
+	exchangeEvery = 250 * time.Millisecond
+	// placesEvery is how long placements are collected before they are sent.
+	placesEvery = 250 * time.Millisecond
+	// MostEntries bounds the loads in one digest.
+	MostEntries = 24
+	// entrySize, placementSize and digestSize are message sizes for the meter.
+	entrySize     core.Bytes = 16
+	placementSize core.Bytes = 48
+	digestSize    core.Bytes = 40
+)
+
+// Run exchanges loads and placements with peers until ctx ends.
+func (ag *Agent) Run(ctx context.Context) error {
+	go ag.sendPlacements(ctx)
+	for ag.Clock.Sleep(ctx, ag.jitter(exchangeEvery)) == nil {
+		ag.exchange(ctx)
+	}
+	return nil
+}
+
+// jitter spreads a pace by a quarter to either side, so that processes that
+// started together do not stay in step.
+func (ag *Agent) jitter(d time.Duration) time.Duration {
+	return time.Duration(float64(d) * (0.75 + ag.Rand.Float64()/2))
+}
+
+// exchange swaps digests with one random peer per pool.
+func (ag *Agent) exchange(ctx context.Context) {
+	sn := ag.Board.Snapshot()
+	for id := range ag.tables {
+		po := sn.Pools[id]
+		if po == nil || len(po.Members) < 2 {
+			continue
+		}
+		to := po.Members[ag.Rand.Uint64()%uint64(len(po.Members))].VM
+		if to == ag.Self {
+			continue
+		}
+		di := ag.Digest(MostEntries)
+		if !ag.maySend(DigestSize(di)) {
+			continue
+		}
+		got, err := ag.Peers.Exchange(ctx, to, di)
+		if err != nil {
+			ag.Board.Post(board.Traffic{VM: to, Reached: false})
+			continue
+		}
+		ag.Hear(got)
+	}
+}
+
+// DigestSize estimates a digest's size on the wire, without transport headers.
+func DigestSize(di *core.Digest) core.Bytes {
+	return digestSize + entrySize*core.Bytes(len(di.Loads))
+}
+
+func (ag *Agent) maySend(size core.Bytes) bool {
+	return ag.Sending == nil || ag.Sending(size)
+}
+
+// Digest tells the agent's own loads and the freshest it knows of others.
+func (ag *Agent) Digest(most int) *core.Digest {
+	di := &core.Digest{
+		From: ag.Self, Incarnation: ag.Incarnation, Draining: ag.Draining(),
+		Revision: ag.Board.Snapshot().Revision(),
+	}
+	for id, ta := range ag.tables {
+		own := core.LoadEntry{Pool: id, VM: ag.Self, Draining: di.Draining}
+		ag.addStandings(&own)
+		di.Loads = append(di.Loads, own)
+		di.Loads = append(di.Loads, ta.Freshest(most-1)...)
+	}
+	return di
+}
+
+// addStandings fills in the mean over the agent's endpoints of the pool, as the
+// cap compares single endpoints.
+func (ag *Agent) addStandings(own *core.LoadEntry) {
+	count := core.Work(0)
+	for _, sl := range ag.Slots {
+		if sl.Pool == own.Pool {
+			st := sl.gate.Standing()
+			own.Load += st.Load
+			own.Drain += st.Drain
+			count++
+		}
+	}
+	own.Load /= max(1, count)
+	own.Drain /= max(1, count)
+}
+
+// Hear takes in a peer's digest.
+func (ag *Agent) Hear(di *core.Digest) {
+	ag.Board.Post(board.Announced{VM: di.From, Incarnation: di.Incarnation, Draining: di.Draining})
+	for _, en := range di.Loads {
+		if ta := ag.tables[en.Pool]; ta != nil {
+			ta.Observe(en)
+		}
+	}
+}
+
+// sendPlacements tells homes which of their chats are held here.
+func (ag *Agent) sendPlacements(ctx context.Context) {
+	for ag.Clock.Sleep(ctx, ag.jitter(placesEvery)) == nil {
+		ag.FlushPlacements(ctx)
+	}
+}
+
+// FlushPlacements sends what waits. What the budget holds back is dropped: a
+// missing pointer costs one prefill.
+func (ag *Agent) FlushPlacements(ctx context.Context) {
+	for home, pls := range ag.places.take() {
+		if ag.maySend(placementSize * core.Bytes(len(pls))) {
+			// A lost message is only a lost hint.
+			_ = ag.Peers.Place(ctx, home, pls)
+		}
+	}
+}
--- /dev/null
+++ b/core/board/board.go
@@ -0,0 +1,324 @@
+// Package board is the blackboard of a process: what its controllers have found
+// out, and the snapshot that traffic reads.
+//
+// # Concepts
+//
+// One control goroutine, Run, owns membership and configuration. Controllers
+// post typed events; Run applies them in order and publishes a new immutable
+// Snapshot. Traffic goroutines read the latest Snapshot through an atomic
+// pointer and never wait for control.
+//
+// # Invariants
+//
+//   - Only Run writes; a published Snapshot is never changed, except for the
+//     Gauges that its members point to, which are atomic.
+//   - A configuration with a lower revision never replaces a higher one.
+//   - Posting from traffic never blocks: when the queue is full the event is
+//     dropped and counted, as later traffic shows the same again.
+//
+// # Usage
+//
+//	bo := &board.Board{Clock: clock, Rand: rand, Self: vm}
+//	go bo.Run(ctx)
+//	bo.Post(board.Listed{VMs: vms})
+//	sn := bo.Snapshot()
+package board
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"almondrill/core"
+	"almondrill/core/decl"
+	"almondrill/core/loads"
+	"almondrill/core/member"
+	"almondrill/core/ring"
+)
+
+// Event is something a controller or traffic found out.
+type Event interface {
+	apply(bo *Board, now time.Time) bool
+}
+
+// Listed brings changes of the platform's list.
+type Listed struct{ VMs []core.VM }
+
+// Adopted brings a newer configuration.
+type Adopted struct{ Config *decl.Config }
+
+// Traffic tells whether a VM could be reached.
+type Traffic struct {
+	VM      core.VMID
+	Reached bool
+}
+
+// Announced tells what a process said of itself.
+type Announced struct {
+	VM          core.VMID
+	Incarnation core.Incarnation
+	Draining    bool
+}
+
+type tick struct{}
+
+// Pool is a pool as traffic sees it: columns by member index.
+type Pool struct {
+	Group   *decl.Group
+	Members []Member
+	// Ring is Members for placement; Near those of the process's own region.
+	Ring []ring.Member
+	Near []int32
+	// Ramping is set where some member has an Allowance below 1.
+	Ramping bool
+	byVM    map[core.VMID]int
+}
+
+// Member is one VM of a pool.
+type Member struct {
+	VM        core.VMID
+	Zone      core.Zone
+	Region    core.Region
+	Allowance float64
+	// Suspect is set where it could not be reached lately.
+	Suspect     bool
+	Incarnation core.Incarnation
+	// Load is what its agent last told; shared by all snapshots.
+	Load *loads.Gauge
+}
+
+// Index finds a VM in the pool, -1 if it is not there.
+func (po *Pool) Index(vm core.VMID) int {
+	if ix, known := po.byVM[vm]; known {
+		return ix
+	}
+	return -1
+}
+
+// VMs lists the pool's members in order of their names.
+func (po *Pool) VMs() []core.VMID {
+	vms := make([]core.VMID, len(po.Members))
+	for ix := range po.Members {
+		vms[ix] = po.Members[ix].VM
+	}
+	return vms
+}
+
+// Snapshot is what traffic reads. It is immutable.
+type Snapshot struct {
+	Config *decl.Config // nil until one is accepted
+	Pools  map[core.PoolID]*Pool
+	Addrs  map[core.VMID]string
+	// Agents and Routers are the usable processes, by name.
+	Agents  []core.VMID
+	Routers []core.VMID
+	// AgentRing is Agents for placement of what belongs to no pool.
+	AgentRing []ring.Member
+}
+
+// Revision is that of the configuration, 0 if there is none.
+func (sn *Snapshot) Revision() core.Revision {
+	if sn.Config == nil {
+		return 0
+	}
+	return sn.Config.Revision
+}
+
+const (
+	queueLength = 1024
+	// TickEvery is how often suspicions and ramps are looked at again.
+	TickEvery = 500 * time.Millisecond
+)
+
+// Board is the blackboard. Set the exported fields before Run.
+type Board struct {
+	Clock core.Clock
+	Rand  core.Rand
+	Self  core.VM
+	// Published, if set, is called by the control goroutine after each change.
+	Published func(sn *Snapshot)
+	// Reverted, if set, is told of a configuration refused as older.
+	Reverted func(offered, inForce core.Revision)
+
+	events  chan Event
+	snap    atomic.Pointer[Snapshot]
+	dropped atomic.Int64
+
+	// Owned by Run.
+	members member.Table
+	config  *decl.Config
+	addrs   map[core.VMID]string
+	gauges  map[gaugeKey]*loads.Gauge
+}
+
+type gaugeKey struct {
+	vm   core.VMID
+	pool core.PoolID
+}
+
+// Init makes the board ready to take events; Run may start later.
+func (bo *Board) Init() {
+	if bo.events != nil {
+		return
+	}
+	bo.events = make(chan Event, queueLength)
+	bo.members.Rand = bo.Rand
+	bo.addrs = map[core.VMID]string{}
+	bo.gauges = map[gaugeKey]*loads.Gauge{}
+	bo.snap.Store(&Snapshot{Pools: map[core.PoolID]*Pool{}, Addrs: map[core.VMID]string{}})
+}
+
+// Run is the control goroutine; it ends with ctx.
+func (bo *Board) Run(ctx context.Context) error {
+	bo.Init()
+	go bo.ticks(ctx)
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case ev := <-bo.events:
+			bo.take(ev)
+		}
+	}
+}
+
+// take applies an event and all that wait behind it, then publishes once: a
+// burst of changes costs one snapshot.
+func (bo *Board) take(ev Event) {
+	now := bo.Clock.Now()
+	changed := ev.apply(bo, now)
+	for {
+		select {
+		case next := <-bo.events:
+			changed = next.apply(bo, now) || changed
+			continue
+		default:
+		}
+		break
+	}
+	if changed {
+		bo.publish(now)
+	}
+}
+
+func (bo *Board) ticks(ctx context.Context) {
+	for bo.Clock.Sleep(ctx, TickEvery) == nil {
+		bo.Post(tick{})
+	}
+}
+
+// Post hands an event to the control goroutine without ever waiting for it.
+func (bo *Board) Post(ev Event) {
+	select {
+	case bo.events <- ev:
+	default:
+		bo.dropped.Add(1)
+	}
+}
+
+// Deliver hands over an event that must not be lost, waiting for room.
+func (bo *Board) Deliver(ctx context.Context, ev Event) error {
+	select {
+	case bo.events <- ev:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// Dropped counts the events that found the queue full.
+func (bo *Board) Dropped() int64 { return bo.dropped.Load() }
+
+// Snapshot is the latest one; it is never nil.
+func (bo *Board) Snapshot() *Snapshot { return bo.snap.Load() }
+
+func (ev Listed) apply(bo *Board, now time.Time) bool {
+	for _, vm := range ev.VMs {
+		if vm.State != core.VMGone {
+			bo.addrs[vm.ID] = vm.Addr
+		}
+	}
+	bo.members.Listed(ev.VMs, now)
+	return true
+}
+
+func (ev Adopted) apply(bo *Board, _ time.Time) bool {
+	if bo.config != nil && ev.Config.Revision <= bo.config.Revision {
+		if ev.Config.Revision < bo.config.Revision && bo.Reverted != nil {
+			bo.Reverted(ev.Config.Revision, bo.config.Revision)
+		}
+		return false
+	}
+	bo.config = ev.Config
+	return true
+}
+
+func (ev Traffic) apply(bo *Board, now time.Time) bool {
+	return bo.members.Traffic(ev.VM, ev.Reached, now)
+}
+
+func (ev Announced) apply(bo *Board, now time.Time) bool {
+	return bo.members.Announced(ev.VM, ev.Incarnation, ev.Draining, now)
+}
+
+// apply publishes again only while something changes with time alone.
+func (tick) apply(bo *Board, now time.Time) bool { return bo.members.Pending(now) }
+
+// publish builds a new Snapshot.
+func (bo *Board) publish(now time.Time) {
+	sn := &Snapshot{Config: bo.config, Pools: map[core.PoolID]*Pool{}, Addrs: map[core.VMID]string{}}
+	for id, addr := range bo.addrs {
+		sn.Addrs[id] = addr
+	}
+	for _, us := range bo.members.Usable(now) {
+		switch us.VM.Role {
+		case core.RoleRouter:
+			sn.Routers = append(sn.Routers, us.VM.ID)
+		case core.RoleAgent:
+			sn.Agents = append(sn.Agents, us.VM.ID)
+			sn.AgentRing = append(sn.AgentRing, ring.Member{Hash: decl.HashName(string(us.VM.ID)), Weight: 1})
+			bo.addToPools(sn, us)
+		}
+	}
+	bo.snap.Store(sn)
+	if bo.Published != nil {
+		bo.Published(sn)
+	}
+}
+
+func (bo *Board) addToPools(sn *Snapshot, us member.Usable) {
+	for _, id := range us.VM.Pools {
+		po := sn.Pools[id]
+		if po == nil {
+			po = &Pool{byVM: map[core.VMID]int{}}
+			if bo.config != nil {
+				po.Group = bo.config.Group(id)
+			}
+			sn.Pools[id] = po
+		}
+		ix := len(po.Members)
+		po.byVM[us.VM.ID] = ix
+		po.Members = append(po.Members, Member{
+			VM: us.VM.ID, Zone: us.VM.Zone, Region: us.VM.Region,
+			Allowance: us.Allowance, Suspect: us.Suspect,
+			Incarnation: bo.members.Incarnation(us.VM.ID), Load: bo.gauge(us.VM.ID, id),
+		})
+		weight := us.VM.Weight
+		if weight <= 0 {
+			weight = 1
+		}
+		po.Ring = append(po.Ring, ring.Member{Hash: decl.HashName(string(us.VM.ID)), Weight: weight})
+		if us.VM.Region == bo.Self.Region {
+			po.Near = append(po.Near, int32(ix))
+		}
+		po.Ramping = po.Ramping || us.Allowance < 1
+	}
+}
+
+func (bo *Board) gauge(vm core.VMID, pool core.PoolID) *loads.Gauge {
+	key := gaugeKey{vm, pool}
+	if bo.gauges[key] == nil {
+		bo.gauges[key] = &loads.Gauge{}
+	}
+	return bo.gauges[key]
+}
--- /dev/null
+++ b/core/call.go
@@ -0,0 +1,159 @@
+package core
+
+import (
+	"context"
+	"time"
+)
+
+// Call is one attempt at a caller's request as it travels from router to agent
+// to endpoint. It is not changed once sent.
+type Call struct {
+	Attempt  AttemptID
+	Customer CustomerID
+	Pool     PoolID
+	Chat     ChatID
+	// Key is the caller's idempotency key; empty where the request may repeat.
+	Key IdemKey
+	// MayRepeat says that running it twice does no harm.
+	MayRepeat bool
+	Priority  Priority
+	Deadline  time.Time
+	// Stream asks for server-sent events.
+	Stream bool
+	// Resume is the position after which a cut stream goes on; 0 is the start.
+	Resume int64
+	// Prompt and Output are the expected sizes in tokens.
+	Prompt Tokens
+	Output Tokens
+	// Missed is a VM that was asked for the chat's context and has it no longer.
+	Missed VMID
+	// Forced asks the agent to run the call rather than point elsewhere for the
+	// chat's context: the router has already followed a pointer.
+	Forced bool
+	// Method, Path and ContentType are those of the request to the endpoint.
+	Method      string
+	Path        string
+	ContentType string
+	Body        []byte
+	// Revision is the sender's configuration revision.
+	Revision Revision
+}
+
+// Part is a piece of an answer. Data is valid only during Sink.Send.
+type Part struct {
+	Attempt AttemptID
+	// Position counts the stream's events up to and including this part.
+	Position int64
+	// Status and ContentType are set on the first part only.
+	Status      int
+	ContentType string
+	Data        []byte
+	// End marks the last part of a whole answer.
+	End bool
+}
+
+// Sink takes the parts of an answer in order. An error stops the answer.
+type Sink interface {
+	Send(pa *Part) error
+}
+
+// Report comes back beside an answer or a refusal: what the agent tells of
+// itself.
+type Report struct {
+	VM          VMID
+	Incarnation Incarnation
+	// Load is the work at the agent's endpoints of the call's pool; Mean is the
+	// agent's estimate of the pool's mean load.
+	Load     Work
+	Mean     Work
+	Draining bool
+	Revision Revision
+	// Cached is how many prompt tokens were found in the engine's cache.
+	Cached Tokens
+	Tokens Tokens
+}
+
+// Endpoint is an engine or a service beside an agent. Do sends one call and
+// passes the answer's parts on; it returns a *Refusal unless the answer was
+// whole. Source: the endpoint's own HTTP protocol, see io/back.
+type Endpoint interface {
+	Do(ctx context.Context, ca *Call, si Sink) (Usage, error)
+}
+
+// Usage is what an endpoint tells of a finished call, in tokens.
+type Usage struct {
+	Prompt Tokens
+	Cached Tokens
+	Output Tokens
+}
+
+// Peers reaches the other processes of the fleet. Serve's error is a *Refusal;
+// Report may be nil where the peer was not reached.
+type Peers interface {
+	Serve(ctx context.Context, to VMID, ca *Call, si Sink) (*Report, error)
+	Exchange(ctx context.Context, to VMID, di *Digest) (*Digest, error)
+	Claim(ctx context.Context, to VMID, cl *Claim) (*Verdict, error)
+	Fetch(ctx context.Context, to VMID, since Revision) (*Changes, error)
+	Place(ctx context.Context, to VMID, pl []Placement) error
+}
+
+// Digest is what two processes tell each other in the background.
+type Digest struct {
+	From        VMID
+	Incarnation Incarnation
+	Draining    bool
+	Revision    Revision
+	Loads       []LoadEntry
+}
+
+// LoadEntry is one agent's load in one pool. Age tells how old the figure is.
+type LoadEntry struct {
+	Pool PoolID
+	VM   VMID
+	Load Work
+	// Drain is the work a second that the endpoint finished lately.
+	Drain    Work
+	Age      time.Duration
+	Draining bool
+}
+
+// Placement says that an agent holds a chat's context; sent to the chat's home.
+type Placement struct {
+	Customer CustomerID
+	Pool     PoolID
+	Chat     ChatID
+	VM       VMID
+	// Gone withdraws it.
+	Gone bool
+}
+
+// Claim asks the keeper of a claim shard for a key.
+type Claim struct {
+	Hash KeyHash
+	By   Claimant
+}
+
+// KeyHash is the 128-bit hash of customer and idempotency key.
+type KeyHash [16]byte
+
+// Claimant is the process that wants to run the call of a key; Nonce tells two
+// of its attempts apart.
+type Claimant struct {
+	VM          VMID
+	Incarnation Incarnation
+	Nonce       uint64
+}
+
+// Verdict answers a Claim. Granted: By is the asker. Otherwise Holder has it.
+type Verdict struct {
+	Granted bool
+	Holder  Claimant
+}
+
+// Changes brings a process from one revision to a later one: Snapshot, where
+// set, replaces everything at SnapshotAt; Deltas follow in order.
+type Changes struct {
+	SnapshotAt Revision
+	Snapshot   []byte
+	Deltas     [][]byte
+}
--- /dev/null
+++ b/core/decl/delta.go
@@ -0,0 +1,141 @@
+package decl
+
+import (
+	"cmp"
+	"encoding/json"
+	"fmt"
+	"reflect"
+	"slices"
+	"time"
+
+	"almondrill/core"
+)
+
+// Delta takes the document of revision Revision-1 to that of Revision.
+type Delta struct {
+	Revision core.Revision
+	// ID is the applying operator's own name for the change; an apply that is
+	// sent again carries the same.
+	ID string
+	// Author and Source tell who accepted it and from which commit.
+	Author string
+	Source string
+	// Note says what it is, such as "rollback to 12".
+	Note   string `json:",omitempty"`
+	At     time.Time
+	Set    Document
+	Remove Names
+}
+
+// Names lists objects by kind.
+type Names struct {
+	Customers []core.CustomerID `json:",omitempty"`
+	Pools     []core.PoolID     `json:",omitempty"`
+	Services  []core.PoolID     `json:",omitempty"`
+	Endpoints []core.EndpointID `json:",omitempty"`
+}
+
+// Encode is the delta's form in the KV and between processes.
+func (de *Delta) Encode() ([]byte, error) { return json.Marshal(de) }
+
+// DecodeDelta reads what Encode wrote.
+func DecodeDelta(data []byte) (*Delta, error) {
+	var de Delta
+	if err := json.Unmarshal(data, &de); err != nil {
+		return nil, fmt.Errorf("decode delta: %w", err)
+	}
+	return &de, nil
+}
+
+// Empty tells whether the delta changes nothing.
+func (de *Delta) Empty() bool { return len(de.Lines()) == 0 }
+
+// Lines tells for people what the delta changes, a line each.
+func (de *Delta) Lines() []string {
+	var lines []string
+	lines = append(lines, named("set Customer ", de.Set.Customers, customerName)...)
+	lines = append(lines, named("set Pool ", de.Set.Pools, poolName)...)
+	lines = append(lines, named("set Service ", de.Set.Services, serviceName)...)
+	lines = append(lines, named("set Endpoint ", de.Set.Endpoints, endpointName)...)
+	lines = append(lines, named("remove Customer ", de.Remove.Customers, same)...)
+	lines = append(lines, named("remove Pool ", de.Remove.Pools, same)...)
+	lines = append(lines, named("remove Service ", de.Remove.Services, same)...)
+	return append(lines, named("remove Endpoint ", de.Remove.Endpoints, same)...)
+}
+
+func named[T any, K ~string](verb string, items []T, name func(T) K) []string {
+	lines := make([]string, 0, len(items))
+	for _, it := range items {
+		lines = append(lines, verb+string(name(it)))
+	}
+	return lines
+}
+
+func customerName(cu Customer) core.CustomerID { return cu.Name }
+func poolName(po Pool) core.PoolID             { return po.Name }
+func serviceName(se Service) core.PoolID       { return se.Name }
+func endpointName(ep Endpoint) core.EndpointID { return ep.Name }
+func same[K ~string](name K) K                 { return name }
+
+// Apply makes the next document; doc itself is not changed.
+func Apply(doc *Document, de *Delta) *Document {
+	return &Document{
+		Customers: merge(doc.Customers, de.Set.Customers, de.Remove.Customers, customerName),
+		Pools:     merge(doc.Pools, de.Set.Pools, de.Remove.Pools, poolName),
+		Services:  merge(doc.Services, de.Set.Services, de.Remove.Services, serviceName),
+		Endpoints: merge(doc.Endpoints, de.Set.Endpoints, de.Remove.Endpoints, endpointName),
+	}
+}
+
+// Diff is the delta that takes one document to another.
+func Diff(from, to *Document) *Delta {
+	de := &Delta{}
+	de.Set.Customers, de.Remove.Customers = differ(from.Customers, to.Customers, customerName)
+	de.Set.Pools, de.Remove.Pools = differ(from.Pools, to.Pools, poolName)
+	de.Set.Services, de.Remove.Services = differ(from.Services, to.Services, serviceName)
+	de.Set.Endpoints, de.Remove.Endpoints = differ(from.Endpoints, to.Endpoints, endpointName)
+	return de
+}
+
+// merge keeps the result sorted by name, so that equal documents are equal
+// however they came about.
+func merge[T any, K cmp.Ordered](old, set []T, remove []K, name func(T) K) []T {
+	byName := make(map[K]T, len(old)+len(set))
+	for _, it := range old {
+		byName[name(it)] = it
+	}
+	for _, it := range set {
+		byName[name(it)] = it
+	}
+	for _, key := range remove {
+		delete(byName, key)
+	}
+	if len(byName) == 0 {
+		return nil
+	}
+	merged := make([]T, 0, len(byName))
+	for _, it := range byName {
+		merged = append(merged, it)
+	}
+	slices.SortFunc(merged, func(one, two T) int { return cmp.Compare(name(one), name(two)) })
+	return merged
+}
+
+func differ[T any, K cmp.Ordered](from, to []T, name func(T) K) (set []T, remove []K) {
+	before := make(map[K]T, len(from))
+	for _, it := range from {
+		before[name(it)] = it
+	}
+	for _, it := range to {
+		old, known := before[name(it)]
+		if !known || !reflect.DeepEqual(old, it) {
+			set = append(set, it)
+		}
+		delete(before, name(it))
+	}
+	for key := range before {
+		remove = append(remove, key)
+	}
+	slices.Sort(remove)
+	return set, remove
+}
--- /dev/null
+++ b/core/loads/loads.go
@@ -0,0 +1,200 @@
+// Package loads keeps what an agent knows of its pool's loads and estimates the
+// mean from it.
+//
+// # Concepts
+//
+// Agents of a pool tell each other their loads now and then; each Table holds
+// the freshest figure per peer with its age. Mean is deliberately a lower bound
+// of the true mean, because the load cap multiplies it: an estimate that is too
+// high would let an engine run hot, one that is too low only spreads work more.
+//
+// # Invariants
+//
+//   - A figure counts for less the older it is: at most its peer's own drain
+//     times the age may have gone since, and that is taken off.
+//   - A peer without a figure, or with one older than Stale, counts as empty.
+//   - An older figure never replaces a fresher one, whatever way it came.
+//
+// # Usage
+//
+//	ta := &loads.Table{Clock: clock}
+//	ta.SetPeers(vms)
+//	ta.Observe(entry)
+//	mean := ta.Mean(ownLoad)
+package loads
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"almondrill/core"
+)
+
+// Gauge is a load that traffic goroutines read and write without locks.
+type Gauge struct {
+	work atomic.Int64
+}
+
+// Set stores the load.
+func (ga *Gauge) Set(wo core.Work) { ga.work.Store(int64(wo)) }
+
+// Get returns the load last stored.
+func (ga *Gauge) Get() core.Work { return core.Work(ga.work.Load()) }
+
+// Stale is the age beyond which a figure counts as 0.
+const Stale = 5 * time.Second
+
+// discount is the part of the possible drain since a figure was taken that is
+// held against it. Arrivals replace most of what drains: docs/design/load-cap.md
+// has the figures for 0, 0.5 and 1.
+const discount = 0.25
+
+type figure struct {
+	load     core.Work
+	drain    core.Work
+	at       time.Time
+	draining bool
+}
+
+// Table holds one pool's loads. Set the exported fields before use.
+type Table struct {
+	Clock core.Clock
+	Pool  core.PoolID
+	Self  core.VMID
+
+	mu      sync.Mutex // guards all below
+	peers   []core.VMID
+	figures map[core.VMID]figure
+	sum     core.Work // of the peers' cautious loads, as at summed
+	summed  time.Time
+}
+
+// sumEvery is how long the sum over the peers is kept: admission reads it for
+// every call, and in so short a time it moves by less than one call's work.
+const sumEvery = 10 * time.Millisecond
+
+// SetPeers replaces the pool's live members, Self among them or not.
+func (ta *Table) SetPeers(vms []core.VMID) {
+	ta.mu.Lock()
+	defer ta.mu.Unlock()
+	kept := make(map[core.VMID]figure, len(vms))
+	ta.peers = ta.peers[:0]
+	for _, vm := range vms {
+		if vm == ta.Self {
+			continue
+		}
+		ta.peers = append(ta.peers, vm)
+		if fi, known := ta.figures[vm]; known {
+			kept[vm] = fi
+		}
+	}
+	ta.figures = kept
+	ta.summed = time.Time{}
+}
+
+// Observe takes in one figure; the entry's Age is subtracted from now.
+func (ta *Table) Observe(en core.LoadEntry) {
+	at := ta.Clock.Now().Add(-en.Age)
+	ta.mu.Lock()
+	defer ta.mu.Unlock()
+	if !slices.Contains(ta.peers, en.VM) {
+		return
+	}
+	if old, known := ta.figures[en.VM]; known && !at.After(old.at) {
+		return
+	}
+	ta.figures[en.VM] = figure{load: en.Load, drain: en.Drain, at: at, draining: en.Draining}
+	ta.summed = time.Time{}
+}
+
+// Mean is the cautious mean of the pool's loads, own load included.
+func (ta *Table) Mean(own core.Work) core.Work {
+	now := ta.Clock.Now()
+	ta.mu.Lock()
+	defer ta.mu.Unlock()
+	if age := now.Sub(ta.summed); age < 0 || age > sumEvery {
+		ta.sum = 0
+		for _, fi := range ta.figures {
+			ta.sum += fi.cautious(now)
+		}
+		ta.summed = now
+	}
+	return (ta.sum + own) / core.Work(len(ta.peers)+1)
+}
+
+func (fi figure) cautious(now time.Time) core.Work {
+	age := now.Sub(fi.at)
+	if age > Stale || fi.draining {
+		return 0
+	}
+	gone := core.Work(float64(fi.drain) * age.Seconds() * discount)
+	return max(0, fi.load-gone)
+}
+
+// Less names up to most peers whose load is below limit. Which ones is drawn at
+// random with odds by their headroom, so that many refusals at once do not send
+// everyone to the one least loaded peer.
+func (ta *Table) Less(limit core.Work, most int, ra core.Rand) []core.VMID {
+	type drawn struct {
+		vm  core.VMID
+		key float64
+	}
+	now := ta.Clock.Now()
+	ta.mu.Lock()
+	defer ta.mu.Unlock()
+	var found []drawn
+	for _, vm := range ta.peers { // in order, so that a seeded run repeats
+		fi, known := ta.figures[vm]
+		room := limit - fi.load
+		if !known || room <= 0 || fi.draining || now.Sub(fi.at) > Stale {
+			continue
+		}
+		// The smallest of Exp(1)/room is drawn with odds proportional to room.
+		found = append(found, drawn{vm, exponential(ra) / float64(room)})
+	}
+	slices.SortFunc(found, func(one, two drawn) int { return cmp.Compare(one.key, two.key) })
+	names := make([]core.VMID, 0, most)
+	for _, dr := range found[:min(most, len(found))] {
+		names = append(names, dr.vm)
+	}
+	return names
+}
+
+// LoadOf is the last known load of a peer, and whether it is fresh.
+func (ta *Table) LoadOf(vm core.VMID) (core.Work, bool) {
+	now := ta.Clock.Now()
+	ta.mu.Lock()
+	defer ta.mu.Unlock()
+	fi, known := ta.figures[vm]
+	return fi.load, known && !fi.draining && now.Sub(fi.at) <= Stale
+}
+
+// Freshest returns up to most figures, the most recent first, for passing on.
+func (ta *Table) Freshest(most int) []core.LoadEntry {
+	now := ta.Clock.Now()
+	ta.mu.Lock()
+	entries := make([]core.LoadEntry, 0, len(ta.figures))
+	for vm, fi := range ta.figures {
+		age := now.Sub(fi.at)
+		if age > Stale {
+			continue
+		}
+		entries = append(entries, core.LoadEntry{
+			Pool: ta.Pool, VM: vm, Load: fi.load, Drain: fi.drain, Age: age, Draining: fi.draining,
+		})
+	}
+	ta.mu.Unlock()
+	slices.SortFunc(entries, func(one, two core.LoadEntry) int {
+		return cmp.Or(cmp.Compare(one.Age, two.Age), cmp.Compare(one.VM, two.VM))
+	})
+	return entries[:min(most, len(entries))]
+}
+
+// exponential draws from the exponential distribution with mean 1.
+func exponential(ra core.Rand) float64 {
+	return -math.Log(1 - ra.Float64())
+}
--- /dev/null
+++ b/core/platform.go
@@ -0,0 +1,99 @@
+package core
+
+import (
+	"context"
+	"errors"
+	"time"
+)
+
+// Clock tells and waits for time. Sleep returns ctx's error when that ends
+// first.
+type Clock interface {
+	Now() time.Time
+	Sleep(ctx context.Context, d time.Duration) error
+}
+
+// Rand is a source of randomness that is safe for concurrent use.
+type Rand interface {
+	Uint64() uint64
+	Float64() float64
+}
+
+// Errors of a KV. Any other error means that the call may or may not have
+// taken effect.
+var (
+	// ErrAbsent: no such entry.
+	ErrAbsent = errors.New("kv: entry absent")
+	// ErrConflict: the entry's version is not the expected one; nothing was written.
+	ErrConflict = errors.New("kv: version conflict")
+	// ErrLeaseGone: the lease has lapsed; nothing was written.
+	ErrLeaseGone = errors.New("kv: lease gone")
+)
+
+// Entry is a KV entry. Version grows with every write to the store, so it also
+// serves as a fencing number.
+type Entry struct {
+	Key     string
+	Value   []byte
+	Version Version
+}
+
+// KV is the platform's key-value service. Values hold at most a megabyte; every
+// call counts against its rate.
+type KV interface {
+	Get(ctx context.Context, key string) (Entry, error)
+	// Put writes if the entry's version is still expect (0: must not exist).
+	// With a lease, the entry goes when the lease does.
+	Put(ctx context.Context, key string, value []byte, expect Version, le LeaseID) (Version, error)
+	// Delete removes the entry if its version is still expect.
+	Delete(ctx context.Context, key string, expect Version) error
+	// List returns entries with from <= key < to in key order, at most limit.
+	List(ctx context.Context, from, to string, limit int) ([]Entry, error)
+	// Grant creates a lease; Renew prolongs it by its time to live.
+	Grant(ctx context.Context, ttl time.Duration) (LeaseID, error)
+	Renew(ctx context.Context, le LeaseID) error
+	// Watch waits until an entry with the prefix has a version above after, and
+	// returns it.
+	Watch(ctx context.Context, prefix string, after Version) (Entry, error)
+}
+
+// VMState is a VM's state in the platform's list.
+type VMState uint8
+
+const (
+	// VMLive may get work.
+	VMLive VMState = iota
+	// VMLeaving finishes what it has.
+	VMLeaving
+	// VMGone is no longer there.
+	VMGone
+)
+
+// Role is what a VM's process does.
+type Role string
+
+// Roles of processes.
+const (
+	RoleRouter Role = "Router"
+	RoleAgent  Role = "Agent"
+)
+
+// VM is one VM of the platform's list.
+type VM struct {
+	ID     VMID
+	Addr   string
+	Zone   Zone
+	Region Region
+	Role   Role
+	// Pools are those that its endpoints belong to.
+	Pools []PoolID
+	// Weight is its relative capacity; 0 counts as 1.
+	Weight float64
+	State  VMState
+}
+
+// VMList is the platform's lagging list. Changes returns what changed after
+// mark, with the new mark; mark 0 returns everything.
+type VMList interface {
+	Changes(ctx context.Context, mark uint64) ([]VM, uint64, error)
+}
--- /dev/null
+++ b/core/revlog/revlog.go
@@ -0,0 +1,450 @@
+// Package revlog keeps the accepted configuration: an append-only log of deltas
+// with snapshots in the KV, and each process's copy of it.
+//
+// # Concepts
+//
+// Revision n is accepted once the KV holds the log entry n, which is created only
+// if absent: of two operators one gets the number, the other a conflict. A
+// process holds one document at one revision and takes further ones from the KV
+// or from any peer; whatever the way, deltas are applied in order and a lower
+// revision changes nothing.
+//
+// # Invariants
+//
+//   - Commit says accepted only when the KV holds the very delta. A lost answer
+//     is settled by writing the same entry again: the entry can only be created
+//     once, so the second write either makes it or finds whose it is.
+//   - A process never goes back, even if the KV does.
+//   - Log entries are deleted only once a snapshot covers them and keepLog more
+//     follow, so a writer that was paused finds its number taken.
+//
+// # Usage
+//
+//	lo := &revlog.Log{KV: kv, Clock: clock, Rand: rand, Adopt: adopt}
+//	err := lo.Refresh(ctx)
+//	rev, err := lo.Commit(ctx, planned, doc, revlog.Meta{ID: id, Author: who})
+package revlog
+
+import (
+	"bytes"
+	"compress/gzip"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"slices"
+	"sync"
+	"time"
+
+	"almondrill/core"
+	"almondrill/core/decl"
+	"almondrill/core/retry"
+)
+
+const (
+	logPrefix  = "config/log/"
+	snapPrefix = "config/snap/"
+	// prefixEnd sorts behind every key that starts with the prefix's digits.
+	prefixEnd = "~"
+	// snapEvery is how many revisions lie between snapshots.
+	snapEvery = 100
+	// keepLog is how many log entries stay behind the newest snapshot.
+	keepLog = 1000
+	// keepRecent is how many deltas a process keeps for its peers.
+	keepRecent = 200
+	pageSize   = 200
+)
+
+// Conflict tells that another change was accepted since the plan was made.
+type Conflict struct {
+	Planned core.Revision
+	Other   decl.Delta
+}
+
+// Error names the other change.
+func (co *Conflict) Error() string {
+	return fmt.Sprintf("planned on revision %d, but %s accepted revision %d (%s) at %s",
+		co.Planned, co.Other.Author, co.Other.Revision, co.Other.ID, co.Other.At.Format(time.RFC3339))
+}
+
+// Uncertain tells that it could not be settled in time whether a change was
+// accepted; ask again with its ID.
+type Uncertain struct {
+	ID    string
+	Cause error
+}
+
+// Error tells the ID to ask by.
+func (un *Uncertain) Error() string {
+	return fmt.Sprintf("it is not known whether change %s was accepted: %v", un.ID, un.Cause)
+}
+
+// Unwrap is the last error of the KV.
+func (un *Uncertain) Unwrap() error { return un.Cause }
+
+// ErrBehind: the KV holds less than this process has adopted, so it was reset to
+// older content; nothing is committed until it is repaired.
+var ErrBehind = errors.New("the KV holds older configuration than is in force; restore it before applying")
+
+// Meta describes a change to commit.
+type Meta struct {
+	ID     string
+	Author string
+	Source string
+	Note   string
+}
+
+// Log is a process's copy of the accepted configuration. Set the exported fields
+// before use.
+type Log struct {
+	KV    core.KV
+	Clock core.Clock
+	Rand  core.Rand
+	// Adopt is called, in order, with each newly adopted configuration.
+	Adopt func(cfg *decl.Config)
+	// Behind, if set, is told when the KV is found to hold older content.
+	Behind func(own core.Revision)
+
+	mu     sync.Mutex // guards all below
+	rev    core.Revision
+	doc    *decl.Document
+	recent []*decl.Delta
+	packed []byte // the document at packedAt, for peers
+	packAt core.Revision
+}
+
+// Revision is the one in force here, 0 for none.
+func (lo *Log) Revision() core.Revision {
+	lo.mu.Lock()
+	defer lo.mu.Unlock()
+	return lo.rev
+}
+
+// Document is the one in force here; it must not be changed.
+func (lo *Log) Document() (*decl.Document, core.Revision) {
+	lo.mu.Lock()
+	defer lo.mu.Unlock()
+	if lo.doc == nil {
+		return &decl.Document{}, lo.rev
+	}
+	return lo.doc, lo.rev
+}
+
+func logKey(rev core.Revision) string  { return fmt.Sprintf("%s%020d", logPrefix, rev) }
+func snapKey(rev core.Revision) string { return fmt.Sprintf("%s%020d", snapPrefix, rev) }
+
+// Refresh takes over what the KV holds beyond the own revision.
+func (lo *Log) Refresh(ctx context.Context) error {
+	for {
+		own := lo.Revision()
+		// The own entry is asked for too: a KV that does not have it was reset.
+		page, err := lo.KV.List(ctx, logKey(own), logPrefix+prefixEnd, pageSize)
+		if err != nil {
+			return fmt.Errorf("list log: %w", err)
+		}
+		if len(page) == 0 {
+			return lo.checkBehind(ctx, own)
+		}
+		ch := &core.Changes{}
+		for _, en := range page {
+			ch.Deltas = append(ch.Deltas, en.Value)
+		}
+		if err = lo.Take(ch); err != nil {
+			if err = lo.loadSnapshot(ctx, own); err != nil {
+				return err
+			}
+			continue
+		}
+		if len(page) < pageSize {
+			return nil
+		}
+	}
+}
+
+// checkBehind handles a KV whose log is empty from the own revision on.
+func (lo *Log) checkBehind(ctx context.Context, own core.Revision) error {
+	if own == 0 {
+		return lo.loadSnapshot(ctx, own)
+	}
+	if lo.Behind != nil {
+		lo.Behind(own)
+	}
+	return ErrBehind
+}
+
+// loadSnapshot takes over the newest snapshot above own, if there is one.
+func (lo *Log) loadSnapshot(ctx context.Context, own core.Revision) error {
+	snaps, err := lo.KV.List(ctx, snapKey(own+1), snapPrefix+prefixEnd, 0)
+	if err != nil {
+		return fmt.Errorf("list snapshots: %w", err)
+	}
+	if len(snaps) == 0 {
+		if own == 0 {
+			return nil
+		}
+		return fmt.Errorf("the log misses revision %d and no snapshot covers it", own+1)
+	}
+	newest := snaps[len(snaps)-1]
+	var rev core.Revision
+	if _, err = fmt.Sscanf(newest.Key, snapPrefix+"%d", &rev); err != nil {
+		return fmt.Errorf("snapshot key %s: %w", newest.Key, err)
+	}
+	return lo.Take(&core.Changes{SnapshotAt: rev, Snapshot: newest.Value})
+}
+
+// Take adopts changes from the KV or a peer. Deltas at or below the own revision
+// are passed over; a gap is an error and changes nothing beyond it.
+func (lo *Log) Take(ch *core.Changes) error {
+	lo.mu.Lock()
+	defer lo.mu.Unlock()
+	if len(ch.Snapshot) > 0 && ch.SnapshotAt > lo.rev {
+		doc, err := unpack(ch.Snapshot)
+		if err != nil {
+			return err
+		}
+		lo.adopt(doc, ch.SnapshotAt, nil)
+	}
+	for _, data := range ch.Deltas {
+		de, err := decl.DecodeDelta(data)
+		if err != nil {
+			return err
+		}
+		if de.Revision <= lo.rev {
+			continue
+		}
+		if de.Revision != lo.rev+1 {
+			return fmt.Errorf("revision %d follows %d", de.Revision, lo.rev)
+		}
+		doc := lo.doc
+		if doc == nil {
+			doc = &decl.Document{}
+		}
+		lo.adopt(decl.Apply(doc, de), de.Revision, de)
+	}
+	return nil
+}
+
+// adopt is called with the lock held, so that Adopt sees revisions in order.
+func (lo *Log) adopt(doc *decl.Document, rev core.Revision, de *decl.Delta) {
+	lo.doc = doc
+	lo.rev = rev
+	if de == nil {
+		lo.recent = nil
+	} else {
+		lo.recent = append(lo.recent, de)
+		if len(lo.recent) > keepRecent {
+			lo.recent = slices.Clone(lo.recent[len(lo.recent)-keepRecent:])
+		}
+	}
+	if lo.Adopt != nil {
+		lo.Adopt(decl.Compile(doc, rev))
+	}
+}
+
+// Since is what a peer at that revision lacks.
+func (lo *Log) Since(since core.Revision) (*core.Changes, error) {
+	lo.mu.Lock()
+	defer lo.mu.Unlock()
+	ch := &core.Changes{}
+	if since >= lo.rev {
+		return ch, nil
+	}
+	if len(lo.recent) == 0 || lo.recent[0].Revision > since+1 {
+		packed, err := lo.pack()
+		if err != nil {
+			return nil, err
+		}
+		ch.SnapshotAt, ch.Snapshot = lo.rev, packed
+		return ch, nil
+	}
+	for _, de := range lo.recent {
+		if de.Revision <= since {
+			continue
+		}
+		data, err := de.Encode()
+		if err != nil {
+			return nil, err
+		}
+		ch.Deltas = append(ch.Deltas, data)
+	}
+	return ch, nil
+}
+
+func (lo *Log) pack() ([]byte, error) {
+	if lo.packAt == lo.rev && lo.packed != nil {
+		return lo.packed, nil
+	}
+	packed, err := pack(lo.doc)
+	if err != nil {
+		return nil, err
+	}
+	lo.packed, lo.packAt = packed, lo.rev
+	return packed, nil
+}
+
+func pack(doc *decl.Document) ([]byte, error) {
+	var out bytes.Buffer
+	zip := gzip.NewWriter(&out)
+	if err := json.NewEncoder(zip).Encode(doc); err != nil {
+		return nil, fmt.Errorf("encode snapshot: %w", err)
+	}
+	if err := zip.Close(); err != nil {
+		return nil, fmt.Errorf("encode snapshot: %w", err)
+	}
+	return out.Bytes(), nil
+}
+
+func unpack(data []byte) (*decl.Document, error) {
+	zip, err := gzip.NewReader(bytes.NewReader(data))
+	if err != nil {
+		return nil, fmt.Errorf("decode snapshot: %w", err)
+	}
+	plain, err := io.ReadAll(zip)
+	if err != nil {
+		return nil, fmt.Errorf("decode snapshot: %w", err)
+	}
+	var doc decl.Document
+	if err = json.Unmarshal(plain, &doc); err != nil {
+		return nil, fmt.Errorf("decode snapshot: %w", err)
+	}
+	return &doc, nil
+}
+
+// Commit has doc accepted as the next revision after planned, or not at all. It
+// returns the accepted revision, or a *Conflict, an *Uncertain, or another error
+// that means not accepted. Sent again with the same ID it returns the same.
+func (lo *Log) Commit(ctx context.Context, planned core.Revision, doc *decl.Document, me Meta) (core.Revision, error) {
+	if err := lo.Refresh(ctx); err != nil {
+		return 0, err
+	}
+	if rev := lo.find(me.ID); rev != 0 {
+		return rev, nil
+	}
+	current, rev := lo.Document()
+	if rev != planned {
+		return 0, lo.conflict(planned)
+	}
+	de := decl.Diff(current, doc)
+	de.Revision = rev + 1
+	de.ID, de.Author, de.Source, de.Note = me.ID, me.Author, me.Source, me.Note
+	de.At = lo.Clock.Now().UTC()
+	data, err := de.Encode()
+	if err != nil {
+		return 0, err
+	}
+	if err = lo.settle(ctx, de, data, planned); err != nil {
+		return 0, err
+	}
+	if err = lo.Take(&core.Changes{Deltas: [][]byte{data}}); err != nil {
+		return 0, err
+	}
+	lo.compact(ctx, de.Revision)
+	return de.Revision, nil
+}
+
+// settle creates the log entry. After an error that leaves its fate open it
+// writes the same again until the KV tells, or ctx ends.
+func (lo *Log) settle(ctx context.Context, de *decl.Delta, data []byte, planned core.Revision) error {
+	for try := 1; ; try++ {
+		_, err := lo.KV.Put(ctx, logKey(de.Revision), data, 0, 0)
+		if err == nil {
+			return nil
+		}
+		if errors.Is(err, core.ErrConflict) {
+			return lo.whose(ctx, de, planned)
+		}
+		if lo.Clock.Sleep(ctx, retry.Backoff(try, lo.Rand)) != nil {
+			return &Uncertain{ID: de.ID, Cause: err}
+		}
+	}
+}
+
+// whose finds out who holds the number that this change wanted.
+func (lo *Log) whose(ctx context.Context, de *decl.Delta, planned core.Revision) error {
+	for try := 1; ; try++ {
+		en, err := lo.KV.Get(ctx, logKey(de.Revision))
+		if err == nil {
+			held, err := decl.DecodeDelta(en.Value)
+			if err != nil {
+				return err
+			}
+			if held.ID == de.ID {
+				return nil
+			}
+			return &Conflict{Planned: planned, Other: *held}
+		}
+		if lo.Clock.Sleep(ctx, retry.Backoff(try, lo.Rand)) != nil {
+			return &Uncertain{ID: de.ID, Cause: err}
+		}
+	}
+}
+
+// find is the revision that a change with that ID got, 0 if none is known.
+func (lo *Log) find(id string) core.Revision {
+	lo.mu.Lock()
+	defer lo.mu.Unlock()
+	for _, de := range lo.recent {
+		if de.ID == id {
+			return de.Revision
+		}
+	}
+	return 0
+}
+
+func (lo *Log) conflict(planned core.Revision) error {
+	lo.mu.Lock()
+	defer lo.mu.Unlock()
+	for _, de := range lo.recent {
+		if de.Revision == planned+1 {
+			return &Conflict{Planned: planned, Other: *de}
+		}
+	}
+	return &Conflict{Planned: planned, Other: decl.Delta{Revision: lo.rev, Author: "someone", ID: "unknown"}}
+}
+
+// compact writes a snapshot every snapEvery revisions and deletes log entries
+// that lie far enough behind it. It may fail at any point: what it leaves undone
+// the next one does.
+func (lo *Log) compact(ctx context.Context, rev core.Revision) {
+	if rev%snapEvery != 0 {
+		return
+	}
+	lo.mu.Lock()
+	packed, err := lo.pack()
+	at := lo.packAt
+	lo.mu.Unlock()
+	if err != nil || at != rev {
+		return
+	}
+	if _, err = lo.KV.Put(ctx, snapKey(rev), packed, 0, 0); err != nil {
+		return
+	}
+	lo.prune(ctx, snapPrefix, snapKey(rev))
+	if rev > keepLog {
+		lo.prune(ctx, logPrefix, logKey(rev-keepLog))
+	}
+}
+
+func (lo *Log) prune(ctx context.Context, from, to string) {
+	old, err := lo.KV.List(ctx, from, to, pageSize)
+	if err != nil {
+		return
+	}
+	for _, en := range old {
+		if lo.KV.Delete(ctx, en.Key, en.Version) != nil {
+			return
+		}
+	}
+}
+
+// History lists the deltas known here, the newest first, at most most.
+func (lo *Log) History(most int) []decl.Delta {
+	lo.mu.Lock()
+	defer lo.mu.Unlock()
+	var found []decl.Delta
+	for ix := len(lo.recent) - 1; ix >= 0 && len(found) < most; ix-- {
+		found = append(found, *lo.recent[ix])
+	}
+	return found
+}
--- /dev/null
+++ b/core/router/router.go
@@ -0,0 +1,261 @@
+// Package router carries one caller's request through its attempts.
+//
+// # Concepts
+//
+// Route picks an agent, hands it the call, and on a refusal decides whether
+// another attempt is allowed. The agent keeps the promises; the router aims
+// well, passes the answer on, and never repeats what may have run unless that
+// does no harm.
+//
+// # Invariants
+//
+//   - After NotRun another attempt is free, up to MaxAttempts and the deadline.
+//   - After Failed or Unknown another attempt is made only for a call that may
+//     repeat, of whose answer nothing has been passed on, within the Budget.
+//   - A part that carries another attempt's id is dropped and counted.
+//   - Route returns nil only if the answer's end mark was passed on.
+//
+// # Usage
+//
+//	ro := &router.Router{Clock: clock, Rand: rand, Board: bo, Peers: peers}
+//	report, err := ro.Route(ctx, &router.Request{Call: call, Group: group}, sink)
+package router
+
+import (
+	"context"
+	"time"
+
+	"almondrill/core"
+	"almondrill/core/board"
+	"almondrill/core/decl"
+	"almondrill/core/pick"
+	"almondrill/core/retry"
+	"almondrill/core/ring"
+)
+
+// MaxAttempts bounds the attempts at one request.
+const MaxAttempts = 6
+
+// Router routes requests. Set the exported fields before use.
+type Router struct {
+	Clock  core.Clock
+	Rand   core.Rand
+	Board  *board.Board
+	Peers  core.Peers
+	Budget *retry.Budget
+	Zone   core.Zone
+	// Retried and Dropped, if set, count a retry by its reason and a part that
+	// was for another attempt.
+	Retried func(re core.Reason)
+	Dropped func()
+	// Heard, if set, is told of every peer's revision.
+	Heard func(from core.VMID, rev core.Revision)
+}
+
+// Request is one caller's request. Call.Attempt, Revision, Missed and Forced are
+// filled in by Route.
+type Request struct {
+	Call  core.Call
+	Group *decl.Group
+	// Hint is the VM that the caller was served by last, empty if not told.
+	Hint core.VMID
+}
+
+// Served is told with the first part of an answer.
+type Served interface {
+	// From names the VM that answers.
+	From(vm core.VMID)
+}
+
+// attempts is the state of one Route.
+type attempts struct {
+	ro     *Router
+	rq     *Request
+	se     pick.Search
+	pool   *board.Pool
+	number int
+}
+
+// Route runs the request. The error, if any, is a *core.Refusal.
+func (ro *Router) Route(ctx context.Context, rq *Request, si core.Sink) (*core.Report, error) {
+	sn := ro.Board.Snapshot()
+	po := sn.Pools[rq.Group.ID]
+	if po == nil || len(po.Members) == 0 {
+		return nil, ro.refuse(core.ReasonNoEndpoint, "pick", string(rq.Group.ID), "the pool has no live endpoint")
+	}
+	ro.Budget.First(rq.Call.Customer)
+	at := &attempts{ro: ro, rq: rq, pool: po, se: pick.Search{
+		Pool: po, Hint: rq.Hint, Zone: ro.Zone, Rand: ro.Rand,
+		Key: ring.Key(rq.Call.Customer, rq.Group.ID, rq.Call.Chat),
+	}}
+	return at.run(ctx, sn, si)
+}
+
+func (at *attempts) run(ctx context.Context, sn *board.Snapshot, si core.Sink) (*core.Report, error) {
+	rq := at.rq
+	rq.Call.Revision = sn.Revision()
+	ix := at.se.First()
+	for {
+		at.number++
+		gu := &guard{sink: si, vm: at.pool.Members[ix].VM, dropped: at.ro.Dropped}
+		rep, re := at.once(ctx, ix, gu)
+		if re == nil {
+			return rep, nil
+		}
+		if !at.mayRetry(re, gu.passed) {
+			return rep, re
+		}
+		next := at.next(re, ix)
+		if next < 0 {
+			return rep, re
+		}
+		if re.Outcome != core.NotRun && !at.wait(ctx) {
+			return rep, re
+		}
+		if expired(ctx, at.ro.Clock, rq.Call.Deadline) {
+			return rep, re
+		}
+		at.ro.count(re.Reason)
+		ix = next
+	}
+}
+
+// once makes one attempt.
+func (at *attempts) once(ctx context.Context, ix int, gu *guard) (*core.Report, *core.Refusal) {
+	ca := at.rq.Call
+	ca.Attempt = core.AttemptID(at.ro.Rand.Uint64())
+	gu.attempt = ca.Attempt
+	rep, err := at.ro.Peers.Serve(ctx, gu.vm, &ca, gu)
+	at.learn(ix, rep, err)
+	if err != nil {
+		return rep, core.AsRefusal(err, "serve", string(gu.vm))
+	}
+	if !gu.ended {
+		return rep, &core.Refusal{
+			Outcome: core.Unknown, Reason: core.ReasonCutShort, Step: "serve", Peer: string(gu.vm),
+			Detail: "the answer stopped before its end mark",
+		}
+	}
+	return rep, nil
+}
+
+// learn passes on what the attempt showed of the agent.
+func (at *attempts) learn(ix int, rep *core.Report, err error) {
+	me := &at.pool.Members[ix]
+	if rep != nil {
+		me.Load.Set(rep.Load)
+		if rep.Draining || me.Suspect || me.Allowance < 1 || rep.Incarnation != me.Incarnation {
+			at.ro.Board.Post(board.Announced{VM: me.VM, Incarnation: rep.Incarnation, Draining: rep.Draining})
+		}
+		if at.ro.Heard != nil {
+			at.ro.Heard(me.VM, rep.Revision)
+		}
+		return
+	}
+	if err == nil {
+		return
+	}
+	reason := core.AsRefusal(err, "serve", string(me.VM)).Reason
+	if reason == core.ReasonUnreachable || reason == core.ReasonPeerLost {
+		at.ro.Board.Post(board.Traffic{VM: me.VM, Reached: false})
+	}
+}
+
+// mayRetry tells whether another attempt does no harm.
+func (at *attempts) mayRetry(re *core.Refusal, passed bool) bool {
+	if at.number >= MaxAttempts || passed || re.Reason == core.ReasonCallerGone || re.Reason == core.ReasonDeadline {
+		return false
+	}
+	if re.Outcome == core.NotRun {
+		return re.Reason != core.ReasonKVDown && re.Reason != core.ReasonKeyReused
+	}
+	if !at.rq.Call.MayRepeat || !temporary(re) {
+		return false
+	}
+	return at.ro.Budget.Retry(at.rq.Call.Customer)
+}
+
+// temporary tells a failure that another endpoint may not have from one that the
+// request itself brought about.
+func temporary(re *core.Refusal) bool {
+	const firstServerError = 500
+	switch re.Reason {
+	case core.ReasonEndpointError:
+		return re.Status >= firstServerError
+	case core.ReasonPeerLost, core.ReasonEndpointDown, core.ReasonCutShort, core.ReasonCrossed, core.ReasonStalled:
+		return true
+	}
+	return false
+}
+
+// next picks the member for the following attempt, -1 if there is none.
+func (at *attempts) next(re *core.Refusal, ix int) int {
+	ca := &at.rq.Call
+	if re.Reason != core.ReasonHeldElsewhere {
+		ca.Forced = true
+		return at.se.After(re)
+	}
+	if ca.Key != "" && len(re.Instead) > 0 {
+		// The key is claimed there: only that agent knows the outcome.
+		return at.pool.Index(re.Instead[0])
+	}
+	if ca.Missed != "" {
+		// A second pointer in a row: whoever is asked next runs it.
+		ca.Forced = true
+	}
+	ca.Missed = at.pool.Members[ix].VM
+	return at.se.After(re)
+}
+
+// wait backs off before a retry of work that may have run.
+func (at *attempts) wait(ctx context.Context) bool {
+	return at.ro.Clock.Sleep(ctx, retry.Backoff(at.number, at.ro.Rand)) == nil
+}
+
+func (ro *Router) count(re core.Reason) {
+	if ro.Retried != nil {
+		ro.Retried(re)
+	}
+}
+
+func (ro *Router) refuse(re core.Reason, step, peer, detail string) *core.Refusal {
+	return &core.Refusal{
+		Outcome: core.NotRun, Reason: re, Step: step, Peer: peer, Detail: detail, RetryAfter: time.Second,
+	}
+}
+
+func expired(ctx context.Context, cl core.Clock, deadline time.Time) bool {
+	return ctx.Err() != nil || (!deadline.IsZero() && !cl.Now().Before(deadline))
+}
+
+// guard passes one attempt's parts on. It drops those of another attempt: a
+// reply that was delayed or crossed on its way must not reach this caller.
+type guard struct {
+	sink    core.Sink
+	vm      core.VMID
+	attempt core.AttemptID
+	dropped func()
+	passed  bool
+	ended   bool
+}
+
+// Send passes a part on.
+func (gu *guard) Send(pa *core.Part) error {
+	if pa.Attempt != gu.attempt {
+		if gu.dropped != nil {
+			gu.dropped()
+		}
+		return nil
+	}
+	if !gu.passed {
+		gu.passed = true
+		if se, ok := gu.sink.(Served); ok {
+			se.From(gu.vm)
+		}
+	}
+	if err := gu.sink.Send(pa); err != nil {
+		return err
+	}
+	gu.ended = gu.ended || pa.End
+	return nil
+}
--- /dev/null
+++ b/io/back/back.go
@@ -0,0 +1,239 @@
+// Package back calls the endpoints beside an agent over HTTP: engines by the
+// OpenAI-style protocol, services by plain HTTP.
+//
+// # Concepts
+//
+// The answer is passed on as it comes, without delay and without being taken
+// apart: a stream is only cut between events, so that positions count whole
+// events, and several events that have already arrived travel as one part.
+//
+// # Invariants
+//
+//   - NotRun is returned only if no connection could be made.
+//   - A body without a length or chunks is never whole: its end cannot be told
+//     from a broken connection.
+//   - No request is sent twice by the HTTP library, see newRequest.
+//
+// # Usage
+//
+//	ep := &back.Endpoint{ID: "engine-1", URL: "http://127.0.0.1:8000", Engine: true}
+//	usage, err := ep.Do(ctx, call, sink)
+package back
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/samber/oops"
+
+	"almondrill/core"
+	"almondrill/core/ring"
+)
+
+const (
+	// DefaultStall is how long an endpoint may send nothing.
+	DefaultStall = 30 * time.Second
+	dialTimeout  = time.Second
+	readSize     = 16 << 10
+	mostIdle     = 256
+)
+
+// Headers between agent and endpoint.
+const (
+	headerAttempt  = "X-Request-Id"
+	headerCacheKey = "X-Cache-Key"
+	headerPriority = "X-Priority"
+	headerResume   = "X-Resume-Position"
+	headerIdem     = "Idempotency-Key"
+)
+
+// Endpoint is one endpoint. Set the exported fields before use.
+type Endpoint struct {
+	ID  core.EndpointID
+	URL string
+	// Engine tells an engine from a service.
+	Engine bool
+	// Stall bounds the silence between two pieces of an answer; 0 is DefaultStall.
+	Stall time.Duration
+	// EchoesAttempt tells whether answers must carry the attempt id; nil is no.
+	EchoesAttempt func() bool
+	// Crossed, if set, counts answers that were for another attempt.
+	Crossed func()
+}
+
+var _ core.Endpoint = (*Endpoint)(nil)
+
+// client keeps connections per endpoint. onceClient opens one for each call: on
+// a kept connection that the endpoint is just closing, a request can be lost so
+// that nobody can tell whether it ran; on a new one, either the connection is
+// refused, and it did not, or the endpoint has it.
+var (
+	client     = newClient(false)
+	onceClient = newClient(true)
+)
+
+func newClient(fresh bool) *http.Client {
+	return &http.Client{
+		Transport: &http.Transport{
+			DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
+			MaxIdleConnsPerHost: mostIdle,
+			DisableKeepAlives:   fresh,
+			DisableCompression:  true,
+			ReadBufferSize:      readSize,
+		},
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}
+}
+
+// CacheKey is the name under which engines keep a chat's context.
+func CacheKey(key uint64) string { return strconv.FormatUint(key, 16) }
+
+// Do runs a call.
+func (ep *Endpoint) Do(ctx context.Context, ca *core.Call, si core.Sink) (core.Usage, error) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	watch := newWatch(ep.stall(), cancel)
+	defer watch.stop()
+	rq, err := ep.newRequest(ctx, ca)
+	if err != nil {
+		return core.Usage{}, ep.refuse(core.NotRun, core.ReasonBadRequest, err)
+	}
+	rs, err := ep.client(ca).Do(rq)
+	if err != nil {
+		return core.Usage{}, ep.noAnswer(ctx, err)
+	}
+	defer rs.Body.Close()
+	if re := ep.checkHead(ca, rs); re != nil {
+		return core.Usage{}, re
+	}
+	an := &answer{ep: ep, ca: ca, rs: rs, sink: si, watch: watch}
+	an.part.Attempt = ca.Attempt
+	an.part.Position = ca.Resume
+	an.part.Status = rs.StatusCode
+	an.part.ContentType = rs.Header.Get("Content-Type")
+	err = an.pass(ctx)
+	return an.usage, err
+}
+
+func (ep *Endpoint) client(ca *core.Call) *http.Client {
+	if ca.MayRepeat {
+		return client
+	}
+	return onceClient
+}
+
+func (ep *Endpoint) stall() time.Duration {
+	if ep.Stall > 0 {
+		return ep.Stall
+	}
+	return DefaultStall
+}
+
+// once hides everything but Read from the HTTP library. The library sends a
+// request again by itself when a kept connection breaks, if it can rewind the
+// body or there is none and the request looks idempotent, for which an
+// Idempotency-Key header is enough. The endpoint would then run a draft twice.
+// A body of unknown length that cannot be rewound rules that out.
+type once struct{ io.Reader }
+
+func (ep *Endpoint) newRequest(ctx context.Context, ca *core.Call) (*http.Request, error) {
+	var body io.Reader = bytes.NewReader(ca.Body)
+	if !ca.MayRepeat {
+		body = once{body}
+	}
+	rq, err := http.NewRequestWithContext(ctx, ca.Method, ep.URL+ca.Path, body)
+	if err != nil {
+		return nil, oops.In("request").With("peer", ep.ID).Wrap(err)
+	}
+	if !ca.MayRepeat && len(ca.Body) > 0 {
+		rq.ContentLength = int64(len(ca.Body))
+	}
+	if ca.ContentType != "" {
+		rq.Header.Set("Content-Type", ca.ContentType)
+	}
+	rq.Header.Set(headerAttempt, strconv.FormatUint(uint64(ca.Attempt), 10))
+	rq.Header.Set(headerPriority, strconv.Itoa(int(ca.Priority)))
+	if ca.Key != "" {
+		rq.Header.Set(headerIdem, string(ca.Customer)+"/"+string(ca.Key))
+	}
+	if ep.Engine && ca.Chat != "" {
+		rq.Header.Set(headerCacheKey, CacheKey(ring.Key(ca.Customer, ca.Pool, ca.Chat)))
+	}
+	if ca.Resume > 0 {
+		rq.Header.Set(headerResume, strconv.FormatInt(ca.Resume, 10))
+	}
+	return rq, nil
+}
+
+// checkHead looks at the answer's status and whose it is.
+func (ep *Endpoint) checkHead(ca *core.Call, rs *http.Response) error {
+	echoed := rs.Header.Get(headerAttempt)
+	mustEcho := ep.EchoesAttempt != nil && ep.EchoesAttempt()
+	if echoed != strconv.FormatUint(uint64(ca.Attempt), 10) && (echoed != "" || mustEcho) {
+		if ep.Crossed != nil {
+			ep.Crossed()
+		}
+		return ep.refuse(core.Unknown, core.ReasonCrossed, fmt.Errorf("the answer is for attempt %q", echoed))
+	}
+	if rs.StatusCode >= http.StatusInternalServerError {
+		text, _ := io.ReadAll(io.LimitReader(rs.Body, 512))
+		re := ep.refuse(core.Failed, core.ReasonEndpointError, fmt.Errorf("%s: %s", rs.Status, bytes.TrimSpace(text)))
+		re.Status = rs.StatusCode
+		return re
+	}
+	return nil
+}
+
+// noAnswer tells what is known of a request that got no answer.
+func (ep *Endpoint) noAnswer(ctx context.Context, err error) error {
+	var op *net.OpError
+	if errors.As(err, &op) && op.Op == "dial" {
+		re := ep.refuse(core.NotRun, core.ReasonEndpointDown, err)
+		re.RetryAfter = time.Second
+		return re
+	}
+	return ep.broken(ctx, core.ReasonEndpointDown, err)
+}
+
+// broken tells of a request that may have run.
+func (ep *Endpoint) broken(ctx context.Context, reason core.Reason, err error) error {
+	switch {
+	case errors.Is(context.Cause(ctx), errStalled):
+		reason = core.ReasonStalled
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		reason = core.ReasonDeadline
+	case ctx.Err() != nil:
+		reason = core.ReasonCallerGone
+	}
+	return ep.refuse(core.Unknown, reason, err)
+}
+
+func (ep *Endpoint) refuse(ou core.Outcome, reason core.Reason, err error) *core.Refusal {
+	return &core.Refusal{Outcome: ou, Reason: reason, Step: "endpoint", Peer: string(ep.ID), Detail: err.Error()}
+}
+
+var errStalled = errors.New("the endpoint sent nothing for too long")
+
+// watch ends a call whose endpoint falls silent: the connection may stay up for
+// ever while the engine behind it hangs.
+type watch struct {
+	timer *time.Timer
+	after time.Duration
+}
+
+func newWatch(after time.Duration, cancel context.CancelCauseFunc) *watch {
+	return &watch{timer: time.AfterFunc(after, func() { cancel(errStalled) }), after: after}
+}
+
+func (wa *watch) heard() { wa.timer.Reset(wa.after) }
+func (wa *watch) stop()  { wa.timer.Stop() }
+
+var buffers = sync.Pool{New: func() any { return new([readSize]byte) }}
--- /dev/null
+++ b/io/conf/conf.go
@@ -0,0 +1,222 @@
+// Package conf reads the files that operators write: each process's settings and
+// the declarations.
+//
+// # Concepts
+//
+// Both are YAML with keys in Pascal case, read strictly: an unknown key, a wrong
+// unit or a missing value is refused with file, line and what was expected.
+// Settings say where a process is and what it talks to; everything about
+// customers and pools is in the declarations, which come from the KV.
+//
+// # Usage
+//
+//	se, err := conf.ReadSettings("router.yaml", data, core.RoleRouter)
+//	doc, err := conf.ReadDeclarations("fleet.yaml", data)
+package conf
+
+import (
+	"encoding/hex"
+	"fmt"
+	"net"
+	"net/url"
+	"strings"
+	"time"
+
+	"almondrill/core"
+	"almondrill/core/decl"
+)
+
+// Settings are one process's.
+type Settings struct {
+	Name        core.VMID   `yaml:"Name" doc:"The VM's name in the platform's list." need:"yes"`
+	Zone        core.Zone   `yaml:"Zone" doc:"The VM's availability zone." need:"yes"`
+	Region      core.Region `yaml:"Region" doc:"The VM's region." need:"yes"`
+	PeersAddr   string      `yaml:"PeersAddr" doc:"IP address and port for the other processes, and on routers for operators." need:"yes"`
+	CallersAddr string      `yaml:"CallersAddr" doc:"IP address and port for callers. Routers only." need:"router"`
+	AdminAddr   string      `yaml:"AdminAddr" doc:"IP address and port for /healthz, /readyz and /debug/vars." need:"yes"`
+	KVAddr      string      `yaml:"KVAddr" doc:"Address of the platform's key-value service." need:"yes"`
+	VMsAddr     string      `yaml:"VMsAddr" doc:"Address of the platform's list of VMs." need:"yes"`
+
+	Endpoints []EndpointSetting `yaml:"Endpoints" doc:"The endpoints beside the process. Agents only." need:"agent"`
+
+	MaxBodyBytes          core.Bytes    `yaml:"MaxBodyBytes" doc:"Largest request body. Default 8388608."`
+	BodyTimeout           time.Duration `yaml:"BodyTimeout" doc:"Time a caller has to send headers and body. Default 10s."`
+	WriteTimeout          time.Duration `yaml:"WriteTimeout" doc:"Time a caller has to take each piece of an answer. Default 30s."`
+	DefaultDeadline       time.Duration `yaml:"DefaultDeadline" doc:"Deadline of requests that name none. Default 2m."`
+	StallTimeout          time.Duration `yaml:"StallTimeout" doc:"Longest silence of an endpoint within an answer. Default 30s."`
+	DrainDelay            time.Duration `yaml:"DrainDelay" doc:"Time between telling that it leaves and refusing new work on a router. Default 3s."`
+	DrainTimeout          time.Duration `yaml:"DrainTimeout" doc:"Longest wait for work in progress when leaving. Default 10m."`
+	ControlBytesPerSecond core.Bytes    `yaml:"ControlBytesPerSecond" doc:"Budget for control messages sent. Default 2500."`
+	RetryRatio            float64       `yaml:"RetryRatio" doc:"Retries of work that may have run, as a part of first attempts. Default 0.1."`
+	MaxConnections        int           `yaml:"MaxConnections" doc:"Connections to peers kept open. Default 512."`
+	MaxChats              int           `yaml:"MaxChats" doc:"Chats an agent remembers. Default 20000."`
+	KeepChats             time.Duration `yaml:"KeepChats" doc:"How long a chat is remembered. Default 6h."`
+	KeyWindow             time.Duration `yaml:"KeyWindow" doc:"How long idempotency keys are kept; the same everywhere. Default 15m."`
+	ClaimShards           int           `yaml:"ClaimShards" doc:"Shards of the claims; the same everywhere, never changed while running. Default 64."`
+	OperatorKeyHashes     []string      `yaml:"OperatorKeyHashes" doc:"Hex SHA-256 sums of operators' keys. Routers only."`
+	LogLevel              string        `yaml:"LogLevel" doc:"debug, info, warn or error. Default info."`
+}
+
+// EndpointSetting is one endpoint beside an agent.
+type EndpointSetting struct {
+	Name core.EndpointID `yaml:"Name" doc:"The endpoint's name, as in the declarations." need:"yes"`
+	Pool core.PoolID     `yaml:"Pool" doc:"The pool or service it belongs to." need:"yes"`
+	Kind string          `yaml:"Kind" doc:"Engine or Service." need:"yes"`
+	URL  string          `yaml:"URL" doc:"Where it listens, such as http://127.0.0.1:8000." need:"yes"`
+}
+
+// Kinds of endpoints.
+const (
+	KindEngine  = "Engine"
+	KindService = "Service"
+)
+
+// Defaults fills in what was left out.
+func (se *Settings) Defaults() {
+	defaultTo(&se.MaxBodyBytes, 8<<20)
+	defaultTo(&se.BodyTimeout, 10*time.Second)
+	defaultTo(&se.WriteTimeout, 30*time.Second)
+	defaultTo(&se.DefaultDeadline, 2*time.Minute)
+	defaultTo(&se.StallTimeout, 30*time.Second)
+	defaultTo(&se.DrainDelay, 3*time.Second)
+	defaultTo(&se.DrainTimeout, 10*time.Minute)
+	defaultTo(&se.ControlBytesPerSecond, 2500)
+	defaultTo(&se.RetryRatio, 0.1)
+	defaultTo(&se.MaxConnections, 512)
+	defaultTo(&se.MaxChats, 20000)
+	defaultTo(&se.KeepChats, 6*time.Hour)
+	defaultTo(&se.KeyWindow, 15*time.Minute)
+	defaultTo(&se.ClaimShards, 64)
+	defaultTo(&se.LogLevel, "info")
+}
+
+func defaultTo[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
+
+// ReadSettings reads and checks the settings of a process of that role. The
+// error is Problems.
+func ReadSettings(file string, data []byte, ro core.Role) (*Settings, error) {
+	var se Settings
+	if err := Strict(file, data, &se); err != nil {
+		return nil, err
+	}
+	ch := &settingsCheck{file: file, lines: Lines(data), keys: keyLines(data)}
+	ch.settings(&se, ro)
+	if len(ch.problems) > 0 {
+		return nil, ch.problems
+	}
+	se.Defaults()
+	return &se, nil
+}
+
+type settingsCheck struct {
+	file     string
+	lines    map[string]int
+	keys     map[string]int
+	problems Problems
+}
+
+func (ch *settingsCheck) add(line int, format string, args ...any) {
+	text := fmt.Sprintf(format, args...)
+	ch.problems = append(ch.problems, fmt.Sprintf("%s:%d: %s", ch.file, max(1, line), text))
+}
+
+func (ch *settingsCheck) need(key, value, what string) {
+	if value == "" {
+		ch.add(ch.keys[key], "%s is missing: expected %s", key, what)
+	}
+}
+
+func (ch *settingsCheck) addr(key, value string) {
+	if value == "" {
+		ch.add(ch.keys[key], "%s is missing: expected an IP address and port, such as 10.0.0.5:7000", key)
+		return
+	}
+	host, _, err := net.SplitHostPort(value)
+	if err != nil || net.ParseIP(host) == nil {
+		ch.add(ch.keys[key], "%s: %q is not an IP address and port, such as 10.0.0.5:7000", key, value)
+	}
+}
+
+func (ch *settingsCheck) settings(se *Settings, ro core.Role) {
+	ch.need("Name", string(se.Name), "the VM's name")
+	ch.need("Zone", string(se.Zone), "the VM's availability zone")
+	ch.need("Region", string(se.Region), "the VM's region")
+	ch.addr("PeersAddr", se.PeersAddr)
+	ch.addr("AdminAddr", se.AdminAddr)
+	ch.addr("KVAddr", se.KVAddr)
+	ch.addr("VMsAddr", se.VMsAddr)
+	if ro == core.RoleRouter {
+		ch.addr("CallersAddr", se.CallersAddr)
+	}
+	if ro == core.RoleAgent && len(se.Endpoints) == 0 {
+		ch.add(ch.keys["Endpoints"], "Endpoints is missing: expected at least one endpoint")
+	}
+	ch.numbers(se)
+	for _, sum := range se.OperatorKeyHashes {
+		if raw, err := hex.DecodeString(sum); err != nil || len(raw) != 32 {
+			ch.add(ch.keys["OperatorKeyHashes"], "OperatorKeyHashes: %q is not 64 hexadecimal digits", sum)
+		}
+	}
+	for _, ep := range se.Endpoints {
+		ch.endpoint(ep)
+	}
+}
+
+func (ch *settingsCheck) numbers(se *Settings) {
+	for key, value := range map[string]float64{
+		"MaxBodyBytes": float64(se.MaxBodyBytes), "BodyTimeout": float64(se.BodyTimeout),
+		"WriteTimeout": float64(se.WriteTimeout), "DefaultDeadline": float64(se.DefaultDeadline),
+		"StallTimeout": float64(se.StallTimeout), "DrainDelay": float64(se.DrainDelay),
+		"DrainTimeout": float64(se.DrainTimeout), "RetryRatio": se.RetryRatio,
+		"ControlBytesPerSecond": float64(se.ControlBytesPerSecond), "MaxConnections": float64(se.MaxConnections),
+		"MaxChats": float64(se.MaxChats), "KeepChats": float64(se.KeepChats),
+		"KeyWindow": float64(se.KeyWindow), "ClaimShards": float64(se.ClaimShards),
+	} {
+		if value < 0 {
+			ch.add(ch.keys[key], "%s must not be negative", key)
+		}
+	}
+	if !strings.Contains(" debug info warn error ", " "+se.LogLevel+" ") && se.LogLevel != "" {
+		ch.add(ch.keys["LogLevel"], "LogLevel: %q is not debug, info, warn or error", se.LogLevel)
+	}
+}
+
+func (ch *settingsCheck) endpoint(ep EndpointSetting) {
+	line := ch.lines["Endpoints/"+string(ep.Name)]
+	if ep.Name == "" || ep.Pool == "" {
+		ch.add(line, "an endpoint needs Name and Pool")
+	}
+	if ep.Kind != KindEngine && ep.Kind != KindService {
+		ch.add(line, "endpoint %s: Kind: %q is not Engine or Service", ep.Name, ep.Kind)
+	}
+	if ur, err := url.Parse(ep.URL); err != nil || ur.Scheme != "http" || ur.Host == "" {
+		ch.add(line, "endpoint %s: URL: %q is not a URL such as http://127.0.0.1:8000", ep.Name, ep.URL)
+	}
+}
+
+// ReadDeclarations reads and checks a document. The error is Problems.
+func ReadDeclarations(file string, data []byte) (*decl.Document, error) {
+	var doc decl.Document
+	if err := Strict(file, data, &doc); err != nil {
+		return nil, err
+	}
+	lines := Lines(data)
+	var pr Problems
+	for _, found := range decl.Check(&doc) {
+		kind, name, _ := strings.Cut(found.Object, " ")
+		line := lines[kind+"s/"+name]
+		if at := lines[kind+"s/"+name+"/"+found.Field]; at > 0 {
+			line = at
+		}
+		pr = append(pr, fmt.Sprintf("%s:%d: %s", file, max(1, line), found))
+	}
+	if len(pr) > 0 {
+		return nil, pr
+	}
+	return decl.Apply(&decl.Document{}, &decl.Delta{Set: doc}), nil
+}
--- /dev/null
+++ b/io/conf/strict.go
@@ -0,0 +1,109 @@
+package conf
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+	"strings"
+
+	yaml "go.yaml.in/yaml/v3"
+)
+
+// Problems is everything wrong with a file, each with file and line.
+type Problems []string
+
+// Error lists the problems, a line each.
+func (pr Problems) Error() string { return strings.Join(pr, "\n") }
+
+// Strict decodes YAML into out. Unknown keys, values of the wrong type or unit
+// and further documents are errors; all are reported, as Problems.
+func Strict(file string, data []byte, out any) error {
+	dec := yaml.NewDecoder(bytes.NewReader(data))
+	dec.KnownFields(true)
+	err := dec.Decode(out)
+	if err != nil && !errors.Is(err, io.EOF) {
+		return inFile(file, err)
+	}
+	var more yaml.Node
+	if err == nil && !errors.Is(dec.Decode(&more), io.EOF) {
+		return Problems{fmt.Sprintf("%s:%d: only one YAML document is expected", file, max(1, more.Line))}
+	}
+	return nil
+}
+
+// inFile rewrites the library's errors as "file:line: what is wrong".
+func inFile(file string, err error) error {
+	var types *yaml.TypeError
+	if !errors.As(err, &types) {
+		return Problems{withLine(file, strings.TrimPrefix(err.Error(), "yaml: "))}
+	}
+	var pr Problems
+	for _, text := range types.Errors {
+		pr = append(pr, withLine(file, explain(text)))
+	}
+	return pr
+}
+
+func withLine(file, text string) string {
+	if rest, ok := strings.CutPrefix(text, "line "); ok {
+		if line, what, ok := strings.Cut(rest, ": "); ok {
+			return fmt.Sprintf("%s:%s: %s", file, line, what)
+		}
+	}
+	return fmt.Sprintf("%s:1: %s", file, text)
+}
+
+// explain says what was expected where the library names a Go type.
+func explain(text string) string {
+	text = strings.ReplaceAll(text, "into time.Duration", "as a duration with a unit, such as 250ms or 10s")
+	if at := strings.Index(text, " in type "); at >= 0 {
+		text = strings.Replace(text[:at], "field ", "unknown key ", 1)
+		text = strings.TrimSuffix(text, " not found")
+	}
+	return text
+}
+
+// Lines finds the line of the object in a sequence under a top-level key, by its
+// Name: Lines(data)["Pools/chat"] is the line of pool chat.
+func Lines(data []byte) map[string]int {
+	lines := map[string]int{}
+	var root yaml.Node
+	if yaml.Unmarshal(data, &root) != nil || len(root.Content) == 0 {
+		return lines
+	}
+	top := root.Content[0]
+	for ix := 0; ix+1 < len(top.Content); ix += 2 {
+		for _, item := range top.Content[ix+1].Content {
+			noteLines(lines, top.Content[ix].Value, item)
+		}
+	}
+	return lines
+}
+
+func noteLines(lines map[string]int, section string, item *yaml.Node) {
+	name := ""
+	for ix := 0; ix+1 < len(item.Content); ix += 2 {
+		if item.Content[ix].Value == "Name" {
+			name = item.Content[ix+1].Value
+		}
+	}
+	lines[section+"/"+name] = item.Line
+	for ix := 0; ix+1 < len(item.Content); ix += 2 {
+		lines[section+"/"+name+"/"+item.Content[ix].Value] = item.Content[ix].Line
+	}
+}
+
+// keyLines finds the lines of the top-level keys.
+func keyLines(data []byte) map[string]int {
+	lines := map[string]int{}
+	var root yaml.Node
+	if yaml.Unmarshal(data, &root) != nil || len(root.Content) == 0 {
+		return lines
+	}
+	top := root.Content[0]
+	for ix := 0; ix+1 < len(top.Content); ix += 2 {
+		lines[top.Content[ix].Value] = top.Content[ix].Line
+	}
+	return lines
+}
--- /dev/null
+++ b/io/demo/demo_test.go
@@ -0,0 +1,44 @@
+package demo_test
+
+import (
+	"context"
+	"testing"
+
+	"almondrill/core"
+	"almondrill/io/caller"
+	"almondrill/io/demo"
+	"almondrill/io/logs"
+)
+
+func startFleet(t *testing.T) *demo.Fleet {
+	t.Helper()
+	fl := &demo.Fleet{Logs: logs.Quiet(), Routers: 2, Engines: 3, Services: 2}
+	if err := fl.Start(context.Background()); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		if err := fl.Stop(); err != nil {
+			t.Error(err)
+		}
+	})
+	return fl
+}
+
+func chat(stream bool) *caller.Chat {
+	return &caller.Chat{
+		Model: demo.Model, Stream: stream, MaxTokens: 5,
+		Messages: []caller.Message{{Role: "user", Content: "hello there"}},
+	}
+}
+
+// A chat, streamed or not, comes back whole through router and agent.
+func TestChatThroughTheWholePath(t *testing.T) {
+	fl := startFleet(t)
+	cl := &caller.Client{Key: demo.Key}
+	for _, stream := range []bool{false, true} {
+		rs := cl.Chat(context.Background(), fl.RouterAddrs()[0], chat(stream))
+		if rs.Outcome != core.Whole || rs.Answer != "hello there w1 w2 w3 w4" {
+			t.Errorf("stream %v: %s %q %v %s", stream, rs.Outcome, rs.Answer, rs.Err, rs.Reason)
+		}
+	}
+}
--- /dev/null
+++ b/io/demo/drive.go
@@ -0,0 +1,249 @@
+package demo
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"sync"
+	"time"
+
+	"almondrill/core"
+	"almondrill/io/caller"
+	"almondrill/io/clock"
+)
+
+// Drive says what to send.
+type Drive struct {
+	Requests int
+	Seed     uint64
+	// Parallel is how many callers there are; 0 means 16.
+	Parallel int
+}
+
+// Report is the outcome of a Drive.
+type Report struct {
+	Requests                     int
+	Whole                        int
+	NotRun                       int
+	Failed                       int
+	Unknown                      int
+	Doubled                      int
+	Crossed                      int
+	CutShort                     int
+	FalseNotRun                  int
+	ReuseRatio                   float64
+	MaxOverMean                  float64
+	ControlBytesPerSecondPerNode float64
+}
+
+// Kept tells whether every promise held: all answered whole, none doubled,
+// crossed or cut.
+func (re *Report) Kept() bool {
+	return re.Whole == re.Requests && re.Doubled == 0 && re.Crossed == 0 && re.CutShort == 0 && re.FalseNotRun == 0
+}
+
+// driver is the state of one Drive.
+type driver struct {
+	fl     *Fleet
+	client *caller.Client
+	addrs  []string
+
+	mu        sync.Mutex // guards all below
+	rep       Report
+	returning int
+	found     int
+}
+
+// Drive sends mixed requests: returning chats, streamed and whole, lookups, and
+// drafts that must not repeat, each draft through two routers at once.
+func (fl *Fleet) Drive(ctx context.Context, dr Drive) *Report {
+	if dr.Parallel == 0 {
+		dr.Parallel = 16
+	}
+	dv := &driver{fl: fl, client: &caller.Client{Key: Key, HTTP: newHTTP()}, addrs: fl.RouterAddrs()}
+	before, start := fl.controlBytes(), time.Now()
+	stop := make(chan struct{})
+	peak := make(chan float64, 1)
+	go func() { peak <- fl.watchSkew(stop) }()
+	dv.run(ctx, dr)
+	close(stop)
+	dv.rep.MaxOverMean = <-peak
+	counts := fl.Audit.Counts()
+	dv.rep.Doubled, dv.rep.Crossed = counts.Doubled, counts.Crossed
+	dv.rep.CutShort, dv.rep.FalseNotRun = counts.CutShort, counts.FalseNotRun
+	if dv.returning > 0 {
+		dv.rep.ReuseRatio = float64(dv.found) / float64(dv.returning)
+	}
+	sent := float64(fl.controlBytes() - before)
+	dv.rep.ControlBytesPerSecondPerNode = sent / time.Since(start).Seconds() / float64(len(fl.Processes))
+	return &dv.rep
+}
+
+func newHTTP() *http.Client {
+	return &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 256, DisableCompression: true}}
+}
+
+func (dv *driver) run(ctx context.Context, dr Drive) {
+	var callers sync.WaitGroup
+	for worker := range dr.Parallel {
+		share := dr.Requests / dr.Parallel
+		if worker < dr.Requests%dr.Parallel {
+			share++
+		}
+		callers.Go(func() { dv.caller(ctx, worker, share, clock.NewRand(dr.Seed*1000+uint64(worker))) })
+	}
+	callers.Wait()
+}
+
+// Parts of a hundred requests.
+const (
+	lookupPart = 20
+	draftPart  = 30
+	chatTurns  = 4
+)
+
+// caller sends count requests, chats in turns of a conversation each.
+func (dv *driver) caller(ctx context.Context, worker, count int, ra *clock.Rand) {
+	var chat *conversation
+	for number := range count {
+		name := fmt.Sprintf("c%d-r%d", worker, number)
+		addr := dv.addrs[ra.Uint64()%uint64(len(dv.addrs))]
+		switch draw := ra.Uint64() % 100; {
+		case draw < lookupPart:
+			dv.lookup(ctx, addr, name)
+		case draw < draftPart:
+			dv.draft(ctx, name)
+		default:
+			if chat == nil || chat.turns >= chatTurns {
+				chat = &conversation{id: core.ChatID("chat-" + name)}
+			}
+			dv.turn(ctx, addr, name, chat, ra)
+		}
+	}
+}
+
+func (dv *driver) lookup(ctx context.Context, addr, name string) {
+	rs := dv.client.Service(ctx, addr, http.MethodGet, Lookups, "entry/"+name, "", "")
+	dv.note("/entry/"+name+"|", rs)
+}
+
+// draft sends the same non-idempotent call through two routers at once, as a
+// caller does who lost patience. Both must get the answer of one run.
+func (dv *driver) draft(ctx context.Context, name string) {
+	var both sync.WaitGroup
+	results := make([]*caller.Result, 2)
+	for ix := range results {
+		both.Go(func() {
+			addr := dv.addrs[ix%len(dv.addrs)]
+			results[ix] = dv.client.Service(ctx, addr, http.MethodPost, Lookups, "drafts", "key-"+name, "draft "+name)
+		})
+	}
+	both.Wait()
+	dv.note("/drafts|draft "+name, results...)
+}
+
+type conversation struct {
+	id       core.ChatID
+	hint     string
+	turns    int
+	messages []caller.Message
+}
+
+func (dv *driver) turn(ctx context.Context, addr, name string, co *conversation, ra *clock.Rand) {
+	co.messages = append(co.messages, caller.Message{Role: "user", Content: "question of " + name})
+	ch := &caller.Chat{
+		Model: Model, ID: co.id, Stream: ra.Uint64()%2 == 0, MaxTokens: 8 + int(ra.Uint64()%24), Messages: co.messages,
+	}
+	if ra.Uint64()%2 == 0 {
+		ch.Hint = co.hint
+	}
+	rs := dv.client.Chat(ctx, addr, ch)
+	dv.note("question of "+name, rs)
+	dv.reuse(co, rs)
+	co.hint = rs.Hint
+	co.turns++
+	co.messages = append(co.messages, caller.Message{Role: "assistant", Content: rs.Answer})
+}
+
+func (dv *driver) reuse(co *conversation, rs *caller.Result) {
+	if co.turns == 0 {
+		return
+	}
+	dv.mu.Lock()
+	defer dv.mu.Unlock()
+	dv.returning++
+	if rs.Cached > 0 {
+		dv.found++
+	}
+}
+
+// note counts one request's end and tells the audit. Where it was sent more than
+// once, it counts as one request, as its worst outcome.
+func (dv *driver) note(nonce string, results ...*caller.Result) {
+	worst := core.Whole
+	for _, rs := range results {
+		switch rs.Outcome {
+		case core.Whole:
+			dv.fl.Audit.Got(nonce, rs.Answer)
+		case core.NotRun:
+			if len(results) == 1 {
+				dv.fl.Audit.Refused(nonce)
+			}
+		}
+		worst = max(worst, rs.Outcome)
+	}
+	dv.mu.Lock()
+	defer dv.mu.Unlock()
+	dv.rep.Requests++
+	switch worst {
+	case core.Whole:
+		dv.rep.Whole++
+	case core.NotRun:
+		dv.rep.NotRun++
+	case core.Failed:
+		dv.rep.Failed++
+	case core.Unknown:
+		dv.rep.Unknown++
+	}
+}
+
+func (fl *Fleet) controlBytes() core.Bytes {
+	var sum core.Bytes
+	for _, pr := range fl.Processes {
+		sum += pr.ControlBytes()
+	}
+	return sum
+}
+
+// watchSkew samples how far the busiest engine stands above the mean of its
+// pool, while the mean is above a call's work, until stop is closed.
+func (fl *Fleet) watchSkew(stop chan struct{}) float64 {
+	peak := 0.0
+	for {
+		select {
+		case <-stop:
+			return peak
+		case <-time.After(5 * time.Millisecond):
+		}
+		peak = max(peak, fl.skew())
+	}
+}
+
+func (fl *Fleet) skew() float64 {
+	const meaningful = 64
+	var sum, most float64
+	count := 0
+	for _, pr := range fl.Processes {
+		if pr.Agent() == nil || pr.Agent().Slots[0].Pool != chatPool {
+			continue
+		}
+		load := float64(pr.Agent().Slots[0].Gate().Load())
+		sum += load
+		most = max(most, load)
+		count++
+	}
+	if sum < meaningful*float64(count) {
+		return 0
+	}
+	return most / (sum / float64(count))
+}
--- /dev/null
+++ b/io/demo/fleet.go
@@ -0,0 +1,326 @@
+// Package demo runs a small fleet in one process, on loopback, over real
+// sockets: routers, agents, stand-ins for engines, services and the platform.
+//
+// # Concepts
+//
+// A Fleet is started whole and stopped whole. Drive sends it mixed requests and
+// counts, at the stand-ins, whether every promise held.
+//
+// # Usage
+//
+//	fl := &demo.Fleet{Logs: logs}
+//	err := fl.Start(ctx)
+//	defer fl.Stop()
+//	rep := fl.Drive(ctx, demo.Drive{Requests: 500, Seed: 1})
+package demo
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/samber/oops"
+	"google.golang.org/grpc"
+
+	"almondrill/core"
+	"almondrill/core/decl"
+	"almondrill/core/revlog"
+	"almondrill/io/clock"
+	"almondrill/io/conf"
+	"almondrill/io/kvrpc"
+	"almondrill/io/logs"
+	"almondrill/io/node"
+	"almondrill/io/stand/audit"
+	"almondrill/io/stand/engine"
+	"almondrill/io/stand/kvsrv"
+	"almondrill/io/stand/plain"
+	"almondrill/io/stand/vmsrv"
+	"almondrill/io/vmnet"
+)
+
+// Key is the demo customer's bearer key, Model its model, Lookups its service.
+const (
+	Key         = "demo-key"
+	OperatorKey = "demo-operator"
+	Model       = "demo-model"
+	Lookups     = "lookups"
+	chatPool    = "chat"
+	region      = "north"
+)
+
+var zones = []core.Zone{"a", "b", "c"}
+
+// Fleet is the demo's fleet. Set the exported fields before Start.
+type Fleet struct {
+	Logs *logs.Logs
+	// Routers, Engines and Services are the numbers of each; 0 means 3, 12, 3.
+	Routers, Engines, Services int
+	// TokenEvery is the engines' pace; 0 means 2 ms.
+	TokenEvery time.Duration
+	// CallersAddr is the first router's address for callers; "" picks a port.
+	CallersAddr string
+
+	Store     *kvsrv.Store
+	List      *vmsrv.List
+	Audit     *audit.Audit
+	Standins  []*engine.Engine
+	Plain     []*plain.Service
+	Processes []*node.Process
+	kvAddr    string
+	vmsAddr   string
+	running   sync.WaitGroup
+	mu        sync.Mutex // guards failed
+	failed    error
+	closers   []func()
+	vms       []core.VM
+	clock     clock.Wall
+	startedAt time.Time
+}
+
+// Start brings the fleet up and waits until the configuration is in force on
+// every process.
+func (fl *Fleet) Start(ctx context.Context) error {
+	fl.defaults()
+	if err := fl.startPlatform(); err != nil {
+		return err
+	}
+	if err := fl.declare(ctx); err != nil {
+		return err
+	}
+	for ix := range fl.Engines {
+		if err := fl.addEngine(ix); err != nil {
+			return err
+		}
+	}
+	for ix := range fl.Services {
+		if err := fl.addService(ix); err != nil {
+			return err
+		}
+	}
+	for ix := range fl.Routers {
+		if err := fl.addRouter(ix); err != nil {
+			return err
+		}
+	}
+	fl.List.Set(fl.vms...)
+	for _, pr := range fl.Processes {
+		fl.launch(pr)
+	}
+	return fl.awaitReady(ctx)
+}
+
+func (fl *Fleet) defaults() {
+	if fl.Routers == 0 {
+		fl.Routers = 3
+	}
+	if fl.Engines == 0 {
+		fl.Engines = 12
+	}
+	if fl.Services == 0 {
+		fl.Services = 3
+	}
+	if fl.TokenEvery == 0 {
+		fl.TokenEvery = 2 * time.Millisecond
+	}
+	fl.Audit = &audit.Audit{}
+	fl.Store = &kvsrv.Store{Clock: fl.clock, Rand: clock.NewRand(1), WritesPerSecond: 300, ReadsPerSecond: 2000}
+	fl.List = &vmsrv.List{Clock: fl.clock}
+}
+
+// startPlatform starts the stand-ins for the KV and the VM list.
+func (fl *Fleet) startPlatform() error {
+	li, err := fl.listen()
+	if err != nil {
+		return err
+	}
+	fl.kvAddr = li.Addr().String()
+	server := grpc.NewServer()
+	kvrpc.Serve(server, fl.Store)
+	go func() { _ = server.Serve(li) }()
+	fl.closers = append(fl.closers, server.Stop)
+	fl.vmsAddr, err = fl.serve(vmnet.Handler(fl.List))
+	return err
+}
+
+// declare accepts the demo's configuration as revision 1.
+func (fl *Fleet) declare(ctx context.Context) error {
+	lo := &revlog.Log{KV: fl.Store, Clock: fl.clock, Rand: clock.NewRand(2)}
+	_, err := lo.Commit(ctx, 0, Document(), revlog.Meta{ID: "demo", Author: "demo"})
+	return err
+}
+
+// Document is the demo's declarations.
+func Document() *decl.Document {
+	sum := sha256.Sum256([]byte(Key))
+	return &decl.Document{
+		Customers: []decl.Customer{{
+			Name: "demo", KeyHashes: []string{hex.EncodeToString(sum[:])},
+			Shares: map[core.PoolID]float64{chatPool: 1, Lookups: 1},
+		}},
+		Pools:    []decl.Pool{{Name: chatPool, Model: Model, Version: "1"}},
+		Services: []decl.Service{{Name: Lookups}},
+	}
+}
+
+func (fl *Fleet) addEngine(ix int) error {
+	en := &engine.Engine{
+		Clock: fl.clock, Model: Model, TokenEvery: fl.TokenEvery, Audit: fl.Audit, ReportLag: time.Second,
+	}
+	addr, err := fl.serve(en.Handler())
+	if err != nil {
+		return err
+	}
+	fl.Standins = append(fl.Standins, en)
+	return fl.addAgent(fmt.Sprintf("engine-%02d", ix), ix, chatPool, conf.KindEngine, addr)
+}
+
+func (fl *Fleet) addService(ix int) error {
+	se := &plain.Service{Clock: fl.clock, Takes: time.Millisecond, Audit: fl.Audit}
+	addr, err := fl.serve(se)
+	if err != nil {
+		return err
+	}
+	fl.Plain = append(fl.Plain, se)
+	return fl.addAgent(fmt.Sprintf("lookup-%02d", ix), ix, Lookups, conf.KindService, addr)
+}
+
+func (fl *Fleet) addAgent(name string, ix int, po core.PoolID, kind, addr string) error {
+	se := fl.settings(name, ix)
+	se.Endpoints = []conf.EndpointSetting{{
+		Name: core.EndpointID(name), Pool: po, Kind: kind, URL: "http://" + addr,
+	}}
+	return fl.add(core.RoleAgent, se, []core.PoolID{po})
+}
+
+func (fl *Fleet) addRouter(ix int) error {
+	se := fl.settings(fmt.Sprintf("router-%02d", ix), ix)
+	se.CallersAddr = "127.0.0.1:0"
+	if ix == 0 && fl.CallersAddr != "" {
+		se.CallersAddr = fl.CallersAddr
+	}
+	sum := sha256.Sum256([]byte(OperatorKey))
+	se.OperatorKeyHashes = []string{hex.EncodeToString(sum[:])}
+	return fl.add(core.RoleRouter, se, nil)
+}
+
+func (fl *Fleet) settings(name string, ix int) *conf.Settings {
+	return &conf.Settings{
+		Name: core.VMID(name), Zone: zones[ix%len(zones)], Region: region,
+		PeersAddr: "127.0.0.1:0", AdminAddr: "127.0.0.1:0", KVAddr: fl.kvAddr, VMsAddr: fl.vmsAddr,
+		DrainDelay: 200 * time.Millisecond, DrainTimeout: 30 * time.Second,
+	}
+}
+
+// add makes a process and notes its VM; launch runs it.
+func (fl *Fleet) add(ro core.Role, se *conf.Settings, pools []core.PoolID) error {
+	pr := &node.Process{Role: ro, Settings: se, Logs: fl.Logs}
+	if err := pr.Listen(); err != nil {
+		return err
+	}
+	if err := pr.Build(); err != nil {
+		return err
+	}
+	fl.Processes = append(fl.Processes, pr)
+	fl.vms = append(fl.vms, core.VM{
+		ID: se.Name, Addr: pr.PeersAddr(), Zone: se.Zone, Region: se.Region, Role: ro, Pools: pools,
+	})
+	return nil
+}
+
+// launch runs a process until Stop.
+func (fl *Fleet) launch(pr *node.Process) {
+	fl.running.Go(func() {
+		if err := pr.Run(context.Background()); err != nil {
+			fl.fail(oops.In("run").With("peer", pr.Settings.Name).Wrap(err))
+		}
+	})
+}
+
+func (fl *Fleet) fail(err error) {
+	fl.mu.Lock()
+	defer fl.mu.Unlock()
+	fl.failed = err
+}
+
+// readyWithin bounds the wait for the configuration to be in force everywhere.
+const readyWithin = 15 * time.Second
+
+func (fl *Fleet) awaitReady(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, readyWithin)
+	defer cancel()
+	for !fl.ready() {
+		if err := fl.clock.Sleep(ctx, 10*time.Millisecond); err != nil {
+			return oops.In("start").Errorf("the fleet was not ready within %s", readyWithin)
+		}
+	}
+	return nil
+}
+
+func (fl *Fleet) ready() bool {
+	for _, pr := range fl.Processes {
+		sn := pr.Board().Snapshot()
+		if sn.Revision() == 0 || len(sn.Agents) < fl.Engines+fl.Services {
+			return false
+		}
+	}
+	return true
+}
+
+// RouterAddrs are the routers' addresses for callers.
+func (fl *Fleet) RouterAddrs() []string {
+	var addrs []string
+	for _, pr := range fl.Processes {
+		if pr.Role == core.RoleRouter {
+			addrs = append(addrs, pr.CallersAddr())
+		}
+	}
+	return addrs
+}
+
+// Process finds one by name, nil if there is none.
+func (fl *Fleet) Process(name core.VMID) *node.Process {
+	for _, pr := range fl.Processes {
+		if pr.Settings.Name == name {
+			return pr
+		}
+	}
+	return nil
+}
+
+// Stop ends all processes gracefully, routers first, and the stand-ins.
+func (fl *Fleet) Stop() error {
+	for ix := len(fl.Processes) - 1; ix >= 0; ix-- {
+		_ = fl.Processes[ix].Stop()
+	}
+	fl.running.Wait()
+	for _, closer := range fl.closers {
+		closer()
+	}
+	fl.mu.Lock()
+	defer fl.mu.Unlock()
+	return fl.failed
+}
+
+func (fl *Fleet) listen() (net.Listener, error) {
+	li, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, oops.In("listen").Wrap(err)
+	}
+	return li, nil
+}
+
+func (fl *Fleet) serve(handler http.Handler) (string, error) {
+	li, err := fl.listen()
+	if err != nil {
+		return "", err
+	}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: 10 * time.Second}
+	go func() { _ = server.Serve(li) }()
+	fl.closers = append(fl.closers, func() { _ = server.Close() })
+	return li.Addr().String(), nil
+}
--- /dev/null
+++ b/io/front/front.go
@@ -0,0 +1,246 @@
+// Package front is the callers' side of a router: HTTP in, answers out.
+//
+// # Concepts
+//
+// A caller speaks the OpenAI-style protocol for chats, or any HTTP to a service
+// under /v1/services/. Its bearer key names the customer. The request is turned
+// into a core.Call, routed, and the answer's parts are written as they come.
+// docs/API.md specifies headers, statuses and error bodies.
+//
+// # Invariants
+//
+//   - An answer without an error has reached its end mark. A stream that breaks
+//     off ends with an error event; a plain body that does is cut at the
+//     connection, so no client takes it for whole.
+//   - Whatever is refused is counted by its reason.
+//
+// # Usage
+//
+//	fr := &front.Front{Board: bo, Router: ro, Stats: st}
+//	server.HandlePrefix("/", fr.Handler())
+package front
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+
+	"go.uber.org/zap"
+
+	"almondrill/core"
+	"almondrill/core/board"
+	"almondrill/core/decl"
+	"almondrill/core/router"
+	"almondrill/io/stats"
+)
+
+// Front serves callers. Set the exported fields before use.
+type Front struct {
+	Board  *board.Board
+	Router *router.Router
+	Stats  *stats.Set
+	Log    *zap.Logger
+
+	MaxBody         core.Bytes
+	BodyTimeout     time.Duration
+	WriteTimeout    time.Duration
+	DefaultDeadline time.Duration
+}
+
+// Headers of callers' requests and answers.
+const (
+	HeaderChat     = "X-Chat-Id"
+	HeaderHint     = "X-Chat-Hint"
+	HeaderTimeout  = "X-Request-Timeout"
+	HeaderPriority = "X-Priority"
+	HeaderKey      = "Idempotency-Key"
+
+	servicesPath = "/v1/services/"
+	chatPath     = "/v1/chat/completions"
+	maxNameLen   = 255
+)
+
+// Handler serves the callers' paths.
+func (fr *Front) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST "+chatPath, fr.serve(fr.chatRequest))
+	mux.HandleFunc("GET /v1/models", fr.models)
+	mux.HandleFunc(servicesPath+"{Service}/{Path...}", fr.serve(fr.serviceRequest))
+	mux.HandleFunc("/", func(wr http.ResponseWriter, rq *http.Request) {
+		fr.fail(wr, badRequest(http.StatusNotFound, "no such path: "+rq.Method+" "+rq.URL.Path))
+	})
+	return mux
+}
+
+// reading makes a routable request of an HTTP one.
+type reading func(rq *http.Request, cfg *decl.Config, cu *decl.Customer, body []byte) (*router.Request, error)
+
+// serve wraps what is common to all routed requests.
+func (fr *Front) serve(read reading) http.HandlerFunc {
+	return func(wr http.ResponseWriter, rq *http.Request) {
+		fr.Stats.Add(stats.Requests, 1)
+		fr.Stats.Add(stats.InProgress, 1)
+		defer fr.Stats.Add(stats.InProgress, -1)
+		cfg, cu, err := fr.customer(rq)
+		if err != nil {
+			fr.fail(wr, err)
+			return
+		}
+		body, err := fr.body(wr, rq)
+		if err != nil {
+			fr.fail(wr, err)
+			return
+		}
+		routed, err := read(rq, cfg, cu, body)
+		if err == nil {
+			err = fr.common(rq, cu, routed)
+		}
+		if err != nil {
+			fr.fail(wr, err)
+			return
+		}
+		fr.route(wr, rq, routed)
+	}
+}
+
+func (fr *Front) route(wr http.ResponseWriter, rq *http.Request, routed *router.Request) {
+	ctx, cancel := context.WithDeadline(rq.Context(), routed.Call.Deadline)
+	defer cancel()
+	wt := &writer{fr: fr, wr: wr, control: http.NewResponseController(wr), stream: routed.Call.Stream}
+	_, err := fr.Router.Route(ctx, routed, wt)
+	if err == nil {
+		fr.Stats.Answer(core.Whole)
+		return
+	}
+	re := core.AsRefusal(err, "route", "router")
+	if !wt.begun {
+		fr.fail(wr, re)
+		return
+	}
+	fr.count(re)
+	wt.breakOff(re)
+}
+
+// customer finds out who calls.
+func (fr *Front) customer(rq *http.Request) (*decl.Config, *decl.Customer, error) {
+	cfg := fr.Board.Snapshot().Config
+	if cfg == nil {
+		return nil, nil, &core.Refusal{
+			Outcome: core.NotRun, Reason: core.ReasonNoConfig, Step: "authenticate", Peer: string(fr.Board.Self.ID),
+			Detail: "this router has no accepted configuration yet", RetryAfter: time.Second,
+		}
+	}
+	key, ok := strings.CutPrefix(rq.Header.Get("Authorization"), "Bearer ")
+	cu := cfg.ByKey(sha256.Sum256([]byte(key)))
+	if !ok || cu == nil {
+		return nil, nil, &core.Refusal{
+			Outcome: core.NotRun, Reason: core.ReasonBadKey, Step: "authenticate", Peer: string(fr.Board.Self.ID),
+			Detail: "no customer has this bearer key", Status: http.StatusUnauthorized,
+		}
+	}
+	return cfg, cu, nil
+}
+
+// body reads the request's body within its size and time. A caller that sends a
+// byte now and then would otherwise hold a connection and its memory for ever.
+func (fr *Front) body(wr http.ResponseWriter, rq *http.Request) ([]byte, error) {
+	control := http.NewResponseController(wr)
+	_ = control.SetReadDeadline(time.Now().Add(fr.BodyTimeout))
+	body, err := io.ReadAll(http.MaxBytesReader(wr, rq.Body, int64(fr.MaxBody)))
+	if err == nil {
+		_ = control.SetReadDeadline(time.Time{})
+		return body, nil
+	}
+	re := badRequest(http.StatusBadRequest, "reading the body: "+err.Error())
+	var large *http.MaxBytesError
+	switch {
+	case errors.As(err, &large):
+		re.Reason, re.Status = core.ReasonTooLarge, http.StatusRequestEntityTooLarge
+		re.Detail = "the body is larger than " + strconv.FormatInt(large.Limit, 10) + " bytes"
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		re.Reason, re.Status = core.ReasonSlowCaller, http.StatusRequestTimeout
+		re.Detail = "the body did not come within " + fr.BodyTimeout.String()
+	}
+	return nil, re
+}
+
+// common fills in what chats and service calls share.
+func (fr *Front) common(rq *http.Request, cu *decl.Customer, routed *router.Request) error {
+	ca := &routed.Call
+	ca.Customer = cu.Name
+	ca.Pool = routed.Group.ID
+	ca.ContentType = rq.Header.Get("Content-Type")
+	ca.Key = core.IdemKey(rq.Header.Get(HeaderKey))
+	if len(ca.Key) > maxNameLen || len(ca.Chat) > maxNameLen {
+		return badRequest(http.StatusBadRequest, HeaderKey+" and "+HeaderChat+" hold at most 255 bytes")
+	}
+	if ca.Key != "" {
+		ca.MayRepeat = false
+	}
+	if err := setPriority(ca, rq.Header.Get(HeaderPriority), cu); err != nil {
+		return err
+	}
+	timeout := fr.DefaultDeadline
+	if text := rq.Header.Get(HeaderTimeout); text != "" {
+		given, err := time.ParseDuration(text)
+		if err != nil || given <= 0 {
+			return badRequest(http.StatusBadRequest, HeaderTimeout+" is not a duration such as 30s: "+text)
+		}
+		timeout = given
+	}
+	ca.Deadline = time.Now().Add(timeout)
+	return nil
+}
+
+var priorities = map[string]core.Priority{
+	"batch": core.PriorityBatch, "normal": core.PriorityNormal,
+	"high": core.PriorityHigh, "urgent": core.PriorityUrgent,
+}
+
+// setPriority takes the caller's wish, down to what its customer may ask for.
+func setPriority(ca *core.Call, wish string, cu *decl.Customer) error {
+	if wish != "" {
+		given, known := priorities[wish]
+		if !known {
+			return badRequest(http.StatusBadRequest, HeaderPriority+" is not batch, normal, high or urgent: "+wish)
+		}
+		ca.Priority = given
+	}
+	if cu.MaxPriority > 0 {
+		ca.Priority = min(ca.Priority, cu.MaxPriority)
+	}
+	return nil
+}
+
+func (fr *Front) models(wr http.ResponseWriter, rq *http.Request) {
+	fr.Stats.Add(stats.Requests, 1)
+	cfg, cu, err := fr.customer(rq)
+	if err != nil {
+		fr.fail(wr, err)
+		return
+	}
+	type model struct {
+		ID      string `json:"id"`
+		Object  string `json:"object"`
+		OwnedBy string `json:"owned_by"`
+	}
+	list := struct {
+		Object string  `json:"object"`
+		Data   []model `json:"data"`
+	}{Object: "list", Data: []model{}}
+	for _, po := range cfg.Document.Pools {
+		if cu.Shares[po.Name] > 0 {
+			list.Data = append(list.Data, model{po.Model, "model", "almondrill"})
+		}
+	}
+	fr.Stats.Answer(core.Whole)
+	wr.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(wr).Encode(list)
+}
--- /dev/null
+++ b/io/front/read.go
@@ -0,0 +1,118 @@
+package front
+
+import (
+	"encoding/base64"
+	"encoding/json"
+	"net/http"
+	"strconv"
+
+	"github.com/cespare/xxhash/v2"
+
+	"almondrill/core"
+	"almondrill/core/decl"
+	"almondrill/core/router"
+)
+
+const (
+	// bytesPerToken turns a body's size into an estimate of prompt tokens.
+	bytesPerToken = 4
+	// expectedOutput is assumed of chats that name no limit.
+	expectedOutput core.Tokens = 256
+	// serviceOutput is the work of a service call, in token equivalents.
+	serviceOutput core.Tokens = 16
+)
+
+// chatBody is what routing needs of a chat request.
+type chatBody struct {
+	Model               string        `json:"model"`
+	Stream              bool          `json:"stream"`
+	MaxTokens           core.Tokens   `json:"max_tokens"`
+	MaxCompletionTokens core.Tokens   `json:"max_completion_tokens"`
+	Messages            []chatMessage `json:"messages"`
+}
+
+type chatMessage struct {
+	Role    string          `json:"role"`
+	Content json.RawMessage `json:"content"`
+}
+
+func (fr *Front) chatRequest(rq *http.Request, cfg *decl.Config, cu *decl.Customer, body []byte) (*router.Request, error) {
+	var in chatBody
+	if err := json.Unmarshal(body, &in); err != nil {
+		return nil, badRequest(http.StatusBadRequest, "the body is not a chat request: "+err.Error())
+	}
+	if len(in.Messages) == 0 {
+		return nil, badRequest(http.StatusBadRequest, "the body has no messages")
+	}
+	gr := cfg.ForModel(cu, in.Model)
+	if gr == nil {
+		re := badRequest(http.StatusNotFound, "no model "+strconv.Quote(in.Model)+" for customer "+string(cu.Name))
+		re.Reason = core.ReasonUnknownModel
+		return nil, re
+	}
+	chat := core.ChatID(rq.Header.Get(HeaderChat))
+	if chat == "" {
+		chat = derivedChat(in.Messages)
+	}
+	return &router.Request{
+		Group: gr,
+		Hint:  readHint(rq.Header.Get(HeaderHint)),
+		Call: core.Call{
+			Chat: chat, MayRepeat: true, Priority: core.PriorityNormal, Stream: in.Stream,
+			Prompt: core.Tokens(len(body) / bytesPerToken), Output: outputOf(&in),
+			Method: http.MethodPost, Path: chatPath, Body: body,
+		},
+	}, nil
+}
+
+func outputOf(in *chatBody) core.Tokens {
+	most := max(in.MaxTokens, in.MaxCompletionTokens)
+	if most > 0 {
+		return most
+	}
+	return expectedOutput
+}
+
+// derivedChat names a conversation by its opening, up to the first message of
+// the user: it is the same in every turn, so clients that know nothing of chat
+// ids find their context too.
+func derivedChat(messages []chatMessage) core.ChatID {
+	hash := xxhash.New()
+	for _, me := range messages {
+		_, _ = hash.WriteString(me.Role)
+		_, _ = hash.Write(me.Content)
+		if me.Role == "user" {
+			break
+		}
+	}
+	return core.ChatID("derived-" + strconv.FormatUint(hash.Sum64(), 16))
+}
+
+func (fr *Front) serviceRequest(rq *http.Request, cfg *decl.Config, cu *decl.Customer, body []byte) (*router.Request, error) {
+	gr := cfg.Group(core.PoolID(rq.PathValue("Service")))
+	if gr == nil || !gr.Service || cu.Shares[gr.ID] <= 0 {
+		re := badRequest(http.StatusNotFound, "no service "+rq.PathValue("Service")+" for customer "+string(cu.Name))
+		re.Reason = core.ReasonUnknownModel
+		return nil, re
+	}
+	path := "/" + rq.PathValue("Path")
+	if rq.URL.RawQuery != "" {
+		path += "?" + rq.URL.RawQuery
+	}
+	return &router.Request{Group: gr, Call: core.Call{
+		MayRepeat: gr.MayRepeat(rq.Method), Priority: core.PriorityUrgent, Output: serviceOutput,
+		Method: rq.Method, Path: path, Body: body,
+	}}, nil
+}
+
+// hintText and readHint make the hint opaque to callers. It is only ever a VM's
+// name: a wrong one is a VM that is not in the pool, and is ignored.
+func hintText(vm core.VMID) string { return base64.RawURLEncoding.EncodeToString([]byte(vm)) }
+
+func readHint(text string) core.VMID {
+	raw, err := base64.RawURLEncoding.DecodeString(text)
+	if err != nil {
+		return ""
+	}
+	return core.VMID(raw)
+}
--- /dev/null
+++ b/io/front/write.go
@@ -0,0 +1,144 @@
+package front
+
+import (
+	"encoding/json"
+	"fmt"
+	"math"
+	"net/http"
+	"strconv"
+	"time"
+
+	"go.uber.org/zap"
+
+	"almondrill/core"
+)
+
+// writer writes an answer's parts to the caller.
+type writer struct {
+	fr      *Front
+	wr      http.ResponseWriter
+	control *http.ResponseController
+	stream  bool
+	begun   bool
+}
+
+// From sets the hint that the caller brings back with the chat's next turn.
+func (wt *writer) From(vm core.VMID) { wt.wr.Header().Set(HeaderHint, hintText(vm)) }
+
+// Send writes a part. A caller that takes nothing for too long is given up, so
+// that it does not hold a slot of the engine.
+func (wt *writer) Send(pa *core.Part) error {
+	if !wt.begun {
+		wt.begun = true
+		if pa.ContentType != "" {
+			wt.wr.Header().Set("Content-Type", pa.ContentType)
+		}
+		if pa.Status != 0 {
+			wt.wr.WriteHeader(pa.Status)
+		}
+	}
+	if len(pa.Data) == 0 {
+		return nil
+	}
+	_ = wt.control.SetWriteDeadline(time.Now().Add(wt.fr.WriteTimeout))
+	if _, err := wt.wr.Write(pa.Data); err != nil {
+		return fmt.Errorf("write to caller: %w", err)
+	}
+	if !wt.stream {
+		return nil
+	}
+	if err := wt.control.Flush(); err != nil {
+		return fmt.Errorf("flush to caller: %w", err)
+	}
+	return nil
+}
+
+// breakOff ends an answer that has begun and will not be whole.
+func (wt *writer) breakOff(re *core.Refusal) {
+	if !wt.stream {
+		// The caller's client sees the connection break before the body's end.
+		panic(http.ErrAbortHandler)
+	}
+	text, _ := json.Marshal(bodyOf(re))
+	_ = wt.control.SetWriteDeadline(time.Now().Add(wt.fr.WriteTimeout))
+	_, _ = fmt.Fprintf(wt.wr, "event: error\ndata: %s\n\n", text)
+	_ = wt.control.Flush()
+}
+
+// errorBody is the body of a refusal: the inner part as OpenAI-style clients
+// expect it, the rest for those who know almondrill.
+type errorBody struct {
+	Error   errorPart `json:"error"`
+	Outcome string    `json:"Outcome"`
+	Reason  string    `json:"Reason"`
+	Step    string    `json:"Step"`
+	Peer    string    `json:"Peer"`
+}
+
+type errorPart struct {
+	Message string `json:"message"`
+	Type    string `json:"type"`
+	Code    string `json:"code"`
+}
+
+func bodyOf(re *core.Refusal) errorBody {
+	return errorBody{
+		Error:   errorPart{Message: re.Detail, Type: "almondrill_error", Code: string(re.Reason)},
+		Outcome: re.Outcome.String(), Reason: string(re.Reason), Step: re.Step, Peer: re.Peer,
+	}
+}
+
+// statuses are the HTTP statuses by reason; the others are 503 for NotRun and
+// 502 for what may have run.
+var statuses = map[core.Reason]int{
+	core.ReasonBadRequest:    http.StatusBadRequest,
+	core.ReasonBadKey:        http.StatusUnauthorized,
+	core.ReasonTooLarge:      http.StatusRequestEntityTooLarge,
+	core.ReasonSlowCaller:    http.StatusRequestTimeout,
+	core.ReasonUnknownModel:  http.StatusNotFound,
+	core.ReasonShareExceeded: http.StatusTooManyRequests,
+	core.ReasonDeadline:      http.StatusGatewayTimeout,
+	core.ReasonStalled:       http.StatusGatewayTimeout,
+	core.ReasonClaimLost:     http.StatusConflict,
+	core.ReasonAnswerGone:    http.StatusConflict,
+	core.ReasonKeyReused:     http.StatusUnprocessableEntity,
+}
+
+func statusOf(re *core.Refusal) int {
+	if status, known := statuses[re.Reason]; known {
+		if re.Reason == core.ReasonBadRequest && re.Status != 0 {
+			return re.Status
+		}
+		return status
+	}
+	if re.Outcome == core.NotRun {
+		return http.StatusServiceUnavailable
+	}
+	return http.StatusBadGateway
+}
+
+// fail answers with a refusal.
+func (fr *Front) fail(wr http.ResponseWriter, err error) {
+	re := core.AsRefusal(err, "front", string(fr.Board.Self.ID))
+	fr.count(re)
+	if re.RetryAfter > 0 {
+		seconds := int(math.Ceil(re.RetryAfter.Seconds()))
+		wr.Header().Set("Retry-After", strconv.Itoa(seconds))
+	}
+	wr.Header().Set("Content-Type", "application/json")
+	wr.WriteHeader(statusOf(re))
+	_ = json.NewEncoder(wr).Encode(bodyOf(re))
+}
+
+func (fr *Front) count(re *core.Refusal) {
+	fr.Stats.Refuse(re.Reason)
+	fr.Stats.Answer(re.Outcome)
+	fr.Log.Debug("Refused a request.", zap.String("Reason", string(re.Reason)),
+		zap.String("Step", re.Step), zap.String("Peer", re.Peer), zap.String("Detail", re.Detail))
+}
+
+func badRequest(status int, detail string) *core.Refusal {
+	return &core.Refusal{
+		Outcome: core.NotRun, Reason: core.ReasonBadRequest, Step: "read", Peer: "caller", Detail: detail, Status: status,
+	}
+}
--- /dev/null
+++ b/io/logs/logs.go
@@ -0,0 +1,55 @@
+// Package logs makes the loggers of the parts, each with its fixed prefix.
+//
+// # Usage
+//
+//	lo := logs.New(os.Stderr, "info")
+//	lo.Part("router").Info("Started.", zap.String("Addr", addr))
+package logs
+
+import (
+	"io"
+
+	kratoslog "github.com/go-kratos/kratos/v2/log"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+)
+
+// Logs makes loggers that share one output.
+type Logs struct {
+	core zapcore.Core
+}
+
+// New writes to out what is at or above the level: debug, info, warn or error.
+// An unknown level counts as info.
+func New(out io.Writer, level string) *Logs {
+	at, err := zapcore.ParseLevel(level)
+	if err != nil {
+		at = zapcore.InfoLevel
+	}
+	format := zap.NewProductionEncoderConfig()
+	format.EncodeTime = zapcore.ISO8601TimeEncoder
+	format.EncodeLevel = zapcore.CapitalLevelEncoder
+	return &Logs{core: zapcore.NewCore(zapcore.NewConsoleEncoder(format), zapcore.AddSync(out), at)}
+}
+
+// Part is the logger of one part; every line starts with its name.
+func (lo *Logs) Part(name string) *zap.Logger { return zap.New(lo.core).Named(name) }
+
+// Quiet drops everything.
+func Quiet() *Logs { return &Logs{core: zapcore.NewNopCore()} }
+
+// Kratos passes kratos' own lines on as part "kratos", at debug level: they
+// repeat what the parts tell.
+func (lo *Logs) Kratos() kratoslog.Logger { return kratosLogger{lo.Part("kratos").Sugar()} }
+
+type kratosLogger struct{ sugar *zap.SugaredLogger }
+
+// Log implements kratos' logger.
+func (kl kratosLogger) Log(level kratoslog.Level, keyvals ...any) error {
+	if level >= kratoslog.LevelError {
+		kl.sugar.Errorw("Kratos reports.", keyvals...)
+		return nil
+	}
+	kl.sugar.Debugw("Kratos reports.", keyvals...)
+	return nil
+}
--- /dev/null
+++ b/io/node/node.go
@@ -0,0 +1,379 @@
+// Package node assembles a router's or an agent's process from its parts and
+// runs it as a kratos application.
+//
+// # Concepts
+//
+// A Process listens first (Listen), so that its addresses are known, then runs
+// until Stop or a signal. Leaving goes in order: it tells that it leaves, waits
+// until no more new work comes, lets work in progress end, then closes.
+//
+// # Invariants
+//
+//   - Control loops end only after the last request has.
+//   - The callers' port never serves what others registered with the library's
+//     default mux, such as expvar's page.
+//
+// # Usage
+//
+//	pr := &node.Process{Role: core.RoleRouter, Settings: se, Logs: logs, Signals: true}
+//	err := pr.Run(ctx)
+package node
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/go-kratos/kratos/v2"
+	kratoslog "github.com/go-kratos/kratos/v2/log"
+	"github.com/go-kratos/kratos/v2/transport"
+	kratoshttp "github.com/go-kratos/kratos/v2/transport/http"
+	"github.com/samber/oops"
+	"go.uber.org/zap"
+
+	"almondrill/core"
+	"almondrill/core/agent"
+	"almondrill/core/board"
+	"almondrill/core/decl"
+	"almondrill/core/meter"
+	"almondrill/core/retry"
+	"almondrill/core/revlog"
+	"almondrill/core/router"
+	"almondrill/core/spread"
+	"almondrill/io/clock"
+	"almondrill/io/conf"
+	"almondrill/io/kvrpc"
+	"almondrill/io/logs"
+	"almondrill/io/rpc"
+	"almondrill/io/stats"
+	"almondrill/io/vmnet"
+)
+
+// Process is one router or agent. Set the exported fields before Listen or Run.
+type Process struct {
+	Role     core.Role
+	Settings *conf.Settings
+	Logs     *logs.Logs
+	// Seed of the process's randomness; 0 draws one.
+	Seed uint64
+	// Signals makes SIGTERM, SIGINT and SIGQUIT stop the process.
+	Signals bool
+
+	Stats *stats.Set
+
+	incarnation core.Incarnation
+	clock       clock.Wall
+	rand        *clock.Rand
+	kv          *kvrpc.Client
+	board       *board.Board
+	log         *revlog.Log
+	spreader    *spread.Spreader
+	meter       *meter.Meter
+	peers       *rpc.Client
+	server      *rpc.Server
+	router      *router.Router
+	agent       *agent.Agent
+	app         *kratos.App
+	part        *zap.Logger
+	listeners   listeners
+	draining    atomic.Bool
+}
+
+type listeners struct{ peers, callers, admin net.Listener }
+
+// PeersAddr, CallersAddr and AdminAddr are where it listens; valid after Listen.
+func (pr *Process) PeersAddr() string { return pr.listeners.peers.Addr().String() }
+
+// CallersAddr is the callers' address of a router.
+func (pr *Process) CallersAddr() string { return pr.listeners.callers.Addr().String() }
+
+// AdminAddr is the address of health and counters.
+func (pr *Process) AdminAddr() string { return pr.listeners.admin.Addr().String() }
+
+// Agent is the agent's core, nil on a router.
+func (pr *Process) Agent() *agent.Agent { return pr.agent }
+
+// Board is the process's blackboard.
+func (pr *Process) Board() *board.Board { return pr.board }
+
+// Revision is the configuration in force here.
+func (pr *Process) Revision() core.Revision { return pr.log.Revision() }
+
+// ControlBytes is what the process has sent in control messages.
+func (pr *Process) ControlBytes() core.Bytes { return pr.meter.Sent() }
+
+// Listen opens the addresses of the settings.
+func (pr *Process) Listen() error {
+	var err error
+	se := pr.Settings
+	if pr.listeners.peers, err = listen("PeersAddr", se.PeersAddr); err != nil {
+		return err
+	}
+	if pr.listeners.admin, err = listen("AdminAddr", se.AdminAddr); err != nil {
+		return err
+	}
+	if pr.Role == core.RoleRouter {
+		pr.listeners.callers, err = listen("CallersAddr", se.CallersAddr)
+	}
+	return err
+}
+
+func listen(key, addr string) (net.Listener, error) {
+	li, err := net.Listen("tcp", addr)
+	if err != nil {
+		return nil, oops.In("listen").With("setting", key).With("peer", addr).Wrap(err)
+	}
+	return li, nil
+}
+
+// Run runs the process until Stop, a signal or an error.
+func (pr *Process) Run(ctx context.Context) error {
+	if pr.listeners.peers == nil {
+		if err := pr.Listen(); err != nil {
+			return err
+		}
+	}
+	if err := pr.Build(); err != nil {
+		return err
+	}
+	control, cancel := context.WithCancel(ctx)
+	defer cancel()
+	pr.startControl(control)
+	pr.part.Info("Started.", zap.String("Name", string(pr.Settings.Name)), zap.String("Peers", pr.PeersAddr()))
+	err := pr.app.Run()
+	pr.peers.Close()
+	_ = pr.kv.Close()
+	pr.part.Info("Stopped.", zap.String("Name", string(pr.Settings.Name)))
+	return err
+}
+
+// Stop leaves gracefully; Run returns once it is done.
+func (pr *Process) Stop() error { return pr.app.Stop() }
+
+// Build makes the parts; Run calls it. It is called before Run where Stop may
+// come from another goroutine at any time.
+func (pr *Process) Build() error {
+	if pr.app != nil {
+		return nil
+	}
+	se := pr.Settings
+	se.Defaults()
+	if pr.Stats == nil {
+		pr.Stats = stats.New()
+	}
+	if pr.Seed == 0 {
+		pr.Seed = clock.RandomSeed()
+	}
+	pr.rand = clock.NewRand(pr.Seed)
+	pr.incarnation = core.Incarnation(pr.rand.Uint64() | 1)
+	pr.part = pr.Logs.Part(string(pr.Role))
+	var err error
+	if pr.kv, err = kvrpc.Dial(se.KVAddr); err != nil {
+		return err
+	}
+	pr.meter = &meter.Meter{Clock: pr.clock, PerSecond: se.ControlBytesPerSecond}
+	pr.board = &board.Board{Clock: pr.clock, Rand: pr.rand, Self: pr.self(), Reverted: pr.reverted}
+	pr.board.Init()
+	pr.peers = &rpc.Client{MaxConns: se.MaxConnections, Addr: func(vm core.VMID) string {
+		return pr.board.Snapshot().Addrs[vm]
+	}}
+	pr.buildConfig()
+	pr.buildRole()
+	pr.readStats()
+	pr.buildApp()
+	return nil
+}
+
+func (pr *Process) self() core.VM {
+	se := pr.Settings
+	return core.VM{ID: se.Name, Zone: se.Zone, Region: se.Region, Role: pr.Role}
+}
+
+// buildConfig makes what brings the accepted configuration here.
+func (pr *Process) buildConfig() {
+	pr.log = &revlog.Log{KV: pr.kv, Clock: pr.clock, Rand: pr.rand, Adopt: pr.adopted, Behind: pr.behind}
+	pr.spreader = &spread.Spreader{
+		Log: pr.log, Board: pr.board, Peers: pr.peers, Clock: pr.clock, Rand: pr.rand,
+		Digest: pr.digest, Sending: pr.meter.Allow, Failed: pr.failed("Polling the configuration failed."),
+	}
+	pr.spreader.Init()
+}
+
+func (pr *Process) buildRole() {
+	pr.server = &rpc.Server{
+		Listener: pr.listeners.peers, Exchange: pr.exchanged, Fetch: pr.log.Since,
+		Heard: pr.spreader.Heard, Revision: pr.log.Revision,
+	}
+	if pr.Role == core.RoleRouter {
+		pr.router = &router.Router{
+			Clock: pr.clock, Rand: pr.rand, Board: pr.board, Peers: pr.peers, Zone: pr.Settings.Zone,
+			Budget:  &retry.Budget{Ratio: pr.Settings.RetryRatio},
+			Retried: pr.Stats.Retry,
+			Dropped: func() { pr.Stats.Add(stats.PartsDropped, 1) },
+			Heard:   pr.spreader.Heard,
+		}
+		return
+	}
+	pr.buildAgent()
+}
+
+// adopted hands a new configuration to the board.
+func (pr *Process) adopted(cfg *decl.Config) {
+	pr.part.Info("Adopted a configuration.", zap.Uint64("Revision", uint64(cfg.Revision)))
+	// The board's goroutine always takes events, so this does not wait long.
+	_ = pr.board.Deliver(context.Background(), board.Adopted{Config: cfg})
+	pr.spreader.Adopted()
+}
+
+func (pr *Process) reverted(offered, inForce core.Revision) {
+	pr.Stats.Add(stats.ConfigReverted, 1)
+	pr.part.Warn("Refused an older configuration.",
+		zap.Uint64("Offered", uint64(offered)), zap.Uint64("InForce", uint64(inForce)))
+}
+
+func (pr *Process) behind(own core.Revision) {
+	pr.Stats.Add(stats.ConfigReverted, 1)
+	pr.part.Warn("The KV holds older configuration than is in force.", zap.Uint64("InForce", uint64(own)))
+}
+
+func (pr *Process) failed(what string) func(err error) {
+	return func(err error) { pr.part.Warn(what, zap.Error(err)) }
+}
+
+// digest tells the own state.
+func (pr *Process) digest() *core.Digest {
+	if pr.agent != nil {
+		return pr.agent.Digest(agent.MostEntries)
+	}
+	return &core.Digest{
+		From: pr.Settings.Name, Incarnation: pr.incarnation, Draining: pr.draining.Load(), Revision: pr.log.Revision(),
+	}
+}
+
+// exchanged answers a peer's digest.
+func (pr *Process) exchanged(di *core.Digest) *core.Digest {
+	own := pr.digest()
+	pr.meter.Spend(agent.DigestSize(own))
+	if pr.agent != nil {
+		pr.agent.Hear(di)
+	} else {
+		pr.board.Post(board.Announced{VM: di.From, Incarnation: di.Incarnation, Draining: di.Draining})
+	}
+	return own
+}
+
+func (pr *Process) startControl(ctx context.Context) {
+	lister := &board.Lister{
+		Board: pr.board, List: &vmnet.Client{Addr: pr.Settings.VMsAddr},
+		Leaving: pr.listedLeaving, Failed: pr.failed("Reading the VM list failed."),
+	}
+	loops := []func(context.Context) error{pr.board.Run, lister.Run, pr.spreader.Run}
+	if pr.agent != nil {
+		loops = append(loops, pr.agent.Run)
+	}
+	for _, loop := range loops {
+		go func() { _ = loop(ctx) }()
+	}
+}
+
+// listedLeaving stops taking work as soon as the list says that the VM leaves;
+// the platform will end the process in its own time.
+func (pr *Process) listedLeaving() {
+	pr.part.Info("The list marks this VM as leaving.")
+	pr.draining.Store(true)
+	if pr.agent != nil {
+		pr.agent.StopTaking()
+	}
+}
+
+// kratosLogger guards the library's logger, of which there is one per program:
+// the first process of a demo gets its lines.
+var kratosLogger sync.Once
+
+func (pr *Process) buildApp() {
+	servers := []transport.Server{pr.server, pr.adminServer()}
+	if pr.Role == core.RoleRouter {
+		servers = append(servers, pr.callersServer())
+	}
+	// Without any signal the library would listen to all of them, and take the
+	// runtime's own preemption signals for an order to stop.
+	signals := []os.Signal{noSignal{}}
+	if pr.Signals {
+		signals = []os.Signal{syscall.SIGTERM, syscall.SIGINT, syscall.SIGQUIT}
+	}
+	kratosLogger.Do(func() { kratoslog.SetLogger(pr.Logs.Kratos()) })
+	pr.app = kratos.New(
+		kratos.Name("almondrill-"+string(pr.Role)),
+		kratos.ID(string(pr.Settings.Name)),
+		kratos.Server(servers...),
+		kratos.Signal(signals...),
+		kratos.StopTimeout(pr.Settings.DrainTimeout),
+		kratos.BeforeStop(pr.beforeStop),
+	)
+}
+
+// noSignal is a signal that nobody can send.
+type noSignal struct{}
+
+func (noSignal) String() string { return "none" }
+func (noSignal) Signal()        {}
+
+// beforeStop makes sure that no new work comes before anything is closed.
+func (pr *Process) beforeStop(context.Context) error {
+	pr.part.Info("Leaving.", zap.String("Name", string(pr.Settings.Name)))
+	pr.draining.Store(true)
+	if pr.agent == nil {
+		// The balancer needs a moment to see /readyz and send callers elsewhere.
+		return pr.clock.Sleep(context.Background(), pr.Settings.DrainDelay)
+	}
+	return pr.drainAgent()
+}
+
+// httpServer makes one of kratos' HTTP servers. Its default mux for unknown
+// paths is the library's global one, on which expvar and others register: on the
+// callers' port that would show counters to anyone.
+func (pr *Process) httpServer(li net.Listener, handler http.Handler) *kratoshttp.Server {
+	srv := kratoshttp.NewServer(
+		kratoshttp.Listener(li),
+		kratoshttp.Timeout(0),
+		kratoshttp.StrictSlash(false),
+		kratoshttp.NotFoundHandler(http.NotFoundHandler()),
+		kratoshttp.MethodNotAllowedHandler(http.NotFoundHandler()),
+	)
+	srv.HandlePrefix("/", handler)
+	srv.ReadHeaderTimeout = pr.Settings.BodyTimeout
+	srv.MaxHeaderBytes = maxHeaderBytes
+	srv.IdleTimeout = callerIdle
+	return srv
+}
+
+const (
+	maxHeaderBytes = 32 << 10
+	callerIdle     = 2 * time.Minute
+)
+
+func (pr *Process) adminServer() transport.Server {
+	mux := http.NewServeMux()
+	mux.HandleFunc("/healthz", func(wr http.ResponseWriter, _ *http.Request) { fmt.Fprintln(wr, "ok") })
+	mux.HandleFunc("/readyz", pr.readyz)
+	mux.Handle("/debug/vars", pr.Stats.Handler())
+	return pr.httpServer(pr.listeners.admin, mux)
+}
+
+// readyz tells the balancer whether to send callers here.
+func (pr *Process) readyz(wr http.ResponseWriter, _ *http.Request) {
+	switch {
+	case pr.draining.Load():
+		http.Error(wr, "draining", http.StatusServiceUnavailable)
+	case pr.log.Revision() == 0:
+		http.Error(wr, "no configuration yet", http.StatusServiceUnavailable)
+	default:
+		fmt.Fprintln(wr, "ready")
+	}
+}
--- /dev/null
+++ b/io/node/roles.go
@@ -0,0 +1,109 @@
+package node
+
+import (
+	"context"
+
+	"github.com/go-kratos/kratos/v2/transport"
+	"go.uber.org/zap"
+
+	"almondrill/core"
+	"almondrill/core/agent"
+	"almondrill/core/chats"
+	"almondrill/io/back"
+	"almondrill/io/conf"
+	"almondrill/io/front"
+	"almondrill/io/stats"
+)
+
+// callersServer is a router's side towards callers.
+func (pr *Process) callersServer() transport.Server {
+	se := pr.Settings
+	fr := &front.Front{
+		Board: pr.board, Router: pr.router, Stats: pr.Stats, Log: pr.part,
+		MaxBody: se.MaxBodyBytes, BodyTimeout: se.BodyTimeout, WriteTimeout: se.WriteTimeout,
+		DefaultDeadline: se.DefaultDeadline,
+	}
+	return pr.httpServer(pr.listeners.callers, fr.Handler())
+}
+
+// buildAgent makes an agent's core and the adapters to its endpoints.
+func (pr *Process) buildAgent() {
+	se := pr.Settings
+	pr.agent = &agent.Agent{
+		Clock: pr.clock, Rand: pr.rand, Board: pr.board, Self: se.Name, Incarnation: pr.incarnation,
+		Book:  &chats.Book{Clock: pr.clock, MaxHeld: se.MaxChats, MaxAway: se.MaxChats, KeepFor: se.KeepChats},
+		Peers: pr.peers, Sending: pr.meter.Allow,
+	}
+	for _, ep := range se.Endpoints {
+		pr.agent.Slots = append(pr.agent.Slots, &agent.Slot{ID: ep.Name, Pool: ep.Pool, Endpoint: pr.endpoint(ep)})
+	}
+	pr.agent.Init()
+	pr.board.Published = pr.agent.Adopt
+	pr.server.Serve = pr.serve
+	pr.server.Place = pr.agent.Placed
+}
+
+func (pr *Process) endpoint(ep conf.EndpointSetting) *back.Endpoint {
+	return &back.Endpoint{
+		ID: ep.Name, URL: ep.URL, Engine: ep.Kind == conf.KindEngine, Stall: pr.Settings.StallTimeout,
+		EchoesAttempt: func() bool {
+			cfg := pr.board.Snapshot().Config
+			return cfg != nil && cfg.Checks(ep.Name).EchoesAttempt
+		},
+		Crossed: func() { pr.Stats.Add(stats.PartsDropped, 1) },
+	}
+}
+
+// serve runs a call and counts how it ended.
+func (pr *Process) serve(ctx context.Context, ca *core.Call, si core.Sink) (*core.Report, error) {
+	pr.Stats.Add(stats.Requests, 1)
+	pr.Stats.Add(stats.InProgress, 1)
+	defer pr.Stats.Add(stats.InProgress, -1)
+	rep, err := pr.agent.Serve(ctx, ca, si)
+	if err == nil {
+		pr.Stats.Answer(core.Whole)
+		return rep, nil
+	}
+	re := core.AsRefusal(err, "serve", string(pr.Settings.Name))
+	pr.Stats.Refuse(re.Reason)
+	pr.Stats.Answer(re.Outcome)
+	return rep, re
+}
+
+// drainAgent refuses new calls, tells peers, and waits for those in progress.
+func (pr *Process) drainAgent() error {
+	ctx, cancel := context.WithTimeout(context.Background(), pr.Settings.DrainTimeout)
+	defer cancel()
+	pr.agent.StopTaking()
+	pr.agent.FlushPlacements(ctx)
+	if err := pr.agent.Drain(ctx); err != nil {
+		pr.part.Warn("Work was still in progress at the end of the drain timeout.", zap.Int("Calls", pr.agent.Inside()))
+	}
+	return nil
+}
+
+// readStats lets counters read what the parts keep themselves.
+func (pr *Process) readStats() {
+	st := pr.Stats
+	st.Read(stats.ControlBytes, func() int64 { return int64(pr.meter.Sent()) })
+	st.Read(stats.ControlHeld, pr.meter.Refused)
+	st.Read(stats.ConfigRevision, func() int64 { return int64(pr.log.Revision()) })
+	st.Read(stats.EventsDropped, pr.board.Dropped)
+	st.Read(stats.ConnectionsOpen, func() int64 { return int64(pr.peers.Open()) })
+	if pr.agent == nil {
+		return
+	}
+	sum := func(of func(running, waiting, load int64) int64) func() int64 {
+		return func() int64 {
+			var total int64
+			for _, sl := range pr.agent.Slots {
+				now := sl.Gate().Standing()
+				total += of(int64(now.Running), int64(now.Waiting), int64(now.Load))
+			}
+			return total
+		}
+	}
+	st.Read(stats.RunningCalls, sum(func(running, _, _ int64) int64 { return running }))
+	st.Read(stats.QueueCalls, sum(func(_, waiting, _ int64) int64 { return waiting }))
+	st.Read(stats.LoadWork, sum(func(_, _, load int64) int64 { return load }))
+}
--- /dev/null
+++ b/io/rpc/client.go
@@ -0,0 +1,298 @@
+// Package rpc carries core.Peers over grpc: the client here, the server in
+// server.go, the translation between core's types and the wire's in convert.go.
+//
+// # Concepts
+//
+// Connections are opened by the first call to a peer, closed by grpc when idle,
+// and bounded in number: beyond MaxConns the one unused for longest is closed.
+//
+// # Invariants
+//
+//   - NotRun is only returned where the call cannot have reached the agent's
+//     handler: the stream could not be opened, so its one request message was
+//     never handed to the transport.
+//   - A connection is not closed while a call uses it.
+//
+// # Usage
+//
+//	cl := &rpc.Client{Addr: addrOf, MaxConns: 256}
+//	report, err := cl.Serve(ctx, vm, call, sink)
+package rpc
+
+import (
+	"context"
+	"errors"
+	"io"
+	"math"
+	"sync"
+	"time"
+
+	"github.com/samber/oops"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/connectivity"
+	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/keepalive"
+	"google.golang.org/grpc/status"
+
+	"almondrill/core"
+	"almondrill/io/wire"
+)
+
+const (
+	idleAfter = 60 * time.Second
+	// keepaliveAfter finds a peer that vanished without closing its connection:
+	// the call would otherwise hang until its deadline.
+	keepaliveAfter   = 10 * time.Second
+	keepaliveTimeout = 3 * time.Second
+	connectTimeout   = time.Second
+	// maxMessage is above the largest request body that a router takes.
+	maxMessage = 16 << 20
+	bufferSize = 8 << 10
+)
+
+// Client reaches peers. Set the exported fields before use.
+type Client struct {
+	// Addr finds a VM's address, "" if it is unknown.
+	Addr     func(vm core.VMID) string
+	MaxConns int
+
+	mu    sync.Mutex // guards all below
+	conns map[string]*conn
+	uses  uint64
+}
+
+var _ core.Peers = (*Client)(nil)
+
+type conn struct {
+	grpc  *grpc.ClientConn
+	addr  string
+	inUse int
+	used  uint64
+}
+
+// Open is the number of connections kept.
+func (cl *Client) Open() int {
+	cl.mu.Lock()
+	defer cl.mu.Unlock()
+	return len(cl.conns)
+}
+
+// Close closes all connections.
+func (cl *Client) Close() {
+	cl.mu.Lock()
+	defer cl.mu.Unlock()
+	for addr, co := range cl.conns {
+		_ = co.grpc.Close()
+		delete(cl.conns, addr)
+	}
+}
+
+func (cl *Client) take(vm core.VMID) (*conn, error) {
+	addr := cl.Addr(vm)
+	if addr == "" {
+		return nil, oops.In("dial").With("peer", vm).Errorf("no address known")
+	}
+	cl.mu.Lock()
+	defer cl.mu.Unlock()
+	co := cl.conns[addr]
+	if co == nil {
+		made, err := dial(addr)
+		if err != nil {
+			return nil, oops.In("dial").With("peer", vm).Wrap(err)
+		}
+		co = &conn{grpc: made, addr: addr}
+		if cl.conns == nil {
+			cl.conns = map[string]*conn{}
+		}
+		cl.conns[addr] = co
+		cl.shrink()
+	}
+	cl.uses++
+	co.used = cl.uses
+	co.inUse++
+	return co, nil
+}
+
+// shrink closes the unused connection that was used least lately.
+func (cl *Client) shrink() {
+	if cl.MaxConns <= 0 || len(cl.conns) <= cl.MaxConns {
+		return
+	}
+	var oldest *conn
+	for _, co := range cl.conns {
+		if co.inUse == 0 && co.used > 0 && (oldest == nil || co.used < oldest.used) {
+			oldest = co
+		}
+	}
+	if oldest != nil {
+		delete(cl.conns, oldest.addr)
+		_ = oldest.grpc.Close()
+	}
+}
+
+func (cl *Client) put(co *conn) {
+	cl.mu.Lock()
+	defer cl.mu.Unlock()
+	co.inUse--
+}
+
+func dial(addr string) (*grpc.ClientConn, error) {
+	return grpc.NewClient("passthrough:///"+addr,
+		grpc.WithTransportCredentials(insecure.NewCredentials()),
+		grpc.WithIdleTimeout(idleAfter),
+		grpc.WithDisableServiceConfig(),
+		// A retry inside grpc would be an attempt that nobody counts.
+		grpc.WithDisableRetry(),
+		grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: keepaliveAfter, Timeout: keepaliveTimeout}),
+		grpc.WithConnectParams(grpc.ConnectParams{MinConnectTimeout: connectTimeout}),
+		grpc.WithReadBufferSize(bufferSize),
+		grpc.WithWriteBufferSize(bufferSize),
+		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessage), grpc.MaxCallSendMsgSize(maxMessage)),
+	)
+}
+
+// Serve runs a call on an agent.
+func (cl *Client) Serve(ctx context.Context, to core.VMID, ca *core.Call, si core.Sink) (*core.Report, error) {
+	co, err := cl.take(to)
+	if err != nil {
+		return nil, unreachable(to, err)
+	}
+	defer cl.put(co)
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	st, err := co.grpc.NewStream(ctx, &wire.Node_ServiceDesc.Streams[0], wire.Node_Serve_FullMethodName)
+	if err != nil {
+		return nil, notOpened(ctx, to, err)
+	}
+	if err = st.SendMsg(callToWire(ca, time.Now())); err == nil {
+		err = st.CloseSend()
+	}
+	if err != nil && !errors.Is(err, io.EOF) {
+		return nil, lost(ctx, to, err)
+	}
+	return receive(ctx, st, to, si)
+}
+
+// receive passes the answer's parts on until its last message.
+func receive(ctx context.Context, st grpc.ClientStream, to core.VMID, si core.Sink) (*core.Report, error) {
+	var part wire.Part
+	var pa core.Part
+	for {
+		if err := st.RecvMsg(&part); err != nil {
+			return nil, lost(ctx, to, err)
+		}
+		if part.Told != nil {
+			return reportFromWire(part.Told), refusalFromWire(part.Refused)
+		}
+		partFromWire(&part, &pa)
+		if err := si.Send(&pa); err != nil {
+			return nil, &core.Refusal{
+				Outcome: core.Unknown, Reason: core.ReasonCallerGone, Step: "send", Peer: "caller", Detail: err.Error(),
+			}
+		}
+	}
+}
+
+// notOpened tells why a stream could not be opened. The request message had not
+// been handed over, so the call did not run.
+func notOpened(ctx context.Context, to core.VMID, err error) error {
+	re := unreachable(to, err)
+	if ctx.Err() != nil {
+		re.Reason = goneReason(ctx)
+	}
+	return re
+}
+
+func unreachable(to core.VMID, err error) *core.Refusal {
+	return &core.Refusal{
+		Outcome: core.NotRun, Reason: core.ReasonUnreachable, Step: "dial", Peer: string(to), Detail: err.Error(),
+		RetryAfter: time.Second,
+	}
+}
+
+// lost tells of a call that broke off after the request was handed over: it may
+// have run. An Unavailable on a connection that never came up is told apart by
+// the caller having no open stream, see notOpened.
+func lost(ctx context.Context, to core.VMID, err error) error {
+	re := &core.Refusal{
+		Outcome: core.Unknown, Reason: core.ReasonPeerLost, Step: "serve", Peer: string(to), Detail: err.Error(),
+	}
+	if ctx.Err() != nil || status.Code(err) == codes.DeadlineExceeded {
+		re.Reason = goneReason(ctx)
+	}
+	return re
+}
+
+func goneReason(ctx context.Context) core.Reason {
+	if errors.Is(ctx.Err(), context.Canceled) {
+		return core.ReasonCallerGone
+	}
+	return core.ReasonDeadline
+}
+
+// node calls one of the unary methods on a peer.
+func node[A, B any](ctx context.Context, cl *Client, to core.VMID, step string, call func(wire.NodeClient) (*A, error), back func(*A) B) (B, error) {
+	var none B
+	co, err := cl.take(to)
+	if err != nil {
+		return none, err
+	}
+	defer cl.put(co)
+	got, err := call(wire.NewNodeClient(co.grpc))
+	if err != nil {
+		return none, oops.In(step).With("peer", to).Wrap(err)
+	}
+	return back(got), nil
+}
+
+// controlTimeout bounds a control message's exchange.
+const controlTimeout = 2 * time.Second
+
+// Exchange swaps digests.
+func (cl *Client) Exchange(ctx context.Context, to core.VMID, di *core.Digest) (*core.Digest, error) {
+	ctx, cancel := context.WithTimeout(ctx, controlTimeout)
+	defer cancel()
+	return node(ctx, cl, to, "exchange", func(nc wire.NodeClient) (*wire.Digest, error) {
+		return nc.Exchange(ctx, digestToWire(di))
+	}, digestFromWire)
+}
+
+// Claim asks a keeper for a key.
+func (cl *Client) Claim(ctx context.Context, to core.VMID, ask *core.Claim) (*core.Verdict, error) {
+	return node(ctx, cl, to, "claim", func(nc wire.NodeClient) (*wire.ClaimReply, error) {
+		return nc.Claim(ctx, claimToWire(ask))
+	}, verdictFromWire)
+}
+
+// Fetch asks a peer for the configuration after a revision.
+func (cl *Client) Fetch(ctx context.Context, to core.VMID, since core.Revision) (*core.Changes, error) {
+	ctx, cancel := context.WithTimeout(ctx, controlTimeout)
+	defer cancel()
+	return node(ctx, cl, to, "fetch", func(nc wire.NodeClient) (*wire.FetchReply, error) {
+		return nc.Fetch(ctx, &wire.FetchCall{Since: uint64(since)})
+	}, changesFromWire)
+}
+
+// Place tells a chat's home where contexts are.
+func (cl *Client) Place(ctx context.Context, to core.VMID, pls []core.Placement) error {
+	ctx, cancel := context.WithTimeout(ctx, controlTimeout)
+	defer cancel()
+	_, err := node(ctx, cl, to, "place", func(nc wire.NodeClient) (*wire.PlaceReply, error) {
+		return nc.Place(ctx, placesToWire(pls))
+	}, func(re *wire.PlaceReply) *wire.PlaceReply { return re })
+	return err
+}
+
+// State is the state of the connection to an address, for tests and figures.
+func (cl *Client) State(vm core.VMID) connectivity.State {
+	cl.mu.Lock()
+	defer cl.mu.Unlock()
+	if co := cl.conns[cl.Addr(vm)]; co != nil {
+		return co.grpc.GetState()
+	}
+	return connectivity.Shutdown
+}
+
+// maxBudget stands for a call without a deadline.
+const maxBudget = math.MaxInt64
--- /dev/null
+++ b/io/rpc/convert.go
@@ -0,0 +1,198 @@
+package rpc
+
+import (
+	"time"
+
+	"almondrill/core"
+	"almondrill/io/wire"
+)
+
+// callToWire sends the time left rather than the deadline: the two processes'
+// clocks may differ.
+func callToWire(ca *core.Call, now time.Time) *wire.Call {
+	budget := int64(maxBudget)
+	if !ca.Deadline.IsZero() {
+		budget = max(0, ca.Deadline.Sub(now).Microseconds())
+	}
+	return &wire.Call{
+		Attempt: uint64(ca.Attempt), Customer: string(ca.Customer), Pool: string(ca.Pool),
+		Chat: string(ca.Chat), Key: string(ca.Key), MayRepeat: ca.MayRepeat,
+		Priority: uint32(ca.Priority), BudgetMicros: budget, Stream: ca.Stream, Resume: ca.Resume,
+		Prompt: int64(ca.Prompt), Output: int64(ca.Output), Forced: ca.Forced, Missed: string(ca.Missed),
+		Method: ca.Method, Path: ca.Path, ContentType: ca.ContentType, Body: ca.Body,
+		Revision: uint64(ca.Revision),
+	}
+}
+
+func callFromWire(ca *wire.Call, now time.Time) *core.Call {
+	var deadline time.Time
+	if ca.BudgetMicros != maxBudget {
+		deadline = now.Add(time.Duration(ca.BudgetMicros) * time.Microsecond)
+	}
+	return &core.Call{
+		Attempt: core.AttemptID(ca.Attempt), Customer: core.CustomerID(ca.Customer), Pool: core.PoolID(ca.Pool),
+		Chat: core.ChatID(ca.Chat), Key: core.IdemKey(ca.Key), MayRepeat: ca.MayRepeat,
+		Priority: core.Priority(min(ca.Priority, uint32(core.PriorityCount-1))), Deadline: deadline,
+		Stream: ca.Stream, Resume: ca.Resume, Prompt: core.Tokens(ca.Prompt), Output: core.Tokens(ca.Output),
+		Forced: ca.Forced, Missed: core.VMID(ca.Missed), Method: ca.Method, Path: ca.Path,
+		ContentType: ca.ContentType, Body: ca.Body, Revision: core.Revision(ca.Revision),
+	}
+}
+
+func partToWire(pa *core.Part, out *wire.Part) {
+	out.Attempt = uint64(pa.Attempt)
+	out.Position = pa.Position
+	out.Status = int32(pa.Status)
+	out.ContentType = pa.ContentType
+	out.Data = pa.Data
+	out.End = pa.End
+}
+
+func partFromWire(pa *wire.Part, out *core.Part) {
+	*out = core.Part{
+		Attempt: core.AttemptID(pa.Attempt), Position: pa.Position, Status: int(pa.Status),
+		ContentType: pa.ContentType, Data: pa.Data, End: pa.End,
+	}
+}
+
+func refusalToWire(re *core.Refusal) *wire.Refusal {
+	if re == nil {
+		return nil
+	}
+	out := &wire.Refusal{
+		Outcome: uint32(re.Outcome), Reason: string(re.Reason), Step: re.Step, Peer: re.Peer, Detail: re.Detail,
+		RetryAfterMicros: re.RetryAfter.Microseconds(), Status: int32(re.Status),
+	}
+	for _, vm := range re.Instead {
+		out.Instead = append(out.Instead, string(vm))
+	}
+	return out
+}
+
+// refusalFromWire returns a plain nil error for no refusal. An outcome that this
+// version does not know is Unknown.
+func refusalFromWire(re *wire.Refusal) error {
+	if re == nil {
+		return nil
+	}
+	out := &core.Refusal{
+		Outcome: core.Unknown, Reason: core.Reason(re.Reason), Step: re.Step, Peer: re.Peer, Detail: re.Detail,
+		RetryAfter: time.Duration(re.RetryAfterMicros) * time.Microsecond, Status: int(re.Status),
+	}
+	if re.Outcome <= uint32(core.Unknown) {
+		out.Outcome = core.Outcome(re.Outcome)
+	}
+	for _, vm := range re.Instead {
+		out.Instead = append(out.Instead, core.VMID(vm))
+	}
+	return out
+}
+
+func reportToWire(re *core.Report) *wire.Report {
+	return &wire.Report{
+		VM: string(re.VM), Incarnation: uint64(re.Incarnation), Load: int64(re.Load), Mean: int64(re.Mean),
+		Draining: re.Draining, Revision: uint64(re.Revision), Cached: int64(re.Cached), Tokens: int64(re.Tokens),
+	}
+}
+
+func reportFromWire(re *wire.Report) *core.Report {
+	return &core.Report{
+		VM: core.VMID(re.VM), Incarnation: core.Incarnation(re.Incarnation), Load: core.Work(re.Load),
+		Mean: core.Work(re.Mean), Draining: re.Draining, Revision: core.Revision(re.Revision),
+		Cached: core.Tokens(re.Cached), Tokens: core.Tokens(re.Tokens),
+	}
+}
+
+func digestToWire(di *core.Digest) *wire.Digest {
+	out := &wire.Digest{
+		From: string(di.From), Incarnation: uint64(di.Incarnation), Draining: di.Draining, Revision: uint64(di.Revision),
+	}
+	var pool *wire.PoolLoads
+	for _, en := range di.Loads {
+		if pool == nil || pool.Pool != string(en.Pool) {
+			pool = &wire.PoolLoads{Pool: string(en.Pool)}
+			out.Pools = append(out.Pools, pool)
+		}
+		pool.VMs = append(pool.VMs, string(en.VM))
+		pool.Loads = append(pool.Loads, int64(en.Load))
+		pool.Drains = append(pool.Drains, int64(en.Drain))
+		pool.AgeMillis = append(pool.AgeMillis, en.Age.Milliseconds())
+		pool.Drainings = append(pool.Drainings, en.Draining)
+	}
+	return out
+}
+
+// digestFromWire drops columns of unequal length: no peer of this version sends
+// them.
+func digestFromWire(di *wire.Digest) *core.Digest {
+	out := &core.Digest{
+		From: core.VMID(di.From), Incarnation: core.Incarnation(di.Incarnation), Draining: di.Draining,
+		Revision: core.Revision(di.Revision),
+	}
+	for _, pool := range di.Pools {
+		count := min(len(pool.VMs), len(pool.Loads), len(pool.Drains), len(pool.AgeMillis), len(pool.Drainings))
+		for ix := range count {
+			out.Loads = append(out.Loads, core.LoadEntry{
+				Pool: core.PoolID(pool.Pool), VM: core.VMID(pool.VMs[ix]), Load: core.Work(pool.Loads[ix]),
+				Drain: core.Work(pool.Drains[ix]), Age: time.Duration(pool.AgeMillis[ix]) * time.Millisecond,
+				Draining: pool.Drainings[ix],
+			})
+		}
+	}
+	return out
+}
+
+func claimToWire(cl *core.Claim) *wire.ClaimCall {
+	return &wire.ClaimCall{
+		Hash: cl.Hash[:], VM: string(cl.By.VM), Incarnation: uint64(cl.By.Incarnation), Nonce: cl.By.Nonce,
+	}
+}
+
+func claimFromWire(cl *wire.ClaimCall) *core.Claim {
+	out := &core.Claim{By: core.Claimant{
+		VM: core.VMID(cl.VM), Incarnation: core.Incarnation(cl.Incarnation), Nonce: cl.Nonce,
+	}}
+	copy(out.Hash[:], cl.Hash)
+	return out
+}
+
+func verdictToWire(ve *core.Verdict) *wire.ClaimReply {
+	return &wire.ClaimReply{
+		Granted: ve.Granted, VM: string(ve.Holder.VM), Incarnation: uint64(ve.Holder.Incarnation), Nonce: ve.Holder.Nonce,
+	}
+}
+
+func verdictFromWire(ve *wire.ClaimReply) *core.Verdict {
+	return &core.Verdict{Granted: ve.Granted, Holder: core.Claimant{
+		VM: core.VMID(ve.VM), Incarnation: core.Incarnation(ve.Incarnation), Nonce: ve.Nonce,
+	}}
+}
+
+func changesToWire(ch *core.Changes) *wire.FetchReply {
+	return &wire.FetchReply{SnapshotAt: uint64(ch.SnapshotAt), Snapshot: ch.Snapshot, Deltas: ch.Deltas}
+}
+
+func changesFromWire(ch *wire.FetchReply) *core.Changes {
+	return &core.Changes{SnapshotAt: core.Revision(ch.SnapshotAt), Snapshot: ch.Snapshot, Deltas: ch.Deltas}
+}
+
+func placesToWire(pls []core.Placement) *wire.PlaceCall {
+	out := &wire.PlaceCall{}
+	for _, pl := range pls {
+		out.Placements = append(out.Placements, &wire.Placement{
+			Customer: string(pl.Customer), Pool: string(pl.Pool), Chat: string(pl.Chat), VM: string(pl.VM), Gone: pl.Gone,
+		})
+	}
+	return out
+}
+
+func placesFromWire(pc *wire.PlaceCall) []core.Placement {
+	pls := make([]core.Placement, 0, len(pc.Placements))
+	for _, pl := range pc.Placements {
+		pls = append(pls, core.Placement{
+			Customer: core.CustomerID(pl.Customer), Pool: core.PoolID(pl.Pool), Chat: core.ChatID(pl.Chat),
+			VM: core.VMID(pl.VM), Gone: pl.Gone,
+		})
+	}
+	return pls
+}
--- /dev/null
+++ b/io/rpc/server.go
@@ -0,0 +1,168 @@
+package rpc
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/keepalive"
+	"google.golang.org/grpc/status"
+
+	"almondrill/core"
+	"almondrill/io/wire"
+)
+
+// Server answers peers. A handler that is nil answers Unimplemented. Set the
+// exported fields before Start.
+type Server struct {
+	Listener net.Listener
+	Serve    func(ctx context.Context, ca *core.Call, si core.Sink) (*core.Report, error)
+	Exchange func(di *core.Digest) *core.Digest
+	Claim    func(ctx context.Context, cl *core.Claim) (*core.Verdict, error)
+	Fetch    func(since core.Revision) (*core.Changes, error)
+	Place    func(pls []core.Placement)
+	// Heard, if set, is told the revision that a peer's message carries.
+	Heard func(from core.VMID, rev core.Revision)
+	// Revision is the own one, sent back with each reply.
+	Revision func() core.Revision
+	// Register, if set, adds other services to the same listener.
+	Register func(sr grpc.ServiceRegistrar)
+
+	grpc *grpc.Server
+}
+
+// Init makes the grpc server; Start calls it if it was not called before.
+func (se *Server) Init() {
+	if se.grpc != nil {
+		return
+	}
+	se.grpc = grpc.NewServer(
+		grpc.MaxRecvMsgSize(maxMessage),
+		grpc.ReadBufferSize(bufferSize),
+		grpc.WriteBufferSize(bufferSize),
+		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: keepaliveAfter / 2}),
+		grpc.KeepaliveParams(keepalive.ServerParameters{Time: keepaliveAfter, Timeout: keepaliveTimeout}),
+	)
+	wire.RegisterNodeServer(se.grpc, &handler{se: se})
+	if se.Register != nil {
+		se.Register(se.grpc)
+	}
+}
+
+// Start serves until Stop; it is a kratos transport.
+func (se *Server) Start(context.Context) error {
+	se.Init()
+	return se.grpc.Serve(se.Listener)
+}
+
+// Stop lets calls in progress end, until ctx does.
+func (se *Server) Stop(ctx context.Context) error {
+	se.Init()
+	done := make(chan struct{})
+	go func() {
+		se.grpc.GracefulStop()
+		close(done)
+	}()
+	select {
+	case <-done:
+	case <-ctx.Done():
+		se.grpc.Stop()
+	}
+	return nil
+}
+
+type handler struct {
+	wire.UnimplementedNodeServer
+	se *Server
+}
+
+// Serve runs a call. Its last message carries the report, and the refusal if the
+// answer was not whole: a stream without it was cut off on its way.
+func (ha *handler) Serve(in *wire.Call, st grpc.ServerStreamingServer[wire.Part]) error {
+	if ha.se.Serve == nil {
+		return status.Error(codes.Unimplemented, "this process runs no calls")
+	}
+	ca := callFromWire(in, time.Now())
+	ctx := st.Context()
+	if !ca.Deadline.IsZero() {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithDeadline(ctx, ca.Deadline)
+		defer cancel()
+	}
+	rep, err := ha.se.Serve(ctx, ca, &stream{st: st})
+	last := &wire.Part{Attempt: in.Attempt, Told: reportToWire(rep)}
+	if err != nil {
+		last.Refused = refusalToWire(core.AsRefusal(err, "serve", string(rep.VM)))
+	}
+	return st.SendMsg(last)
+}
+
+// stream is the Sink of a call. Send writes the message before it returns, so
+// one message is used for all parts.
+type stream struct {
+	st   grpc.ServerStreamingServer[wire.Part]
+	part wire.Part
+}
+
+// Send passes a part on.
+func (sm *stream) Send(pa *core.Part) error {
+	partToWire(pa, &sm.part)
+	return sm.st.SendMsg(&sm.part)
+}
+
+// Exchange swaps digests.
+func (ha *handler) Exchange(_ context.Context, in *wire.Digest) (*wire.Digest, error) {
+	if ha.se.Exchange == nil {
+		return nil, status.Error(codes.Unimplemented, "this process keeps no loads")
+	}
+	ha.heard(core.VMID(in.From), in.Revision)
+	return digestToWire(ha.se.Exchange(digestFromWire(in))), nil
+}
+
+// Claim decides on a key.
+func (ha *handler) Claim(ctx context.Context, in *wire.ClaimCall) (*wire.ClaimReply, error) {
+	if ha.se.Claim == nil {
+		return nil, status.Error(codes.Unimplemented, "this process keeps no claims")
+	}
+	ve, err := ha.se.Claim(ctx, claimFromWire(in))
+	if err != nil {
+		return nil, status.Error(codes.Unavailable, err.Error())
+	}
+	return verdictToWire(ve), nil
+}
+
+// Fetch returns the configuration after a revision.
+func (ha *handler) Fetch(_ context.Context, in *wire.FetchCall) (*wire.FetchReply, error) {
+	if ha.se.Fetch == nil {
+		return nil, status.Error(codes.Unimplemented, "this process keeps no configuration")
+	}
+	ch, err := ha.se.Fetch(core.Revision(in.Since))
+	if err != nil {
+		return nil, status.Error(codes.Unavailable, err.Error())
+	}
+	return changesToWire(ch), nil
+}
+
+// Place takes in placements.
+func (ha *handler) Place(_ context.Context, in *wire.PlaceCall) (*wire.PlaceReply, error) {
+	if ha.se.Place == nil {
+		return nil, status.Error(codes.Unimplemented, "this process keeps no chats")
+	}
+	ha.se.Place(placesFromWire(in))
+	return &wire.PlaceReply{Revision: ha.revision()}, nil
+}
+
+func (ha *handler) heard(from core.VMID, rev uint64) {
+	if ha.se.Heard != nil {
+		ha.se.Heard(from, core.Revision(rev))
+	}
+}
+
+func (ha *handler) revision() uint64 {
+	if ha.se.Revision == nil {
+		return 0
+	}
+	return uint64(ha.se.Revision())
+}
--- /dev/null
+++ b/io/stand/engine/engine.go
@@ -0,0 +1,318 @@
+// Package engine is a small stand-in for a model engine that speaks the
+// OpenAI-style protocol, for the demo and for tests.
+//
+// # Concepts
+//
+// Running requests share the engine: a step yields one token for each, and takes
+// longer the more there are. Prompts are prefilled first; a prompt whose chat is
+// in the cache is prefilled only beyond what is cached. The cache holds whole
+// chats and evicts the least recently used. Answers repeat the last message, so
+// that a caller can tell its own from another's.
+//
+// Headers: X-Request-Id is sent back; X-Cache-Key names the chat; X-Priority and
+// X-Resume-Position as their names say. Besides chats it serves /load (a lagging
+// report), /cache (keys held, and the number of the last event), /cache/events
+// (one page of events) and /orders.
+//
+// # Usage
+//
+//	en := &engine.Engine{Clock: clock, Model: "m", TokenEvery: time.Millisecond}
+//	http.Serve(listener, en.Handler())
+package engine
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/golang-lru/v2/simplelru"
+
+	"almondrill/core"
+	"almondrill/io/stand/audit"
+)
+
+// Faults orders failures. The zero value is a healthy engine.
+type Faults struct {
+	// CutAfter ends a stream without its end mark after that many tokens.
+	CutAfter int
+	// StallAfter stops sending after that many tokens, until the caller leaves.
+	StallAfter int
+	// Crossed answers with another request's id.
+	Crossed bool
+	// LoseEvents drops every nth cache event; 0 drops none.
+	LoseEvents int
+	// Status answers with this HTTP status before running anything.
+	Status int
+}
+
+// Engine is the stand-in. Set the exported fields before use.
+type Engine struct {
+	Clock core.Clock
+	Model string
+	// TokenEvery is the time of a step with one request; PerRequest is added for
+	// each further one. PrefillEvery is the time for one uncached prompt token.
+	TokenEvery   time.Duration
+	PerRequest   time.Duration
+	PrefillEvery time.Duration
+	// CacheTokens is the size of the prefix cache; 0 is 100,000.
+	CacheTokens int
+	// ReportLag is how old the load in /load is.
+	ReportLag time.Duration
+	// ChecksFence makes it refuse orders with an old number.
+	ChecksFence bool
+	Audit       *audit.Audit
+
+	mu       sync.Mutex // guards all below
+	faults   Faults
+	running  int
+	work     int
+	cache    *simplelru.LRU[string, int]
+	cached   int
+	events   []Event
+	eventSeq uint64
+	reports  []report
+	fence    uint64
+	loaded   []string
+	served   Served
+}
+
+// Event is one change of the cache. Kind is Stored or Evicted.
+type Event struct {
+	Seq  uint64
+	Kind string
+	Key  string
+}
+
+// Served counts what the engine did, in requests and tokens.
+type Served struct {
+	Requests, Whole, Tokens, PromptTokens, CachedTokens, Orders, RefusedOrders int
+}
+
+type report struct {
+	at   time.Time
+	work int
+}
+
+type request struct {
+	Model     string `json:"model"`
+	Stream    bool   `json:"stream"`
+	MaxTokens int    `json:"max_tokens"`
+	Messages  []struct {
+		Role    string `json:"role"`
+		Content string `json:"content"`
+	} `json:"messages"`
+}
+
+// SetFaults orders faults from now on.
+func (en *Engine) SetFaults(fa Faults) {
+	en.mu.Lock()
+	defer en.mu.Unlock()
+	en.faults = fa
+}
+
+// Served is what the engine did so far.
+func (en *Engine) Served() Served {
+	en.mu.Lock()
+	defer en.mu.Unlock()
+	return en.served
+}
+
+// Handler serves the engine's protocol.
+func (en *Engine) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v1/chat/completions", en.chat)
+	mux.HandleFunc("GET /load", en.load)
+	mux.HandleFunc("GET /cache", en.listCache)
+	mux.HandleFunc("GET /cache/events", en.cacheEvents)
+	mux.HandleFunc("POST /orders", en.order)
+	return mux
+}
+
+const charsPerToken = 4
+
+// defaultMaxTokens is the answer's length where the request names none.
+const defaultMaxTokens = 16
+
+func (en *Engine) chat(wr http.ResponseWriter, rq *http.Request) {
+	var in request
+	if err := json.NewDecoder(rq.Body).Decode(&in); err != nil || len(in.Messages) == 0 {
+		http.Error(wr, `{"error":{"message":"malformed request"}}`, http.StatusBadRequest)
+		return
+	}
+	fa := en.begin()
+	if fa.Status != 0 {
+		http.Error(wr, `{"error":{"message":"ordered fault"}}`, fa.Status)
+		return
+	}
+	nonce := in.Messages[len(in.Messages)-1].Content
+	if en.Audit != nil {
+		en.Audit.Ran(nonce, rq.Header.Get("Idempotency-Key"))
+	}
+	tokens := in.MaxTokens
+	if tokens <= 0 {
+		tokens = defaultMaxTokens
+	}
+	prompt := promptTokens(&in)
+	hit := en.lookup(rq.Header.Get("X-Cache-Key"), prompt)
+	en.enter(prompt - hit + tokens)
+	defer en.exit(tokens)
+	en.sleep(rq, time.Duration(prompt-hit)*en.PrefillEvery)
+	id := rq.Header.Get("X-Request-Id")
+	if fa.Crossed {
+		id = "0"
+	}
+	wr.Header().Set("X-Request-Id", id)
+	an := &answering{en: en, rq: rq, wr: wr, fa: fa, nonce: nonce, tokens: tokens, prompt: prompt, hit: hit}
+	an.resume, _ = strconv.Atoi(rq.Header.Get("X-Resume-Position"))
+	if in.Stream {
+		an.stream()
+	} else {
+		an.whole()
+	}
+	en.store(rq.Header.Get("X-Cache-Key"), prompt+tokens)
+}
+
+func promptTokens(in *request) int {
+	sum := 0
+	for _, me := range in.Messages {
+		sum += len(me.Content)/charsPerToken + 1
+	}
+	return sum
+}
+
+// answering is one request's way.
+type answering struct {
+	en     *Engine
+	rq     *http.Request
+	wr     http.ResponseWriter
+	fa     Faults
+	nonce  string
+	tokens int
+	prompt int
+	hit    int
+	resume int
+}
+
+// word is token number n of the answer, from 0.
+func (an *answering) word(n int) string {
+	if n == 0 {
+		return an.nonce
+	}
+	return fmt.Sprintf(" w%d", n)
+}
+
+// step waits for one token; false means that the caller left or a fault struck.
+func (an *answering) step(n int) bool {
+	if an.fa.CutAfter > 0 && n == an.fa.CutAfter {
+		return false
+	}
+	if an.fa.StallAfter > 0 && n == an.fa.StallAfter {
+		<-an.rq.Context().Done()
+	}
+	an.en.sleep(an.rq, an.en.stepTime())
+	if an.rq.Context().Err() != nil {
+		return false
+	}
+	an.en.progress()
+	return true
+}
+
+func (an *answering) stream() {
+	an.wr.Header().Set("Content-Type", "text/event-stream")
+	flush := http.NewResponseController(an.wr)
+	var all strings.Builder
+	for n := range an.tokens {
+		if n < an.resume {
+			all.WriteString(an.word(n))
+			continue
+		}
+		if !an.step(n) {
+			panic(http.ErrAbortHandler)
+		}
+		all.WriteString(an.word(n))
+		text, _ := json.Marshal(an.word(n))
+		fmt.Fprintf(an.wr, "data: {\"object\":\"chat.completion.chunk\",\"choices\":[{\"index\":0,\"delta\":{\"content\":%s}}]}\n\n", text)
+		_ = flush.Flush()
+	}
+	fmt.Fprintf(an.wr, "data: {\"object\":\"chat.completion.chunk\",\"choices\":[],\"usage\":%s}\n\n", an.usage())
+	an.sent(all.String())
+	fmt.Fprint(an.wr, "data: [DONE]\n\n")
+	_ = flush.Flush()
+}
+
+func (an *answering) whole() {
+	var all strings.Builder
+	for n := range an.tokens {
+		if !an.step(n) {
+			panic(http.ErrAbortHandler)
+		}
+		all.WriteString(an.word(n))
+	}
+	text, _ := json.Marshal(all.String())
+	an.sent(all.String())
+	an.wr.Header().Set("Content-Type", "application/json")
+	fmt.Fprintf(an.wr, `{"object":"chat.completion","model":%q,"choices":[{"index":0,"message":{"role":"assistant","content":%s},"finish_reason":"stop"}],"usage":%s}`,
+		an.en.Model, text, an.usage())
+}
+
+func (an *answering) usage() string {
+	return fmt.Sprintf(`{"prompt_tokens":%d,"completion_tokens":%d,"total_tokens":%d,"prompt_tokens_details":{"cached_tokens":%d}}`,
+		an.prompt, an.tokens, an.prompt+an.tokens, an.hit)
+}
+
+func (an *answering) sent(answer string) {
+	if an.en.Audit != nil {
+		an.en.Audit.Sent(an.nonce, answer)
+	}
+	an.en.mu.Lock()
+	an.en.served.Whole++
+	an.en.mu.Unlock()
+}
+
+func (en *Engine) sleep(rq *http.Request, d time.Duration) {
+	if d > 0 {
+		_ = en.Clock.Sleep(rq.Context(), d)
+	}
+}
+
+func (en *Engine) begin() Faults {
+	en.mu.Lock()
+	defer en.mu.Unlock()
+	en.served.Requests++
+	return en.faults
+}
+
+func (en *Engine) stepTime() time.Duration {
+	en.mu.Lock()
+	defer en.mu.Unlock()
+	return en.TokenEvery + time.Duration(en.running-1)*en.PerRequest
+}
+
+func (en *Engine) enter(work int) {
+	en.mu.Lock()
+	defer en.mu.Unlock()
+	en.running++
+	en.work += work
+	en.note()
+}
+
+func (en *Engine) exit(tokens int) {
+	en.mu.Lock()
+	defer en.mu.Unlock()
+	en.running--
+	if en.running == 0 {
+		en.work = 0
+	}
+	en.served.Tokens += tokens
+	en.note()
+}
+
+func (en *Engine) progress() {
+	en.mu.Lock()
+	defer en.mu.Unlock()
+	en.work = max(0, en.work-1)
+}
--- /dev/null
+++ b/io/stand/kvsrv/kvsrv.go
@@ -0,0 +1,365 @@
+// Package kvsrv is a small stand-in for the platform's key-value service, for
+// the demo and for tests. Store satisfies core.KV directly; io/kvrpc serves it
+// over grpc.
+//
+// # Concepts
+//
+// Every write to the store gets the next version. Leases lapse by the clock and
+// take their entries along. Faults can be ordered: an outage, slowness, answers
+// lost after a write took effect, and reads of old content.
+//
+// # Usage
+//
+//	st := &kvsrv.Store{Clock: clock, Rand: rand, WritesPerSecond: 300}
+//	st.SetFaults(kvsrv.Faults{Down: true})
+package kvsrv
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"almondrill/core"
+)
+
+// MaxValue is the largest value, in bytes.
+const MaxValue = 1 << 20
+
+// Errors of the stand-in beyond core's.
+var (
+	// ErrDown: the service is not there; nothing was written.
+	ErrDown = errors.New("kv: service unavailable")
+	// ErrLost: the answer was lost; the write may have taken effect.
+	ErrLost = errors.New("kv: answer lost")
+	// ErrRate: too many calls; nothing was written.
+	ErrRate = errors.New("kv: rate limit")
+	// ErrTooLarge: the value is over MaxValue; nothing was written.
+	ErrTooLarge = errors.New("kv: value too large")
+)
+
+// Faults orders failures. The zero value is a healthy service.
+type Faults struct {
+	Down bool
+	// Delay is added to every call.
+	Delay time.Duration
+	// LoseAnswers is the part of writes that take effect without an answer.
+	LoseAnswers float64
+	// OldReads makes reads see the store as it was when the fault began.
+	OldReads bool
+}
+
+// Calls counts calls by kind.
+type Calls struct {
+	Reads, Writes, Watches, Refused int64
+}
+
+// Store is the service. Set the exported fields before use.
+type Store struct {
+	Clock core.Clock
+	Rand  core.Rand
+	// Latency is what a call takes, in a healthy service.
+	Latency time.Duration
+	// WritesPerSecond and ReadsPerSecond are the limits; 0 is none.
+	WritesPerSecond int
+	ReadsPerSecond  int
+
+	mu      sync.Mutex // guards all below
+	entries map[string]entry
+	old     map[string]entry
+	leases  map[core.LeaseID]lease
+	version core.Version
+	faults  Faults
+	calls   Calls
+	reads   bucket
+	writes  bucket
+	changed chan struct{}
+}
+
+type entry struct {
+	value   []byte
+	version core.Version
+	lease   core.LeaseID
+}
+
+type lease struct {
+	ttl   time.Duration
+	until time.Time
+}
+
+type bucket struct {
+	credit float64
+	last   time.Time
+}
+
+var _ core.KV = (*Store)(nil)
+
+// SetFaults orders the faults from now on.
+func (st *Store) SetFaults(fa Faults) {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	st.init()
+	if fa.OldReads && !st.faults.OldReads {
+		st.old = make(map[string]entry, len(st.entries))
+		for key, en := range st.entries {
+			st.old[key] = en
+		}
+	}
+	st.faults = fa
+}
+
+// Calls are the counts so far.
+func (st *Store) Calls() Calls {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	return st.calls
+}
+
+// Bytes is the size of all keys and values.
+func (st *Store) Bytes() core.Bytes {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	var sum core.Bytes
+	for key, en := range st.entries {
+		sum += core.Bytes(len(key) + len(en.value))
+	}
+	return sum
+}
+
+func (st *Store) init() {
+	if st.entries == nil {
+		st.entries = map[string]entry{}
+		st.leases = map[core.LeaseID]lease{}
+		st.changed = make(chan struct{})
+	}
+}
+
+// begin waits out the call's time and applies faults and limits.
+func (st *Store) begin(ctx context.Context, write bool) error {
+	st.mu.Lock()
+	st.init()
+	wait := st.Latency + st.faults.Delay
+	st.mu.Unlock()
+	if wait > 0 {
+		if err := st.Clock.Sleep(ctx, wait); err != nil {
+			return err
+		}
+	}
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	if st.faults.Down {
+		return ErrDown
+	}
+	if !st.admit(write) {
+		st.calls.Refused++
+		return ErrRate
+	}
+	return ctx.Err()
+}
+
+func (st *Store) admit(write bool) bool {
+	if write {
+		st.calls.Writes++
+		return st.writes.take(st.Clock.Now(), st.WritesPerSecond)
+	}
+	st.calls.Reads++
+	return st.reads.take(st.Clock.Now(), st.ReadsPerSecond)
+}
+
+func (bu *bucket) take(now time.Time, perSecond int) bool {
+	if perSecond == 0 {
+		return true
+	}
+	most := float64(perSecond)
+	if bu.last.IsZero() {
+		bu.credit = most
+	} else {
+		bu.credit = min(most, bu.credit+now.Sub(bu.last).Seconds()*most)
+	}
+	bu.last = now
+	if bu.credit < 1 {
+		return false
+	}
+	bu.credit--
+	return true
+}
+
+// lapse drops what belongs to leases that have run out.
+func (st *Store) lapse() {
+	now := st.Clock.Now()
+	for id, le := range st.leases {
+		if now.Before(le.until) {
+			continue
+		}
+		delete(st.leases, id)
+		for key, en := range st.entries {
+			if en.lease == id {
+				delete(st.entries, key)
+				st.version++
+			}
+		}
+	}
+}
+
+// readable is what reads see.
+func (st *Store) readable() map[string]entry {
+	st.lapse()
+	if st.faults.OldReads {
+		return st.old
+	}
+	return st.entries
+}
+
+// Get reads an entry.
+func (st *Store) Get(ctx context.Context, key string) (core.Entry, error) {
+	if err := st.begin(ctx, false); err != nil {
+		return core.Entry{}, err
+	}
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	en, known := st.readable()[key]
+	if !known {
+		return core.Entry{}, core.ErrAbsent
+	}
+	return core.Entry{Key: key, Value: en.value, Version: en.version}, nil
+}
+
+// Put writes an entry.
+func (st *Store) Put(ctx context.Context, key string, value []byte, expect core.Version, le core.LeaseID) (core.Version, error) {
+	if err := st.begin(ctx, true); err != nil {
+		return 0, err
+	}
+	if len(value) > MaxValue {
+		return 0, ErrTooLarge
+	}
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	st.lapse()
+	if st.entries[key].version != expect {
+		return 0, core.ErrConflict
+	}
+	if _, live := st.leases[le]; le != 0 && !live {
+		return 0, core.ErrLeaseGone
+	}
+	st.version++
+	st.entries[key] = entry{value: slices.Clone(value), version: st.version, lease: le}
+	st.wake()
+	return st.version, st.answer()
+}
+
+// Delete removes an entry.
+func (st *Store) Delete(ctx context.Context, key string, expect core.Version) error {
+	if err := st.begin(ctx, true); err != nil {
+		return err
+	}
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	st.lapse()
+	if en, known := st.entries[key]; !known || en.version != expect {
+		return core.ErrConflict
+	}
+	st.version++
+	delete(st.entries, key)
+	st.wake()
+	return st.answer()
+}
+
+// answer loses the ordered part of the answers to writes.
+func (st *Store) answer() error {
+	if st.faults.LoseAnswers > 0 && st.Rand.Float64() < st.faults.LoseAnswers {
+		return ErrLost
+	}
+	return nil
+}
+
+func (st *Store) wake() {
+	close(st.changed)
+	st.changed = make(chan struct{})
+}
+
+// List reads a range of entries.
+func (st *Store) List(ctx context.Context, from, to string, limit int) ([]core.Entry, error) {
+	if err := st.begin(ctx, false); err != nil {
+		return nil, err
+	}
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	var found []core.Entry
+	for key, en := range st.readable() {
+		if key >= from && key < to {
+			found = append(found, core.Entry{Key: key, Value: en.value, Version: en.version})
+		}
+	}
+	slices.SortFunc(found, func(one, two core.Entry) int { return strings.Compare(one.Key, two.Key) })
+	if limit > 0 && len(found) > limit {
+		found = found[:limit]
+	}
+	return found, nil
+}
+
+// Grant creates a lease.
+func (st *Store) Grant(ctx context.Context, ttl time.Duration) (core.LeaseID, error) {
+	if err := st.begin(ctx, true); err != nil {
+		return 0, err
+	}
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	st.version++
+	id := core.LeaseID(st.version)
+	st.leases[id] = lease{ttl: ttl, until: st.Clock.Now().Add(ttl)}
+	return id, nil
+}
+
+// Renew prolongs a lease.
+func (st *Store) Renew(ctx context.Context, le core.LeaseID) error {
+	if err := st.begin(ctx, true); err != nil {
+		return err
+	}
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	st.lapse()
+	held, live := st.leases[le]
+	if !live {
+		return core.ErrLeaseGone
+	}
+	held.until = st.Clock.Now().Add(held.ttl)
+	st.leases[le] = held
+	return nil
+}
+
+// Watch waits for a newer entry with the prefix. Each look counts as a call.
+func (st *Store) Watch(ctx context.Context, prefix string, after core.Version) (core.Entry, error) {
+	for {
+		if err := st.begin(ctx, false); err != nil {
+			return core.Entry{}, err
+		}
+		st.mu.Lock()
+		st.calls.Watches++
+		found := newest(st.readable(), prefix, after)
+		changed := st.changed
+		st.mu.Unlock()
+		if found != nil {
+			return *found, nil
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return core.Entry{}, ctx.Err()
+		}
+	}
+}
+
+func newest(entries map[string]entry, prefix string, after core.Version) *core.Entry {
+	var found *core.Entry
+	for key, en := range entries {
+		if !strings.HasPrefix(key, prefix) || en.version <= after {
+			continue
+		}
+		if found == nil || en.version > found.Version {
+			found = &core.Entry{Key: key, Value: en.value, Version: en.version}
+		}
+	}
+	return found
+}
--- /dev/null
+++ b/io/stats/stats.go
@@ -0,0 +1,121 @@
+// Package stats holds the counters of a process, published by expvar.
+//
+// # Concepts
+//
+// A Set belongs to one process; in a demo several live in one program, so a Set
+// is served by its process's own handler rather than registered by name. Each refusal reason and each retry
+// reason has a counter of its own from the start, so that a graph shows 0 rather
+// than nothing.
+//
+// # Usage
+//
+//	st := stats.New()
+//	st.Refuse(core.ReasonLoadCap)
+//	http.Handle("/debug/vars", st.Handler())
+package stats
+
+import (
+	"expvar"
+	"net/http"
+
+	"almondrill/core"
+)
+
+// Names of the other counters.
+const (
+	Requests        = "Requests"
+	InProgress      = "InProgress"
+	AnswersWhole    = "AnswersWhole"
+	AnswersNotRun   = "AnswersNotRun"
+	AnswersFailed   = "AnswersFailed"
+	AnswersUnknown  = "AnswersUnknown"
+	PartsDropped    = "PartsDropped"
+	ControlBytes    = "ControlBytesSent"
+	ControlHeld     = "ControlMessagesHeldBack"
+	QueueCalls      = "QueueCalls"
+	RunningCalls    = "RunningCalls"
+	LoadWork        = "LoadWork"
+	ConfigRevision  = "ConfigRevision"
+	ConfigReverted  = "ConfigRevertedRefused"
+	EventsDropped   = "BoardEventsDropped"
+	ConnectionsOpen = "PeerConnectionsOpen"
+	Replays         = "KeyReplays"
+	Resumes         = "StreamResumes"
+)
+
+// Names lists the counters that are no reasons.
+var Names = []string{
+	Requests, InProgress, AnswersWhole, AnswersNotRun, AnswersFailed, AnswersUnknown, PartsDropped,
+	ControlBytes, ControlHeld, QueueCalls, RunningCalls, LoadWork, ConfigRevision, ConfigReverted,
+	EventsDropped, ConnectionsOpen, Replays, Resumes,
+}
+
+// Set is one process's counters.
+type Set struct {
+	all      *expvar.Map
+	refusals *expvar.Map
+	retries  *expvar.Map
+}
+
+// New makes a Set with every counter at 0.
+func New() *Set {
+	st := &Set{all: new(expvar.Map).Init(), refusals: new(expvar.Map).Init(), retries: new(expvar.Map).Init()}
+	for _, name := range Names {
+		st.all.Add(name, 0)
+	}
+	for _, re := range core.Reasons {
+		st.refusals.Add(string(re), 0)
+		st.retries.Add(string(re), 0)
+	}
+	st.all.Set("Refusals", st.refusals)
+	st.all.Set("Retries", st.retries)
+	return st
+}
+
+// Add changes a counter.
+func (st *Set) Add(name string, by int64) { st.all.Add(name, by) }
+
+// Read makes a counter read its value from fn when asked.
+func (st *Set) Read(name string, fn func() int64) {
+	st.all.Set(name, expvar.Func(func() any { return fn() }))
+}
+
+// Refuse counts a refusal or failure by reason.
+func (st *Set) Refuse(re core.Reason) { st.refusals.Add(string(re), 1) }
+
+// Retry counts a retry by the reason of the attempt before it.
+func (st *Set) Retry(re core.Reason) { st.retries.Add(string(re), 1) }
+
+// Answer counts how a request ended.
+func (st *Set) Answer(ou core.Outcome) { st.all.Add("Answers"+ou.String(), 1) }
+
+// Value is a counter's value, 0 for an unknown one.
+func (st *Set) Value(name string) int64 {
+	switch va := st.all.Get(name).(type) {
+	case *expvar.Int:
+		return va.Value()
+	case expvar.Func:
+		number, _ := va.Value().(int64)
+		return number
+	}
+	return 0
+}
+
+// Refusals is the counter of a refusal reason.
+func (st *Set) Refusals(re core.Reason) int64 {
+	if va, ok := st.refusals.Get(string(re)).(*expvar.Int); ok {
+		return va.Value()
+	}
+	return 0
+}
+
+// Handler serves the Set, beside expvar's own variables, as JSON.
+func (st *Set) Handler() http.Handler {
+	return http.HandlerFunc(func(wr http.ResponseWriter, _ *http.Request) {
+		wr.Header().Set("Content-Type", "application/json; charset=utf-8")
+		out := new(expvar.Map).Init()
+		expvar.Do(func(kv expvar.KeyValue) { out.Set(kv.Key, kv.Value) })
+		out.Set("Almondrill", st.all)
+		_, _ = wr.Write([]byte(out.String()))
+	})
+}
