--- /dev/null
+++ b/io/vmnet/vmnet.go
@@ -0,0 +1,77 @@
+// Package vmnet carries core.VMList over HTTP, to the stand-in of the platform's
+// list. An adapter to another platform takes this package's place.
+//
+// # Usage
+//
+//	li := &vmnet.Client{Addr: "127.0.0.1:7002"}
+//	http.Handle("/vms", vmnet.Handler(list))
+package vmnet
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/samber/oops"
+
+	"almondrill/core"
+)
+
+type answer struct {
+	Mark uint64
+	VMs  []core.VM
+}
+
+const timeout = 3 * time.Second
+
+// Client reads the list at an address.
+type Client struct {
+	Addr string
+}
+
+var _ core.VMList = (*Client)(nil)
+
+// Changes returns what changed after mark.
+func (cl *Client) Changes(ctx context.Context, mark uint64) ([]core.VM, uint64, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	oo := oops.In("list vms").With("peer", cl.Addr)
+	url := "http://" + cl.Addr + "/vms?after=" + strconv.FormatUint(mark, 10)
+	rq, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return nil, mark, oo.Wrap(err)
+	}
+	rs, err := http.DefaultClient.Do(rq)
+	if err != nil {
+		return nil, mark, oo.Wrap(err)
+	}
+	defer rs.Body.Close()
+	if rs.StatusCode != http.StatusOK {
+		return nil, mark, oo.Errorf("status %s", rs.Status)
+	}
+	var an answer
+	if err = json.NewDecoder(rs.Body).Decode(&an); err != nil {
+		return nil, mark, oo.Wrap(err)
+	}
+	return an.VMs, an.Mark, nil
+}
+
+// Handler serves a list.
+func Handler(li core.VMList) http.Handler {
+	return http.HandlerFunc(func(wr http.ResponseWriter, rq *http.Request) {
+		mark, err := strconv.ParseUint(rq.FormValue("after"), 10, 64)
+		if err != nil {
+			http.Error(wr, "after: not a number", http.StatusBadRequest)
+			return
+		}
+		vms, next, err := li.Changes(rq.Context(), mark)
+		if err != nil {
+			http.Error(wr, err.Error(), http.StatusServiceUnavailable)
+			return
+		}
+		wr.Header().Set("Content-Type", "application/json")
+		_ = json.NewEncoder(wr).Encode(answer{Mark: next, VMs: vms})
+	})
+}
