--- a/core/admit/gate.go
+++ b/core/admit/gate.go
@@ -7,7 +7,9 @@
 //
 //   - The load cap: load stays within LoadFactor times the pool's mean, or
 //     within FloorWork, or the endpoint is not above the mean at all. Otherwise
-//     the call is refused and the router tries a less loaded peer.
+//     the call is refused and the router tries a less loaded peer, unless its
+//     context is here and room can be expected within its patience: then it waits
+//     outside, not part of the load.
 //   - A slot: Slots calls run at a time, and the last few are kept for customers
 //     that are within their share.
 //   - The queue: bounded; by priority, within a priority by start-time fair
@@ -31,6 +33,7 @@
 package admit
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -47,6 +50,8 @@
 	// Bounds of the advice when to try again.
 	leastRetryAfter = 100 * time.Millisecond
 	mostRetryAfter  = 30 * time.Second
+	// mostPatient bounds the calls that wait for room under the cap.
+	mostPatient = 16
 	// instead is how many less loaded peers a refusal names.
 	instead = 3
 )
@@ -66,6 +71,7 @@
 	alien    core.Work
 	running  int
 	waiting  int
+	patient  []*Ticket
 	queue    queue
 	accounts map[core.CustomerID]*account
 	weights  float64 // sum over active accounts
@@ -91,6 +97,9 @@
 	Weight   float64
 	Priority core.Priority
 	Work     core.Work
+	// Patience is how long the call would rather wait for room under the load cap
+	// than be refused, because its context is here. 0 is not at all.
+	Patience time.Duration
 
 	left    core.Work
 	account *account
@@ -105,6 +114,9 @@
 
 const (
 	ticketNew ticketState = iota
+	// ticketPatient waits for room under the cap; it is not part of the load.
+	ticketPatient
+	// ticketWaiting waits for a slot.
 	ticketWaiting
 	ticketRunning
 	ticketOut
@@ -126,9 +138,50 @@
 func (ga *Gate) Offer(ti *Ticket) (bool, *core.Refusal) {
 	ga.mu.Lock()
 	defer ga.mu.Unlock()
-	if !ga.fits(ti.Work) {
-		return false, ga.refuseCap(ti.Work)
+	if len(ga.patient) > 0 || !ga.fits(ti.Work) {
+		// Whoever waits patiently goes first, or it would wait for ever.
+		if !ga.worthWaiting(ti) {
+			return false, ga.refuseCap(ti.Work)
+		}
+		ti.ready = make(chan *core.Refusal, 1)
+		ti.state = ticketPatient
+		ga.patient = append(ga.patient, ti)
+		return false, nil
+	}
+	return ga.admit(ti)
+}
+
+// worthWaiting tells whether room can be expected within the ticket's patience.
+func (ga *Gate) worthWaiting(ti *Ticket) bool {
+	if ti.Patience <= 0 || len(ga.patient) >= mostPatient {
+		return false
+	}
+	ga.measureDrain()
+	if ga.drain < 1 {
+		return false
+	}
+	limit := max(float64(ga.limits.FloorWork), ga.limits.LoadFactor*float64(ga.Loads.Mean(ga.load)))
+	excess := float64(ga.load+ti.Work) - limit
+	for _, other := range ga.patient {
+		excess += float64(other.Work)
+	}
+	return time.Duration(excess/ga.drain*float64(time.Second)) <= ti.Patience
+}
+
+// admitPatient lets those in who fit by now, in order.
+func (ga *Gate) admitPatient() {
+	for len(ga.patient) > 0 && ga.fits(ga.patient[0].Work) {
+		ti := ga.patient[0]
+		ga.patient = ga.patient[1:]
+		run, re := ga.admit(ti)
+		if run || re != nil {
+			ti.ready <- re
+		}
 	}
+}
+
+// admit gives a ticket within the cap a slot or a place in the queue.
+func (ga *Gate) admit(ti *Ticket) (bool, *core.Refusal) {
 	ti.left = ti.Work
 	ti.account = ga.enterAccount(ti)
 	if ga.running < ga.limits.Slots && ga.waiting == 0 && ga.maySlot(ti.account) {
@@ -180,7 +233,9 @@
 }
 
 func (ga *Gate) enqueue(ti *Ticket) {
-	ti.ready = make(chan *core.Refusal, 1)
+	if ti.ready == nil {
+		ti.ready = make(chan *core.Refusal, 1)
+	}
 	ti.state = ticketWaiting
 	ti.since = ga.Clock.Now()
 	ti.account.waiting += ti.Work
@@ -220,6 +275,11 @@
 func (ga *Gate) Withdraw(ti *Ticket) bool {
 	ga.mu.Lock()
 	defer ga.mu.Unlock()
+	if ti.state == ticketPatient {
+		ga.patient = slices.DeleteFunc(ga.patient, func(other *Ticket) bool { return other == ti })
+		ti.state = ticketOut
+		return true
+	}
 	if ti.state != ticketWaiting {
 		return false
 	}
@@ -239,6 +299,7 @@
 	ti.left -= done
 	ga.finished += done
 	ga.addLoad(-done)
+	ga.admitPatient()
 }
 
 // Leave ends a running ticket.
@@ -255,6 +316,7 @@
 	ga.addLoad(-ti.left)
 	ga.leaveAccount(ti)
 	ga.dispatch()
+	ga.admitPatient()
 }
 
 func (ga *Gate) addLoad(wo core.Work) {
@@ -350,15 +412,15 @@
 	return time.Duration(float64(ahead) / ga.drain * float64(time.Second))
 }
 
-// PrefillTime estimates how long prefilling that work takes beside what runs.
+// PrefillTime estimates how long prefilling that work takes at the rate at which
+// an endpoint like this one works.
 func (ga *Gate) PrefillTime(wo core.Work) time.Duration {
 	ga.mu.Lock()
 	defer ga.mu.Unlock()
 	if ga.drain < 1 {
 		return 0
 	}
-	perCall := ga.drain / float64(max(1, ga.running))
-	return time.Duration(float64(wo) / perCall * float64(time.Second))
+	return time.Duration(float64(wo) / ga.drain * float64(time.Second))
 }
 
 // Less names less loaded peers.
@@ -409,3 +471,19 @@
 	defer ga.mu.Unlock()
 	return ga.load
 }
+
+// GiveUp takes back a ticket that still waits for room under the cap. False means
+// that it is past that.
+func (ga *Gate) GiveUp(ti *Ticket) bool {
+	ga.mu.Lock()
+	patient := ti.state == ticketPatient
+	ga.mu.Unlock()
+	return patient && ga.Withdraw(ti)
+}
+
+// RefuseCap is the refusal of a ticket that found no room under the cap.
+func (ga *Gate) RefuseCap(ti *Ticket) *core.Refusal {
+	ga.mu.Lock()
+	defer ga.mu.Unlock()
+	return ga.refuseCap(ti.Work)
+}
--- a/core/agent/agent.go
+++ b/core/agent/agent.go
@@ -116,8 +116,8 @@
 // Adopt takes over a new snapshot; the board's control goroutine calls it.
 func (ag *Agent) Adopt(sn *board.Snapshot) {
 	for id, ta := range ag.tables {
-		if po := sn.Pools[id]; po != nil {
-			ta.SetPeers(po.VMs())
+		if po := sn.Pools[id]; po != nil && ta.SetPeers(po.VMs()) {
+			go ag.rehome(sn, id)
 		}
 	}
 	if sn.Config == nil || !ag.newer(sn.Revision()) {
@@ -130,6 +130,26 @@
 	}
 }
 
+// rehome tells a chat's new home where its context is, after the pool changed: a
+// VM that joins becomes the home of chats that it has never seen.
+func (ag *Agent) rehome(sn *board.Snapshot, id core.PoolID) {
+	for _, he := range ag.Book.Holdings(mostRehomed) {
+		pl := he.Placement
+		if pl.Pool != id {
+			continue
+		}
+		key := ring.Key(pl.Customer, pl.Pool, pl.Chat)
+		home := ag.home(sn, id, key)
+		if home != "" && home != ag.Self && home != he.Told {
+			ag.Book.SetTold(key, home)
+			ag.places.add(home, pl)
+		}
+	}
+}
+
+// mostRehomed bounds the work after a change; the most recent chats go first.
+const mostRehomed = 4096
+
 func (ag *Agent) newer(rev core.Revision) bool {
 	ag.mu.Lock()
 	defer ag.mu.Unlock()
@@ -194,7 +214,7 @@
 	if ca.Forced {
 		return nil
 	}
-	if he != nil {
+	if he != nil && he.Tokens*4 >= ca.Prompt*3 {
 		return ag.tooBusy(gr, sl, ca)
 	}
 	if vm, away := ag.Book.Away(key); away {
@@ -211,20 +231,22 @@
 }
 
 // tooBusy weighs waiting here, where the context is, against prefilling it
-// elsewhere. ReuseBias above 1 waits longer.
+// elsewhere. What counts is how much sooner it would be elsewhere: when all
+// engines have queues, moving gains nothing and loses the context. ReuseBias
+// above 1 stays longer.
 func (ag *Agent) tooBusy(gr *decl.Group, sl *Slot, ca *core.Call) *core.Refusal {
-	wait := sl.gate.WaitFor(ca.Priority)
-	if wait == 0 {
-		return nil
-	}
-	prefill := sl.gate.PrefillTime(core.WorkOf(ca.Prompt, 0))
-	if float64(wait) <= gr.ReuseBias*float64(prefill) {
+	if sl.gate.WaitFor(ca.Priority) == 0 {
 		return nil
 	}
 	less := sl.gate.Less()
 	if len(less) == 0 {
 		return nil
 	}
+	there, fresh := ag.tables[ca.Pool].LoadOf(less[0])
+	prefill := gr.ReuseBias * float64(core.WorkOf(ca.Prompt, 0))
+	if gain := float64(sl.gate.Load() - there); !fresh || gain <= prefill {
+		return nil
+	}
 	re := ag.refuse(core.ReasonBusyHolder, "place", "prefilling elsewhere is quicker than waiting here")
 	re.Instead = less
 	return re
@@ -285,6 +307,11 @@
 		Priority: min(ca.Priority, core.PriorityCount-1),
 		Work:     workOf(ca, he),
 	}
+	if gr := sn.Config.Group(ca.Pool); he != nil && gr != nil {
+		// Waiting for the context may take as long as making it anew elsewhere.
+		saved := min(ca.Prompt, he.Tokens)
+		ti.Patience = time.Duration(gr.ReuseBias * float64(sl.gate.PrefillTime(core.WorkOf(saved, 0))))
+	}
 	if re := ag.pass(ctx, sl, ti); re != nil {
 		return core.Usage{}, re
 	}
@@ -331,9 +358,21 @@
 	if run || re != nil {
 		return re
 	}
+	late, stop := ag.patience(ctx, ti)
+	defer stop()
 	select {
 	case re = <-ti.Ready():
 		return re
+	case <-late:
+		if sl.gate.GiveUp(ti) {
+			return sl.gate.RefuseCap(ti)
+		}
+		// It got under the cap and now waits for a slot.
+		select {
+		case re = <-ti.Ready():
+			return re
+		case <-ctx.Done():
+		}
 	case <-ctx.Done():
 	}
 	if !sl.gate.Withdraw(ti) {
@@ -349,6 +388,21 @@
 	return ag.refuse(core.ReasonCallerGone, "queue", "the caller left while waiting for a slot")
 }
 
+// patience closes the channel once the ticket's patience is over; a ticket that
+// has none, and waits for a slot, waits until ctx ends.
+func (ag *Agent) patience(ctx context.Context, ti *admit.Ticket) (<-chan struct{}, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(ctx)
+	late := make(chan struct{})
+	if ti.Patience > 0 {
+		go func() {
+			if ag.Clock.Sleep(ctx, ti.Patience) == nil {
+				close(late)
+			}
+		}()
+	}
+	return late, cancel
+}
+
 // remember notes that the engine now holds the chat, and tells the chat's home
 // if that is another agent.
 func (ag *Agent) remember(sn *board.Snapshot, sl *Slot, ca *core.Call, key uint64, us core.Usage) {
@@ -359,12 +413,21 @@
 	pl := core.Placement{Customer: ca.Customer, Pool: ca.Pool, Chat: ca.Chat, VM: ag.Self}
 	_, known := ag.Book.Held(key)
 	ag.Book.Keep(key, chats.Held{Endpoint: sl.ID, Tokens: tokens, Placement: pl})
-	home := ag.home(sn, ca.Pool, key)
-	if !known && home != ag.Self && home != "" {
+	if known || ag.onWalk(sn, ca.Pool, key) {
+		return
+	}
+	if home := ag.home(sn, ca.Pool, key); home != "" {
 		ag.places.add(home, pl)
 	}
 }
 
+// onWalk tells whether this agent is one of those that routers ask anyway when
+// the chat returns, so that its home need not know.
+func (ag *Agent) onWalk(sn *board.Snapshot, id core.PoolID, key uint64) bool {
+	po := sn.Pools[id]
+	return po != nil && pick.OnWalk(po, key, ag.Self)
+}
+
 // Placed takes in placements sent to this agent as the chats' home.
 func (ag *Agent) Placed(pls []core.Placement) {
 	for _, pl := range pls {
--- a/core/agent/control.go
+++ b/core/agent/control.go
@@ -14,9 +14,9 @@
 	// placesEvery is how long placements are collected before they are sent.
 	placesEvery = 250 * time.Millisecond
 	// MostEntries bounds the loads in one digest.
-	MostEntries = 24
+	MostEntries = 8
 	// entrySize, placementSize and digestSize are message sizes for the meter.
-	entrySize     core.Bytes = 16
+	entrySize     core.Bytes = 22
 	placementSize core.Bytes = 48
 	digestSize    core.Bytes = 40
 )
--- a/core/board/board.go
+++ b/core/board/board.go
@@ -296,23 +296,27 @@
 			}
 			sn.Pools[id] = po
 		}
-		ix := len(po.Members)
-		po.byVM[us.VM.ID] = ix
-		po.Members = append(po.Members, Member{
+		po.add(us, Member{
 			VM: us.VM.ID, Zone: us.VM.Zone, Region: us.VM.Region,
 			Allowance: us.Allowance, Suspect: us.Suspect,
 			Incarnation: bo.members.Incarnation(us.VM.ID), Load: bo.gauge(us.VM.ID, id),
-		})
-		weight := us.VM.Weight
-		if weight <= 0 {
-			weight = 1
-		}
-		po.Ring = append(po.Ring, ring.Member{Hash: decl.HashName(string(us.VM.ID)), Weight: weight})
-		if us.VM.Region == bo.Self.Region {
-			po.Near = append(po.Near, int32(ix))
-		}
-		po.Ramping = po.Ramping || us.Allowance < 1
+		}, us.VM.Region == bo.Self.Region)
+	}
+}
+
+func (po *Pool) add(us member.Usable, me Member, near bool) {
+	ix := len(po.Members)
+	po.byVM[me.VM] = ix
+	po.Members = append(po.Members, me)
+	weight := us.VM.Weight
+	if weight <= 0 {
+		weight = 1
+	}
+	po.Ring = append(po.Ring, ring.Member{Hash: decl.HashName(string(me.VM)), Weight: weight})
+	if near {
+		po.Near = append(po.Near, int32(ix))
 	}
+	po.Ramping = po.Ramping || us.Allowance < 1
 }
 
 func (bo *Board) gauge(vm core.VMID, pool core.PoolID) *loads.Gauge {
--- a/core/chats/chats.go
+++ b/core/chats/chats.go
@@ -39,7 +39,9 @@
 	Tokens   core.Tokens
 	// Placement names the chat, for handing it on.
 	Placement core.Placement
-	at        time.Time
+	// Told is the home that was last told of it, where it is not this agent.
+	Told core.VMID
+	at   time.Time
 }
 
 type away struct {
@@ -94,6 +96,17 @@
 	return he, known
 }
 
+// SetTold notes which home was told of a context held here.
+func (bo *Book) SetTold(key uint64, home core.VMID) {
+	bo.mu.Lock()
+	defer bo.mu.Unlock()
+	bo.init()
+	if he, known := bo.held.Peek(key); known {
+		he.Told = home
+		bo.held.Add(key, he)
+	}
+}
+
 // Point notes that another agent holds the context of a chat whose home is here.
 func (bo *Book) Point(key uint64, vm core.VMID) {
 	bo.mu.Lock()
--- a/core/decl/decl.go
+++ b/core/decl/decl.go
@@ -64,7 +64,7 @@
 	Version   string      `yaml:"Version" doc:"Model version its engines are to run."`
 	Adapters  []string    `yaml:"Adapters" doc:"Adapters its engines are to load."`
 	Role      string      `yaml:"Role" doc:"Prefill, Decode or Both; empty means Both."`
-	ReuseBias float64     `yaml:"ReuseBias" doc:"Above 1 waits longer for cached context, below 1 evens load out sooner. 0 means 1."`
+	ReuseBias float64     `yaml:"ReuseBias" doc:"How much work a call must save by moving, as a multiple of prefilling its context anew: higher keeps chats where their context is, lower evens load out sooner. 0 means 64."`
 	Minimum   int         `yaml:"Minimum" doc:"Engines that keep serving while a version rolls. 0 means 1."`
 	Limits    `yaml:",inline"`
 }
@@ -85,12 +85,13 @@
 	EchoesAttempt bool `yaml:"EchoesAttempt" doc:"Its answers carry the attempt id; one without is refused as crossed."`
 }
 
-// Defaults of Limits.
+// Defaults of what is left out.
 const (
 	DefaultLoadFactor = 1.25
 	DefaultFloorWork  = core.Work(4096)
 	DefaultSlots      = 32
 	DefaultQueueCalls = 64
+	DefaultReuseBias  = 64.0
 )
 
 // Group is a pool or service compiled for traffic.
@@ -140,7 +141,7 @@
 	for _, po := range doc.Pools {
 		gr := newGroup(po.Name, po.Limits)
 		gr.Model = po.Model
-		gr.ReuseBias = orDefault(po.ReuseBias, 1)
+		gr.ReuseBias = orDefault(po.ReuseBias, DefaultReuseBias)
 		cfg.groups[po.Name] = gr
 		cfg.byModel[po.Model] = append(cfg.byModel[po.Model], gr)
 	}
--- a/core/ids.go
+++ b/core/ids.go
@@ -60,7 +60,7 @@
 
 // PrefillPerOutput is how many prompt tokens cost an engine as much as one
 // output token: prefill is batched over the prompt, decode is not.
-const PrefillPerOutput = 8
+const PrefillPerOutput = 4
 
 // WorkOf is the work of a call with that many uncached prompt tokens and
 // expected output tokens; at least 1.
--- a/core/loads/loads.go
+++ b/core/loads/loads.go
@@ -4,15 +4,15 @@
 // # Concepts
 //
 // Agents of a pool tell each other their loads now and then; each Table holds
-// the freshest figure per peer with its age. Mean is deliberately a lower bound
-// of the true mean, because the load cap multiplies it: an estimate that is too
-// high would let an engine run hot, one that is too low only spreads work more.
+// the freshest figure per peer with its age. Mean is that of the own load and of
+// all figures that are fresh: a sample of the pool, and in a pool of more than a
+// few dozens a small error. docs/design/load-cap.md weighs other estimates.
 //
 // # Invariants
 //
-//   - A figure counts for less the older it is: at most its peer's own drain
-//     times the age may have gone since, and that is taken off.
-//   - A peer without a figure, or with one older than Stale, counts as empty.
+//   - A figure older than Stale, or of a leaving peer, does not count. If there
+//     are peers but no fresh figure of any, the mean is 0, which leaves FloorWork
+//     as the cap: an agent that hears from nobody cannot run hot.
 //   - An older figure never replaces a fresher one, whatever way it came.
 //
 // # Usage
@@ -45,14 +45,9 @@
 // Get returns the load last stored.
 func (ga *Gauge) Get() core.Work { return core.Work(ga.work.Load()) }
 
-// Stale is the age beyond which a figure counts as 0.
+// Stale is the age beyond which a figure does not count.
 const Stale = 5 * time.Second
 
-// discount is the part of the possible drain since a figure was taken that is
-// held against it. Arrivals replace most of what drains: docs/design/load-cap.md
-// has the figures for 0, 0.5 and 1.
-const discount = 0.25
-
 type figure struct {
 	load     core.Work
 	drain    core.Work
@@ -69,7 +64,8 @@
 	mu      sync.Mutex // guards all below
 	peers   []core.VMID
 	figures map[core.VMID]figure
-	sum     core.Work // of the peers' cautious loads, as at summed
+	sum     core.Work // of the peers' fresh loads, as at summed
+	fresh   int       // how many figures are in sum
 	summed  time.Time
 }
 
@@ -77,10 +73,12 @@
 // every call, and in so short a time it moves by less than one call's work.
 const sumEvery = 10 * time.Millisecond
 
-// SetPeers replaces the pool's live members, Self among them or not.
-func (ta *Table) SetPeers(vms []core.VMID) {
+// SetPeers replaces the pool's live members, Self among them or not. It reports
+// whether they are others than before.
+func (ta *Table) SetPeers(vms []core.VMID) bool {
 	ta.mu.Lock()
 	defer ta.mu.Unlock()
+	before := slices.Clone(ta.peers)
 	kept := make(map[core.VMID]figure, len(vms))
 	ta.peers = ta.peers[:0]
 	for _, vm := range vms {
@@ -94,6 +92,7 @@
 	}
 	ta.figures = kept
 	ta.summed = time.Time{}
+	return !slices.Equal(before, ta.peers)
 }
 
 // Observe takes in one figure; the entry's Age is subtracted from now.
@@ -111,28 +110,30 @@
 	ta.summed = time.Time{}
 }
 
-// Mean is the cautious mean of the pool's loads, own load included.
+// Mean is the mean of the pool's loads as far as known, own load included.
 func (ta *Table) Mean(own core.Work) core.Work {
 	now := ta.Clock.Now()
 	ta.mu.Lock()
 	defer ta.mu.Unlock()
 	if age := now.Sub(ta.summed); age < 0 || age > sumEvery {
-		ta.sum = 0
-		for _, fi := range ta.figures {
-			ta.sum += fi.cautious(now)
-		}
-		ta.summed = now
+		ta.addUp(now)
+	}
+	if ta.fresh == 0 && len(ta.peers) > 0 {
+		return 0
 	}
-	return (ta.sum + own) / core.Work(len(ta.peers)+1)
+	return (ta.sum + own) / core.Work(ta.fresh+1)
 }
 
-func (fi figure) cautious(now time.Time) core.Work {
-	age := now.Sub(fi.at)
-	if age > Stale || fi.draining {
-		return 0
+func (ta *Table) addUp(now time.Time) {
+	ta.sum, ta.fresh = 0, 0
+	for _, fi := range ta.figures {
+		if now.Sub(fi.at) > Stale || fi.draining {
+			continue
+		}
+		ta.sum += fi.load
+		ta.fresh++
 	}
-	gone := core.Work(float64(fi.drain) * age.Seconds() * discount)
-	return max(0, fi.load-gone)
+	ta.summed = now
 }
 
 // Less names up to most peers whose load is below limit. Which ones is drawn at
--- a/core/pick/pick.go
+++ b/core/pick/pick.go
@@ -5,9 +5,9 @@
 // A Search is one request's way through its pool. For a chat the first choice is
 // where its context should be: the caller's hint if that VM is in the pool, else
 // the chat's home, by rendezvous hashing over the pool's members of the router's
-// own region (all members where the region has none). A refusal may name others;
-// two of these are drawn and the less loaded one is tried. Without names, the
-// next in rendezvous order comes.
+// own region (all members where the region has none). After a refusal the next
+// few in rendezvous order come, then those that the refusal names: two of these
+// are looked at and the less loaded one is tried.
 //
 // A service call has no context: two members of the own zone (else region, else
 // pool) are drawn and the less loaded one is tried.
@@ -33,6 +33,12 @@
 	"almondrill/core/ring"
 )
 
+// walk is how far a refused chat goes down its rendezvous order before it takes
+// a less loaded member that the refusal names. The order is the chat's own, so
+// its next turns meet the same few members and find context there; the named
+// ones are random. docs/design/returning-chats.md has the figures for 0, 2 and 4.
+const walk = 4
+
 // maxTried bounds the attempts that a Search remembers.
 const maxTried = 16
 
@@ -46,8 +52,9 @@
 	Zone core.Zone
 	Rand core.Rand
 
-	tried [maxTried]int32
-	count int
+	tried  [maxTried]int32
+	count  int
+	walked int
 }
 
 // First is the member to try first, -1 if the pool is empty.
@@ -75,6 +82,21 @@
 	return se.home()
 }
 
+// OnWalk tells whether the VM is among the members that a chat's calls try first.
+func OnWalk(po *board.Pool, key uint64, vm core.VMID) bool {
+	se := Search{Pool: po, Key: key}
+	for range walk + 1 {
+		ix := se.note(se.nextHome())
+		if ix < 0 {
+			return false
+		}
+		if po.Members[ix].VM == vm {
+			return true
+		}
+	}
+	return false
+}
+
 // home is the best member of the own region, or of all where there is none.
 func (se *Search) home() int {
 	po := se.Pool
@@ -129,10 +151,15 @@
 			return se.note(ix)
 		}
 	}
+	service := se.Pool.Group != nil && se.Pool.Group.Service
+	if !service && se.walked < walk {
+		se.walked++
+		return se.note(se.nextHome())
+	}
 	if ix := se.lighter(re.Instead); ix >= 0 {
 		return se.note(ix)
 	}
-	if se.Pool.Group != nil && se.Pool.Group.Service {
+	if service {
 		return se.note(se.nearby())
 	}
 	return se.note(se.nextHome())
--- /dev/null
+++ b/core/trial/policy_test.go
@@ -0,0 +1,222 @@
+package trial_test
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"almondrill/core"
+	"almondrill/core/decl"
+	"almondrill/io/clock"
+	"almondrill/io/stand/inmem"
+)
+
+// regime is a size of engines and of the answers they give.
+type regime struct {
+	name string
+	// fullRate is the requests a second at which an engine's slots are all busy.
+	fullRate float64
+	slots    int
+	output   core.Tokens
+	floor    core.Work
+	engine   func() *inmem.Engine
+}
+
+const engines = 24
+
+// small is like today's workers, some dozen calls at a time; large is like the
+// target's, where 25,000 requests and 7 million tokens a second over 2,100
+// workers come to 12 requests a second and nearly 200 calls at a time for each.
+var (
+	small = regime{
+		name: "small", fullRate: 11.9, slots: 32, output: 100, floor: 1000,
+		engine: func() *inmem.Engine {
+			return &inmem.Engine{
+				Clock: clock.Wall{}, Step: 10 * time.Millisecond, PerCall: 500 * time.Microsecond,
+				Prefill: 200 * time.Microsecond, CacheTokens: 300_000, Chunk: 10,
+			}
+		},
+	}
+	large = regime{
+		name: "large", fullRate: 16.4, slots: 256, output: 280, floor: 8000,
+		engine: func() *inmem.Engine {
+			return &inmem.Engine{
+				Clock: clock.Wall{}, Step: 30 * time.Millisecond, PerCall: 100 * time.Microsecond,
+				Prefill: 100 * time.Microsecond, CacheTokens: 1_200_000, Chunk: 28,
+			}
+		},
+	}
+)
+
+type variant struct {
+	name   string
+	policy policy
+	factor float64
+	bias   float64
+}
+
+// uncapped takes the cap away from baselines.
+const uncapped = 100
+
+var variants = []variant{
+	{"own", nil, 1.25, 0},
+	{"own-even", nil, 1.25, 1},
+	{"hash", hashing, uncapped, 0},
+	{"least", leastLoaded, uncapped, 0},
+	{"two", twoChoices, uncapped, 0},
+}
+
+func eachVariant(b *testing.B, run func(b *testing.B, re regime, va variant)) {
+	for _, re := range []regime{large, small} {
+		for _, va := range variants {
+			b.Run(re.name+"/"+va.name, func(b *testing.B) { run(b, re, va) })
+		}
+	}
+}
+
+func trialFleet(re regime, va variant, seed uint64, customers ...decl.Customer) *inmem.Fleet {
+	return &inmem.Fleet{
+		Seed: seed, Routers: 3, Agents: engines, Pool: poolID, Lag: 5 * time.Second,
+		Document: document(decl.Limits{LoadFactor: va.factor, FloorWork: re.floor, Slots: re.slots, QueueCalls: 2 * re.slots}, va.bias, customers...),
+		Engine:   func(int) *inmem.Engine { return re.engine() },
+	}
+}
+
+// BenchmarkReuse: Zipf chats at 85 % load while engines join, leave and flap and
+// half of the processes see the list 5 s late.
+func BenchmarkReuse(b *testing.B) {
+	eachVariant(b, func(b *testing.B, re regime, va variant) {
+		for b.Loop() {
+			inBubble(b, func(t *testing.T) {
+				wl := reuseRun(t, re, va)
+				wl.reuse(b)
+				b.ReportMetric(quantile(wl.ratios, 0.99), "p99-over-mean")
+			})
+		}
+	})
+}
+
+func reuseRun(t *testing.T, re regime, va variant) *workload {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	fl := trialFleet(re, va, 1)
+	if err := fl.Start(ctx); err != nil {
+		t.Fatal(err)
+	}
+	wl := newWorkload(fl, 2, va.policy)
+	wl.perSecond = 0.85 * re.fullRate * engines
+	sampling, stop := context.WithCancel(ctx)
+	go wl.sample(sampling, re.floor)
+	go churn(sampling, fl)
+	var all sync.WaitGroup
+	wl.run(ctx, 90*time.Second, func(wl *workload) { wl.turn(ctx, &all, "c", re.output) })
+	stop()
+	all.Wait()
+	return wl
+}
+
+// churn lets, by turns, one engine leave, one join and one flap.
+func churn(ctx context.Context, fl *inmem.Fleet) {
+	for round := 0; fl.Clock.Sleep(ctx, 10*time.Second) == nil; round++ {
+		live := fl.LiveAgents()
+		one := live[round*7%len(live)]
+		switch round % 3 {
+		case 0:
+			fl.SetState(one, core.VMLeaving)
+			one.Agent.StopTaking()
+		case 1:
+			fl.AddAgent(fmt.Sprint("joiner-", round), round)
+		case 2:
+			one.Kill()
+			fl.SetState(one, core.VMGone)
+			_ = fl.Clock.Sleep(ctx, 3*time.Second)
+			fl.AddAgent(string(one.ID)+"-again", round)
+		}
+	}
+}
+
+// BenchmarkSkew: two customers surge to four times their rate; the busiest
+// engine's load over the mean, at its worst moment and at p99.
+func BenchmarkSkew(b *testing.B) {
+	eachVariant(b, func(b *testing.B, re regime, va variant) {
+		for b.Loop() {
+			inBubble(b, func(t *testing.T) {
+				wl := surgeRun(t, re, va, true)
+				b.ReportMetric(quantile(wl.ratios, 1), "max-over-mean")
+				b.ReportMetric(quantile(wl.ratios, 0.99), "p99-over-mean")
+				wl.reuse(b)
+			})
+		}
+	})
+}
+
+// BenchmarkSurge: the other customers' p95 with the surge over that without.
+func BenchmarkSurge(b *testing.B) {
+	eachVariant(b, func(b *testing.B, re regime, va variant) {
+		for b.Loop() {
+			var calm, surged *workload
+			inBubble(b, func(t *testing.T) { calm = surgeRun(t, re, va, false) })
+			inBubble(b, func(t *testing.T) { surged = surgeRun(t, re, va, true) })
+			b.ReportMetric(float64(othersP95(surged.times))/float64(othersP95(calm.times)), "ratio")
+			b.ReportMetric(othersP95(calm.firsts).Seconds(), "first-s-calm")
+			b.ReportMetric(othersP95(surged.firsts).Seconds(), "first-s-surge")
+			b.ReportMetric(ratio(surged.refused, surged.refused+surged.served), "refused")
+		}
+	})
+}
+
+const customerCount = 10
+
+func othersP95(by map[core.CustomerID][]time.Duration) time.Duration {
+	var times []time.Duration
+	for cu, own := range by {
+		if cu != "c0" && cu != "c1" {
+			times = append(times, own...)
+		}
+	}
+	return quantile(times, 0.95)
+}
+
+// surgeRun has ten customers at 60 % load in all; for 20 s two of them send six
+// times as much.
+func surgeRun(t *testing.T, re regime, va variant, surge bool) *workload {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	var customers []decl.Customer
+	for n := range customerCount {
+		customers = append(customers, decl.Customer{
+			Name: core.CustomerID(fmt.Sprint("c", n)), Shares: map[core.PoolID]float64{poolID: 1},
+		})
+	}
+	fl := trialFleet(re, va, 3, customers...)
+	if err := fl.Start(ctx); err != nil {
+		t.Fatal(err)
+	}
+	wl := newWorkload(fl, 4, va.policy)
+	base := 0.6 * re.fullRate * engines
+	sampling, stop := context.WithCancel(ctx)
+	go wl.sample(sampling, re.floor)
+	var all sync.WaitGroup
+	anyone := func(wl *workload) {
+		wl.turn(ctx, &all, core.CustomerID(fmt.Sprint("c", wl.ra.Uint64()%customerCount)), re.output)
+	}
+	wl.perSecond = base
+	wl.run(ctx, 20*time.Second, anyone)
+	if surge {
+		wl.perSecond = 2 * base
+	}
+	wl.run(ctx, 20*time.Second, func(wl *workload) {
+		if !surge || wl.ra.Uint64()%2 == 0 {
+			anyone(wl)
+			return
+		}
+		wl.turn(ctx, &all, core.CustomerID(fmt.Sprint("c", wl.ra.Uint64()%2)), re.output)
+	})
+	wl.perSecond = base
+	wl.run(ctx, 10*time.Second, anyone)
+	stop()
+	all.Wait()
+	return wl
+}
--- /dev/null
+++ b/core/trial/work_test.go
@@ -0,0 +1,263 @@
+package trial_test
+
+import (
+	"context"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"almondrill/core"
+	"almondrill/core/decl"
+	"almondrill/core/ring"
+	"almondrill/core/router"
+	"almondrill/io/stand/inmem"
+)
+
+const poolID core.PoolID = "chat"
+
+// inBubble runs f on virtual time within a benchmark. The package synctest only
+// takes a *testing.T, which RunTests provides.
+func inBubble(b *testing.B, f func(t *testing.T)) {
+	b.Helper()
+	all := func(_, _ string) (bool, error) { return true, nil }
+	ok := testing.RunTests(all, []testing.InternalTest{{Name: b.Name(), F: func(t *testing.T) { synctest.Test(t, f) }}})
+	if !ok {
+		b.Fail()
+	}
+}
+
+func document(li decl.Limits, bias float64, customers ...decl.Customer) *decl.Document {
+	return &decl.Document{Customers: customers, Pools: []decl.Pool{{Name: poolID, Model: "m", Limits: li, ReuseBias: bias}}}
+}
+
+// workload is an open-loop stream of chats' turns.
+type workload struct {
+	fl *inmem.Fleet
+	// policy routes; nil is the product's own router.
+	policy policy
+	ra     *rand.Rand
+	chats  int
+	// perSecond is the rate of requests.
+	perSecond float64
+	turns     map[string]int
+
+	mu        sync.Mutex // guards all below
+	returning int
+	possible  int
+	found     int
+	// foundPossible counts those found whose context existed when they came.
+	foundPossible int
+	refused       int
+	reasons       map[core.Reason]int
+	served        int
+	times         map[core.CustomerID][]time.Duration
+	firsts        map[core.CustomerID][]time.Duration
+	ratios        []float64
+	busy          map[string]bool // chats whose last turn is not answered yet
+}
+
+// policy chooses the VM for a baseline, -1 for none.
+type policy func(wl *workload, me *inmem.Member, key uint64) core.VMID
+
+func newWorkload(fl *inmem.Fleet, seed uint64, po policy) *workload {
+	return &workload{
+		fl: fl, policy: po, ra: rand.New(rand.NewPCG(seed, 7)), chats: 20_000,
+		turns: map[string]int{}, busy: map[string]bool{}, reasons: map[core.Reason]int{}, times: map[core.CustomerID][]time.Duration{}, firsts: map[core.CustomerID][]time.Duration{},
+	}
+}
+
+// run sends requests for d; sent asks for one request at a time.
+func (wl *workload) run(ctx context.Context, d time.Duration, send func(wl *workload)) {
+	end := time.Now().Add(d)
+	for time.Now().Before(end) {
+		gap := -math.Log(1-wl.ra.Float64()) / wl.perSecond
+		_ = wl.fl.Clock.Sleep(ctx, time.Duration(gap*float64(time.Second)))
+		send(wl)
+	}
+}
+
+// zipfian draws a chat: popular ones return often, and the most popular makes up
+// about a hundredth of the requests.
+func (wl *workload) zipfian() int {
+	const flat = 60
+	top := math.Log(float64(wl.chats+flat) / flat)
+	return int(flat*math.Exp(wl.ra.Float64()*top)) - flat
+}
+
+// turn sends the next turn of one of the customer's chats from a random router.
+// Nobody asks again in a chat before the last answer has come.
+func (wl *workload) turn(ctx context.Context, all *sync.WaitGroup, cu core.CustomerID, output core.Tokens) {
+	name := wl.idleChat(cu)
+	wl.turns[name]++
+	prompt := core.Tokens(300 + 150*min(wl.turns[name], 6))
+	first := wl.turns[name] == 1
+	me := wl.fl.RouterAt(int(wl.ra.Uint64() % uint64(wl.fl.Routers)))
+	ca := core.Call{
+		Customer: cu, Pool: poolID, Chat: core.ChatID(name), MayRepeat: true,
+		Priority: core.PriorityNormal, Stream: true, Prompt: prompt, Output: output, Body: []byte("x"),
+	}
+	all.Go(func() { wl.send(ctx, me, ca, first) })
+}
+
+func (wl *workload) idleChat(cu core.CustomerID) string {
+	wl.mu.Lock()
+	defer wl.mu.Unlock()
+	for {
+		name := fmt.Sprint(cu, "-chat-", wl.zipfian())
+		if !wl.busy[name] {
+			wl.busy[name] = true
+			return name
+		}
+	}
+}
+
+func (wl *workload) send(ctx context.Context, me *inmem.Member, ca core.Call, first bool) {
+	key := ring.Key(ca.Customer, ca.Pool, ca.Chat)
+	possible := !first && wl.somewhere(key)
+	start := time.Now()
+	fi := &firstPart{}
+	rep, err := wl.route(ctx, me, ca, key, fi)
+	took := time.Since(start)
+	wl.mu.Lock()
+	defer wl.mu.Unlock()
+	delete(wl.busy, string(ca.Chat))
+	if err != nil {
+		wl.refused++
+		wl.reasons[core.AsRefusal(err, "", "").Reason]++
+		return
+	}
+	wl.served++
+	wl.times[ca.Customer] = append(wl.times[ca.Customer], took)
+	wl.firsts[ca.Customer] = append(wl.firsts[ca.Customer], fi.at.Sub(start))
+	if first {
+		return
+	}
+	wl.returning++
+	found := rep.Cached*4 >= ca.Prompt*3
+	if found {
+		wl.found++
+	}
+	if !possible {
+		return
+	}
+	wl.possible++
+	if found {
+		wl.foundPossible++
+	}
+}
+
+func (wl *workload) route(ctx context.Context, me *inmem.Member, ca core.Call, key uint64, si core.Sink) (*core.Report, error) {
+	if wl.policy == nil {
+		gr := me.Board.Snapshot().Config.Group(poolID)
+		return me.Router.Route(ctx, &router.Request{Call: ca, Group: gr}, si)
+	}
+	ca.Forced = true
+	var rep *core.Report
+	err := error(&core.Refusal{Outcome: core.NotRun})
+	for try := 0; try < 3 && err != nil; try++ {
+		vm := wl.policy(wl, me, key+uint64(try))
+		rep, err = wl.fl.PeersOf(me).Serve(ctx, vm, &ca, si)
+	}
+	return rep, err
+}
+
+func (wl *workload) somewhere(key uint64) bool {
+	for _, me := range wl.fl.LiveAgents() {
+		if me.Engines[0].Holds(key) {
+			return true
+		}
+	}
+	return false
+}
+
+// sample records how far the busiest engine stands above the mean, while the
+// mean is above the floor under which the cap is not applied.
+func (wl *workload) sample(ctx context.Context, floor core.Work) {
+	for wl.fl.Clock.Sleep(ctx, 20*time.Millisecond) == nil {
+		var sum, most core.Work
+		live := wl.fl.LiveAgents()
+		for _, me := range live {
+			load := me.Agent.Slots[0].Gate().Load()
+			sum += load
+			most = max(most, load)
+		}
+		mean := float64(sum) / float64(len(live))
+		if mean < float64(floor) {
+			continue
+		}
+		wl.mu.Lock()
+		wl.ratios = append(wl.ratios, float64(most)/mean)
+		wl.mu.Unlock()
+	}
+}
+
+func quantile[T ~float64 | ~int64](values []T, at float64) T {
+	if len(values) == 0 {
+		return 0
+	}
+	sorted := slices.Sorted(slices.Values(values))
+	return sorted[min(len(sorted)-1, int(at*float64(len(sorted))))]
+}
+
+func (wl *workload) reuse(b *testing.B) {
+	b.Log(wl.reasons)
+	b.ReportMetric(ratio(wl.foundPossible, wl.possible), "reuse-of-possible")
+	b.ReportMetric(ratio(wl.found, wl.returning), "reuse")
+	b.ReportMetric(ratio(wl.refused, wl.refused+wl.served), "refused")
+}
+
+func ratio(part, whole int) float64 { return float64(part) / math.Max(1, float64(whole)) }
+
+// firstPart takes an answer and notes when it began.
+type firstPart struct{ at time.Time }
+
+// Send notes the time of the first part.
+func (fi *firstPart) Send(*core.Part) error {
+	if fi.at.IsZero() {
+		fi.at = time.Now()
+	}
+	return nil
+}
+
+// The baselines.
+
+func hashing(_ *workload, me *inmem.Member, key uint64) core.VMID {
+	po := me.Board.Snapshot().Pools[poolID]
+	return po.Members[ring.Best(po.Ring, key)].VM
+}
+
+// leastLoaded knows what agents' answers have told the router, as routers do.
+func leastLoaded(wl *workload, me *inmem.Member, _ uint64) core.VMID {
+	po := me.Board.Snapshot().Pools[poolID]
+	best := po.Members[0]
+	for _, one := range po.Members {
+		if wl.known(one.VM) < wl.known(best.VM) {
+			best = one
+		}
+	}
+	return best.VM
+}
+
+func twoChoices(wl *workload, me *inmem.Member, key uint64) core.VMID {
+	po := me.Board.Snapshot().Pools[poolID]
+	one := po.Members[ring.Mix(key, uint64(time.Now().UnixNano()))%uint64(len(po.Members))].VM
+	two := po.Members[ring.Mix(key+1, uint64(time.Now().UnixNano()))%uint64(len(po.Members))].VM
+	if wl.known(two) < wl.known(one) {
+		return two
+	}
+	return one
+}
+
+// known gives the baselines better knowledge than they would have: the load as
+// it is now.
+func (wl *workload) known(vm core.VMID) core.Work {
+	if me := wl.fl.AgentAt(vm); me != nil {
+		return me.Agent.Slots[0].Gate().Load()
+	}
+	return math.MaxInt64
+}
--- /dev/null
+++ b/io/stand/inmem/engine.go
@@ -0,0 +1,163 @@
+package inmem
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/golang-lru/v2/simplelru"
+
+	"almondrill/core"
+	"almondrill/core/ring"
+	"almondrill/io/stand/audit"
+)
+
+// Engine is a fake endpoint on virtual time: a batch of running calls shares it,
+// prompts are prefilled unless cached, and its cache evicts the least recently
+// used chats. Set the exported fields before use.
+type Engine struct {
+	Clock core.Clock
+	// Step is the time of a token with one call; each further one adds PerCall.
+	Step    time.Duration
+	PerCall time.Duration
+	// Prefill is the time for one uncached prompt token.
+	Prefill time.Duration
+	// CacheTokens is the cache's size.
+	CacheTokens core.Tokens
+	// Chunk is how many tokens travel as one part; 0 is 1.
+	Chunk core.Tokens
+	Audit *audit.Audit
+	// CutAfter, if above 0, breaks every answer off after that many tokens.
+	CutAfter core.Tokens
+	// StallFor, if above 0, holds every call up before its first token.
+	StallFor time.Duration
+
+	mu      sync.Mutex // guards all below
+	running int
+	cache   *simplelru.LRU[uint64, core.Tokens]
+	cached  core.Tokens
+	events  uint64
+	evicted func(key uint64)
+	ran     int
+}
+
+var _ core.Endpoint = (*Engine)(nil)
+
+// Holds tells whether the chat's context is cached.
+func (en *Engine) Holds(key uint64) bool {
+	en.mu.Lock()
+	defer en.mu.Unlock()
+	return en.cache != nil && en.cache.Contains(key)
+}
+
+// Ran is the number of calls that reached the engine.
+func (en *Engine) Ran() int {
+	en.mu.Lock()
+	defer en.mu.Unlock()
+	return en.ran
+}
+
+func (en *Engine) nextEvent() uint64 {
+	en.events++
+	return en.events
+}
+
+// Do runs a call. Its body names the request for the audit.
+func (en *Engine) Do(ctx context.Context, ca *core.Call, si core.Sink) (core.Usage, error) {
+	nonce := string(ca.Body)
+	if en.Audit != nil {
+		en.Audit.Ran(nonce, idemName(ca))
+	}
+	key := ring.Key(ca.Customer, ca.Pool, ca.Chat)
+	hit := en.begin(key, ca.Prompt)
+	defer en.finish()
+	wait := en.StallFor + time.Duration(ca.Prompt-hit)*en.Prefill
+	if err := en.Clock.Sleep(ctx, wait); err != nil {
+		return core.Usage{}, en.broken(core.Unknown, core.ReasonCallerGone)
+	}
+	us := core.Usage{Prompt: ca.Prompt, Cached: hit, Output: ca.Output}
+	if err := en.decode(ctx, ca, si, nonce); err != nil {
+		return us, err
+	}
+	en.store(key, ca.Prompt+ca.Output)
+	return us, nil
+}
+
+func idemName(ca *core.Call) string {
+	if ca.Key == "" {
+		return ""
+	}
+	return string(ca.Customer) + "/" + string(ca.Key)
+}
+
+func (en *Engine) decode(ctx context.Context, ca *core.Call, si core.Sink, nonce string) error {
+	chunk := max(1, en.Chunk)
+	pa := core.Part{Attempt: ca.Attempt, Status: 200, Data: []byte(nonce)}
+	for sent := core.Tokens(0); sent < ca.Output; {
+		if en.CutAfter > 0 && sent >= en.CutAfter {
+			return en.broken(core.Failed, core.ReasonCutShort)
+		}
+		step := min(chunk, ca.Output-sent)
+		if en.Clock.Sleep(ctx, time.Duration(step)*en.stepTime()) != nil {
+			return en.broken(core.Unknown, core.ReasonCallerGone)
+		}
+		sent += step
+		pa.Position = int64(sent)
+		pa.End = sent == ca.Output
+		if pa.End && en.Audit != nil {
+			en.Audit.Sent(nonce, nonce)
+		}
+		if si.Send(&pa) != nil {
+			return en.broken(core.Unknown, core.ReasonCallerGone)
+		}
+		pa.Data = nil
+	}
+	return nil
+}
+
+func (en *Engine) broken(ou core.Outcome, reason core.Reason) error {
+	return &core.Refusal{Outcome: ou, Reason: reason, Step: "endpoint", Peer: "engine", Detail: string(reason)}
+}
+
+func (en *Engine) stepTime() time.Duration {
+	en.mu.Lock()
+	defer en.mu.Unlock()
+	return en.Step + time.Duration(en.running-1)*en.PerCall
+}
+
+func (en *Engine) begin(key uint64, prompt core.Tokens) core.Tokens {
+	en.mu.Lock()
+	defer en.mu.Unlock()
+	if en.cache == nil {
+		en.cache, _ = simplelru.NewLRU[uint64, core.Tokens](1<<20, nil)
+	}
+	en.running++
+	en.ran++
+	held, _ := en.cache.Get(key)
+	return min(held, prompt)
+}
+
+func (en *Engine) finish() {
+	en.mu.Lock()
+	defer en.mu.Unlock()
+	en.running--
+}
+
+func (en *Engine) store(key uint64, tokens core.Tokens) {
+	en.mu.Lock()
+	old, _ := en.cache.Peek(key)
+	en.cache.Add(key, tokens)
+	en.cached += tokens - old
+	var gone []uint64
+	for en.CacheTokens > 0 && en.cached > en.CacheTokens && en.cache.Len() > 1 {
+		victim, size, _ := en.cache.RemoveOldest()
+		en.cached -= size
+		gone = append(gone, victim)
+	}
+	en.mu.Unlock()
+	for _, victim := range gone {
+		if en.evicted != nil {
+			en.evicted(victim)
+		}
+	}
+}
--- /dev/null
+++ b/io/stand/inmem/fleet.go
@@ -0,0 +1,250 @@
+package inmem
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"almondrill/core"
+	"almondrill/core/agent"
+	"almondrill/core/board"
+	"almondrill/core/chats"
+	"almondrill/core/claim"
+	"almondrill/core/decl"
+	"almondrill/core/meter"
+	"almondrill/core/retry"
+	"almondrill/core/revlog"
+	"almondrill/core/router"
+	"almondrill/core/spread"
+	"almondrill/io/clock"
+	"almondrill/io/stand/kvsrv"
+	"almondrill/io/stand/vmsrv"
+)
+
+// Member is one router or agent of the fleet.
+type Member struct {
+	ID       core.VMID
+	VM       core.VM
+	Board    *board.Board
+	Log      *revlog.Log
+	Spreader *spread.Spreader
+	Meter    *meter.Meter
+	Router   *router.Router // nil on agents
+	Agent    *agent.Agent   // nil on routers
+	Keeper   *claim.Keeper  // nil on routers
+	Keys     *claim.Keys
+	Engines  []*Engine
+
+	// Adopted are the revisions in the order adopted, for checks.
+	Adopted []core.Revision
+
+	incarnation core.Incarnation
+	alive       context.Context
+	kill        context.CancelFunc
+}
+
+func (me *Member) dead() bool { return me.alive.Err() != nil }
+
+// Kill ends the member at once, as a VM's loss does.
+func (me *Member) Kill() { me.kill() }
+
+func (me *Member) digest() *core.Digest {
+	if me.Agent != nil {
+		return me.Agent.Digest(agent.MostEntries)
+	}
+	return &core.Digest{From: me.ID, Incarnation: me.incarnation, Revision: me.Log.Revision()}
+}
+
+func (me *Member) exchanged(di *core.Digest) *core.Digest {
+	me.Spreader.Heard(di.From, di.Revision)
+	own := me.digest()
+	me.Meter.Spend(agent.DigestSize(own))
+	if me.Agent != nil {
+		me.Agent.Hear(di)
+	}
+	return own
+}
+
+// Fleet builds members. Set the exported fields before Start.
+type Fleet struct {
+	Seed     uint64
+	Routers  int
+	Agents   int
+	Document *decl.Document
+	// Pool is the one that all agents serve.
+	Pool core.PoolID
+	// Engine makes an agent's endpoint.
+	Engine func(ix int) *Engine
+	// Zones is the number of zones; 0 is 3.
+	Zones int
+	// Lag makes every second process see changes of the VM list that much later.
+	Lag    time.Duration
+	Budget core.Bytes
+
+	Clock   clock.Wall
+	Rand    *clock.Rand
+	Net     *Net
+	Store   *kvsrv.Store
+	List    *vmsrv.List
+	late    *vmsrv.List
+	Members []*Member
+	ctx     context.Context
+}
+
+// Start builds the platform and the members, and waits until all know each other
+// and the configuration. Members end with ctx.
+func (fl *Fleet) Start(ctx context.Context) error {
+	fl.ctx = ctx
+	fl.Rand = clock.NewRand(fl.Seed)
+	fl.Net = &Net{Clock: fl.Clock, Rand: fl.Rand, Latency: 500 * time.Microsecond}
+	fl.Store = &kvsrv.Store{Clock: fl.Clock, Rand: fl.Rand, Latency: 2 * time.Millisecond}
+	fl.List = &vmsrv.List{Clock: fl.Clock}
+	fl.late = &vmsrv.List{Clock: fl.Clock, Lag: fl.Lag}
+	if fl.Budget == 0 {
+		fl.Budget = 2500
+	}
+	lo := &revlog.Log{KV: fl.Store, Clock: fl.Clock, Rand: fl.Rand}
+	if _, err := lo.Commit(ctx, 0, fl.Document, revlog.Meta{ID: "start", Author: "test"}); err != nil {
+		return err
+	}
+	for ix := range fl.Agents {
+		fl.AddAgent(fmt.Sprintf("agent-%04d", ix), ix)
+	}
+	for ix := range fl.Routers {
+		fl.AddRouter(fmt.Sprintf("router-%04d", ix), ix)
+	}
+	settle := 3*time.Second + fl.Lag
+	return fl.Clock.Sleep(ctx, settle)
+}
+
+// RouterAt is the router with that number.
+func (fl *Fleet) RouterAt(ix int) *Member {
+	for _, me := range fl.Members {
+		if me.Router != nil {
+			if ix == 0 {
+				return me
+			}
+			ix--
+		}
+	}
+	return nil
+}
+
+// AgentAt finds an agent by name, nil if there is none alive.
+func (fl *Fleet) AgentAt(id core.VMID) *Member {
+	for _, me := range fl.Members {
+		if me.ID == id && me.Agent != nil && !me.dead() {
+			return me
+		}
+	}
+	return nil
+}
+
+// AddAgent starts an agent and lists its VM.
+func (fl *Fleet) AddAgent(name string, ix int) *Member {
+	me := fl.member(name, ix, core.RoleAgent, []core.PoolID{fl.Pool})
+	en := fl.Engine(ix)
+	me.Engines = append(me.Engines, en)
+	self := core.Claimant{VM: me.ID, Incarnation: me.incarnation}
+	me.Keeper = &claim.Keeper{
+		KV: fl.Store, Clock: fl.Clock, Rand: fl.Rand, Shards: 8, Window: 15 * time.Minute, Pace: 25 * time.Millisecond,
+	}
+	asker := &claim.Asker{
+		Board: me.Board, Peers: port{fl.Net, me.ID}, Clock: fl.Clock, Keeper: me.Keeper, Self: self,
+	}
+	me.Keys = &claim.Keys{
+		Clock: fl.Clock, Self: self, Window: 15 * time.Minute, MaxBytes: 1 << 20, Within: 3 * time.Second,
+		Ask: asker.Ask, Alive: asker.Alive,
+	}
+	me.Agent = &agent.Agent{
+		Clock: fl.Clock, Rand: fl.Rand, Board: me.Board, Self: me.ID, Incarnation: me.incarnation,
+		Slots: []*agent.Slot{{ID: core.EndpointID(name), Pool: fl.Pool, Endpoint: en}},
+		Book:  &chats.Book{Clock: fl.Clock, MaxHeld: 20000, MaxAway: 20000, KeepFor: time.Hour},
+		Keys:  me.Keys, Peers: port{fl.Net, me.ID}, Sending: me.Meter.Allow,
+	}
+	me.Agent.Init()
+	en.evicted = func(key uint64) { me.Agent.Book.Evicted(core.EndpointID(name), en.nextEvent(), key) }
+	me.Board.Published = me.Agent.Adopt
+	fl.run(me)
+	go func() { _ = me.Agent.Run(me.alive) }()
+	return me
+}
+
+// AddRouter starts a router and lists its VM.
+func (fl *Fleet) AddRouter(name string, ix int) *Member {
+	me := fl.member(name, ix, core.RoleRouter, nil)
+	me.Router = &router.Router{
+		Clock: fl.Clock, Rand: fl.Rand, Board: me.Board, Peers: port{fl.Net, me.ID}, Zone: me.VM.Zone,
+		Budget: &retry.Budget{Ratio: 0.1}, Heard: me.Spreader.Heard,
+	}
+	fl.run(me)
+	return me
+}
+
+func (fl *Fleet) member(name string, ix int, ro core.Role, pools []core.PoolID) *Member {
+	zones := fl.Zones
+	if zones == 0 {
+		zones = 3
+	}
+	vm := core.VM{
+		ID: core.VMID(name), Addr: name, Zone: core.Zone(fmt.Sprint("zone-", ix%zones)), Region: "north",
+		Role: ro, Pools: pools,
+	}
+	me := &Member{ID: vm.ID, VM: vm, incarnation: core.Incarnation(fl.Rand.Uint64() | 1)}
+	me.alive, me.kill = context.WithCancel(fl.ctx)
+	me.Meter = &meter.Meter{Clock: fl.Clock, PerSecond: fl.Budget}
+	me.Board = &board.Board{Clock: fl.Clock, Rand: fl.Rand, Self: vm}
+	me.Board.Init()
+	me.Log = &revlog.Log{KV: fl.Store, Clock: fl.Clock, Rand: fl.Rand, Adopt: func(cfg *decl.Config) {
+		me.Adopted = append(me.Adopted, cfg.Revision)
+		_ = me.Board.Deliver(me.alive, board.Adopted{Config: cfg})
+		me.Spreader.Adopted()
+	}}
+	me.Spreader = &spread.Spreader{
+		Log: me.Log, Board: me.Board, Peers: port{fl.Net, vm.ID}, Clock: fl.Clock, Rand: fl.Rand,
+		Digest: me.digest, Sending: me.Meter.Allow,
+	}
+	me.Spreader.Init()
+	return me
+}
+
+// run starts a member's control and makes it known.
+func (fl *Fleet) run(me *Member) {
+	fl.Net.join(me)
+	fl.Members = append(fl.Members, me)
+	fl.SetState(me, core.VMLive)
+	list := fl.List
+	if fl.Lag > 0 && len(fl.Members)%2 == 0 {
+		list = fl.late
+	}
+	lister := &board.Lister{Board: me.Board, List: list, Leaving: func() {
+		if me.Agent != nil {
+			me.Agent.StopTaking()
+		}
+	}}
+	for _, loop := range []func(context.Context) error{me.Board.Run, lister.Run, me.Spreader.Run} {
+		go func() { _ = loop(me.alive) }()
+	}
+}
+
+// SetState changes a VM's state in the platform's list.
+func (fl *Fleet) SetState(me *Member, st core.VMState) {
+	vm := me.VM
+	vm.State = st
+	fl.List.Set(vm)
+	fl.late.Set(vm)
+}
+
+// PeersOf is a member's own access to the net, for calls past its router.
+func (fl *Fleet) PeersOf(me *Member) core.Peers { return port{fl.Net, me.ID} }
+
+// LiveAgents are the agents that are neither dead nor leaving.
+func (fl *Fleet) LiveAgents() []*Member {
+	var live []*Member
+	for _, me := range fl.Members {
+		if me.Agent != nil && !me.dead() && !me.Agent.Draining() {
+			live = append(live, me)
+		}
+	}
+	return live
+}
