--- a/cmd/almondrill/demo.go
+++ b/cmd/almondrill/demo.go
@@ -73,8 +73,10 @@
 
 curl -N http://%s/v1/chat/completions -H 'Authorization: Bearer %s' -H 'Content-Type: application/json' -d '{"model":"%s","stream":true,"max_tokens":12,"messages":[{"role":"user","content":"Hello"}]}'
 
+For the operators' commands: -router %s -key %s
+
 Press Ctrl-C to stop.
-`, fl.RouterAddrs()[0], demo.Key, demo.Model)
+`, fl.RouterAddrs()[0], demo.Key, demo.Model, fl.OperatorsAddr(), demo.OperatorKey)
 	stop := make(chan os.Signal, 1)
 	signal.Notify(stop, syscall.SIGINT, syscall.SIGTERM)
 	<-stop
--- a/cmd/almondrill/main.go
+++ b/cmd/almondrill/main.go
@@ -25,4 +25,10 @@
 	cd.Register(&processCommand{role: "agent"}, "processes")
 	cd.Register(&demoCommand{}, "trying out")
 	cd.Register(&checkCommand{}, "operators")
+	cd.Register(&planCommand{}, "operators")
+	cd.Register(&applyCommand{}, "operators")
+	cd.Register(&rollbackCommand{}, "operators")
+	cd.Register(&getCommand{}, "operators")
+	cd.Register(&historyCommand{}, "operators")
+	cd.Register(&statusCommand{}, "operators")
 }
--- /dev/null
+++ b/cmd/almondrill/operator.go
@@ -0,0 +1,359 @@
+package main
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/google/subcommands"
+	yaml "go.yaml.in/yaml/v3"
+
+	"almondrill/core/decl"
+	"almondrill/io/conf"
+	"almondrill/io/oper"
+	"almondrill/io/opsrpc"
+)
+
+// Exit codes of operators' commands beyond success, failure (1) and usage (2).
+const (
+	exitChanges   subcommands.ExitStatus = 3 // plan: something would change
+	exitConflict  subcommands.ExitStatus = 4 // another change was accepted first
+	exitUncertain subcommands.ExitStatus = 5 // not known whether it was accepted
+	exitBehind    subcommands.ExitStatus = 6 // status: some process is behind
+)
+
+const operatorTimeout = 15 * time.Second
+
+// operatorFlags are those that all operators' commands share.
+type operatorFlags struct {
+	router string
+	key    string
+	asJSON bool
+}
+
+func (of *operatorFlags) SetFlags(fs *flag.FlagSet) {
+	fs.StringVar(&of.router, "router", "127.0.0.1:8081", "peers' address of any router")
+	fs.StringVar(&of.key, "key", os.Getenv("ALMONDRILL_KEY"), "operator's key; default from ALMONDRILL_KEY")
+	fs.BoolVar(&of.asJSON, "json", false, "print JSON")
+}
+
+// call runs fn with a connection to the router.
+func (of *operatorFlags) call(ctx context.Context, fn func(context.Context, opsrpc.OperatorsClient) error) subcommands.ExitStatus {
+	client, closeConn, err := oper.Dial(of.router, of.key)
+	if err != nil {
+		return failure(err)
+	}
+	defer func() { _ = closeConn() }()
+	ctx, cancel := context.WithTimeout(ctx, operatorTimeout)
+	defer cancel()
+	if err = fn(ctx, client); err != nil {
+		return rpcFailure(of.router, err)
+	}
+	return subcommands.ExitSuccess
+}
+
+func rpcFailure(router string, err error) subcommands.ExitStatus {
+	fa := oper.FailureOf(err)
+	if fa.Peer == "" {
+		fa.Peer = router
+	}
+	fmt.Fprintf(os.Stderr, "almondrill: %s (step %s, peer %s): %s\n", fa.Reason, fa.Step, fa.Peer, fa.Text)
+	switch fa.Reason {
+	case "Conflict":
+		return exitConflict
+	case "Uncertain", "DeadlineExceeded":
+		return exitUncertain
+	}
+	return subcommands.ExitFailure
+}
+
+// print writes value as JSON if asked for, else calls people.
+func (of *operatorFlags) print(value any, people func()) {
+	if !of.asJSON {
+		people()
+		return
+	}
+	text, _ := json.MarshalIndent(value, "", "  ")
+	fmt.Println(string(text))
+}
+
+func readDocument(file string) ([]byte, error) {
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return nil, err
+	}
+	doc, err := conf.ReadDeclarations(file, data)
+	if err != nil {
+		return nil, err
+	}
+	return json.Marshal(doc)
+}
+
+type planCommand struct{ operatorFlags }
+
+func (*planCommand) Name() string     { return "plan" }
+func (*planCommand) Synopsis() string { return "tell what a declarations file would change" }
+func (*planCommand) Usage() string {
+	return `plan [-router IP:PORT] [-key KEY] [-json] FILE
+  Tells what applying FILE would change, and the revision to apply it on. Exits
+  with 0 if nothing would change, 3 if something would, 1 if FILE is wrong or the
+  router cannot tell.
+`
+}
+
+func (pc *planCommand) Execute(ctx context.Context, fs *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if fs.NArg() != 1 {
+		return usage(fs, "exactly one FILE is needed")
+	}
+	doc, err := readDocument(fs.Arg(0))
+	if err != nil {
+		return failure(err)
+	}
+	changed := false
+	code := pc.call(ctx, func(ctx context.Context, client opsrpc.OperatorsClient) error {
+		re, err := client.Plan(ctx, &opsrpc.PlanCall{Document: doc})
+		if err != nil {
+			return err
+		}
+		changed = len(re.Changes) > 0
+		pc.print(struct {
+			Revision uint64
+			Changes  []string
+		}{re.Revision, re.Changes}, func() {
+			for _, line := range re.Changes {
+				fmt.Println(line)
+			}
+			fmt.Printf("%d changes on revision %d; to apply: almondrill apply -planned %d %s\n",
+				len(re.Changes), re.Revision, re.Revision, fs.Arg(0))
+		})
+		return nil
+	})
+	if code == subcommands.ExitSuccess && changed {
+		return exitChanges
+	}
+	return code
+}
+
+type applyCommand struct {
+	operatorFlags
+	planned uint64
+	source  string
+	id      string
+}
+
+func (*applyCommand) Name() string     { return "apply" }
+func (*applyCommand) Synopsis() string { return "have a declarations file accepted" }
+func (*applyCommand) Usage() string {
+	return `apply -planned REVISION [-source COMMIT] [-id ID] [flags] FILE
+  Has FILE accepted as the next revision after REVISION, whole or not at all. Sent
+  again, the same change gets the same answer. Exits with 0 once it is accepted,
+  4 if another change was accepted first (plan again), 5 if it is not known
+  whether it was (run the same command again), 1 otherwise: then it was not.
+`
+}
+
+func (ac *applyCommand) SetFlags(fs *flag.FlagSet) {
+	ac.operatorFlags.SetFlags(fs)
+	fs.Uint64Var(&ac.planned, "planned", 0, "revision that plan named; 0 for a first configuration")
+	fs.StringVar(&ac.source, "source", "", "commit id of the declarations, to be recorded")
+	fs.StringVar(&ac.id, "id", "", "name of the change; default from its content")
+}
+
+func (ac *applyCommand) Execute(ctx context.Context, fs *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if fs.NArg() != 1 {
+		return usage(fs, "exactly one FILE is needed")
+	}
+	doc, err := readDocument(fs.Arg(0))
+	if err != nil {
+		return failure(err)
+	}
+	if ac.id == "" {
+		ac.id = changeID(doc, ac.planned, ac.source)
+	}
+	return ac.apply(ctx, &opsrpc.ApplyCall{Document: doc, Planned: ac.planned, ID: ac.id, Source: ac.source})
+}
+
+// changeID names a change by what it is, so that a job that runs again after a
+// lost answer asks about the same change.
+func changeID(doc []byte, planned uint64, source string) string {
+	sum := sha256.Sum256(fmt.Appendf(nil, "%d\n%s\n%s", planned, source, doc))
+	return hex.EncodeToString(sum[:8])
+}
+
+func (of *operatorFlags) apply(ctx context.Context, in *opsrpc.ApplyCall) subcommands.ExitStatus {
+	return of.call(ctx, func(ctx context.Context, client opsrpc.OperatorsClient) error {
+		re, err := client.Apply(ctx, in)
+		if err != nil {
+			return err
+		}
+		of.print(struct {
+			Revision uint64
+			ID       string
+			Changes  []string
+		}{re.Revision, in.ID, re.Changes}, func() {
+			fmt.Printf("accepted as revision %d (change %s)\n", re.Revision, in.ID)
+		})
+		return nil
+	})
+}
+
+type rollbackCommand struct {
+	operatorFlags
+	planned uint64
+	to      uint64
+}
+
+func (*rollbackCommand) Name() string { return "rollback" }
+func (*rollbackCommand) Synopsis() string { return "have an earlier revision's content accepted anew" }
+
+func (*rollbackCommand) Usage() string {
+	return `rollback -to REVISION -planned REVISION [flags]
+  Has the content of an earlier revision accepted as a new one, on the revision
+  that status or plan named. Exit codes are those of apply.
+`
+}
+
+func (rc *rollbackCommand) SetFlags(fs *flag.FlagSet) {
+	rc.operatorFlags.SetFlags(fs)
+	fs.Uint64Var(&rc.to, "to", 0, "revision whose content is wanted")
+	fs.Uint64Var(&rc.planned, "planned", 0, "revision now in force")
+}
+
+func (rc *rollbackCommand) Execute(ctx context.Context, fs *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if fs.NArg() > 0 || rc.to == 0 || rc.planned == 0 {
+		return usage(fs, "-to and -planned are needed, and nothing else")
+	}
+	note := fmt.Sprintf("rollback to %d", rc.to)
+	return rc.apply(ctx, &opsrpc.ApplyCall{
+		Planned: rc.planned, Rollback: rc.to, Note: note, ID: changeID([]byte(note), rc.planned, ""),
+	})
+}
+
+type getCommand struct {
+	operatorFlags
+	revision uint64
+}
+
+func (*getCommand) Name() string     { return "get" }
+func (*getCommand) Synopsis() string { return "print the declarations in force" }
+func (*getCommand) Usage() string {
+	return `get [-revision REVISION] [flags]
+  Prints the declarations in force, or those of an earlier revision, as YAML.
+`
+}
+
+func (gc *getCommand) SetFlags(fs *flag.FlagSet) {
+	gc.operatorFlags.SetFlags(fs)
+	fs.Uint64Var(&gc.revision, "revision", 0, "an earlier revision; 0 is the one in force")
+}
+
+func (gc *getCommand) Execute(ctx context.Context, fs *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if fs.NArg() > 0 {
+		return usage(fs, "takes no arguments")
+	}
+	return gc.call(ctx, func(ctx context.Context, client opsrpc.OperatorsClient) error {
+		re, err := client.Get(ctx, &opsrpc.GetCall{Revision: gc.revision})
+		if err != nil {
+			return err
+		}
+		var doc decl.Document
+		if err = json.Unmarshal(re.Document, &doc); err != nil {
+			return err
+		}
+		gc.print(doc, func() {
+			text, _ := yaml.Marshal(doc)
+			fmt.Printf("# revision %d\n%s", re.Revision, text)
+		})
+		return nil
+	})
+}
+
+type historyCommand struct {
+	operatorFlags
+	most int
+}
+
+func (*historyCommand) Name() string     { return "history" }
+func (*historyCommand) Synopsis() string { return "list accepted changes" }
+func (*historyCommand) Usage() string {
+	return `history [-most N] [flags]
+  Lists accepted changes, the newest first: revision, time, operator, source
+  commit, and what changed.
+`
+}
+
+func (hc *historyCommand) SetFlags(fs *flag.FlagSet) {
+	hc.operatorFlags.SetFlags(fs)
+	fs.IntVar(&hc.most, "most", 20, "how many changes")
+}
+
+func (hc *historyCommand) Execute(ctx context.Context, fs *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if fs.NArg() > 0 || hc.most < 1 {
+		return usage(fs, "takes no arguments, and -most is at least 1")
+	}
+	return hc.call(ctx, func(ctx context.Context, client opsrpc.OperatorsClient) error {
+		re, err := client.History(ctx, &opsrpc.HistoryCall{Most: int32(hc.most)})
+		if err != nil {
+			return err
+		}
+		hc.print(re.Changes, func() {
+			for _, ch := range re.Changes {
+				at := time.UnixMilli(ch.AtUnixMillis).UTC().Format(time.RFC3339)
+				fmt.Printf("%d  %s  %s  %s  %s  %v\n", ch.Revision, at, ch.Author, ch.Source, ch.Note, ch.Lines)
+			}
+		})
+		return nil
+	})
+}
+
+type statusCommand struct{ operatorFlags }
+
+func (*statusCommand) Name() string     { return "status" }
+func (*statusCommand) Synopsis() string { return "tell which revision is in force where" }
+func (*statusCommand) Usage() string {
+	return `status [flags]
+  Asks every process that the router knows for its revision. Exits with 0 if the
+  newest is in force on all, 6 if some are behind or do not answer.
+`
+}
+
+func (sc *statusCommand) Execute(ctx context.Context, fs *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if fs.NArg() > 0 {
+		return usage(fs, "takes no arguments")
+	}
+	behind := 0
+	code := sc.call(ctx, func(ctx context.Context, client opsrpc.OperatorsClient) error {
+		re, err := client.Status(ctx, &opsrpc.StatusCall{})
+		if err != nil {
+			return err
+		}
+		for _, ps := range re.Processes {
+			if ps.Revision < re.Newest {
+				behind++
+			}
+		}
+		sc.print(re, func() {
+			for _, ps := range re.Processes {
+				fmt.Printf("%-24s %-8s revision %d %s%s\n", ps.VM, ps.Role, ps.Revision, drainingText(ps.Draining), ps.Problem)
+			}
+			fmt.Printf("newest revision %d; %d of %d processes are behind or do not answer\n", re.Newest, behind, len(re.Processes))
+		})
+		return nil
+	})
+	if code == subcommands.ExitSuccess && behind > 0 {
+		return exitBehind
+	}
+	return code
+}
+
+func drainingText(draining bool) string {
+	if draining {
+		return "draining "
+	}
+	return ""
+}
--- a/core/admit/gate.go
+++ b/core/admit/gate.go
@@ -113,7 +113,7 @@
 type ticketState uint8
 
 const (
-	ticketNew ticketState = iota
+	_ ticketState = iota // not offered yet
 	// ticketPatient waits for room under the cap; it is not part of the load.
 	ticketPatient
 	// ticketWaiting waits for a slot.
--- a/core/agent/agent.go
+++ b/core/agent/agent.go
@@ -79,6 +79,8 @@
 	Book        *chats.Book
 	Keys        Keys
 	Peers       core.Peers
+	// Heard, if set, is told of a peer's revision.
+	Heard func(from core.VMID, rev core.Revision)
 	// Sending, if set, is asked before control messages are sent.
 	Sending func(size core.Bytes) bool
 
--- a/core/agent/control.go
+++ b/core/agent/control.go
@@ -10,7 +10,7 @@
 
 const (
 	// exchangeEvery is the pace of exchanges with one random peer of the pool.
-	exchangeEvery = 250 * time.Millisecond
+	exchangeEvery = 450 * time.Millisecond
 	// placesEvery is how long placements are collected before they are sent.
 	placesEvery = 250 * time.Millisecond
 	// MostEntries bounds the loads in one digest.
@@ -104,6 +104,9 @@
 // Hear takes in a peer's digest.
 func (ag *Agent) Hear(di *core.Digest) {
 	ag.Board.Post(board.Announced{VM: di.From, Incarnation: di.Incarnation, Draining: di.Draining})
+	if ag.Heard != nil {
+		ag.Heard(di.From, di.Revision)
+	}
 	for _, en := range di.Loads {
 		if ta := ag.tables[en.Pool]; ta != nil {
 			ta.Observe(en)
--- a/core/claim/chain.go
+++ b/core/claim/chain.go
@@ -54,7 +54,7 @@
 		return nil
 	}
 	var he head
-	en, err := sh.keeper.KV.Get(ctx, headKey(sh.number))
+	en, err := sh.keeper.KV.Get(ctx, headKey(sh.shardNo))
 	if err != nil && !errors.Is(err, core.ErrAbsent) {
 		return fmt.Errorf("read head: %w", err)
 	}
@@ -77,7 +77,7 @@
 // lapsed are older than Window and are not missed.
 func (sh *shard) readSegments(ctx context.Context, from, to uint64) error {
 	for from < to {
-		page, err := sh.keeper.KV.List(ctx, segmentKey(sh.number, from), segmentKey(sh.number, to), segmentPage)
+		page, err := sh.keeper.KV.List(ctx, segmentKey(sh.shardNo, from), segmentKey(sh.shardNo, to), segmentPage)
 		if err != nil {
 			return fmt.Errorf("read segments: %w", err)
 		}
@@ -89,7 +89,7 @@
 		if len(page) < segmentPage {
 			return nil
 		}
-		if _, err = fmt.Sscanf(page[len(page)-1].Key[len(segmentKey(sh.number, 0))-20:], "%d", &from); err != nil {
+		if _, err = fmt.Sscanf(page[len(page)-1].Key[len(segmentKey(sh.shardNo, 0))-20:], "%d", &from); err != nil {
 			return fmt.Errorf("segment key: %w", err)
 		}
 		from++
@@ -108,25 +108,24 @@
 	return nil
 }
 
-// learn takes a batch's claims into memory. The first claim of a key stands.
+// learn takes a batch's claims into memory. The first claim of a key stands: a
+// keeper only adds a key that it has not found.
 func (sh *shard) learn(ba batch) {
 	sh.mu.Lock()
 	defer sh.mu.Unlock()
-	at := time.UnixMilli(ba.At)
-	if sh.keeper.Clock.Now().Sub(at) > sh.keeper.Window {
+	at := secondsOf(time.UnixMilli(ba.At))
+	if at < secondsOf(sh.keeper.Clock.Now().Add(-sh.keeper.Window)) {
 		return
 	}
 	for _, cl := range ba.Claims {
 		var hash core.KeyHash
 		copy(hash[:], cl.Hash)
-		if he, known := sh.known[hash]; known && !he.at.After(at) {
+		if _, known := sh.find(hash); known {
 			continue
 		}
 		by := ba.Claimants[cl.Claimant]
-		sh.known[hash] = held{
-			by: core.Claimant{VM: core.VMID(by.VM), Incarnation: core.Incarnation(by.Incarnation)}, at: at,
-		}
-		sh.expiry = append(sh.expiry, expiring{hash, at})
+		claimant := core.Claimant{VM: core.VMID(by.VM), Incarnation: core.Incarnation(by.Incarnation)}
+		sh.young[hash] = held{by: sh.number(claimant), at: at}
 	}
 }
 
@@ -144,8 +143,8 @@
 	if err != nil {
 		return fmt.Errorf("encode head: %w", err)
 	}
-	sh.written = sh.keeper.Clock.Now()
-	version, err := sh.keeper.KV.Put(ctx, headKey(sh.number), value, sh.version, 0)
+	sh.spend()
+	version, err := sh.keeper.KV.Put(ctx, headKey(sh.shardNo), value, sh.version, 0)
 	if err != nil {
 		sh.synced = false
 		return fmt.Errorf("swap head: %w", err)
@@ -176,7 +175,8 @@
 	if err != nil {
 		return head{}, err
 	}
-	_, err = sh.keeper.KV.Put(ctx, segmentKey(sh.number, kept.Segments), value, 0, lease)
+	sh.spend()
+	_, err = sh.keeper.KV.Put(ctx, segmentKey(sh.shardNo, kept.Segments), value, 0, lease)
 	if err != nil && !errors.Is(err, core.ErrConflict) {
 		return head{}, fmt.Errorf("write segment: %w", err)
 	}
--- a/core/claim/keeper.go
+++ b/core/claim/keeper.go
@@ -32,6 +32,7 @@
 	"encoding/binary"
 	"errors"
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 
@@ -82,8 +83,9 @@
 	Shards int
 	// Window is how long claims are kept.
 	Window time.Duration
-	// Pace is the least time between two writes to one shard; it bounds the KV's
-	// writes by Shards/Pace however many claims there are.
+	// Pace is the time that each write to a shard's entries takes up, head or
+	// segment; it bounds the KV's writes by Shards/Pace however many claims there
+	// are.
 	Pace time.Duration
 
 	mu     sync.Mutex // guards all below
@@ -105,7 +107,10 @@
 	}
 	sh := ke.shards[number]
 	if sh == nil {
-		sh = &shard{keeper: ke, number: number, known: map[core.KeyHash]held{}}
+		sh = &shard{
+			keeper: ke, shardNo: number, turned: ke.Clock.Now(),
+			young: map[core.KeyHash]held{}, numbers: map[core.Claimant]uint32{},
+		}
 		ke.shards[number] = sh
 	}
 	return sh
@@ -142,11 +147,16 @@
 	return lease, nil
 }
 
+// held is who claimed a key and when, in few bytes: there is one for every claim
+// of the window.
 type held struct {
-	by core.Claimant
-	at time.Time
+	by uint32 // index into claimants
+	at uint32 // Unix seconds
 }
 
+// secondsOf is good until 2106.
+func secondsOf(at time.Time) uint32 { return uint32(at.Unix()) }
+
 // ask is one waiting claim.
 type ask struct {
 	claim *core.Claim
@@ -160,31 +170,32 @@
 
 // shard is a keeper's view of one shard.
 type shard struct {
-	keeper *Keeper
-	number int
+	keeper  *Keeper
+	shardNo int
 
-	mu      sync.Mutex // guards known, expiry, waiting and busy
-	known   map[core.KeyHash]held
-	expiry  []expiring // in order of time
-	waiting []*ask
-	busy    bool
+	mu sync.Mutex // guards all up to busy
+	// young holds the claims learnt since turned, old those of the window before:
+	// dropping a map whole costs nothing for the claims in it.
+	young     map[core.KeyHash]held
+	old       map[core.KeyHash]held
+	turned    time.Time
+	claimants []core.Claimant
+	numbers   map[core.Claimant]uint32
+	waiting   []*ask
+	busy      bool
 
 	// The rest belongs to the one worker that runs while busy.
 	head    head
 	version core.Version
 	synced  bool
-	written time.Time
-}
-
-type expiring struct {
-	hash core.KeyHash
-	at   time.Time
+	// free is when the writes so far have used up their time.
+	free time.Time
 }
 
 func (sh *shard) size() int {
 	sh.mu.Lock()
 	defer sh.mu.Unlock()
-	return len(sh.known)
+	return len(sh.young) + len(sh.old)
 }
 
 func (sh *shard) claim(ctx context.Context, cl *core.Claim) (*core.Verdict, error) {
@@ -210,11 +221,33 @@
 
 // verdict answers from what is known, nil if the key is not. Called locked.
 func (sh *shard) verdict(cl *core.Claim) *core.Verdict {
-	he, known := sh.known[cl.Hash]
-	if !known || sh.keeper.Clock.Now().Sub(he.at) > sh.keeper.Window {
+	he, known := sh.find(cl.Hash)
+	if !known {
 		return nil
 	}
-	return &core.Verdict{Granted: he.by == cl.By, Holder: he.by}
+	by := sh.claimants[he.by]
+	return &core.Verdict{Granted: by == cl.By, Holder: by}
+}
+
+// find looks a claim up that is not older than the window. Called locked.
+func (sh *shard) find(hash core.KeyHash) (held, bool) {
+	he, known := sh.young[hash]
+	if !known {
+		he, known = sh.old[hash]
+	}
+	limit := secondsOf(sh.keeper.Clock.Now().Add(-sh.keeper.Window))
+	return he, known && he.at >= limit
+}
+
+// number is the claimant's index. Called locked.
+func (sh *shard) number(by core.Claimant) uint32 {
+	ix, known := sh.numbers[by]
+	if !known {
+		ix = uint32(len(sh.claimants))
+		sh.claimants = append(sh.claimants, by)
+		sh.numbers[by] = ix
+	}
+	return ix
 }
 
 // work writes batches until nothing waits.
@@ -233,34 +266,44 @@
 	return !sh.busy
 }
 
-// pace keeps the least time between writes. What arrives meanwhile joins the
-// next batch; the first claim after a quiet time does not wait.
+// pace waits until the writes so far have used up their time. What arrives
+// meanwhile joins the next batch; the first claim after a quiet time does not
+// wait.
 func (sh *shard) pace() {
-	wait := sh.keeper.Pace - sh.keeper.Clock.Now().Sub(sh.written)
-	if wait > 0 {
+	if wait := sh.free.Sub(sh.keeper.Clock.Now()); wait > 0 {
 		_ = sh.keeper.Clock.Sleep(context.Background(), wait)
 	}
 }
 
+// spend takes a write's time.
+func (sh *shard) spend() {
+	now := sh.keeper.Clock.Now()
+	if sh.free.Before(now) {
+		sh.free = now
+	}
+	sh.free = sh.free.Add(sh.keeper.Pace)
+}
+
 func (sh *shard) take() []*ask {
 	sh.mu.Lock()
 	defer sh.mu.Unlock()
-	sh.expire()
+	sh.turn()
 	count := min(mostBatch, len(sh.waiting))
 	batch := sh.waiting[:count:count]
-	sh.waiting = sh.waiting[count:]
+	// A copy, so that answered asks do not stay in memory behind the others.
+	sh.waiting = slices.Clone(sh.waiting[count:])
 	return batch
 }
 
-func (sh *shard) expire() {
-	limit := sh.keeper.Clock.Now().Add(-sh.keeper.Window)
-	for len(sh.expiry) > 0 && sh.expiry[0].at.Before(limit) {
-		gone := sh.expiry[0]
-		sh.expiry = sh.expiry[1:]
-		if he, known := sh.known[gone.hash]; known && !he.at.After(gone.at) {
-			delete(sh.known, gone.hash)
-		}
+// turn drops the claims of the window before last. Called locked.
+func (sh *shard) turn() {
+	now := sh.keeper.Clock.Now()
+	if now.Sub(sh.turned) <= sh.keeper.Window {
+		return
 	}
+	sh.turned = now
+	sh.old = sh.young
+	sh.young = map[core.KeyHash]held{}
 }
 
 // settle brings each ask of a batch to its answer: read if needed, answer what is
--- a/core/decl/decl.go
+++ b/core/decl/decl.go
@@ -32,47 +32,47 @@
 
 // Document is the whole set of declarations.
 type Document struct {
-	Customers []Customer `yaml:"Customers" doc:"Who may call, with which keys and shares."`
-	Pools     []Pool     `yaml:"Pools" doc:"Groups of engines that serve the same model."`
-	Services  []Service  `yaml:"Services" doc:"Groups of plain services."`
-	Endpoints []Endpoint `yaml:"Endpoints" doc:"What single endpoints check themselves."`
+	Customers []Customer `yaml:"Customers,omitempty" json:",omitempty" doc:"Who may call, with which keys and shares."`
+	Pools     []Pool     `yaml:"Pools,omitempty" json:",omitempty" doc:"Groups of engines that serve the same model."`
+	Services  []Service  `yaml:"Services,omitempty" json:",omitempty" doc:"Groups of plain services."`
+	Endpoints []Endpoint `yaml:"Endpoints,omitempty" json:",omitempty" doc:"What single endpoints check themselves."`
 }
 
 // Customer may call the pools and services it has a share in.
 type Customer struct {
 	Name core.CustomerID `yaml:"Name" doc:"Unique name."`
 	// KeyHashes are hex SHA-256 sums; the keys themselves are never declared.
-	KeyHashes []string `yaml:"KeyHashes" doc:"Hex SHA-256 sums of its bearer keys."`
+	KeyHashes []string `yaml:"KeyHashes,omitempty" json:",omitempty" doc:"Hex SHA-256 sums of its bearer keys."`
 	// Shares are relative weights per pool or service.
-	Shares map[core.PoolID]float64 `yaml:"Shares" doc:"Relative share per pool or service; above 0."`
+	Shares map[core.PoolID]float64 `yaml:"Shares,omitempty" json:",omitempty" doc:"Relative share per pool or service; above 0."`
 	// MaxPriority bounds what its calls may ask for.
-	MaxPriority core.Priority `yaml:"MaxPriority" doc:"Highest priority its calls may ask for: 0 batch, 1 normal, 2 high, 3 urgent. 0 means 3."`
+	MaxPriority core.Priority `yaml:"MaxPriority,omitempty" json:",omitempty" doc:"Highest priority its calls may ask for: 0 batch, 1 normal, 2 high, 3 urgent. 0 means 3."`
 }
 
 // Limits bound the work of a pool's endpoints.
 type Limits struct {
-	LoadFactor float64   `yaml:"LoadFactor" doc:"No endpoint is given work beyond this multiple of the pool's mean load. At least 1; 0 means 1.25."`
-	FloorWork  core.Work `yaml:"FloorWork" doc:"Load, in token equivalents, up to which the multiple is not applied. 0 means 4096."`
-	Slots      int       `yaml:"Slots" doc:"Calls that run on one endpoint at a time. 0 means 32."`
-	QueueCalls int       `yaml:"QueueCalls" doc:"Calls that wait for one endpoint. 0 means 64."`
+	LoadFactor float64   `yaml:"LoadFactor,omitempty" json:",omitempty" doc:"No endpoint is given work beyond this multiple of the pool's mean load. At least 1; 0 means 1.25."`
+	FloorWork  core.Work `yaml:"FloorWork,omitempty" json:",omitempty" doc:"Load, in token equivalents, up to which the multiple is not applied. 0 means 4096."`
+	Slots      int       `yaml:"Slots,omitempty" json:",omitempty" doc:"Calls that run on one endpoint at a time. 0 means 32."`
+	QueueCalls int       `yaml:"QueueCalls,omitempty" json:",omitempty" doc:"Calls that wait for one endpoint. 0 means 64."`
 }
 
 // Pool is a group of engines with the same model.
 type Pool struct {
 	Name      core.PoolID `yaml:"Name" doc:"Unique name."`
-	Model     string      `yaml:"Model" doc:"Model name that callers give."`
-	Version   string      `yaml:"Version" doc:"Model version its engines are to run."`
-	Adapters  []string    `yaml:"Adapters" doc:"Adapters its engines are to load."`
-	Role      string      `yaml:"Role" doc:"Prefill, Decode or Both; empty means Both."`
-	ReuseBias float64     `yaml:"ReuseBias" doc:"How much work a call must save by moving, as a multiple of prefilling its context anew: higher keeps chats where their context is, lower evens load out sooner. 0 means 64."`
-	Minimum   int         `yaml:"Minimum" doc:"Engines that keep serving while a version rolls. 0 means 1."`
+	Model     string      `yaml:"Model,omitempty" json:",omitempty" doc:"Model name that callers give."`
+	Version   string      `yaml:"Version,omitempty" json:",omitempty" doc:"Model version its engines are to run."`
+	Adapters  []string    `yaml:"Adapters,omitempty" json:",omitempty" doc:"Adapters its engines are to load."`
+	Role      string      `yaml:"Role,omitempty" json:",omitempty" doc:"Prefill, Decode or Both; empty means Both."`
+	ReuseBias float64     `yaml:"ReuseBias,omitempty" json:",omitempty" doc:"How much work a call must save by moving, as a multiple of prefilling its context anew: higher keeps chats where their context is, lower evens load out sooner. 0 means 64."`
+	Minimum   int         `yaml:"Minimum,omitempty" json:",omitempty" doc:"Engines that keep serving while a version rolls. 0 means 1."`
 	Limits    `yaml:",inline"`
 }
 
 // Service is a group of plain services.
 type Service struct {
 	Name      core.PoolID `yaml:"Name" doc:"Unique name, as in /v1/services/{Name}/."`
-	MayRepeat []string    `yaml:"MayRepeat" doc:"HTTP methods that may run twice. Empty means GET, HEAD, OPTIONS."`
+	MayRepeat []string    `yaml:"MayRepeat,omitempty" json:",omitempty" doc:"HTTP methods that may run twice. Empty means GET, HEAD, OPTIONS."`
 	Limits    `yaml:",inline"`
 }
 
@@ -80,9 +80,9 @@
 type Endpoint struct {
 	Name core.EndpointID `yaml:"Name" doc:"Unique name, as in the agent's settings."`
 	// ChecksFence: it refuses orders with an old fencing number on its own.
-	ChecksFence bool `yaml:"ChecksFence" doc:"It refuses orders with an old fencing number itself."`
+	ChecksFence bool `yaml:"ChecksFence,omitempty" json:",omitempty" doc:"It refuses orders with an old fencing number itself."`
 	// EchoesAttempt: its answers carry the attempt id they are for.
-	EchoesAttempt bool `yaml:"EchoesAttempt" doc:"Its answers carry the attempt id; one without is refused as crossed."`
+	EchoesAttempt bool `yaml:"EchoesAttempt,omitempty" json:",omitempty" doc:"Its answers carry the attempt id; one without is refused as crossed."`
 }
 
 // Defaults of what is left out.
--- a/core/decl/delta.go
+++ b/core/decl/delta.go
@@ -1,10 +1,10 @@
 package decl
 
 import (
+	"bytes"
 	"cmp"
 	"encoding/json"
 	"fmt"
-	"reflect"
 	"slices"
 	"time"
 
@@ -121,6 +121,13 @@
 	return merged
 }
 
+// equal compares as encoded: what is left out equals what is empty.
+func equal[T any](one, two T) bool {
+	left, errLeft := json.Marshal(one)
+	right, errRight := json.Marshal(two)
+	return errLeft == nil && errRight == nil && bytes.Equal(left, right)
+}
+
 func differ[T any, K cmp.Ordered](from, to []T, name func(T) K) (set []T, remove []K) {
 	before := make(map[K]T, len(from))
 	for _, it := range from {
@@ -128,7 +135,7 @@
 	}
 	for _, it := range to {
 		old, known := before[name(it)]
-		if !known || !reflect.DeepEqual(old, it) {
+		if !known || !equal(old, it) {
 			set = append(set, it)
 		}
 		delete(before, name(it))
--- /dev/null
+++ b/core/revlog/revlog_test.go
@@ -0,0 +1,252 @@
+package revlog_test
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+
+	"almondrill/core"
+	"almondrill/core/decl"
+	"almondrill/core/revlog"
+	"almondrill/io/clock"
+	"almondrill/io/stand/kvsrv"
+)
+
+// explore runs histories of new seeds, such as -explore 1000.
+var explore = flag.Int("explore", 0, "check this many histories of new seeds")
+
+func document(model string) *decl.Document {
+	return &decl.Document{Pools: []decl.Pool{{Name: "chat", Model: model}}}
+}
+
+// process is one process's log, with the revisions it adopted.
+type process struct {
+	*revlog.Log
+	adopted []core.Revision
+	behind  int
+}
+
+func newProcess(kv core.KV, ra core.Rand) *process {
+	pr := &process{}
+	pr.Log = &revlog.Log{
+		KV: kv, Clock: clock.Wall{}, Rand: ra,
+		Adopt:  func(cfg *decl.Config) { pr.adopted = append(pr.adopted, cfg.Revision) },
+		Behind: func(core.Revision) { pr.behind++ },
+	}
+	return pr
+}
+
+func (pr *process) rises(t *testing.T) {
+	t.Helper()
+	for ix := 1; ix < len(pr.adopted); ix++ {
+		if pr.adopted[ix] <= pr.adopted[ix-1] {
+			t.Errorf("revision %d adopted after %d", pr.adopted[ix], pr.adopted[ix-1])
+		}
+	}
+}
+
+func newStore(seed uint64) (*kvsrv.Store, *clock.Rand) {
+	ra := clock.NewRand(seed)
+	return &kvsrv.Store{Clock: clock.Wall{}, Rand: ra, Latency: 2 * time.Millisecond}, ra
+}
+
+type commitInput struct{ planned core.Revision }
+
+type commitOutput struct {
+	accepted  core.Revision
+	uncertain bool
+	refused   bool // for a reason other than a conflict
+}
+
+// commitModel: a commit is accepted as planned+1 if that is next, or conflicts if
+// it is not; one whose fate is uncertain may be either.
+var commitModel = (&porcupine.NondeterministicModel{
+	Init: func() []any { return []any{core.Revision(0)} },
+	Step: func(state, input, output any) []any {
+		rev, in, out := state.(core.Revision), input.(commitInput), output.(commitOutput)
+		next := rev == in.planned
+		switch {
+		case out.accepted != 0 && next && out.accepted == rev+1:
+			return []any{rev + 1}
+		case out.accepted != 0:
+			return nil
+		case out.uncertain && next:
+			return []any{rev, rev + 1}
+		case out.uncertain || out.refused || !next:
+			return []any{rev}
+		}
+		return nil
+	},
+	Equal: func(one, two any) bool { return one == two },
+}).ToModel()
+
+// Two operators' jobs apply at once through different routers while the KV goes
+// down, slows and loses answers. Each revision belongs to one change; nobody is
+// told "accepted" of a change that another has overtaken; no reader goes back.
+func TestRacingOperatorsAreLinearizable(t *testing.T) {
+	seeds := []uint64{1, 2, 3, 4, 5, 6}
+	for range *explore {
+		seeds = append(seeds, clock.RandomSeed())
+	}
+	for _, seed := range seeds {
+		synctest.Test(t, func(t *testing.T) { raceOperators(t, seed) })
+	}
+}
+
+func raceOperators(t *testing.T, seed uint64) {
+	store, ra := newStore(seed)
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() {
+		kinds := []kvsrv.Faults{{}, {Down: true}, {LoseAnswers: 0.5}, {Delay: 40 * time.Millisecond}}
+		for (clock.Wall{}).Sleep(ctx, time.Duration(ra.Uint64()%60)*time.Millisecond) == nil {
+			store.SetFaults(kinds[ra.Uint64()%uint64(len(kinds))])
+		}
+	}()
+	reader := newProcess(store, ra)
+	go func() {
+		for (clock.Wall{}).Sleep(ctx, 30*time.Millisecond) == nil {
+			_ = reader.Refresh(ctx)
+		}
+	}()
+	var mu sync.Mutex
+	var ops []porcupine.Operation
+	var operators sync.WaitGroup
+	for client := range 4 {
+		operators.Go(func() {
+			pr := newProcess(store, ra)
+			for n := range 12 {
+				_ = clock.Wall{}.Sleep(ctx, time.Duration(ra.Uint64()%20)*time.Millisecond)
+				op := commitOnce(ctx, pr, client, fmt.Sprint(client, "-", n))
+				mu.Lock()
+				ops = append(ops, op)
+				mu.Unlock()
+			}
+			pr.rises(t)
+		})
+	}
+	operators.Wait()
+	cancel()
+	synctest.Wait()
+	reader.rises(t)
+	accepted, troubled := 0, 0
+	for _, op := range ops {
+		out := op.Output.(commitOutput)
+		if out.accepted != 0 {
+			accepted++
+		}
+		if out.uncertain || out.refused {
+			troubled++
+		}
+	}
+	if accepted < 5 || troubled == 0 {
+		t.Errorf("seed %d: of %d changes %d accepted, %d met a fault: this history shows nothing", seed, len(ops), accepted, troubled)
+	}
+	if !porcupine.CheckOperations(commitModel, ops) {
+		t.Errorf("seed %d: the history is not linearizable", seed)
+	}
+}
+
+func commitOnce(ctx context.Context, pr *process, client int, id string) porcupine.Operation {
+	ctx, cancel := context.WithTimeout(ctx, 500*time.Millisecond)
+	defer cancel()
+	_ = pr.Refresh(ctx)
+	_, planned := pr.Document()
+	op := porcupine.Operation{ClientId: client, Input: commitInput{planned}, Call: time.Now().UnixNano()}
+	rev, err := pr.Commit(ctx, planned, document(id), revlog.Meta{ID: id, Author: "operator"})
+	op.Return = time.Now().UnixNano()
+	out := commitOutput{accepted: rev}
+	var uncertain *revlog.Uncertain
+	var conflict *revlog.Conflict
+	switch {
+	case errors.As(err, &uncertain):
+		out.uncertain = true
+		op.Return = time.Now().Add(time.Hour).UnixNano()
+	case err != nil && !errors.As(err, &conflict):
+		out.refused = true
+	}
+	op.Output = out
+	return op
+}
+
+// An operator's job loses the answer to an accepted write and runs again. It is
+// told the revision that it has, not a conflict with itself.
+func TestApplySentAgainIsAnsweredAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store, ra := newStore(1)
+		ctx := context.Background()
+		first, second := newProcess(store, ra), newProcess(store, ra)
+		for _, pr := range []*process{first, second, first} {
+			rev, err := pr.Commit(ctx, 0, document("m"), revlog.Meta{ID: "job-7", Author: "a"})
+			if err != nil || rev != 1 {
+				t.Fatalf("revision %d, %v", rev, err)
+			}
+		}
+	})
+}
+
+// Many changes later a new VM starts. It reads a snapshot and the log behind it,
+// and earlier revisions can still be had for a rollback.
+func TestStartFromSnapshot(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store, ra := newStore(1)
+		ctx := context.Background()
+		writer := newProcess(store, ra)
+		const changes = 1250
+		for n := range changes {
+			me := revlog.Meta{ID: fmt.Sprint(n), Author: "a"}
+			if _, err := writer.Commit(ctx, core.Revision(n), document(fmt.Sprint("m", n+1)), me); err != nil {
+				t.Fatal(err)
+			}
+		}
+		fresh := newProcess(store, ra)
+		if err := fresh.Refresh(ctx); err != nil {
+			t.Fatal(err)
+		}
+		doc, rev := fresh.Document()
+		if rev != changes || doc.Pools[0].Model != fmt.Sprint("m", changes) {
+			t.Errorf("revision %d, %+v", rev, doc)
+		}
+		if len(fresh.adopted) > 200 {
+			t.Errorf("%d steps to start", len(fresh.adopted))
+		}
+		old, err := fresh.At(ctx, 450)
+		if err != nil || old.Pools[0].Model != "m450" {
+			t.Errorf("%+v %v", old, err)
+		}
+		if _, err = fresh.At(ctx, 3); err == nil {
+			t.Error("revision 3 is deleted, but was answered")
+		}
+	})
+}
+
+// The KV is restored from an old backup. Processes keep what is in force, tell of
+// it, and accept no change that would build on the older content.
+func TestOlderKVRevertsNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store, ra := newStore(1)
+		ctx := context.Background()
+		pr := newProcess(store, ra)
+		for n := range 3 {
+			if _, err := pr.Commit(ctx, core.Revision(n), document(fmt.Sprint("m", n)), revlog.Meta{ID: fmt.Sprint(n)}); err != nil {
+				t.Fatal(err)
+			}
+		}
+		pr.KV = &kvsrv.Store{Clock: clock.Wall{}, Rand: ra}
+		if err := pr.Refresh(ctx); !errors.Is(err, revlog.ErrBehind) || pr.behind != 1 {
+			t.Errorf("%v, told %d times", err, pr.behind)
+		}
+		if _, err := pr.Commit(ctx, 3, document("new"), revlog.Meta{ID: "x"}); !errors.Is(err, revlog.ErrBehind) {
+			t.Errorf("committed over older content: %v", err)
+		}
+		if pr.Revision() != 3 {
+			t.Errorf("went back to %d", pr.Revision())
+		}
+	})
+}
--- a/core/spread/spread.go
+++ b/core/spread/spread.go
@@ -2,12 +2,13 @@
 //
 // # Concepts
 //
-// Three ways, each enough by itself:
+// Four ways, each enough by itself:
 //
 //   - Push: a process that adopts a revision tells Fanout random others, which
 //     fetch it from the teller and tell others in turn.
 //   - Every message between processes carries the sender's revision; one that
 //     hears of a higher one fetches the rest from that peer.
+//   - Compare: each process swaps digests with a random other every second or so.
 //   - Poll: each process reads the KV's log at a pace that keeps the whole fleet
 //     within PollsPerSecond, so a fleet of any size has one poll every few
 //     milliseconds somewhere.
@@ -48,6 +49,9 @@
 	// those whom the first found behind a lost message.
 	rounds     = 2
 	roundEvery = 300 * time.Millisecond
+	// compareEvery is how often a process compares revisions with a random other:
+	// it finds those whom neither push nor request reaches while the KV is down.
+	compareEvery = time.Second
 )
 
 // Spreader spreads revisions. Set the exported fields before Run.
@@ -111,6 +115,7 @@
 func (sp *Spreader) Run(ctx context.Context) error {
 	sp.Init()
 	go sp.poll(ctx)
+	go sp.compare(ctx)
 	for {
 		select {
 		case <-ctx.Done():
@@ -156,6 +161,16 @@
 	}
 }
 
+// compare swaps digests with a random other now and then.
+func (sp *Spreader) compare(ctx context.Context) {
+	for sp.Clock.Sleep(ctx, time.Duration(float64(compareEvery)*(0.75+sp.Rand.Float64()/2))) == nil {
+		sn := sp.Board.Snapshot()
+		if all := len(sn.Agents) + len(sn.Routers); all > 1 {
+			sp.tellOne(ctx, sn, all)
+		}
+	}
+}
+
 func (sp *Spreader) tellOne(ctx context.Context, sn *board.Snapshot, all int) {
 	ix := int(sp.Rand.Uint64() % uint64(all))
 	var to core.VMID
@@ -168,12 +183,19 @@
 		return
 	}
 	go func() {
-		if di, err := sp.Peers.Exchange(ctx, to, sp.Digest()); err == nil {
+		if di, err := sp.Peers.Exchange(ctx, to, sp.brief()); err == nil {
 			sp.Heard(to, di.Revision)
 		}
 	}()
 }
 
+// brief is the own digest without loads, which only pools exchange.
+func (sp *Spreader) brief() *core.Digest {
+	di := sp.Digest()
+	di.Loads = nil
+	return di
+}
+
 // poll reads the KV's log, and at a start without the KV asks a peer instead.
 func (sp *Spreader) poll(ctx context.Context) {
 	for {
--- a/io/conf/conf.go
+++ b/io/conf/conf.go
@@ -38,6 +38,7 @@
 	VMsAddr     string      `yaml:"VMsAddr" doc:"Address of the platform's list of VMs." need:"yes"`
 
 	Endpoints []EndpointSetting `yaml:"Endpoints" doc:"The endpoints beside the process. Agents only." need:"agent"`
+	Operators []OperatorSetting `yaml:"Operators" doc:"Who may call the operators' RPC. Routers only."`
 
 	MaxBodyBytes          core.Bytes    `yaml:"MaxBodyBytes" doc:"Largest request body. Default 8388608."`
 	BodyTimeout           time.Duration `yaml:"BodyTimeout" doc:"Time a caller has to send headers and body. Default 10s."`
@@ -53,7 +54,6 @@
 	KeepChats             time.Duration `yaml:"KeepChats" doc:"How long a chat is remembered. Default 6h."`
 	KeyWindow             time.Duration `yaml:"KeyWindow" doc:"How long idempotency keys are kept; the same everywhere. Default 15m."`
 	ClaimShards           int           `yaml:"ClaimShards" doc:"Shards of the claims; the same everywhere, never changed while running. Default 64."`
-	OperatorKeyHashes     []string      `yaml:"OperatorKeyHashes" doc:"Hex SHA-256 sums of operators' keys. Routers only."`
 	LogLevel              string        `yaml:"LogLevel" doc:"debug, info, warn or error. Default info."`
 }
 
@@ -65,6 +65,12 @@
 	URL  string          `yaml:"URL" doc:"Where it listens, such as http://127.0.0.1:8000." need:"yes"`
 }
 
+// OperatorSetting is one operator that may plan and apply.
+type OperatorSetting struct {
+	Name    string `yaml:"Name" doc:"The name that accepted changes are logged under." need:"yes"`
+	KeyHash string `yaml:"KeyHash" doc:"Hex SHA-256 sum of the operator's key." need:"yes"`
+}
+
 // Kinds of endpoints.
 const (
 	KindEngine  = "Engine"
@@ -157,9 +163,9 @@
 		ch.add(ch.keys["Endpoints"], "Endpoints is missing: expected at least one endpoint")
 	}
 	ch.numbers(se)
-	for _, sum := range se.OperatorKeyHashes {
-		if raw, err := hex.DecodeString(sum); err != nil || len(raw) != 32 {
-			ch.add(ch.keys["OperatorKeyHashes"], "OperatorKeyHashes: %q is not 64 hexadecimal digits", sum)
+	for _, op := range se.Operators {
+		if raw, err := hex.DecodeString(op.KeyHash); err != nil || len(raw) != 32 || op.Name == "" {
+			ch.add(ch.lines["Operators/"+op.Name], "operator %q needs a Name, and a KeyHash of 64 hexadecimal digits", op.Name)
 		}
 	}
 	for _, ep := range se.Endpoints {
--- a/io/demo/drive.go
+++ b/io/demo/drive.go
@@ -60,7 +60,7 @@
 	if dr.Parallel == 0 {
 		dr.Parallel = 16
 	}
-	dv := &driver{fl: fl, client: &caller.Client{Key: Key, HTTP: newHTTP()}, addrs: fl.RouterAddrs()}
+	dv := &driver{fl: fl, client: &caller.Client{Key: Key, HTTP: NewHTTP()}, addrs: fl.RouterAddrs()}
 	before, start := fl.controlBytes(), time.Now()
 	stop := make(chan struct{})
 	peak := make(chan float64, 1)
@@ -79,8 +79,9 @@
 	return &dv.rep
 }
 
-func newHTTP() *http.Client {
-	return &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 256, DisableCompression: true}}
+// NewHTTP is an HTTP client for many callers at once.
+func NewHTTP() *http.Client {
+	return &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1024, DisableCompression: true}}
 }
 
 func (dv *driver) run(ctx context.Context, dr Drive) {
--- a/io/demo/fleet.go
+++ b/io/demo/fleet.go
@@ -62,23 +62,26 @@
 	Routers, Engines, Services int
 	// TokenEvery is the engines' pace; 0 means 2 ms.
 	TokenEvery time.Duration
+	// Slots is how many calls run on an engine at a time; 0 means 32.
+	Slots int
 	// CallersAddr is the first router's address for callers; "" picks a port.
 	CallersAddr string
 
-	Store     *kvsrv.Store
-	List      *vmsrv.List
-	Audit     *audit.Audit
-	Standins  []*engine.Engine
-	Plain     []*plain.Service
-	Processes []*node.Process
-	kvAddr    string
-	vmsAddr   string
-	running   sync.WaitGroup
-	mu        sync.Mutex // guards failed
-	failed    error
-	closers   []func()
-	vms       []core.VM
-	clock     clock.Wall
+	Store       *kvsrv.Store
+	List        *vmsrv.List
+	Audit       *audit.Audit
+	Standins    []*engine.Engine
+	Plain       []*plain.Service
+	Processes   []*node.Process
+	engineAddrs []string
+	kvAddr      string
+	vmsAddr     string
+	running     sync.WaitGroup
+	mu          sync.Mutex // guards failed
+	failed      error
+	closers     []func()
+	vms         []core.VM
+	clock       clock.Wall
 }
 
 // Start brings the fleet up and waits until the configuration is in force on
@@ -149,7 +152,9 @@
 // declare accepts the demo's configuration as revision 1.
 func (fl *Fleet) declare(ctx context.Context) error {
 	lo := &revlog.Log{KV: fl.Store, Clock: fl.clock, Rand: clock.NewRand(2)}
-	_, err := lo.Commit(ctx, 0, Document(), revlog.Meta{ID: "demo", Author: "demo"})
+	doc := Document()
+	doc.Pools[0].Slots = fl.Slots
+	_, err := lo.Commit(ctx, 0, doc, revlog.Meta{ID: "demo", Author: "demo"})
 	return err
 }
 
@@ -175,6 +180,7 @@
 		return err
 	}
 	fl.Standins = append(fl.Standins, en)
+	fl.engineAddrs = append(fl.engineAddrs, addr)
 	return fl.addAgent(fmt.Sprintf("engine-%02d", ix), ix, chatPool, conf.KindEngine, addr)
 }
 
@@ -203,7 +209,7 @@
 		se.CallersAddr = fl.CallersAddr
 	}
 	sum := sha256.Sum256([]byte(OperatorKey))
-	se.OperatorKeyHashes = []string{hex.EncodeToString(sum[:])}
+	se.Operators = []conf.OperatorSetting{{Name: "demo", KeyHash: hex.EncodeToString(sum[:])}}
 	return fl.add(core.RoleRouter, se, nil)
 }
 
@@ -281,6 +287,14 @@
 	return addrs
 }
 
+// OperatorsAddr is a router's address for operators.
+func (fl *Fleet) OperatorsAddr() string {
+	return fl.Processes[len(fl.Processes)-1].PeersAddr()
+}
+
+// EngineAddrs are the stand-in engines' own addresses.
+func (fl *Fleet) EngineAddrs() []string { return fl.engineAddrs }
+
 // Process finds one by name, nil if there is none.
 func (fl *Fleet) Process(name core.VMID) *node.Process {
 	for _, pr := range fl.Processes {
--- /dev/null
+++ b/io/demo/hop_test.go
@@ -0,0 +1,163 @@
+package demo_test
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"runtime"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"almondrill/core"
+	"almondrill/io/caller"
+	"almondrill/io/demo"
+	"almondrill/io/logs"
+	"almondrill/io/rpc"
+)
+
+// cost is what a piece of work took of the process.
+type cost struct {
+	cpu    time.Duration
+	allocs uint64
+}
+
+func costOf(work func()) cost {
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	start := processorTime()
+	work()
+	took := processorTime() - start
+	runtime.ReadMemStats(&after)
+	return cost{took, after.Mallocs - before.Mallocs}
+}
+
+func processorTime() time.Duration {
+	var ru syscall.Rusage
+	if syscall.Getrusage(syscall.RUSAGE_SELF, &ru) != nil {
+		return 0
+	}
+	return time.Duration(ru.Utime.Nano() + ru.Stime.Nano())
+}
+
+func hopFleet(b *testing.B, every time.Duration) *demo.Fleet {
+	b.Helper()
+	fl := &demo.Fleet{Logs: logs.Quiet(), Routers: 1, Engines: 1, Services: 1, TokenEvery: every, Slots: 512}
+	if err := fl.Start(context.Background()); err != nil {
+		b.Fatal(err)
+	}
+	b.Cleanup(func() { _ = fl.Stop() })
+	return fl
+}
+
+// streams runs that many streamed chats side by side and returns their tokens.
+func streams(b *testing.B, addr string, count, tokens int) int {
+	cl := &caller.Client{Key: demo.Key, HTTP: demo.NewHTTP()}
+	var all sync.WaitGroup
+	for n := range count {
+		all.Go(func() {
+			rs := cl.Chat(context.Background(), addr, &caller.Chat{
+				Model: demo.Model, Stream: true, MaxTokens: tokens,
+				Messages: []caller.Message{{Role: "user", Content: fmt.Sprint("stream ", n)}},
+			})
+			if rs.Outcome != core.Whole {
+				b.Errorf("%s %s %v", rs.Outcome, rs.Reason, rs.Err)
+			}
+		})
+	}
+	all.Wait()
+	return count * tokens
+}
+
+// BenchmarkTokenHop: processor time and allocations for a streamed token over
+// router and agent, per hop. The caller's and the engine's own are taken out by
+// running the same streams straight to the engine. Tokens come every 20 ms, so
+// hardly any share a part.
+func BenchmarkTokenHop(b *testing.B) {
+	for _, count := range []int{50, 100, 200} {
+		b.Run(fmt.Sprint("streams=", count), func(b *testing.B) {
+			const tokens, hops = 200, 2
+			fl := hopFleet(b, 20*time.Millisecond)
+			streams(b, fl.RouterAddrs()[0], count, 10)
+			for b.Loop() {
+				direct := costOf(func() { streams(b, fl.EngineAddrs()[0], count, tokens) })
+				through := costOf(func() { streams(b, fl.RouterAddrs()[0], count, tokens) })
+				all := float64(count * tokens * hops)
+				b.ReportMetric(float64((through.cpu-direct.cpu).Nanoseconds())/all, "ns/token")
+				b.ReportMetric(float64(int64(through.allocs)-int64(direct.allocs))/all, "allocs/token")
+			}
+		})
+	}
+}
+
+// BenchmarkRequestHop: the same for whole chats of one token, per request and hop.
+func BenchmarkRequestHop(b *testing.B) {
+	for _, count := range []int{500, 1000, 2000} {
+		b.Run(fmt.Sprint("requests=", count), func(b *testing.B) {
+			const hops, parallel = 2, 50
+			fl := hopFleet(b, 200*time.Microsecond)
+			run := func(addr string) func() {
+				return func() {
+					for range count / parallel {
+						streams(b, addr, parallel, 1)
+					}
+				}
+			}
+			run(fl.RouterAddrs()[0])()
+			for b.Loop() {
+				direct := costOf(run(fl.EngineAddrs()[0]))
+				through := costOf(run(fl.RouterAddrs()[0]))
+				all := float64(count * hops)
+				b.ReportMetric(float64((through.cpu-direct.cpu).Nanoseconds())/all, "ns/request")
+				b.ReportMetric(float64(int64(through.allocs)-int64(direct.allocs))/all, "allocs/request")
+			}
+		})
+	}
+}
+
+// BenchmarkConnection: memory for an open connection between two processes, both
+// ends together, idle after one exchange.
+func BenchmarkConnection(b *testing.B) {
+	for _, count := range []int{50, 100, 200} {
+		b.Run(fmt.Sprint("count=", count), func(b *testing.B) {
+			for b.Loop() {
+				b.ReportMetric(connectionMemory(b, count)/float64(count), "B/conn")
+			}
+		})
+	}
+}
+
+func connectionMemory(b *testing.B, count int) float64 {
+	li, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		b.Fatal(err)
+	}
+	server := &rpc.Server{Listener: li, Exchange: func(di *core.Digest) *core.Digest { return di }}
+	server.Init()
+	go func() { _ = server.Start(context.Background()) }()
+	clients := make([]*rpc.Client, count)
+	before := memoryInUse()
+	for ix := range clients {
+		clients[ix] = &rpc.Client{Addr: func(core.VMID) string { return li.Addr().String() }, MaxConns: 1}
+		if _, err := clients[ix].Exchange(context.Background(), "peer", &core.Digest{}); err != nil {
+			b.Fatal(err)
+		}
+	}
+	used := memoryInUse() - before
+	for _, cl := range clients {
+		cl.Close()
+	}
+	_ = server.Stop(context.Background())
+	return used
+}
+
+// memoryInUse is heap and stacks.
+func memoryInUse() float64 {
+	var ms runtime.MemStats
+	runtime.GC()
+	runtime.GC()
+	runtime.ReadMemStats(&ms)
+	return float64(ms.HeapInuse) + float64(ms.StackInuse)
+}
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -211,6 +211,7 @@
 		Heard: pr.spreader.Heard, Revision: pr.log.Revision,
 	}
 	if pr.Role == core.RoleRouter {
+		pr.server.Register = pr.registerOperators
 		pr.router = &router.Router{
 			Clock: pr.clock, Rand: pr.rand, Board: pr.board, Peers: pr.peers, Zone: pr.Settings.Zone,
 			Budget:  &retry.Budget{Ratio: pr.Settings.RetryRatio},
@@ -259,6 +260,9 @@
 // exchanged answers a peer's digest.
 func (pr *Process) exchanged(di *core.Digest) *core.Digest {
 	own := pr.digest()
+	if len(di.Loads) == 0 {
+		own.Loads = nil
+	}
 	pr.meter.Spend(agent.DigestSize(own))
 	if pr.agent != nil {
 		pr.agent.Hear(di)
--- a/io/node/roles.go
+++ b/io/node/roles.go
@@ -6,6 +6,7 @@
 
 	"github.com/go-kratos/kratos/v2/transport"
 	"go.uber.org/zap"
+	"google.golang.org/grpc"
 
 	"almondrill/core"
 	"almondrill/core/agent"
@@ -14,6 +15,7 @@
 	"almondrill/io/back"
 	"almondrill/io/conf"
 	"almondrill/io/front"
+	"almondrill/io/oper"
 	"almondrill/io/stats"
 )
 
@@ -28,13 +30,21 @@
 	return pr.httpServer(pr.listeners.callers, fr.Handler())
 }
 
+// registerOperators adds the operators' calls to a router's listener for peers.
+func (pr *Process) registerOperators(sr grpc.ServiceRegistrar) {
+	oper.Register(sr, &oper.Server{
+		Log: pr.log, Board: pr.board, Peers: pr.peers, Operators: pr.Settings.Operators,
+		Digest: pr.digest, Out: pr.Logs.Part("operators"),
+	})
+}
+
 // buildAgent makes an agent's core and the adapters to its endpoints.
 func (pr *Process) buildAgent() {
 	se := pr.Settings
 	pr.agent = &agent.Agent{
 		Clock: pr.clock, Rand: pr.rand, Board: pr.board, Self: se.Name, Incarnation: pr.incarnation,
 		Book:  &chats.Book{Clock: pr.clock, MaxHeld: se.MaxChats, MaxAway: se.MaxChats, KeepFor: se.KeepChats},
-		Peers: pr.peers, Sending: pr.meter.Allow,
+		Peers: pr.peers, Sending: pr.meter.Allow, Heard: pr.spreader.Heard,
 	}
 	for _, ep := range se.Endpoints {
 		pr.agent.Slots = append(pr.agent.Slots, &agent.Slot{ID: ep.Name, Pool: ep.Pool, Endpoint: pr.endpoint(ep)})
--- /dev/null
+++ b/io/oper/client.go
@@ -0,0 +1,52 @@
+package oper
+
+import (
+	"context"
+
+	"github.com/samber/oops"
+	"google.golang.org/genproto/googleapis/rpc/errdetails"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/metadata"
+	"google.golang.org/grpc/status"
+
+	"almondrill/io/opsrpc"
+)
+
+// Dial connects to a router as an operator. The caller closes the connection.
+func Dial(addr, key string) (opsrpc.OperatorsClient, func() error, error) {
+	with := func(ctx context.Context) context.Context {
+		return metadata.AppendToOutgoingContext(ctx, "authorization", "Bearer "+key)
+	}
+	conn, err := grpc.NewClient("passthrough:///"+addr,
+		grpc.WithTransportCredentials(insecure.NewCredentials()),
+		grpc.WithDisableRetry(),
+		grpc.WithUnaryInterceptor(func(ctx context.Context, method string, in, out any, cc *grpc.ClientConn, call grpc.UnaryInvoker, opts ...grpc.CallOption) error {
+			return call(with(ctx), method, in, out, cc, opts...)
+		}),
+		grpc.WithStreamInterceptor(func(ctx context.Context, desc *grpc.StreamDesc, cc *grpc.ClientConn, method string, call grpc.Streamer, opts ...grpc.CallOption) (grpc.ClientStream, error) {
+			return call(with(ctx), desc, cc, method, opts...)
+		}),
+	)
+	if err != nil {
+		return nil, nil, oops.In("dial").With("peer", addr).Wrap(err)
+	}
+	return opsrpc.NewOperatorsClient(conn), conn.Close, nil
+}
+
+// Failure is what a router's error tells.
+type Failure struct {
+	Reason, Step, Peer, Text string
+}
+
+// FailureOf reads an error of one of the operators' calls.
+func FailureOf(err error) Failure {
+	st := status.Convert(err)
+	fa := Failure{Reason: st.Code().String(), Text: st.Message()}
+	for _, de := range st.Details() {
+		if info, ok := de.(*errdetails.ErrorInfo); ok {
+			fa.Reason, fa.Step, fa.Peer = info.Reason, info.Metadata["Step"], info.Metadata["Peer"]
+		}
+	}
+	return fa
+}
--- /dev/null
+++ b/io/oper/server.go
@@ -0,0 +1,283 @@
+// Package oper carries the operators' calls of io/opsrpc: the routers' side here,
+// the commands' side in client.go.
+//
+// # Concepts
+//
+// A document travels as JSON. The routers' side checks it again, whatever the
+// client did, and hands it to the revision log, where the promises are kept.
+//
+// # Invariants
+//
+//   - Nothing is answered without a known operator's key; each call is logged
+//     with the operator's name.
+//   - Apply answers with a revision only if the KV holds the change.
+//
+// # Usage
+//
+//	oper.Register(grpcServer, &oper.Server{Log: log, Operators: names})
+package oper
+
+import (
+	"context"
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"strings"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+	"google.golang.org/genproto/googleapis/rpc/errdetails"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/metadata"
+	"google.golang.org/grpc/status"
+
+	"almondrill/core"
+	"almondrill/core/board"
+	"almondrill/core/decl"
+	"almondrill/core/revlog"
+	"almondrill/io/conf"
+	"almondrill/io/opsrpc"
+)
+
+// Server answers operators. Set the exported fields before Register.
+type Server struct {
+	Log       *revlog.Log
+	Board     *board.Board
+	Peers     core.Peers
+	Operators []conf.OperatorSetting
+	// Digest makes the message with which Status asks the processes.
+	Digest func() *core.Digest
+	Out    *zap.Logger
+
+	opsrpc.UnimplementedOperatorsServer
+}
+
+// Register adds the operators' service to a grpc server.
+func Register(sr grpc.ServiceRegistrar, se *Server) { opsrpc.RegisterOperatorsServer(sr, se) }
+
+const (
+	// askAtOnce bounds the processes that Status asks at the same time.
+	askAtOnce = 64
+	// watchEvery is how often Watch looks for a new revision.
+	watchEvery  = 100 * time.Millisecond
+	mostHistory = 1000
+)
+
+// operator names the caller; every call starts with it.
+func (se *Server) operator(ctx context.Context, step string) (string, error) {
+	md, _ := metadata.FromIncomingContext(ctx)
+	key := ""
+	if values := md.Get("authorization"); len(values) == 1 {
+		key = strings.TrimPrefix(values[0], "Bearer ")
+	}
+	sum := sha256.Sum256([]byte(key))
+	text := hex.EncodeToString(sum[:])
+	found := ""
+	for _, op := range se.Operators {
+		if subtle.ConstantTimeCompare([]byte(op.KeyHash), []byte(text)) == 1 {
+			found = op.Name
+		}
+	}
+	if found == "" {
+		return "", se.fail(codes.Unauthenticated, "BadKey", step, "no operator has this key")
+	}
+	se.Out.Info("An operator calls.", zap.String("Operator", found), zap.String("Step", step))
+	return found, nil
+}
+
+// fail makes an error with code, reason, step and peer.
+func (se *Server) fail(code codes.Code, reason, step, text string) error {
+	st := status.New(code, text)
+	with, err := st.WithDetails(&errdetails.ErrorInfo{
+		Reason: reason, Domain: "almondrill",
+		Metadata: map[string]string{"Step": step, "Peer": string(se.Board.Self.ID)},
+	})
+	if err != nil {
+		return st.Err()
+	}
+	return with.Err()
+}
+
+// document reads and checks what an operator sent.
+func (se *Server) document(step string, data []byte) (*decl.Document, error) {
+	var doc decl.Document
+	if err := json.Unmarshal(data, &doc); err != nil {
+		return nil, se.fail(codes.InvalidArgument, "BadDocument", step, "the document is not readable: "+err.Error())
+	}
+	problems := decl.Check(&doc)
+	if len(problems) == 0 {
+		return decl.Apply(&decl.Document{}, &decl.Delta{Set: doc}), nil
+	}
+	var lines []string
+	for _, pr := range problems {
+		lines = append(lines, pr.String())
+	}
+	return nil, se.fail(codes.InvalidArgument, "BadDocument", step, strings.Join(lines, "\n"))
+}
+
+// Plan tells what a document would change.
+func (se *Server) Plan(ctx context.Context, in *opsrpc.PlanCall) (*opsrpc.PlanReply, error) {
+	if _, err := se.operator(ctx, "plan"); err != nil {
+		return nil, err
+	}
+	doc, err := se.document("plan", in.Document)
+	if err != nil {
+		return nil, err
+	}
+	if err = se.Log.Refresh(ctx); err != nil {
+		return nil, se.fail(codes.Unavailable, "KVDown", "plan", err.Error())
+	}
+	current, rev := se.Log.Document()
+	return &opsrpc.PlanReply{Revision: uint64(rev), Changes: decl.Diff(current, doc).Lines()}, nil
+}
+
+// Apply has a document accepted.
+func (se *Server) Apply(ctx context.Context, in *opsrpc.ApplyCall) (*opsrpc.ApplyReply, error) {
+	who, err := se.operator(ctx, "apply")
+	if err != nil {
+		return nil, err
+	}
+	if in.ID == "" {
+		return nil, se.fail(codes.InvalidArgument, "BadCall", "apply", "a change needs an ID")
+	}
+	doc, err := se.wanted(ctx, in)
+	if err != nil {
+		return nil, err
+	}
+	before, _ := se.Log.Document()
+	rev, err := se.Log.Commit(ctx, core.Revision(in.Planned), doc, revlog.Meta{
+		ID: in.ID, Author: who, Source: in.Source, Note: in.Note,
+	})
+	if err != nil {
+		se.Out.Info("A change was not accepted.", zap.String("Operator", who), zap.String("ID", in.ID), zap.Error(err))
+		return nil, se.notAccepted(err)
+	}
+	se.Out.Info("A change was accepted.", zap.String("Operator", who), zap.String("ID", in.ID),
+		zap.Uint64("Revision", uint64(rev)), zap.String("Source", in.Source))
+	return &opsrpc.ApplyReply{Revision: uint64(rev), Changes: decl.Diff(before, doc).Lines()}, nil
+}
+
+// wanted is the document of an Apply: the one sent, or that of a revision.
+func (se *Server) wanted(ctx context.Context, in *opsrpc.ApplyCall) (*decl.Document, error) {
+	if in.Rollback == 0 {
+		return se.document("apply", in.Document)
+	}
+	doc, err := se.Log.At(ctx, core.Revision(in.Rollback))
+	if err != nil {
+		return nil, se.fail(codes.NotFound, "NoRevision", "rollback", err.Error())
+	}
+	return doc, nil
+}
+
+func (se *Server) notAccepted(err error) error {
+	var conflict *revlog.Conflict
+	var uncertain *revlog.Uncertain
+	switch {
+	case errors.As(err, &conflict):
+		return se.fail(codes.Aborted, "Conflict", "apply", err.Error())
+	case errors.As(err, &uncertain):
+		return se.fail(codes.DeadlineExceeded, "Uncertain", "apply", err.Error())
+	}
+	return se.fail(codes.Unavailable, "NotAccepted", "apply", err.Error())
+}
+
+// Get returns a document.
+func (se *Server) Get(ctx context.Context, in *opsrpc.GetCall) (*opsrpc.GetReply, error) {
+	if _, err := se.operator(ctx, "get"); err != nil {
+		return nil, err
+	}
+	doc, rev := se.Log.Document()
+	if in.Revision != 0 && core.Revision(in.Revision) != rev {
+		var err error
+		rev = core.Revision(in.Revision)
+		if doc, err = se.Log.At(ctx, rev); err != nil {
+			return nil, se.fail(codes.NotFound, "NoRevision", "get", err.Error())
+		}
+	}
+	data, err := json.Marshal(doc)
+	if err != nil {
+		return nil, se.fail(codes.Internal, "Encoding", "get", err.Error())
+	}
+	return &opsrpc.GetReply{Revision: uint64(rev), Document: data}, nil
+}
+
+// History lists accepted changes.
+func (se *Server) History(ctx context.Context, in *opsrpc.HistoryCall) (*opsrpc.HistoryReply, error) {
+	if _, err := se.operator(ctx, "history"); err != nil {
+		return nil, err
+	}
+	out := &opsrpc.HistoryReply{}
+	for _, de := range se.Log.History(ctx, min(mostHistory, max(1, int(in.Most)))) {
+		out.Changes = append(out.Changes, &opsrpc.Change{
+			Revision: uint64(de.Revision), ID: de.ID, Author: de.Author, Source: de.Source, Note: de.Note,
+			AtUnixMillis: de.At.UnixMilli(), Lines: de.Lines(),
+		})
+	}
+	return out, nil
+}
+
+// Status asks every process which revision it has in force.
+func (se *Server) Status(ctx context.Context, _ *opsrpc.StatusCall) (*opsrpc.StatusReply, error) {
+	if _, err := se.operator(ctx, "status"); err != nil {
+		return nil, err
+	}
+	sn := se.Board.Snapshot()
+	out := &opsrpc.StatusReply{Newest: uint64(se.Log.Revision())}
+	for _, vm := range sn.Routers {
+		out.Processes = append(out.Processes, &opsrpc.ProcessStatus{VM: string(vm), Role: string(core.RoleRouter)})
+	}
+	for _, vm := range sn.Agents {
+		out.Processes = append(out.Processes, &opsrpc.ProcessStatus{VM: string(vm), Role: string(core.RoleAgent)})
+	}
+	var asking sync.WaitGroup
+	slots := make(chan struct{}, askAtOnce)
+	for _, ps := range out.Processes {
+		slots <- struct{}{}
+		asking.Go(func() {
+			se.ask(ctx, ps)
+			<-slots
+		})
+	}
+	asking.Wait()
+	for _, ps := range out.Processes {
+		out.Newest = max(out.Newest, ps.Revision)
+	}
+	return out, nil
+}
+
+func (se *Server) ask(ctx context.Context, ps *opsrpc.ProcessStatus) {
+	if core.VMID(ps.VM) == se.Board.Self.ID {
+		ps.Revision = uint64(se.Log.Revision())
+		return
+	}
+	di, err := se.Peers.Exchange(ctx, core.VMID(ps.VM), se.Digest())
+	if err != nil {
+		ps.Problem = err.Error()
+		return
+	}
+	ps.Revision, ps.Draining = uint64(di.Revision), di.Draining
+}
+
+// Watch sends revisions as they are adopted here.
+func (se *Server) Watch(_ *opsrpc.WatchCall, st grpc.ServerStreamingServer[opsrpc.WatchReply]) error {
+	ctx := st.Context()
+	if _, err := se.operator(ctx, "watch"); err != nil {
+		return err
+	}
+	var last core.Revision
+	for {
+		if rev := se.Log.Revision(); rev > last {
+			last = rev
+			if err := st.Send(&opsrpc.WatchReply{Revision: uint64(rev)}); err != nil {
+				return err
+			}
+		}
+		if err := se.Log.Clock.Sleep(ctx, watchEvery); err != nil {
+			return nil //nolint:nilerr // the operator left
+		}
+	}
+}
--- a/io/stand/inmem/fleet.go
+++ b/io/stand/inmem/fleet.go
@@ -58,6 +58,9 @@
 func (me *Member) exchanged(di *core.Digest) *core.Digest {
 	me.Spreader.Heard(di.From, di.Revision)
 	own := me.digest()
+	if len(di.Loads) == 0 {
+		own.Loads = nil
+	}
 	me.Meter.Spend(agent.DigestSize(own))
 	if me.Agent != nil {
 		me.Agent.Hear(di)
@@ -160,7 +163,7 @@
 		Clock: fl.Clock, Rand: fl.Rand, Board: me.Board, Self: me.ID, Incarnation: me.incarnation,
 		Slots: []*agent.Slot{{ID: core.EndpointID(name), Pool: fl.Pool, Endpoint: en}},
 		Book:  &chats.Book{Clock: fl.Clock, MaxHeld: 20000, MaxAway: 20000, KeepFor: time.Hour},
-		Keys:  me.Keys, Peers: port{fl.Net, me.ID}, Sending: me.Meter.Allow,
+		Keys:  me.Keys, Peers: port{fl.Net, me.ID}, Sending: me.Meter.Allow, Heard: me.Spreader.Heard,
 	}
 	me.Agent.Init()
 	en.evicted = func(key uint64) { me.Agent.Book.Evicted(core.EndpointID(name), en.nextEvent(), key) }
--- a/io/stand/inmem/net.go
+++ b/io/stand/inmem/net.go
@@ -22,6 +22,7 @@
 	"time"
 
 	"almondrill/core"
+	"almondrill/core/meter"
 )
 
 // Net is the fake network. Set the exported fields before use.
@@ -35,8 +36,8 @@
 	members map[core.VMID]*Member
 	cuts    map[[2]core.VMID]bool
 	lose    float64
-	bytes   core.Bytes
 	calls   int64
+	fetched core.Bytes
 }
 
 var errCut = errors.New("inmem: no way to the peer")
@@ -156,7 +157,29 @@
 	if err != nil {
 		return nil, err
 	}
-	return me.Log.Since(since)
+	ch, err := me.Log.Since(since)
+	if err == nil {
+		po.net.countFetch(ch)
+	}
+	return ch, err
+}
+
+// countFetch adds up the configuration that travels between members.
+func (ne *Net) countFetch(ch *core.Changes) {
+	size := len(ch.Snapshot)
+	for _, de := range ch.Deltas {
+		size += len(de)
+	}
+	ne.mu.Lock()
+	defer ne.mu.Unlock()
+	ne.fetched += core.Bytes(size) + 2*meter.Overhead
+}
+
+// Fetched is the configuration sent between members so far, with its overhead.
+func (ne *Net) Fetched() core.Bytes {
+	ne.mu.Lock()
+	defer ne.mu.Unlock()
+	return ne.fetched
 }
 
 // Place tells a home.
