--- a/cmd/almondrill/main.go
+++ b/cmd/almondrill/main.go
@@ -24,6 +24,7 @@
 	cd.Register(&processCommand{role: "router"}, "processes")
 	cd.Register(&processCommand{role: "agent"}, "processes")
 	cd.Register(&demoCommand{}, "trying out")
+	cd.Register(&loadCommand{}, "trying out")
 	cd.Register(&checkCommand{}, "operators")
 	cd.Register(&planCommand{}, "operators")
 	cd.Register(&applyCommand{}, "operators")
--- a/cmd/almondrill/operator.go
+++ b/cmd/almondrill/operator.go
@@ -208,7 +208,7 @@
 	to      uint64
 }
 
-func (*rollbackCommand) Name() string { return "rollback" }
+func (*rollbackCommand) Name() string     { return "rollback" }
 func (*rollbackCommand) Synopsis() string { return "have an earlier revision's content accepted anew" }
 
 func (*rollbackCommand) Usage() string {
--- /dev/null
+++ b/cmd/capac/main.go
@@ -0,0 +1,55 @@
+// Capac makes docs/CAPACITY.md. With -figures it first reads benchmarks' output
+// from standard input and writes the figures; see .ci/measure.
+package main
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"path/filepath"
+
+	"almondrill/io/capac"
+)
+
+func main() {
+	docs := flag.String("page", "docs", "folder of the page")
+	figures := flag.Bool("figures", false, "read new figures from standard input")
+	flag.Parse()
+	if err := run(*docs, *figures); err != nil {
+		fmt.Fprintln(os.Stderr, "capac:", err)
+		os.Exit(1)
+	}
+}
+
+func run(docs string, figures bool) error {
+	file := filepath.Join(docs, "capacity.json")
+	if figures {
+		fi, err := capac.Read(os.Stdin)
+		if err != nil {
+			return err
+		}
+		if err = fi.Save(file); err != nil {
+			return err
+		}
+	}
+	fi, err := capac.Load(file)
+	if err != nil {
+		return err
+	}
+	words, err := os.ReadFile(filepath.Join(docs, "capacity.tmpl"))
+	if err != nil {
+		return err
+	}
+	page, err := capac.Page(fi, string(words))
+	if err != nil {
+		return err
+	}
+	if err = os.WriteFile(filepath.Join(docs, "CAPACITY.md"), []byte(page), 0o644); err != nil {
+		return err
+	}
+	picture, err := capac.Picture(fi)
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(filepath.Join(docs, "capacity.svg"), picture, 0o644)
+}
--- a/core/board/board.go
+++ b/core/board/board.go
@@ -69,6 +69,8 @@
 	// Ring is Members for placement; Near those of the process's own region.
 	Ring []ring.Member
 	Near []int32
+	// Even is set where all weights are equal.
+	Even bool
 	// Ramping is set where some member has an Allowance below 1.
 	Ramping bool
 	byVM    map[core.VMID]int
@@ -280,6 +282,9 @@
 			bo.addToPools(sn, us)
 		}
 	}
+	for _, po := range sn.Pools {
+		po.Even = ring.Even(po.Ring)
+	}
 	bo.snap.Store(sn)
 	if bo.Published != nil {
 		bo.Published(sn)
--- a/core/claim/ask.go
+++ b/core/claim/ask.go
@@ -41,7 +41,7 @@
 // keeperOf names the agent that rendezvous hashing gives the shard to.
 func (as *Asker) keeperOf(shard int) core.VMID {
 	sn := as.Board.Snapshot()
-	ix := ring.Best(sn.AgentRing, ring.Mix(uint64(shard)+1, claimSalt))
+	ix := ring.Best(sn.AgentRing, ring.Mix(uint64(shard)+1, claimSalt), true)
 	if ix < 0 {
 		return ""
 	}
--- a/core/pick/pick.go
+++ b/core/pick/pick.go
@@ -102,7 +102,7 @@
 	po := se.Pool
 	if len(po.Near) == len(po.Members) || len(po.Near) == 0 {
 		if !po.Ramping {
-			return ring.Best(po.Ring, se.Key)
+			return ring.Best(po.Ring, se.Key, po.Even)
 		}
 	}
 	return se.nextHome()
--- a/core/ring/ring.go
+++ b/core/ring/ring.go
@@ -9,7 +9,7 @@
 //
 // # Usage
 //
-//	home := ring.Best(members, ring.Key(customer, pool, chat))
+//	home := ring.Best(members, ring.Key(customer, pool, chat), ring.Even(members))
 package ring
 
 import (
@@ -51,11 +51,11 @@
 	return -me.Weight / math.Log(uniform)
 }
 
-// Best is the index of the key's home among members, -1 if there is none.
-// Equal weights, the common case, need no logarithm.
-func Best(members []Member, key uint64) int {
-	if !evenWeights(members) {
-		return bestWeighted(members, key)
+// Best is the index of the key's home among members, -1 if there is none. With
+// even set, all weights are equal, the common case, and no logarithm is needed.
+func Best(members []Member, key uint64, even bool) int {
+	if !even {
+		return Next(members, key, func(int) bool { return false })
 	}
 	best := -1
 	var high uint64
@@ -82,18 +82,8 @@
 	return best
 }
 
-func bestWeighted(members []Member, key uint64) int {
-	best := -1
-	var high float64
-	for ix := range members {
-		if score := Score(members[ix], key); best < 0 || score > high {
-			best, high = ix, score
-		}
-	}
-	return best
-}
-
-func evenWeights(members []Member) bool {
+// Even tells whether all weights are equal.
+func Even(members []Member) bool {
 	for ix := 1; ix < len(members); ix++ {
 		if members[ix].Weight != members[0].Weight {
 			return false
--- a/core/trial/work_test.go
+++ b/core/trial/work_test.go
@@ -228,7 +228,7 @@
 
 func hashing(_ *workload, me *inmem.Member, key uint64) core.VMID {
 	po := me.Board.Snapshot().Pools[poolID]
-	return po.Members[ring.Best(po.Ring, key)].VM
+	return po.Members[ring.Best(po.Ring, key, po.Even)].VM
 }
 
 // leastLoaded knows what agents' answers have told the router, as routers do.
--- /dev/null
+++ b/io/capac/capac_test.go
@@ -0,0 +1,79 @@
+package capac_test
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"almondrill/io/capac"
+)
+
+const docs = "../../docs"
+
+// The page and the committed figures must not drift apart: whoever changes one
+// runs .ci/measure, or go run ./cmd/capac, for the other.
+func TestPageMatchesFigures(t *testing.T) {
+	fi, err := capac.Load(filepath.Join(docs, "capacity.json"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	words, err := os.ReadFile(filepath.Join(docs, "capacity.tmpl"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	want, err := capac.Page(fi, string(words))
+	if err != nil {
+		t.Fatal(err)
+	}
+	page, err := os.ReadFile(filepath.Join(docs, "CAPACITY.md"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if string(page) != want {
+		t.Error("docs/CAPACITY.md is stale; run: go run ./cmd/capac")
+	}
+	if _, err = capac.Picture(fi); err != nil {
+		t.Error(err)
+	}
+}
+
+// Every figure of the page is fitted through at least three sizes, but for those
+// that have no size.
+func TestRowsHaveThreeSizes(t *testing.T) {
+	fi, err := capac.Load(filepath.Join(docs, "capacity.json"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, ro := range capac.Rows {
+		if _, single := fi.Results[ro.Prefix]; single {
+			continue
+		}
+		sizes := 0
+		for name, units := range fi.Results {
+			if _, measured := units[ro.Metric]; measured && strings.HasPrefix(name, ro.Prefix) && strings.HasSuffix(name, ro.Suffix) {
+				sizes++
+			}
+		}
+		if sizes < 3 {
+			t.Errorf("%s, %s: %d sizes", ro.Role, ro.What, sizes)
+		}
+	}
+}
+
+// Benchmark output is read by name and unit, and repeated runs count once.
+func TestReadBenchmarks(t *testing.T) {
+	in := "cpu: test\nBenchmarkX/n=1-8 1 5 ns/op 7 B/s/node\nBenchmarkX/n=1-8 1 5 ns/op 9 B/s/node\nBenchmarkX/n=1-8 1 5 ns/op 8 B/s/node\n"
+	fi, err := capac.Read(strings.NewReader(in))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for name, units := range fi.Results {
+		if !strings.HasPrefix(name, "X/n=1") || units["B/s/node"] != 8 {
+			t.Errorf("%s: %v", name, units)
+		}
+	}
+	if fi.Machine.Processor != "test" || len(fi.Results) != 1 {
+		t.Errorf("%+v", fi)
+	}
+}
--- /dev/null
+++ b/io/capac/page.go
@@ -0,0 +1,190 @@
+package capac
+
+import (
+	"bytes"
+	"fmt"
+	"math"
+	"strings"
+	"text/template"
+
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/vg"
+	"gonum.org/v1/plot/vg/draw"
+	"gonum.org/v1/plot/vg/vgsvg"
+)
+
+// worked is a Row with its figures.
+type worked struct {
+	Row
+	points []point
+	fit    line
+	figure float64
+}
+
+// near is the part of a budget from which a figure counts as near the line.
+const near = 0.6
+
+func work(fi *Figures, ro Row) worked {
+	wo := worked{Row: ro, points: fi.points(ro.Prefix, ro.Suffix, ro.Metric)}
+	if units, whole := fi.Results[ro.Prefix]; whole {
+		wo.points = append(wo.points, point{1, units[ro.Metric]})
+	}
+	wo.fit = fit(wo.points)
+	wo.figure = wo.value() * ro.Times
+	return wo
+}
+
+// value is the figure at the target in the benchmark's own unit. A size that was
+// measured itself needs no line.
+func (wo *worked) value() float64 {
+	if len(wo.points) == 0 {
+		return math.NaN()
+	}
+	if wo.Mean {
+		sum := 0.0
+		for _, pt := range wo.points {
+			sum += pt.value
+		}
+		return sum / float64(len(wo.points))
+	}
+	for _, pt := range wo.points {
+		if pt.size == wo.At {
+			return pt.value
+		}
+	}
+	return wo.fit.at(wo.At)
+}
+
+func (wo *worked) ratio() float64 {
+	if wo.Budget == 0 {
+		return math.NaN()
+	}
+	return wo.figure / wo.Budget
+}
+
+func (wo *worked) verdict() string {
+	ratio := wo.ratio()
+	switch {
+	case math.IsNaN(wo.figure):
+		return "not measured"
+	case math.IsNaN(ratio):
+		return "no budget"
+	case ratio > 1:
+		return "**over**"
+	case ratio > near:
+		return "near the line"
+	}
+	return "fits"
+}
+
+func (wo *worked) slope() string {
+	var parts []string
+	for _, pt := range wo.points {
+		if len(wo.points) == 1 {
+			return number(pt.value)
+		}
+		parts = append(parts, fmt.Sprintf("%s at %s", number(pt.value), number(pt.size)))
+	}
+	text := strings.Join(parts, ", ")
+	switch {
+	case len(wo.points) < 2:
+		return text
+	case wo.Mean:
+		return text + "; mean"
+	}
+	return fmt.Sprintf("%s; %s + %s a unit, off by at most %.0f %%", text, number(wo.fit.base), number(wo.fit.slope), 100*wo.fit.residual)
+}
+
+func number(value float64) string {
+	switch size := math.Abs(value); {
+	case math.IsNaN(value):
+		return "–"
+	case size >= 100:
+		return fmt.Sprintf("%.0f", value)
+	case size >= 1:
+		return fmt.Sprintf("%.2f", value)
+	}
+	return fmt.Sprintf("%.3g", value)
+}
+
+// Page makes the page's tables, to stand between its words.
+func Page(fi *Figures, words string) (string, error) {
+	tm, err := template.New("page").Parse(words)
+	if err != nil {
+		return "", fmt.Errorf("read the page's words: %w", err)
+	}
+	var out bytes.Buffer
+	err = tm.Execute(&out, map[string]string{
+		"Machine": fmt.Sprintf("%s, %d cores, %s, %s", fi.Machine.Processor, fi.Machine.Cores, fi.Machine.OS, fi.Machine.Go),
+		"Over":    overs(fi),
+		"Table":   table(fi),
+	})
+	return out.String(), err
+}
+
+func overs(fi *Figures) string {
+	var out strings.Builder
+	for _, ro := range Rows {
+		wo := work(fi, ro)
+		if ratio := wo.ratio(); ratio > near || math.IsNaN(wo.figure) {
+			fmt.Fprintf(&out, "- %s, %s: %s %s of %s (%s)\n", ro.Role, ro.What, number(wo.figure), ro.Unit, number(ro.Budget), wo.verdict())
+		}
+	}
+	return strings.TrimSpace(out.String())
+}
+
+func table(fi *Figures) string {
+	var out strings.Builder
+	out.WriteString("| role | what | measured | at the target | budget | ratio | verdict | mechanism | benchmark | notes |\n")
+	out.WriteString("|---|---|---|---|---|---|---|---|---|---|\n")
+	for _, ro := range Rows {
+		wo := work(fi, ro)
+		fmt.Fprintf(&out, "| %s | %s | %s %s | %s %s | %s | %s | %s | `%s` | `%s` | %s |\n",
+			ro.Role, ro.What, wo.slope(), ro.Metric, number(wo.figure), ro.Unit, budgetText(ro), number(wo.ratio()),
+			wo.verdict(), ro.Mechanism, ro.Prefix+"*"+ro.Suffix, ro.Note)
+	}
+	return strings.TrimSpace(out.String())
+}
+
+func budgetText(ro Row) string {
+	if ro.Budget == 0 {
+		return "–"
+	}
+	return number(ro.Budget) + " " + ro.Unit
+}
+
+// Picture plots each figure against its budget, on a scale of parts of it.
+func Picture(fi *Figures) ([]byte, error) {
+	var values plotter.Values
+	var names []string
+	for _, ro := range Rows {
+		wo := work(fi, ro)
+		if ratio := wo.ratio(); !math.IsNaN(ratio) {
+			values = append(values, ratio)
+			names = append(names, ro.Role+": "+ro.What)
+		}
+	}
+	pl := plot.New()
+	pl.Title.Text = "Figure at the target over its budget"
+	pl.X.Label.Text = "1 is the budget"
+	bars, err := plotter.NewBarChart(values, vg.Points(9))
+	if err != nil {
+		return nil, fmt.Errorf("plot: %w", err)
+	}
+	bars.Horizontal = true
+	limit, err := plotter.NewLine(plotter.XYs{{X: 1, Y: -0.5}, {X: 1, Y: float64(len(values)) - 0.5}})
+	if err != nil {
+		return nil, fmt.Errorf("plot: %w", err)
+	}
+	limit.Width = vg.Points(2)
+	pl.Add(bars, limit)
+	pl.NominalY(names...)
+	canvas := vgsvg.New(vg.Points(760), vg.Points(float64(60+18*len(values))))
+	pl.Draw(draw.New(canvas))
+	var out bytes.Buffer
+	if _, err = canvas.WriteTo(&out); err != nil {
+		return nil, fmt.Errorf("plot: %w", err)
+	}
+	return out.Bytes(), nil
+}
--- a/io/demo/hop_test.go
+++ b/io/demo/hop_test.go
@@ -13,6 +13,7 @@
 	"almondrill/core"
 	"almondrill/io/caller"
 	"almondrill/io/demo"
+	"almondrill/io/load"
 	"almondrill/io/logs"
 	"almondrill/io/rpc"
 )
@@ -161,3 +162,55 @@
 	runtime.ReadMemStats(&ms)
 	return float64(ms.HeapInuse) + float64(ms.StackInuse)
 }
+
+// BenchmarkAdded: what router and agent add to a whole chat of one token at 1,000
+// requests a second, in milliseconds, against the same load straight to the same
+// engines.
+func BenchmarkAdded(b *testing.B) {
+	for _, rate := range []float64{250, 500, 1000} {
+		b.Run(fmt.Sprint("rate=", rate), func(b *testing.B) {
+			fl := &demo.Fleet{Logs: logs.Quiet(), Routers: 1, Engines: 1, Services: 1, TokenEvery: 2 * time.Millisecond, Slots: 512}
+			if err := fl.Start(context.Background()); err != nil {
+				b.Fatal(err)
+			}
+			defer func() { _ = fl.Stop() }()
+			plan := load.Plan{
+				Key: demo.Key, Model: demo.Model, Rate: rate, Duration: 4 * time.Second, Chats: 200, MaxTokens: 1, Seed: 1,
+			}
+			for b.Loop() {
+				plan.Addr = fl.EngineAddrs()[0]
+				direct := load.Run(context.Background(), plan)
+				plan.Addr = fl.RouterAddrs()[0]
+				through := load.Run(context.Background(), plan)
+				if through.Outcomes["Whole"] != through.Sent {
+					b.Errorf("%v %v", through.Outcomes, through.Reasons)
+				}
+				b.ReportMetric(through.WholeAnswer.P50-direct.WholeAnswer.P50, "added-p50-ms")
+				b.ReportMetric(through.WholeAnswer.P99-direct.WholeAnswer.P99, "added-p99-ms")
+			}
+		})
+	}
+}
+
+// BenchmarkIdle: what a process costs with nothing to do but control, over real
+// sockets, all processes of a fleet in one program.
+func BenchmarkIdle(b *testing.B) {
+	for _, agents := range []int{8, 16, 32} {
+		b.Run(fmt.Sprint("processes=", agents+agents/4+1), func(b *testing.B) {
+			before := memoryInUse()
+			fl := &demo.Fleet{Logs: logs.Quiet(), Routers: agents / 4, Engines: agents, Services: 1}
+			if err := fl.Start(context.Background()); err != nil {
+				b.Fatal(err)
+			}
+			defer func() { _ = fl.Stop() }()
+			time.Sleep(2 * time.Second)
+			for b.Loop() {
+				const seconds = 5
+				took := costOf(func() { time.Sleep(seconds * time.Second) })
+				processes := float64(len(fl.Processes))
+				b.ReportMetric(100*took.cpu.Seconds()/seconds/processes, "core-%")
+				b.ReportMetric((memoryInUse()-before)/processes, "B/process")
+			}
+		})
+	}
+}
