Failure tests of the decisions, with history checking of the whole core

Cause: nothing showed that the promises hold when VMs die, return, leave, ways are cut, answers are lost and the KV fails, singly and together.

Conclusion: they hold in these histories; a 30 s pause of a process and late load reports are not yet induced.

--- a/core/board/board.go
+++ b/core/board/board.go
@@ -26,6 +26,8 @@
 
 import (
 	"context"
+	"slices"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -73,7 +75,6 @@
 	Even bool
 	// Ramping is set where some member has an Allowance below 1.
 	Ramping bool
-	byVM    map[core.VMID]int
 }
 
 // Member is one VM of a pool.
@@ -89,12 +90,16 @@
 	Load *loads.Gauge
 }
 
-// Index finds a VM in the pool, -1 if it is not there.
+// Index finds a VM in the pool, whose members are in order of their names; -1 if
+// it is not there.
 func (po *Pool) Index(vm core.VMID) int {
-	if ix, known := po.byVM[vm]; known {
-		return ix
+	ix, found := slices.BinarySearchFunc(po.Members, vm, func(me Member, vm core.VMID) int {
+		return strings.Compare(string(me.VM), string(vm))
+	})
+	if !found {
+		return -1
 	}
-	return -1
+	return ix
 }
 
 // VMs lists the pool's members in order of their names.
@@ -295,7 +300,7 @@
 	for _, id := range us.VM.Pools {
 		po := sn.Pools[id]
 		if po == nil {
-			po = &Pool{byVM: map[core.VMID]int{}}
+			po = &Pool{}
 			if bo.config != nil {
 				po.Group = bo.config.Group(id)
 			}
@@ -311,7 +316,6 @@
 
 func (po *Pool) add(us member.Usable, me Member, near bool) {
 	ix := len(po.Members)
-	po.byVM[me.VM] = ix
 	po.Members = append(po.Members, me)
 	weight := us.VM.Weight
 	if weight <= 0 {
--- /dev/null
+++ b/core/member/member_test.go
@@ -0,0 +1,121 @@
+package member_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"almondrill/core"
+	"almondrill/core/member"
+	"almondrill/io/clock"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func table(count int) *member.Table {
+	ta := &member.Table{Rand: clock.NewRand(1)}
+	ta.Listed(listed(count, core.VMLive), start)
+	return ta
+}
+
+func listed(count int, st core.VMState) []core.VM {
+	var vms []core.VM
+	for n := range count {
+		vms = append(vms, core.VM{ID: id(n), Role: core.RoleAgent, Pools: []core.PoolID{"chat"}, State: st})
+	}
+	return vms
+}
+
+func id(n int) core.VMID { return core.VMID(fmt.Sprint("agent-", n)) }
+
+// The platform's list, out of order for a moment, drops most of a pool. Taking it
+// at its word would refuse everybody; the VMs stay usable for a minute, in which
+// the list usually recovers, and are gone after it if it does not.
+func TestListThatDropsMostIsDoubted(t *testing.T) {
+	ta := table(8)
+	ta.Listed(listed(6, core.VMGone), start)
+	if got := len(ta.Usable(start.Add(time.Second))); got != 8 {
+		t.Errorf("%d usable right after, want 8", got)
+	}
+	ta.Listed(listed(3, core.VMLive), start.Add(30*time.Second))
+	if got := len(ta.Usable(start.Add(2 * time.Minute))); got != 5 {
+		t.Errorf("%d usable after two minutes, want the 3 back and the 2 never dropped", got)
+	}
+}
+
+// One VM of many goes: it is dropped at once.
+func TestListThatDropsOneIsBelieved(t *testing.T) {
+	ta := table(8)
+	ta.Listed(listed(1, core.VMGone), start)
+	if got := len(ta.Usable(start)); got != 7 {
+		t.Errorf("%d usable, want 7", got)
+	}
+}
+
+// A router's own link fails, so it reaches nobody. It doubts its view, not the
+// pool: all stay usable, marked as suspect, so that calls go on being tried.
+func TestAllSuspectsStayUsable(t *testing.T) {
+	ta := table(6)
+	for n := range 2 {
+		ta.Traffic(id(n), false, start)
+	}
+	if got := len(ta.Usable(start)); got != 4 {
+		t.Errorf("%d usable with 2 suspects, want 4", got)
+	}
+	for n := range 6 {
+		ta.Traffic(id(n), false, start)
+	}
+	if got := ta.Usable(start); len(got) != 6 || !got[0].Suspect {
+		t.Errorf("%+v", got)
+	}
+}
+
+// An engine flaps. Each return is more gradual than the one before; the first
+// failure costs it nothing once it is back.
+func TestFlappingVMComesBackGradually(t *testing.T) {
+	ta := table(4)
+	now := start
+	allowance := func() float64 {
+		for _, us := range ta.Usable(now) {
+			if us.VM.ID == id(0) {
+				return us.Allowance
+			}
+		}
+		return 0
+	}
+	ta.Traffic(id(0), false, now)
+	if allowance() != 0 {
+		t.Error("a VM that cannot be reached gets work")
+	}
+	now = now.Add(5 * time.Second)
+	ta.Traffic(id(0), true, now)
+	if allowance() != 1 {
+		t.Errorf("after one failure: %.2f", allowance())
+	}
+	last := 1.0
+	for range 3 {
+		ta.Traffic(id(0), false, now)
+		now = now.Add(time.Minute)
+		ta.Traffic(id(0), true, now)
+		now = now.Add(5 * time.Second)
+		if got := allowance(); got >= last || got <= 0 {
+			t.Errorf("allowance %.2f after %.2f", got, last)
+		} else {
+			last = got
+		}
+	}
+}
+
+// An agent announced that it drains and was then replaced under the same name:
+// the new process gets work though the list never changed.
+func TestDrainingBelongsToAnIncarnation(t *testing.T) {
+	ta := table(3)
+	ta.Announced(id(0), 1, true, start)
+	if got := len(ta.Usable(start)); got != 2 {
+		t.Errorf("%d usable while one drains", got)
+	}
+	ta.Announced(id(0), 2, false, start)
+	if got := len(ta.Usable(start)); got != 3 {
+		t.Errorf("%d usable after its restart", got)
+	}
+}
--- a/core/pick/pick.go
+++ b/core/pick/pick.go
@@ -108,9 +108,17 @@
 	return se.nextHome()
 }
 
-// nextHome walks the rendezvous order past tried members, those of other
-// regions and those whose Allowance leaves this key out.
+// nextHome walks the rendezvous order past tried members and those of other
+// regions, and past those whose Allowance leaves this key out, unless that leaves
+// nobody: when a whole pool has come back, all of it is being readmitted.
 func (se *Search) nextHome() int {
+	if best := se.nextOf(true); best >= 0 {
+		return best
+	}
+	return se.nextOf(false)
+}
+
+func (se *Search) nextOf(heedAllowance bool) int {
 	po := se.Pool
 	best := -1
 	var high float64
@@ -122,7 +130,7 @@
 			isNear = true
 			near++
 		}
-		if se.was(ix) || !allowed(&po.Members[ix], po.Ring[ix].Hash, se.Key) {
+		if se.was(ix) || (heedAllowance && !allowed(&po.Members[ix], po.Ring[ix].Hash, se.Key)) {
 			continue
 		}
 		score := ring.Score(po.Ring[ix], se.Key)
--- /dev/null
+++ b/core/retry/retry_test.go
@@ -0,0 +1,41 @@
+package retry_test
+
+import (
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"almondrill/core"
+	"almondrill/core/retry"
+)
+
+// A back end fails every call. However customers behave, retries stay within a
+// tenth of first attempts and a small reserve, for each and for all.
+func TestRetriesStayWithinTheBudget(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		bu := &retry.Budget{Ratio: 0.1}
+		firsts, retries := map[core.CustomerID]int{}, map[core.CustomerID]int{}
+		allFirsts, allRetries := 0, 0
+		for range rapid.IntRange(1, 400).Draw(rt, "calls") {
+			cu := core.CustomerID(rapid.SampledFrom([]string{"a", "b", "c"}).Draw(rt, "customer"))
+			if rapid.Bool().Draw(rt, "first") {
+				bu.First(cu)
+				firsts[cu]++
+				allFirsts++
+				continue
+			}
+			if bu.Retry(cu) {
+				retries[cu]++
+				allRetries++
+			}
+		}
+		for cu, count := range retries {
+			if float64(count) > 3.001+0.1*float64(firsts[cu]) {
+				rt.Fatalf("%s: %d retries for %d", cu, count, firsts[cu])
+			}
+		}
+		if float64(allRetries) > 10.001+0.1*float64(allFirsts) {
+			rt.Fatalf("%d retries for %d", allRetries, allFirsts)
+		}
+	})
+}
--- a/core/trial/control_test.go
+++ b/core/trial/control_test.go
@@ -40,7 +40,7 @@
 					before, start := sent(fl), time.Now()
 					time.Sleep(20 * time.Second)
 					agents := sent(fl) - before
-					b.ReportMetric(float64(agents)/time.Since(start).Seconds()/float64(len(fl.Members)), "B/s/node")
+					b.ReportMetric(float64(agents)/time.Since(start).Seconds()/float64(len(fl.All())), "B/s/node")
 				})
 			}
 		})
@@ -49,7 +49,7 @@
 
 func sent(fl *inmem.Fleet) core.Bytes {
 	var sum core.Bytes
-	for _, me := range fl.Members {
+	for _, me := range fl.All() {
 		sum += me.Meter.Sent()
 	}
 	return sum
@@ -106,15 +106,15 @@
 	start := time.Now()
 	var times []float64
 	done := map[core.VMID]bool{}
-	for len(done) < len(fl.Members) {
-		for _, me := range fl.Members {
+	for len(done) < len(fl.All()) {
+		for _, me := range fl.All() {
 			if !done[me.ID] && me.Log.Revision() >= rev {
 				done[me.ID] = true
 				times = append(times, time.Since(start).Seconds())
 			}
 		}
 		if time.Since(start) > time.Minute {
-			t.Fatalf("%d of %d have revision %d after a minute", len(done), len(fl.Members), rev)
+			t.Fatalf("%d of %d have revision %d after a minute", len(done), len(fl.All()), rev)
 		}
 		time.Sleep(5 * time.Millisecond)
 	}
--- /dev/null
+++ b/core/trial/failure_test.go
@@ -0,0 +1,289 @@
+package trial_test
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"almondrill/core"
+	"almondrill/io/stand/inmem"
+	"almondrill/io/stand/kvsrv"
+)
+
+func (st *stage) ran() int {
+	sum := 0
+	for _, me := range st.fl.All() {
+		for _, en := range me.Engines {
+			sum += en.Ran()
+		}
+	}
+	return sum
+}
+
+// A VM is about to be replaced. Its own process sees the mark at once, half of
+// the routers only 5 s later. They go on sending; the agent refuses, and callers
+// are served by others. From 3 s on nothing new runs there, though lists lag.
+func TestLeavingAgentGetsNothingNew(t *testing.T) {
+	onStage(t, 1, func(st *stage) {
+		leaver := st.fl.LiveAgents()[0]
+		var all sync.WaitGroup
+		all.Go(func() { st.callers(6, 20*time.Second) })
+		time.Sleep(5 * time.Second)
+		st.fl.SetState(leaver, core.VMLeaving)
+		time.Sleep(3 * time.Second)
+		before := leaver.Engines[0].Ran()
+		all.Wait()
+		if after := leaver.Engines[0].Ran(); before == 0 || after != before {
+			t.Errorf("%d calls ran by 3 s after the mark, %d in the end", before, after)
+		}
+		if st.counts[core.NotRun]+st.counts[core.Unknown]+st.counts[core.Failed] > 0 {
+			t.Errorf("callers noticed: %v", st.counts)
+		}
+		st.check("leaving")
+	})
+}
+
+// An agent is shut down in the middle of answers. It takes nothing new, and every
+// answer that it has begun ends whole.
+func TestDrainCutsNothingOff(t *testing.T) {
+	onStage(t, 2, func(st *stage) {
+		var all sync.WaitGroup
+		all.Go(func() { st.callers(12, 10*time.Second) })
+		time.Sleep(4 * time.Second)
+		for _, me := range st.fl.LiveAgents()[:2] {
+			if me.Agent.Inside() == 0 {
+				t.Error("nothing in progress: this shows nothing")
+			}
+			if err := me.Agent.Drain(st.ctx); err != nil || me.Agent.Inside() != 0 {
+				t.Errorf("%v, %d inside", err, me.Agent.Inside())
+			}
+			me.Kill()
+		}
+		all.Wait()
+		if st.counts[core.Unknown]+st.counts[core.Failed]+st.counts[core.NotRun] > 0 {
+			t.Errorf("cut off: %v", st.counts)
+		}
+		st.check("drain")
+	})
+}
+
+// The KV is down when a draft comes. The editor is told "not run" with the reason
+// within four seconds, and it has not run; chats go on as if nothing were.
+func TestDraftDuringOutageIsNotRun(t *testing.T) {
+	onStage(t, 3, func(st *stage) {
+		st.fl.Store.SetFaults(kvsrv.Faults{Down: true})
+		start := time.Now()
+		_, re := st.ask(0, "draft", "key", false)
+		if re == nil || re.Outcome != core.NotRun || re.Reason != core.ReasonKVDown {
+			t.Fatalf("%v", re)
+		}
+		if took := time.Since(start); took > 4*time.Second || re.RetryAfter == 0 || st.ran() != 0 {
+			t.Errorf("told after %s, retry after %s, %d ran", took, re.RetryAfter, st.ran())
+		}
+		if te, re := st.ask(0, "chat", "", true); re != nil || te.String() != "chat" {
+			t.Errorf("%v", re)
+		}
+		st.fl.Store.SetFaults(kvsrv.Faults{})
+		if te, re := st.ask(1, "draft", "key", false); re != nil || te.String() != "draft" {
+			t.Errorf("after the outage: %v", re)
+		}
+	})
+}
+
+// The agent that runs a marshal's flag dies in the middle. The marshal's device
+// asks again through another router. Nobody can know whether the flag was set, so
+// the answer is "unknown" and never a second run.
+func TestClaimOutlivesItsClaimant(t *testing.T) {
+	onStage(t, 4, func(st *stage) {
+		var asked sync.WaitGroup
+		asked.Go(func() {
+			if _, re := st.ask(0, "flag", "key", false); re == nil || re.Outcome != core.Unknown {
+				t.Errorf("first: %v", re)
+			}
+		})
+		time.Sleep(100 * time.Millisecond)
+		for _, me := range st.fl.LiveAgents() {
+			if me.Engines[0].Ran() > 0 {
+				me.Kill()
+			}
+		}
+		asked.Wait()
+		for from := range 3 {
+			if _, re := st.ask(from, "flag", "key", false); re == nil || re.Outcome != core.Unknown {
+				t.Errorf("through router %d: %v", from, re)
+			}
+			time.Sleep(4 * time.Second)
+		}
+		if st.ran() != 1 {
+			t.Errorf("ran %d times", st.ran())
+		}
+	})
+}
+
+// An editor's connection breaks while the draft runs. The run goes on, and the
+// editor's retry through another router gets the whole answer of that run.
+func TestRunOutlastsItsCaller(t *testing.T) {
+	onStage(t, 5, func(st *stage) {
+		whole := st.ctx
+		ctx, leave := context.WithCancel(whole)
+		var asked sync.WaitGroup
+		st.ctx = ctx
+		asked.Go(func() { st.ask(0, "draft", "key", false) })
+		time.Sleep(150 * time.Millisecond)
+		leave()
+		asked.Wait()
+		st.ctx = whole
+		te, re := st.ask(1, "draft", "key", false)
+		if re != nil || te.String() != "draft" || st.ran() != 1 {
+			t.Errorf("%v, %q, ran %d times", re, te.String(), st.ran())
+		}
+	})
+}
+
+// A switch fails: the routers lose the agents of a zone, not those agents the
+// KV or each other. Callers are served by the other zones, nothing runs twice,
+// and when the switch is back its agents get work again.
+func TestZoneCutOffFromRouters(t *testing.T) {
+	onStage(t, 6, func(st *stage) {
+		cut := func(broken bool) {
+			for _, me := range st.fl.LiveAgents() {
+				if me.VM.Zone == "zone-1" {
+					for from := range 3 {
+						st.fl.Net.Cut(st.fl.RouterAt(from).ID, me.ID, broken)
+					}
+				}
+			}
+		}
+		cut(true)
+		st.callers(6, 15*time.Second)
+		if st.counts[core.Whole] < 100 || st.counts[core.NotRun]+st.counts[core.Failed] > 0 {
+			t.Errorf("while cut: %v", st.counts)
+		}
+		st.check("cut")
+		cut(false)
+		time.Sleep(time.Minute)
+		before := st.zoneRan("zone-1")
+		st.callers(6, 15*time.Second)
+		if st.zoneRan("zone-1") == before {
+			t.Error("the zone's agents got no work again")
+		}
+		st.check("healed")
+	})
+}
+
+func (st *stage) zoneRan(zone core.Zone) int {
+	sum := 0
+	for _, me := range st.fl.All() {
+		if me.VM.Zone == zone && me.Agent != nil {
+			sum += me.Engines[0].Ran()
+		}
+	}
+	return sum
+}
+
+// An engine breaks off every answer. Chats, which may repeat, are answered by
+// others; a call that may not repeat fails with the reason and runs once.
+func TestEngineCutsAnswersOff(t *testing.T) {
+	onStage(t, 7, func(st *stage) {
+		broken := map[core.VMID]bool{}
+		for _, me := range st.fl.LiveAgents()[:2] {
+			me.Engines[0].CutAfter = 10
+			broken[me.ID] = true
+		}
+		failed := 0
+		for n := range 40 {
+			nonce := fmt.Sprint(n)
+			te, re := st.ask(n%3, nonce, "", false)
+			if re != nil && (re.Outcome != core.Failed || re.Reason != core.ReasonCutShort) {
+				t.Errorf("%v", re)
+			}
+			if re == nil && te.String() != nonce {
+				t.Errorf("answer %q", te.String())
+			}
+			if re != nil {
+				failed++
+			}
+		}
+		if failed == 0 || st.ran() != 40 {
+			t.Errorf("%d failed, %d ran of 40", failed, st.ran())
+		}
+	})
+}
+
+// A hot engine's context is wanted while its pool is far below it: the cap sends
+// the chats on, and no engine is given work beyond LoadFactor times the mean and
+// four calls, seen at the gates themselves: one that an engine below the mean may
+// always take, the rest for figures of the others that are up to a second old.
+// Without the cap it is over ten.
+func TestNoGateBeyondTheCap(t *testing.T) {
+	onStage(t, 8, func(st *stage) {
+		stop, cancel := context.WithCancel(st.ctx)
+		worst := make(chan float64, 1)
+		go func() { worst <- st.watchCap(stop) }()
+		st.callers(60, 20*time.Second)
+		cancel()
+		const oneCall = 30 + 25
+		if over := <-worst; over > 4*oneCall {
+			t.Errorf("an engine stood %.0f beyond the cap", over)
+		}
+		st.check("cap")
+	})
+}
+
+// watchCap is the most that a gate's load stood above the larger of FloorWork and
+// 1.25 times the true mean, whenever that mean was not falling: what was within
+// the cap when it was admitted may stand above it when others finish first.
+func (st *stage) watchCap(ctx context.Context) float64 {
+	most, last := 0.0, 0.0
+	for st.fl.Clock.Sleep(ctx, 5*time.Millisecond) == nil {
+		var sum, high core.Work
+		live := st.fl.LiveAgents()
+		for _, me := range live {
+			load := me.Agent.Slots[0].Gate().Load()
+			sum += load
+			high = max(high, load)
+		}
+		mean := float64(sum) / float64(len(live))
+		if mean >= last {
+			most = max(most, float64(high)-max(500, 1.25*mean))
+		}
+		last = mean
+	}
+	return most
+}
+
+// Returning chats find their context again after the pool has changed: the agents
+// that hold it tell the new homes.
+func TestContextFoundAfterJoin(t *testing.T) {
+	onStage(t, 9, func(st *stage) {
+		const chats = 60
+		for n := range chats {
+			st.ask(n%3, fmt.Sprint(n), "", true)
+		}
+		for n := range 3 {
+			st.fl.AddAgent(fmt.Sprint("joiner-", n), n)
+		}
+		time.Sleep(15 * time.Second)
+		holders := func() int {
+			sum := 0
+			for _, me := range st.fl.LiveAgents() {
+				sum += holdings(me)
+			}
+			return sum
+		}
+		before := holders()
+		for n := range chats {
+			st.ask(n%3, fmt.Sprint(n), "", true)
+		}
+		if more := holders() - before; more > chats/20 {
+			t.Errorf("%d of %d chats were prefilled anew", more, chats)
+		}
+	})
+}
+
+func holdings(me *inmem.Member) int {
+	held, _, _ := me.Agent.Book.Sizes()
+	return held
+}
--- /dev/null
+++ b/core/trial/history_test.go
@@ -0,0 +1,228 @@
+package trial_test
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"almondrill/core"
+	"almondrill/core/decl"
+	"almondrill/core/router"
+	"almondrill/io/clock"
+	"almondrill/io/stand/audit"
+	"almondrill/io/stand/inmem"
+	"almondrill/io/stand/kvsrv"
+)
+
+// explore runs histories of new seeds, such as -explore 100.
+var explore = flag.Int("explore", 0, "check this many histories of new seeds")
+
+// stage is a small fleet with an audit, for tests of failures.
+type stage struct {
+	t     *testing.T
+	fl    *inmem.Fleet
+	audit *audit.Audit
+	ctx   context.Context
+	phase int // tells apart the requests of several calls of callers
+
+	mu     sync.Mutex // guards counts
+	counts map[core.Outcome]int
+}
+
+func onStage(t *testing.T, seed uint64, act func(st *stage)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		st := &stage{t: t, audit: &audit.Audit{}, ctx: ctx, counts: map[core.Outcome]int{}}
+		st.fl = &inmem.Fleet{
+			Seed: seed, Routers: 3, Agents: 6, Pool: poolID, Lag: 5 * time.Second,
+			Document: document(decl.Limits{FloorWork: 500, Slots: 8, QueueCalls: 16}, 0),
+			Engine: func(int) *inmem.Engine {
+				return &inmem.Engine{
+					Clock: clock.Wall{}, Step: 10 * time.Millisecond, PerCall: time.Millisecond,
+					Prefill: 100 * time.Microsecond, CacheTokens: 50_000, Chunk: 5, Audit: st.audit,
+				}
+			},
+		}
+		if err := st.fl.Start(ctx); err != nil {
+			t.Fatal(err)
+		}
+		act(st)
+		// Keepers end what they have begun.
+		cancel()
+		time.Sleep(10 * time.Second)
+	})
+}
+
+// text collects an answer.
+type text struct {
+	strings.Builder
+	whole bool
+}
+
+// Send takes a part.
+func (te *text) Send(pa *core.Part) error {
+	te.Write(pa.Data)
+	te.whole = te.whole || pa.End
+	return nil
+}
+
+// ask sends a request through a router and returns its answer and end. One that
+// may not repeat need not have a key.
+func (st *stage) ask(from int, nonce string, key core.IdemKey, repeat bool) (*text, *core.Refusal) {
+	me := st.fl.RouterAt(from)
+	te := &text{}
+	ctx, cancel := context.WithTimeout(st.ctx, 20*time.Second)
+	defer cancel()
+	_, err := me.Router.Route(ctx, &router.Request{
+		Group: me.Board.Snapshot().Config.Group(poolID),
+		Call: core.Call{
+			Customer: "c", Pool: poolID, Chat: core.ChatID("chat-" + nonce), Key: key, MayRepeat: repeat,
+			Priority: core.PriorityNormal, Deadline: time.Now().Add(20 * time.Second), Prompt: 100, Output: 30,
+			Body: []byte(nonce),
+		},
+	}, te)
+	if err == nil {
+		return te, nil
+	}
+	return te, core.AsRefusal(err, "", "")
+}
+
+// settle takes in the ends of all attempts that a caller made at one request.
+func (st *stage) settle(nonce string, answers []*text, refusals []*core.Refusal) {
+	best, allNotRun := core.Unknown, true
+	for ix, te := range answers {
+		outcome := core.Whole
+		if refusals[ix] != nil {
+			outcome = refusals[ix].Outcome
+		} else {
+			st.audit.Got(nonce, te.String())
+			if !te.whole {
+				st.t.Errorf("%s: no end mark, but told whole", nonce)
+			}
+		}
+		best = min(best, outcome)
+		allNotRun = allNotRun && outcome == core.NotRun
+	}
+	if allNotRun {
+		st.audit.Refused(nonce)
+	}
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	st.counts[best]++
+}
+
+func (st *stage) check(what string) {
+	st.t.Helper()
+	if bad := st.audit.Counts(); bad != (audit.Counts{}) {
+		st.t.Errorf("%s: %+v", what, bad)
+	}
+}
+
+// callers has that many callers send chats and drafts for d. A draft goes through
+// two routers at once, and again if its end is unknown.
+func (st *stage) callers(count int, d time.Duration) {
+	st.phase++
+	phase, end := st.phase, time.Now().Add(d)
+	var all sync.WaitGroup
+	for caller := range count {
+		all.Go(func() {
+			ra := clock.NewRand(st.fl.Seed*100 + uint64(caller))
+			for n := 0; time.Now().Before(end); n++ {
+				nonce := fmt.Sprintf("%d-%d-%d", phase, caller, n)
+				if ra.Uint64()%2 == 0 {
+					st.draft(nonce, ra)
+				} else {
+					te, re := st.ask(int(ra.Uint64()%3), nonce, "", ra.Uint64()%2 == 0)
+					st.settle(nonce, []*text{te}, []*core.Refusal{re})
+				}
+				time.Sleep(time.Duration(ra.Uint64()%200) * time.Millisecond)
+			}
+		})
+	}
+	all.Wait()
+}
+
+func (st *stage) draft(nonce string, ra core.Rand) {
+	answers, refusals := make([]*text, 3), make([]*core.Refusal, 3)
+	first := int(ra.Uint64() % 3)
+	var both sync.WaitGroup
+	for ix := range 2 {
+		both.Go(func() { answers[ix], refusals[ix] = st.ask((first+ix)%3, nonce, core.IdemKey(nonce), false) })
+	}
+	both.Wait()
+	count := 2
+	if refusals[0] != nil && refusals[1] != nil {
+		time.Sleep(time.Second)
+		answers[2], refusals[2] = st.ask((first+2)%3, nonce, core.IdemKey(nonce), false)
+		count = 3
+	}
+	st.settle(nonce, answers[:count], refusals[:count])
+}
+
+// trouble makes failures at random, two at once at times, until ctx ends.
+func (st *stage) trouble(ctx context.Context, ra core.Rand) {
+	fl := st.fl
+	for round := 0; fl.Clock.Sleep(ctx, time.Duration(300+ra.Uint64()%700)*time.Millisecond) == nil; round++ {
+		live := fl.LiveAgents()
+		one := live[ra.Uint64()%uint64(len(live))]
+		switch ra.Uint64() % 8 {
+		case 0:
+			fl.Store.SetFaults(kvsrv.Faults{Down: true})
+		case 1:
+			fl.Store.SetFaults(kvsrv.Faults{LoseAnswers: 0.6})
+		case 2:
+			fl.Store.SetFaults(kvsrv.Faults{Delay: 300 * time.Millisecond})
+		case 3:
+			fl.Net.Lose(0.2)
+		case 4:
+			fl.Net.Cut(fl.RouterAt(int(ra.Uint64()%3)).ID, one.ID, ra.Uint64()%2 == 0)
+		case 5:
+			if len(live) > 3 {
+				one.Kill()
+				fl.SetState(one, core.VMGone)
+				// The same VM comes back as a new process.
+				fl.AddAgent(string(one.ID), round)
+			}
+		case 6:
+			if len(live) > 3 {
+				fl.SetState(one, core.VMLeaving)
+				fl.AddAgent(fmt.Sprint("joiner-", round), round)
+			}
+		default:
+			fl.Store.SetFaults(kvsrv.Faults{})
+			fl.Net.Lose(0)
+		}
+	}
+	fl.Store.SetFaults(kvsrv.Faults{})
+	fl.Net.Lose(0)
+}
+
+// Editors send drafts, readers chat, while VMs die, return, leave and join, ways
+// are cut, answers are lost and the KV fails, often two of these at once. No
+// draft runs twice, no caller gets another's answer or a cut one as whole, and
+// what is called not run has not run.
+func TestPromisesHoldUnderFailures(t *testing.T) {
+	seeds := []uint64{1, 2, 3, 4, 5, 6}
+	for range *explore {
+		seeds = append(seeds, clock.RandomSeed()%1e6)
+	}
+	for _, seed := range seeds {
+		onStage(t, seed, func(st *stage) {
+			troubled, stop := context.WithCancel(st.ctx)
+			go st.trouble(troubled, clock.NewRand(seed+1000))
+			st.callers(8, 30*time.Second)
+			stop()
+			st.check(fmt.Sprint("seed ", seed))
+			if st.counts[core.Whole] < 100 || st.counts[core.NotRun]+st.counts[core.Unknown]+st.counts[core.Failed] == 0 {
+				t.Errorf("seed %d: %v: this history shows little", seed, st.counts)
+			}
+		})
+	}
+}
--- a/io/stand/inmem/engine.go
+++ b/io/stand/inmem/engine.go
@@ -58,6 +58,8 @@
 }
 
 func (en *Engine) nextEvent() uint64 {
+	en.mu.Lock()
+	defer en.mu.Unlock()
 	en.events++
 	return en.events
 }
@@ -83,11 +85,16 @@
 	return us, nil
 }
 
+// idemName names work that must not run twice: by its key, or, where the caller
+// gave none, by the request.
 func idemName(ca *core.Call) string {
-	if ca.Key == "" {
-		return ""
+	switch {
+	case ca.Key != "":
+		return string(ca.Customer) + "/" + string(ca.Key)
+	case !ca.MayRepeat:
+		return "once/" + string(ca.Body)
 	}
-	return string(ca.Customer) + "/" + string(ca.Key)
+	return ""
 }
 
 func (en *Engine) decode(ctx context.Context, ca *core.Call, si core.Sink, nonce string) error {
--- a/io/stand/inmem/fleet.go
+++ b/io/stand/inmem/fleet.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"slices"
+	"sync"
 	"time"
 
 	"almondrill/core"
@@ -84,14 +86,16 @@
 	Lag    time.Duration
 	Budget core.Bytes
 
-	Clock   clock.Wall
-	Rand    *clock.Rand
-	Net     *Net
-	Store   *kvsrv.Store
-	List    *vmsrv.List
-	late    *vmsrv.List
-	Members []*Member
-	ctx     context.Context
+	Clock clock.Wall
+	Rand  *clock.Rand
+	Net   *Net
+	Store *kvsrv.Store
+	List  *vmsrv.List
+	late  *vmsrv.List
+	ctx   context.Context
+
+	mu      sync.Mutex // guards members
+	members []*Member
 }
 
 // Start builds the platform and the members, and waits until all know each other
@@ -120,9 +124,16 @@
 	return fl.Clock.Sleep(ctx, settle)
 }
 
+// All lists the members, dead ones too, in the order in which they were added.
+func (fl *Fleet) All() []*Member {
+	fl.mu.Lock()
+	defer fl.mu.Unlock()
+	return slices.Clone(fl.members)
+}
+
 // RouterAt is the router with that number.
 func (fl *Fleet) RouterAt(ix int) *Member {
-	for _, me := range fl.Members {
+	for _, me := range fl.All() {
 		if me.Router != nil {
 			if ix == 0 {
 				return me
@@ -135,7 +146,7 @@
 
 // AgentAt finds an agent by name, nil if there is none alive.
 func (fl *Fleet) AgentAt(id core.VMID) *Member {
-	for _, me := range fl.Members {
+	for _, me := range fl.All() {
 		if me.ID == id && me.Agent != nil && !me.dead() {
 			return me
 		}
@@ -214,10 +225,13 @@
 // run starts a member's control and makes it known.
 func (fl *Fleet) run(me *Member) {
 	fl.Net.join(me)
-	fl.Members = append(fl.Members, me)
+	fl.mu.Lock()
+	fl.members = append(fl.members, me)
+	late := fl.Lag > 0 && len(fl.members)%2 == 0
+	fl.mu.Unlock()
 	fl.SetState(me, core.VMLive)
 	list := fl.List
-	if fl.Lag > 0 && len(fl.Members)%2 == 0 {
+	if late {
 		list = fl.late
 	}
 	lister := &board.Lister{Board: me.Board, List: list, Leaving: func() {
@@ -244,7 +258,7 @@
 // LiveAgents are the agents that are neither dead nor leaving.
 func (fl *Fleet) LiveAgents() []*Member {
 	var live []*Member
-	for _, me := range fl.Members {
+	for _, me := range fl.All() {
 		if me.Agent != nil && !me.dead() && !me.Agent.Draining() {
 			live = append(live, me)
 		}
