--- a/core/pick/pick.go
+++ b/core/pick/pick.go
@@ -37,7 +37,7 @@
 // a less loaded member that the refusal names. The order is the chat's own, so
 // its next turns meet the same few members and find context there; the named
 // ones are random. docs/design/returning-chats.md has the figures for 0, 2 and 4.
-const walk = 4
+const walk = 2
 
 // maxTried bounds the attempts that a Search remembers.
 const maxTried = 16
