Separate processes, mistakes, shutdown under load; engines' events and reports followed

Cause: the promises were shown in memory only; cache events and load reports had consumers in core but nobody fed them. Under load a stopping agent made callers get NotRun HeldElsewhere (3 of 94): an agent with a lagging list pointed to the one that had left, and the router gave up. Change: a follower per engine; stand-ins as commands; tests over real sockets and with separate processes, SIGTERM and kill; a pointer to one that is gone or was tried makes the router have the call run where it is.

--- a/cmd/almondrill/main.go
+++ b/cmd/almondrill/main.go
@@ -25,6 +25,7 @@
 	cd.Register(&processCommand{role: "agent"}, "processes")
 	cd.Register(&demoCommand{}, "trying out")
 	cd.Register(&loadCommand{}, "trying out")
+	cd.Register(&standinCommand{}, "trying out")
 	cd.Register(&checkCommand{}, "operators")
 	cd.Register(&planCommand{}, "operators")
 	cd.Register(&applyCommand{}, "operators")
--- /dev/null
+++ b/cmd/almondrill/processes_test.go
@@ -0,0 +1,169 @@
+package main_test
+
+import (
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"encoding/json"
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"almondrill/core"
+	"almondrill/io/caller"
+)
+
+// fleet is a fleet of separate processes of the built program.
+type fleet struct {
+	t      *testing.T
+	binary string
+	dir    string
+	kv     string
+	vms    string
+	list   []core.VM
+}
+
+func (fl *fleet) freeAddr() string {
+	li, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		fl.t.Fatal(err)
+	}
+	defer li.Close()
+	return li.Addr().String()
+}
+
+// start runs the program; it is ended with the test, by its own process id.
+func (fl *fleet) start(args ...string) *exec.Cmd {
+	fl.t.Helper()
+	cmd := exec.Command(fl.binary, args...)
+	var out bytes.Buffer
+	cmd.Stdout, cmd.Stderr = &out, &out
+	if err := cmd.Start(); err != nil {
+		fl.t.Fatal(err)
+	}
+	fl.t.Cleanup(func() {
+		_ = cmd.Process.Kill()
+		_ = cmd.Wait()
+		if fl.t.Failed() {
+			fl.t.Logf("%s: %s", strings.Join(args, " "), &out)
+		}
+	})
+	return cmd
+}
+
+func (fl *fleet) file(name, text string) string {
+	path := filepath.Join(fl.dir, name)
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		fl.t.Fatal(err)
+	}
+	return path
+}
+
+func hash(key string) string { return fmt.Sprintf("%x", sha256.Sum256([]byte(key))) }
+
+// process starts a router or agent and returns it with its peers' and callers'
+// addresses.
+func (fl *fleet) process(role, name, more string, pools ...core.PoolID) (*exec.Cmd, string, string) {
+	peers, callers := fl.freeAddr(), fl.freeAddr()
+	text := fmt.Sprintf("Name: %s\nZone: a\nRegion: north\nPeersAddr: %s\nAdminAddr: %s\nKVAddr: %s\nVMsAddr: %s\nDrainDelay: 100ms\n%s",
+		name, peers, fl.freeAddr(), fl.kv, fl.vms, more)
+	vm := core.VM{ID: core.VMID(name), Addr: peers, Zone: "a", Region: "north", Role: core.RoleAgent, Pools: pools}
+	if role == "router" {
+		text += "CallersAddr: " + callers + "\nOperators: [{Name: me, KeyHash: " + hash("operator") + "}]\n"
+		vm.Role = core.RoleRouter
+	}
+	fl.list = append(fl.list, vm)
+	return fl.start(role, "-settings", fl.file(name+".yaml", text)), peers, callers
+}
+
+func (fl *fleet) run(args ...string) (string, error) {
+	out, err := exec.Command(fl.binary, args...).CombinedOutput()
+	return string(out), err
+}
+
+// eventually tries until ok or half a minute is over; nothing depends on how long
+// it takes.
+func (fl *fleet) eventually(what string, ok func() bool) {
+	fl.t.Helper()
+	for range 300 {
+		if ok() {
+			return
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	fl.t.Fatalf("%s: not within half a minute", what)
+}
+
+const declarations = `Customers:
+  - Name: press
+    KeyHashes: [%s]
+    Shares: {chat: 1}
+Pools:
+  - Name: chat
+    Model: demo-model
+`
+
+// An operator sets a fleet of separate processes up, applies declarations, and a
+// caller chats. Then a router is told to leave in the middle of an answer, which
+// still comes whole; and an agent is killed in the middle of one, which the caller
+// is told.
+func TestSeparateProcesses(t *testing.T) {
+	fl := &fleet{t: t, dir: t.TempDir()}
+	fl.binary = filepath.Join(fl.dir, "almondrill")
+	if out, err := exec.Command("go", "build", "-o", fl.binary, ".").CombinedOutput(); err != nil {
+		t.Fatalf("%v: %s", err, out)
+	}
+	fl.kv, fl.vms = fl.freeAddr(), fl.freeAddr()
+	fl.start("standin", "-addr", fl.kv, "kv")
+	engine := fl.freeAddr()
+	fl.start("standin", "-addr", engine, "-token", "20ms", "engine")
+	endpoints := "Endpoints: [{Name: e, Pool: chat, Kind: Engine, URL: http://" + engine + "}]\n"
+	agent, _, _ := fl.process("agent", "agent-1", endpoints, "chat")
+	leaving, _, first := fl.process("router", "router-1", "")
+	_, peers, second := fl.process("router", "router-2", "")
+	list, _ := json.Marshal(fl.list)
+	fl.start("standin", "-addr", fl.vms, "-lag", "0s", "-file", fl.file("vms.json", string(list)), "vms")
+
+	file := fl.file("fleet.yaml", fmt.Sprintf(declarations, hash("key")))
+	operator := []string{"-router", peers, "-key", "operator"}
+	fl.eventually("apply", func() bool {
+		_, err := fl.run(append(append([]string{"apply", "-planned", "0", "-source", "abc"}, operator...), file)...)
+		return err == nil
+	})
+	cl := &caller.Client{Key: "key"}
+	ask := func(addr string, tokens int) *caller.Result {
+		return cl.Chat(context.Background(), addr, &caller.Chat{
+			Model: "demo-model", Stream: true, MaxTokens: tokens, Messages: []caller.Message{{Role: "user", Content: "hi"}},
+		})
+	}
+	for _, addr := range []string{first, second} {
+		fl.eventually("chat", func() bool { return ask(addr, 2).Outcome == core.Whole })
+	}
+	fl.eventually("status", func() bool {
+		out, err := fl.run(append([]string{"status"}, operator...)...)
+		return err == nil && strings.Contains(out, "0 of 3 processes are behind")
+	})
+
+	answer := make(chan *caller.Result, 1)
+	go func() { answer <- ask(first, 60) }()
+	time.Sleep(300 * time.Millisecond)
+	_ = leaving.Process.Signal(syscall.SIGTERM)
+	if rs := <-answer; rs.Outcome != core.Whole {
+		t.Errorf("the leaving router cut an answer off: %s %s %v", rs.Outcome, rs.Reason, rs.Err)
+	}
+	if err := leaving.Wait(); err != nil {
+		t.Errorf("the router ended with %v", err)
+	}
+	go func() { answer <- ask(second, 200) }()
+	time.Sleep(500 * time.Millisecond)
+	_ = agent.Process.Kill()
+	if rs := <-answer; rs.Outcome != core.Unknown || rs.Reason != core.ReasonPeerLost {
+		t.Errorf("the agent's death was told as %s %s %v", rs.Outcome, rs.Reason, rs.Err)
+	}
+}
--- /dev/null
+++ b/cmd/almondrill/script_test.go
@@ -0,0 +1,25 @@
+package main_test
+
+import (
+	"os"
+	"os/exec"
+	"path/filepath"
+	"testing"
+
+	"github.com/rogpeppe/go-internal/testscript"
+)
+
+// The scripts read as stories of what a user types and sees.
+func TestScripts(t *testing.T) {
+	dir := t.TempDir()
+	if out, err := exec.Command("go", "build", "-o", filepath.Join(dir, "almondrill"), ".").CombinedOutput(); err != nil {
+		t.Fatalf("%v: %s", err, out)
+	}
+	testscript.Run(t, testscript.Params{
+		Dir: "testdata",
+		Setup: func(en *testscript.Env) error {
+			en.Setenv("PATH", dir+string(os.PathListSeparator)+en.Getenv("PATH"))
+			return nil
+		},
+	})
+}
--- /dev/null
+++ b/cmd/almondrill/standin.go
@@ -0,0 +1,137 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/google/subcommands"
+	"google.golang.org/grpc"
+
+	"almondrill/core"
+	"almondrill/io/clock"
+	"almondrill/io/kvrpc"
+	"almondrill/io/stand/engine"
+	"almondrill/io/stand/kvsrv"
+	"almondrill/io/stand/plain"
+	"almondrill/io/stand/vmsrv"
+	"almondrill/io/vmnet"
+)
+
+type standinCommand struct {
+	addr        string
+	model       string
+	token       time.Duration
+	perRequest  time.Duration
+	prefill     time.Duration
+	cacheTokens int
+	lag         time.Duration
+	writes      int
+	reads       int
+	file        string
+}
+
+func (*standinCommand) Name() string     { return "standin" }
+func (*standinCommand) Synopsis() string { return "run a stand-in for an outside system" }
+
+func (*standinCommand) Usage() string {
+	return `standin [flags] engine|service|kv|vms
+  Runs one stand-in at -addr until SIGTERM or SIGINT: a model engine, a plain
+  service, the platform's key-value service, or its list of VMs. The list is read
+  from -file, a JSON array of VMs with the fields ID, Addr, Zone, Region, Role and
+  Pools; send SIGHUP to read it again.
+`
+}
+
+func (sc *standinCommand) SetFlags(fs *flag.FlagSet) {
+	fs.StringVar(&sc.addr, "addr", "127.0.0.1:0", "where to listen")
+	fs.StringVar(&sc.model, "model", "demo-model", "engine: its model")
+	fs.DurationVar(&sc.token, "token", 10*time.Millisecond, "engine: time of a token; service: time of a call")
+	fs.DurationVar(&sc.perRequest, "per-request", 0, "engine: added to it for each further request")
+	fs.DurationVar(&sc.prefill, "prefill", 0, "engine: time of an uncached prompt token")
+	fs.IntVar(&sc.cacheTokens, "cache", 100_000, "engine: size of its cache in tokens")
+	fs.DurationVar(&sc.lag, "lag", time.Second, "engine: age of its load report; vms: delay of changes")
+	fs.IntVar(&sc.writes, "writes", 300, "kv: writes a second")
+	fs.IntVar(&sc.reads, "reads", 2000, "kv: reads a second")
+	fs.StringVar(&sc.file, "file", "", "vms: the list")
+}
+
+func (sc *standinCommand) Execute(_ context.Context, fs *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if fs.NArg() != 1 {
+		return usage(fs, "name one of engine, service, kv, vms")
+	}
+	li, err := net.Listen("tcp", sc.addr)
+	if err != nil {
+		return failure(err)
+	}
+	var stop func()
+	switch kind := fs.Arg(0); kind {
+	case "engine":
+		en := &engine.Engine{
+			Clock: clock.Wall{}, Model: sc.model, TokenEvery: sc.token, PerRequest: sc.perRequest,
+			PrefillEvery: sc.prefill, CacheTokens: sc.cacheTokens, ReportLag: sc.lag,
+		}
+		stop = serveHTTP(li, en.Handler())
+	case "service":
+		stop = serveHTTP(li, &plain.Service{Clock: clock.Wall{}, Takes: sc.token})
+	case "kv":
+		server := grpc.NewServer()
+		kvrpc.Serve(server, &kvsrv.Store{
+			Clock: clock.Wall{}, Rand: clock.NewRand(clock.RandomSeed()), WritesPerSecond: sc.writes, ReadsPerSecond: sc.reads,
+		})
+		go func() { _ = server.Serve(li) }()
+		stop = server.Stop
+	case "vms":
+		list := &vmsrv.List{Clock: clock.Wall{}, Lag: sc.lag}
+		if err = sc.readList(list); err != nil {
+			return failure(err)
+		}
+		go sc.rereadList(list)
+		stop = serveHTTP(li, vmnet.Handler(list))
+	default:
+		_ = li.Close()
+		return usage(fs, "no stand-in is named "+kind)
+	}
+	fmt.Println("listening on", li.Addr())
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	<-signals
+	stop()
+	return subcommands.ExitSuccess
+}
+
+func serveHTTP(li net.Listener, handler http.Handler) func() {
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: 10 * time.Second}
+	go func() { _ = server.Serve(li) }()
+	return func() { _ = server.Close() }
+}
+
+func (sc *standinCommand) readList(list *vmsrv.List) error {
+	data, err := os.ReadFile(sc.file)
+	if err != nil {
+		return fmt.Errorf("read the list of VMs: %w", err)
+	}
+	var vms []core.VM
+	if err = json.Unmarshal(data, &vms); err != nil {
+		return fmt.Errorf("read the list of VMs %s: %w", sc.file, err)
+	}
+	list.Set(vms...)
+	return nil
+}
+
+func (sc *standinCommand) rereadList(list *vmsrv.List) {
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	for range hangups {
+		if err := sc.readList(list); err != nil {
+			fmt.Fprintln(os.Stderr, "almondrill:", err)
+		}
+	}
+}
--- a/core/admit/gate.go
+++ b/core/admit/gate.go
@@ -326,16 +326,23 @@
 	}
 }
 
-// Correct takes in the engine's own, lagging report of its load. Only what it
-// reports beyond everything this gate has given it counts, as work that came
-// past the gate; a report that is too low changes nothing.
-func (ga *Gate) Correct(reported core.Work) {
+// Beyond takes in how much the engine's own report shows beyond what this gate
+// has given it: work that came past the gate. It counts as load until the next
+// report.
+func (ga *Gate) Beyond(wo core.Work) {
 	ga.mu.Lock()
 	defer ga.mu.Unlock()
-	own := ga.load - ga.alien
-	alien := max(0, reported-own)
-	ga.addLoad(alien - ga.alien)
-	ga.alien = alien
+	wo = max(0, wo)
+	ga.addLoad(wo - ga.alien)
+	ga.alien = wo
+	ga.admitPatient()
+}
+
+// Given is the work inside that came through this gate.
+func (ga *Gate) Given() core.Work {
+	ga.mu.Lock()
+	defer ga.mu.Unlock()
+	return ga.load - ga.alien
 }
 
 func (ga *Gate) enterAccount(ti *Ticket) *account {
--- a/core/pick/pick.go
+++ b/core/pick/pick.go
@@ -173,6 +173,12 @@
 	return se.note(se.nextHome())
 }
 
+// Untried tells whether the VM is in the pool and was not tried so far.
+func (se *Search) Untried(vm core.VMID) bool {
+	ix := se.Pool.Index(vm)
+	return ix >= 0 && !se.was(ix)
+}
+
 // lighter takes the less loaded of the first two untried names. The refusing
 // agent has drawn the names at random, so this is a power of two choices.
 func (se *Search) lighter(names []core.VMID) int {
--- a/core/router/router.go
+++ b/core/router/router.go
@@ -34,7 +34,7 @@
 )
 
 // MaxAttempts bounds the attempts at one request.
-const MaxAttempts = 6
+const MaxAttempts = 8
 
 // Router routes requests. Set the exported fields before use.
 type Router struct {
@@ -211,6 +211,12 @@
 		ca.Forced = true
 	}
 	ca.Missed = at.pool.Members[ix].VM
+	if len(re.Instead) == 0 || !at.se.Untried(re.Instead[0]) {
+		// The agent's list is behind: it points to one that has left, or that has
+		// refused already. It is to run the call itself.
+		ca.Forced = true
+		return ix
+	}
 	return at.se.After(re)
 }
 
--- a/core/trial/failure_test.go
+++ b/core/trial/failure_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"almondrill/core"
+	"almondrill/core/board"
 	"almondrill/io/stand/inmem"
 	"almondrill/io/stand/kvsrv"
 )
@@ -287,3 +288,28 @@
 	held, _, _ := me.Agent.Book.Sizes()
 	return held
 }
+
+// An agent leaves; routers know, the other agents' lists lag. An agent that is
+// asked for a chat without having its context points to the one that left. The
+// router does not give up with "held elsewhere" but has the chat run where it is.
+func TestPointerToOneThatLeft(t *testing.T) {
+	onStage(t, 10, func(st *stage) {
+		live := st.fl.LiveAgents()
+		for _, me := range live[2:] {
+			me.Agent.StopTaking()
+		}
+		for _, me := range st.fl.All() {
+			if me.Router != nil {
+				for _, gone := range live[2:] {
+					me.Board.Post(board.Announced{VM: gone.ID, Draining: true})
+				}
+			}
+		}
+		time.Sleep(time.Millisecond)
+		for n := range 30 {
+			if _, re := st.ask(n%3, fmt.Sprint(n), "", true); re != nil {
+				t.Errorf("chat %d: %v", n, re)
+			}
+		}
+	})
+}
--- a/io/demo/fleet.go
+++ b/io/demo/fleet.go
@@ -217,7 +217,7 @@
 	return &conf.Settings{
 		Name: core.VMID(name), Zone: zones[ix%len(zones)], Region: region,
 		PeersAddr: "127.0.0.1:0", AdminAddr: "127.0.0.1:0", KVAddr: fl.kvAddr, VMsAddr: fl.vmsAddr,
-		DrainDelay: 200 * time.Millisecond, DrainTimeout: 30 * time.Second,
+		DrainDelay: 200 * time.Millisecond, DrainTimeout: 30 * time.Second, BodyTimeout: 2 * time.Second,
 	}
 }
 
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -46,6 +46,7 @@
 	"almondrill/core/revlog"
 	"almondrill/core/router"
 	"almondrill/core/spread"
+	"almondrill/io/back"
 	"almondrill/io/clock"
 	"almondrill/io/conf"
 	"almondrill/io/kvrpc"
@@ -79,6 +80,7 @@
 	server      *rpc.Server
 	router      *router.Router
 	agent       *agent.Agent
+	followers   []*back.Follower
 	app         *kratos.App
 	part        *zap.Logger
 	listeners   listeners
@@ -281,6 +283,9 @@
 	if pr.agent != nil {
 		loops = append(loops, pr.agent.Run)
 	}
+	for _, fo := range pr.followers {
+		loops = append(loops, fo.Run)
+	}
 	for _, loop := range loops {
 		go func() { _ = loop(ctx) }()
 	}
--- a/io/node/roles.go
+++ b/io/node/roles.go
@@ -46,11 +46,21 @@
 		Book:  &chats.Book{Clock: pr.clock, MaxHeld: se.MaxChats, MaxAway: se.MaxChats, KeepFor: se.KeepChats},
 		Peers: pr.peers, Sending: pr.meter.Allow, Heard: pr.spreader.Heard,
 	}
+	var endpoints []*back.Endpoint
 	for _, ep := range se.Endpoints {
-		pr.agent.Slots = append(pr.agent.Slots, &agent.Slot{ID: ep.Name, Pool: ep.Pool, Endpoint: pr.endpoint(ep)})
+		endpoints = append(endpoints, pr.endpoint(ep))
+		pr.agent.Slots = append(pr.agent.Slots, &agent.Slot{ID: ep.Name, Pool: ep.Pool, Endpoint: endpoints[len(endpoints)-1]})
 	}
 	pr.agent.Keys = pr.buildClaims()
 	pr.agent.Init()
+	for ix, ep := range endpoints {
+		if ep.Engine {
+			pr.followers = append(pr.followers, &back.Follower{
+				Endpoint: ep, Clock: pr.clock, Book: pr.agent.Book, Gate: pr.agent.Slots[ix].Gate(),
+				Failed: pr.failed("Following an engine failed."),
+			})
+		}
+	}
 	pr.board.Published = pr.agent.Adopt
 	pr.server.Serve = pr.serve
 	pr.server.Place = pr.agent.Placed
--- a/io/stand/engine/engine.go
+++ b/io/stand/engine/engine.go
@@ -158,7 +158,7 @@
 	}
 	prompt := promptTokens(&in)
 	hit := en.lookup(rq.Header.Get("X-Cache-Key"), prompt)
-	en.enter(prompt - hit + tokens)
+	en.enter(int(core.WorkOf(core.Tokens(prompt-hit), core.Tokens(tokens))))
 	defer en.exit(tokens)
 	en.sleep(rq, time.Duration(prompt-hit)*en.PrefillEvery)
 	id := rq.Header.Get("X-Request-Id")
--- a/io/stats/stats.go
+++ b/io/stats/stats.go
@@ -102,8 +102,13 @@
 }
 
 // Refusals is the counter of a refusal reason.
-func (st *Set) Refusals(re core.Reason) int64 {
-	if va, ok := st.refusals.Get(string(re)).(*expvar.Int); ok {
+func (st *Set) Refusals(re core.Reason) int64 { return count(st.refusals, re) }
+
+// Retries is the counter of a retry reason.
+func (st *Set) Retries(re core.Reason) int64 { return count(st.retries, re) }
+
+func count(by *expvar.Map, re core.Reason) int64 {
+	if va, ok := by.Get(string(re)).(*expvar.Int); ok {
 		return va.Value()
 	}
 	return 0
