Documents: API, settings, counters, design notes, operators' pages, developers' page

Cause: nobody but its authors could run or judge it. Measured: go test ./io/conf fails on a stale page or an unexplained counter.

--- a/core/router/router.go
+++ b/core/router/router.go
@@ -48,6 +48,8 @@
 	// was for another attempt.
 	Retried func(re core.Reason)
 	Dropped func()
+	// Exhausted, if set, counts a retry that the Budget did not allow.
+	Exhausted func()
 	// Heard, if set, is told of every peer's revision.
 	Heard func(from core.VMID, rev core.Revision)
 }
@@ -174,7 +176,13 @@
 	if !at.rq.Call.MayRepeat || !temporary(re) {
 		return false
 	}
-	return at.ro.Budget.Retry(at.rq.Call.Customer)
+	if at.ro.Budget.Retry(at.rq.Call.Customer) {
+		return true
+	}
+	if at.ro.Exhausted != nil {
+		at.ro.Exhausted()
+	}
+	return false
 }
 
 // temporary tells a failure that another endpoint may not have from one that the
--- /dev/null
+++ b/io/conf/conf_test.go
@@ -0,0 +1,62 @@
+package conf_test
+
+import (
+	"flag"
+	"os"
+	"strings"
+	"testing"
+
+	"almondrill/core"
+	"almondrill/io/conf"
+	"almondrill/io/stats"
+)
+
+var update = flag.Bool("update", false, "write docs/SETTINGS.md anew")
+
+const page = "../../docs/SETTINGS.md"
+
+// The page of settings is what the option types say.
+func TestSettingsPageIsFresh(t *testing.T) {
+	if *update {
+		if err := os.WriteFile(page, []byte(conf.Markdown()), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	text, err := os.ReadFile(page)
+	if err != nil || string(text) != conf.Markdown() {
+		t.Errorf("docs/SETTINGS.md is stale; run: go test ./io/conf -update (%v)", err)
+	}
+}
+
+// Every counter and every reason is explained on the page for people on call.
+func TestCountersAreExplained(t *testing.T) {
+	text, err := os.ReadFile("../../docs/operate/COUNTERS.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, re := range core.Reasons {
+		if !strings.Contains(string(text), "| "+string(re)+" |") {
+			t.Errorf("reason %s is not explained", re)
+		}
+	}
+	for _, name := range stats.Names {
+		if !strings.Contains(string(text), "| "+name+" |") {
+			t.Errorf("counter %s is not explained", name)
+		}
+	}
+}
+
+// Left-out settings get their defaults; a list of two documents is refused.
+func TestReadSettings(t *testing.T) {
+	text := "Name: r\nZone: a\nRegion: n\nPeersAddr: 10.0.0.1:1\nAdminAddr: 10.0.0.1:2\nCallersAddr: 10.0.0.1:3\nKVAddr: 10.0.0.2:1\nVMsAddr: 10.0.0.3:1\n"
+	se, err := conf.ReadSettings("r.yaml", []byte(text), core.RoleRouter)
+	if err != nil || se.ControlBytesPerSecond != 2500 || se.ClaimShards != 64 {
+		t.Errorf("%+v %v", se, err)
+	}
+	if _, err = conf.ReadSettings("r.yaml", []byte(text+"---\nName: s\n"), core.RoleRouter); err == nil {
+		t.Error("a second document was passed over")
+	}
+	if _, err = conf.ReadSettings("r.yaml", []byte(text+"RetryRatio: -1\n"), core.RoleRouter); err == nil {
+		t.Error("a negative ratio was taken")
+	}
+}
--- /dev/null
+++ b/io/conf/docs.go
@@ -0,0 +1,80 @@
+package conf
+
+import (
+	"fmt"
+	"reflect"
+	"strings"
+
+	"almondrill/core/decl"
+)
+
+// Markdown is docs/SETTINGS.md, made from the option types, so that the page and
+// what is read cannot differ.
+func Markdown() string {
+	var out strings.Builder
+	out.WriteString(`# Settings and declarations
+
+Made from the option types by ` + "`go test ./io/conf -update`" + `; a test fails when it is stale.
+
+Both files are YAML with keys in Pascal case. Durations have a unit (250ms, 10s,
+2m). An unknown key, a wrong unit or a missing value is refused with file and line.
+
+## Settings of a process
+
+Given with ` + "`almondrill router -settings FILE` or `almondrill agent -settings FILE`" + `,
+checked with ` + "`almondrill check -role router FILE`" + `.
+
+`)
+	section(&out, reflect.TypeFor[Settings]())
+	heading(&out, "Endpoints", "one entry for each endpoint beside an agent", reflect.TypeFor[EndpointSetting]())
+	heading(&out, "Operators", "one entry for each operator that a router knows", reflect.TypeFor[OperatorSetting]())
+	out.WriteString("## Declarations\n\nAccepted with `almondrill apply`, checked with `almondrill check FILE`.\n\n")
+	section(&out, reflect.TypeFor[decl.Document]())
+	heading(&out, "Customers", "", reflect.TypeFor[decl.Customer]())
+	heading(&out, "Pools", "engines that serve the same model", reflect.TypeFor[decl.Pool]())
+	heading(&out, "Services", "plain services", reflect.TypeFor[decl.Service]())
+	heading(&out, "Endpoints (declared)", "what an endpoint checks itself; one that is not declared checks nothing", reflect.TypeFor[decl.Endpoint]())
+	return strings.TrimRight(out.String(), "\n") + "\n"
+}
+
+func heading(out *strings.Builder, title, what string, ty reflect.Type) {
+	fmt.Fprintf(out, "### %s\n\n", title)
+	if what != "" {
+		fmt.Fprintf(out, "%s.\n\n", strings.ToUpper(what[:1])+what[1:])
+	}
+	section(out, ty)
+}
+
+func section(out *strings.Builder, ty reflect.Type) {
+	out.WriteString("| key | type | needed | meaning |\n|---|---|---|---|\n")
+	fields(out, ty)
+	out.WriteString("\n")
+}
+
+func fields(out *strings.Builder, ty reflect.Type) {
+	for ix := range ty.NumField() {
+		fi := ty.Field(ix)
+		if fi.Anonymous {
+			fields(out, fi.Type)
+			continue
+		}
+		key, _, _ := strings.Cut(fi.Tag.Get("yaml"), ",")
+		fmt.Fprintf(out, "| %s | %s | %s | %s |\n", key, typeText(fi.Type), fi.Tag.Get("need"), fi.Tag.Get("doc"))
+	}
+}
+
+func typeText(ty reflect.Type) string {
+	switch {
+	case ty.String() == "time.Duration":
+		return "duration"
+	case ty.Kind() == reflect.Slice:
+		return "list"
+	case ty.Kind() == reflect.Map:
+		return "map"
+	case ty.Kind() == reflect.String:
+		return "text"
+	case ty.Kind() == reflect.Bool:
+		return "true or false"
+	}
+	return "number"
+}
--- a/io/stats/stats.go
+++ b/io/stats/stats.go
@@ -40,14 +40,13 @@
 	EventsDropped   = "BoardEventsDropped"
 	ConnectionsOpen = "PeerConnectionsOpen"
 	Replays         = "KeyReplays"
-	Resumes         = "StreamResumes"
 )
 
 // Names lists the counters that are no reasons.
 var Names = []string{
 	Requests, InProgress, AnswersWhole, AnswersNotRun, AnswersFailed, AnswersUnknown, PartsDropped,
 	ControlBytes, ControlHeld, QueueCalls, RunningCalls, LoadWork, ConfigRevision, ConfigReverted,
-	EventsDropped, ConnectionsOpen, Replays, Resumes,
+	EventsDropped, ConnectionsOpen, Replays,
 }
 
 // Set is one process's counters.
