A short answer is one message between agent and router

Change: the piece that completes a body of known length, or the stream's [DONE], carries the end mark, and the part with it travels with the report.

--- a/core/trial/control_test.go
+++ b/core/trial/control_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/sha256"
 	"fmt"
 	"testing"
 	"time"
@@ -138,7 +139,7 @@
 	var customers []decl.Customer
 	for n := range count {
 		customers = append(customers, decl.Customer{
-			Name: core.CustomerID(fmt.Sprint("customer-", n)), KeyHashes: []string{fmt.Sprintf("%064x", n)},
+			Name: core.CustomerID(fmt.Sprint("customer-", n)), KeyHashes: []string{fmt.Sprintf("%x", sha256.Sum256([]byte(fmt.Sprint(n))))},
 			Shares: map[core.PoolID]float64{poolID: 1},
 		})
 	}
--- a/io/back/answer.go
+++ b/io/back/answer.go
@@ -52,10 +52,14 @@
 	if an.rs.ContentLength < 0 && len(an.rs.TransferEncoding) == 0 && an.rs.ProtoMajor == 1 {
 		return an.ep.refuse(core.Unknown, core.ReasonCutShort, errNoLength)
 	}
+	left := an.rs.ContentLength
 	err := an.read(ctx, func(data []byte) error {
 		if an.ep.Engine && len(an.kept)+len(data) <= mostKept {
 			an.kept = append(an.kept, data...)
 		}
+		// With the length known, the last piece carries the end mark itself.
+		left -= int64(len(data))
+		an.part.End = left == 0
 		return an.send(data, 0)
 	})
 	if err != nil {
@@ -112,9 +116,8 @@
 func (an *answer) events(data []byte) error {
 	count := bytes.Count(data, eventEnd) + bytes.Count(data, eventEndCR)
 	tail := bytes.TrimRight(data, "\r\n")
-	if bytes.HasSuffix(tail, streamDone) {
-		an.done = true
-	}
+	an.done = bytes.HasSuffix(tail, streamDone)
+	an.part.End = an.done
 	if at := bytes.Index(data, usageField); at >= 0 {
 		an.noteUsage(eventAround(data, at))
 	}
@@ -204,8 +207,12 @@
 	return err
 }
 
-// end sends the end mark, with the head if the body was empty.
+// end sends the end mark, with the head if the body was empty, unless the last
+// piece carried it.
 func (an *answer) end() error {
+	if an.part.End {
+		return nil
+	}
 	an.part.End = true
 	if err := an.send(nil, 0); err != nil {
 		return an.stopped(err)
--- a/io/rpc/client.go
+++ b/io/rpc/client.go
@@ -182,15 +182,23 @@
 		if err := st.RecvMsg(&part); err != nil {
 			return nil, lost(ctx, to, err)
 		}
-		if part.Told != nil {
-			return reportFromWire(part.Told), refusalFromWire(part.Refused)
-		}
-		partFromWire(&part, &pa)
-		if err := si.Send(&pa); err != nil {
-			return nil, &core.Refusal{
-				Outcome: core.Unknown, Reason: core.ReasonCallerGone, Step: "send", Peer: "caller", Detail: err.Error(),
+		// The last message has the report, and the last part if the answer is whole.
+		told := part.Told != nil
+		if !told || (part.End && part.Refused == nil) {
+			partFromWire(&part, &pa)
+			if err := si.Send(&pa); err != nil {
+				return nil, callerGone(err)
 			}
 		}
+		if told {
+			return reportFromWire(part.Told), refusalFromWire(part.Refused)
+		}
+	}
+}
+
+func callerGone(err error) error {
+	return &core.Refusal{
+		Outcome: core.Unknown, Reason: core.ReasonCallerGone, Step: "send", Peer: "caller", Detail: err.Error(),
 	}
 }
 
--- a/io/rpc/server.go
+++ b/io/rpc/server.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"slices"
 	"time"
 
 	"google.golang.org/grpc"
@@ -91,8 +92,13 @@
 		ctx, cancel = context.WithDeadline(ctx, ca.Deadline)
 		defer cancel()
 	}
-	rep, err := ha.se.Serve(ctx, ca, &stream{st: st})
-	last := &wire.Part{Attempt: in.Attempt, Told: reportToWire(rep)}
+	sm := &stream{st: st}
+	rep, err := ha.se.Serve(ctx, ca, sm)
+	last := sm.last
+	if last == nil {
+		last = &wire.Part{Attempt: in.Attempt}
+	}
+	last.Told = reportToWire(rep)
 	if err != nil {
 		last.Refused = refusalToWire(core.AsRefusal(err, "serve", string(rep.VM)))
 	}
@@ -100,14 +106,23 @@
 }
 
 // stream is the Sink of a call. Send writes the message before it returns, so
-// one message is used for all parts.
+// one message is used for all parts. The part with the end mark is held back for
+// the moment that it takes the call to return, and travels with the report: a
+// short answer is one message instead of three.
 type stream struct {
 	st   grpc.ServerStreamingServer[wire.Part]
 	part wire.Part
+	last *wire.Part
 }
 
 // Send passes a part on.
 func (sm *stream) Send(pa *core.Part) error {
+	if pa.End {
+		sm.last = &wire.Part{}
+		partToWire(pa, sm.last)
+		sm.last.Data = slices.Clone(pa.Data)
+		return nil
+	}
 	partToWire(pa, &sm.part)
 	return sm.st.SendMsg(&sm.part)
 }
