Bring peers' loads forward along their trend

Cause: of 3.5 % of requests refused by the cap, most came in the first 20 s, when the pool filled up: figures of the others are about a second old and were a fifth too low, so every agent took itself for hot. Change: the mean of the fresh figures is brought forward by their mean age along the smoothed trend of that mean, upwards only and by a quarter at most. The own load has no part in the trend. Ruled out: extrapolating by the own growth, which would let a hot agent raise its own cap.

--- a/core/loads/loads.go
+++ b/core/loads/loads.go
@@ -67,6 +67,10 @@
 	sum     core.Work // of the peers' fresh loads, as at summed
 	fresh   int       // how many figures are in sum
 	summed  time.Time
+	// The trend of the peers' mean, and the mean and time it was last taken at.
+	trend     float64
+	trendMean float64
+	trendAt   time.Time
 }
 
 // sumEvery is how long the sum over the peers is kept: admission reads it for
@@ -124,18 +128,54 @@
 	return (ta.sum + own) / core.Work(ta.fresh+1)
 }
 
+// addUp sums the fresh figures, each brought forward by its age along the trend.
 func (ta *Table) addUp(now time.Time) {
-	ta.sum, ta.fresh = 0, 0
+	ta.summed = now
+	var sum, age float64
+	ta.fresh = 0
 	for _, fi := range ta.figures {
 		if now.Sub(fi.at) > Stale || fi.draining {
 			continue
 		}
-		ta.sum += fi.load
+		sum += float64(fi.load)
+		age += now.Sub(fi.at).Seconds()
 		ta.fresh++
 	}
-	ta.summed = now
+	if ta.fresh == 0 {
+		ta.sum = 0
+		return
+	}
+	mean, meanAge := sum/float64(ta.fresh), age/float64(ta.fresh)
+	ta.follow(mean, now.Add(-time.Duration(meanAge*float64(time.Second))))
+	ahead := min(mean*mostAhead, max(0, ta.trend)*meanAge)
+	ta.sum = core.Work((mean + ahead) * float64(ta.fresh))
 }
 
+// follow keeps the trend of the peers' mean, in work a second. The own load has no
+// part in it: an agent that grows hot must not take its own growth for the pool's.
+func (ta *Table) follow(mean float64, at time.Time) {
+	past := at.Sub(ta.trendAt).Seconds()
+	if past < trendEvery.Seconds() {
+		return
+	}
+	if past < Stale.Seconds() {
+		rate := (mean - ta.trendMean) / past
+		ta.trend += (rate - ta.trend) * min(1, past/trendOver.Seconds())
+	} else {
+		ta.trend = 0
+	}
+	ta.trendMean, ta.trendAt = mean, at
+}
+
+const (
+	// trendEvery and trendOver are how often the trend is looked at, and over how
+	// long it is smoothed.
+	trendEvery = 300 * time.Millisecond
+	trendOver  = time.Second
+	// mostAhead bounds how far a figure is brought forward, as a part of it.
+	mostAhead = 0.25
+)
+
 // Less names up to most peers whose load is below limit. Which ones is drawn at
 // random with odds by their headroom, so that many refusals at once do not send
 // everyone to the one least loaded peer.
--- /dev/null
+++ b/core/loads/loads_test.go
@@ -0,0 +1,96 @@
+package loads_test
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"almondrill/core"
+	"almondrill/core/loads"
+	"almondrill/io/clock"
+)
+
+func table(peers int) *loads.Table {
+	ta := &loads.Table{Clock: clock.Wall{}, Pool: "chat", Self: "self"}
+	var vms []core.VMID
+	for n := range peers {
+		vms = append(vms, vm(n))
+	}
+	ta.SetPeers(vms)
+	return ta
+}
+
+func vm(n int) core.VMID { return core.VMID(fmt.Sprint("agent-", n)) }
+
+// A pool comes back after an outage and fills up fast. Figures of the others are
+// a second old, and on them alone every agent would take itself for too hot and
+// refuse. The trend of the others brings them forward.
+func TestRisingPoolIsBroughtForward(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ta := table(10)
+		for step := range 100 {
+			time.Sleep(100 * time.Millisecond)
+			for n := range 10 {
+				ta.Observe(core.LoadEntry{Pool: "chat", VM: vm(n), Load: core.Work(1000 + 100*step), Age: time.Second})
+			}
+			ta.Mean(0)
+		}
+		now := 1000.0 + 100*109
+		others := float64(ta.Mean(0)) * 11 / 10
+		if others < 0.95*now || others > 1.05*now {
+			t.Errorf("the others' mean is taken for %.0f, it is %.0f", others, now)
+		}
+	})
+}
+
+// One agent grows hot while the others stay as they are. It must not take its own
+// growth for the pool's: its mean is theirs and its own part in it.
+func TestOwnGrowthIsNoTrend(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ta := table(10)
+		for step := range 50 {
+			time.Sleep(100 * time.Millisecond)
+			for n := range 10 {
+				ta.Observe(core.LoadEntry{Pool: "chat", VM: vm(n), Load: 1000, Age: 500 * time.Millisecond})
+			}
+			own := core.Work(1000 + 200*step)
+			if mean, want := ta.Mean(own), (10*1000+own)/11; mean != want {
+				t.Fatalf("mean %d, want %d", mean, want)
+			}
+		}
+	})
+}
+
+// A figure that took a roundabout way arrives behind a fresher one; it is ignored.
+func TestOlderFigureIsIgnored(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ta := table(1)
+		ta.Observe(core.LoadEntry{Pool: "chat", VM: vm(0), Load: 500, Age: time.Second})
+		ta.Observe(core.LoadEntry{Pool: "chat", VM: vm(0), Load: 900, Age: 2 * time.Second})
+		if load, fresh := ta.LoadOf(vm(0)); load != 500 || !fresh {
+			t.Errorf("%d %v", load, fresh)
+		}
+	})
+}
+
+// Many refusals at once name less loaded peers. They do not all name the same one.
+func TestRefusalsDoNotHerd(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ta := table(10)
+		for n := range 10 {
+			ta.Observe(core.LoadEntry{Pool: "chat", VM: vm(n), Load: core.Work(100 * n)})
+		}
+		ra := clock.NewRand(1)
+		first := map[core.VMID]int{}
+		for range 1000 {
+			first[ta.Less(800, 3, ra)[0]]++
+		}
+		if len(first) < 8 || first[vm(0)] > 400 {
+			t.Errorf("%v", first)
+		}
+		if first[vm(8)]+first[vm(9)] > 0 {
+			t.Errorf("peers at or above the limit are named: %v", first)
+		}
+	})
+}
