--- a/core/spread/spread.go
+++ b/core/spread/spread.go
@@ -196,16 +196,14 @@
 	return di
 }
 
-// poll reads the KV's log, and at a start without the KV asks a peer instead.
+// poll reads the KV's log. A process that starts while the KV is down takes the
+// configuration from the first peer that it compares revisions with.
 func (sp *Spreader) poll(ctx context.Context) {
 	for {
 		err := sp.Log.Refresh(ctx)
 		if err != nil && sp.Failed != nil && ctx.Err() == nil {
 			sp.Failed(err)
 		}
-		if sp.Log.Revision() == 0 {
-			sp.askPeer(ctx)
-		}
 		if sp.Log.Revision() > 0 {
 			sp.Adopted()
 		}
@@ -215,23 +213,6 @@
 	}
 }
 
-// askPeer asks a random peer for the configuration: a process that starts during
-// an outage of the KV would otherwise refuse work for as long as that lasts.
-func (sp *Spreader) askPeer(ctx context.Context) {
-	sn := sp.Board.Snapshot()
-	peers := append(append([]core.VMID{}, sn.Routers...), sn.Agents...)
-	if len(peers) == 0 {
-		return
-	}
-	from := peers[sp.Rand.Uint64()%uint64(len(peers))]
-	if from == sp.Board.Self.ID {
-		return
-	}
-	if ch, err := sp.Peers.Fetch(ctx, from, 0); err == nil {
-		_ = sp.Log.Take(ch)
-	}
-}
-
 // pause is the wait between polls: the fleet's size over its pace, with jitter.
 func (sp *Spreader) pause() time.Duration {
 	sn := sp.Board.Snapshot()
--- a/io/stand/inmem/fleet.go
+++ b/io/stand/inmem/fleet.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"almondrill/core"
@@ -37,14 +38,38 @@
 	Keys     *claim.Keys
 	Engines  []*Engine
 
-	// Adopted are the revisions in the order adopted, for checks.
-	Adopted []core.Revision
+	// KVCut keeps the member's own log from the KV.
+	KVCut atomic.Bool
+
+	mu      sync.Mutex // guards adopted
+	adopted []core.Revision
 
 	incarnation core.Incarnation
 	alive       context.Context
 	kill        context.CancelFunc
 }
 
+// Adopted are the revisions in the order adopted, for checks.
+func (me *Member) Adopted() []core.Revision {
+	me.mu.Lock()
+	defer me.mu.Unlock()
+	return slices.Clone(me.adopted)
+}
+
+// ownKV is the KV as one member's log sees it.
+type ownKV struct {
+	core.KV
+	member *Member
+}
+
+// List reads a range, unless the member is cut off.
+func (ow ownKV) List(ctx context.Context, from, to string, limit int) ([]core.Entry, error) {
+	if ow.member.KVCut.Load() {
+		return nil, kvsrv.ErrDown
+	}
+	return ow.KV.List(ctx, from, to, limit)
+}
+
 func (me *Member) dead() bool { return me.alive.Err() != nil }
 
 // Kill ends the member at once, as a VM's loss does.
@@ -209,8 +234,10 @@
 	me.Meter = &meter.Meter{Clock: fl.Clock, PerSecond: fl.Budget}
 	me.Board = &board.Board{Clock: fl.Clock, Rand: fl.Rand, Self: vm}
 	me.Board.Init()
-	me.Log = &revlog.Log{KV: fl.Store, Clock: fl.Clock, Rand: fl.Rand, Adopt: func(cfg *decl.Config) {
-		me.Adopted = append(me.Adopted, cfg.Revision)
+	me.Log = &revlog.Log{KV: ownKV{fl.Store, me}, Clock: fl.Clock, Rand: fl.Rand, Adopt: func(cfg *decl.Config) {
+		me.mu.Lock()
+		me.adopted = append(me.adopted, cfg.Revision)
+		me.mu.Unlock()
 		_ = me.Board.Deliver(me.alive, board.Adopted{Config: cfg})
 		me.Spreader.Adopted()
 	}}
