--- a/core/agent/agent.go
+++ b/core/agent/agent.go
@@ -33,7 +33,6 @@
 	"almondrill/core/chats"
 	"almondrill/core/decl"
 	"almondrill/core/loads"
-	"almondrill/core/pick"
 	"almondrill/core/ring"
 )
 
@@ -132,26 +131,6 @@
 	}
 }
 
-// rehome tells a chat's new home where its context is, after the pool changed: a
-// VM that joins becomes the home of chats that it has never seen.
-func (ag *Agent) rehome(sn *board.Snapshot, id core.PoolID) {
-	for _, he := range ag.Book.Holdings(mostRehomed) {
-		pl := he.Placement
-		if pl.Pool != id {
-			continue
-		}
-		key := ring.Key(pl.Customer, pl.Pool, pl.Chat)
-		home := ag.home(sn, id, key)
-		if home != "" && home != ag.Self && home != he.Told {
-			ag.Book.SetTold(key, home)
-			ag.places.add(home, pl)
-		}
-	}
-}
-
-// mostRehomed bounds the work after a change; the most recent chats go first.
-const mostRehomed = 4096
-
 func (ag *Agent) newer(rev core.Revision) bool {
 	ag.mu.Lock()
 	defer ag.mu.Unlock()
@@ -191,98 +170,6 @@
 	return ag.report(sl, us), err
 }
 
-// choose takes the endpoint of the pool that holds the chat's context, else the
-// least loaded.
-func (ag *Agent) choose(po core.PoolID, key uint64) (*Slot, *chats.Held) {
-	he, here := ag.Book.Held(key)
-	var best *Slot
-	var least core.Work
-	for _, sl := range ag.Slots {
-		if sl.Pool != po {
-			continue
-		}
-		if here && sl.ID == he.Endpoint {
-			return sl, &he
-		}
-		if load := sl.gate.Load(); best == nil || load < least {
-			best, least = sl, load
-		}
-	}
-	return best, nil
-}
-
-// pointElsewhere refuses a call whose chat is better served by another agent.
-func (ag *Agent) pointElsewhere(sn *board.Snapshot, gr *decl.Group, sl *Slot, ca *core.Call, key uint64, he *chats.Held) *core.Refusal {
-	if ca.Forced {
-		return nil
-	}
-	if he != nil && he.Tokens*4 >= ca.Prompt*3 {
-		return ag.tooBusy(gr, sl, ca)
-	}
-	if vm, away := ag.Book.Away(key); away {
-		if vm == ca.Missed || !ag.worthGoing(sn, gr, sl, ca, vm) {
-			ag.Book.Unpoint(key, vm)
-			return nil
-		}
-		return ag.pointTo(vm, "another agent has the chat's context")
-	}
-	if home := ag.home(sn, ca.Pool, key); home != ag.Self && home != ca.Missed && home != "" {
-		return ag.pointTo(home, "the chat's home is another agent")
-	}
-	return nil
-}
-
-// tooBusy weighs waiting here, where the context is, against prefilling it
-// elsewhere. What counts is how much sooner it would be elsewhere: when all
-// engines have queues, moving gains nothing and loses the context. ReuseBias
-// above 1 stays longer.
-func (ag *Agent) tooBusy(gr *decl.Group, sl *Slot, ca *core.Call) *core.Refusal {
-	if sl.gate.WaitFor(ca.Priority) == 0 {
-		return nil
-	}
-	less := sl.gate.Less()
-	if len(less) == 0 {
-		return nil
-	}
-	there, fresh := ag.tables[ca.Pool].LoadOf(less[0])
-	prefill := gr.ReuseBias * float64(core.WorkOf(ca.Prompt, 0))
-	if gain := float64(sl.gate.Load() - there); !fresh || gain <= prefill {
-		return nil
-	}
-	re := ag.refuse(core.ReasonBusyHolder, "place", "prefilling elsewhere is quicker than waiting here")
-	re.Instead = less
-	return re
-}
-
-// worthGoing tells whether the holder of the context can be expected to take the
-// call: it is in the pool and not known to be over the cap.
-func (ag *Agent) worthGoing(sn *board.Snapshot, gr *decl.Group, sl *Slot, ca *core.Call, vm core.VMID) bool {
-	po := sn.Pools[ca.Pool]
-	if po == nil || po.Index(vm) < 0 {
-		return false
-	}
-	load, fresh := ag.tables[ca.Pool].LoadOf(vm)
-	if !fresh {
-		return true
-	}
-	st := sl.gate.Standing()
-	limit := max(float64(gr.FloorWork), gr.LoadFactor*float64(st.Mean))
-	saved := gr.ReuseBias * float64(core.WorkOf(ca.Prompt, 0))
-	return float64(load) <= limit && float64(load) <= float64(st.Load)+saved+limit/2
-}
-
-func (ag *Agent) home(sn *board.Snapshot, id core.PoolID, key uint64) core.VMID {
-	po := sn.Pools[id]
-	if po == nil {
-		return ""
-	}
-	ix := pick.Home(po, key)
-	if ix < 0 {
-		return ""
-	}
-	return po.Members[ix].VM
-}
-
 // keyed runs the call under its idempotency key, where it has one.
 func (ag *Agent) keyed(ctx context.Context, sn *board.Snapshot, sl *Slot, ca *core.Call, he *chats.Held, si core.Sink) (core.Usage, error) {
 	if ca.Key == "" || ag.Keys == nil {
@@ -405,50 +292,6 @@
 	return late, cancel
 }
 
-// remember notes that the engine now holds the chat, and tells the chat's home
-// if that is another agent.
-func (ag *Agent) remember(sn *board.Snapshot, sl *Slot, ca *core.Call, key uint64, us core.Usage) {
-	tokens := ca.Prompt + ca.Output
-	if us.Prompt > 0 {
-		tokens = us.Prompt + us.Output
-	}
-	pl := core.Placement{Customer: ca.Customer, Pool: ca.Pool, Chat: ca.Chat, VM: ag.Self}
-	_, known := ag.Book.Held(key)
-	ag.Book.Keep(key, chats.Held{Endpoint: sl.ID, Tokens: tokens, Placement: pl})
-	if known || ag.onWalk(sn, ca.Pool, key) {
-		return
-	}
-	if home := ag.home(sn, ca.Pool, key); home != "" {
-		ag.places.add(home, pl)
-	}
-}
-
-// onWalk tells whether this agent is one of those that routers ask anyway when
-// the chat returns, so that its home need not know.
-func (ag *Agent) onWalk(sn *board.Snapshot, id core.PoolID, key uint64) bool {
-	po := sn.Pools[id]
-	return po != nil && pick.OnWalk(po, key, ag.Self)
-}
-
-// Placed takes in placements sent to this agent as the chats' home.
-func (ag *Agent) Placed(pls []core.Placement) {
-	for _, pl := range pls {
-		key := ring.Key(pl.Customer, pl.Pool, pl.Chat)
-		switch {
-		case pl.Gone:
-			ag.Book.Unpoint(key, pl.VM)
-		case pl.VM != ag.Self:
-			ag.Book.Point(key, pl.VM)
-		}
-	}
-}
-
-func (ag *Agent) pointTo(vm core.VMID, detail string) *core.Refusal {
-	re := ag.refuse(core.ReasonHeldElsewhere, "place", detail)
-	re.Instead = []core.VMID{vm}
-	return re
-}
-
 func (ag *Agent) refuse(reason core.Reason, step, detail string) *core.Refusal {
 	return &core.Refusal{
 		Outcome: core.NotRun, Reason: reason, Step: step, Peer: string(ag.Self), Detail: detail,
--- a/core/call.go
+++ b/core/call.go
@@ -20,8 +20,6 @@
 	Deadline  time.Time
 	// Stream asks for server-sent events.
 	Stream bool
-	// Resume is the position after which a cut stream goes on; 0 is the start.
-	Resume int64
 	// Prompt and Output are the expected sizes in tokens.
 	Prompt Tokens
 	Output Tokens
--- a/io/back/back.go
+++ b/io/back/back.go
@@ -51,7 +51,6 @@
 	headerAttempt  = "X-Request-Id"
 	headerCacheKey = "X-Cache-Key"
 	headerPriority = "X-Priority"
-	headerResume   = "X-Resume-Position"
 	headerIdem     = "Idempotency-Key"
 )
 
@@ -116,7 +115,6 @@
 	}
 	an := &answer{ep: ep, ca: ca, rs: rs, sink: si, watch: watch}
 	an.part.Attempt = ca.Attempt
-	an.part.Position = ca.Resume
 	an.part.Status = rs.StatusCode
 	an.part.ContentType = rs.Header.Get("Content-Type")
 	err = an.pass(ctx)
@@ -167,9 +165,6 @@
 	if ep.Engine && ca.Chat != "" {
 		rq.Header.Set(headerCacheKey, CacheKey(ring.Key(ca.Customer, ca.Pool, ca.Chat)))
 	}
-	if ca.Resume > 0 {
-		rq.Header.Set(headerResume, strconv.FormatInt(ca.Resume, 10))
-	}
 	return rq, nil
 }
 
--- a/io/rpc/convert.go
+++ b/io/rpc/convert.go
@@ -17,7 +17,7 @@
 	return &wire.Call{
 		Attempt: uint64(ca.Attempt), Customer: string(ca.Customer), Pool: string(ca.Pool),
 		Chat: string(ca.Chat), Key: string(ca.Key), MayRepeat: ca.MayRepeat,
-		Priority: uint32(ca.Priority), BudgetMicros: budget, Stream: ca.Stream, Resume: ca.Resume,
+		Priority: uint32(ca.Priority), BudgetMicros: budget, Stream: ca.Stream,
 		Prompt: int64(ca.Prompt), Output: int64(ca.Output), Forced: ca.Forced, Missed: string(ca.Missed),
 		Method: ca.Method, Path: ca.Path, ContentType: ca.ContentType, Body: ca.Body,
 		Revision: uint64(ca.Revision),
@@ -33,7 +33,7 @@
 		Attempt: core.AttemptID(ca.Attempt), Customer: core.CustomerID(ca.Customer), Pool: core.PoolID(ca.Pool),
 		Chat: core.ChatID(ca.Chat), Key: core.IdemKey(ca.Key), MayRepeat: ca.MayRepeat,
 		Priority: core.Priority(min(ca.Priority, uint32(core.PriorityCount-1))), Deadline: deadline,
-		Stream: ca.Stream, Resume: ca.Resume, Prompt: core.Tokens(ca.Prompt), Output: core.Tokens(ca.Output),
+		Stream: ca.Stream, Prompt: core.Tokens(ca.Prompt), Output: core.Tokens(ca.Output),
 		Forced: ca.Forced, Missed: core.VMID(ca.Missed), Method: ca.Method, Path: ca.Path,
 		ContentType: ca.ContentType, Body: ca.Body, Revision: core.Revision(ca.Revision),
 	}
