Say the busiest engine over the mean only above FloorWork

Cause: the demo reported MaxOverMean 6 to 9 at loads of a call or two, where the cap is not applied. Ruled out: a FloorWork of 64 for the demo; its answers of some 50 ms are shorter than the second that figures of the others are old, and 604 to 677 of 2,000 requests were refused by the cap.

--- a/io/demo/drive.go
+++ b/io/demo/drive.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"almondrill/core"
+	"almondrill/core/decl"
 	"almondrill/io/caller"
 	"almondrill/io/clock"
 )
@@ -217,7 +218,8 @@
 }
 
 // watchSkew samples how far the busiest engine stands above the mean of its
-// pool, while the mean is above a call's work, until stop is closed.
+// pool, while the mean is above FloorWork, under which the cap is not applied,
+// until stop is closed; 0 if the load never gets there.
 func (fl *Fleet) watchSkew(stop chan struct{}) float64 {
 	peak := 0.0
 	for {
@@ -231,7 +233,6 @@
 }
 
 func (fl *Fleet) skew() float64 {
-	const meaningful = 8
 	var sum, most float64
 	count := 0
 	for _, pr := range fl.Processes {
@@ -243,7 +244,7 @@
 		most = max(most, load)
 		count++
 	}
-	if sum < meaningful*float64(count) {
+	if sum < float64(decl.DefaultFloorWork)*float64(count) {
 		return 0
 	}
 	return most / (sum / float64(count))
