Errors show their step and peer

Cause: a try as a new user: a taken port said 'listen tcp: address already in use' and a failed poll named no peer; the error library keeps step and peer beside the message, and neither logs nor commands printed them. Change: logs add Step and Peer, commands print both before the message. Conclusion: seen where people on call look.

--- a/cmd/almondrill/process.go
+++ b/cmd/almondrill/process.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"errors"
 	"flag"
 	"fmt"
 	"os"
 
 	"github.com/google/subcommands"
+	"github.com/samber/oops"
 
 	"almondrill/core"
 	"almondrill/io/conf"
@@ -61,8 +63,13 @@
 	return subcommands.ExitUsageError
 }
 
-// failure tells what failed; it exits with 1.
+// failure tells what failed, with its step and peer; it exits with 1.
 func failure(err error) subcommands.ExitStatus {
+	var oo oops.OopsError
+	if errors.As(err, &oo) {
+		fmt.Fprintf(os.Stderr, "almondrill: %s %v: %v\n", oo.Domain(), oo.Context()["peer"], err)
+		return subcommands.ExitFailure
+	}
 	fmt.Fprintln(os.Stderr, "almondrill:", err)
 	return subcommands.ExitFailure
 }
--- a/io/logs/logs.go
+++ b/io/logs/logs.go
@@ -7,9 +7,11 @@
 package logs
 
 import (
+	"errors"
 	"io"
 
 	kratoslog "github.com/go-kratos/kratos/v2/log"
+	"github.com/samber/oops"
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
 )
@@ -53,3 +55,14 @@
 	kl.sugar.Debugw("Kratos reports.", keyvals...)
 	return nil
 }
+
+// Fields are an error's message with the step and the peer at which it arose,
+// which its message alone does not tell.
+func Fields(err error) []zap.Field {
+	fields := []zap.Field{zap.Error(err)}
+	var oo oops.OopsError
+	if errors.As(err, &oo) {
+		fields = append(fields, zap.String("Step", oo.Domain()), zap.Any("Peer", oo.Context()["peer"]))
+	}
+	return fields
+}
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -247,7 +247,7 @@
 }
 
 func (pr *Process) failed(what string) func(err error) {
-	return func(err error) { pr.part.Warn(what, zap.Error(err)) }
+	return func(err error) { pr.part.Warn(what, logs.Fields(err)...) }
 }
 
 // digest tells the own state.
