--- a/cmd/almondrill/standin.go
+++ b/cmd/almondrill/standin.go
@@ -22,6 +22,7 @@
 	"almondrill/io/stand/kvsrv"
 	"almondrill/io/stand/plain"
 	"almondrill/io/stand/vmsrv"
+	"almondrill/io/stand/wstore"
 	"almondrill/io/vmnet"
 )
 
@@ -36,15 +37,21 @@
 	writes      int
 	reads       int
 	file        string
+	version     string
+	load        time.Duration
+	weights     string
+	atOnce      int
+	checks      bool
 }
 
 func (*standinCommand) Name() string     { return "standin" }
 func (*standinCommand) Synopsis() string { return "run a stand-in for an outside system" }
 
 func (*standinCommand) Usage() string {
-	return `standin [flags] engine|service|kv|vms
+	return `standin [flags] engine|service|kv|vms|weights
   Runs one stand-in at -addr until SIGTERM or SIGINT: a model engine, a plain
-  service, the platform's key-value service, or its list of VMs. The list is read
+  service, the platform's key-value service, its list of VMs, or its rate-limited
+  weight store. The list is read
   from -file, a JSON array of VMs with the fields ID, Addr, Zone, Region, Role and
   Pools; send SIGHUP to read it again.
 `
@@ -61,11 +68,16 @@
 	fs.IntVar(&sc.writes, "writes", 300, "kv: writes a second")
 	fs.IntVar(&sc.reads, "reads", 2000, "kv: reads a second")
 	fs.StringVar(&sc.file, "file", "", "vms: the list")
+	fs.StringVar(&sc.version, "version", "", "engine: its model's version at the start")
+	fs.DurationVar(&sc.load, "load", time.Second, "engine: time of loading; weights: time of a fetch")
+	fs.StringVar(&sc.weights, "weights", "", "engine: URL of the weight store that loads fetch from")
+	fs.BoolVar(&sc.checks, "checks-fence", false, "engine: refuse orders with an old fencing number")
+	fs.IntVar(&sc.atOnce, "at-once", 2, "weights: fetches at a time; more are refused")
 }
 
 func (sc *standinCommand) Execute(_ context.Context, fs *flag.FlagSet, _ ...any) subcommands.ExitStatus {
 	if fs.NArg() != 1 {
-		return usage(fs, "name one of engine, service, kv, vms")
+		return usage(fs, "name one of engine, service, kv, vms, weights")
 	}
 	li, err := net.Listen("tcp", sc.addr)
 	if err != nil {
@@ -77,6 +89,7 @@
 		en := &engine.Engine{
 			Clock: clock.Wall{}, Model: sc.model, TokenEvery: sc.token, PerRequest: sc.perRequest,
 			PrefillEvery: sc.prefill, CacheTokens: sc.cacheTokens, ReportLag: sc.lag,
+			Version: sc.version, LoadTime: sc.load, Weights: sc.weights, ChecksFence: sc.checks,
 		}
 		stop = serveHTTP(li, en.Handler())
 	case "service":
@@ -88,6 +101,8 @@
 		})
 		go func() { _ = server.Serve(li) }()
 		stop = server.Stop
+	case "weights":
+		stop = serveHTTP(li, (&wstore.Store{Clock: clock.Wall{}, Time: sc.load, AtOnce: sc.atOnce}).Handler())
 	case "vms":
 		list := &vmsrv.List{Clock: clock.Wall{}, Lag: sc.lag}
 		if err = sc.readList(list); err != nil {
--- a/core/agent/agent.go
+++ b/core/agent/agent.go
@@ -43,6 +43,7 @@
 	Endpoint core.Endpoint
 
 	gate *admit.Gate
+	door door
 }
 
 // Gate is the admission before the endpoint.
@@ -85,11 +86,9 @@
 
 	tables map[core.PoolID]*loads.Table
 	places outbox
+	door   door
 
-	mu       sync.Mutex // guards all below
-	draining bool
-	inside   int
-	empty    chan struct{}
+	mu       sync.Mutex // guards revision
 	revision core.Revision
 }
 
@@ -144,10 +143,10 @@
 // Serve runs one call. The error, if any, is a *core.Refusal.
 func (ag *Agent) Serve(ctx context.Context, ca *core.Call, si core.Sink) (*core.Report, error) {
 	known := ca.Key != "" && ag.Keys != nil && ag.Keys.Knows(ca)
-	if !ag.enter(known) {
+	if !ag.door.enter(known) {
 		return ag.report(nil, core.Usage{}), ag.refuse(core.ReasonDraining, "enter", "the agent is leaving")
 	}
-	defer ag.leave()
+	defer ag.door.leave()
 	sn := ag.Board.Snapshot()
 	if sn.Config == nil {
 		return ag.report(nil, core.Usage{}), ag.refuse(core.ReasonNoConfig, "enter", "no configuration yet")
@@ -163,6 +162,10 @@
 			return ag.report(sl, core.Usage{}), re
 		}
 	}
+	if !sl.door.enter(known) {
+		return ag.report(sl, core.Usage{}), ag.reloading(sl)
+	}
+	defer sl.door.leave()
 	us, err := ag.keyed(ctx, sn, sl, ca, he, si)
 	if err == nil && !gr.Service {
 		ag.remember(sn, sl, ca, key, us)
@@ -299,6 +302,13 @@
 	}
 }
 
+// reloading refuses a call while the endpoint loads another model or version.
+func (ag *Agent) reloading(sl *Slot) *core.Refusal {
+	re := ag.refuse(core.ReasonReloading, "enter", "the engine is loading another model or version")
+	re.Instead = sl.gate.Less()
+	return re
+}
+
 // report tells what the agent is like now.
 func (ag *Agent) report(sl *Slot, us core.Usage) *core.Report {
 	rep := &core.Report{
--- a/core/agent/control.go
+++ b/core/agent/control.go
@@ -88,15 +88,17 @@
 // addStandings fills in the mean over the agent's endpoints of the pool, as the
 // cap compares single endpoints.
 func (ag *Agent) addStandings(own *core.LoadEntry) {
-	count := core.Work(0)
+	count, held := core.Work(0), true
 	for _, sl := range ag.Slots {
 		if sl.Pool == own.Pool {
+			held = held && sl.Held()
 			st := sl.gate.Standing()
 			own.Load += st.Load
 			own.Drain += st.Drain
 			count++
 		}
 	}
+	own.Draining = own.Draining || held
 	own.Load /= max(1, count)
 	own.Drain /= max(1, count)
 }
--- a/core/agent/place.go
+++ b/core/agent/place.go
@@ -1,6 +1,8 @@
 package agent
 
 import (
+	"math"
+
 	"almondrill/core"
 	"almondrill/core/board"
 	"almondrill/core/chats"
@@ -39,10 +41,14 @@
 		if sl.Pool != po {
 			continue
 		}
-		if here && sl.ID == he.Endpoint {
+		if here && sl.ID == he.Endpoint && !sl.Held() {
 			return sl, &he
 		}
-		if load := sl.gate.Load(); best == nil || load < least {
+		load := sl.gate.Load()
+		if sl.Held() {
+			load = math.MaxInt64
+		}
+		if best == nil || load < least {
 			best, least = sl, load
 		}
 	}
--- a/core/call.go
+++ b/core/call.go
@@ -93,6 +93,10 @@
 	Claim(ctx context.Context, to VMID, cl *Claim) (*Verdict, error)
 	Fetch(ctx context.Context, to VMID, since Revision) (*Changes, error)
 	Place(ctx context.Context, to VMID, pl []Placement) error
+	// Order hands an agent an order for an endpoint beside it, and Inspect asks
+	// for the state of all of them. Order's error is a *Refusal.
+	Order(ctx context.Context, to VMID, or *Order) error
+	Inspect(ctx context.Context, to VMID) ([]EndpointState, error)
 }
 
 // Digest is what two processes tell each other in the background.
--- a/core/decl/decl.go
+++ b/core/decl/decl.go
@@ -61,7 +61,7 @@
 type Pool struct {
 	Name      core.PoolID `yaml:"Name" doc:"Unique name."`
 	Model     string      `yaml:"Model,omitempty" json:",omitempty" doc:"Model name that callers give."`
-	Version   string      `yaml:"Version,omitempty" json:",omitempty" doc:"Model version its engines are to run."`
+	Version   string      `yaml:"Version,omitempty" json:",omitempty" doc:"Model version its engines are to run. Empty: its engines are given no orders, and Adapters and Role do nothing."`
 	Adapters  []string    `yaml:"Adapters,omitempty" json:",omitempty" doc:"Adapters its engines are to load."`
 	Role      string      `yaml:"Role,omitempty" json:",omitempty" doc:"Prefill, Decode or Both; empty means Both."`
 	ReuseBias float64     `yaml:"ReuseBias,omitempty" json:",omitempty" doc:"How much work a call must save by moving, as a multiple of prefilling its context anew: higher keeps chats where their context is, lower evens load out sooner. 0 means 64."`
--- /dev/null
+++ b/core/order/order_test.go
@@ -0,0 +1,257 @@
+package order_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"strconv"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"almondrill/core"
+	"almondrill/core/decl"
+	"almondrill/core/order"
+	"almondrill/io/clock"
+	"almondrill/io/stand/inmem"
+	"almondrill/io/stand/kvsrv"
+)
+
+func newStore() *kvsrv.Store {
+	return &kvsrv.Store{Clock: clock.Wall{}, Rand: clock.NewRand(1), Latency: 2 * time.Millisecond}
+}
+
+func newLease(kv core.KV, name string) *order.Lease {
+	return &order.Lease{
+		KV: kv, Clock: clock.Wall{}, TTL: order.DefaultTTL,
+		Self: core.Claimant{VM: core.VMID(name), Incarnation: 1},
+	}
+}
+
+// Routers compete for the lease while the KV fails, slows and loses answers.
+// Nobody ever holds it beside another, though answers come late, and numbers
+// rise from one holder to the next.
+func TestLeaseHasOneHolder(t *testing.T) {
+	for seed := range uint64(8) {
+		synctest.Test(t, func(t *testing.T) { compete(t, seed) })
+	}
+}
+
+func compete(t *testing.T, seed uint64) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	store, ra := newStore(), clock.NewRand(seed)
+	var leases []*order.Lease
+	for ix := range 4 {
+		le := newLease(store, fmt.Sprint("router-", ix))
+		leases = append(leases, le)
+		own := clock.NewRand(seed*10 + uint64(ix))
+		go func() {
+			for (clock.Wall{}).Sleep(ctx, time.Duration(own.Uint64()%uint64(8*time.Second))) == nil {
+				_ = le.Keep(ctx)
+			}
+		}()
+	}
+	kinds := []kvsrv.Faults{{}, {LoseAnswers: 0.5}, {Down: true}, {}, {Delay: 5 * time.Second}}
+	last, holders := core.Fence(0), map[core.Fence]bool{}
+	for tick := range 12000 {
+		if tick%150 == 0 {
+			store.SetFaults(kinds[ra.Uint64()%uint64(len(kinds))])
+		}
+		time.Sleep(100 * time.Millisecond)
+		held := 0
+		for _, le := range leases {
+			if fence, ok := le.Fence(); ok {
+				held++
+				last = max(last, fence)
+				holders[fence] = true
+				if fence < last {
+					t.Errorf("seed %d: number %d is held after %d", seed, fence, last)
+				}
+			}
+		}
+		if held > 1 {
+			t.Fatalf("seed %d: %d hold the lease at once", seed, held)
+		}
+	}
+	if len(holders) < 3 {
+		t.Errorf("seed %d: %d holders: this history shows nothing", seed, len(holders))
+	}
+}
+
+// The KV creates the holder's entry, but its answer is lost. The process finds
+// its own entry there and holds the lease rather than waiting for it to lapse.
+func TestLostAnswerToAcquire(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		kv := &losing{Store: newStore(), key: "orders/holder"}
+		le := newLease(kv, "router")
+		if err := le.Keep(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+		if _, held := le.Fence(); !held || !kv.lost {
+			t.Errorf("held %v, lost %v", held, kv.lost)
+		}
+	})
+}
+
+// losing loses the answer to the first write of a key.
+type losing struct {
+	*kvsrv.Store
+	key  string
+	lost bool
+}
+
+// Put writes an entry.
+func (lo *losing) Put(ctx context.Context, key string, value []byte, expect core.Version, le core.LeaseID) (core.Version, error) {
+	version, err := lo.Store.Put(ctx, key, value, expect, le)
+	if key == lo.key && !lo.lost {
+		lo.lost = true
+		return 0, kvsrv.ErrLost
+	}
+	return version, err
+}
+
+// An order waits until the engine's calls have ended, which takes minutes. In
+// that time the lease passes to another holder. The order must not run then.
+func TestOrderThatWaitedIsCheckedAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := newStore()
+		raise(t, store, 0, 5)
+		en := &inmem.Engine{Clock: clock.Wall{}}
+		free := make(chan struct{})
+		ga := &order.Gate{KV: store, Clock: clock.Wall{}, Self: "agent", Seats: []*order.Seat{{
+			ID: "engine", Engine: en, Release: func() {},
+			Hold: func(context.Context) error {
+				<-free
+				return nil
+			},
+		}}}
+		or := core.Order{Fence: 5, Endpoint: "engine", Kind: core.OrderLoadModel, Name: "m", Version: "v2"}
+		if err := ga.Order(t.Context(), &or); err != nil {
+			t.Fatal(err)
+		}
+		raise(t, store, 1, 9)
+		close(free)
+		time.Sleep(time.Second)
+		if fences, _ := en.Fences(); len(fences) > 0 {
+			t.Errorf("ran orders numbered %v", fences)
+		}
+		if problem := ga.States(t.Context())[0].Problem; problem == nil || problem.Reason != core.ReasonOldFence {
+			t.Errorf("the agent tells %v", problem)
+		}
+	})
+}
+
+// raise writes the current number as a holder does.
+func raise(t *testing.T, store *kvsrv.Store, expect core.Version, to core.Fence) {
+	t.Helper()
+	if _, err := store.Put(t.Context(), "orders/fence", strconv.AppendUint(nil, uint64(to), 10), expect, 0); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// An agent that has just started is given an order while the KV cannot be read,
+// or answers with content older than the holder's own write. It takes none, and
+// says why.
+func TestNoOrderWithoutTheCurrentNumber(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := newStore()
+		raise(t, store, 0, 5)
+		en := &inmem.Engine{Clock: clock.Wall{}}
+		ga := &order.Gate{KV: store, Clock: clock.Wall{}, Self: "agent", Seats: []*order.Seat{{ID: "engine", Engine: en}}}
+		for _, one := range []struct {
+			fence  core.Fence
+			down   bool
+			reason core.Reason
+		}{{5, true, core.ReasonKVDown}, {9, false, core.ReasonKVDown}, {3, false, core.ReasonOldFence}} {
+			store.SetFaults(kvsrv.Faults{Down: one.down})
+			err := ga.Order(t.Context(), &core.Order{Fence: one.fence, Endpoint: "engine", Kind: core.OrderChangeRole, Name: "Decode"})
+			var re *core.Refusal
+			if !errors.As(err, &re) || re.Reason != one.reason || re.Outcome != core.NotRun {
+				t.Errorf("%+v: %v", one, err)
+			}
+		}
+		if fences, _ := en.Fences(); len(fences) > 0 {
+			t.Errorf("ran orders numbered %v", fences)
+		}
+	})
+}
+
+// Whatever the engines' states, the orders given together leave Minimum engines
+// serving, begin no more loads than allowed, and go to ready engines only.
+func TestNextKeepsTheMinimum(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		po := &decl.Pool{Name: "p", Model: "m", Version: "v2", Minimum: rapid.IntRange(0, 6).Draw(rt, "minimum"), Adapters: []string{"a"}}
+		loads := rapid.IntRange(0, 5).Draw(rt, "loads")
+		var views []order.View
+		serving := map[core.VMID]bool{}
+		for ix := range rapid.IntRange(0, 10).Draw(rt, "engines") {
+			vi := view(rt, core.VMID(fmt.Sprint("vm-", ix)))
+			serving[vi.VM] = vi.Known && vi.Usable && (vi.Phase == core.PhaseUnmanaged ||
+				(vi.Phase == core.PhaseReady && vi.Engine.Model == "m"))
+			views = append(views, vi)
+		}
+		before := count(serving)
+		begun := 0
+		for _, gi := range order.Next(po, views, loads) {
+			if gi.Kind == core.OrderLoadModel {
+				delete(serving, gi.VM)
+			}
+			if gi.Kind != core.OrderChangeRole && gi.Kind != core.OrderUnloadAdapter {
+				begun++
+			}
+		}
+		if after := count(serving); after < before && after < max(1, po.Minimum) {
+			rt.Errorf("%d of %d go on serving, of at least %d", after, before, po.Minimum)
+		}
+		if begun > loads {
+			rt.Errorf("%d loads of %d allowed", begun, loads)
+		}
+	})
+}
+
+func view(rt *rapid.T, vm core.VMID) order.View {
+	phases := []core.Phase{core.PhaseReady, core.PhaseReady, core.PhaseOrdered, core.PhaseUnmanaged, core.PhaseUnreachable}
+	return order.View{
+		VM: vm, Known: rapid.Bool().Draw(rt, "known"), Usable: rapid.Bool().Draw(rt, "usable"),
+		EndpointState: core.EndpointState{
+			Endpoint: core.EndpointID(vm), Pool: "p", Phase: rapid.SampledFrom(phases).Draw(rt, "phase"),
+			Engine: core.EngineState{
+				Model:   rapid.SampledFrom([]string{"m", "other", ""}).Draw(rt, "model"),
+				Version: rapid.SampledFrom([]string{"v1", "v2"}).Draw(rt, "version"), Role: "Both",
+			},
+		},
+	}
+}
+
+func count(set map[core.VMID]bool) int {
+	sum := 0
+	for _, in := range set {
+		if in {
+			sum++
+		}
+	}
+	return sum
+}
+
+// The weight store bears few loads at a time and says so. Fewer are begun from
+// then on, and more again as loads go well.
+func TestPaceFollowsTheStore(t *testing.T) {
+	var pa order.Pace
+	for range 40 {
+		pa.Well()
+	}
+	grown := pa.Window()
+	pa.Refused()
+	if shrunk := pa.Window(); grown < 6 || shrunk != grown/2 {
+		t.Errorf("%d after 40 loads, %d after a refusal", grown, shrunk)
+	}
+	for range 20 {
+		pa.Refused()
+	}
+	if pa.Window() != 1 {
+		t.Errorf("%d: at least one load must go on", pa.Window())
+	}
+}
--- /dev/null
+++ b/core/order/plan.go
@@ -0,0 +1,115 @@
+package order
+
+import (
+	"slices"
+
+	"almondrill/core"
+	"almondrill/core/decl"
+)
+
+// View is what the holder knows of one endpoint of a pool.
+type View struct {
+	VM core.VMID
+	core.EndpointState
+	// Known is set once the holder has seen its state; Usable while routers send
+	// it calls.
+	Known  bool
+	Usable bool
+	// Later is set while an order that failed is not to be given again yet.
+	Later bool
+}
+
+// serving tells whether it serves the pool's model, in any version.
+func (vi *View) serving(po *decl.Pool) bool {
+	if !vi.Known || !vi.Usable {
+		return false
+	}
+	return vi.Phase == core.PhaseUnmanaged || (vi.Phase == core.PhaseReady && vi.Engine.Model == po.Model)
+}
+
+// Given is an order and the VM whose agent it goes to.
+type Given struct {
+	VM core.VMID
+	core.Order
+}
+
+// Next picks the orders to give now for a pool, of which at most loads fetch from
+// the weight store. Engines that serve are only taken away while Minimum others
+// go on serving. An endpoint not seen yet counts as not serving: it may be in the
+// middle of an earlier holder's order.
+func Next(po *decl.Pool, views []View, loads int) []Given {
+	if po.Version == "" {
+		return nil
+	}
+	spare := -max(1, po.Minimum)
+	for ix := range views {
+		if views[ix].serving(po) {
+			spare++
+		}
+	}
+	var given []Given
+	for ix := range views {
+		vi := &views[ix]
+		or := Wanted(po, &vi.EndpointState)
+		if !vi.Known || vi.Later || vi.Phase != core.PhaseReady || or == nil {
+			continue
+		}
+		if fetches(or.Kind) && loads <= 0 {
+			continue
+		}
+		if or.Kind == core.OrderLoadModel && vi.serving(po) {
+			if spare <= 0 {
+				continue
+			}
+			spare--
+		}
+		if fetches(or.Kind) {
+			loads--
+		}
+		given = append(given, Given{VM: vi.VM, Order: *or})
+	}
+	return given
+}
+
+func fetches(ki core.OrderKind) bool {
+	return ki == core.OrderLoadModel || ki == core.OrderLoadAdapter
+}
+
+// Wanted is the next order that brings an endpoint towards what its pool
+// declares, nil if it is there. A pool that declares no version wants nothing.
+func Wanted(po *decl.Pool, es *core.EndpointState) *core.Order {
+	if po.Version == "" || es.Phase == core.PhaseUnmanaged || es.Phase == core.PhaseUnreachable {
+		return nil
+	}
+	for _, or := range orders(po, es) {
+		if !es.Engine.Meets(&or) {
+			return &or
+		}
+	}
+	return nil
+}
+
+// orders lists everything that the pool wants of the endpoint. The model comes
+// first, as loading one drops its adapters.
+func orders(po *decl.Pool, es *core.EndpointState) []core.Order {
+	role := po.Role
+	if role == "" {
+		role = "Both"
+	}
+	all := []core.Order{
+		{Kind: core.OrderLoadModel, Name: po.Model, Version: po.Version},
+		{Kind: core.OrderChangeRole, Name: role},
+	}
+	for _, name := range es.Engine.Adapters {
+		if !slices.Contains(po.Adapters, name) {
+			all = append(all, core.Order{Kind: core.OrderUnloadAdapter, Name: name})
+		}
+	}
+	for _, name := range po.Adapters {
+		all = append(all, core.Order{Kind: core.OrderLoadAdapter, Name: name})
+	}
+	for ix := range all {
+		all[ix].Endpoint = es.Endpoint
+	}
+	return all
+}
--- a/core/outcome.go
+++ b/core/outcome.go
@@ -59,6 +59,10 @@
 	ReasonCrossed       Reason = "Crossed"       // the reply was for another attempt
 	ReasonStalled       Reason = "Stalled"       // nothing came for too long
 	ReasonRetryBudget   Reason = "RetryBudget"   // the retry budget is spent
+	ReasonReloading     Reason = "Reloading"     // the engine is loading another model or version
+	ReasonOldFence      Reason = "OldFence"      // an order from a past holder of the lease
+	ReasonOrderBusy     Reason = "OrderBusy"     // another order is in progress at the endpoint
+	ReasonWeightsBusy   Reason = "WeightsBusy"   // the weight store gave no weights in time
 )
 
 // Reasons lists every reason, for counters and documents.
@@ -69,6 +73,7 @@
 	ReasonDeadline, ReasonCallerGone, ReasonKVDown, ReasonClaimLost, ReasonKeyReused, ReasonAnswerGone,
 	ReasonUnreachable, ReasonPeerLost, ReasonEndpointDown, ReasonEndpointError,
 	ReasonCutShort, ReasonCrossed, ReasonStalled, ReasonRetryBudget,
+	ReasonReloading, ReasonOldFence, ReasonOrderBusy, ReasonWeightsBusy,
 }
 
 // Refusal is the error of an attempt that did not end Whole.
--- /dev/null
+++ b/core/trial/orders_test.go
@@ -0,0 +1,324 @@
+package trial_test
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"almondrill/core"
+	"almondrill/core/decl"
+	"almondrill/core/revlog"
+	"almondrill/io/clock"
+	"almondrill/io/stand/audit"
+	"almondrill/io/stand/inmem"
+	"almondrill/io/stand/kvsrv"
+	"almondrill/io/stand/wstore"
+)
+
+// rollout is a fleet whose pool declares a version, and its weight store.
+type rollout struct {
+	*stage
+	store   *wstore.Store
+	engines []*inmem.Engine
+	minimum int
+}
+
+// onRollout starts a pool of engines that all have version v1 of the model.
+func onRollout(t *testing.T, seed uint64, agents, minimum int, act func(ro *rollout)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) { inRollout(t, seed, agents, minimum, act) })
+}
+
+func inRollout(t *testing.T, seed uint64, agents, minimum int, act func(ro *rollout)) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	ro := &rollout{
+		stage:   &stage{t: t, ctx: ctx, audit: &audit.Audit{}, counts: map[core.Outcome]int{}},
+		store:   &wstore.Store{Clock: clock.Wall{}, Time: 20 * time.Second, AtOnce: 2},
+		minimum: minimum,
+	}
+	for range agents {
+		ro.engines = append(ro.engines, ro.engine())
+	}
+	ro.fl = &inmem.Fleet{
+		Seed: seed, Routers: 3, Agents: agents, Pool: poolID, Lag: 5 * time.Second, Document: ro.document("v1"),
+		Engine: func(ix int) *inmem.Engine { return ro.engines[ix] },
+	}
+	if err := ro.fl.Start(ctx); err != nil {
+		t.Fatal(err)
+	}
+	// By then somebody holds the lease.
+	time.Sleep(30 * time.Second)
+	act(ro)
+	cancel()
+	// An order's own time to run is the longest that anything here waits.
+	time.Sleep(30 * time.Minute)
+}
+
+func (ro *rollout) engine() *inmem.Engine {
+	return &inmem.Engine{
+		Clock: clock.Wall{}, Step: 10 * time.Millisecond, PerCall: time.Millisecond,
+		Prefill: 100 * time.Microsecond, CacheTokens: 50_000, Chunk: 5, Audit: ro.audit,
+		Tuning: inmem.Tuning{
+			Loaded:  core.EngineState{Model: modelName, Version: "v1", Role: "Both"},
+			Weights: ro.store,
+		},
+	}
+}
+
+func (ro *rollout) document(version string) *decl.Document {
+	doc := document(decl.Limits{FloorWork: 500, Slots: 8, QueueCalls: 16}, 0)
+	doc.Pools[0].Model, doc.Pools[0].Version, doc.Pools[0].Minimum = modelName, version, ro.minimum
+	return doc
+}
+
+const modelName = "m"
+
+// declare has a version accepted through a router.
+func (ro *rollout) declare(from int, version string) {
+	ro.t.Helper()
+	me := ro.fl.RouterAt(from)
+	for ; me.KVCut.Load(); from++ {
+		me = ro.fl.RouterAt(from % 3)
+	}
+	if err := me.Log.Refresh(ro.ctx); err != nil {
+		ro.t.Fatal(err)
+	}
+	_, rev := me.Log.Document()
+	if _, err := me.Log.Commit(ro.ctx, rev, ro.document(version), revlog.Meta{ID: fmt.Sprint(version, rev), Author: "operator"}); err != nil {
+		ro.t.Fatal(err)
+	}
+}
+
+// at counts the engines that have the version loaded.
+func (ro *rollout) at(version string) int {
+	count := 0
+	for _, en := range ro.engines {
+		if st, _ := en.State(ro.ctx); st.Version == version {
+			count++
+		}
+	}
+	return count
+}
+
+// serving counts the agents whose endpoint takes calls.
+func (ro *rollout) serving() int {
+	count := 0
+	for _, me := range ro.fl.All() {
+		if me.Agent != nil && !me.Agent.Slots[0].Held() {
+			count++
+		}
+	}
+	return count
+}
+
+// until waits for a condition and returns how long it took.
+func (ro *rollout) until(most time.Duration, done func() bool) time.Duration {
+	start := time.Now()
+	for !done() && time.Since(start) < most {
+		time.Sleep(100 * time.Millisecond)
+	}
+	return time.Since(start)
+}
+
+// fencesRise checks that no engine was given an order of an earlier holder after
+// one of a later holder, and that none cut a call off.
+func (ro *rollout) fencesRise() {
+	ro.t.Helper()
+	for ix, en := range ro.engines {
+		fences, interrupted := en.Fences()
+		if !slices.IsSorted(fences) {
+			ro.t.Errorf("engine %d ran orders numbered %v", ix, fences)
+		}
+		if interrupted > 0 {
+			ro.t.Errorf("engine %d cut off %d calls", ix, interrupted)
+		}
+	}
+}
+
+// A new version is declared on a busy pool of six. The weight store bears two
+// loads at a time; four engines must go on serving. Callers notice nothing.
+func TestVersionRollsUnderLoad(t *testing.T) {
+	onRollout(t, 21, 6, 4, func(ro *rollout) {
+		least := len(ro.engines)
+		ctx, cancel := context.WithCancel(ro.ctx)
+		go func() {
+			for ctx.Err() == nil {
+				least = min(least, ro.serving())
+				time.Sleep(50 * time.Millisecond)
+			}
+		}()
+		time.Sleep(30 * time.Second)
+		ro.declare(0, "v2")
+		ro.callers(12, 3*time.Minute)
+		cancel()
+		synctest.Wait()
+		if ro.at("v2") != len(ro.engines) {
+			t.Errorf("%d of %d engines have the new version", ro.at("v2"), len(ro.engines))
+		}
+		if least < 4 || least == len(ro.engines) {
+			t.Errorf("at least %d engines were serving", least)
+		}
+		if ro.counts[core.Failed]+ro.counts[core.Unknown] > 0 || ro.counts[core.Whole] == 0 {
+			t.Errorf("ends of calls: %v", ro.counts)
+		}
+		ro.fencesRise()
+		ro.check("roll")
+	})
+}
+
+// The holder of the lease decides on orders and is paused before it sends them.
+// Its lease lapses, another router takes over, the operator rolls the pool back,
+// and an agent is replaced by one that remembers nothing. Then the old orders
+// arrive, at engines that do not check their numbers: none may run.
+func TestOrdersOfPausedHolderAreRefused(t *testing.T) {
+	onRollout(t, 22, 4, 1, func(ro *rollout) {
+		holder := ro.holder()
+		if holder == nil {
+			t.Fatal("nobody holds the lease")
+		}
+		ro.fl.Net.PauseOrders(holder.ID, 3*time.Minute)
+		ro.declare(1, "v2")
+		time.Sleep(5 * time.Second)
+		holder.KVCut.Store(true)
+		ro.until(time.Minute, func() bool { return ro.at("v2") > 0 })
+		ro.declare(1, "v1")
+		ro.until(2*time.Minute, func() bool { return ro.at("v2") == 0 })
+		if late := ro.holder(); late == nil || late == holder {
+			t.Fatal("nobody took over: this shows nothing")
+		}
+		for ix := range ro.engines {
+			ro.restart(ix)
+		}
+		time.Sleep(3 * time.Minute)
+		if ro.at("v1") != len(ro.engines) {
+			t.Errorf("%d engines have the version declared", ro.at("v1"))
+		}
+		ro.fencesRise()
+	})
+}
+
+// restart replaces an agent by a new process beside the same engine.
+func (ro *rollout) restart(ix int) {
+	name := fmt.Sprintf("agent-%04d", ix)
+	ro.fl.AgentAt(core.VMID(name)).Kill()
+	ro.fl.AddAgent(name, ix)
+}
+
+func (ro *rollout) holder() *inmem.Member {
+	for _, me := range ro.fl.All() {
+		if me.Control == nil {
+			continue
+		}
+		if _, held := me.Control.Lease.Fence(); held {
+			return me
+		}
+	}
+	return nil
+}
+
+// Operators change the version every half minute while routers are paused in
+// turn, the KV fails and loses answers, and agents are replaced. No engine runs
+// an order after one with a higher number; once all is well again, every engine
+// has what is declared.
+func TestOrderHistories(t *testing.T) {
+	seeds := []uint64{31, 32, 33}
+	for range *explore {
+		seeds = append(seeds, clock.RandomSeed())
+	}
+	for _, seed := range seeds {
+		onRollout(t, seed, 4, 2, func(ro *rollout) {
+			ro.orderHistory(clock.NewRand(seed))
+			if ro.at("last") != len(ro.engines) {
+				t.Errorf("seed %d: %d engines have the version declared last", seed, ro.at("last"))
+			}
+			ro.fencesRise()
+		})
+	}
+}
+
+// orderHistory goes through ten minutes of faults.
+func (ro *rollout) orderHistory(ra core.Rand) {
+	kinds := []kvsrv.Faults{{}, {Down: true}, {LoseAnswers: 0.5}, {Delay: 200 * time.Millisecond}}
+	for turn := range 20 {
+		ro.fl.Store.SetFaults(kvsrv.Faults{})
+		time.Sleep(2 * time.Second)
+		if holder := ro.holder(); holder != nil && ra.Uint64()%2 == 0 {
+			ro.pause(holder, upTo(ra, 90*time.Second), turn)
+		} else {
+			ro.declare(turn%3, fmt.Sprint("v", turn))
+		}
+		time.Sleep(upTo(ra, 15*time.Second))
+		ro.fl.Store.SetFaults(kinds[ra.Uint64()%uint64(len(kinds))])
+		if ra.Uint64()%2 == 0 {
+			ro.restart(int(ra.Uint64() % uint64(len(ro.engines))))
+		}
+		time.Sleep(upTo(ra, 20*time.Second))
+	}
+	ro.fl.Store.SetFaults(kvsrv.Faults{})
+	ro.resume()
+	ro.declare(0, "last")
+	ro.until(20*time.Minute, func() bool { return ro.at("last") == len(ro.engines) })
+}
+
+// pause has the holder decide on orders that arrive only after d, by when its
+// lease has often lapsed, as it cannot renew it either.
+func (ro *rollout) pause(holder *inmem.Member, d time.Duration, turn int) {
+	ro.resume()
+	ro.fl.Net.PauseOrders(holder.ID, d)
+	for ix := range 3 {
+		if ro.fl.RouterAt(ix) != holder {
+			ro.declare(ix, fmt.Sprint("v", turn))
+			break
+		}
+	}
+	time.Sleep(3 * time.Second)
+	holder.KVCut.Store(true)
+}
+
+// resume lets all routers go on.
+func (ro *rollout) resume() {
+	for ix := range 3 {
+		ro.fl.Net.PauseOrders(ro.fl.RouterAt(ix).ID, 0)
+		ro.fl.RouterAt(ix).KVCut.Store(false)
+	}
+	time.Sleep(time.Second)
+}
+
+func upTo(ra core.Rand, most time.Duration) time.Duration {
+	return time.Duration(ra.Uint64() % uint64(most))
+}
+
+// BenchmarkRoll rolls a version over a pool, of which nine in ten are to go on
+// serving and whose weight store bears two loads of 20 s at a time: how much
+// longer it took than the store needs, what the store refused for each load, and
+// the KV's calls for each engine.
+func BenchmarkRoll(b *testing.B) {
+	for _, agents := range []int{20, 50, 150} {
+		b.Run(fmt.Sprint("own/engines=", agents), func(b *testing.B) {
+			for b.Loop() {
+				inBubble(b, func(t *testing.T) {
+					inRollout(t, 5, agents, agents*9/10, func(ro *rollout) { ro.roll(b) })
+				})
+			}
+		})
+	}
+}
+
+func (ro *rollout) roll(b *testing.B) {
+	count := len(ro.engines)
+	ro.declare(0, "v2")
+	before, start := ro.fl.Store.Calls(), sent(ro.fl)
+	took := ro.until(4*time.Hour, func() bool { return ro.at("v2") == count })
+	calls, counts := ro.fl.Store.Calls(), ro.store.Counts()
+	needed := time.Duration((count+1)/2) * ro.store.Time
+	b.ReportMetric(took.Seconds(), "s")
+	b.ReportMetric(float64(took)/float64(needed), "time/needed")
+	b.ReportMetric(float64(counts.Refused)/float64(counts.Fetched), "refused/load")
+	b.ReportMetric(float64(calls.Writes-before.Writes)/took.Seconds(), "KV-writes/s")
+	b.ReportMetric(float64(calls.Reads-before.Reads)/took.Seconds(), "KV-reads/s")
+	b.ReportMetric(float64(sent(ro.fl)-start)/took.Seconds()/float64(len(ro.fl.All())), "B/s/node")
+}
--- /dev/null
+++ b/io/back/order.go
@@ -0,0 +1,95 @@
+package back
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/samber/oops"
+
+	"almondrill/core"
+)
+
+var _ core.Orderable = (*Endpoint)(nil)
+
+const (
+	ordersPath = "/orders"
+	// mostProblem bounds what is kept of an engine's own error text.
+	mostProblem = 512
+)
+
+// State asks the engine what it has loaded. One without the path takes no orders.
+func (ep *Endpoint) State(ctx context.Context) (*core.EngineState, error) {
+	rq, err := http.NewRequestWithContext(ctx, http.MethodGet, ep.URL+ordersPath, nil)
+	if err != nil {
+		return nil, oops.In("state").With("peer", ep.ID).Wrap(err)
+	}
+	rs, err := client.Do(rq)
+	if err != nil {
+		return nil, oops.In("state").With("peer", ep.ID).Wrap(err)
+	}
+	defer rs.Body.Close()
+	switch rs.StatusCode {
+	case http.StatusOK:
+	case http.StatusNotFound, http.StatusMethodNotAllowed, http.StatusNotImplemented:
+		return nil, core.ErrNoOrders
+	default:
+		return nil, oops.In("state").With("peer", ep.ID).Errorf("status %d", rs.StatusCode)
+	}
+	var st core.EngineState
+	if err = json.NewDecoder(rs.Body).Decode(&st); err != nil {
+		return nil, oops.In("state").With("peer", ep.ID).Wrap(err)
+	}
+	return &st, nil
+}
+
+// Order has the engine carry an order out and waits until it is done. Engines
+// that check fencing numbers find it in the body.
+func (ep *Endpoint) Order(ctx context.Context, or *core.Order) error {
+	body, err := json.Marshal(struct {
+		Fence         core.Fence
+		Kind          core.OrderKind
+		Name, Version string
+	}{or.Fence, or.Kind, or.Name, or.Version})
+	if err != nil {
+		return ep.refuse(core.NotRun, core.ReasonBadRequest, err)
+	}
+	rq, err := http.NewRequestWithContext(ctx, http.MethodPost, ep.URL+ordersPath, bytes.NewReader(body))
+	if err != nil {
+		return ep.refuse(core.NotRun, core.ReasonBadRequest, err)
+	}
+	rq.Header.Set("Content-Type", "application/json")
+	rs, err := onceClient.Do(rq)
+	if err != nil {
+		return ep.noAnswer(ctx, err)
+	}
+	defer rs.Body.Close()
+	if rs.StatusCode == http.StatusOK {
+		return nil
+	}
+	return ep.notOrdered(rs)
+}
+
+// notOrdered reads why the engine did not carry an order out.
+func (ep *Endpoint) notOrdered(rs *http.Response) *core.Refusal {
+	text, _ := io.ReadAll(io.LimitReader(rs.Body, mostProblem))
+	re := &core.Refusal{
+		Outcome: core.Failed, Reason: core.ReasonEndpointError, Step: "order", Peer: string(ep.ID),
+		Detail: fmt.Sprintf("status %d: %s", rs.StatusCode, bytes.TrimSpace(text)), Status: rs.StatusCode,
+	}
+	switch rs.StatusCode {
+	case http.StatusConflict:
+		re.Outcome, re.Reason = core.NotRun, core.ReasonOldFence
+	case http.StatusServiceUnavailable, http.StatusTooManyRequests:
+		re.Reason = core.ReasonWeightsBusy
+	}
+	if after, err := strconv.Atoi(rs.Header.Get("Retry-After")); err == nil {
+		re.RetryAfter = time.Duration(after) * time.Second
+	}
+	return re
+}
--- a/io/demo/fleet.go
+++ b/io/demo/fleet.go
@@ -174,6 +174,7 @@
 func (fl *Fleet) addEngine(ix int) error {
 	en := &engine.Engine{
 		Clock: fl.clock, Model: Model, TokenEvery: fl.TokenEvery, Audit: fl.Audit, ReportLag: time.Second,
+		Version: "1",
 	}
 	addr, err := fl.serve(en.Handler())
 	if err != nil {
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -42,6 +42,7 @@
 	"almondrill/core/board"
 	"almondrill/core/decl"
 	"almondrill/core/meter"
+	"almondrill/core/order"
 	"almondrill/core/retry"
 	"almondrill/core/revlog"
 	"almondrill/core/router"
@@ -80,6 +81,8 @@
 	server      *rpc.Server
 	router      *router.Router
 	agent       *agent.Agent
+	orders      *order.Gate       // agents only
+	control     *order.Controller // routers only
 	followers   []*back.Follower
 	app         *kratos.App
 	part        *zap.Logger
@@ -222,6 +225,7 @@
 			Exhausted: func() { pr.Stats.Refuse(core.ReasonRetryBudget) },
 			Heard:     pr.spreader.Heard,
 		}
+		pr.buildControl()
 		return
 	}
 	pr.buildAgent()
@@ -283,6 +287,8 @@
 	loops := []func(context.Context) error{pr.board.Run, lister.Run, pr.spreader.Run}
 	if pr.agent != nil {
 		loops = append(loops, pr.agent.Run)
+	} else {
+		loops = append(loops, pr.control.Run)
 	}
 	for _, fo := range pr.followers {
 		loops = append(loops, fo.Run)
--- /dev/null
+++ b/io/node/orders.go
@@ -0,0 +1,64 @@
+package node
+
+import (
+	"go.uber.org/zap"
+
+	"almondrill/core"
+	"almondrill/core/order"
+	"almondrill/io/back"
+	"almondrill/io/stats"
+)
+
+// buildControl makes the part of a router that gives orders to engines.
+func (pr *Process) buildControl() {
+	out := pr.Logs.Part("orders")
+	pr.control = &order.Controller{
+		Lease: &order.Lease{
+			KV: pr.kv, Clock: pr.clock, TTL: order.DefaultTTL,
+			Self: core.Claimant{VM: pr.Settings.Name, Incarnation: pr.incarnation},
+		},
+		Board: pr.board, Peers: pr.peers, Clock: pr.clock, Rand: pr.rand, Sending: pr.meter.Allow,
+		Held: func(fence core.Fence) {
+			out.Info("This process gives the orders now.", zap.Uint64("Fence", uint64(fence)))
+		},
+		Issued: func(gi order.Given) {
+			pr.Stats.Add(stats.OrdersGiven, 1)
+			out.Info("An order was given.", orderFields(&gi.Order, gi.VM)...)
+		},
+		Refused: func(gi order.Given, re *core.Refusal) {
+			pr.Stats.Refuse(re.Reason)
+			out.Warn("An order was not taken.", append(orderFields(&gi.Order, gi.VM), zap.Error(re))...)
+		},
+	}
+}
+
+// buildOrders makes the part of an agent that takes orders.
+func (pr *Process) buildOrders(endpoints []*back.Endpoint) {
+	out := pr.Logs.Part("orders")
+	pr.orders = &order.Gate{KV: pr.kv, Clock: pr.clock, Self: pr.Settings.Name}
+	pr.orders.Ended = func(or *core.Order, re *core.Refusal) {
+		if re == nil {
+			pr.Stats.Add(stats.OrdersDone, 1)
+			out.Info("An order was carried out.", orderFields(or, pr.Settings.Name)...)
+			return
+		}
+		pr.Stats.Refuse(re.Reason)
+		out.Warn("An order was not carried out.", append(orderFields(or, pr.Settings.Name), zap.Error(re))...)
+	}
+	for ix, sl := range pr.agent.Slots {
+		se := &order.Seat{ID: sl.ID, Pool: sl.Pool, Hold: sl.Hold, Release: sl.Release}
+		if endpoints[ix].Engine {
+			se.Engine = endpoints[ix]
+		}
+		pr.orders.Seats = append(pr.orders.Seats, se)
+	}
+	pr.server.Order = pr.orders.Order
+	pr.server.Inspect = pr.orders.States
+}
+
+func orderFields(or *core.Order, vm core.VMID) []zap.Field {
+	return []zap.Field{
+		zap.String("VM", string(vm)), zap.String("Endpoint", string(or.Endpoint)), zap.String("Kind", string(or.Kind)),
+		zap.String("What", or.Name), zap.String("Version", or.Version), zap.Uint64("Fence", uint64(or.Fence)),
+	}
+}
--- a/io/node/roles.go
+++ b/io/node/roles.go
@@ -34,7 +34,7 @@
 func (pr *Process) registerOperators(sr grpc.ServiceRegistrar) {
 	oper.Register(sr, &oper.Server{
 		Log: pr.log, Board: pr.board, Peers: pr.peers, Operators: pr.Settings.Operators,
-		Digest: pr.digest, Out: pr.Logs.Part("operators"),
+		Digest: pr.digest, Out: pr.Logs.Part("operators"), Clock: pr.clock,
 	})
 }
 
@@ -53,6 +53,7 @@
 	}
 	pr.agent.Keys = pr.buildClaims()
 	pr.agent.Init()
+	pr.buildOrders(endpoints)
 	for ix, ep := range endpoints {
 		if ep.Engine {
 			pr.followers = append(pr.followers, &back.Follower{
@@ -140,6 +141,10 @@
 	st.Read(stats.EventsDropped, pr.board.Dropped)
 	st.Read(stats.ConnectionsOpen, func() int64 { return int64(pr.peers.Open()) })
 	if pr.agent == nil {
+		st.Read(stats.OrdersFence, func() int64 {
+			fence, _ := pr.control.Lease.Fence()
+			return int64(fence)
+		})
 		return
 	}
 	sum := func(of func(running, waiting, load int64) int64) func() int64 {
--- a/io/oper/server.go
+++ b/io/oper/server.go
@@ -25,7 +25,6 @@
 	"encoding/json"
 	"errors"
 	"strings"
-	"sync"
 	"time"
 
 	"go.uber.org/zap"
@@ -52,6 +51,7 @@
 	// Digest makes the message with which Status asks the processes.
 	Digest func() *core.Digest
 	Out    *zap.Logger
+	Clock  core.Clock
 
 	opsrpc.UnimplementedOperatorsServer
 }
@@ -60,8 +60,6 @@
 func Register(sr grpc.ServiceRegistrar, se *Server) { opsrpc.RegisterOperatorsServer(sr, se) }
 
 const (
-	// askAtOnce bounds the processes that Status asks at the same time.
-	askAtOnce = 64
 	// watchEvery is how often Watch looks for a new revision.
 	watchEvery  = 100 * time.Millisecond
 	mostHistory = 1000
@@ -220,48 +218,6 @@
 	return out, nil
 }
 
-// Status asks every process which revision it has in force.
-func (se *Server) Status(ctx context.Context, _ *opsrpc.StatusCall) (*opsrpc.StatusReply, error) {
-	if _, err := se.operator(ctx, "status"); err != nil {
-		return nil, err
-	}
-	sn := se.Board.Snapshot()
-	out := &opsrpc.StatusReply{Newest: uint64(se.Log.Revision())}
-	for _, vm := range sn.Routers {
-		out.Processes = append(out.Processes, &opsrpc.ProcessStatus{VM: string(vm), Role: string(core.RoleRouter)})
-	}
-	for _, vm := range sn.Agents {
-		out.Processes = append(out.Processes, &opsrpc.ProcessStatus{VM: string(vm), Role: string(core.RoleAgent)})
-	}
-	var asking sync.WaitGroup
-	slots := make(chan struct{}, askAtOnce)
-	for _, ps := range out.Processes {
-		slots <- struct{}{}
-		asking.Go(func() {
-			se.ask(ctx, ps)
-			<-slots
-		})
-	}
-	asking.Wait()
-	for _, ps := range out.Processes {
-		out.Newest = max(out.Newest, ps.Revision)
-	}
-	return out, nil
-}
-
-func (se *Server) ask(ctx context.Context, ps *opsrpc.ProcessStatus) {
-	if core.VMID(ps.VM) == se.Board.Self.ID {
-		ps.Revision = uint64(se.Log.Revision())
-		return
-	}
-	di, err := se.Peers.Exchange(ctx, core.VMID(ps.VM), se.Digest())
-	if err != nil {
-		ps.Problem = err.Error()
-		return
-	}
-	ps.Revision, ps.Draining = uint64(di.Revision), di.Draining
-}
-
 // Watch sends revisions as they are adopted here.
 func (se *Server) Watch(_ *opsrpc.WatchCall, st grpc.ServerStreamingServer[opsrpc.WatchReply]) error {
 	ctx := st.Context()
--- a/io/rpc/client.go
+++ b/io/rpc/client.go
@@ -254,8 +254,12 @@
 	return back(got), nil
 }
 
-// controlTimeout bounds a control message's exchange.
-const controlTimeout = 2 * time.Second
+// controlTimeout bounds a control message's exchange; inspectTimeout is longer, as
+// the agent asks its endpoints first.
+const (
+	controlTimeout = 2 * time.Second
+	inspectTimeout = 4 * time.Second
+)
 
 // Exchange swaps digests.
 func (cl *Client) Exchange(ctx context.Context, to core.VMID, di *core.Digest) (*core.Digest, error) {
@@ -292,6 +296,26 @@
 	return err
 }
 
+// Order hands an agent an order. Without an answer it may have been taken.
+func (cl *Client) Order(ctx context.Context, to core.VMID, or *core.Order) error {
+	refused, err := node(ctx, cl, to, "order", func(nc wire.NodeClient) (*wire.OrderReply, error) {
+		return nc.Order(ctx, orderToWire(or))
+	}, func(re *wire.OrderReply) error { return refusalFromWire(re.Refused) })
+	if err != nil {
+		return lost(ctx, to, err)
+	}
+	return refused
+}
+
+// Inspect asks an agent for the state of its endpoints.
+func (cl *Client) Inspect(ctx context.Context, to core.VMID) ([]core.EndpointState, error) {
+	ctx, cancel := context.WithTimeout(ctx, inspectTimeout)
+	defer cancel()
+	return node(ctx, cl, to, "inspect", func(nc wire.NodeClient) (*wire.InspectReply, error) {
+		return nc.Inspect(ctx, &wire.InspectCall{})
+	}, statesFromWire)
+}
+
 // State is the state of the connection to an address, for tests and figures.
 func (cl *Client) State(vm core.VMID) connectivity.State {
 	cl.mu.Lock()
--- a/io/rpc/server.go
+++ b/io/rpc/server.go
@@ -24,6 +24,8 @@
 	Claim    func(ctx context.Context, cl *core.Claim) (*core.Verdict, error)
 	Fetch    func(since core.Revision) (*core.Changes, error)
 	Place    func(pls []core.Placement)
+	Order    func(ctx context.Context, or *core.Order) error
+	Inspect  func(ctx context.Context) []core.EndpointState
 	// Heard, if set, is told the revision that a peer's message carries.
 	Heard func(from core.VMID, rev core.Revision)
 	// Revision is the own one, sent back with each reply.
@@ -169,6 +171,26 @@
 	return &wire.PlaceReply{Revision: ha.revision()}, nil
 }
 
+// Order takes an order.
+func (ha *handler) Order(ctx context.Context, in *wire.OrderCall) (*wire.OrderReply, error) {
+	if ha.se.Order == nil {
+		return nil, status.Error(codes.Unimplemented, "this process takes no orders")
+	}
+	re := &wire.OrderReply{Revision: ha.revision()}
+	if err := ha.se.Order(ctx, orderFromWire(in)); err != nil {
+		re.Refused = refusalToWire(core.AsRefusal(err, "order", ""))
+	}
+	return re, nil
+}
+
+// Inspect tells the state of the endpoints.
+func (ha *handler) Inspect(ctx context.Context, _ *wire.InspectCall) (*wire.InspectReply, error) {
+	if ha.se.Inspect == nil {
+		return nil, status.Error(codes.Unimplemented, "this process has no endpoints")
+	}
+	return statesToWire(ha.se.Inspect(ctx), ha.revision()), nil
+}
+
 func (ha *handler) heard(from core.VMID, rev uint64) {
 	if ha.se.Heard != nil {
 		ha.se.Heard(from, core.Revision(rev))
--- a/io/stand/engine/cache.go
+++ b/io/stand/engine/cache.go
@@ -121,30 +121,6 @@
 	writeJSON(wr, struct{ Work, Running int }{work, en.running})
 }
 
-// order takes an order, or refuses one with an old number if it checks.
-func (en *Engine) order(wr http.ResponseWriter, rq *http.Request) {
-	var in struct {
-		Fence    uint64
-		Kind     string
-		Argument string
-	}
-	if err := json.NewDecoder(rq.Body).Decode(&in); err != nil {
-		http.Error(wr, "malformed order", http.StatusBadRequest)
-		return
-	}
-	en.mu.Lock()
-	defer en.mu.Unlock()
-	if en.ChecksFence && in.Fence < en.fence {
-		en.served.RefusedOrders++
-		http.Error(wr, "old fencing number", http.StatusConflict)
-		return
-	}
-	en.fence = max(en.fence, in.Fence)
-	en.served.Orders++
-	en.loaded = append(en.loaded, in.Kind+" "+in.Argument)
-	writeJSON(wr, struct{ State string }{"Done"})
-}
-
 func writeJSON(wr http.ResponseWriter, value any) {
 	wr.Header().Set("Content-Type", "application/json")
 	_ = json.NewEncoder(wr).Encode(value)
--- a/io/stand/engine/engine.go
+++ b/io/stand/engine/engine.go
@@ -12,7 +12,7 @@
 // Headers: X-Request-Id is sent back; X-Cache-Key names the chat; X-Priority and
 // X-Resume-Position as their names say. Besides chats it serves /load (a lagging
 // report), /cache (keys held, and the number of the last event), /cache/events
-// (one page of events) and /orders.
+// (one page of events) and /orders (what is loaded, and orders to change it).
 //
 // # Usage
 //
@@ -64,7 +64,12 @@
 	ReportLag time.Duration
 	// ChecksFence makes it refuse orders with an old number.
 	ChecksFence bool
-	Audit       *audit.Audit
+	// Version is the model's at the start, LoadTime what loading takes, and
+	// Weights, if set, the URL of the weight store to fetch from first.
+	Version  string
+	LoadTime time.Duration
+	Weights  string
+	Audit    *audit.Audit
 
 	mu       sync.Mutex // guards all below
 	faults   Faults
@@ -75,8 +80,9 @@
 	events   []Event
 	eventSeq uint64
 	reports  []report
-	fence    uint64
-	loaded   []string
+	fence    core.Fence
+	tuned    *core.EngineState
+	loading  bool
 	served   Served
 }
 
@@ -90,6 +96,9 @@
 // Served counts what the engine did, in requests and tokens.
 type Served struct {
 	Requests, Whole, Tokens, PromptTokens, CachedTokens, Orders, RefusedOrders int
+	// Interrupted counts requests that were running when a load began, or came
+	// while it lasted.
+	Interrupted int
 }
 
 type report struct {
@@ -129,6 +138,7 @@
 	mux.HandleFunc("GET /cache", en.listCache)
 	mux.HandleFunc("GET /cache/events", en.cacheEvents)
 	mux.HandleFunc("POST /orders", en.order)
+	mux.HandleFunc("GET /orders", en.state)
 	return mux
 }
 
@@ -144,6 +154,10 @@
 		return
 	}
 	fa := en.begin()
+	if en.isLoading() {
+		http.Error(wr, `{"error":{"message":"a model is being loaded"}}`, http.StatusServiceUnavailable)
+		return
+	}
 	if fa.Status != 0 {
 		http.Error(wr, `{"error":{"message":"ordered fault"}}`, fa.Status)
 		return
--- a/io/stand/inmem/engine.go
+++ b/io/stand/inmem/engine.go
@@ -31,6 +31,7 @@
 	CutAfter core.Tokens
 	// StallFor, if above 0, holds every call up before its first token.
 	StallFor time.Duration
+	Tuning   Tuning
 
 	mu      sync.Mutex // guards all below
 	running int
--- a/io/stand/inmem/fleet.go
+++ b/io/stand/inmem/fleet.go
@@ -15,6 +15,7 @@
 	"almondrill/core/claim"
 	"almondrill/core/decl"
 	"almondrill/core/meter"
+	"almondrill/core/order"
 	"almondrill/core/retry"
 	"almondrill/core/revlog"
 	"almondrill/core/router"
@@ -36,9 +37,12 @@
 	Agent    *agent.Agent   // nil on routers
 	Keeper   *claim.Keeper  // nil on routers
 	Keys     *claim.Keys
-	Engines  []*Engine
+	Orders   *order.Gate // nil on routers
+	// Control gives orders; nil on agents.
+	Control *order.Controller
+	Engines []*Engine
 
-	// KVCut keeps the member's own log from the KV.
+	// KVCut keeps the member's configuration log and lease from the KV.
 	KVCut atomic.Bool
 
 	mu      sync.Mutex // guards adopted
@@ -56,20 +60,6 @@
 	return slices.Clone(me.adopted)
 }
 
-// ownKV is the KV as one member's log sees it.
-type ownKV struct {
-	core.KV
-	member *Member
-}
-
-// List reads a range, unless the member is cut off.
-func (ow ownKV) List(ctx context.Context, from, to string, limit int) ([]core.Entry, error) {
-	if ow.member.KVCut.Load() {
-		return nil, kvsrv.ErrDown
-	}
-	return ow.KV.List(ctx, from, to, limit)
-}
-
 func (me *Member) dead() bool { return me.alive.Err() != nil }
 
 // Kill ends the member at once, as a VM's loss does.
@@ -202,6 +192,12 @@
 		Keys:  me.Keys, Peers: port{fl.Net, me.ID}, Sending: me.Meter.Allow, Heard: me.Spreader.Heard,
 	}
 	me.Agent.Init()
+	me.Orders = &order.Gate{KV: ownKV{fl.Store, me}, Clock: fl.Clock, Self: me.ID}
+	for _, sl := range me.Agent.Slots {
+		me.Orders.Seats = append(me.Orders.Seats, &order.Seat{
+			ID: sl.ID, Pool: sl.Pool, Engine: en, Hold: sl.Hold, Release: sl.Release,
+		})
+	}
 	en.evicted = func(key uint64) { me.Agent.Book.Evicted(core.EndpointID(name), en.nextEvent(), key) }
 	me.Board.Published = me.Agent.Adopt
 	fl.run(me)
@@ -216,7 +212,15 @@
 		Clock: fl.Clock, Rand: fl.Rand, Board: me.Board, Peers: port{fl.Net, me.ID}, Zone: me.VM.Zone,
 		Budget: &retry.Budget{Ratio: 0.1}, Heard: me.Spreader.Heard,
 	}
+	me.Control = &order.Controller{
+		Lease: &order.Lease{
+			KV: ownKV{fl.Store, me}, Clock: fl.Clock, TTL: order.DefaultTTL,
+			Self: core.Claimant{VM: me.ID, Incarnation: me.incarnation},
+		},
+		Board: me.Board, Peers: port{fl.Net, me.ID}, Clock: fl.Clock, Rand: fl.Rand, Sending: me.Meter.Allow,
+	}
 	fl.run(me)
+	go func() { _ = me.Control.Run(me.alive) }()
 	return me
 }
 
--- a/io/stand/inmem/net.go
+++ b/io/stand/inmem/net.go
@@ -36,6 +36,7 @@
 	members map[core.VMID]*Member
 	cuts    map[[2]core.VMID]bool
 	lose    float64
+	paused  map[core.VMID]time.Duration
 	calls   int64
 	fetched core.Bytes
 }
@@ -60,6 +61,24 @@
 	ne.lose = part
 }
 
+// PauseOrders makes the orders that a member gives from now on leave that much
+// later, whatever becomes of their sender meanwhile, as when a process is paused
+// between deciding and sending.
+func (ne *Net) PauseOrders(vm core.VMID, d time.Duration) {
+	ne.mu.Lock()
+	defer ne.mu.Unlock()
+	if ne.paused == nil {
+		ne.paused = map[core.VMID]time.Duration{}
+	}
+	ne.paused[vm] = d
+}
+
+func (ne *Net) pause(from core.VMID) time.Duration {
+	ne.mu.Lock()
+	defer ne.mu.Unlock()
+	return ne.paused[from]
+}
+
 func (ne *Net) join(me *Member) {
 	ne.mu.Lock()
 	defer ne.mu.Unlock()
@@ -191,3 +210,25 @@
 	me.Agent.Placed(pls)
 	return nil
 }
+
+// Order hands an order to another member's agent.
+func (po port) Order(ctx context.Context, to core.VMID, or *core.Order) error {
+	ctx = context.WithoutCancel(ctx)
+	_ = po.net.Clock.Sleep(ctx, po.net.pause(po.from))
+	me, err := po.net.way(ctx, po.from, to)
+	if err != nil || me.Orders == nil {
+		return &core.Refusal{
+			Outcome: core.NotRun, Reason: core.ReasonUnreachable, Step: "dial", Peer: string(to), Detail: errCut.Error(),
+		}
+	}
+	return me.Orders.Order(ctx, or)
+}
+
+// Inspect asks another member's agent for its endpoints.
+func (po port) Inspect(ctx context.Context, to core.VMID) ([]core.EndpointState, error) {
+	me, err := po.net.way(ctx, po.from, to)
+	if err != nil || me.Orders == nil {
+		return nil, errCut
+	}
+	return me.Orders.States(ctx), nil
+}
--- a/io/stats/stats.go
+++ b/io/stats/stats.go
@@ -40,13 +40,16 @@
 	EventsDropped   = "BoardEventsDropped"
 	ConnectionsOpen = "PeerConnectionsOpen"
 	Replays         = "KeyReplays"
+	OrdersGiven     = "OrdersGiven"
+	OrdersDone      = "OrdersDone"
+	OrdersFence     = "OrdersFence"
 )
 
 // Names lists the counters that are no reasons.
 var Names = []string{
 	Requests, InProgress, AnswersWhole, AnswersNotRun, AnswersFailed, AnswersUnknown, PartsDropped,
 	ControlBytes, ControlHeld, QueueCalls, RunningCalls, LoadWork, ConfigRevision, ConfigReverted,
-	EventsDropped, ConnectionsOpen, Replays,
+	EventsDropped, ConnectionsOpen, Replays, OrdersGiven, OrdersDone, OrdersFence,
 }
 
 // Set is one process's counters.
