A leaving agent hands its directory and its engines' contexts on

Bounded by HandOverTimeout and HandOverBytes; streamed through both agents in pieces. The directory keeps whole placements instead of VM names, to be able to pass them on.

HalfContextIsNotKept failed at first on a fault of this change: io.ReadFull's error for a last short piece is also what an engine's broken connection reads as, so half a context was sent as whole, without end. Bytes were at first counted where the pipe is written, after the reader had ended: the bound was not kept (HandingOnIsBounded).

A VM that fails still hands nothing on.

--- a/core/agent/agent.go
+++ b/core/agent/agent.go
@@ -25,6 +25,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"almondrill/core"
@@ -87,6 +88,7 @@
 	tables map[core.PoolID]*loads.Table
 	places outbox
 	door   door
+	taking atomic.Int64 // contexts being taken in
 
 	mu       sync.Mutex // guards revision
 	revision core.Revision
--- a/core/agent/place.go
+++ b/core/agent/place.go
@@ -135,13 +135,18 @@
 		tokens = us.Prompt + us.Output
 	}
 	pl := core.Placement{Customer: ca.Customer, Pool: ca.Pool, Chat: ca.Chat, VM: ag.Self}
+	ag.keep(sn, key, chats.Held{Endpoint: sl.ID, Tokens: tokens, Placement: pl})
+}
+
+// keep notes a context held here and tells the chat's home, unless that knows.
+func (ag *Agent) keep(sn *board.Snapshot, key uint64, he chats.Held) {
 	_, known := ag.Book.Held(key)
-	ag.Book.Keep(key, chats.Held{Endpoint: sl.ID, Tokens: tokens, Placement: pl})
-	if known || ag.onWalk(sn, ca.Pool, key) {
+	ag.Book.Keep(key, he)
+	if known || ag.onWalk(sn, he.Placement.Pool, key) {
 		return
 	}
-	if home := ag.home(sn, ca.Pool, key); home != "" {
-		ag.places.add(home, pl)
+	if home := ag.home(sn, he.Placement.Pool, key); home != "" {
+		ag.places.add(home, he.Placement)
 	}
 }
 
@@ -160,7 +165,7 @@
 		case pl.Gone:
 			ag.Book.Unpoint(key, pl.VM)
 		case pl.VM != ag.Self:
-			ag.Book.Point(key, pl.VM)
+			ag.Book.Point(key, pl)
 		}
 	}
 }
--- a/core/call.go
+++ b/core/call.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"time"
 )
 
@@ -97,6 +98,9 @@
 	// for the state of all of them. Order's error is a *Refusal.
 	Order(ctx context.Context, to VMID, or *Order) error
 	Inspect(ctx context.Context, to VMID) ([]EndpointState, error)
+	// Hand moves a chat's context to another agent's engine. Its error is a
+	// *Refusal. A context that cannot be read to its end is not kept there.
+	Hand(ctx context.Context, to VMID, ha *Handover, context io.Reader) error
 }
 
 // Digest is what two processes tell each other in the background.
@@ -129,6 +133,21 @@
 	Gone bool
 }
 
+// Handover is a chat's context on its way from a leaving agent to another one.
+// Placement names the chat; its VM is the sender.
+type Handover struct {
+	Placement Placement
+	Tokens    Tokens
+}
+
+// Cache is an endpoint whose contexts can be moved. What Export writes is the
+// engine's own format, and Import keeps it only if it can be read to its end.
+// Source: the engine's own HTTP protocol.
+type Cache interface {
+	Export(ctx context.Context, key uint64, wr io.Writer) error
+	Import(ctx context.Context, key uint64, rd io.Reader) error
+}
+
 // Claim asks the keeper of a claim shard for a key.
 type Claim struct {
 	Hash KeyHash
--- a/core/chats/chats.go
+++ b/core/chats/chats.go
@@ -44,9 +44,12 @@
 	at   time.Time
 }
 
+// Kept is when the context was last used.
+func (he *Held) Kept() time.Time { return he.at }
+
 type away struct {
-	vm core.VMID
-	at time.Time
+	placement core.Placement
+	at        time.Time
 }
 
 // Book is one agent's directory. Set the exported fields before use.
@@ -107,12 +110,13 @@
 	}
 }
 
-// Point notes that another agent holds the context of a chat whose home is here.
-func (bo *Book) Point(key uint64, vm core.VMID) {
+// Point notes that another agent, the placement's VM, holds the context of a chat
+// whose home is here.
+func (bo *Book) Point(key uint64, pl core.Placement) {
 	bo.mu.Lock()
 	defer bo.mu.Unlock()
 	bo.init()
-	bo.aways.Add(key, away{vm, bo.Clock.Now()})
+	bo.aways.Add(key, away{pl, bo.Clock.Now()})
 }
 
 // Unpoint drops the pointer if it still is to that VM.
@@ -120,7 +124,7 @@
 	bo.mu.Lock()
 	defer bo.mu.Unlock()
 	bo.init()
-	if aw, known := bo.aways.Peek(key); known && aw.vm == vm {
+	if aw, known := bo.aways.Peek(key); known && aw.placement.VM == vm {
 		bo.aways.Remove(key)
 	}
 }
@@ -135,7 +139,7 @@
 		bo.aways.Remove(key)
 		return "", false
 	}
-	return aw.vm, known
+	return aw.placement.VM, known
 }
 
 // Evicted applies an engine's cache event that drops a chat, or any other event
@@ -187,6 +191,19 @@
 	return found
 }
 
+// Pointers lists up to most pointers kept here, the most recently used first.
+func (bo *Book) Pointers(most int) []core.Placement {
+	bo.mu.Lock()
+	defer bo.mu.Unlock()
+	bo.init()
+	all := bo.aways.Values()
+	found := make([]core.Placement, 0, min(most, len(all)))
+	for ix := len(all) - 1; ix >= 0 && len(found) < most; ix-- {
+		found = append(found, all[ix].placement)
+	}
+	return found
+}
+
 // Sizes are the numbers of entries held, pointed elsewhere, and gaps seen.
 func (bo *Book) Sizes() (held, pointers int, gaps int64) {
 	bo.mu.Lock()
--- a/core/chats/chats_test.go
+++ b/core/chats/chats_test.go
@@ -5,6 +5,7 @@
 	"testing/synctest"
 	"time"
 
+	"almondrill/core"
 	"almondrill/core/chats"
 	"almondrill/io/clock"
 )
@@ -47,12 +48,12 @@
 		bo := book()
 		for key := range uint64(10) {
 			bo.Keep(key, chats.Held{Endpoint: "e"})
-			bo.Point(key+100, "vm")
+			bo.Point(key+100, core.Placement{VM: "vm"})
 		}
 		if held, away, _ := bo.Sizes(); held != 3 || away != 3 {
 			t.Errorf("%d held, %d pointers", held, away)
 		}
-		bo.Point(9, "vm")
+		bo.Point(9, core.Placement{VM: "vm"})
 		bo.Keep(9, chats.Held{Endpoint: "e"})
 		if _, away := bo.Away(9); away {
 			t.Error("a chat that is here points elsewhere")
--- a/core/pick/pick.go
+++ b/core/pick/pick.go
@@ -82,6 +82,16 @@
 	return se.home()
 }
 
+// HomeWithout is what the chat's home will be once the VM has left, -1 if nobody
+// stays.
+func HomeWithout(po *board.Pool, key uint64, vm core.VMID) int {
+	se := Search{Pool: po, Key: key}
+	if ix := po.Index(vm); ix >= 0 {
+		se.note(ix)
+	}
+	return se.nextHome()
+}
+
 // OnWalk tells whether the VM is among the members that a chat's calls try first.
 func OnWalk(po *board.Pool, key uint64, vm core.VMID) bool {
 	se := Search{Pool: po, Key: key}
--- /dev/null
+++ b/core/trial/leave_test.go
@@ -0,0 +1,116 @@
+package trial_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"almondrill/core"
+	"almondrill/core/ring"
+	"almondrill/core/router"
+	"almondrill/io/stand/inmem"
+)
+
+// cachedTurn sends a turn of a chat and returns how many tokens were cached.
+func (st *stage) cachedTurn(chat string, prompt core.Tokens) core.Tokens {
+	st.t.Helper()
+	me := st.fl.RouterAt(0)
+	rep, err := me.Router.Route(st.ctx, &router.Request{
+		Group: me.Board.Snapshot().Config.Group(poolID),
+		Call: core.Call{
+			Customer: "c", Pool: poolID, Chat: core.ChatID(chat), MayRepeat: true, Priority: core.PriorityNormal,
+			Prompt: prompt, Output: 20, Body: []byte(chat),
+		},
+	}, &text{})
+	if err != nil {
+		st.t.Error(err)
+		return 0
+	}
+	return rep.Cached
+}
+
+// leaveOne has chats served, lets one agent leave with at most that many bytes of
+// contexts, and returns how many of its chats found their context afterwards.
+func (st *stage) leaveOne(most core.Bytes) (found, of int) {
+	const chats = 60
+	for n := range chats {
+		st.cachedTurn(fmt.Sprint("chat-", n), 400)
+	}
+	one := st.fl.LiveAgents()[0]
+	var own []string
+	for n := range chats {
+		chat := fmt.Sprint("chat-", n)
+		if one.Engines[0].Holds(ring.Key("c", poolID, core.ChatID(chat))) {
+			own = append(own, chat)
+		}
+	}
+	st.fl.Leave(one, most)
+	time.Sleep(10 * time.Second)
+	for _, chat := range own {
+		if st.cachedTurn(chat, 500) >= 400 {
+			found++
+		}
+	}
+	return found, len(own)
+}
+
+// A VM is replaced on an ordinary day. The pupils whose chats its engine held ask
+// on, and find their context at the next home; nothing is prefilled anew.
+func TestLeavingAgentHandsContextsOn(t *testing.T) {
+	onStage(t, 41, func(st *stage) {
+		if found, of := st.leaveOne(1 << 20); found != of || of < 5 {
+			t.Errorf("%d of %d chats found their context", found, of)
+		}
+	})
+}
+
+// The same, but the operator allows few bytes. The agent leaves all the same, and
+// the chats used last have moved.
+func TestHandingOnIsBounded(t *testing.T) {
+	onStage(t, 41, func(st *stage) {
+		// A context is a few bytes here; some are under way when the bound is met.
+		if found, of := st.leaveOne(8); found == 0 || found == of {
+			t.Errorf("%d of %d chats found their context", found, of)
+		}
+	})
+}
+
+// An agent is the home of chats that others serve, and leaves. The next home gets
+// its pointers, so that those chats still find the context where it is.
+func TestLeavingAgentHandsPointersOn(t *testing.T) {
+	onStage(t, 42, func(st *stage) {
+		live := st.fl.LiveAgents()
+		leaver, holder := live[0], live[3]
+		pl := core.Placement{Customer: "c", Pool: poolID, Chat: "chat", VM: holder.ID}
+		leaver.Agent.Placed([]core.Placement{pl})
+		st.fl.Leave(leaver, 1<<20)
+		time.Sleep(5 * time.Second)
+		for _, me := range st.fl.LiveAgents() {
+			if vm, known := me.Agent.Book.Away(ring.Key("c", poolID, "chat")); known && vm == holder.ID {
+				return
+			}
+		}
+		t.Error("no agent has the pointer")
+	})
+}
+
+// A translator's answer is being written when the agent begins to leave. It is
+// finished here, and its context follows the others afterwards.
+func TestLastContextIsHandedOn(t *testing.T) {
+	onStage(t, 43, func(st *stage) {
+		st.cachedTurn("chat", 400)
+		var holder *inmem.Member
+		for _, me := range st.fl.LiveAgents() {
+			if me.Engines[0].Holds(ring.Key("c", poolID, "chat")) {
+				holder = me
+			}
+		}
+		go st.cachedTurn("chat", 2000)
+		time.Sleep(50 * time.Millisecond)
+		st.fl.Leave(holder, 1<<20)
+		time.Sleep(5 * time.Second)
+		if cached := st.cachedTurn("chat", 2100); cached < 2000 {
+			t.Errorf("%d tokens of the context were found", cached)
+		}
+	})
+}
--- a/core/trial/policy_test.go
+++ b/core/trial/policy_test.go
@@ -137,6 +137,51 @@
 	}
 }
 
+// BenchmarkLeave: every ten seconds an engine leaves with care and a cold one
+// joins, at 60 % load; with and without handing contexts on. Reuse counts all
+// returning chats, whose contexts were lost or not.
+func BenchmarkLeave(b *testing.B) {
+	for _, re := range []regime{large, small} {
+		for _, hand := range []bool{true, false} {
+			b.Run(fmt.Sprintf("%s/hand-on=%v", re.name, hand), func(b *testing.B) {
+				for b.Loop() {
+					inBubble(b, func(t *testing.T) { leaveRun(t, re, hand).reuse(b) })
+				}
+			})
+		}
+	}
+}
+
+func leaveRun(t *testing.T, re regime, hand bool) *workload {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	fl := trialFleet(re, variants[0], 6)
+	if err := fl.Start(ctx); err != nil {
+		t.Fatal(err)
+	}
+	wl := newWorkload(fl, 2, nil)
+	wl.perSecond = 0.6 * re.fullRate * engines
+	leaving, stop := context.WithCancel(ctx)
+	go replace(leaving, fl, hand)
+	var all sync.WaitGroup
+	wl.run(ctx, 90*time.Second, func(wl *workload) { wl.turn(ctx, &all, "c", re.output) })
+	stop()
+	all.Wait()
+	return wl
+}
+
+// replace lets the engines leave one after another, each for a cold one.
+func replace(ctx context.Context, fl *inmem.Fleet, hand bool) {
+	for round := 0; fl.Clock.Sleep(ctx, 10*time.Second) == nil; round++ {
+		fl.AddAgent(fmt.Sprint("joiner-", round), round)
+		most := core.Bytes(-1)
+		if hand {
+			most = 1 << 40
+		}
+		fl.Leave(fl.LiveAgents()[0], most)
+	}
+}
+
 // BenchmarkSkew: two customers surge to four times their rate; the busiest
 // engine's load over the mean, at its worst moment and at p99.
 func BenchmarkSkew(b *testing.B) {
--- /dev/null
+++ b/io/back/cache.go
@@ -0,0 +1,59 @@
+package back
+
+import (
+	"context"
+	"io"
+	"net/http"
+
+	"github.com/samber/oops"
+
+	"almondrill/core"
+)
+
+var _ core.Cache = (*Endpoint)(nil)
+
+const (
+	exportPath = "/cache/export?key="
+	importPath = "/cache/import?key="
+)
+
+// Export writes a chat's context as the engine gives it.
+func (ep *Endpoint) Export(ctx context.Context, key uint64, wr io.Writer) error {
+	rq, err := http.NewRequestWithContext(ctx, http.MethodGet, ep.URL+exportPath+CacheKey(key), nil)
+	if err != nil {
+		return oops.In("export").With("peer", ep.ID).Wrap(err)
+	}
+	rs, err := client.Do(rq)
+	if err != nil {
+		return oops.In("export").With("peer", ep.ID).Wrap(err)
+	}
+	defer rs.Body.Close()
+	if rs.StatusCode != http.StatusOK {
+		return oops.In("export").With("peer", ep.ID).Errorf("status %d", rs.StatusCode)
+	}
+	// A body without a length or chunks ends the same way whether it is whole or
+	// broken off.
+	if rs.ContentLength < 0 && len(rs.TransferEncoding) == 0 {
+		return oops.In("export").With("peer", ep.ID).Errorf("the context's end cannot be told")
+	}
+	_, err = io.Copy(wr, rs.Body)
+	return oops.In("export").With("peer", ep.ID).Wrap(err)
+}
+
+// Import has the engine keep a context. Where reading it fails, the request is
+// broken off, and the engine does not see its end.
+func (ep *Endpoint) Import(ctx context.Context, key uint64, rd io.Reader) error {
+	rq, err := http.NewRequestWithContext(ctx, http.MethodPut, ep.URL+importPath+CacheKey(key), once{rd})
+	if err != nil {
+		return oops.In("import").With("peer", ep.ID).Wrap(err)
+	}
+	rs, err := client.Do(rq)
+	if err != nil {
+		return oops.In("import").With("peer", ep.ID).Wrap(err)
+	}
+	defer rs.Body.Close()
+	if rs.StatusCode != http.StatusOK {
+		return oops.In("import").With("peer", ep.ID).Errorf("status %d", rs.StatusCode)
+	}
+	return nil
+}
--- a/io/conf/conf.go
+++ b/io/conf/conf.go
@@ -47,6 +47,8 @@
 	StallTimeout          time.Duration `yaml:"StallTimeout" doc:"Longest silence of an endpoint within an answer. Default 30s."`
 	DrainDelay            time.Duration `yaml:"DrainDelay" doc:"Time between telling that it leaves and refusing new work on a router. Default 3s."`
 	DrainTimeout          time.Duration `yaml:"DrainTimeout" doc:"Longest wait for work in progress when leaving. Default 10m."`
+	HandOverTimeout       time.Duration `yaml:"HandOverTimeout" doc:"Time that a leaving agent has to move contexts to other engines. Default 20s."`
+	HandOverBytes         core.Bytes    `yaml:"HandOverBytes" doc:"Bytes of contexts that a leaving agent moves at most; -1 moves none. Default 68719476736."`
 	ControlBytesPerSecond core.Bytes    `yaml:"ControlBytesPerSecond" doc:"Budget for control messages sent. Default 2500."`
 	RetryRatio            float64       `yaml:"RetryRatio" doc:"Retries of work that may have run, as a part of first attempts. Default 0.1."`
 	MaxConnections        int           `yaml:"MaxConnections" doc:"Connections to peers kept open. Default 512."`
@@ -86,6 +88,8 @@
 	defaultTo(&se.StallTimeout, 30*time.Second)
 	defaultTo(&se.DrainDelay, 3*time.Second)
 	defaultTo(&se.DrainTimeout, 10*time.Minute)
+	defaultTo(&se.HandOverTimeout, 20*time.Second)
+	defaultTo(&se.HandOverBytes, 64<<30)
 	defaultTo(&se.ControlBytesPerSecond, 2500)
 	defaultTo(&se.RetryRatio, 0.1)
 	defaultTo(&se.MaxConnections, 512)
@@ -181,7 +185,8 @@
 		"DrainTimeout": float64(se.DrainTimeout), "RetryRatio": se.RetryRatio,
 		"ControlBytesPerSecond": float64(se.ControlBytesPerSecond), "MaxConnections": float64(se.MaxConnections),
 		"MaxChats": float64(se.MaxChats), "KeepChats": float64(se.KeepChats),
-		"KeyWindow": float64(se.KeyWindow), "ClaimShards": float64(se.ClaimShards),
+		"HandOverTimeout": float64(se.HandOverTimeout),
+		"KeyWindow":       float64(se.KeyWindow), "ClaimShards": float64(se.ClaimShards),
 	} {
 		if value < 0 {
 			ch.add(ch.keys[key], "%s must not be negative", key)
--- /dev/null
+++ b/io/demo/leave_test.go
@@ -0,0 +1,54 @@
+package demo_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+
+	"almondrill/core"
+	"almondrill/io/caller"
+	"almondrill/io/demo"
+	"almondrill/io/stand/engine"
+)
+
+// imports has chats served, stops the agent of the first engine, and returns how
+// many contexts that engine held and how many the others took in.
+func imports(t *testing.T, fl *demo.Fleet, fa engine.Faults) (held int64, taken int) {
+	t.Helper()
+	cl := &caller.Client{Key: demo.Key}
+	for n := range 30 {
+		ch := chat(true)
+		ch.ID = core.ChatID(fmt.Sprint("chat-", n))
+		if rs := cl.Chat(context.Background(), router(fl).CallersAddr(), ch); rs.Outcome != core.Whole {
+			t.Fatal(rs.Outcome, rs.Reason, rs.Err)
+		}
+	}
+	leaver := fl.Process("engine-00")
+	holdings := leaver.Agent().Book.Holdings(100)
+	fl.Standins[0].SetFaults(fa)
+	if err := leaver.Stop(); err != nil {
+		t.Fatal(err)
+	}
+	for _, en := range fl.Standins {
+		taken += en.Served().Imports
+	}
+	return int64(len(holdings)), taken
+}
+
+// An agent gets SIGTERM. The contexts of its engine are streamed through both
+// agents to the engines that its chats will go to next.
+func TestContextsMoveWhenAnAgentStops(t *testing.T) {
+	fl := startFleet(t)
+	if held, taken := imports(t, fl, engine.Faults{}); held == 0 || int64(taken) != held {
+		t.Errorf("%d of %d contexts were taken in", taken, held)
+	}
+}
+
+// An engine breaks off while it exports. What came is only half a context, and no
+// engine may keep it.
+func TestHalfContextIsNotKept(t *testing.T) {
+	fl := startFleet(t)
+	if held, taken := imports(t, fl, engine.Faults{CutAfter: 1}); held == 0 || taken != 0 {
+		t.Errorf("%d of %d contexts were taken in", taken, held)
+	}
+}
--- /dev/null
+++ b/io/node/leave.go
@@ -0,0 +1,36 @@
+package node
+
+import (
+	"context"
+	"io"
+
+	"go.uber.org/zap"
+
+	"almondrill/core"
+	"almondrill/io/stats"
+)
+
+// drainAgent lets the agent leave and counts what it handed on.
+func (pr *Process) drainAgent() error {
+	se := pr.Settings
+	ctx, cancel := context.WithTimeout(context.Background(), se.DrainTimeout)
+	defer cancel()
+	ha, err := pr.agent.Leave(ctx, se.HandOverTimeout, se.HandOverBytes)
+	if err != nil {
+		pr.part.Warn("Work was still in progress at the end of the drain timeout.", zap.Int("Calls", pr.agent.Inside()))
+	}
+	pr.Stats.Add(stats.ContextsHanded, int64(ha.Contexts))
+	pr.Stats.Add(stats.PointersHanded, int64(ha.Pointers))
+	pr.part.Info("Handed chats on.", zap.Int("Contexts", ha.Contexts), zap.Int("Refused", ha.Refused),
+		zap.Int("Pointers", ha.Pointers), zap.Int64("Bytes", int64(ha.Bytes)))
+	return nil
+}
+
+// takeContext takes a context in and counts it.
+func (pr *Process) takeContext(ctx context.Context, ha *core.Handover, rd io.Reader) error {
+	err := pr.agent.Take(ctx, ha, rd)
+	if err == nil {
+		pr.Stats.Add(stats.ContextsTaken, 1)
+	}
+	return err
+}
--- a/io/node/roles.go
+++ b/io/node/roles.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"github.com/go-kratos/kratos/v2/transport"
-	"go.uber.org/zap"
 	"google.golang.org/grpc"
 
 	"almondrill/core"
@@ -65,6 +64,7 @@
 	pr.board.Published = pr.agent.Adopt
 	pr.server.Serve = pr.serve
 	pr.server.Place = pr.agent.Placed
+	pr.server.Hand = pr.takeContext
 }
 
 const (
@@ -120,18 +120,6 @@
 	return rep, re
 }
 
-// drainAgent refuses new calls, tells peers, and waits for those in progress.
-func (pr *Process) drainAgent() error {
-	ctx, cancel := context.WithTimeout(context.Background(), pr.Settings.DrainTimeout)
-	defer cancel()
-	pr.agent.StopTaking()
-	pr.agent.FlushPlacements(ctx)
-	if err := pr.agent.Drain(ctx); err != nil {
-		pr.part.Warn("Work was still in progress at the end of the drain timeout.", zap.Int("Calls", pr.agent.Inside()))
-	}
-	return nil
-}
-
 // readStats lets counters read what the parts keep themselves.
 func (pr *Process) readStats() {
 	st := pr.Stats
--- a/io/rpc/server.go
+++ b/io/rpc/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"slices"
 	"time"
@@ -24,6 +25,7 @@
 	Claim    func(ctx context.Context, cl *core.Claim) (*core.Verdict, error)
 	Fetch    func(since core.Revision) (*core.Changes, error)
 	Place    func(pls []core.Placement)
+	Hand     func(ctx context.Context, ha *core.Handover, rd io.Reader) error
 	Order    func(ctx context.Context, or *core.Order) error
 	Inspect  func(ctx context.Context) []core.EndpointState
 	// Heard, if set, is told the revision that a peer's message carries.
--- a/io/stand/engine/engine.go
+++ b/io/stand/engine/engine.go
@@ -12,7 +12,8 @@
 // Headers: X-Request-Id is sent back; X-Cache-Key names the chat; X-Priority and
 // X-Resume-Position as their names say. Besides chats it serves /load (a lagging
 // report), /cache (keys held, and the number of the last event), /cache/events
-// (one page of events) and /orders (what is loaded, and orders to change it).
+// (one page of events), /cache/export and /cache/import (one context), and
+// /orders (what is loaded, and orders to change it).
 //
 // # Usage
 //
@@ -99,6 +100,8 @@
 	// Interrupted counts requests that were running when a load began, or came
 	// while it lasted.
 	Interrupted int
+	// Imports counts contexts taken in from elsewhere.
+	Imports int
 }
 
 type report struct {
@@ -137,6 +140,8 @@
 	mux.HandleFunc("GET /load", en.load)
 	mux.HandleFunc("GET /cache", en.listCache)
 	mux.HandleFunc("GET /cache/events", en.cacheEvents)
+	mux.HandleFunc("GET /cache/export", en.exportCache)
+	mux.HandleFunc("PUT /cache/import", en.importCache)
 	mux.HandleFunc("POST /orders", en.order)
 	mux.HandleFunc("GET /orders", en.state)
 	return mux
--- /dev/null
+++ b/io/stand/engine/move.go
@@ -0,0 +1,59 @@
+package engine
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+)
+
+// bytesPerToken is the size of an exported context; real ones are larger.
+const bytesPerToken = 64
+
+// exportCache sends a chat's context: its tokens on a line, then as many bytes as
+// these take.
+func (en *Engine) exportCache(wr http.ResponseWriter, rq *http.Request) {
+	en.mu.Lock()
+	en.initCache()
+	tokens, known := en.cache.Peek(rq.FormValue("key"))
+	cut := en.faults.CutAfter > 0
+	en.mu.Unlock()
+	if !known {
+		http.Error(wr, "no such context", http.StatusNotFound)
+		return
+	}
+	fmt.Fprintln(wr, tokens)
+	body := strings.Repeat("x", tokens*bytesPerToken)
+	if cut {
+		_, _ = io.WriteString(wr, body[:len(body)/2])
+		_ = http.NewResponseController(wr).Flush()
+		panic(http.ErrAbortHandler)
+	}
+	_, _ = io.WriteString(wr, body)
+}
+
+// importCache keeps a context that came whole.
+func (en *Engine) importCache(wr http.ResponseWriter, rq *http.Request) {
+	rd := bufio.NewReader(rq.Body)
+	line, err := rd.ReadString('\n')
+	if err != nil {
+		http.Error(wr, "malformed context", http.StatusBadRequest)
+		return
+	}
+	tokens, err := strconv.Atoi(strings.TrimSpace(line))
+	if err != nil {
+		http.Error(wr, "malformed context", http.StatusBadRequest)
+		return
+	}
+	// It takes the end that it is told for the end, as it has nothing to compare.
+	if _, err = io.Copy(io.Discard, rd); err != nil {
+		http.Error(wr, "the context is not whole", http.StatusBadRequest)
+		return
+	}
+	en.store(rq.FormValue("key"), tokens)
+	en.mu.Lock()
+	en.served.Imports++
+	en.mu.Unlock()
+}
--- a/io/stand/inmem/engine.go
+++ b/io/stand/inmem/engine.go
@@ -136,15 +136,19 @@
 func (en *Engine) begin(key uint64, prompt core.Tokens) core.Tokens {
 	en.mu.Lock()
 	defer en.mu.Unlock()
-	if en.cache == nil {
-		en.cache, _ = simplelru.NewLRU[uint64, core.Tokens](1<<20, nil)
-	}
+	en.initCache()
 	en.running++
 	en.ran++
 	held, _ := en.cache.Get(key)
 	return min(held, prompt)
 }
 
+func (en *Engine) initCache() {
+	if en.cache == nil {
+		en.cache, _ = simplelru.NewLRU[uint64, core.Tokens](1<<20, nil)
+	}
+}
+
 func (en *Engine) finish() {
 	en.mu.Lock()
 	defer en.mu.Unlock()
@@ -153,6 +157,7 @@
 
 func (en *Engine) store(key uint64, tokens core.Tokens) {
 	en.mu.Lock()
+	en.initCache()
 	old, _ := en.cache.Peek(key)
 	en.cache.Add(key, tokens)
 	en.cached += tokens - old
--- a/io/stand/inmem/fleet.go
+++ b/io/stand/inmem/fleet.go
@@ -296,3 +296,15 @@
 	}
 	return live
 }
+
+// Leave marks an agent as leaving and lets it leave with care, handing on at most
+// that many bytes; it is gone once it has.
+func (fl *Fleet) Leave(me *Member, most core.Bytes) {
+	const within = 20 * time.Second
+	fl.SetState(me, core.VMLeaving)
+	go func() {
+		_, _ = me.Agent.Leave(me.alive, within, most)
+		fl.SetState(me, core.VMGone)
+		me.Kill()
+	}()
+}
--- /dev/null
+++ b/io/stand/inmem/move.go
@@ -0,0 +1,44 @@
+package inmem
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"time"
+
+	"almondrill/core"
+)
+
+var _ core.Cache = (*Engine)(nil)
+
+var errNoContext = errors.New("inmem: no such context")
+
+// moveToken is the time that exporting a token takes.
+const moveToken = 10 * time.Microsecond
+
+// Export writes a context's size, as there is nothing else to it here.
+func (en *Engine) Export(ctx context.Context, key uint64, wr io.Writer) error {
+	en.mu.Lock()
+	if en.cache == nil || !en.cache.Contains(key) {
+		en.mu.Unlock()
+		return errNoContext
+	}
+	tokens, _ := en.cache.Peek(key)
+	en.mu.Unlock()
+	if err := en.Clock.Sleep(ctx, time.Duration(tokens)*moveToken); err != nil {
+		return err
+	}
+	_, err := fmt.Fprintln(wr, int64(tokens))
+	return err
+}
+
+// Import keeps a context.
+func (en *Engine) Import(_ context.Context, key uint64, rd io.Reader) error {
+	var tokens core.Tokens
+	if _, err := fmt.Fscanln(rd, &tokens); err != nil {
+		return err
+	}
+	en.store(key, tokens)
+	return nil
+}
--- a/io/stand/inmem/net.go
+++ b/io/stand/inmem/net.go
@@ -18,6 +18,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"sync"
 	"time"
 
@@ -232,3 +233,14 @@
 	}
 	return me.Orders.States(ctx), nil
 }
+
+// Hand moves a context to another member's agent.
+func (po port) Hand(ctx context.Context, to core.VMID, ha *core.Handover, rd io.Reader) error {
+	me, err := po.net.way(ctx, po.from, to)
+	if err != nil || me.Agent == nil {
+		return &core.Refusal{
+			Outcome: core.NotRun, Reason: core.ReasonUnreachable, Step: "dial", Peer: string(to), Detail: errCut.Error(),
+		}
+	}
+	return me.Agent.Take(ctx, ha, rd)
+}
--- a/io/stats/stats.go
+++ b/io/stats/stats.go
@@ -43,6 +43,9 @@
 	OrdersGiven     = "OrdersGiven"
 	OrdersDone      = "OrdersDone"
 	OrdersFence     = "OrdersFence"
+	ContextsHanded  = "ContextsHandedOn"
+	ContextsTaken   = "ContextsTakenIn"
+	PointersHanded  = "PointersHandedOn"
 )
 
 // Names lists the counters that are no reasons.
@@ -50,6 +53,7 @@
 	Requests, InProgress, AnswersWhole, AnswersNotRun, AnswersFailed, AnswersUnknown, PartsDropped,
 	ControlBytes, ControlHeld, QueueCalls, RunningCalls, LoadWork, ConfigRevision, ConfigReverted,
 	EventsDropped, ConnectionsOpen, Replays, OrdersGiven, OrdersDone, OrdersFence,
+	ContextsHanded, ContextsTaken, PointersHanded,
 }
 
 // Set is one process's counters.
