Use of an idle endpoint is not held against a customer

Cause: virtual time went on only when a waiting call got a slot, not when a call started at once.

Change: each start takes virtual time along.

Before: TestIdleUseIsNotHeldAgainstACustomer fails: passed over three times in a row. After: passes.

--- /dev/null
+++ b/core/admit/fair_test.go
@@ -0,0 +1,66 @@
+package admit_test
+
+import (
+	"testing"
+	"testing/synctest"
+
+	"almondrill/core"
+	"almondrill/core/admit"
+)
+
+// A publisher's calls run on an idle engine all day, which costs nobody anything.
+// In the evening another customer begins too, and both queue. They take turns;
+// the publisher does not wait until the other has caught up on the day.
+func TestIdleUseIsNotHeldAgainstACustomer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ga := newGate(2, 20)
+		for range 1000 {
+			ti := ticket("publisher", core.PriorityNormal)
+			offer(t, ga, ti)
+			ga.Leave(ti)
+		}
+		running := []*admit.Ticket{ticket("publisher", core.PriorityNormal), ticket("evening", core.PriorityNormal)}
+		for _, ti := range running {
+			offer(t, ga, ti)
+		}
+		evening, publisher := &line{customer: "evening"}, &line{customer: "publisher"}
+		for range 6 {
+			evening.join(t, ga)
+			publisher.join(t, ga)
+		}
+		for range 3 {
+			ga.Leave(running[0])
+			running = append(running[1:], startedOf(t, evening, publisher))
+		}
+		if publisher.started == 0 {
+			t.Error("the publisher's call was passed over by three of the other's")
+		}
+	})
+}
+
+// line is what a customer has waiting; its tickets start in turn.
+type line struct {
+	customer core.CustomerID
+	tickets  []*admit.Ticket
+	started  int
+}
+
+func (li *line) join(t *testing.T, ga *admit.Gate) {
+	t.Helper()
+	ti := ticket(li.customer, core.PriorityNormal)
+	offer(t, ga, ti)
+	li.tickets = append(li.tickets, ti)
+}
+
+// startedOf finds the ticket that was just given a slot.
+func startedOf(t *testing.T, lines ...*line) *admit.Ticket {
+	t.Helper()
+	for _, li := range lines {
+		if ti := li.tickets[li.started]; started(ti) {
+			li.started++
+			return ti
+		}
+	}
+	t.Fatal("nobody was given the slot")
+	return nil
+}
--- a/core/admit/gate.go
+++ b/core/admit/gate.go
@@ -230,6 +230,9 @@
 	ti.state = ticketRunning
 	ti.account.running++
 	ga.running++
+	// Also when nobody waits: what a customer used of an idle endpoint would count
+	// against it, for as long as the endpoint lives, once there is a queue.
+	ga.queue.virtual = max(ga.queue.virtual, ti.start)
 }
 
 func (ga *Gate) enqueue(ti *Ticket) {
--- a/core/admit/queue.go
+++ b/core/admit/queue.go
@@ -68,7 +68,6 @@
 		return nil
 	}
 	qu.remove(ti)
-	qu.virtual = max(qu.virtual, ti.start)
 	return ti
 }
 
