Calls that wait for room under the cap do so by priority and share

Cause: whoever waited for room under the load cap did so in order of arrival, and kept every newcomer out, of whatever priority or customer: the readers of one surging customer kept a marshal's small call, and lookups, from an engine that had room for them.

Change: those who wait stand in the same order as the queue for slots, and a newcomer that there is room for only yields to who goes before it. A call that never ran is no longer counted against its customer.

Before: TestPatientSurgeKeepsNobodyOut fails (LoadCap). After: passes.

--- a/core/admit/fair_test.go
+++ b/core/admit/fair_test.go
@@ -3,9 +3,11 @@
 import (
 	"testing"
 	"testing/synctest"
+	"time"
 
 	"almondrill/core"
 	"almondrill/core/admit"
+	"almondrill/core/decl"
 )
 
 // A publisher's calls run on an idle engine all day, which costs nobody anything.
@@ -64,3 +66,35 @@
 	t.Fatal("nobody was given the slot")
 	return nil
 }
+
+// Readers of a customer that surges wait for room at the engine that has their
+// contexts. A marshal of another customer asks something small, for which there
+// is room, and a lookup comes first anyway: neither waits behind the surge.
+func TestPatientSurgeKeepsNobodyOut(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ga := newGate(100, 100)
+		ga.SetLimits(decl.Limits{LoadFactor: 1.25, FloorWork: 130, Slots: 100, QueueCalls: 100})
+		ga.Loads.SetPeers([]core.VMID{"one"})
+		ga.Loads.Observe(core.LoadEntry{Pool: "chat", VM: "one", Load: 20})
+		first := ticket("surge", core.PriorityNormal)
+		offer(t, ga, first)
+		ga.Standing()
+		time.Sleep(time.Second)
+		ga.Progress(first, 20)
+		ga.Standing()
+		patient := ticket("surge", core.PriorityNormal)
+		patient.Patience = time.Minute
+		if offer(t, ga, patient) || started(patient) {
+			t.Fatal("the surge's second call found room: this shows nothing")
+		}
+		marshal, lookup := ticket("other", core.PriorityNormal), ticket("surge", core.PriorityUrgent)
+		marshal.Work, lookup.Work = 10, 10
+		if !offer(t, ga, marshal) || !offer(t, ga, lookup) {
+			t.Error("kept out by a call that waits for room")
+		}
+		ga.Leave(first)
+		if !started(patient) {
+			t.Error("the patient call got no room")
+		}
+	})
+}
--- a/core/admit/gate.go
+++ b/core/admit/gate.go
@@ -33,7 +33,6 @@
 package admit
 
 import (
-	"slices"
 	"sync"
 	"time"
 
@@ -71,8 +70,8 @@
 	alien    core.Work
 	running  int
 	waiting  int
-	patient  []*Ticket
-	queue    queue
+	patient  queue // waits for room under the cap
+	queue    queue // waits for a slot
 	accounts map[core.CustomerID]*account
 	weights  float64 // sum over active accounts
 	finished core.Work
@@ -107,6 +106,7 @@
 	number  uint64
 	since   time.Time
 	state   ticketState
+	ran     bool
 	ready   chan *core.Refusal
 }
 
@@ -138,22 +138,37 @@
 func (ga *Gate) Offer(ti *Ticket) (bool, *core.Refusal) {
 	ga.mu.Lock()
 	defer ga.mu.Unlock()
-	if len(ga.patient) > 0 || !ga.fits(ti.Work) {
-		// Whoever waits patiently goes first, or it would wait for ever.
-		if !ga.worthWaiting(ti) {
-			return false, ga.refuseCap(ti.Work)
-		}
-		ti.ready = make(chan *core.Refusal, 1)
-		ti.state = ticketPatient
-		ga.patient = append(ga.patient, ti)
-		return false, nil
+	ga.enterAccount(ti)
+	if ga.fits(ti.Work) && !ga.precedes(ga.patient.first(), ti) {
+		return ga.admit(ti)
+	}
+	if !ga.worthWaiting(ti) {
+		ga.leaveAccount(ti)
+		return false, ga.refuseCap(ti.Work)
 	}
-	return ga.admit(ti)
+	ti.ready = make(chan *core.Refusal, 1)
+	ti.state = ticketPatient
+	ga.patient.push(ti)
+	return false, nil
+}
+
+// precedes tells whether a call that waits for room under the cap goes before a
+// newcomer that there is room for. Without it the waiting call might wait for
+// ever; but in order of arrival, the calls of a customer that surges would keep
+// everybody else's, and urgent ones, from the endpoint.
+func (ga *Gate) precedes(waiting, ti *Ticket) bool {
+	if waiting == nil {
+		return false
+	}
+	if waiting.Priority != ti.Priority {
+		return waiting.Priority > ti.Priority
+	}
+	return waiting.start <= ti.start
 }
 
 // worthWaiting tells whether room can be expected within the ticket's patience.
 func (ga *Gate) worthWaiting(ti *Ticket) bool {
-	if ti.Patience <= 0 || len(ga.patient) >= mostPatient {
+	if ti.Patience <= 0 || ga.patient.count >= mostPatient {
 		return false
 	}
 	ga.measureDrain()
@@ -161,18 +176,14 @@
 		return false
 	}
 	limit := max(float64(ga.limits.FloorWork), ga.limits.LoadFactor*float64(ga.Loads.Mean(ga.load)))
-	excess := float64(ga.load+ti.Work) - limit
-	for _, other := range ga.patient {
-		excess += float64(other.Work)
-	}
+	excess := float64(ga.load+ti.Work+ga.patient.ahead(ti)) - limit
 	return time.Duration(excess/ga.drain*float64(time.Second)) <= ti.Patience
 }
 
 // admitPatient lets those in who fit by now, in order.
 func (ga *Gate) admitPatient() {
-	for len(ga.patient) > 0 && ga.fits(ga.patient[0].Work) {
-		ti := ga.patient[0]
-		ga.patient = ga.patient[1:]
+	for ti := ga.patient.first(); ti != nil && ga.fits(ti.Work); ti = ga.patient.first() {
+		ga.patient.remove(ti)
 		run, re := ga.admit(ti)
 		if run || re != nil {
 			ti.ready <- re
@@ -183,7 +194,6 @@
 // admit gives a ticket within the cap a slot or a place in the queue.
 func (ga *Gate) admit(ti *Ticket) (bool, *core.Refusal) {
 	ti.left = ti.Work
-	ti.account = ga.enterAccount(ti)
 	if ga.running < ga.limits.Slots && ga.waiting == 0 && ga.maySlot(ti.account) {
 		ga.addLoad(ti.Work)
 		ga.startTicket(ti)
@@ -228,6 +238,7 @@
 
 func (ga *Gate) startTicket(ti *Ticket) {
 	ti.state = ticketRunning
+	ti.ran = true
 	ti.account.running++
 	ga.running++
 	// Also when nobody waits: what a customer used of an idle endpoint would count
@@ -279,8 +290,9 @@
 	ga.mu.Lock()
 	defer ga.mu.Unlock()
 	if ti.state == ticketPatient {
-		ga.patient = slices.DeleteFunc(ga.patient, func(other *Ticket) bool { return other == ti })
+		ga.patient.remove(ti)
 		ti.state = ticketOut
+		ga.leaveAccount(ti)
 		return true
 	}
 	if ti.state != ticketWaiting {
@@ -329,7 +341,8 @@
 	}
 }
 
-func (ga *Gate) enterAccount(ti *Ticket) *account {
+// enterAccount gives the ticket its place in its customer's account.
+func (ga *Gate) enterAccount(ti *Ticket) {
 	ac := ga.accounts[ti.Customer]
 	if ac == nil {
 		if ga.accounts == nil {
@@ -345,11 +358,16 @@
 	ac.tickets++
 	ti.start = max(ga.queue.virtual, ac.finish)
 	ac.finish = ti.start + float64(ti.Work)/ac.weight
-	return ac
+	ti.account = ac
 }
 
+// leaveAccount takes the ticket out of its customer's account. One that never ran
+// is not counted against the customer.
 func (ga *Gate) leaveAccount(ti *Ticket) {
 	ac := ti.account
+	if !ti.ran {
+		ac.finish -= float64(ti.Work) / ac.weight
+	}
 	ac.tickets--
 	if ac.tickets > 0 {
 		return
--- a/core/admit/queue.go
+++ b/core/admit/queue.go
@@ -16,12 +16,14 @@
 	virtual float64
 	work    core.Work
 	numbers uint64
+	count   int
 }
 
 func (qu *queue) push(ti *Ticket) {
 	qu.numbers++
 	ti.number = qu.numbers
 	qu.work += ti.Work
+	qu.count++
 	class := qu.classes[ti.Priority]
 	at, _ := slices.BinarySearchFunc(class, ti, compareStart)
 	qu.classes[ti.Priority] = slices.Insert(class, at, ti)
@@ -48,9 +50,31 @@
 		return
 	}
 	qu.work -= ti.Work
+	qu.count--
 	qu.classes[ti.Priority] = slices.Delete(class, at, at+1)
 }
 
+// first is the ticket whose turn is next, nil if there is none.
+func (qu *queue) first() *Ticket {
+	for pr := len(qu.classes) - 1; pr >= 0; pr-- {
+		if len(qu.classes[pr]) > 0 {
+			return qu.classes[pr][0]
+		}
+	}
+	return nil
+}
+
+// ahead sums the work that would go before a newcomer.
+func (qu *queue) ahead(ti *Ticket) core.Work {
+	sum := qu.workFrom(ti.Priority + 1)
+	for _, other := range qu.classes[ti.Priority] {
+		if other.start <= ti.start {
+			sum += other.Work
+		}
+	}
+	return sum
+}
+
 // pop takes the next ticket whose customer may have a slot. A ticket that has
 // waited beyond maxWait goes before its betters: without that, a steady stream
 // of urgent calls would hold back batch work for ever.
