A slot kept for customers within their share is given at once

Cause: a newcomer only got a slot directly while nobody waited. In a surge somebody always waits, held from the last slots by its customer's share; the others queued behind it beside free slots until the next answer ended.

Change: a newcomer that queues is followed by a round of giving out slots.

TestKeptSlotIsGivenAtOnce fails without it.

What is left is the batch's own slowing.

--- a/core/admit/fair_test.go
+++ b/core/admit/fair_test.go
@@ -98,3 +98,20 @@
 		}
 	})
 }
+
+// One customer's pupils fill an engine, but for the slots kept for the others,
+// and more of them queue. An editor of another customer gets one of those slots
+// at once; she does not wait for an answer to end first.
+func TestKeptSlotIsGivenAtOnce(t *testing.T) {
+	ga := newGate(16, 32)
+	offer(t, ga, ticket("editor", core.PriorityNormal))
+	for range 20 {
+		offer(t, ga, ticket("pupils", core.PriorityNormal))
+	}
+	if running := ga.Standing().Running; running != 14 {
+		t.Fatalf("%d run: this shows nothing", running)
+	}
+	if !offer(t, ga, ticket("editor", core.PriorityNormal)) {
+		t.Error("the editor's second call waits beside free slots")
+	}
+}
--- a/core/admit/gate.go
+++ b/core/admit/gate.go
@@ -140,7 +140,13 @@
 	defer ga.mu.Unlock()
 	ga.enterAccount(ti)
 	if ga.fits(ti.Work) && !ga.precedes(ga.patient.first(), ti) {
-		return ga.admit(ti)
+		run, re := ga.admit(ti)
+		if ti.state == ticketRunning && !run {
+			// Queued and started at once; nobody else reads its channel yet.
+			<-ti.ready
+			run = true
+		}
+		return run, re
 	}
 	if !ga.worthWaiting(ti) {
 		ga.leaveAccount(ti)
@@ -209,6 +215,8 @@
 	}
 	ga.addLoad(ti.Work)
 	ga.enqueue(ti)
+	// Those ahead of it may be held from the free slots by their customer's share.
+	ga.dispatch()
 	return false, nil
 }
 
