Headroom: a pool's choice how far to shield customers from a surge

Cause: the part of the slots kept for customers within their share was fixed at an eighth. What a surge still costs the others is the batch's slowing, which only fewer calls of the surging customer undo.

Change: Headroom, a limit of pools and services, 0.125 as before by default.

--- a/core/admit/fair_test.go
+++ b/core/admit/fair_test.go
@@ -73,7 +73,7 @@
 func TestPatientSurgeKeepsNobodyOut(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		ga := newGate(100, 100)
-		ga.SetLimits(decl.Limits{LoadFactor: 1.25, FloorWork: 130, Slots: 100, QueueCalls: 100})
+		ga.SetLimits(decl.Limits{LoadFactor: 1.25, FloorWork: 130, Slots: 100, QueueCalls: 100, Headroom: decl.DefaultHeadroom})
 		ga.Loads.SetPeers([]core.VMID{"one"})
 		ga.Loads.Observe(core.LoadEntry{Pool: "chat", VM: "one", Load: 20})
 		first := ticket("surge", core.PriorityNormal)
@@ -115,3 +115,22 @@
 		t.Error("the editor's second call waits beside free slots")
 	}
 }
+
+// A term opens, and one customer's pupils could fill an engine. The pool's
+// Headroom decides how many slots stay free for the others.
+func TestHeadroomIsKeptForOthers(t *testing.T) {
+	for headroom, most := range map[float64]int{0.125: 14, 0.5: 9} {
+		ga := newGate(16, 32)
+		ga.SetLimits(decl.Limits{LoadFactor: 1.25, FloorWork: 1e6, Slots: 16, QueueCalls: 32, Headroom: headroom})
+		offer(t, ga, ticket("editor", core.PriorityNormal))
+		for range 20 {
+			offer(t, ga, ticket("pupils", core.PriorityNormal))
+		}
+		if running := ga.Standing().Running; running != most {
+			t.Errorf("headroom %g: %d run", headroom, running)
+		}
+		if !offer(t, ga, ticket("editor", core.PriorityNormal)) {
+			t.Errorf("headroom %g: the editor's second call waits", headroom)
+		}
+	}
+}
--- a/core/admit/gate.go
+++ b/core/admit/gate.go
@@ -42,8 +42,6 @@
 )
 
 const (
-	// reservePart is the part of the slots kept for customers within their share.
-	reservePart = 8
 	// maxWait is how long a call may be passed over for higher priorities.
 	maxWait = 5 * time.Second
 	// Bounds of the advice when to try again.
@@ -238,7 +236,7 @@
 // maySlot keeps the last slots for customers within their share.
 func (ga *Gate) maySlot(ac *account) bool {
 	free := ga.limits.Slots - ga.running
-	if free > ga.limits.Slots/reservePart {
+	if free > int(ga.limits.Headroom*float64(ga.limits.Slots)) {
 		return true
 	}
 	return float64(ac.running)*ga.weights < float64(ga.limits.Slots)*ac.weight
--- a/core/admit/gate_test.go
+++ b/core/admit/gate_test.go
@@ -18,7 +18,7 @@
 func newGate(slots, queue int) *admit.Gate {
 	ta := &loads.Table{Clock: clock.Wall{}, Pool: "chat", Self: "self"}
 	ga := &admit.Gate{Clock: clock.Wall{}, Rand: clock.NewRand(1), Loads: ta, VM: "self"}
-	ga.SetLimits(decl.Limits{LoadFactor: 1.25, FloorWork: 1e6, Slots: slots, QueueCalls: queue})
+	ga.SetLimits(decl.Limits{LoadFactor: 1.25, FloorWork: 1e6, Slots: slots, QueueCalls: queue, Headroom: decl.DefaultHeadroom})
 	return ga
 }
 
@@ -113,7 +113,7 @@
 func TestUnknownMeanLeavesTheFloor(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		ga := newGate(100, 100)
-		ga.SetLimits(decl.Limits{LoadFactor: 1.25, FloorWork: 250, Slots: 100, QueueCalls: 100})
+		ga.SetLimits(decl.Limits{LoadFactor: 1.25, FloorWork: 250, Slots: 100, QueueCalls: 100, Headroom: decl.DefaultHeadroom})
 		ga.Loads.SetPeers([]core.VMID{"one", "two"})
 		for n := range 2 {
 			offer(t, ga, ticket("c", core.PriorityNormal))
@@ -136,7 +136,7 @@
 func TestPatientCallGetsRoom(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		ga := newGate(100, 100)
-		ga.SetLimits(decl.Limits{LoadFactor: 1.25, FloorWork: 100, Slots: 100, QueueCalls: 100})
+		ga.SetLimits(decl.Limits{LoadFactor: 1.25, FloorWork: 100, Slots: 100, QueueCalls: 100, Headroom: decl.DefaultHeadroom})
 		ga.Loads.SetPeers([]core.VMID{"one"})
 		ga.Loads.Observe(core.LoadEntry{Pool: "chat", VM: "one", Load: 20})
 		first := ticket("a", core.PriorityNormal)
--- a/core/agent/agent.go
+++ b/core/agent/agent.go
@@ -111,7 +111,7 @@
 func defaultLimits() decl.Limits {
 	return decl.Limits{
 		LoadFactor: decl.DefaultLoadFactor, FloorWork: decl.DefaultFloorWork,
-		Slots: decl.DefaultSlots, QueueCalls: decl.DefaultQueueCalls,
+		Slots: decl.DefaultSlots, QueueCalls: decl.DefaultQueueCalls, Headroom: decl.DefaultHeadroom,
 	}
 }
 
--- a/core/decl/check.go
+++ b/core/decl/check.go
@@ -34,6 +34,9 @@
 // nameForm keeps names usable in URLs, headers and KV keys.
 var nameForm = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$`)
 
+// mostHeadroom leaves customers over their share something.
+const mostHeadroom = 0.9
+
 const maxLoadFactor = 100
 
 type checker struct {
@@ -113,6 +116,9 @@
 	if li.Slots < 0 {
 		ch.add(object, "Slots", "must not be negative")
 	}
+	if !(li.Headroom >= 0 && li.Headroom < mostHeadroom) {
+		ch.add(object, "Headroom", "must be from 0 to below %g, not %g", mostHeadroom, li.Headroom)
+	}
 	if li.QueueCalls < 0 {
 		ch.add(object, "QueueCalls", "must not be negative")
 	}
--- a/core/decl/decl.go
+++ b/core/decl/decl.go
@@ -54,6 +54,7 @@
 	LoadFactor float64   `yaml:"LoadFactor,omitempty" json:",omitempty" doc:"No endpoint is given work beyond this multiple of the pool's mean load. At least 1; 0 means 1.25."`
 	FloorWork  core.Work `yaml:"FloorWork,omitempty" json:",omitempty" doc:"Load, in token equivalents, up to which the multiple is not applied. 0 means 4096."`
 	Slots      int       `yaml:"Slots,omitempty" json:",omitempty" doc:"Calls that run on one endpoint at a time. 0 means 32."`
+	Headroom   float64   `yaml:"Headroom,omitempty" json:",omitempty" doc:"Part of Slots kept for customers within their share. Higher shields them better from a surge and leaves more slots unused in it. Below 0.9; 0 means 0.125."`
 	QueueCalls int       `yaml:"QueueCalls,omitempty" json:",omitempty" doc:"Calls that wait for one endpoint. 0 means 64."`
 }
 
@@ -91,6 +92,7 @@
 	DefaultFloorWork  = core.Work(4096)
 	DefaultSlots      = 32
 	DefaultQueueCalls = 64
+	DefaultHeadroom   = 0.125
 	DefaultReuseBias  = 64.0
 )
 
@@ -218,6 +220,7 @@
 			FloorWork:  orDefault(li.FloorWork, DefaultFloorWork),
 			Slots:      orDefault(li.Slots, DefaultSlots),
 			QueueCalls: orDefault(li.QueueCalls, DefaultQueueCalls),
+			Headroom:   orDefault(li.Headroom, DefaultHeadroom),
 		},
 		ReuseBias: 1,
 	}
--- a/core/trial/policy_test.go
+++ b/core/trial/policy_test.go
@@ -55,17 +55,20 @@
 	policy policy
 	factor float64
 	bias   float64
+	// headroom is the part of slots kept for customers within their share.
+	headroom float64
 }
 
 // uncapped takes the cap away from baselines.
 const uncapped = 100
 
 var variants = []variant{
-	{"own", nil, 1.25, 0},
-	{"own-even", nil, 1.25, 1},
-	{"hash", hashing, uncapped, 0},
-	{"least", leastLoaded, uncapped, 0},
-	{"two", twoChoices, uncapped, 0},
+	{name: "own", factor: 1.25},
+	{name: "own-even", factor: 1.25, bias: 1},
+	{name: "own-headroom", factor: 1.25, headroom: 0.5},
+	{name: "hash", policy: hashing, factor: uncapped},
+	{name: "least", policy: leastLoaded, factor: uncapped},
+	{name: "two", policy: twoChoices, factor: uncapped},
 }
 
 func eachVariant(b *testing.B, run func(b *testing.B, re regime, va variant)) {
@@ -79,7 +82,7 @@
 func trialFleet(re regime, va variant, seed uint64, customers ...decl.Customer) *inmem.Fleet {
 	return &inmem.Fleet{
 		Seed: seed, Routers: 3, Agents: engines, Pool: poolID, Lag: 5 * time.Second,
-		Document: document(decl.Limits{LoadFactor: va.factor, FloorWork: re.floor, Slots: re.slots, QueueCalls: 2 * re.slots}, va.bias, customers...),
+		Document: document(decl.Limits{LoadFactor: va.factor, FloorWork: re.floor, Slots: re.slots, QueueCalls: 2 * re.slots, Headroom: va.headroom}, va.bias, customers...),
 		Engine:   func(int) *inmem.Engine { return re.engine() },
 	}
 }
--- a/core/trial/step_test.go
+++ b/core/trial/step_test.go
@@ -85,7 +85,7 @@
 			ta.Observe(core.LoadEntry{Pool: poolID, VM: vm, Load: 50_000})
 		}
 		ga := &admit.Gate{Clock: clock.Wall{}, Rand: clock.NewRand(1), Loads: ta, VM: "self"}
-		ga.SetLimits(decl.Limits{LoadFactor: 1.25, FloorWork: 4096, Slots: 256, QueueCalls: 512})
+		ga.SetLimits(decl.Limits{LoadFactor: 1.25, FloorWork: 4096, Slots: 256, QueueCalls: 512, Headroom: decl.DefaultHeadroom})
 		names := make([]core.CustomerID, 1600)
 		for n := range names {
 			names[n] = core.CustomerID(fmt.Sprint("customer-", n))
