--- a/io/stand/engine/engine.go
+++ b/io/stand/engine/engine.go
@@ -133,6 +133,13 @@
 	return en.served
 }
 
+// Working is the work inside now, as later reports will show it.
+func (en *Engine) Working() int {
+	en.mu.Lock()
+	defer en.mu.Unlock()
+	return en.work
+}
+
 // Handler serves the engine's protocol.
 func (en *Engine) Handler() http.Handler {
 	mux := http.NewServeMux()
