--- a/io/capac/rows.go
+++ b/io/capac/rows.go
@@ -127,6 +127,14 @@
 		Role: roleOperator, What: "in force everywhere, KV lost, p99", Mechanism: "core/spread", Prefix: "InForce/own/nodes=", Suffix: "/kv-lost=true", Metric: "p99-s",
 		At: processes, Times: 1, Unit: "s", Budget: 9, Note: "as above",
 	},
+	{
+		Role: roleKV, What: "lease of orders, while a version rolls", Mechanism: "core/order/lease.go", Prefix: "Roll/own/engines=", Metric: "KV-writes/s",
+		At: workers, Times: 1, Unit: "writes/s", Budget: 30, Note: "one holder's renewals, whatever the fleet; an order costs two reads",
+	},
+	{
+		Role: roleOperator, What: "rolling a version, against the weight store's own time", Mechanism: "core/order/pace.go", Prefix: "Roll/own/engines=", Metric: "time/needed",
+		Mean: true, Times: 1, Unit: "times", Note: "not linear; a store that bears two loads of 20 s",
+	},
 	{
 		Role: roleOperator, What: "start from a snapshot", Mechanism: "core/revlog", Prefix: "SnapshotStart", Metric: "ns/op",
 		Mean: true, Times: 1e-9, Unit: "s", Budget: 9, Note: "1,600 customers, decoding and compiling",
