Clean-up: accounts and patient calls in files of their own

Cause: core/admit/gate.go had grown to 391 lines over three concerns.

Change: account.go holds customers' standing and the slots kept for them, patient.go the calls that wait for room under the cap.

Conclusion: gate.go is at 290 lines.

--- a/core/admit/gate.go
+++ b/core/admit/gate.go
@@ -77,16 +77,6 @@
 	drainAt  time.Time
 }
 
-// account is one customer's standing at the gate. It is active while the
-// customer has a ticket inside.
-type account struct {
-	weight  float64
-	tickets int
-	running int
-	waiting core.Work
-	finish  float64 // virtual time at which its last ticket ends
-}
-
 // Ticket is one call's passage. Set the exported fields, then Offer it once.
 type Ticket struct {
 	Customer core.CustomerID
@@ -156,45 +146,6 @@
 	return false, nil
 }
 
-// precedes tells whether a call that waits for room under the cap goes before a
-// newcomer that there is room for. Without it the waiting call might wait for
-// ever; but in order of arrival, the calls of a customer that surges would keep
-// everybody else's, and urgent ones, from the endpoint.
-func (ga *Gate) precedes(waiting, ti *Ticket) bool {
-	if waiting == nil {
-		return false
-	}
-	if waiting.Priority != ti.Priority {
-		return waiting.Priority > ti.Priority
-	}
-	return waiting.start <= ti.start
-}
-
-// worthWaiting tells whether room can be expected within the ticket's patience.
-func (ga *Gate) worthWaiting(ti *Ticket) bool {
-	if ti.Patience <= 0 || ga.patient.count >= mostPatient {
-		return false
-	}
-	ga.measureDrain()
-	if ga.drain < 1 {
-		return false
-	}
-	limit := max(float64(ga.limits.FloorWork), ga.limits.LoadFactor*float64(ga.Loads.Mean(ga.load)))
-	excess := float64(ga.load+ti.Work+ga.patient.ahead(ti)) - limit
-	return time.Duration(excess/ga.drain*float64(time.Second)) <= ti.Patience
-}
-
-// admitPatient lets those in who fit by now, in order.
-func (ga *Gate) admitPatient() {
-	for ti := ga.patient.first(); ti != nil && ga.fits(ti.Work); ti = ga.patient.first() {
-		ga.patient.remove(ti)
-		run, re := ga.admit(ti)
-		if run || re != nil {
-			ti.ready <- re
-		}
-	}
-}
-
 // admit gives a ticket within the cap a slot or a place in the queue.
 func (ga *Gate) admit(ti *Ticket) (bool, *core.Refusal) {
 	ti.left = ti.Work
@@ -233,15 +184,6 @@
 	return ga.load <= ga.Loads.Mean(ga.load)
 }
 
-// maySlot keeps the last slots for customers within their share.
-func (ga *Gate) maySlot(ac *account) bool {
-	free := ga.limits.Slots - ga.running
-	if free > int(ga.limits.Headroom*float64(ga.limits.Slots)) {
-		return true
-	}
-	return float64(ac.running)*ga.weights < float64(ga.limits.Slots)*ac.weight
-}
-
 func (ga *Gate) startTicket(ti *Ticket) {
 	ti.state = ticketRunning
 	ti.ran = true
@@ -346,46 +288,3 @@
 		ga.Gauge.Set(ga.load)
 	}
 }
-
-// enterAccount gives the ticket its place in its customer's account.
-func (ga *Gate) enterAccount(ti *Ticket) {
-	ac := ga.accounts[ti.Customer]
-	if ac == nil {
-		if ga.accounts == nil {
-			ga.accounts = map[core.CustomerID]*account{}
-		}
-		ac = &account{}
-		ga.accounts[ti.Customer] = ac
-	}
-	if ac.tickets == 0 {
-		ac.weight = ti.Weight
-		ga.weights += ac.weight
-	}
-	ac.tickets++
-	ti.start = max(ga.queue.virtual, ac.finish)
-	ac.finish = ti.start + float64(ti.Work)/ac.weight
-	ti.account = ac
-}
-
-// leaveAccount takes the ticket out of its customer's account. One that never ran
-// is not counted against the customer.
-func (ga *Gate) leaveAccount(ti *Ticket) {
-	ac := ti.account
-	if !ti.ran {
-		ac.finish -= float64(ti.Work) / ac.weight
-	}
-	ac.tickets--
-	if ac.tickets > 0 {
-		return
-	}
-	ga.weights = max(0, ga.weights-ac.weight)
-}
-
-// GiveUp takes back a ticket that still waits for room under the cap. False means
-// that it is past that.
-func (ga *Gate) GiveUp(ti *Ticket) bool {
-	ga.mu.Lock()
-	patient := ti.state == ticketPatient
-	ga.mu.Unlock()
-	return patient && ga.Withdraw(ti)
-}
