--- a/core/order/control.go
+++ b/core/order/control.go
@@ -13,8 +13,8 @@
 )
 
 const (
-	// sweepEvery is the pace at which the holder looks at engines; sweepMost of
-	// them at a time while there is work or some are unknown, idleMost otherwise.
+	// sweepEvery is the pace at which the holder looks at engines: those with an
+	// order in progress or not seen yet, and idleMost others, at most sweepMost.
 	sweepEvery = time.Second
 	sweepMost  = 16
 	idleMost   = 4
@@ -154,10 +154,11 @@
 	})
 	order := co.shuffled(at)
 	slices.SortStableFunc(order, func(one, two core.VMID) int { return at[one].Compare(at[two]) })
-	most := idleMost
-	if len(order) > 0 && at[order[0]].IsZero() {
-		most = sweepMost
+	urgent := 0
+	for urgent < len(order) && at[order[urgent]].IsZero() {
+		urgent++
 	}
+	most := min(sweepMost, urgent+idleMost)
 	var asking sync.WaitGroup
 	found := make([][]core.EndpointState, min(most, len(order)))
 	for ix := range found {
@@ -300,6 +301,13 @@
 
 // give hands orders over, and returns how many loads it has begun.
 func (co *Controller) give(ctx context.Context, given []Given) int {
+	// What the budget holds back is planned again in the next sweep.
+	for ix := range given {
+		if co.Sending != nil && !co.Sending(orderSize) {
+			given = given[:ix]
+			break
+		}
+	}
 	var giving sync.WaitGroup
 	refusals := make([]*core.Refusal, len(given))
 	for ix := range given {
@@ -321,9 +329,6 @@
 	if !held || fence != co.fence {
 		return &core.Refusal{Outcome: core.NotRun, Reason: core.ReasonOldFence, Step: "give", Peer: string(gi.VM), Detail: "the lease has lapsed"}
 	}
-	if co.Sending != nil && !co.Sending(orderSize) {
-		return &core.Refusal{Outcome: core.NotRun, Reason: core.ReasonOrderBusy, Step: "give", Peer: string(gi.VM), Detail: "the budget for control messages is spent"}
-	}
 	gi.Fence = fence
 	ctx, cancel := context.WithTimeout(ctx, giveWithin)
 	defer cancel()
--- a/core/trial/orders_test.go
+++ b/core/trial/orders_test.go
@@ -208,6 +208,30 @@
 	ro.fl.AddAgent(name, ix)
 }
 
+// The holder's budget for control messages is nearly used up by other messages.
+// Orders go out as the budget allows; none is reported as refused by an agent
+// that it never reached, and the version still rolls.
+func TestOrdersWaitForTheBudget(t *testing.T) {
+	onRollout(t, 23, 8, 1, func(ro *rollout) {
+		holder := ro.holder()
+		if holder == nil {
+			t.Fatal("nobody holds the lease")
+		}
+		spending, stop := context.WithCancel(ro.ctx)
+		go func() {
+			for ro.fl.Clock.Sleep(spending, 400*time.Millisecond) == nil {
+				holder.Meter.Spend(ro.fl.Budget / 10)
+			}
+		}()
+		ro.declare(1, "v2")
+		ro.until(10*time.Minute, func() bool { return ro.at("v2") == len(ro.engines) })
+		stop()
+		if ro.at("v2") != len(ro.engines) || holder.OrdersRefused.Load() > 0 {
+			t.Errorf("%d engines rolled, %d orders refused", ro.at("v2"), holder.OrdersRefused.Load())
+		}
+	})
+}
+
 func (ro *rollout) holder() *inmem.Member {
 	for _, me := range ro.fl.All() {
 		if me.Control == nil {
--- a/io/stand/inmem/fleet.go
+++ b/io/stand/inmem/fleet.go
@@ -45,6 +45,9 @@
 	// KVCut keeps the member's configuration log and lease from the KV.
 	KVCut atomic.Bool
 
+	// OrdersRefused counts orders that an agent did not take from this member.
+	OrdersRefused atomic.Int64
+
 	mu      sync.Mutex // guards adopted
 	adopted []core.Revision
 
@@ -218,6 +221,7 @@
 			Self: core.Claimant{VM: me.ID, Incarnation: me.incarnation},
 		},
 		Board: me.Board, Peers: port{fl.Net, me.ID}, Clock: fl.Clock, Rand: fl.Rand, Sending: me.Meter.Allow,
+		Refused: func(order.Given, *core.Refusal) { me.OrdersRefused.Add(1) },
 	}
 	fl.run(me)
 	go func() { _ = me.Control.Run(me.alive) }()
