What a new user stumbled over: settings and messages

Cause: tried in a fresh clone with separate processes. HandOverBytes -2 was taken; an unknown key was refused without what was expected; a caller whose engine or agent was gone read library text with addresses of the inside.

Change: each is refused or told in words. The two tests of calls that wait for room under the cap share one set-up.

--- a/core/admit/fair_test.go
+++ b/core/admit/fair_test.go
@@ -3,7 +3,6 @@
 import (
 	"testing"
 	"testing/synctest"
-	"time"
 
 	"almondrill/core"
 	"almondrill/core/admit"
@@ -72,21 +71,7 @@
 // is room, and a lookup comes first anyway: neither waits behind the surge.
 func TestPatientSurgeKeepsNobodyOut(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		ga := newGate(100, 100)
-		ga.SetLimits(decl.Limits{LoadFactor: 1.25, FloorWork: 130, Slots: 100, QueueCalls: 100, Headroom: decl.DefaultHeadroom})
-		ga.Loads.SetPeers([]core.VMID{"one"})
-		ga.Loads.Observe(core.LoadEntry{Pool: "chat", VM: "one", Load: 20})
-		first := ticket("surge", core.PriorityNormal)
-		offer(t, ga, first)
-		ga.Standing()
-		time.Sleep(time.Second)
-		ga.Progress(first, 20)
-		ga.Standing()
-		patient := ticket("surge", core.PriorityNormal)
-		patient.Patience = time.Minute
-		if offer(t, ga, patient) || started(patient) {
-			t.Fatal("the surge's second call found room: this shows nothing")
-		}
+		ga, first, patient := waitingForRoom(t, 130, "surge", "surge")
 		marshal, lookup := ticket("other", core.PriorityNormal), ticket("surge", core.PriorityUrgent)
 		marshal.Work, lookup.Work = 10, 10
 		if !offer(t, ga, marshal) || !offer(t, ga, lookup) {
--- a/core/admit/gate_test.go
+++ b/core/admit/gate_test.go
@@ -131,23 +131,34 @@
 	})
 }
 
+// waitingForRoom is a gate that is full up to its cap with the first customer's
+// call, and a call of the second that waits for room.
+func waitingForRoom(t *testing.T, floor core.Work, one, two core.CustomerID) (ga *admit.Gate, first, patient *admit.Ticket) {
+	t.Helper()
+	ga = newGate(100, 100)
+	ga.SetLimits(decl.Limits{LoadFactor: 1.25, FloorWork: floor, Slots: 100, QueueCalls: 100, Headroom: decl.DefaultHeadroom})
+	ga.Loads.SetPeers([]core.VMID{"one"})
+	ga.Loads.Observe(core.LoadEntry{Pool: "chat", VM: "one", Load: 20})
+	first = ticket(one, core.PriorityNormal)
+	offer(t, ga, first)
+	ga.Standing()
+	time.Sleep(time.Second)
+	ga.Progress(first, 20)
+	ga.Standing()
+	patient = ticket(two, core.PriorityNormal)
+	patient.Patience = time.Minute
+	if offer(t, ga, patient) || started(patient) {
+		t.Fatal("the second call found room: this shows nothing")
+	}
+	return ga, first, patient
+}
+
 // A call whose context is here waits for room under the cap, outside the load,
 // and gets in before one that came later.
 func TestPatientCallGetsRoom(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		ga := newGate(100, 100)
-		ga.SetLimits(decl.Limits{LoadFactor: 1.25, FloorWork: 100, Slots: 100, QueueCalls: 100, Headroom: decl.DefaultHeadroom})
-		ga.Loads.SetPeers([]core.VMID{"one"})
-		ga.Loads.Observe(core.LoadEntry{Pool: "chat", VM: "one", Load: 20})
-		first := ticket("a", core.PriorityNormal)
-		offer(t, ga, first)
-		ga.Standing()
-		time.Sleep(time.Second)
-		ga.Progress(first, 20)
-		ga.Standing()
-		patient := ticket("b", core.PriorityNormal)
-		patient.Patience = time.Minute
-		if offer(t, ga, patient) || started(patient) || ga.Load() != 80 {
+		ga, first, patient := waitingForRoom(t, 100, "a", "b")
+		if ga.Load() != 80 {
 			t.Fatalf("it did not wait outside; load %d", ga.Load())
 		}
 		if _, re := ga.Offer(ticket("c", core.PriorityNormal)); re == nil {
--- a/io/back/back.go
+++ b/io/back/back.go
@@ -191,7 +191,8 @@
 func (ep *Endpoint) noAnswer(ctx context.Context, err error) error {
 	var op *net.OpError
 	if errors.As(err, &op) && op.Op == "dial" {
-		re := ep.refuse(core.NotRun, core.ReasonEndpointDown, err)
+		// Callers read the detail: it names no address of the inside.
+		re := ep.refuse(core.NotRun, core.ReasonEndpointDown, errNoConnection)
 		re.RetryAfter = time.Second
 		return re
 	}
@@ -215,6 +216,8 @@
 	return &core.Refusal{Outcome: ou, Reason: reason, Step: "endpoint", Peer: string(ep.ID), Detail: err.Error()}
 }
 
+var errNoConnection = errors.New("the endpoint takes no connection")
+
 var errStalled = errors.New("the endpoint sent nothing for too long")
 
 // watch ends a call whose endpoint falls silent: the connection may stay up for
--- a/io/conf/conf.go
+++ b/io/conf/conf.go
@@ -192,6 +192,9 @@
 			ch.add(ch.keys[key], "%s must not be negative", key)
 		}
 	}
+	if se.HandOverBytes < -1 {
+		ch.add(ch.keys["HandOverBytes"], "HandOverBytes must be -1, to move none, or more")
+	}
 	if !strings.Contains(" debug info warn error ", " "+se.LogLevel+" ") && se.LogLevel != "" {
 		ch.add(ch.keys["LogLevel"], "LogLevel: %q is not debug, info, warn or error", se.LogLevel)
 	}
--- a/io/conf/conf_test.go
+++ b/io/conf/conf_test.go
@@ -59,4 +59,7 @@
 	if _, err = conf.ReadSettings("r.yaml", []byte(text+"RetryRatio: -1\n"), core.RoleRouter); err == nil {
 		t.Error("a negative ratio was taken")
 	}
+	if _, err = conf.ReadSettings("r.yaml", []byte(text+"HandOverBytes: -2\n"), core.RoleRouter); err == nil {
+		t.Error("-2 bytes were taken")
+	}
 }
--- a/io/conf/strict.go
+++ b/io/conf/strict.go
@@ -60,6 +60,7 @@
 	if at := strings.Index(text, " in type "); at >= 0 {
 		text = strings.Replace(text[:at], "field ", "unknown key ", 1)
 		text = strings.TrimSuffix(text, " not found")
+		text += ": expected a key that docs/SETTINGS.md lists"
 	}
 	return text
 }
--- a/io/rpc/client.go
+++ b/io/rpc/client.go
@@ -163,7 +163,7 @@
 	defer cancel()
 	st, err := co.grpc.NewStream(ctx, &wire.Node_ServiceDesc.Streams[0], wire.Node_Serve_FullMethodName)
 	if err != nil {
-		return nil, notOpened(ctx, to, err)
+		return nil, notOpened(ctx, to)
 	}
 	if err = st.SendMsg(callToWire(ca, time.Now())); err == nil {
 		err = st.CloseSend()
@@ -204,14 +204,17 @@
 
 // notOpened tells why a stream could not be opened. The request message had not
 // been handed over, so the call did not run.
-func notOpened(ctx context.Context, to core.VMID, err error) error {
-	re := unreachable(to, err)
+func notOpened(ctx context.Context, to core.VMID) error {
+	// Callers read the detail: it names no address of the inside.
+	re := unreachable(to, errNoConnection)
 	if ctx.Err() != nil {
 		re.Reason = goneReason(ctx)
 	}
 	return re
 }
 
+var errNoConnection = errors.New("the agent takes no connection")
+
 func unreachable(to core.VMID, err error) *core.Refusal {
 	return &core.Refusal{
 		Outcome: core.NotRun, Reason: core.ReasonUnreachable, Step: "dial", Peer: string(to), Detail: err.Error(),
--- a/io/rpc/hand.go
+++ b/io/rpc/hand.go
@@ -29,7 +29,7 @@
 	defer cancel()
 	st, err := wire.NewNodeClient(co.grpc).Hand(ctx)
 	if err != nil {
-		return notOpened(ctx, to, err)
+		return notOpened(ctx, to)
 	}
 	first := &wire.HandPart{Placement: placesToWire([]core.Placement{ha.Placement}).Placements[0], Tokens: int64(ha.Tokens)}
 	if err = sendContext(st, first, rd); err != nil {
