--- a/cmd/almondrill/main.go
+++ b/cmd/almondrill/main.go
@@ -23,6 +23,7 @@
 	cd.Register(&versionCommand{}, "")
 	cd.Register(&processCommand{role: "router"}, "processes")
 	cd.Register(&processCommand{role: "agent"}, "processes")
+	cd.Register(&relayCommand{}, "processes")
 	cd.Register(&demoCommand{}, "trying out")
 	cd.Register(&loadCommand{}, "trying out")
 	cd.Register(&standinCommand{}, "trying out")
--- /dev/null
+++ b/cmd/almondrill/relay.go
@@ -0,0 +1,86 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"os"
+	"runtime/debug"
+	"time"
+
+	"github.com/google/subcommands"
+	"go.uber.org/zap/zapcore"
+
+	"almondrill/io/conf"
+	"almondrill/io/entry"
+	"almondrill/io/logs"
+	"almondrill/io/stats"
+	"almondrill/platform"
+)
+
+// relayCommand runs a router that calls endpoints itself.
+type relayCommand struct {
+	file string
+}
+
+func (*relayCommand) Name() string     { return "relay" }
+func (*relayCommand) Synopsis() string { return "run a router without agents, on the users' platform" }
+
+func (*relayCommand) Usage() string {
+	return `relay [-settings FILE]
+  Runs a router that calls endpoints itself, until SIGTERM or SIGINT, then leaves
+  gracefully. Without -settings, the platform names FILE. It is described in
+  docs/SETTINGS.md; check it with: almondrill check -role relay FILE
+`
+}
+
+func (rc *relayCommand) SetFlags(fs *flag.FlagSet) {
+	fs.StringVar(&rc.file, "settings", "", "the YAML file with the process's settings")
+}
+
+const (
+	// heapPart is the part of the process's memory that the runtime may use; the
+	// rest is for buffers of the system and the program itself.
+	heapPart = 0.6
+	// logTimeout bounds the writing of the last lines.
+	logTimeout = 100 * time.Millisecond
+)
+
+func (rc *relayCommand) Execute(ctx context.Context, fs *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if rc.file == "" {
+		rc.file = platform.SettingsFile()
+	}
+	if rc.file == "" || fs.NArg() > 0 {
+		return usage(fs, "-settings FILE is needed where the platform names none, and nothing else")
+	}
+	se, err := rc.read()
+	if err != nil {
+		return failure(err)
+	}
+	if se.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(heapPart * float64(se.MemoryMB) * (1 << 20)))
+	}
+	level, err := zapcore.ParseLevel(se.LogLevel)
+	if err != nil {
+		return failure(err)
+	}
+	set := stats.New()
+	ring := logs.NewRing(os.Stdout)
+	defer ring.Close(logTimeout)
+	pr := &entry.Process{
+		Settings: se, Platform: &platform.Platform{Store: platform.Store{Addr: se.KVAddr}},
+		Logs:    logs.JSON(ring, level, func() { set.Add(stats.LogLinesSampled, 1) }),
+		Dropped: ring.Dropped, Reload: rc.read, Stats: set,
+	}
+	if err = pr.Run(ctx); err != nil {
+		return failure(err)
+	}
+	return subcommands.ExitSuccess
+}
+
+func (rc *relayCommand) read() (*conf.RelaySettings, error) {
+	data, err := os.ReadFile(rc.file)
+	if err != nil {
+		return nil, err
+	}
+	return conf.ReadRelay(rc.file, data)
+}
--- /dev/null
+++ b/core/mirror/mirror.go
@@ -0,0 +1,122 @@
+// Package mirror keeps a copy of the platform's store that several processes
+// bring up to date from each other.
+//
+// # Concepts
+//
+// The store numbers its changes. A Mirror holds the newest item of each key and
+// AsOf, the revision up to which nothing is missing. It is fed by the store's
+// watch and, while the store turns this process away, by the mirrors of others.
+//
+// # Invariants
+//
+//   - An item is only ever replaced by one of a higher revision, so that what was
+//     learned never goes back, in whichever order news arrives.
+//   - A deletion is kept as an item too: an older copy cannot bring the key back.
+//
+// # Usage
+//
+//	mi := &mirror.Mirror{Changed: func(it core.Item) { ... }}
+//	mi.Apply(items, asOf)
+//	news, asOf := mi.Since(theirs)
+package mirror
+
+import (
+	"sync"
+
+	"almondrill/core"
+)
+
+// mostDeleted bounds how many deletions are remembered. A key is deleted for each
+// endpoint that ends; at 200 a day this covers weeks.
+const mostDeleted = 8192
+
+// Mirror is the copy. Set Changed before use.
+type Mirror struct {
+	// Changed is told of each item that became the newest of its key, in the
+	// order in which they were taken. It must not call the Mirror.
+	Changed func(it core.Item)
+
+	mu    sync.Mutex // guards all below
+	items map[string]core.Item
+	// gone are the deleted keys in the order of their deletion.
+	gone []string
+	asOf core.Version
+}
+
+// AsOf is the revision up to which nothing is missing; 0 if nothing is known.
+func (mi *Mirror) AsOf() core.Version {
+	mi.mu.Lock()
+	defer mi.mu.Unlock()
+	return mi.asOf
+}
+
+// Apply takes items that, with what was there before, are complete up to asOf.
+func (mi *Mirror) Apply(items []core.Item, asOf core.Version) {
+	mi.mu.Lock()
+	defer mi.mu.Unlock()
+	for _, it := range items {
+		mi.take(it)
+	}
+	mi.asOf = max(mi.asOf, asOf)
+}
+
+// Replace takes a complete listing that was begun at asOf: keys that are not in
+// it and were not changed since were deleted unseen.
+func (mi *Mirror) Replace(items []core.Item, asOf core.Version) {
+	mi.mu.Lock()
+	defer mi.mu.Unlock()
+	listed := map[string]bool{}
+	for _, it := range items {
+		listed[it.Key] = true
+		mi.take(it)
+	}
+	for key, it := range mi.items {
+		if !listed[key] && !it.Deleted && it.Rev <= asOf {
+			mi.take(core.Item{Key: key, Rev: asOf, Deleted: true})
+		}
+	}
+	mi.asOf = max(mi.asOf, asOf)
+}
+
+// take keeps the item if it is newer. A deletion found by a listing bears the
+// listing's revision, which the key's own last one may equal.
+func (mi *Mirror) take(it core.Item) {
+	if mi.items == nil {
+		mi.items = map[string]core.Item{}
+	}
+	old, known := mi.items[it.Key]
+	if known && (it.Rev < old.Rev || it.Rev == old.Rev && (old.Deleted || !it.Deleted)) {
+		return
+	}
+	mi.items[it.Key] = it
+	if it.Deleted {
+		mi.gone = append(mi.gone, it.Key)
+		mi.forget()
+	}
+	if mi.Changed != nil {
+		mi.Changed(it)
+	}
+}
+
+// forget drops the oldest deletions once there are too many.
+func (mi *Mirror) forget() {
+	for len(mi.gone) > mostDeleted {
+		if mi.items[mi.gone[0]].Deleted {
+			delete(mi.items, mi.gone[0])
+		}
+		mi.gone = mi.gone[1:]
+	}
+}
+
+// Since is everything newer than rev, with the revision up to which it is complete.
+func (mi *Mirror) Since(rev core.Version) ([]core.Item, core.Version) {
+	mi.mu.Lock()
+	defer mi.mu.Unlock()
+	var news []core.Item
+	for _, it := range mi.items {
+		if it.Rev > rev {
+			news = append(news, it)
+		}
+	}
+	return news, mi.asOf
+}
--- /dev/null
+++ b/core/place/health.go
@@ -0,0 +1,103 @@
+package place
+
+import (
+	"math"
+	"time"
+)
+
+// health is how an endpoint's calls went of late, as this router saw it.
+type health struct {
+	good, bad float64
+	counted   time.Time
+	// heard is when anything last came from it, busySince when it last began to
+	// have calls in progress without a word.
+	heard     time.Time
+	busySince time.Time
+	// downUntil and backoff pace the trials of an endpoint that cannot be reached
+	// or is silent.
+	downUntil time.Time
+	backoff   time.Duration
+	answerMs  float64
+}
+
+const (
+	// failureHalfLife is how fast failures are forgiven: endpoints are restarted
+	// within seconds.
+	failureHalfLife = 2 * time.Second
+	// priorGood keeps a single failure from standing out.
+	priorGood = 2.0
+	// silentAfter is how long an endpoint with calls in progress may send nothing
+	// at all before it is taken for dead: several times a step of a busy engine
+	// (200 ms), below the time at which callers give up (2 s).
+	silentAfter = 900 * time.Millisecond
+	// firstBackoff and mostBackoff pace trials of an endpoint that is down.
+	firstBackoff = 300 * time.Millisecond
+	mostBackoff  = 2 * time.Second
+	// firstAnswerMs is assumed of endpoints that have not answered yet.
+	firstAnswerMs = 40.0
+	answerWeight  = 0.1
+)
+
+func (he *health) decay(now time.Time) {
+	if !he.counted.IsZero() {
+		factor := math.Exp2(-float64(now.Sub(he.counted)) / float64(failureHalfLife))
+		he.good *= factor
+		he.bad *= factor
+	}
+	he.counted = now
+}
+
+func (he *health) rate(now time.Time) float64 {
+	he.decay(now)
+	return he.bad / (he.good + he.bad + priorGood)
+}
+
+func (he *health) begun(now time.Time) {
+	if he.busySince.IsZero() {
+		he.busySince = now
+	}
+}
+
+func (he *health) hear(now time.Time) {
+	he.heard = now
+	he.busySince = now
+	he.backoff = 0
+	he.downUntil = time.Time{}
+}
+
+// avoid tells whether the endpoint gets no call now: it is down and its next
+// trial is not due, or it has been silent with calls in progress.
+func (he *health) avoid(now time.Time, calls int) bool {
+	if now.Before(he.downUntil) {
+		return true
+	}
+	if he.backoff > 0 && calls > 0 {
+		return true // a trial is under way
+	}
+	return calls > 0 && !he.busySince.IsZero() && now.Sub(he.busySince) > silentAfter
+}
+
+func (he *health) down(now time.Time) {
+	he.backoff = min(mostBackoff, max(firstBackoff, 2*he.backoff))
+	he.downUntil = now.Add(he.backoff)
+}
+
+func (he *health) count(now time.Time, bad float64) {
+	he.decay(now)
+	he.bad += bad
+	he.good += 1 - bad
+}
+
+func (he *health) answered(ms float64) {
+	if he.answerMs == 0 {
+		he.answerMs = firstAnswerMs
+	}
+	he.answerMs += answerWeight * (ms - he.answerMs)
+}
+
+func (he *health) typicalMs() float64 {
+	if he.answerMs == 0 {
+		return firstAnswerMs
+	}
+	return he.answerMs
+}
--- /dev/null
+++ b/core/place/place.go
@@ -0,0 +1,383 @@
+// Package place chooses the endpoint of a request where a router calls endpoints
+// itself.
+//
+// # Concepts
+//
+// A Placer holds what one router believes of each endpoint: its registration,
+// the router's own calls in progress (exact), those that fellow routers told (a
+// few hundred milliseconds old), the prompt parts sent there, and how its last
+// calls went. Pick weighs these in milliseconds and hands out a Ticket, through
+// which the caller tells how the call goes.
+//
+// # Invariants
+//
+//   - An endpoint that drains, or is gone, gets no ticket.
+//   - Own calls are counted from Pick to Done, so that many requests that arrive
+//     between two messages of the fellows do not all see the same gap.
+//   - An endpoint that failed is avoided only while others of its pool do better:
+//     if all look bad, the view is doubted and all stay in use.
+//
+// # Usage
+//
+//	pl := &place.Placer{Zone: zone, Rand: rand}
+//	pl.Register(now, place.Endpoint{...})
+//	tk, re := pl.Pick(now, &place.Ask{Pool: pool, Parts: parts})
+//	tk.Heard(now)
+//	tk.Done(now, place.Served)
+package place
+
+import (
+	"math"
+	"sync"
+	"time"
+
+	"almondrill/core"
+	"almondrill/core/decl"
+	"almondrill/core/ring"
+)
+
+// Endpoint is an endpoint as it registered itself. A restart makes another one.
+type Endpoint struct {
+	ID   core.EndpointID
+	Addr string
+	Pool core.PoolID
+	Zone core.Zone
+	// Slots is how many requests it runs at a time.
+	Slots    int
+	Draining bool
+	// ColdUntil is when it stops being slow after its start.
+	ColdUntil time.Time
+}
+
+// Part is a part of a prompt that requests may share.
+type Part struct {
+	Hash   uint64
+	Tokens core.Tokens
+}
+
+// Ask is a request to place.
+type Ask struct {
+	Pool  core.PoolID
+	Parts []Part
+	// Tried are endpoints that are not to be picked again.
+	Tried []core.EndpointID
+	// MaxConns is how many connections an endpoint takes from all routers.
+	MaxConns int
+	// Engine is set for requests to model engines, Memory to an engine's.
+	Engine bool
+	Memory core.Tokens
+}
+
+// Result is how a placed call ended, as far as it tells of the endpoint.
+type Result uint8
+
+// Results of calls.
+const (
+	// Served: the endpoint answered.
+	Served Result = iota
+	// Failed: it broke off, answered nonsense or said that it failed.
+	Failed
+	// Full: it refused the request without running it.
+	Full
+	// Unreached: no connection could be made.
+	Unreached
+	// Silent: it was given up because nothing came.
+	Silent
+	// Neutral: the call ended for reasons of the caller.
+	Neutral
+	// Replaced: another endpoint has the address now.
+	Replaced
+)
+
+// Constants of the choice.
+const (
+	// prefillPerMs is how many prompt tokens an engine reads in a millisecond;
+	// from the engines' data sheet.
+	prefillPerMs = 140.0
+	// runMs is what one more running call costs the first token of the next, in
+	// ms: a decode step is some 2 to 8 ms and grows with what runs.
+	runMs = 1.5
+	// zoneMs is what leaving the zone costs, in ms: twice the way of 0.9 ms, and
+	// the bytes.
+	zoneMs = 3.0
+	// homeCached is the part of a context assumed to be at its home, of which this
+	// router has no record of its own: fellow routers send it there too.
+	homeCached = 0.6
+	// coldMs is what an endpoint that has just started costs, in ms.
+	coldMs = 20.0
+	// failMs is what a failure rate of 1 costs, in ms: more than any context is
+	// worth reading anew (30,000 tokens at prefillPerMs).
+	failMs = 400.0
+	// capSpare is the part of the cap that is used: the rest covers what fellows
+	// placed since their last message.
+	capSpare = 0.75
+	// capFloor is the number of calls below which the cap does not apply.
+	capFloor = 3
+	// fullFor is how long an endpoint that refused is passed over: about the time
+	// in which one of its calls ends.
+	fullFor = 150 * time.Millisecond
+)
+
+// Placer chooses endpoints. Set the exported fields before use.
+type Placer struct {
+	Zone core.Zone
+	Rand core.Rand
+	// CapFactor bounds an endpoint's calls as a multiple of its pool's mean.
+	CapFactor float64
+	// Routers tells how many routers share the endpoints.
+	Routers func() int
+
+	mu    sync.Mutex // guards all below
+	pools map[core.PoolID]map[core.EndpointID]*state
+	byID  map[core.EndpointID]*state
+	told  map[core.VMID]*word
+}
+
+// Register takes an endpoint's registration, or a change of it. One that was seen
+// draining stays so: only a restart, under another id, brings it back.
+func (pl *Placer) Register(now time.Time, ep Endpoint) {
+	pl.mu.Lock()
+	defer pl.mu.Unlock()
+	pl.start()
+	st := pl.byID[ep.ID]
+	if st == nil {
+		st = &state{hash: decl.HashName(string(ep.ID)), seen: newMemory(), since: now}
+		pl.byID[ep.ID] = st
+	}
+	if old := pl.pools[st.Pool]; old != nil && st.Pool != ep.Pool {
+		delete(old, ep.ID)
+	}
+	ep.Draining = ep.Draining || st.Draining
+	st.Endpoint = ep
+	if pl.pools[ep.Pool] == nil {
+		pl.pools[ep.Pool] = map[core.EndpointID]*state{}
+	}
+	pl.pools[ep.Pool][ep.ID] = st
+}
+
+// Remove forgets an endpoint that is gone. Its calls in progress go on.
+func (pl *Placer) Remove(id core.EndpointID) {
+	pl.mu.Lock()
+	defer pl.mu.Unlock()
+	if st := pl.byID[id]; st != nil {
+		delete(pl.pools[st.Pool], id)
+		delete(pl.byID, id)
+	}
+}
+
+func (pl *Placer) start() {
+	if pl.byID == nil {
+		pl.byID = map[core.EndpointID]*state{}
+		pl.pools = map[core.PoolID]map[core.EndpointID]*state{}
+		pl.told = map[core.VMID]*word{}
+	}
+}
+
+// Known is the number of endpoints that may get work.
+func (pl *Placer) Known() int {
+	pl.mu.Lock()
+	defer pl.mu.Unlock()
+	count := 0
+	for _, st := range pl.byID {
+		if !st.Draining {
+			count++
+		}
+	}
+	return count
+}
+
+// Pick chooses an endpoint. The refusal, if any, is NotRun and says when trying
+// again makes sense.
+func (pl *Placer) Pick(now time.Time, as *Ask) (*Ticket, *core.Refusal) {
+	pl.mu.Lock()
+	defer pl.mu.Unlock()
+	members := pl.pools[as.Pool]
+	vi := pl.view(now, as, members)
+	if len(vi.usable) == 0 {
+		return nil, vi.refusal()
+	}
+	chain := chainOf(as.Parts)
+	home := vi.home(chain)
+	var best *state
+	bestCost := math.Inf(1)
+	for _, st := range vi.usable {
+		cost := pl.cost(now, st, as, chain, st == home, vi)
+		if cost < bestCost {
+			best, bestCost = st, cost
+		}
+	}
+	return pl.take(now, best, as, chain, bestCost, vi), nil
+}
+
+// view is what one choice sees of a pool.
+type view struct {
+	pool   core.PoolID
+	all    int
+	mean   float64
+	usable []*state
+	// full counts the members left out because they have no room.
+	full int
+	// failing is the pool's mean failure rate.
+	failing float64
+}
+
+func (vi *view) refusal() *core.Refusal {
+	re := &core.Refusal{
+		Outcome: core.NotRun, Reason: core.ReasonNoEndpoint, Step: "pick", Peer: string(vi.pool),
+		Detail: "no endpoint of the pool can take the request", RetryAfter: noEndpointAfter,
+	}
+	if vi.full > 0 {
+		re.Reason = core.ReasonLoadCap
+		re.Detail = "all endpoints of the pool are at their limit"
+		re.RetryAfter = fullAfter
+	}
+	return re
+}
+
+const (
+	// noEndpointAfter is when callers are told to return to a pool without
+	// endpoints: about the time in which one registers.
+	noEndpointAfter = time.Second
+	// fullAfter is when they are told to return to one that is full: about the
+	// time in which a stream of average length frees its place.
+	fullAfter = 400 * time.Millisecond
+)
+
+func (pl *Placer) view(now time.Time, as *Ask, members map[core.EndpointID]*state) *view {
+	vi := &view{pool: as.Pool}
+	var calls int
+	var failing float64
+	for _, st := range members {
+		if st.Draining {
+			continue
+		}
+		vi.all++
+		st.fellows = pl.toldCalls(now, st.hash)
+		calls += st.calls + st.fellows
+		failing += st.health.rate(now)
+	}
+	if vi.all == 0 {
+		return vi
+	}
+	vi.mean = float64(calls) / float64(vi.all)
+	vi.failing = failing / float64(vi.all)
+	var doubtful []*state
+	for _, st := range members {
+		if st.Draining || tried(as, st.ID) {
+			continue
+		}
+		if !pl.hasRoom(now, st, as, vi) {
+			vi.full++
+			continue
+		}
+		if st.health.avoid(now, st.calls) {
+			doubtful = append(doubtful, st)
+			continue
+		}
+		vi.usable = append(vi.usable, st)
+	}
+	if len(vi.usable) == 0 {
+		vi.usable = doubtful
+	}
+	return vi
+}
+
+func tried(as *Ask, id core.EndpointID) bool {
+	for _, other := range as.Tried {
+		if other == id {
+			return true
+		}
+	}
+	return false
+}
+
+// hasRoom tells whether the endpoint may be given one more call: within its
+// connections, its places and the cap over the pool's mean.
+func (pl *Placer) hasRoom(now time.Time, st *state, as *Ask, vi *view) bool {
+	if now.Before(st.fullUntil) {
+		return false
+	}
+	calls := st.calls + st.fellows
+	if as.MaxConns > 0 && st.calls >= max(1, as.MaxConns/max(1, pl.Routers())) {
+		return false
+	}
+	if st.Slots > 0 && calls >= 2*st.Slots {
+		return false
+	}
+	if pl.CapFactor <= 0 || !as.Engine {
+		return true
+	}
+	return float64(calls+1) <= max(capFloor, capSpare*pl.CapFactor*vi.mean+capFloor)
+}
+
+// home is the endpoint on which all routers agree for the chain, without a word.
+func (vi *view) home(chain []uint64) *state {
+	if len(chain) == 0 {
+		return nil
+	}
+	// The last part is the request's own; the one before names what returns.
+	key := chain[max(0, len(chain)-2)]
+	var best *state
+	var high uint64
+	for _, st := range vi.usable {
+		if score := ring.Mix(st.hash, key); best == nil || score > high {
+			best, high = st, score
+		}
+	}
+	return best
+}
+
+// cost predicts, in ms, the wait for the first token there and what the call
+// costs others.
+func (pl *Placer) cost(now time.Time, st *state, as *Ask, chain []uint64, home bool, vi *view) float64 {
+	calls := float64(st.calls + st.fellows)
+	cost := failMs * max(0, st.health.rate(now)-vi.failing)
+	if st.Zone != pl.Zone {
+		cost += zoneMs
+	}
+	if now.Before(st.ColdUntil) {
+		cost += coldMs
+	}
+	if !as.Engine {
+		slots := float64(max(1, st.Slots))
+		return cost + st.health.typicalMs()*max(0, calls+1-slots)/slots + 10*calls/slots + pl.Rand.Float64()
+	}
+	uncached := st.uncached(as.Parts, chain, home)
+	return cost + (float64(uncached)+float64(st.reading))/prefillPerMs + runMs*calls
+}
+
+func (pl *Placer) take(now time.Time, st *state, as *Ask, chain []uint64, cost float64, vi *view) *Ticket {
+	tk := &Ticket{
+		pl: pl, st: st, Endpoint: st.Endpoint, Started: now, CostMs: cost,
+		Calls: st.calls, Fellows: st.fellows, Mean: vi.mean, Usable: len(vi.usable), Of: vi.all,
+	}
+	tk.reading = st.uncached(as.Parts, chain, false)
+	for _, pa := range as.Parts {
+		tk.Prompt += pa.Tokens
+	}
+	tk.Uncached = tk.reading
+	st.calls++
+	st.reading += tk.reading
+	st.seen.note(as.Parts, chain, as.Memory)
+	st.health.begun(now)
+	return tk
+}
+
+// chainOf hashes each part with all before it: a part is of use to an engine
+// only behind the same beginning.
+func chainOf(parts []Part) []uint64 {
+	chain := make([]uint64, len(parts))
+	var key uint64
+	for ix, pa := range parts {
+		key = ring.Mix(key, pa.Hash)
+		chain[ix] = key
+	}
+	return chain
+}
+
+// SetCapFactor changes the cap while in use.
+func (pl *Placer) SetCapFactor(factor float64) {
+	pl.mu.Lock()
+	defer pl.mu.Unlock()
+	pl.CapFactor = factor
+}
--- /dev/null
+++ b/core/place/state.go
@@ -0,0 +1,84 @@
+package place
+
+import (
+	"container/list"
+	"time"
+
+	"almondrill/core"
+)
+
+// state is what the router believes of one endpoint.
+type state struct {
+	Endpoint
+	hash  uint64
+	since time.Time
+	// calls are the router's own in progress; fellows those told, as of the last
+	// choice.
+	calls   int
+	fellows int
+	// reading are the prompt tokens of own calls whose first token is awaited.
+	reading   core.Tokens
+	seen      *memory
+	health    health
+	fullUntil time.Time
+}
+
+// uncached is how many of the prompt's tokens the endpoint probably has to read.
+func (st *state) uncached(parts []Part, chain []uint64, home bool) core.Tokens {
+	var known, all core.Tokens
+	held := true
+	for ix, pa := range parts {
+		all += pa.Tokens
+		held = held && st.seen.has(chain[ix])
+		if held {
+			known += pa.Tokens
+		}
+	}
+	if home && len(parts) > 1 {
+		shared := all - parts[len(parts)-1].Tokens
+		known = max(known, core.Tokens(homeCached*float64(shared)))
+	}
+	return all - known
+}
+
+// memory remembers which parts an endpoint was sent, as long as they fit into its
+// memory: it forgets the least recently used, as engines do.
+type memory struct {
+	order  *list.List // of *held, the most recently used first
+	byHash map[uint64]*list.Element
+	tokens core.Tokens
+}
+
+type held struct {
+	hash   uint64
+	tokens core.Tokens
+}
+
+// heldPart is the part of an engine's memory that the record assumes for kept
+// parts; the rest is taken by running requests.
+const heldPart = 0.7
+
+// mostHeld bounds the record where an engine's memory is unknown.
+const mostHeld = 4096
+
+func newMemory() *memory { return &memory{order: list.New(), byHash: map[uint64]*list.Element{}} }
+
+func (me *memory) has(hash uint64) bool { return me.byHash[hash] != nil }
+
+func (me *memory) note(parts []Part, chain []uint64, room core.Tokens) {
+	for ix := len(parts) - 1; ix >= 0; ix-- {
+		if el := me.byHash[chain[ix]]; el != nil {
+			me.order.MoveToFront(el)
+			continue
+		}
+		me.byHash[chain[ix]] = me.order.PushFront(&held{chain[ix], parts[ix].Tokens})
+		me.tokens += parts[ix].Tokens
+	}
+	limit := core.Tokens(heldPart * float64(room))
+	for me.order.Len() > mostHeld || room > 0 && me.tokens > limit && me.order.Len() > len(parts) {
+		last := me.order.Back()
+		gone := me.order.Remove(last).(*held)
+		delete(me.byHash, gone.hash)
+		me.tokens -= gone.tokens
+	}
+}
--- /dev/null
+++ b/core/place/ticket.go
@@ -0,0 +1,74 @@
+package place
+
+import (
+	"time"
+
+	"almondrill/core"
+)
+
+// Ticket is one placed call, with the beliefs on which it was placed. Its methods
+// may be called from one goroutine at a time.
+type Ticket struct {
+	Endpoint Endpoint
+	Started  time.Time
+	// CostMs is what the choice predicted; Calls, Fellows and Mean are own calls
+	// there, those told by fellows, and the pool's mean; Usable endpoints of Of
+	// were weighed; of Prompt tokens, Uncached were thought to be read.
+	CostMs   float64
+	Calls    int
+	Fellows  int
+	Mean     float64
+	Usable   int
+	Of       int
+	Prompt   core.Tokens
+	Uncached core.Tokens
+
+	pl      *Placer
+	st      *state
+	reading core.Tokens
+	done    bool
+}
+
+// Heard tells that something came from the endpoint. The first time, its prompt
+// has been read.
+func (tk *Ticket) Heard(now time.Time) {
+	tk.pl.mu.Lock()
+	defer tk.pl.mu.Unlock()
+	tk.st.health.hear(now)
+	tk.read()
+}
+
+func (tk *Ticket) read() {
+	tk.st.reading -= tk.reading
+	tk.reading = 0
+}
+
+// Done tells how the call ended; only the first time counts.
+func (tk *Ticket) Done(now time.Time, re Result) {
+	tk.pl.mu.Lock()
+	defer tk.pl.mu.Unlock()
+	if tk.done {
+		return
+	}
+	tk.done = true
+	st := tk.st
+	tk.read()
+	st.calls--
+	if st.calls == 0 {
+		st.health.busySince = time.Time{}
+	}
+	switch re {
+	case Served:
+		st.health.count(now, 0)
+		st.health.answered(float64(now.Sub(tk.Started)) / float64(time.Millisecond))
+	case Failed:
+		st.health.count(now, 1)
+	case Full:
+		st.fullUntil = now.Add(fullFor)
+	case Unreached, Silent:
+		st.health.count(now, 1)
+		st.health.down(now)
+	case Replaced:
+		st.Draining = true
+	}
+}
--- a/core/platform.go
+++ b/core/platform.go
@@ -97,3 +97,25 @@
 type VMList interface {
 	Changes(ctx context.Context, mark uint64) ([]VM, uint64, error)
 }
+
+// Item is a key's newest state in the platform's store.
+type Item struct {
+	Key     string
+	Rev     Version
+	Value   []byte
+	Deleted bool
+}
+
+// ErrCompacted: the store no longer has the changes that were asked for.
+var ErrCompacted = errors.New("kv: history compacted")
+
+// Feed tells what changes in the platform's store.
+type Feed interface {
+	// All lists every item, and the revision at which the listing began: what
+	// changed since may or may not be in it.
+	All(ctx context.Context) ([]Item, Version, error)
+	// Changes waits until something changed after that revision, or for wait. It
+	// returns the changes and the revision up to which they are complete.
+	// ErrCompacted: they are no longer known; list anew.
+	Changes(ctx context.Context, after Version, wait time.Duration) ([]Item, Version, error)
+}
--- a/io/conf/conf.go
+++ b/io/conf/conf.go
@@ -195,8 +195,12 @@
 	if se.HandOverBytes < -1 {
 		ch.add(ch.keys["HandOverBytes"], "HandOverBytes must be -1, to move none, or more")
 	}
-	if !strings.Contains(" debug info warn error ", " "+se.LogLevel+" ") && se.LogLevel != "" {
-		ch.add(ch.keys["LogLevel"], "LogLevel: %q is not debug, info, warn or error", se.LogLevel)
+	ch.level(se.LogLevel)
+}
+
+func (ch *settingsCheck) level(level string) {
+	if !strings.Contains(" debug info warn error ", " "+level+" ") && level != "" {
+		ch.add(ch.keys["LogLevel"], "LogLevel: %q is not debug, info, warn or error", level)
 	}
 }
 
--- a/io/conf/docs.go
+++ b/io/conf/docs.go
@@ -28,6 +28,8 @@
 	section(&out, reflect.TypeFor[Settings]())
 	heading(&out, "Endpoints", "one entry for each endpoint beside an agent", reflect.TypeFor[EndpointSetting]())
 	heading(&out, "Operators", "one entry for each operator that a router knows", reflect.TypeFor[OperatorSetting]())
+	out.WriteString("## Settings of a router without agents\n\nRead by `almondrill relay`, checked with `almondrill check -role relay FILE`.\n\n")
+	section(&out, reflect.TypeFor[RelaySettings]())
 	out.WriteString("## Declarations\n\nAccepted with `almondrill apply`, checked with `almondrill check FILE`.\n\n")
 	section(&out, reflect.TypeFor[decl.Document]())
 	heading(&out, "Customers", "", reflect.TypeFor[decl.Customer]())
--- /dev/null
+++ b/io/conf/relay.go
@@ -0,0 +1,76 @@
+package conf
+
+import (
+	"time"
+
+	"almondrill/core"
+)
+
+// RelaySettings are those of a router that calls endpoints itself.
+type RelaySettings struct {
+	Name        core.VMID   `yaml:"Name" doc:"The VM's name." need:"yes"`
+	Zone        core.Zone   `yaml:"Zone" doc:"The VM's availability zone." need:"yes"`
+	Region      core.Region `yaml:"Region" doc:"The VM's region." need:"yes"`
+	CallersAddr string      `yaml:"CallersAddr" doc:"IP address and port for callers." need:"yes"`
+	ReadyAddr   string      `yaml:"ReadyAddr" doc:"IP address and port at which the balancer asks whether to send callers here." need:"yes"`
+	AdminAddr   string      `yaml:"AdminAddr" doc:"IP address and port for /healthz and /debug/vars." need:"yes"`
+	PeersAddr   string      `yaml:"PeersAddr" doc:"IP address and port for the other routers, over TCP and UDP; the port is the same on all." need:"yes"`
+	KVAddr      string      `yaml:"KVAddr" doc:"Address of the platform's store." need:"yes"`
+	Seeds       []string    `yaml:"Seeds" doc:"Addresses of other routers, to find them while the store is away. Only the host is used."`
+
+	CapFactor    float64       `yaml:"CapFactor" doc:"No engine is given calls beyond this multiple of its pool's mean. Default 2."`
+	RetryRatio   float64       `yaml:"RetryRatio" doc:"Further attempts of all routers together, as a part of requests. Default 0.1."`
+	RetrySlack   float64       `yaml:"RetrySlack" doc:"Further attempts of all routers together that are free, per RetrySpan. Default 10."`
+	RetrySpan    time.Duration `yaml:"RetrySpan" doc:"The span over which further attempts are bounded. Default 10s."`
+	DrainDelay   time.Duration `yaml:"DrainDelay" doc:"Time between saying that it leaves and closing the callers' address. Default 3s."`
+	DrainTimeout time.Duration `yaml:"DrainTimeout" doc:"Time from the order to stop to the end; work still in progress is cut then. Default 10m."`
+	ReturnDelay  time.Duration `yaml:"ReturnDelay" doc:"How long after an outage of the store registrations that lapsed in it may be missing. Default 2s."`
+	MemoryMB     int           `yaml:"MemoryMB" doc:"Memory of the process in megabytes; 0 means no bound."`
+	LogLevel     string        `yaml:"LogLevel" doc:"debug, info, warn or error. Default info."`
+}
+
+// Defaults fills in what was left out.
+func (se *RelaySettings) Defaults() {
+	defaultTo(&se.CapFactor, 2)
+	defaultTo(&se.RetryRatio, 0.1)
+	defaultTo(&se.RetrySlack, 10)
+	defaultTo(&se.RetrySpan, 10*time.Second)
+	defaultTo(&se.DrainDelay, 3*time.Second)
+	defaultTo(&se.DrainTimeout, 10*time.Minute)
+	defaultTo(&se.ReturnDelay, 2*time.Second)
+	defaultTo(&se.LogLevel, "info")
+}
+
+// ReadRelay reads and checks the settings of a router that calls endpoints itself.
+// The error is Problems.
+func ReadRelay(file string, data []byte) (*RelaySettings, error) {
+	var se RelaySettings
+	if err := Strict(file, data, &se); err != nil {
+		return nil, err
+	}
+	ch := &settingsCheck{file: file, lines: Lines(data), keys: keyLines(data)}
+	ch.need("Name", string(se.Name), "the VM's name")
+	ch.need("Zone", string(se.Zone), "the VM's availability zone")
+	ch.need("Region", string(se.Region), "the VM's region")
+	for key, value := range map[string]string{
+		"CallersAddr": se.CallersAddr, "ReadyAddr": se.ReadyAddr, "AdminAddr": se.AdminAddr,
+		"PeersAddr": se.PeersAddr, "KVAddr": se.KVAddr,
+	} {
+		ch.addr(key, value)
+	}
+	for key, value := range map[string]float64{
+		"CapFactor": se.CapFactor, "RetryRatio": se.RetryRatio, "RetrySlack": se.RetrySlack,
+		"RetrySpan": float64(se.RetrySpan), "DrainDelay": float64(se.DrainDelay),
+		"DrainTimeout": float64(se.DrainTimeout), "ReturnDelay": float64(se.ReturnDelay), "MemoryMB": float64(se.MemoryMB),
+	} {
+		if value < 0 {
+			ch.add(ch.keys[key], "%s must not be negative", key)
+		}
+	}
+	ch.level(se.LogLevel)
+	if len(ch.problems) > 0 {
+		return nil, ch.problems
+	}
+	se.Defaults()
+	return &se, nil
+}
--- /dev/null
+++ b/io/entry/entry.go
@@ -0,0 +1,223 @@
+// Package entry assembles and runs a router that calls endpoints itself, without
+// agents.
+//
+// # Concepts
+//
+// A Process takes callers on one address and the balancer's question on another,
+// follows the platform's store, and exchanges news with its fellows. What differs
+// between platforms comes in as a Platform.
+//
+// # Invariants
+//
+//   - It says that it is ready only while it knows a configuration and endpoints,
+//     and is not about to stop.
+//   - Asked to stop, it first says so, then closes the callers' address, then lets
+//     work in progress end within DrainTimeout.
+//   - A configuration is replaced only by one of a higher version.
+//
+// # Usage
+//
+//	pr := &entry.Process{Settings: se, Platform: pf, Logs: lo, Ring: ri}
+//	err := pr.Run(ctx)
+package entry
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/samber/oops"
+	"go.uber.org/zap"
+
+	"almondrill/core"
+	"almondrill/core/mirror"
+	"almondrill/core/place"
+	"almondrill/core/retry"
+	"almondrill/io/clock"
+	"almondrill/io/conf"
+	"almondrill/io/conns"
+	"almondrill/io/feeds"
+	"almondrill/io/fellow"
+	"almondrill/io/logs"
+	"almondrill/io/relay"
+	"almondrill/io/stats"
+)
+
+// Platform is what a router needs of the platform it runs on.
+type Platform interface {
+	core.Feed
+	// Decode tells what an item of the store means: a *route.Document, a
+	// place.Endpoint, a Departure, a FellowAddr, or nil if nothing.
+	Decode(it core.Item) (any, error)
+	Dialect() relay.Dialect
+	// ReadyPath is where the balancer asks whether to send callers.
+	ReadyPath() string
+	// Announce keeps the address for fellows in the store until ctx ends.
+	Announce(ctx context.Context, self core.VMID, addr string, log *zap.Logger)
+}
+
+// Departure tells that an endpoint's registration is gone.
+type Departure struct{ ID core.EndpointID }
+
+// FellowAddr is the address of a fellow router.
+type FellowAddr string
+
+// Process is one router. Set the exported fields before Run.
+type Process struct {
+	Settings *conf.RelaySettings
+	Platform Platform
+	Logs     *logs.Logs
+	// Dropped tells how many log lines were dropped.
+	Dropped func() int64
+	// Reload reads the settings again; nil if they cannot change.
+	Reload func() (*conf.RelaySettings, error)
+
+	Stats *stats.Set
+
+	latency stats.Latency
+	log     *zap.Logger
+	rand    *clock.Rand
+	mirror  *mirror.Mirror
+	placer  *place.Placer
+	budget  *retry.Window
+	pool    *conns.Pool
+	relay   *relay.Relay
+	reader  *feeds.Reader
+	fellows *fellow.Group
+	view    *view
+	idle    *idlers
+	leaving atomic.Bool
+}
+
+// Run runs the process until it is told to stop by a signal or by ctx.
+func (pr *Process) Run(ctx context.Context) error {
+	pr.build()
+	pr.log.Info("Started.", zap.String("Name", string(pr.Settings.Name)), zap.String("Zone", string(pr.Settings.Zone)),
+		zap.String("Callers", pr.Settings.CallersAddr), zap.String("Peers", pr.Settings.PeersAddr),
+		zap.Int("Seeds", len(pr.Settings.Seeds)))
+	control, cancel := context.WithCancel(ctx)
+	defer cancel()
+	for _, loop := range []func(context.Context) error{
+		pr.reader.Run, pr.fellows.Run, pr.view.run, pr.tidy, pr.watchSettings, pr.announce,
+	} {
+		go func() {
+			if err := loop(control); err != nil && control.Err() == nil {
+				pr.log.Error("A part of the process ended.", logs.Fields(err)...)
+			}
+		}()
+	}
+	err := pr.serve(ctx)
+	cancel()
+	pr.log.Info("Stopped.", zap.Error(err))
+	return err
+}
+
+func (pr *Process) build() {
+	se := pr.Settings
+	if pr.Stats == nil {
+		pr.Stats = stats.New()
+	}
+	pr.log = pr.Logs.Part("entry")
+	pr.rand = clock.NewRand(clock.RandomSeed())
+	pr.pool = &conns.Pool{}
+	pr.idle = &idlers{limit: defaultIdle}
+	pr.mirror = &mirror.Mirror{}
+	pr.fellows = &fellow.Group{Self: se.Name, Addr: se.PeersAddr, Mirror: pr.mirror, Rand: pr.rand, Log: pr.Logs.Part("fellow")}
+	pr.placer = &place.Placer{Zone: se.Zone, Rand: pr.rand, CapFactor: se.CapFactor, Routers: pr.fellows.Routers}
+	pr.fellows.Placer = pr.placer
+	pr.budget = &retry.Window{Ratio: se.RetryRatio, Slack: se.RetrySlack, Span: se.RetrySpan, Routers: pr.fellows.Routers}
+	pr.reader = &feeds.Reader{Feed: pr.Platform, Mirror: pr.mirror, Rand: pr.rand, Log: pr.Logs.Part("feeds")}
+	pr.reader.Init()
+	pr.fellows.Starved = pr.reader.Starved
+	pr.relay = &relay.Relay{
+		Dialect: pr.Platform.Dialect(), Self: se.Name, Placer: pr.placer, Budget: pr.budget, Conns: pr.pool,
+		Stats: pr.Stats, Latency: &pr.latency, Rand: pr.rand, Log: pr.Logs.Part("relay"),
+		Age: pr.reader.Age, Leaving: pr.leaving.Load,
+	}
+	pr.view = &view{pr: pr, log: pr.Logs.Part("view")}
+	pr.mirror.Changed = pr.view.changed
+	pr.seed()
+	pr.publish()
+}
+
+// seed makes the routers known that the settings name. Their port for fellows is
+// the own one.
+func (pr *Process) seed() {
+	_, port, err := net.SplitHostPort(pr.Settings.PeersAddr)
+	if err != nil {
+		return // the settings were checked
+	}
+	for _, addr := range pr.Settings.Seeds {
+		host, _, err := net.SplitHostPort(addr)
+		if err != nil {
+			pr.log.Warn("A seed is no address.", zap.String("Seed", addr))
+			continue
+		}
+		pr.fellows.Add(net.JoinHostPort(host, port))
+	}
+}
+
+// publish makes the counters read what other parts hold.
+func (pr *Process) publish() {
+	pr.latency.Publish(pr.Stats)
+	pr.Stats.Read(stats.ConfigRevision, func() int64 {
+		if ta := pr.relay.Table(); ta != nil {
+			return int64(ta.Version)
+		}
+		return 0
+	})
+	pr.Stats.Read(stats.ViewAgeMs, func() int64 { return pr.reader.Age().Milliseconds() })
+	pr.Stats.Read(stats.FellowsLive, func() int64 { return int64(pr.fellows.Live()) })
+	pr.Stats.Read(stats.EndpointsKnown, func() int64 { return int64(pr.placer.Known()) })
+	if pr.Dropped != nil {
+		pr.Stats.Read(stats.LogLinesDropped, pr.Dropped)
+	}
+}
+
+func (pr *Process) announce(ctx context.Context) error {
+	pr.Platform.Announce(ctx, pr.Settings.Name, pr.Settings.PeersAddr, pr.log)
+	return nil
+}
+
+// tidyEvery is how often idle connections are looked at; their limits are seconds.
+const tidyEvery = 250 * time.Millisecond
+
+// tidy closes connections that were idle for too long.
+func (pr *Process) tidy(ctx context.Context) error {
+	tick := time.NewTicker(tidyEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case now := <-tick.C:
+			pr.pool.Tidy(now)
+			pr.idle.tidy(now)
+		}
+	}
+}
+
+// readyz answers the balancer.
+func (pr *Process) readyz(wr http.ResponseWriter, _ *http.Request) {
+	switch {
+	case pr.leaving.Load():
+		http.Error(wr, "leaving", http.StatusServiceUnavailable)
+	case pr.relay.Table() == nil:
+		http.Error(wr, "no configuration yet", http.StatusServiceUnavailable)
+	case pr.placer.Known() == 0:
+		http.Error(wr, "no endpoints yet", http.StatusServiceUnavailable)
+	default:
+		fmt.Fprintln(wr, "ready")
+	}
+}
+
+func listen(key, addr string) (net.Listener, error) {
+	li, err := net.Listen("tcp", addr)
+	if err != nil {
+		return nil, oops.In("listen").With("setting", key).With("peer", addr).Wrap(err)
+	}
+	return li, nil
+}
--- /dev/null
+++ b/io/entry/reload.go
@@ -0,0 +1,60 @@
+package entry
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"reflect"
+	"syscall"
+	"time"
+
+	"go.uber.org/zap"
+
+	"almondrill/io/conf"
+)
+
+// reloadEvery is how often the settings file is looked at without a signal.
+const reloadEvery = 2 * time.Second
+
+// watchSettings takes changed settings in force, on SIGHUP and without.
+func (pr *Process) watchSettings(ctx context.Context) error {
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	defer signal.Stop(hup)
+	if pr.Reload == nil {
+		return nil
+	}
+	tick := time.NewTicker(reloadEvery)
+	defer tick.Stop()
+	last := *pr.Settings
+	for {
+		signalled := false
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-hup:
+			signalled = true
+		case <-tick.C:
+		}
+		se, err := pr.Reload()
+		if err != nil {
+			pr.log.Warn("Cannot use the changed settings; those in force stay.", zap.Error(err))
+			continue
+		}
+		if same := reflect.DeepEqual(last, *se); same && !signalled {
+			continue
+		}
+		last = *se
+		pr.apply(se)
+	}
+}
+
+// apply takes in force what may change while the process runs.
+func (pr *Process) apply(se *conf.RelaySettings) {
+	pr.placer.SetCapFactor(se.CapFactor)
+	pr.budget.SetBound(se.RetryRatio, se.RetrySlack)
+	fixed := se.CallersAddr == pr.Settings.CallersAddr && se.PeersAddr == pr.Settings.PeersAddr &&
+		se.KVAddr == pr.Settings.KVAddr && se.ReadyAddr == pr.Settings.ReadyAddr && se.AdminAddr == pr.Settings.AdminAddr
+	pr.log.Info("Reloaded the settings.", zap.Float64("CapFactor", se.CapFactor), zap.Float64("RetryRatio", se.RetryRatio),
+		zap.Float64("RetrySlack", se.RetrySlack), zap.Bool("NeedsRestart", !fixed))
+}
--- /dev/null
+++ b/io/entry/serve.go
@@ -0,0 +1,166 @@
+package entry
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/url"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/go-kratos/kratos/v2"
+	kratoslog "github.com/go-kratos/kratos/v2/log"
+	"github.com/go-kratos/kratos/v2/transport"
+	kratoshttp "github.com/go-kratos/kratos/v2/transport/http"
+	"go.uber.org/zap"
+
+	"almondrill/io/conns"
+	"almondrill/io/fellow"
+)
+
+const (
+	// maxHeaderBytes bounds heads before the configuration's own limit is looked at.
+	maxHeaderBytes = 64 << 10
+	// headerTimeout is the longest that a caller may take for a head. The
+	// configuration's is shorter as a rule.
+	headerTimeout = 10 * time.Second
+	// defaultIdle is how long callers' connections may be idle while no
+	// configuration says otherwise.
+	defaultIdle = time.Minute
+	// callerTimeout is how long bytes to a caller may stay unacknowledged. A caller
+	// without power would otherwise hold an endpoint's place.
+	callerTimeout = 4 * time.Second
+	// stopMargin is the time between cutting what is still in progress and the end
+	// of DrainTimeout, for closing and the last log lines.
+	stopMargin = 400 * time.Millisecond
+)
+
+// serve listens and serves until a signal or the end of ctx.
+func (pr *Process) serve(ctx context.Context) error {
+	servers, err := pr.servers()
+	if err != nil {
+		return err
+	}
+	kratoslog.SetLogger(pr.Logs.Kratos())
+	app := kratos.New(
+		kratos.Name("almondrill-relay"),
+		kratos.ID(string(pr.Settings.Name)),
+		kratos.Context(ctx),
+		kratos.Server(servers...),
+		kratos.Signal(syscall.SIGTERM, syscall.SIGINT, syscall.SIGQUIT),
+		kratos.StopTimeout(pr.Settings.DrainTimeout-pr.Settings.DrainDelay-stopMargin),
+		kratos.BeforeStop(pr.beforeStop),
+	)
+	return app.Run()
+}
+
+func (pr *Process) servers() ([]transport.Server, error) {
+	se := pr.Settings
+	ready := http.NewServeMux()
+	ready.HandleFunc(pr.Platform.ReadyPath(), pr.readyz)
+	peers := http.NewServeMux()
+	peers.Handle(fellow.ItemsPath, pr.fellows.Handler())
+	admin := http.NewServeMux()
+	admin.HandleFunc("/healthz", func(wr http.ResponseWriter, _ *http.Request) { _, _ = wr.Write([]byte("ok\n")) })
+	admin.HandleFunc("/readyz", pr.readyz)
+	admin.Handle("/debug/vars", pr.Stats.Handler())
+	var servers []transport.Server
+	for _, on := range []struct {
+		key, addr string
+		handler   http.Handler
+	}{
+		{"CallersAddr", se.CallersAddr, pr.relay},
+		{"ReadyAddr", se.ReadyAddr, ready},
+		{"PeersAddr", se.PeersAddr, peers},
+		{"AdminAddr", se.AdminAddr, admin},
+	} {
+		li, err := listen(on.key, on.addr)
+		if err != nil {
+			return nil, err
+		}
+		srv := pr.httpServer(li, on.handler)
+		if on.key == "CallersAddr" {
+			srv.ConnState = pr.idle.changed
+			srv.ConnContext = boundUnacknowledged
+		}
+		servers = append(servers, srv)
+	}
+	return servers, nil
+}
+
+// httpServer makes one of kratos' HTTP servers with the handler in place of its
+// router, which redirects paths that it finds unclean. The endpoint is given, or the
+// library would list the machine's interfaces to find it.
+func (pr *Process) httpServer(li net.Listener, handler http.Handler) *kratoshttp.Server {
+	own := &url.URL{Scheme: "http", Host: li.Addr().String()}
+	srv := kratoshttp.NewServer(kratoshttp.Listener(li), kratoshttp.Endpoint(own), kratoshttp.Timeout(0))
+	srv.Handler = handler
+	srv.ReadHeaderTimeout = headerTimeout
+	srv.MaxHeaderBytes = maxHeaderBytes
+	srv.ErrorLog = nil
+	return srv
+}
+
+// boundUnacknowledged makes writes to a caller that is gone without a word fail.
+func boundUnacknowledged(ctx context.Context, co net.Conn) context.Context {
+	sc, ok := co.(syscall.Conn)
+	if !ok {
+		return ctx
+	}
+	if rc, err := sc.SyscallConn(); err == nil {
+		_ = conns.SetUserTimeout(rc, callerTimeout) // without it the connection only ends later
+	}
+	return ctx
+}
+
+// beforeStop lets the balancer see that this router leaves, while it goes on
+// serving: callers keep their connections until an answer tells them to close.
+func (pr *Process) beforeStop(context.Context) error {
+	pr.leaving.Store(true)
+	pr.log.Info("Leaving.", zap.Duration("Delay", pr.Settings.DrainDelay), zap.Int64("InProgress", pr.Stats.Value("InProgress")))
+	time.Sleep(pr.Settings.DrainDelay)
+	return nil
+}
+
+// idlers closes callers' connections that are idle for longer than the
+// configuration allows, which may change at any time.
+type idlers struct {
+	mu    sync.Mutex // guards all below
+	limit time.Duration
+	since map[net.Conn]time.Time
+}
+
+func (id *idlers) setLimit(limit time.Duration) {
+	id.mu.Lock()
+	defer id.mu.Unlock()
+	id.limit = limit
+}
+
+func (id *idlers) changed(co net.Conn, state http.ConnState) {
+	id.mu.Lock()
+	defer id.mu.Unlock()
+	if id.since == nil {
+		id.since = map[net.Conn]time.Time{}
+	}
+	if state == http.StateIdle {
+		id.since[co] = time.Now()
+		return
+	}
+	delete(id.since, co)
+}
+
+func (id *idlers) tidy(now time.Time) {
+	id.mu.Lock()
+	var over []net.Conn
+	for co, since := range id.since {
+		if now.Sub(since) > id.limit {
+			over = append(over, co)
+			delete(id.since, co)
+		}
+	}
+	id.mu.Unlock()
+	for _, co := range over {
+		_ = co.Close() // the caller is idle and loses nothing
+	}
+}
--- /dev/null
+++ b/io/entry/view.go
@@ -0,0 +1,134 @@
+package entry
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"almondrill/core"
+	"almondrill/core/place"
+	"almondrill/core/route"
+)
+
+// view puts what the store says in force.
+type view struct {
+	pr  *Process
+	log *zap.Logger
+
+	mu        sync.Mutex // guards all below
+	departing map[core.EndpointID]time.Time
+	states    map[core.EndpointID]bool // known endpoints; true if draining
+}
+
+// changed takes an item that is new to the mirror.
+func (vi *view) changed(it core.Item) {
+	what, err := vi.pr.Platform.Decode(it)
+	if err != nil {
+		vi.log.Warn("Cannot use an item of the store; what is in force stays.", zap.String("Key", it.Key),
+			zap.Uint64("Rev", uint64(it.Rev)), zap.Error(err))
+		return
+	}
+	switch what := what.(type) {
+	case *route.Document:
+		vi.adopt(what, it.Rev)
+	case place.Endpoint:
+		vi.register(what, it.Rev)
+	case Departure:
+		vi.depart(what.ID, it.Rev)
+	case FellowAddr:
+		vi.pr.fellows.Add(string(what))
+	}
+}
+
+// adopt puts a configuration in force unless a later one is.
+func (vi *view) adopt(doc *route.Document, rev core.Version) {
+	old := vi.pr.relay.Table()
+	if old != nil && doc.Version <= old.Version {
+		vi.log.Warn("Refused an older configuration.", zap.Uint64("Version", uint64(doc.Version)),
+			zap.Uint64("InForce", uint64(old.Version)), zap.Uint64("Rev", uint64(rev)))
+		return
+	}
+	ta, err := route.Compile(doc)
+	if err != nil {
+		vi.log.Warn("Refused a configuration; the one in force stays.", zap.Uint64("Rev", uint64(rev)), zap.Error(err))
+		return
+	}
+	vi.pr.relay.SetTable(ta)
+	if ta.Limits.IdleTimeout > 0 {
+		vi.pr.idle.setLimit(ta.Limits.IdleTimeout)
+	}
+	routes, customers := ta.Counts()
+	vi.log.Info("Adopted a configuration.", zap.Uint64("Version", uint64(ta.Version)), zap.Uint64("Rev", uint64(rev)),
+		zap.Int("Routes", routes), zap.Int("Customers", customers), zap.Duration("Age", vi.pr.reader.Age()))
+}
+
+func (vi *view) register(ep place.Endpoint, rev core.Version) {
+	vi.mu.Lock()
+	defer vi.mu.Unlock()
+	delete(vi.departing, ep.ID)
+	vi.pr.placer.Register(time.Now(), ep)
+	if vi.states == nil {
+		vi.states = map[core.EndpointID]bool{}
+	}
+	if draining, known := vi.states[ep.ID]; !known || draining != ep.Draining {
+		vi.log.Info("Endpoint.", zap.String("Endpoint", string(ep.ID)), zap.String("Pool", string(ep.Pool)),
+			zap.String("Addr", ep.Addr), zap.Bool("Draining", ep.Draining), zap.Uint64("Rev", uint64(rev)))
+	}
+	vi.states[ep.ID] = ep.Draining
+}
+
+const (
+	// returnMargin covers the time from an endpoint's return in the store to its
+	// arrival here.
+	returnMargin = 300 * time.Millisecond
+	departTick   = 100 * time.Millisecond
+)
+
+// depart takes an endpoint out whose registration is gone. Registrations lapse
+// while endpoints cannot reach the store; during and right after its outage, one
+// that is missing may be back in a moment, and a whole pool would seem gone.
+func (vi *view) depart(id core.EndpointID, rev core.Version) {
+	vi.mu.Lock()
+	defer vi.mu.Unlock()
+	delay := vi.pr.Settings.ReturnDelay + returnMargin
+	doubted := vi.pr.reader.Troubled(delay)
+	vi.log.Info("Endpoint's registration is gone.", zap.String("Endpoint", string(id)),
+		zap.Uint64("Rev", uint64(rev)), zap.Bool("Doubted", doubted))
+	if !doubted {
+		vi.remove(id)
+		return
+	}
+	if vi.departing == nil {
+		vi.departing = map[core.EndpointID]time.Time{}
+	}
+	vi.departing[id] = time.Now().Add(delay)
+}
+
+func (vi *view) remove(id core.EndpointID) {
+	vi.pr.placer.Remove(id)
+	delete(vi.states, id)
+	delete(vi.departing, id)
+}
+
+// run removes endpoints whose registration did not come back.
+func (vi *view) run(ctx context.Context) error {
+	tick := time.NewTicker(departTick)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case now := <-tick.C:
+			vi.mu.Lock()
+			for id, at := range vi.departing {
+				if now.After(at) {
+					vi.log.Info("Endpoint did not come back.", zap.String("Endpoint", string(id)))
+					vi.remove(id)
+				}
+			}
+			vi.mu.Unlock()
+		}
+	}
+}
--- /dev/null
+++ b/io/fellow/items.go
@@ -0,0 +1,124 @@
+package fellow
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"go.uber.org/zap"
+
+	"almondrill/core"
+)
+
+// ItemsPath is where a router tells what it knows of the store. The query After
+// names the revision from which on.
+const ItemsPath = "/fellow/items"
+
+const (
+	// fetchTimeout bounds a fetch: a megabyte takes 10 ms on a link of 1 Gbit/s, and
+	// a busy fellow some 100 ms.
+	fetchTimeout = time.Second
+	// mostItems bounds what is read of a fellow's answer.
+	mostItems = 8 << 20
+)
+
+// items is a fellow's answer.
+type items struct {
+	AsOf  core.Version `cbor:"1,keyasint"`
+	Items []core.Item  `cbor:"2,keyasint"`
+}
+
+// Handler tells what this router knows of the store.
+func (gr *Group) Handler() http.Handler {
+	return http.HandlerFunc(func(wr http.ResponseWriter, hr *http.Request) {
+		after, err := strconv.ParseUint(hr.URL.Query().Get("After"), 10, 64)
+		if err != nil {
+			http.Error(wr, "After is not a revision: "+hr.URL.Query().Get("After"), http.StatusBadRequest)
+			return
+		}
+		news, asOf := gr.Mirror.Since(core.Version(after))
+		data, err := cbor.Marshal(&items{AsOf: asOf, Items: news})
+		if err != nil {
+			http.Error(wr, err.Error(), http.StatusInternalServerError)
+			return
+		}
+		_, _ = wr.Write(data) // a fellow that is gone asks another
+	})
+}
+
+var client = &http.Client{
+	Timeout:   fetchTimeout,
+	Transport: &http.Transport{DisableKeepAlives: true},
+}
+
+// catchUp fetches what the fellow that knows most knows beyond the own mirror,
+// while the store tells nothing.
+func (gr *Group) catchUp(ctx context.Context) {
+	if !gr.Starved() {
+		return
+	}
+	own := gr.Mirror.AsOf()
+	addr := gr.ahead(own)
+	if addr == "" {
+		return
+	}
+	go func() {
+		err := gr.fetch(ctx, addr, own)
+		gr.mu.Lock()
+		gr.fetched = false
+		gr.mu.Unlock()
+		if err != nil {
+			gr.Log.Warn("Fetching news from a fellow failed.", zap.String("Addr", addr), zap.Error(err))
+		}
+	}()
+}
+
+// ahead is the address of the fellow that knows the latest revision beyond own,
+// "" if none does or a fetch is under way.
+func (gr *Group) ahead(own core.Version) string {
+	gr.mu.Lock()
+	defer gr.mu.Unlock()
+	if gr.fetched {
+		return ""
+	}
+	best, high := "", own
+	for addr, me := range gr.members {
+		if me.asOf > high && time.Since(me.heard) < liveFor {
+			best, high = addr, me.asOf
+		}
+	}
+	gr.fetched = best != ""
+	return best
+}
+
+func (gr *Group) fetch(ctx context.Context, addr string, after core.Version) error {
+	uri := fmt.Sprintf("http://%s%s?After=%d", addr, ItemsPath, after)
+	rq, err := http.NewRequestWithContext(ctx, http.MethodGet, uri, nil)
+	if err != nil {
+		return err
+	}
+	rs, err := client.Do(rq)
+	if err != nil {
+		return err
+	}
+	defer rs.Body.Close()
+	if rs.StatusCode != http.StatusOK {
+		return fmt.Errorf("fellow answered %s", rs.Status)
+	}
+	data, err := io.ReadAll(io.LimitReader(rs.Body, mostItems))
+	if err != nil {
+		return fmt.Errorf("read a fellow's items: %w", err)
+	}
+	var its items
+	if err = cbor.Unmarshal(data, &its); err != nil {
+		return fmt.Errorf("decode a fellow's items: %w", err)
+	}
+	gr.Mirror.Apply(its.Items, its.AsOf)
+	gr.Log.Info("Learned from a fellow.", zap.String("Addr", addr), zap.Int("Items", len(its.Items)),
+		zap.Uint64("After", uint64(after)), zap.Uint64("AsOf", uint64(its.AsOf)))
+	return nil
+}
--- /dev/null
+++ b/io/relay/attempt.go
@@ -0,0 +1,232 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"os"
+	"strconv"
+	"time"
+
+	"almondrill/core"
+	"almondrill/core/place"
+	"almondrill/core/route"
+	"almondrill/io/conns"
+)
+
+const (
+	// attemptPart is the part of the time left that an attempt gets which may be
+	// repeated: the rest has to do for the next one.
+	attemptPart = 0.45
+	// stallGaps and leastStall bound the silence of a stream that may go on
+	// elsewhere: a few times the pause that callers take for on time, below the
+	// two seconds after which they give up.
+	stallGaps  = 4
+	leastStall = time.Second
+	// mostReply bounds an endpoint's answer that is kept whole.
+	mostReply = 1 << 20
+)
+
+// exchange is one attempt at one endpoint.
+type exchange struct {
+	rq *request
+	co *conns.Conn
+	rs *http.Response
+	tk *place.Ticket
+}
+
+// attempt sends the request to the ticket's endpoint and passes the answer on.
+// It returns nil if the answer was passed on whole.
+func (rq *request) attempt(ctx context.Context, header http.Header) *core.Refusal {
+	ex := &exchange{rq: rq, tk: rq.ticket}
+	rf, result := ex.run(ctx, header)
+	ex.tk.Done(time.Now(), result)
+	return rf
+}
+
+func (ex *exchange) run(ctx context.Context, header http.Header) (*core.Refusal, place.Result) {
+	co, err := ex.rq.re.Conns.Get(ctx, ex.tk.Endpoint.Addr)
+	if err != nil {
+		return ex.fail(core.NotRun, core.ReasonEndpointDown, "connect", err), ex.blame(place.Unreached)
+	}
+	ex.co = co
+	ex.rq.sends++
+	stop := context.AfterFunc(ctx, co.Interrupt)
+	defer stop()
+	defer func() {
+		if ex.co != nil {
+			ex.co.Close()
+		}
+	}()
+	ex.limit(ctx, ex.patience())
+	ex.rs, err = co.Do(ex.head(header), ex.rq.body, ex.rq.hr.Method, ex.own)
+	if err != nil {
+		return ex.broken(ctx, "send", err)
+	}
+	ex.tk.Heard(time.Now())
+	return ex.judge(ctx)
+}
+
+// own tells whether an answer is for this request.
+func (ex *exchange) own(hd http.Header) bool {
+	echoed := hd.Get(ex.rq.re.Dialect.RequestID)
+	return echoed == "" || echoed == ex.rq.id
+}
+
+// head is the request's head for this endpoint.
+func (ex *exchange) head(header http.Header) []byte {
+	di := &ex.rq.re.Dialect
+	left := max(1, time.Until(ex.rq.end).Milliseconds())
+	header.Set(di.Deadline, strconv.FormatInt(left, 10))
+	header.Set(di.Expect, string(ex.tk.Endpoint.ID))
+	if ex.rq.lastEvent != "" {
+		header.Set(di.Resume, ex.rq.lastEvent)
+	}
+	hr := ex.rq.hr
+	return conns.Head(hr.Method, hr.RequestURI, hr.Host, header, len(ex.rq.body))
+}
+
+// patience is how long the endpoint may be silent before another is tried; 0 if
+// none will be.
+func (ex *exchange) patience() time.Duration {
+	rq := ex.rq
+	if !rq.route.MayRepeat() || rq.sends >= rq.route.MaxAttempts {
+		return 0
+	}
+	if rq.route.Kind == route.Stream {
+		return max(leastStall, stallGaps*rq.route.GapGoal)
+	}
+	return time.Duration(attemptPart * float64(time.Until(rq.end)))
+}
+
+// limit bounds the next reads: by the endpoint's patience, and by the request's
+// end in any case.
+func (ex *exchange) limit(ctx context.Context, patience time.Duration) {
+	at := ex.rq.end
+	if patience > 0 {
+		if soon := time.Now().Add(patience); soon.Before(at) {
+			at = soon
+		}
+	}
+	ex.co.Deadline(at)
+	if ctx.Err() != nil {
+		ex.co.Interrupt()
+	}
+}
+
+// judge decides what the answer's head means.
+func (ex *exchange) judge(ctx context.Context) (*core.Refusal, place.Result) {
+	rs, di := ex.rs, &ex.rq.re.Dialect
+	refused := rs.Header.Get(di.NotRun) != "" && rs.StatusCode != http.StatusBadRequest
+	switch {
+	case rs.StatusCode == http.StatusMisdirectedRequest:
+		ex.drainReply(ctx)
+		return ex.fail(core.NotRun, core.ReasonWrongPool, "send", errReplaced), place.Replaced
+	case refused:
+		ex.drainReply(ctx)
+		return ex.fail(core.NotRun, core.ReasonQueueFull, "send", errors.New(rs.Status)), place.Full
+	case rs.StatusCode >= http.StatusMultipleChoices:
+		return ex.failedReply(ctx)
+	case rs.Header.Get("Content-Encoding") != "" || rs.Header.Get(di.Stamp) == "":
+		return ex.fail(core.Unknown, core.ReasonCrossed, "read", errNoStamp), place.Failed
+	case ex.rq.route.Kind == route.Stream:
+		return ex.passStream(ctx)
+	}
+	return ex.passWhole(ctx)
+}
+
+var (
+	errReplaced = errors.New("another endpoint has the address")
+	errNoStamp  = errors.New("the answer bears no stamp, or is encoded: it is not the endpoint's")
+)
+
+// failedReply keeps an endpoint's failure, to be passed on if nothing better comes.
+func (ex *exchange) failedReply(ctx context.Context) (*core.Refusal, place.Result) {
+	body, err := ex.readWhole()
+	if err != nil {
+		return ex.broken(ctx, "read", err)
+	}
+	ex.keep()
+	if !ex.rq.begun {
+		ex.rq.reply = &reply{status: ex.rs.StatusCode, header: ex.rs.Header, body: body}
+	}
+	rf := ex.fail(core.Failed, core.ReasonEndpointError, "read", errors.New(ex.rs.Status))
+	rf.Status = ex.rs.StatusCode
+	if ex.rs.StatusCode < http.StatusInternalServerError {
+		return rf, place.Served
+	}
+	return rf, place.Failed
+}
+
+// passWhole passes an answer on that is read whole first, so that one that breaks
+// off can still be asked for again.
+func (ex *exchange) passWhole(ctx context.Context) (*core.Refusal, place.Result) {
+	body, err := ex.readWhole()
+	if err != nil {
+		return ex.broken(ctx, "read", err)
+	}
+	ex.keep()
+	ex.rq.passHead(ex.rs.StatusCode, ex.rs.Header, int64(len(body)))
+	if _, err = ex.rq.wr.Write(body); err != nil {
+		return ex.fail(core.Unknown, core.ReasonCallerGone, "write", err), place.Served
+	}
+	return nil, place.Served
+}
+
+func (ex *exchange) readWhole() ([]byte, error) {
+	body, err := io.ReadAll(io.LimitReader(ex.rs.Body, mostReply+1))
+	if err == nil && len(body) > mostReply {
+		return nil, errors.New("the answer is larger than a megabyte")
+	}
+	return body, err
+}
+
+// drainReply reads the rest of an answer that is not passed on, so that its
+// connection can be used again.
+func (ex *exchange) drainReply(ctx context.Context) {
+	if _, err := ex.readWhole(); err == nil && ctx.Err() == nil {
+		ex.keep()
+	}
+}
+
+// keep gives the connection back for another request.
+func (ex *exchange) keep() {
+	ex.co.Deadline(time.Time{})
+	ex.rq.re.Conns.Put(ex.co, ex.rs)
+	ex.co = nil
+}
+
+// broken judges an exchange that broke off. Whatever was sent may have run.
+func (ex *exchange) broken(ctx context.Context, step string, err error) (*core.Refusal, place.Result) {
+	switch {
+	case ex.rq.hr.Context().Err() != nil:
+		return ex.fail(core.Unknown, core.ReasonCallerGone, step, err), place.Neutral
+	case ctx.Err() != nil || !time.Now().Before(ex.rq.end):
+		return ex.fail(core.Unknown, core.ReasonDeadline, step, err), ex.blame(place.Neutral)
+	case !ex.co.Sent():
+		return ex.fail(core.NotRun, core.ReasonEndpointDown, step, err), place.Failed
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return ex.fail(core.Unknown, core.ReasonStalled, step, err), place.Silent
+	case errors.Is(err, conns.ErrStray):
+		return ex.fail(core.Unknown, core.ReasonCrossed, step, err), place.Failed
+	}
+	return ex.fail(core.Unknown, core.ReasonCutShort, step, err), place.Failed
+}
+
+// blame is the result unless the caller has left, which is not the endpoint's doing.
+func (ex *exchange) blame(re place.Result) place.Result {
+	if ex.rq.hr.Context().Err() != nil {
+		return place.Neutral
+	}
+	return re
+}
+
+func (ex *exchange) fail(ou core.Outcome, re core.Reason, step string, err error) *core.Refusal {
+	return &core.Refusal{
+		Outcome: ou, Reason: re, Step: step, Peer: string(ex.tk.Endpoint.ID), Detail: err.Error(), RetryAfter: failedAfter,
+	}
+}
+
+// failedAfter is when a caller may return whose request an endpoint refused.
+const failedAfter = 250 * time.Millisecond
--- /dev/null
+++ b/io/relay/request.go
@@ -0,0 +1,198 @@
+package relay
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"go.uber.org/zap"
+
+	"almondrill/core"
+	"almondrill/core/place"
+	"almondrill/core/route"
+)
+
+// request is one caller's request on its way.
+type request struct {
+	re      *Relay
+	wr      http.ResponseWriter
+	hr      *http.Request
+	control *http.ResponseController
+	id      string
+	began   time.Time
+	// end is when the caller, or the route, stops waiting.
+	end time.Time
+
+	table    *route.Table
+	route    *route.Route
+	customer *route.Customer
+	pool     core.PoolID
+	parts    []place.Part
+	body     []byte
+
+	// tried are the endpoints that failed the request or refused it.
+	tried []core.EndpointID
+	// sends counts the endpoints that the request was sent to.
+	sends int
+	// ran is how an attempt ended that may have run, nil if none may have.
+	ran *core.Refusal
+	// reply is what an endpoint answered when it failed the request.
+	reply *reply
+	// begun is set once the caller has the answer's head, first when.
+	begun bool
+	first time.Time
+	// lastEvent is the id of the last event that the caller has.
+	lastEvent string
+	ticket    *place.Ticket
+}
+
+// reply is an endpoint's own answer that is no success.
+type reply struct {
+	status int
+	header http.Header
+	body   []byte
+}
+
+// mostDials bounds the endpoints that a request is offered to in vain: each costs
+// up to a dial's timeout.
+const mostDials = 4
+
+// serve makes attempts until one ends the request.
+func (rq *request) serve(ctx context.Context) {
+	rq.re.Budget.First(rq.began, rq.pool)
+	header := rq.forwarded()
+	for dials := 0; ; dials++ {
+		rf := rq.place()
+		if rf == nil && rq.sends > 0 && !rq.re.Budget.Take(time.Now(), rq.pool) {
+			rq.ticket.Done(time.Now(), place.Neutral)
+			rq.re.Stats.Refuse(core.ReasonRetryBudget)
+			rf = rq.notRun(core.ReasonRetryBudget, "retry", "the budget of further attempts is spent")
+		}
+		if rf != nil {
+			rq.finish(rf)
+			return
+		}
+		rf = rq.attempt(ctx, header)
+		if rf == nil {
+			rq.served()
+			return
+		}
+		rq.tried = append(rq.tried, rq.ticket.Endpoint.ID)
+		if rf.Outcome != core.NotRun {
+			rq.ran = rf
+		}
+		if !rq.again(ctx, rf, dials) {
+			rq.finish(rf)
+			return
+		}
+		rq.re.Stats.Retry(rf.Reason)
+		rq.logRetry(rf)
+	}
+}
+
+// place picks the endpoint of the next attempt.
+func (rq *request) place() *core.Refusal {
+	as := &place.Ask{Pool: rq.pool, Parts: rq.parts, Tried: rq.tried}
+	if po := rq.table.Pool(rq.pool); po != nil {
+		as.MaxConns = po.MaxConns
+		as.Engine = po.Engine
+		as.Memory = po.Memory
+	}
+	tk, rf := rq.re.Placer.Pick(time.Now(), as)
+	if rf == nil {
+		rq.ticket = tk
+	}
+	return rf
+}
+
+// again tells whether another attempt does no harm and may help.
+func (rq *request) again(ctx context.Context, rf *core.Refusal, dials int) bool {
+	if ctx.Err() != nil || rq.hr.Context().Err() != nil || dials+1 >= mostDials {
+		return false
+	}
+	if rq.sends >= rq.route.MaxAttempts {
+		return false
+	}
+	if rf.Outcome == core.NotRun {
+		return true
+	}
+	return rq.route.MayRepeat() && (!rq.begun || rq.lastEvent != "")
+}
+
+// served ends a request whose answer was passed on whole.
+func (rq *request) served() {
+	now := time.Now()
+	rq.re.Stats.Answer(core.Whole)
+	rq.re.Latency.Whole(now.Sub(rq.began))
+	rq.re.Latency.First(rq.first.Sub(rq.began))
+	rq.re.Log.Info("Served.", rq.fields(zap.Duration("Took", now.Sub(rq.began)),
+		zap.Duration("First", rq.first.Sub(rq.began)))...)
+}
+
+// finish ends a request whose last attempt failed, or that found no endpoint.
+func (rq *request) finish(rf *core.Refusal) {
+	if rq.hr.Context().Err() != nil {
+		rq.callerGone()
+		return
+	}
+	if rq.begun {
+		rq.cut(rf)
+	}
+	if rf.Outcome == core.NotRun && rq.ran != nil {
+		// An earlier attempt may have run; that is what counts for the caller.
+		rf = rq.ran
+	}
+	if rq.reply != nil && rf.Outcome != core.NotRun {
+		rq.passReply(rf)
+		return
+	}
+	rq.refuse(rf)
+}
+
+func (rq *request) callerGone() {
+	rq.re.Stats.Refuse(core.ReasonCallerGone)
+	rq.re.Log.Info("The caller left.", rq.fields(zap.Duration("Took", time.Since(rq.began)))...)
+	if rq.begun {
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// cut breaks an answer off that has begun and will not be whole: the caller sees
+// its connection end before the answer does.
+func (rq *request) cut(rf *core.Refusal) {
+	rq.re.Stats.Refuse(rf.Reason)
+	rq.re.Stats.Answer(rf.Outcome)
+	rq.re.Log.Warn("Cut an answer.", rq.refusalFields(rf)...)
+	panic(http.ErrAbortHandler)
+}
+
+// fields are what decided where the request went.
+func (rq *request) fields(more ...zap.Field) []zap.Field {
+	fields := append(more, zap.String("Request", rq.id))
+	if rq.route != nil {
+		fields = append(fields, zap.String("Route", rq.route.Name), zap.Uint64("Version", uint64(rq.table.Version)))
+	}
+	if rq.customer != nil {
+		fields = append(fields, zap.String("Customer", string(rq.customer.ID)))
+	}
+	if rq.sends > 0 {
+		fields = append(fields, zap.Int("Sends", rq.sends))
+	}
+	if tk := rq.ticket; tk != nil {
+		fields = append(fields, zap.String("Endpoint", string(tk.Endpoint.ID)), zap.Float64("CostMs", tk.CostMs),
+			zap.Int("Calls", tk.Calls), zap.Int("Fellows", tk.Fellows), zap.Float64("Mean", tk.Mean),
+			zap.Int("Usable", tk.Usable), zap.Int("Of", tk.Of),
+			zap.Int64("Prompt", int64(tk.Prompt)), zap.Int64("Uncached", int64(tk.Uncached)))
+	}
+	return append(fields, zap.Duration("Age", rq.re.Age()))
+}
+
+func (rq *request) refusalFields(rf *core.Refusal) []zap.Field {
+	return rq.fields(zap.String("Outcome", rf.Outcome.String()), zap.String("Reason", string(rf.Reason)),
+		zap.String("Step", rf.Step), zap.String("Peer", rf.Peer), zap.String("Detail", rf.Detail),
+		zap.Duration("Took", time.Since(rq.began)))
+}
+
+func (rq *request) logRetry(rf *core.Refusal) {
+	rq.re.Log.Info("Tries another endpoint.", rq.refusalFields(rf)...)
+}
--- a/io/stats/stats.go
+++ b/io/stats/stats.go
@@ -46,6 +46,11 @@
 	ContextsHanded  = "ContextsHandedOn"
 	ContextsTaken   = "ContextsTakenIn"
 	PointersHanded  = "PointersHandedOn"
+	ViewAgeMs       = "ViewAgeMs"
+	FellowsLive     = "FellowsLive"
+	EndpointsKnown  = "EndpointsKnown"
+	LogLinesDropped = "LogLinesDropped"
+	LogLinesSampled = "LogLinesSampled"
 )
 
 // Names lists the counters that are no reasons.
@@ -54,6 +59,7 @@
 	ControlBytes, ControlHeld, QueueCalls, RunningCalls, LoadWork, ConfigRevision, ConfigReverted,
 	EventsDropped, ConnectionsOpen, Replays, OrdersGiven, OrdersDone, OrdersFence,
 	ContextsHanded, ContextsTaken, PointersHanded,
+	ViewAgeMs, FellowsLive, EndpointsKnown, LogLinesDropped, LogLinesSampled,
 }
 
 // Set is one process's counters.
