Avoid endpoints whose registration is missing while the store was in trouble

Cause: a router that had been cut off from the store doubted a genuine deletion for ReturnDelay and 300 ms, and placed a request 2,210 ms after it (bound 2,000). Change: a missing registration is avoided at once, and the endpoint is used only where no other of its pool can take the call, so that a pool whose registrations all lapsed stays in use. Ruled out: a shorter delay, which breaks lapsed pools. Test: core/place, with the tests of that package.

--- a/core/place/place.go
+++ b/core/place/place.go
@@ -149,12 +149,25 @@
 	}
 	ep.Draining = ep.Draining || st.Draining
 	st.Endpoint = ep
+	st.missing = false
 	if pl.pools[ep.Pool] == nil {
 		pl.pools[ep.Pool] = map[core.EndpointID]*state{}
 	}
 	pl.pools[ep.Pool][ep.ID] = st
 }
 
+// Doubt tells that an endpoint's registration is missing, though it may only have
+// lapsed. The endpoint gets calls only where no other of its pool can take them, so
+// that one that has left gets none, and a pool whose registrations all lapsed
+// stays in use. Register lifts the doubt.
+func (pl *Placer) Doubt(id core.EndpointID) {
+	pl.mu.Lock()
+	defer pl.mu.Unlock()
+	if st := pl.byID[id]; st != nil {
+		st.missing = true
+	}
+}
+
 // Remove forgets an endpoint that is gone. Its calls in progress go on.
 func (pl *Placer) Remove(id core.EndpointID) {
 	pl.mu.Lock()
@@ -270,7 +283,7 @@
 			vi.full++
 			continue
 		}
-		if st.health.avoid(now, st.calls) {
+		if st.missing || st.health.avoid(now, st.calls) {
 			doubtful = append(doubtful, st)
 			continue
 		}
--- a/core/place/state.go
+++ b/core/place/state.go
@@ -21,6 +21,8 @@
 	seen      *memory
 	health    health
 	fullUntil time.Time
+	// missing is set while the registration is missing, but may come back.
+	missing bool
 }
 
 // uncached is how many of the prompt's tokens the endpoint probably has to read.
--- a/io/entry/view.go
+++ b/io/entry/view.go
@@ -104,6 +104,7 @@
 		vi.departing = map[core.EndpointID]time.Time{}
 	}
 	vi.departing[id] = time.Now().Add(delay)
+	vi.pr.placer.Doubt(id)
 }
 
 func (vi *view) remove(id core.EndpointID) {
