Place for what a prompt's reading costs others; homes of prompts that begin alike among few

A home lost its chat to another engine as soon as one long prompt was read there, since a token to read counted no more than the reader's own wait; and each beginning was read on all engines. Change: a token to read counts six times (an engine's reading steps delay what runs there), a home is assumed to hold 0.9 of what returns, and homes of prompts with one beginning lie among a few engines.

--- a/core/place/place.go
+++ b/core/place/place.go
@@ -28,6 +28,7 @@
 
 import (
 	"math"
+	"slices"
 	"sync"
 	"time"
 
@@ -100,14 +101,23 @@
 	// zoneMs is what leaving the zone costs, in ms: twice the way of 0.9 ms, and
 	// the bytes.
 	zoneMs = 3.0
+	// readWeight is how much more a token to read counts than the reader's own wait:
+	// the steps in which an engine reads delay every call that runs there, some six
+	// as a rule.
+	readWeight = 6.0
 	// homeCached is the part of a context assumed to be at its home, of which this
 	// router has no record of its own: fellow routers send it there too.
-	homeCached = 0.6
+	homeCached = 0.9
 	// coldMs is what an endpoint that has just started costs, in ms.
 	coldMs = 20.0
 	// failMs is what a failure rate of 1 costs, in ms: more than any context is
 	// worth reading anew (30,000 tokens at prefillPerMs).
 	failMs = 400.0
+	// leastHomes and homesPerRatio say among how many endpoints the homes lie of
+	// prompts that begin alike: half as many as the rest is longer than the
+	// beginning.
+	leastHomes    = 2
+	homesPerRatio = 0.5
 	// capSpare is the part of the cap that is used: the rest covers what fellows
 	// placed since their last message.
 	capSpare = 0.75
@@ -210,7 +220,7 @@
 		return nil, vi.refusal()
 	}
 	chain := chainOf(as.Parts)
-	home := vi.home(chain)
+	home := vi.home(as.Parts, chain)
 	var best *state
 	bestCost := math.Inf(1)
 	for _, st := range vi.usable {
@@ -219,7 +229,7 @@
 			best, bestCost = st, cost
 		}
 	}
-	return pl.take(now, best, as, chain, bestCost, vi), nil
+	return pl.take(now, best, as, chain, best == home, bestCost, vi), nil
 }
 
 // view is what one choice sees of a pool.
@@ -323,18 +333,42 @@
 	return float64(calls+1) <= max(capFloor, capSpare*pl.CapFactor*vi.mean+capFloor)
 }
 
-// home is the endpoint on which all routers agree for the chain, without a word.
-func (vi *view) home(chain []uint64) *state {
+// home is the endpoint on which all routers agree for a prompt, without a word.
+// Prompts that return together are named by all parts but the last, which is the
+// request's own. Those that begin alike have their homes among a few endpoints, so
+// that the beginning is not read on all: the fewer, the more of the prompt it is.
+func (vi *view) home(parts []Part, chain []uint64) *state {
 	if len(chain) == 0 {
 		return nil
 	}
-	// The last part is the request's own; the one before names what returns.
-	key := chain[max(0, len(chain)-2)]
-	var best *state
-	var high uint64
-	for _, st := range vi.usable {
-		if score := ring.Mix(st.hash, key); best == nil || score > high {
-			best, high = st, score
+	last := max(0, len(chain)-2)
+	among := vi.usable
+	if last > 0 {
+		rest := 0.0
+		for _, pa := range parts[1 : last+1] {
+			rest += float64(pa.Tokens)
+		}
+		count := max(leastHomes, int(homesPerRatio*rest/float64(max(1, parts[0].Tokens))))
+		among = highest(vi.usable, chain[0], count)
+	}
+	return highest(among, chain[last], 1)[0]
+}
+
+// highest are the count members that score highest for the key.
+func highest(members []*state, key uint64, count int) []*state {
+	if count >= len(members) {
+		return members
+	}
+	best := make([]*state, 0, count+1)
+	for _, st := range members {
+		score := ring.Mix(st.hash, key)
+		at := len(best)
+		for at > 0 && ring.Mix(best[at-1].hash, key) < score {
+			at--
+		}
+		if at < count {
+			best = slices.Insert(best, at, st)
+			best = best[:min(count, len(best))]
 		}
 	}
 	return best
@@ -356,15 +390,19 @@
 		return cost + st.health.typicalMs()*max(0, calls+1-slots)/slots + 10*calls/slots + pl.Rand.Float64()
 	}
 	uncached := st.uncached(as.Parts, chain, home)
-	return cost + (float64(uncached)+float64(st.reading))/prefillPerMs + runMs*calls
+	return cost + (readWeight*float64(uncached)+float64(st.reading))/prefillPerMs + runMs*calls
 }
 
-func (pl *Placer) take(now time.Time, st *state, as *Ask, chain []uint64, cost float64, vi *view) *Ticket {
+func (pl *Placer) take(now time.Time, st *state, as *Ask, chain []uint64, home bool, cost float64, vi *view) *Ticket {
 	tk := &Ticket{
 		pl: pl, st: st, Endpoint: st.Endpoint, Started: now, CostMs: cost,
 		Calls: st.calls, Fellows: st.fellows, Mean: vi.mean, Usable: len(vi.usable), Of: vi.all,
 	}
-	tk.reading = st.uncached(as.Parts, chain, false)
+	tk.reading = st.uncached(as.Parts, chain, home)
+	tk.Home = home
+	if len(chain) > 0 {
+		tk.Chat = chain[max(0, len(chain)-2)]
+	}
 	for _, pa := range as.Parts {
 		tk.Prompt += pa.Tokens
 	}
--- a/core/place/ticket.go
+++ b/core/place/ticket.go
@@ -22,6 +22,10 @@
 	Of       int
 	Prompt   core.Tokens
 	Uncached core.Tokens
+	// Chat names the parts that return, 0 if there are none; Home is set if the
+	// endpoint is the one on which all routers agree for them.
+	Chat uint64
+	Home bool
 
 	pl      *Placer
 	st      *state
--- a/io/relay/request.go
+++ b/io/relay/request.go
@@ -182,7 +182,7 @@
 		fields = append(fields, zap.String("Endpoint", string(tk.Endpoint.ID)), zap.Float64("CostMs", tk.CostMs),
 			zap.Int("Calls", tk.Calls), zap.Int("Fellows", tk.Fellows), zap.Float64("Mean", tk.Mean),
 			zap.Int("Usable", tk.Usable), zap.Int("Of", tk.Of),
-			zap.Int64("Prompt", int64(tk.Prompt)), zap.Int64("Uncached", int64(tk.Uncached)))
+			zap.Uint64("Chat", tk.Chat), zap.Bool("Home", tk.Home), zap.Int64("Prompt", int64(tk.Prompt)), zap.Int64("Uncached", int64(tk.Uncached)))
 	}
 	return append(fields, zap.Duration("Age", rq.re.Age()))
 }
