Let engines take kept parts over from each other

Cause: a chat that left its home was read anew, 86 ms for 10,000 tokens, though another engine had it. Change: the router names the endpoint that its record says holds most of the prompt, and weighs a fetch by the pool's link.

--- a/core/place/place.go
+++ b/core/place/place.go
@@ -67,6 +67,9 @@
 	// Engine is set for requests to model engines, Memory to an engine's.
 	Engine bool
 	Memory core.Tokens
+	// FetchPerMs is how many kept tokens one engine of the pool takes over from
+	// another in a millisecond; 0 if they cannot.
+	FetchPerMs float64
 }
 
 // Result is how a placed call ended, as far as it tells of the endpoint.
@@ -113,6 +116,12 @@
 	// failMs is what a failure rate of 1 costs, in ms: more than any context is
 	// worth reading anew (30,000 tokens at prefillPerMs).
 	failMs = 400.0
+	// fetchMs is what a fetch costs beside its transfer, in ms; from the data sheet.
+	// fetchWeight counts its transfer more than once, since it takes the links of two
+	// engines; leastFetch is below what a fetch is worth.
+	fetchMs     = 2.0
+	fetchWeight = 2.0
+	leastFetch  = 256
 	// leastHomes and homesPerRatio say among how many endpoints the homes lie of
 	// prompts that begin alike: half as many as the rest is longer than the
 	// beginning.
@@ -220,16 +229,44 @@
 		return nil, vi.refusal()
 	}
 	chain := chainOf(as.Parts)
-	home := vi.home(as.Parts, chain)
+	ch := &choice{as: as, chain: chain, home: vi.home(as.Parts, chain), vi: vi}
+	if as.Engine && as.FetchPerMs > 0 {
+		ch.holder, ch.held = holderOf(now, members, as.Parts, chain)
+	}
 	var best *state
 	bestCost := math.Inf(1)
 	for _, st := range vi.usable {
-		cost := pl.cost(now, st, as, chain, st == home, vi)
-		if cost < bestCost {
+		if cost := pl.cost(now, st, ch); cost < bestCost {
 			best, bestCost = st, cost
 		}
 	}
-	return pl.take(now, best, as, chain, best == home, bestCost, vi), nil
+	return pl.take(now, best, bestCost, ch), nil
+}
+
+// choice is what one Pick weighs the endpoints with.
+type choice struct {
+	as    *Ask
+	chain []uint64
+	home  *state
+	vi    *view
+	// holder is the endpoint known to hold most of the prompt, held how much.
+	holder *state
+	held   core.Tokens
+}
+
+// reads tells how many of the prompt's tokens the endpoint would have to read, and
+// how many it would fetch from the holder.
+func (ch *choice) reads(st *state) (read, fetched core.Tokens) {
+	uncached := st.uncached(ch.as.Parts, ch.chain, st == ch.home)
+	if ch.holder == nil || ch.holder == st {
+		return uncached, 0
+	}
+	known := promptTokens(ch.as.Parts) - uncached
+	fetched = ch.held - known
+	if fetched < leastFetch {
+		return uncached, 0
+	}
+	return uncached - fetched, fetched
 }
 
 // view is what one choice sees of a pool.
@@ -376,44 +413,77 @@
 
 // cost predicts, in ms, the wait for the first token there and what the call
 // costs others.
-func (pl *Placer) cost(now time.Time, st *state, as *Ask, chain []uint64, home bool, vi *view) float64 {
+func (pl *Placer) cost(now time.Time, st *state, ch *choice) float64 {
 	calls := float64(st.calls + st.fellows)
-	cost := failMs * max(0, st.health.rate(now)-vi.failing)
+	cost := failMs * max(0, st.health.rate(now)-ch.vi.failing)
 	if st.Zone != pl.Zone {
 		cost += zoneMs
 	}
 	if now.Before(st.ColdUntil) {
 		cost += coldMs
 	}
-	if !as.Engine {
+	if !ch.as.Engine {
 		slots := float64(max(1, st.Slots))
 		return cost + st.health.typicalMs()*max(0, calls+1-slots)/slots + 10*calls/slots + pl.Rand.Float64()
 	}
-	uncached := st.uncached(as.Parts, chain, home)
-	return cost + (readWeight*float64(uncached)+float64(st.reading))/prefillPerMs + runMs*calls
+	read, fetched := ch.reads(st)
+	cost += (readWeight*float64(read)+float64(st.reading))/prefillPerMs + runMs*calls
+	if fetched > 0 {
+		cost += fetchMs + fetchWeight*float64(fetched)/ch.as.FetchPerMs
+	}
+	return cost
 }
 
-func (pl *Placer) take(now time.Time, st *state, as *Ask, chain []uint64, home bool, cost float64, vi *view) *Ticket {
+// take counts the call at the endpoint and makes its ticket.
+func (pl *Placer) take(now time.Time, st *state, cost float64, ch *choice) *Ticket {
+	as, vi := ch.as, ch.vi
+	read, fetched := ch.reads(st)
 	tk := &Ticket{
 		pl: pl, st: st, Endpoint: st.Endpoint, Started: now, CostMs: cost,
-		Calls: st.calls, Fellows: st.fellows, Mean: vi.mean, Usable: len(vi.usable), Of: vi.all,
+		Calls: st.calls, Fellows: st.fellows, Mean: vi.mean, Usable: len(vi.usable), Full: vi.full, Of: vi.all,
+		Prompt: promptTokens(as.Parts), Uncached: read, Home: st == ch.home, reading: read,
 	}
-	tk.reading = st.uncached(as.Parts, chain, home)
-	tk.Home = home
-	if len(chain) > 0 {
-		tk.Chat = chain[max(0, len(chain)-2)]
+	if ch.holder != nil && ch.holder != st && ch.held >= leastFetch {
+		// Named also where the endpoint is thought to hold all: it fetches only what
+		// it lacks.
+		tk.FetchFrom = ch.holder.Addr
+		tk.Fetched = fetched
 	}
-	for _, pa := range as.Parts {
-		tk.Prompt += pa.Tokens
+	if len(ch.chain) > 0 {
+		tk.Chat = ch.chain[max(0, len(ch.chain)-2)]
 	}
-	tk.Uncached = tk.reading
 	st.calls++
 	st.reading += tk.reading
-	st.seen.note(as.Parts, chain, as.Memory)
+	st.seen.note(as.Parts, ch.chain, as.Memory)
 	st.health.begun(now)
 	return tk
 }
 
+// holderOf is the endpoint, of those that can be reached, that is known to hold
+// most of the prompt; one that is draining or full still hands its memory on.
+func holderOf(now time.Time, members map[core.EndpointID]*state, parts []Part, chain []uint64) (*state, core.Tokens) {
+	var best *state
+	var most core.Tokens
+	all := promptTokens(parts)
+	for _, st := range members {
+		if st.missing || st.health.avoid(now, st.calls) {
+			continue
+		}
+		if held := all - st.uncached(parts, chain, false); held > most {
+			best, most = st, held
+		}
+	}
+	return best, most
+}
+
+func promptTokens(parts []Part) core.Tokens {
+	var sum core.Tokens
+	for _, pa := range parts {
+		sum += pa.Tokens
+	}
+	return sum
+}
+
 // chainOf hashes each part with all before it: a part is of use to an engine
 // only behind the same beginning.
 func chainOf(parts []Part) []uint64 {
--- a/core/place/state.go
+++ b/core/place/state.go
@@ -27,10 +27,10 @@
 
 // uncached is how many of the prompt's tokens the endpoint probably has to read.
 func (st *state) uncached(parts []Part, chain []uint64, home bool) core.Tokens {
-	var known, all core.Tokens
+	var known core.Tokens
+	all := promptTokens(parts)
 	held := true
 	for ix, pa := range parts {
-		all += pa.Tokens
 		held = held && st.seen.has(chain[ix])
 		if held {
 			known += pa.Tokens
--- a/core/place/ticket.go
+++ b/core/place/ticket.go
@@ -13,12 +13,13 @@
 	Started  time.Time
 	// CostMs is what the choice predicted; Calls, Fellows and Mean are own calls
 	// there, those told by fellows, and the pool's mean; Usable endpoints of Of
-	// were weighed; of Prompt tokens, Uncached were thought to be read.
+	// were weighed, Full ones had no room; of Prompt tokens, Uncached were thought to be read.
 	CostMs   float64
 	Calls    int
 	Fellows  int
 	Mean     float64
 	Usable   int
+	Full     int
 	Of       int
 	Prompt   core.Tokens
 	Uncached core.Tokens
@@ -26,6 +27,10 @@
 	// endpoint is the one on which all routers agree for them.
 	Chat uint64
 	Home bool
+	// FetchFrom is the address of an endpoint from which this one may take over
+	// kept tokens, "" if none is known; Fetched of them are thought to be needed.
+	FetchFrom string
+	Fetched   core.Tokens
 
 	pl      *Placer
 	st      *state
--- a/core/route/route.go
+++ b/core/route/route.go
@@ -113,6 +113,9 @@
 	Slots  int
 	// Memory is what an engine keeps of contexts.
 	Memory core.Tokens
+	// FetchPerMs is how many kept tokens one of them takes over from another in a
+	// millisecond; 0 if they cannot.
+	FetchPerMs float64
 }
 
 // Customer owns keys.
--- a/io/relay/attempt.go
+++ b/io/relay/attempt.go
@@ -80,6 +80,10 @@
 	left := max(1, time.Until(ex.rq.end).Milliseconds())
 	header.Set(di.Deadline, strconv.FormatInt(left, 10))
 	header.Set(di.Expect, string(ex.tk.Endpoint.ID))
+	header.Del(di.Fetch)
+	if ex.tk.FetchFrom != "" {
+		header.Set(di.Fetch, ex.tk.FetchFrom)
+	}
 	if ex.rq.lastEvent != "" {
 		header.Set(di.Resume, ex.rq.lastEvent)
 	}
--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -65,6 +65,8 @@
 	MostRank int
 	// Resume names the last event that the caller has.
 	Resume string
+	// Fetch names the endpoint from which another takes kept tokens over.
+	Fetch string
 	// Private are headers that only a router sets; what callers send is dropped.
 	Private []string
 	// Prompt reads the parts of a request's prompt.
--- a/io/relay/request.go
+++ b/io/relay/request.go
@@ -97,6 +97,7 @@
 		as.MaxConns = po.MaxConns
 		as.Engine = po.Engine
 		as.Memory = po.Memory
+		as.FetchPerMs = po.FetchPerMs
 	}
 	tk, rf := rq.re.Placer.Pick(time.Now(), as)
 	if rf == nil {
@@ -181,8 +182,9 @@
 	if tk := rq.ticket; tk != nil {
 		fields = append(fields, zap.String("Endpoint", string(tk.Endpoint.ID)), zap.Float64("CostMs", tk.CostMs),
 			zap.Int("Calls", tk.Calls), zap.Int("Fellows", tk.Fellows), zap.Float64("Mean", tk.Mean),
-			zap.Int("Usable", tk.Usable), zap.Int("Of", tk.Of),
-			zap.Uint64("Chat", tk.Chat), zap.Bool("Home", tk.Home), zap.Int64("Prompt", int64(tk.Prompt)), zap.Int64("Uncached", int64(tk.Uncached)))
+			zap.Int("Usable", tk.Usable), zap.Int("Full", tk.Full), zap.Int("Of", tk.Of),
+			zap.Uint64("Chat", tk.Chat), zap.Bool("Home", tk.Home), zap.Int64("Prompt", int64(tk.Prompt)), zap.Int64("Uncached", int64(tk.Uncached)),
+			zap.Int64("Fetched", int64(tk.Fetched)))
 	}
 	return append(fields, zap.Duration("Age", rq.re.Age()))
 }
