--- a/core/place/place.go
+++ b/core/place/place.go
@@ -100,7 +100,7 @@
 	prefillPerMs = 140.0
 	// runMs is what one more running call costs the first token of the next, in
 	// ms: a decode step is some 2 to 8 ms and grows with what runs.
-	runMs = 1.5
+	runMs = 0.7
 	// zoneMs is what leaving the zone costs, in ms: twice the way of 0.9 ms, and
 	// the bytes.
 	zoneMs = 3.0
@@ -119,9 +119,12 @@
 	// fetchMs is what a fetch costs beside its transfer, in ms; from the data sheet.
 	// fetchWeight counts its transfer more than once, since it takes the links of two
 	// engines; leastFetch is below what a fetch is worth.
-	fetchMs     = 2.0
+	fetchMs     = 12.0
 	fetchWeight = 2.0
 	leastFetch  = 256
+	// settledAfter is how long after an endpoint's coming prompts are still looked for
+	// where they were before: most return within it.
+	settledAfter = 10 * time.Second
 	// leastHomes and homesPerRatio say among how many endpoints the homes lie of
 	// prompts that begin alike: half as many as the rest is longer than the
 	// beginning.
@@ -129,7 +132,7 @@
 	homesPerRatio = 0.5
 	// capSpare is the part of the cap that is used: the rest covers what fellows
 	// placed since their last message.
-	capSpare = 0.75
+	capSpare = 0.9
 	// capFloor is the number of calls below which the cap does not apply.
 	capFloor = 3
 	// fullFor is how long an endpoint that refused is passed over: about the time
@@ -147,6 +150,7 @@
 	Routers func() int
 
 	mu    sync.Mutex // guards all below
+	began time.Time  // when the first endpoint became known
 	pools map[core.PoolID]map[core.EndpointID]*state
 	byID  map[core.EndpointID]*state
 	told  map[core.VMID]*word
@@ -158,6 +162,9 @@
 	pl.mu.Lock()
 	defer pl.mu.Unlock()
 	pl.start()
+	if pl.began.IsZero() {
+		pl.began = now
+	}
 	st := pl.byID[ep.ID]
 	if st == nil {
 		st = &state{hash: decl.HashName(string(ep.ID)), seen: newMemory(), since: now}
@@ -232,6 +239,9 @@
 	ch := &choice{as: as, chain: chain, home: vi.home(as.Parts, chain), vi: vi}
 	if as.Engine && as.FetchPerMs > 0 {
 		ch.holder, ch.held = holderOf(now, members, as.Parts, chain)
+		if ch.holder == nil {
+			ch.holder, ch.held = pl.formerHome(now, members, as.Parts, chain)
+		}
 	}
 	var best *state
 	bestCost := math.Inf(1)
@@ -476,6 +486,26 @@
 	return best, most
 }
 
+// formerHome is where a prompt's home was before endpoints joined and left of late.
+// A router that has no record of the prompt finds it there, as its fellows sent it.
+func (pl *Placer) formerHome(now time.Time, members map[core.EndpointID]*state, parts []Part, chain []uint64) (*state, core.Tokens) {
+	if len(parts) < 2 {
+		return nil, 0
+	}
+	vi := &view{}
+	for _, st := range members {
+		settled := now.Sub(st.since) > settledAfter || st.since.Sub(pl.began) < settledAfter
+		if settled && !st.missing && !st.health.avoid(now, st.calls) {
+			vi.usable = append(vi.usable, st)
+		}
+	}
+	if len(vi.usable) == 0 {
+		return nil, 0
+	}
+	shared := promptTokens(parts[:len(parts)-1])
+	return vi.home(parts, chain), core.Tokens(homeCached * float64(shared))
+}
+
 func promptTokens(parts []Part) core.Tokens {
 	var sum core.Tokens
 	for _, pa := range parts {
--- a/io/relay/request.go
+++ b/io/relay/request.go
@@ -184,7 +184,7 @@
 			zap.Int("Calls", tk.Calls), zap.Int("Fellows", tk.Fellows), zap.Float64("Mean", tk.Mean),
 			zap.Int("Usable", tk.Usable), zap.Int("Full", tk.Full), zap.Int("Of", tk.Of),
 			zap.Uint64("Chat", tk.Chat), zap.Bool("Home", tk.Home), zap.Int64("Prompt", int64(tk.Prompt)), zap.Int64("Uncached", int64(tk.Uncached)),
-			zap.Int64("Fetched", int64(tk.Fetched)))
+			zap.Int64("Fetched", int64(tk.Fetched)), zap.String("FetchFrom", tk.FetchFrom))
 	}
 	return append(fields, zap.Duration("Age", rq.re.Age()))
 }
