Routers pass endpoints' own counts of calls on to each other

Cause: with 26 routers each heard a fellow's calls once a second, so the cap was kept to a picture a second old. Change: answers carry the endpoint's count; the latest counts travel from router to router with their age, within 4.5 KB/s, and are brought forward by the own calls since.

--- a/core/place/place.go
+++ b/core/place/place.go
@@ -153,7 +153,9 @@
 	began time.Time  // when the first endpoint became known
 	pools map[core.PoolID]map[core.EndpointID]*state
 	byID  map[core.EndpointID]*state
-	told  map[core.VMID]*word
+	// byHash finds endpoints by the hash of their id.
+	byHash map[uint64]*state
+	told   map[core.VMID]*word
 }
 
 // Register takes an endpoint's registration, or a change of it. One that was seen
@@ -169,6 +171,7 @@
 	if st == nil {
 		st = &state{hash: decl.HashName(string(ep.ID)), seen: newMemory(), since: now}
 		pl.byID[ep.ID] = st
+		pl.byHash[st.hash] = st
 	}
 	if old := pl.pools[st.Pool]; old != nil && st.Pool != ep.Pool {
 		delete(old, ep.ID)
@@ -201,12 +204,14 @@
 	if st := pl.byID[id]; st != nil {
 		delete(pl.pools[st.Pool], id)
 		delete(pl.byID, id)
+		delete(pl.byHash, st.hash)
 	}
 }
 
 func (pl *Placer) start() {
 	if pl.byID == nil {
 		pl.byID = map[core.EndpointID]*state{}
+		pl.byHash = map[uint64]*state{}
 		pl.pools = map[core.PoolID]map[core.EndpointID]*state{}
 		pl.told = map[core.VMID]*word{}
 	}
@@ -322,7 +327,7 @@
 			continue
 		}
 		vi.all++
-		st.fellows = pl.toldCalls(now, st.hash)
+		st.fellows = pl.othersCalls(now, st)
 		calls += st.calls + st.fellows
 		failing += st.health.rate(now)
 	}
@@ -437,7 +442,7 @@
 		return cost + st.health.typicalMs()*max(0, calls+1-slots)/slots + 10*calls/slots + pl.Rand.Float64()
 	}
 	read, fetched := ch.reads(st)
-	cost += (readWeight*float64(read)+float64(st.reading))/prefillPerMs + runMs*calls
+	cost += (readWeight*float64(read)+float64(st.toRead))/prefillPerMs + runMs*calls
 	if fetched > 0 {
 		cost += fetchMs + fetchWeight*float64(fetched)/ch.as.FetchPerMs
 	}
@@ -451,7 +456,7 @@
 	tk := &Ticket{
 		pl: pl, st: st, Endpoint: st.Endpoint, Started: now, CostMs: cost,
 		Calls: st.calls, Fellows: st.fellows, Mean: vi.mean, Usable: len(vi.usable), Full: vi.full, Of: vi.all,
-		Prompt: promptTokens(as.Parts), Uncached: read, Home: st == ch.home, reading: read,
+		Prompt: promptTokens(as.Parts), Uncached: read, Home: st == ch.home, toRead: read,
 	}
 	if ch.holder != nil && ch.holder != st && ch.held >= leastFetch {
 		// Named also where the endpoint is thought to hold all: it fetches only what
@@ -463,7 +468,8 @@
 		tk.Chat = ch.chain[max(0, len(ch.chain)-2)]
 	}
 	st.calls++
-	st.reading += tk.reading
+	st.reading.note(now, 1)
+	st.toRead += tk.toRead
 	st.seen.note(as.Parts, ch.chain, as.Memory)
 	st.health.begun(now)
 	return tk
--- a/core/place/state.go
+++ b/core/place/state.go
@@ -16,8 +16,9 @@
 	// choice.
 	calls   int
 	fellows int
-	// reading are the prompt tokens of own calls whose first token is awaited.
-	reading   core.Tokens
+	// toRead are the prompt tokens of own calls whose first token is awaited.
+	toRead    core.Tokens
+	reading   reading
 	seen      *memory
 	health    health
 	fullUntil time.Time
--- a/core/place/ticket.go
+++ b/core/place/ticket.go
@@ -32,10 +32,10 @@
 	FetchFrom string
 	Fetched   core.Tokens
 
-	pl      *Placer
-	st      *state
-	reading core.Tokens
-	done    bool
+	pl     *Placer
+	st     *state
+	toRead core.Tokens
+	done   bool
 }
 
 // Heard tells that something came from the endpoint. The first time, its prompt
@@ -48,8 +48,8 @@
 }
 
 func (tk *Ticket) read() {
-	tk.st.reading -= tk.reading
-	tk.reading = 0
+	tk.st.toRead -= tk.toRead
+	tk.toRead = 0
 }
 
 // Done tells how the call ended; only the first time counts.
@@ -63,6 +63,7 @@
 	st := tk.st
 	tk.read()
 	st.calls--
+	st.reading.note(now, -1)
 	if st.calls == 0 {
 		st.health.busySince = time.Time{}
 	}
--- a/core/place/told.go
+++ b/core/place/told.go
@@ -16,14 +16,14 @@
 // says nothing for longer has stopped, and its calls with it.
 const toldFor = 2 * time.Second
 
-// Tell is the router's own calls in progress, by the hash of the endpoint's id,
-// for its fellows.
+// Tell is the router's own calls in progress, by the hash of the endpoint's id, at
+// endpoints that do not count their calls themselves.
 func (pl *Placer) Tell() map[uint64]int {
 	pl.mu.Lock()
 	defer pl.mu.Unlock()
 	own := map[uint64]int{}
 	for _, st := range pl.byID {
-		if st.calls > 0 {
+		if st.calls > 0 && st.reading.at.IsZero() {
 			own[st.hash] = st.calls
 		}
 	}
--- a/io/fellow/fellow.go
+++ b/io/fellow/fellow.go
@@ -41,9 +41,13 @@
 	// so that the news is fresh enough; with two messages within it, a lost one
 	// does no harm.
 	period = 350 * time.Millisecond
-	// fanout is how many fellows a router tells at a time: with messages of some
-	// 250 bytes this is 5.7 KB/s at most.
+	// fanout is how many fellows a router tells at a time at most.
 	fanout = 8
+	// perSecond bounds the bytes that a router tells its fellows in a second, headers
+	// of the network not counted; the budget of a node is 5 KB/s.
+	perSecond = 4500
+	// way is the least time that a message takes between zones.
+	way = time.Millisecond
 	// knownFor is how long a fellow that is not heard is kept; liveFor how long it
 	// counts as running.
 	knownFor = 30 * time.Second
@@ -64,6 +68,8 @@
 	Known []string `cbor:"5,keyasint,omitempty"`
 	// Leaving is set in the last messages of a process.
 	Leaving bool `cbor:"6,keyasint,omitempty"`
+	// Readings are endpoints' own counts of their calls, the latest known.
+	Readings []place.Reading `cbor:"7,keyasint,omitempty"`
 }
 
 // Group is the routers that this one knows. Set the exported fields before use.
@@ -199,6 +205,7 @@
 	}
 	gr.mu.Unlock()
 	gr.Placer.Hear(now, ms.From, ms.Calls)
+	gr.Placer.HearReadings(now, way, ms.Readings)
 	if fresh {
 		gr.Log.Info("Hears a fellow.", zap.String("Fellow", string(ms.From)), zap.String("Addr", ms.Addr))
 	}
@@ -221,25 +228,19 @@
 	}
 }
 
-// send tells a few fellows, drawn anew each time.
+// send tells a few fellows, drawn anew each time: as many as the bytes allow.
 func (gr *Group) send(pc net.PacketConn, leaving bool) {
 	to := gr.some(fanout)
 	if len(to) == 0 {
 		return
 	}
-	ms := message{From: gr.Self, Addr: gr.Addr, AsOf: gr.Mirror.AsOf(), Calls: gr.Placer.Tell(), Leaving: leaving}
-	ms.Known = gr.some(mostNamed)
-	data, err := cbor.Marshal(&ms)
-	if err == nil && len(data) > mostDatagram {
-		// Rather few loads than none of what is known of the configuration.
-		ms.Calls = nil
-		data, err = cbor.Marshal(&ms)
-	}
+	data, err := gr.encode(leaving)
 	if err != nil {
 		gr.Log.Error("Encoding a message failed.", zap.Error(err))
 		return
 	}
-	for _, addr := range to {
+	allowed := int(perSecond * period.Seconds() / float64(len(data)))
+	for _, addr := range to[:min(len(to), max(1, allowed))] {
 		ua, err := net.ResolveUDPAddr("udp", addr)
 		if err == nil {
 			_, err = pc.WriteTo(data, ua)
@@ -250,6 +251,22 @@
 	}
 }
 
+// encode makes a message that fits into a frame.
+func (gr *Group) encode(leaving bool) ([]byte, error) {
+	ms := message{
+		From: gr.Self, Addr: gr.Addr, AsOf: gr.Mirror.AsOf(), Calls: gr.Placer.Tell(), Leaving: leaving,
+		Readings: gr.Placer.Readings(time.Now()), Known: gr.some(mostNamed),
+	}
+	data, err := cbor.Marshal(&ms)
+	for err == nil && len(data) > mostDatagram && len(ms.Calls)+len(ms.Readings) > 0 {
+		// Rather few loads than none of what is known of the configuration.
+		ms.Calls = nil
+		ms.Readings = ms.Readings[:len(ms.Readings)/2]
+		data, err = cbor.Marshal(&ms)
+	}
+	return data, err
+}
+
 // some draws addresses of fellows.
 func (gr *Group) some(most int) []string {
 	gr.mu.Lock()
--- a/io/relay/attempt.go
+++ b/io/relay/attempt.go
@@ -65,6 +65,9 @@
 		return ex.broken(ctx, "send", err)
 	}
 	ex.tk.Heard(time.Now())
+	if calls, told := ex.rq.re.Dialect.Calls(ex.rs.Header); told {
+		ex.tk.Counted(time.Now(), calls)
+	}
 	return ex.judge(ctx)
 }
 
--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -71,6 +71,9 @@
 	Private []string
 	// Prompt reads the parts of a request's prompt.
 	Prompt func(hd http.Header) []place.Part
+	// Calls reads how many calls an endpoint has, from its answer; false if it does
+	// not tell.
+	Calls func(hd http.Header) (int, bool)
 }
 
 // Relay serves callers. Set the exported fields before use.
