Move cheap chats first when an engine is under pressure; three homes a prompt

Cause: a home at the cap lost whichever chat came next, and each router chose another place for it. Change: what an engine costs grows with the square of its calls beyond the mean, and all routers agree on three homes in order.

--- a/core/place/place.go
+++ b/core/place/place.go
@@ -109,8 +109,19 @@
 	// as a rule.
 	readWeight = 6.0
 	// homeCached is the part of a context assumed to be at its home, of which this
-	// router has no record of its own: fellow routers send it there too.
+	// router has no record of its own: fellow routers send it there too. Each further
+	// home is that much less likely to have it.
 	homeCached = 0.9
+	nextCached = 0.6
+	// homes is how many endpoints, in an order on which all routers agree, take the
+	// chats whose first home is under pressure.
+	homes = 3
+	// pressureMs is what an endpoint costs, in ms, that has twice its pool's mean of
+	// calls; it grows with the square of what is beyond the mean, so that chats that
+	// are cheap to move leave first, before the cap has to move dear ones.
+	// pressureFloor is added to the mean: differences of a call or two mean nothing.
+	pressureMs    = 25.0
+	pressureFloor = 2.0
 	// coldMs is what an endpoint that has just started costs, in ms.
 	coldMs = 20.0
 	// failMs is what a failure rate of 1 costs, in ms: more than any context is
@@ -241,7 +252,7 @@
 		return nil, vi.refusal()
 	}
 	chain := chainOf(as.Parts)
-	ch := &choice{as: as, chain: chain, home: vi.home(as.Parts, chain), vi: vi}
+	ch := &choice{as: as, chain: chain, homes: homesOf(vi.usable, as.Parts, chain, homes), vi: vi}
 	if as.Engine && as.FetchPerMs > 0 {
 		ch.holder, ch.held = holderOf(now, members, as.Parts, chain)
 		if ch.holder == nil {
@@ -262,17 +273,29 @@
 type choice struct {
 	as    *Ask
 	chain []uint64
-	home  *state
+	homes []*state
 	vi    *view
 	// holder is the endpoint known to hold most of the prompt, held how much.
 	holder *state
 	held   core.Tokens
 }
 
+// assumed is the part of the prompt that fellows have probably sent there.
+func (ch *choice) assumed(st *state) float64 {
+	part := homeCached
+	for _, home := range ch.homes {
+		if home == st {
+			return part
+		}
+		part *= nextCached
+	}
+	return 0
+}
+
 // reads tells how many of the prompt's tokens the endpoint would have to read, and
 // how many it would fetch from the holder.
 func (ch *choice) reads(st *state) (read, fetched core.Tokens) {
-	uncached := st.uncached(ch.as.Parts, ch.chain, st == ch.home)
+	uncached := st.uncached(ch.as.Parts, ch.chain, ch.assumed(st))
 	if ch.holder == nil || ch.holder == st {
 		return uncached, 0
 	}
@@ -385,32 +408,29 @@
 	return float64(calls+1) <= max(capFloor, capSpare*pl.CapFactor*vi.mean+capFloor)
 }
 
-// home is the endpoint on which all routers agree for a prompt, without a word.
+// homesOf are the endpoints on which all routers agree for a prompt, without a word.
 // Prompts that return together are named by all parts but the last, which is the
 // request's own. Those that begin alike have their homes among a few endpoints, so
 // that the beginning is not read on all: the fewer, the more of the prompt it is.
-func (vi *view) home(parts []Part, chain []uint64) *state {
-	if len(chain) == 0 {
+func homesOf(members []*state, parts []Part, chain []uint64, most int) []*state {
+	if len(chain) == 0 || len(members) == 0 {
 		return nil
 	}
 	last := max(0, len(chain)-2)
-	among := vi.usable
+	among := members
 	if last > 0 {
 		rest := 0.0
 		for _, pa := range parts[1 : last+1] {
 			rest += float64(pa.Tokens)
 		}
 		count := max(leastHomes, int(homesPerRatio*rest/float64(max(1, parts[0].Tokens))))
-		among = highest(vi.usable, chain[0], count)
+		among = highest(members, chain[0], count)
 	}
-	return highest(among, chain[last], 1)[0]
+	return highest(among, chain[last], most)
 }
 
 // highest are the count members that score highest for the key.
 func highest(members []*state, key uint64, count int) []*state {
-	if count >= len(members) {
-		return members
-	}
 	best := make([]*state, 0, count+1)
 	for _, st := range members {
 		score := ring.Mix(st.hash, key)
@@ -443,6 +463,8 @@
 	}
 	read, fetched := ch.reads(st)
 	cost += (readWeight*float64(read)+float64(st.toRead))/prefillPerMs + runMs*calls
+	beyond := max(0, (calls+1)/(ch.vi.mean+pressureFloor)-1)
+	cost += pressureMs * beyond * beyond
 	if fetched > 0 {
 		cost += fetchMs + fetchWeight*float64(fetched)/ch.as.FetchPerMs
 	}
@@ -456,7 +478,7 @@
 	tk := &Ticket{
 		pl: pl, st: st, Endpoint: st.Endpoint, Started: now, CostMs: cost,
 		Calls: st.calls, Fellows: st.fellows, Mean: vi.mean, Usable: len(vi.usable), Full: vi.full, Of: vi.all,
-		Prompt: promptTokens(as.Parts), Uncached: read, Home: st == ch.home, toRead: read,
+		Prompt: promptTokens(as.Parts), Uncached: read, Home: len(ch.homes) > 0 && st == ch.homes[0], toRead: read,
 	}
 	if ch.holder != nil && ch.holder != st && ch.held >= leastFetch {
 		// Named also where the endpoint is thought to hold all: it fetches only what
@@ -485,7 +507,7 @@
 		if st.missing || st.health.avoid(now, st.calls) {
 			continue
 		}
-		if held := all - st.uncached(parts, chain, false); held > most {
+		if held := all - st.uncached(parts, chain, 0); held > most {
 			best, most = st, held
 		}
 	}
@@ -498,18 +520,18 @@
 	if len(parts) < 2 {
 		return nil, 0
 	}
-	vi := &view{}
+	var before []*state
 	for _, st := range members {
 		settled := now.Sub(st.since) > settledAfter || st.since.Sub(pl.began) < settledAfter
 		if settled && !st.missing && !st.health.avoid(now, st.calls) {
-			vi.usable = append(vi.usable, st)
+			before = append(before, st)
 		}
 	}
-	if len(vi.usable) == 0 {
+	if len(before) == 0 {
 		return nil, 0
 	}
 	shared := promptTokens(parts[:len(parts)-1])
-	return vi.home(parts, chain), core.Tokens(homeCached * float64(shared))
+	return homesOf(before, parts, chain, 1)[0], core.Tokens(homeCached * float64(shared))
 }
 
 func promptTokens(parts []Part) core.Tokens {
--- a/core/place/state.go
+++ b/core/place/state.go
@@ -26,8 +26,9 @@
 	missing bool
 }
 
-// uncached is how many of the prompt's tokens the endpoint probably has to read.
-func (st *state) uncached(parts []Part, chain []uint64, home bool) core.Tokens {
+// uncached is how many of the prompt's tokens the endpoint probably has to read, if
+// it has the assumed part of those that return beside what the record says.
+func (st *state) uncached(parts []Part, chain []uint64, assumed float64) core.Tokens {
 	var known core.Tokens
 	all := promptTokens(parts)
 	held := true
@@ -37,9 +38,9 @@
 			known += pa.Tokens
 		}
 	}
-	if home && len(parts) > 1 {
+	if assumed > 0 && len(parts) > 1 {
 		shared := all - parts[len(parts)-1].Tokens
-		known = max(known, core.Tokens(homeCached*float64(shared)))
+		known = max(known, core.Tokens(assumed*float64(shared)))
 	}
 	return all - known
 }
