Find the engine that holds most of a prompt: by record, told by fellows, or its former home

Change: moves away from homes are told in the short messages (6 bytes each), and the source is who holds most.

--- /dev/null
+++ b/core/place/moves.go
@@ -0,0 +1,84 @@
+package place
+
+import (
+	"encoding/binary"
+	"time"
+
+	"almondrill/core"
+)
+
+const (
+	// moveSize is the size of a move in a message: four bytes of the chat's hash, two
+	// of the endpoint's.
+	moveSize = 6
+	// tellMoveFor is how long a move is told: fellows are told in turn, each at least
+	// once within it unless there are dozens.
+	tellMoveFor = 600 * time.Millisecond
+	// mostMoves bounds the moves in a message; a busy router makes some 5 a second.
+	mostMoves = 40
+	// mostHolders bounds the moves of fellows that are remembered, 16 bytes each.
+	mostHolders = 16384
+)
+
+// move is an own placement of a chat away from its home.
+type move struct {
+	at       time.Time
+	chat     uint32
+	endpoint uint16
+}
+
+func shortChat(chat uint64) uint32 { return uint32(chat >> 32) }
+
+// noteMove keeps a move to be told.
+func (pl *Placer) noteMove(now time.Time, chat, endpoint uint64) {
+	if len(pl.moves) >= mostMoves {
+		pl.moves = pl.moves[1:]
+	}
+	pl.moves = append(pl.moves, move{now, shortChat(chat), short(endpoint)})
+}
+
+// Moves packs the latest own placements of chats away from their homes. Fellows that
+// know of them fetch a chat's context from there, where they would have it read anew.
+func (pl *Placer) Moves(now time.Time) []byte {
+	pl.mu.Lock()
+	defer pl.mu.Unlock()
+	var packed []byte
+	for _, mo := range pl.moves {
+		if now.Sub(mo.at) > tellMoveFor {
+			continue
+		}
+		packed = binary.BigEndian.AppendUint32(packed, mo.chat)
+		packed = binary.BigEndian.AppendUint16(packed, mo.endpoint)
+	}
+	return packed
+}
+
+// HearMoves takes a fellow's packed moves.
+func (pl *Placer) HearMoves(packed []byte) {
+	pl.mu.Lock()
+	defer pl.mu.Unlock()
+	for ; len(packed) >= moveSize; packed = packed[moveSize:] {
+		if pl.holders == nil || len(pl.holders) >= mostHolders {
+			// All are forgotten at once: they serve for seconds.
+			pl.holders = map[uint32]uint16{}
+		}
+		pl.holders[binary.BigEndian.Uint32(packed)] = binary.BigEndian.Uint16(packed[4:])
+	}
+}
+
+// toldHolder is the endpoint where a fellow has placed the chat.
+func (pl *Placer) toldHolder(members map[core.EndpointID]*state, parts []Part, chain []uint64) (*state, core.Tokens) {
+	if len(parts) < 2 {
+		return nil, 0
+	}
+	endpoint, known := pl.holders[shortChat(chain[len(chain)-2])]
+	if !known {
+		return nil, 0
+	}
+	for _, st := range members {
+		if short(st.hash) == endpoint && !st.missing {
+			return st, promptTokens(parts[:len(parts)-1])
+		}
+	}
+	return nil, 0
+}
--- a/core/place/place.go
+++ b/core/place/place.go
@@ -167,6 +167,9 @@
 	// byHash finds endpoints by the hash of their id.
 	byHash map[uint64]*state
 	told   map[string]*word
+	// moves are own placements away from a chat's home, holders those of fellows.
+	moves   []move
+	holders map[uint32]uint16
 }
 
 // Register takes an endpoint's registration, or a change of it. One that was seen
@@ -254,10 +257,7 @@
 	chain := chainOf(as.Parts)
 	ch := &choice{as: as, chain: chain, homes: homesOf(vi.usable, as.Parts, chain, homes), vi: vi}
 	if as.Engine && as.FetchPerMs > 0 {
-		ch.holder, ch.held = holderOf(now, members, as.Parts, chain)
-		if ch.holder == nil {
-			ch.holder, ch.held = pl.formerHome(now, members, as.Parts, chain)
-		}
+		ch.findHolder(pl, now, members)
 	}
 	var best *state
 	bestCost := math.Inf(1)
@@ -280,6 +280,19 @@
 	held   core.Tokens
 }
 
+// findHolder finds the endpoint that probably holds most: by the own record, by
+// what fellows told, or where the home was. A record of no more than the beginning,
+// which many prompts have, does not hide the others.
+func (ch *choice) findHolder(pl *Placer, now time.Time, members map[core.EndpointID]*state) {
+	ch.holder, ch.held = holderOf(now, members, ch.as.Parts, ch.chain)
+	if st, held := pl.toldHolder(members, ch.as.Parts, ch.chain); held > ch.held {
+		ch.holder, ch.held = st, held
+	}
+	if st, held := pl.formerHome(now, members, ch.as.Parts, ch.chain); held > ch.held {
+		ch.holder, ch.held = st, held
+	}
+}
+
 // assumed is the part of the prompt that fellows have probably sent there.
 func (ch *choice) assumed(st *state) float64 {
 	part := homeCached
@@ -313,6 +326,8 @@
 	all    int
 	mean   float64
 	usable []*state
+	// members are all that are not leaving.
+	members []*state
 	// full counts the members left out because they have no room.
 	full int
 	// failing is the pool's mean failure rate.
@@ -351,6 +366,7 @@
 			continue
 		}
 		vi.all++
+		vi.members = append(vi.members, st)
 		st.fellows = pl.othersCalls(now, st, told)
 		calls += st.calls + st.fellows
 		failing += st.health.rate(now)
@@ -490,6 +506,9 @@
 	if len(ch.chain) > 0 {
 		tk.Chat = ch.chain[max(0, len(ch.chain)-2)]
 	}
+	if len(ch.chain) > 1 && !st.seen.has(tk.Chat) && st != homesOf(vi.members, as.Parts, ch.chain, 1)[0] {
+		pl.noteMove(now, tk.Chat, st.hash)
+	}
 	st.calls++
 	st.reading.note(now, 1)
 	st.toRead += tk.toRead
--- a/io/fellow/fellow.go
+++ b/io/fellow/fellow.go
@@ -68,6 +68,8 @@
 	AsOf core.Version `cbor:"1,keyasint"`
 	// Calls are the own calls in progress, see place.Tell.
 	Calls []byte `cbor:"2,keyasint,omitempty"`
+	// Moves are chats placed away from their homes, see place.Moves.
+	Moves []byte `cbor:"7,keyasint,omitempty"`
 	// Leaving is set in the last messages of a process.
 	Leaving bool `cbor:"3,keyasint,omitempty"`
 	// From introduces the sender; Known are addresses of other fellows, Readings
@@ -215,6 +217,7 @@
 		gr.member(addr)
 	}
 	gr.Placer.Hear(now, from, ms.Calls)
+	gr.Placer.HearMoves(ms.Moves)
 	gr.Placer.HearReadings(now, way, ms.Readings)
 }
 
@@ -238,7 +241,7 @@
 // tellCalls tells fellows of the own calls, those first that were told longest ago,
 // as many as the bytes allow.
 func (gr *Group) tellCalls(pc net.PacketConn, now time.Time, leaving bool) {
-	ms := message{AsOf: gr.Mirror.AsOf(), Calls: gr.Placer.Tell(), Leaving: leaving}
+	ms := message{AsOf: gr.Mirror.AsOf(), Calls: gr.Placer.Tell(), Moves: gr.Placer.Moves(now), Leaving: leaving}
 	data, err := cbor.Marshal(&ms)
 	if err != nil {
 		gr.Log.Error("Encoding a message failed.", zap.Error(err))
