Two routers ask the store; the others hear of changes and confirmations from fellows

Change: the first two of the routers that are well, in an order all agree on, follow the store; news goes out at once to up to 64 fellows, which fetch it from the sender; one that hears no confirmation for 1.3 s asks the store itself.

--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -131,7 +131,8 @@
 	pr.budget = &retry.Window{Ratio: se.RetryRatio, Slack: se.RetrySlack, Span: se.RetrySpan, Routers: pr.fellows.Routers}
 	pr.reader = &feeds.Reader{Feed: pr.Platform, Mirror: pr.mirror, Rand: pr.rand, Log: pr.Logs.Part("feeds")}
 	pr.reader.Init()
-	pr.fellows.Starved = pr.reader.Starved
+	pr.reader.Leads, pr.reader.DoubtFor = pr.fellows.Leads, se.ReturnDelay+returnMargin
+	pr.fellows.Feed = pr.reader
 	pr.relay = &relay.Relay{
 		Dialect: pr.Platform.Dialect(), Self: se.Name, Placer: pr.placer, Budget: pr.budget, Conns: pr.pool,
 		Stats: pr.Stats, Latency: &pr.latency, Rand: pr.rand, Log: pr.Logs.Part("relay"),
--- a/io/entry/view.go
+++ b/io/entry/view.go
@@ -93,7 +93,7 @@
 	vi.mu.Lock()
 	defer vi.mu.Unlock()
 	delay := vi.pr.Settings.ReturnDelay + returnMargin
-	doubted := vi.pr.reader.Troubled(delay)
+	doubted := vi.pr.reader.Doubtful()
 	vi.log.Info("Endpoint's registration is gone.", zap.String("Endpoint", string(id)),
 		zap.Uint64("Rev", uint64(rev)), zap.Bool("Doubted", doubted))
 	if !doubted {
--- a/io/feeds/feeds.go
+++ b/io/feeds/feeds.go
@@ -4,19 +4,22 @@
 //
 // A Reader lists the store once, then waits for changes, again and again. Each
 // answer, also an empty one, confirms that what is believed was right a moment
-// ago. While the store turns this process away, the mirror is fed by others, and
-// the Reader goes on from what they brought.
+// ago. Only a few routers, the leaders, do so at a time: the others hear of changes
+// and confirmations from their fellows, so that the store's calls do not grow with
+// the routers. One that hears no confirmation for takeoverAfter asks the store
+// itself, whoever leads.
 //
 // # Invariants
 //
-//   - A wait without an answer ends after Wait and a little: a connection that
+//   - A wait without an answer ends after wait and answerTime: a connection that
 //     went silent is noticed within that time.
 //   - After a loss of history everything is listed anew, and what is missing from
 //     the listing counts as deleted.
 //
 // # Usage
 //
-//	rd := &feeds.Reader{Feed: feed, Mirror: mi, Rand: ra, Log: lo}
+//	rd := &feeds.Reader{Feed: feed, Mirror: mi, Rand: ra, Log: lo, Leads: gr.Leads}
+//	rd.Init()
 //	go rd.Run(ctx)
 //	age := rd.Age()
 package feeds
@@ -36,8 +39,8 @@
 
 const (
 	// wait is how long the store holds a call that has nothing to tell. Each call is
-	// paid for; a silent connection is noticed after this and answerTime.
-	wait = 1500 * time.Millisecond
+	// paid for; what is believed is confirmed this often.
+	wait = 600 * time.Millisecond
 	// answerTime is how long an answer may take beyond the wait: a slow store takes
 	// 60 times its usual 4 ms, for each page of a listing.
 	answerTime = 700 * time.Millisecond
@@ -46,9 +49,13 @@
 	// back at once; the store takes 2,000 calls a second.
 	firstPause = 60 * time.Millisecond
 	mostPause  = 400 * time.Millisecond
-	// starvedAfter is the age beyond which others are asked: a little more than the
-	// longest time between two answers of a store that is well.
-	starvedAfter = wait + 300*time.Millisecond
+	// takeoverAfter is the age beyond which a router that does not lead asks the
+	// store itself: a wait, and the time in which fellows tell of it.
+	takeoverAfter = 1300 * time.Millisecond
+	// restTick is how often a router that does not lead looks whether it has to.
+	restTick = 100 * time.Millisecond
+	// failingFor is how long a failed call counts.
+	failingFor = 3 * time.Second
 )
 
 // Reader follows the store. Set the exported fields before Run.
@@ -57,9 +64,15 @@
 	Mirror *mirror.Mirror
 	Rand   core.Rand
 	Log    *zap.Logger
+	// Leads tells whether this router is to ask the store.
+	Leads func() bool
+	// DoubtFor is how long after trouble with the store a missing registration is
+	// doubted.
+	DoubtFor time.Duration
 
 	confirmed atomic.Int64 // when an answer last came, in ns of the steady clock
-	troubled  atomic.Int64 // when a call last failed
+	failed    atomic.Int64 // when an own call last failed
+	doubted   atomic.Int64 // when the store was last in trouble, as seen here or told
 	began     time.Time
 }
 
@@ -71,27 +84,52 @@
 // Age is how long ago an answer last confirmed the mirror.
 func (rd *Reader) Age() time.Duration { return time.Duration(rd.now() - rd.confirmed.Load()) }
 
-// Starved tells whether the store has told nothing for too long, or refuses.
-func (rd *Reader) Starved() bool {
-	return rd.Age() > starvedAfter || rd.troubled.Load() > rd.confirmed.Load()
+// Confirm takes a fellow's word that the mirror was right that long ago.
+func (rd *Reader) Confirm(age time.Duration) {
+	raise(&rd.confirmed, rd.now()-int64(age))
 }
 
-// Troubled tells whether a call failed within the time given.
-func (rd *Reader) Troubled(within time.Duration) bool {
-	at := rd.troubled.Load()
-	return at > 0 && rd.now()-at < int64(within)
+// raise sets a time unless a later one is set.
+func raise(at *atomic.Int64, to int64) {
+	for {
+		old := at.Load()
+		if to <= old || at.CompareAndSwap(old, to) {
+			return
+		}
+	}
+}
+
+// Failing tells whether the own calls to the store fail.
+func (rd *Reader) Failing() bool {
+	at := rd.failed.Load()
+	return at > 0 && rd.now()-at < int64(failingFor)
+}
+
+// Doubtful tells whether the store was in trouble of late, so that registrations may
+// have lapsed that will be back.
+func (rd *Reader) Doubtful() bool {
+	at := rd.doubted.Load()
+	return at > 0 && rd.now()-at < int64(rd.DoubtFor)
 }
 
+// Doubt takes a fellow's word that the store is, or was, in trouble.
+func (rd *Reader) Doubt() { rd.doubted.Store(rd.now()) }
+
 // Run follows the store until ctx ends.
 func (rd *Reader) Run(ctx context.Context) error {
 	listed := false
 	pause := firstPause
 	lost := false
 	for ctx.Err() == nil {
+		if listed && !rd.Leads() && rd.Age() < takeoverAfter {
+			rest(ctx, restTick)
+			continue
+		}
 		err := rd.once(ctx, listed)
 		switch {
 		case err == nil:
-			rd.confirmed.Store(rd.now())
+			raise(&rd.confirmed, rd.now())
+			rd.failed.Store(0)
 			if lost || !listed {
 				rd.Log.Info("Follows the store.", zap.Uint64("AsOf", uint64(rd.Mirror.AsOf())))
 			}
@@ -104,7 +142,8 @@
 		case ctx.Err() != nil:
 			return nil
 		}
-		rd.troubled.Store(rd.now())
+		rd.failed.Store(rd.now())
+		rd.doubted.Store(rd.now())
 		if !lost {
 			rd.Log.Warn("Lost the store.", append(logs.Fields(err),
 				zap.Duration("Age", rd.Age()), zap.Uint64("AsOf", uint64(rd.Mirror.AsOf())))...)
@@ -118,7 +157,11 @@
 
 func (rd *Reader) sleep(ctx context.Context, pause time.Duration) {
 	const least = 0.5
-	timer := time.NewTimer(time.Duration(float64(pause) * (least + rd.Rand.Float64())))
+	rest(ctx, time.Duration(float64(pause)*(least+rd.Rand.Float64())))
+}
+
+func rest(ctx context.Context, pause time.Duration) {
+	timer := time.NewTimer(pause)
 	defer timer.Stop()
 	select {
 	case <-timer.C:
--- a/io/fellow/fellow.go
+++ b/io/fellow/fellow.go
@@ -29,6 +29,7 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/fxamacker/cbor/v2"
 	"go.uber.org/zap"
 
@@ -46,6 +47,13 @@
 	// datagrams; the budget of a node is 5 KB/s for all of control. With 26 routers
 	// each hears each every 0.4 s.
 	callsBytes = 3300
+	// newsTo is how many fellows are told at once that there is news of the store.
+	// Those tell others in turn: 420 routers hear of it in three rounds of a tick.
+	newsTo = 64
+	// leaders is how many routers ask the store; with two, one may end at any time.
+	// leadFor is how long one counts that is not heard.
+	leaders = 2
+	leadFor = time.Second
 	// introTicks is how often, in ticks, a router introduces itself to introTo
 	// fellows, with what it has heard from engines and whom it knows: some 600 bytes.
 	introTicks = 12
@@ -68,6 +76,11 @@
 	AsOf core.Version `cbor:"1,keyasint"`
 	// Calls are the own calls in progress, see place.Tell.
 	Calls []byte `cbor:"2,keyasint,omitempty"`
+	// AgeMs is how long ago the store confirmed AsOf. Failing is set if the sender's
+	// calls to the store fail, Doubtful if the store was in trouble of late.
+	AgeMs    uint32 `cbor:"8,keyasint,omitempty"`
+	Failing  bool   `cbor:"9,keyasint,omitempty"`
+	Doubtful bool   `cbor:"10,keyasint,omitempty"`
 	// Moves are chats placed away from their homes, see place.Moves.
 	Moves []byte `cbor:"7,keyasint,omitempty"`
 	// Leaving is set in the last messages of a process.
@@ -79,6 +92,19 @@
 	Readings []place.Reading `cbor:"6,keyasint,omitempty"`
 }
 
+// Feed is what a router knows of the store, and how old it is.
+type Feed interface {
+	// Age is how long ago what is known was confirmed; Confirm takes a fellow's word.
+	Age() time.Duration
+	Confirm(age time.Duration)
+	// Failing tells whether the own calls fail.
+	Failing() bool
+	// Doubtful tells whether the store was in trouble of late; Doubt takes a
+	// fellow's word.
+	Doubtful() bool
+	Doubt()
+}
+
 // Group is the routers that this one knows. Set the exported fields before use.
 type Group struct {
 	Self core.VMID
@@ -88,24 +114,28 @@
 	Placer *place.Placer
 	Rand   core.Rand
 	Log    *zap.Logger
-	// Starved tells whether the store has told nothing for too long, so that what
-	// fellows know is to be fetched from them.
-	Starved func() bool
+	// Feed is what this router knows of the store.
+	Feed Feed
 
 	mu      sync.Mutex // guards all below
 	members map[string]*member
 	fetched bool // a fetch is under way
 	ticks   int
+	// news is the latest revision that was told at once.
+	news core.Version
 }
 
 // member is a fellow, by its address.
 type member struct {
-	id      core.VMID
-	added   time.Time
-	heard   time.Time
-	told    time.Time
-	asOf    core.Version
-	leaving bool
+	id    core.VMID
+	added time.Time
+	heard time.Time
+	told  time.Time
+	asOf  core.Version
+	// confirmed is when the store confirmed asOf, as the fellow told.
+	confirmed time.Time
+	failing   bool
+	leaving   bool
 }
 
 // Add makes an address known.
@@ -151,6 +181,20 @@
 	return 1 + len(gr.members)
 }
 
+// Leads tells whether this router is one of those that ask the store: few of the
+// fellows that are well come before it in the order of their addresses' hashes.
+func (gr *Group) Leads() bool {
+	gr.mu.Lock()
+	defer gr.mu.Unlock()
+	now, own, before := time.Now(), xxhash.Sum64String(gr.Addr), 0
+	for addr, me := range gr.members {
+		if now.Sub(me.heard) < leadFor && !me.failing && !me.leaving && xxhash.Sum64String(addr) < own {
+			before++
+		}
+	}
+	return before < leaders
+}
+
 // Run exchanges messages until ctx ends.
 func (gr *Group) Run(ctx context.Context) error {
 	pc, err := net.ListenPacket("udp", gr.Addr)
@@ -212,7 +256,16 @@
 	if ms.From != "" {
 		me.id = ms.From
 	}
-	me.heard, me.asOf, me.leaving = now, ms.AsOf, ms.Leaving
+	me.heard, me.asOf, me.leaving, me.failing = now, ms.AsOf, ms.Leaving, ms.Failing
+	me.confirmed = now.Add(-time.Duration(ms.AgeMs) * time.Millisecond)
+	if ms.Doubtful && !ms.Failing {
+		// One that fails alone may itself be cut off; one that does not has it from
+		// the store.
+		gr.Feed.Doubt()
+	}
+	if ms.AsOf <= gr.Mirror.AsOf() {
+		gr.Feed.Confirm(now.Sub(me.confirmed))
+	}
 	for _, addr := range ms.Known {
 		gr.member(addr)
 	}
@@ -241,25 +294,40 @@
 // tellCalls tells fellows of the own calls, those first that were told longest ago,
 // as many as the bytes allow.
 func (gr *Group) tellCalls(pc net.PacketConn, now time.Time, leaving bool) {
-	ms := message{AsOf: gr.Mirror.AsOf(), Calls: gr.Placer.Tell(), Moves: gr.Placer.Moves(now), Leaving: leaving}
-	data, err := cbor.Marshal(&ms)
+	ms := gr.message(now)
+	ms.Leaving = leaving
+	data, err := cbor.Marshal(ms)
 	if err != nil {
 		gr.Log.Error("Encoding a message failed.", zap.Error(err))
 		return
 	}
 	allowed := max(1, int(callsBytes*tick.Seconds()/float64(len(data))))
-	for _, addr := range gr.due(now, allowed) {
+	gap := leastGap
+	if ms.AsOf > gr.news {
+		gr.news = ms.AsOf
+		allowed, gap = newsTo, 0
+	}
+	for _, addr := range gr.due(now, allowed, gap) {
 		gr.send(pc, addr, data)
 	}
 }
 
+// message holds what all messages do.
+func (gr *Group) message(now time.Time) *message {
+	return &message{
+		AsOf: gr.Mirror.AsOf(), AgeMs: uint32(max(0, gr.Feed.Age().Milliseconds())),
+		Failing: gr.Feed.Failing(), Doubtful: gr.Feed.Doubtful(),
+		Calls: gr.Placer.Tell(), Moves: gr.Placer.Moves(now),
+	}
+}
+
 // due are the fellows that are to be told now.
-func (gr *Group) due(now time.Time, most int) []string {
+func (gr *Group) due(now time.Time, most int, gap time.Duration) []string {
 	gr.mu.Lock()
 	defer gr.mu.Unlock()
 	var all []string
 	for addr, me := range gr.members {
-		if now.Sub(me.told) >= leastGap {
+		if now.Sub(me.told) >= gap {
 			all = append(all, addr)
 		}
 	}
@@ -277,14 +345,12 @@
 	if gr.ticks%introTicks != 1 {
 		return
 	}
-	ms := message{
-		AsOf: gr.Mirror.AsOf(), Calls: gr.Placer.Tell(), From: gr.Self,
-		Known: gr.some(mostNamed), Readings: gr.Placer.Readings(now),
-	}
-	data, err := cbor.Marshal(&ms)
+	ms := gr.message(now)
+	ms.From, ms.Known, ms.Readings = gr.Self, gr.some(mostNamed), gr.Placer.Readings(now)
+	data, err := cbor.Marshal(ms)
 	for err == nil && len(data) > mostDatagram && len(ms.Readings) > 0 {
 		ms.Readings = ms.Readings[:len(ms.Readings)/2]
-		data, err = cbor.Marshal(&ms)
+		data, err = cbor.Marshal(ms)
 	}
 	if err != nil {
 		gr.Log.Error("Encoding a message failed.", zap.Error(err))
--- a/io/fellow/items.go
+++ b/io/fellow/items.go
@@ -55,14 +55,13 @@
 	Transport: &http.Transport{DisableKeepAlives: true},
 }
 
-// catchUp fetches what the fellow that knows most knows beyond the own mirror,
-// while the store tells nothing.
+// catchUp fetches what the fellow that knows most knows beyond the own mirror.
 func (gr *Group) catchUp(ctx context.Context) {
-	if !gr.Starved() {
-		return
-	}
 	own := gr.Mirror.AsOf()
-	addr := gr.ahead(own)
+	if own == 0 && !gr.Feed.Failing() {
+		return // the own listing is under way
+	}
+	addr, confirmed := gr.ahead(own)
 	if addr == "" {
 		return
 	}
@@ -73,26 +72,28 @@
 		gr.mu.Unlock()
 		if err != nil {
 			gr.Log.Warn("Fetching news from a fellow failed.", zap.String("Addr", addr), zap.Error(err))
+			return
 		}
+		gr.Feed.Confirm(time.Since(confirmed))
 	}()
 }
 
-// ahead is the address of the fellow that knows the latest revision beyond own,
-// "" if none does or a fetch is under way.
-func (gr *Group) ahead(own core.Version) string {
+// ahead is the address of the fellow that knows the latest revision beyond own, and
+// when the store confirmed it; "" if none does or a fetch is under way.
+func (gr *Group) ahead(own core.Version) (string, time.Time) {
 	gr.mu.Lock()
 	defer gr.mu.Unlock()
 	if gr.fetched {
-		return ""
+		return "", time.Time{}
 	}
-	best, high := "", own
+	best, high, confirmed := "", own, time.Time{}
 	for addr, me := range gr.members {
 		if me.asOf > high && time.Since(me.heard) < liveFor {
-			best, high = addr, me.asOf
+			best, high, confirmed = addr, me.asOf, me.confirmed
 		}
 	}
 	gr.fetched = best != ""
-	return best
+	return best, confirmed
 }
 
 func (gr *Group) fetch(ctx context.Context, addr string, after core.Version) error {
