A request that crosses the close of its idle connection is not passed on

Ruled out: a stale read deadline, the route's timeout, the caller leaving. Change: the idle time is a read deadline, which loses against bytes that have arrived, and the relay sends nothing once the server has closed a connection. Also: a write deadline of an earlier answer no longer holds for the next.

--- a/io/conns/conns.go
+++ b/io/conns/conns.go
@@ -129,7 +129,10 @@
 		return nil, fmt.Errorf("connect to %s: %w", addr, err)
 	}
 	po.count(addr, 1)
-	return &Conn{Addr: addr, po: po, raw: raw, rd: bufio.NewReaderSize(raw, readBuffer), keep: idleDefault}, nil
+	return &Conn{
+		Addr: addr, po: po, raw: raw, rd: bufio.NewReaderSize(raw, readBuffer),
+		keep: idleDefault, until: time.Now().Add(idleDefault - idleMargin),
+	}, nil
 }
 
 func (po *Pool) count(addr string, by int) {
@@ -170,6 +173,11 @@
 		co.keep = told
 	}
 	co.until = time.Now().Add(co.keep - idleMargin)
+	po.PutUnused(co)
+}
+
+// PutUnused gives a connection back on which nothing was sent since Get.
+func (po *Pool) PutUnused(co *Conn) {
 	po.mu.Lock()
 	defer po.mu.Unlock()
 	if po.idle == nil {
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -88,7 +88,7 @@
 	reader  *feeds.Reader
 	fellows *fellow.Group
 	view    *view
-	idle    *idlers
+	idle    atomic.Int64 // how long callers may be idle, in ns
 	leaving atomic.Bool
 }
 
@@ -123,7 +123,7 @@
 	pr.log = pr.Logs.Part("entry")
 	pr.rand = clock.NewRand(clock.RandomSeed())
 	pr.pool = &conns.Pool{}
-	pr.idle = &idlers{limit: defaultIdle}
+	pr.idle.Store(int64(defaultIdle))
 	pr.mirror = &mirror.Mirror{}
 	pr.fellows = &fellow.Group{Self: se.Name, Addr: se.PeersAddr, Mirror: pr.mirror, Rand: pr.rand, Log: pr.Logs.Part("fellow")}
 	pr.placer = &place.Placer{Zone: se.Zone, Rand: pr.rand, CapFactor: se.CapFactor, Routers: pr.fellows.Routers}
@@ -186,7 +186,7 @@
 // tidyEvery is how often idle connections are looked at; their limits are seconds.
 const tidyEvery = 250 * time.Millisecond
 
-// tidy closes connections that were idle for too long.
+// tidy closes connections to endpoints that were idle for too long.
 func (pr *Process) tidy(ctx context.Context) error {
 	tick := time.NewTicker(tidyEvery)
 	defer tick.Stop()
@@ -196,7 +196,6 @@
 			return nil
 		case now := <-tick.C:
 			pr.pool.Tidy(now)
-			pr.idle.tidy(now)
 		}
 	}
 }
--- a/io/entry/serve.go
+++ b/io/entry/serve.go
@@ -5,7 +5,6 @@
 	"net"
 	"net/http"
 	"net/url"
-	"sync"
 	"syscall"
 	"time"
 
@@ -15,7 +14,6 @@
 	kratoshttp "github.com/go-kratos/kratos/v2/transport/http"
 	"go.uber.org/zap"
 
-	"almondrill/io/conns"
 	"almondrill/io/fellow"
 )
 
@@ -25,12 +23,6 @@
 	// headerTimeout is the longest that a caller may take for a head. The
 	// configuration's is shorter as a rule.
 	headerTimeout = 10 * time.Second
-	// defaultIdle is how long callers' connections may be idle while no
-	// configuration says otherwise.
-	defaultIdle = time.Minute
-	// callerTimeout is how long bytes to a caller may stay unacknowledged. A caller
-	// without power would otherwise hold an endpoint's place.
-	callerTimeout = 4 * time.Second
 	// stopMargin is the time between cutting what is still in progress and the end
 	// of DrainTimeout, for closing and the last log lines.
 	stopMargin = 400 * time.Millisecond
@@ -79,10 +71,13 @@
 		if err != nil {
 			return nil, err
 		}
+		if on.key == "CallersAddr" {
+			li = &callerListener{Listener: li, idle: &pr.idle}
+		}
 		srv := pr.httpServer(li, on.handler)
 		if on.key == "CallersAddr" {
-			srv.ConnState = pr.idle.changed
-			srv.ConnContext = boundUnacknowledged
+			srv.ConnContext = callerContext
+			srv.IdleTimeout = idleMark
 		}
 		servers = append(servers, srv)
 	}
@@ -102,18 +97,6 @@
 	return srv
 }
 
-// boundUnacknowledged makes writes to a caller that is gone without a word fail.
-func boundUnacknowledged(ctx context.Context, co net.Conn) context.Context {
-	sc, ok := co.(syscall.Conn)
-	if !ok {
-		return ctx
-	}
-	if rc, err := sc.SyscallConn(); err == nil {
-		_ = conns.SetUserTimeout(rc, callerTimeout) // without it the connection only ends later
-	}
-	return ctx
-}
-
 // beforeStop lets the balancer see that this router leaves, while it goes on
 // serving: callers keep their connections until an answer tells them to close.
 func (pr *Process) beforeStop(context.Context) error {
@@ -122,45 +105,3 @@
 	time.Sleep(pr.Settings.DrainDelay)
 	return nil
 }
-
-// idlers closes callers' connections that are idle for longer than the
-// configuration allows, which may change at any time.
-type idlers struct {
-	mu    sync.Mutex // guards all below
-	limit time.Duration
-	since map[net.Conn]time.Time
-}
-
-func (id *idlers) setLimit(limit time.Duration) {
-	id.mu.Lock()
-	defer id.mu.Unlock()
-	id.limit = limit
-}
-
-func (id *idlers) changed(co net.Conn, state http.ConnState) {
-	id.mu.Lock()
-	defer id.mu.Unlock()
-	if id.since == nil {
-		id.since = map[net.Conn]time.Time{}
-	}
-	if state == http.StateIdle {
-		id.since[co] = time.Now()
-		return
-	}
-	delete(id.since, co)
-}
-
-func (id *idlers) tidy(now time.Time) {
-	id.mu.Lock()
-	var over []net.Conn
-	for co, since := range id.since {
-		if now.Sub(since) > id.limit {
-			over = append(over, co)
-			delete(id.since, co)
-		}
-	}
-	id.mu.Unlock()
-	for _, co := range over {
-		_ = co.Close() // the caller is idle and loses nothing
-	}
-}
--- a/io/entry/view.go
+++ b/io/entry/view.go
@@ -57,7 +57,7 @@
 	}
 	vi.pr.relay.SetTable(ta)
 	if ta.Limits.IdleTimeout > 0 {
-		vi.pr.idle.setLimit(ta.Limits.IdleTimeout)
+		vi.pr.idle.Store(int64(ta.Limits.IdleTimeout))
 	}
 	routes, customers := ta.Counts()
 	vi.log.Info("Adopted a configuration.", zap.Uint64("Version", uint64(ta.Version)), zap.Uint64("Rev", uint64(rev)),
--- a/io/relay/attempt.go
+++ b/io/relay/attempt.go
@@ -51,6 +51,10 @@
 		return ex.fail(core.NotRun, core.ReasonEndpointDown, "connect", err), ex.blame(place.Unreached)
 	}
 	ex.co = co
+	if ex.rq.closed() {
+		ex.keepUnused()
+		return ex.fail(core.NotRun, core.ReasonCallerGone, "send", errClosed), place.Neutral
+	}
 	ex.rq.sends++
 	stop := context.AfterFunc(ctx, co.Interrupt)
 	defer stop()
@@ -145,6 +149,7 @@
 
 var (
 	errReplaced = errors.New("another endpoint has the address")
+	errClosed   = errors.New("the caller's connection was closed before the request was sent")
 	errNoStamp  = errors.New("the answer bears no stamp, or is encoded: it is not the endpoint's")
 )
 
@@ -204,6 +209,12 @@
 	ex.co = nil
 }
 
+// keepUnused gives a connection back on which nothing was sent.
+func (ex *exchange) keepUnused() {
+	ex.rq.re.Conns.PutUnused(ex.co)
+	ex.co = nil
+}
+
 // broken judges an exchange that broke off. Whatever was sent may have run.
 func (ex *exchange) broken(ctx context.Context, step string, err error) (*core.Refusal, place.Result) {
 	switch {
--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -120,6 +120,8 @@
 		re: re, wr: wr, hr: hr, began: time.Now(),
 		id: hr.Header.Get(re.Dialect.RequestID), control: http.NewResponseController(wr),
 	}
+	// A bound that an earlier answer on this connection had would cut this one.
+	_ = rq.control.SetWriteDeadline(time.Time{})
 	if re.Leaving() {
 		wr.Header().Set("Connection", "close")
 	}
@@ -132,6 +134,19 @@
 	rq.serve(ctx)
 }
 
+type closedKey struct{}
+
+// WithClosed lets requests of a connection ask whether the server has closed it.
+func WithClosed(ctx context.Context, closed func() bool) context.Context {
+	return context.WithValue(ctx, closedKey{}, closed)
+}
+
+// closed tells whether the caller's connection was closed on this side.
+func (rq *request) closed() bool {
+	closed, ok := rq.hr.Context().Value(closedKey{}).(func() bool)
+	return ok && closed()
+}
+
 // read finds out what is asked and reads the body.
 func (rq *request) read() *core.Refusal {
 	if rf := rq.find(); rf != nil {
--- a/io/relay/request.go
+++ b/io/relay/request.go
@@ -108,7 +108,7 @@
 
 // again tells whether another attempt does no harm and may help.
 func (rq *request) again(ctx context.Context, rf *core.Refusal, dials int) bool {
-	if ctx.Err() != nil || rq.hr.Context().Err() != nil || dials+1 >= mostDials {
+	if ctx.Err() != nil || rq.hr.Context().Err() != nil || rq.closed() || dials+1 >= mostDials {
 		return false
 	}
 	if rq.sends >= rq.route.MaxAttempts {
