--- /dev/null
+++ b/core/mirror/mirror_test.go
@@ -0,0 +1,79 @@
+package mirror_test
+
+import (
+	"fmt"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"almondrill/core"
+	"almondrill/core/mirror"
+)
+
+// A router that the store turns away is fed by two fellows, one of which lags. What
+// the lagging one brings last must not put an older configuration back in force.
+func TestNewsInAnyOrderNeverGoesBack(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		last := map[string]core.Version{}
+		mi := &mirror.Mirror{Changed: func(it core.Item) {
+			if it.Rev < last[it.Key] {
+				rt.Fatalf("%s went back from %d to %d", it.Key, last[it.Key], it.Rev)
+			}
+			last[it.Key] = it.Rev
+		}}
+		var asOf core.Version
+		for range rapid.IntRange(1, 40).Draw(rt, "messages") {
+			rev := core.Version(rapid.IntRange(1, 30).Draw(rt, "rev"))
+			it := core.Item{
+				Key: rapid.SampledFrom([]string{"x", "y", "z"}).Draw(rt, "key"),
+				Rev: rev, Deleted: rapid.Bool().Draw(rt, "deleted"),
+			}
+			if rapid.Bool().Draw(rt, "listing") {
+				mi.Replace([]core.Item{{Key: it.Key, Rev: rev}}, rev)
+			} else {
+				mi.Apply([]core.Item{it}, rev)
+			}
+			if now := mi.AsOf(); now < asOf {
+				rt.Fatalf("AsOf went back from %d to %d", asOf, now)
+			}
+			asOf = mi.AsOf()
+		}
+	})
+}
+
+// An endpoint ends while the store's history is dropped, so no deletion is told. The
+// listing that follows lacks its key, and that has to count as its end.
+func TestListingShowsUnseenDeletions(t *testing.T) {
+	var changed []core.Item
+	mi := &mirror.Mirror{Changed: func(it core.Item) { changed = append(changed, it) }}
+	mi.Apply([]core.Item{{Key: "a", Rev: 1}, {Key: "b", Rev: 2}, {Key: "c", Rev: 9}}, 9)
+	changed = nil
+	mi.Replace([]core.Item{{Key: "a", Rev: 1}}, 8)
+	if len(changed) != 1 || changed[0].Key != "b" || !changed[0].Deleted {
+		t.Errorf("changed: %+v, want the deletion of b alone: c came after the listing began", changed)
+	}
+	mi.Apply([]core.Item{{Key: "b", Rev: 2}}, 9)
+	if len(changed) != 1 {
+		t.Errorf("an old copy brought a deleted key back: %+v", changed)
+	}
+}
+
+func TestSinceTellsOnlyNews(t *testing.T) {
+	mi := &mirror.Mirror{}
+	mi.Apply([]core.Item{{Key: "a", Rev: 3}, {Key: "b", Rev: 5}, {Key: "c", Rev: 6, Deleted: true}}, 7)
+	news, asOf := mi.Since(3)
+	if len(news) != 2 || asOf != 7 {
+		t.Errorf("news %+v as of %d, want b and c as of 7", news, asOf)
+	}
+}
+
+// Endpoints come and go for weeks; the record of those that are gone stays bounded.
+func TestDeletionsAreForgottenInTime(t *testing.T) {
+	mi := &mirror.Mirror{}
+	for rev := core.Version(1); rev < 20000; rev++ {
+		mi.Apply([]core.Item{{Key: fmt.Sprint("e", rev), Rev: rev, Deleted: true}}, rev)
+	}
+	if news, _ := mi.Since(0); len(news) > 8192 {
+		t.Errorf("%d deletions are kept", len(news))
+	}
+}
--- /dev/null
+++ b/core/place/load_test.go
@@ -0,0 +1,174 @@
+package place_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"almondrill/core"
+	"almondrill/core/place"
+)
+
+// replay plays a load before routers that tell each other of their calls, on
+// virtual time.
+type replay struct {
+	routers []*place.Placer
+	count   int
+	calls   map[core.EndpointID]int
+	ending  map[int][]*place.Ticket // by step
+	step    int
+	// over counts placements beyond the cap, of placed ones; read the prompt tokens
+	// that an endpoint read though another had them, of those sent.
+	placed, over int
+	read, sent   core.Tokens
+	has          map[string]bool
+}
+
+const (
+	stepTime = 10 * time.Millisecond
+	// tellSteps is how often, in steps, each router is heard: 0.4 s, as with 26 routers.
+	tellSteps = 40
+)
+
+func newReplay(routers, endpoints int) *replay {
+	re := &replay{
+		count: endpoints, calls: map[core.EndpointID]int{}, ending: map[int][]*place.Ticket{}, has: map[string]bool{},
+	}
+	for ix := range routers {
+		pl := &place.Placer{Zone: "a", Rand: newRand(uint64(ix)), CapFactor: 2, Routers: func() int { return routers }}
+		register(pl, endpoints)
+		re.routers = append(re.routers, pl)
+	}
+	return re
+}
+
+func (re *replay) now() time.Time { return begin.Add(time.Duration(re.step) * stepTime) }
+
+// place sends one call through a router; it runs for so many steps.
+func (re *replay) place(t *testing.T, router int, parts []place.Part, steps int) {
+	t.Helper()
+	tk := pick(t, re.routers[router], re.now(), ask(parts))
+	total := 0
+	for _, calls := range re.calls {
+		total += calls
+	}
+	id := tk.Endpoint.ID
+	re.placed++
+	if float64(re.calls[id]+1) > 2*float64(total)/float64(re.count)+3 {
+		re.over++
+	}
+	re.calls[id]++
+	re.note(tk, parts)
+	re.ending[re.step+steps] = append(re.ending[re.step+steps], tk)
+}
+
+// note counts what the endpoint has to read, unless it fetches it from a holder.
+func (re *replay) note(tk *place.Ticket, parts []place.Part) {
+	for ix, pa := range parts[:len(parts)-1] {
+		re.sent += pa.Tokens
+		part := fmt.Sprint(ix, "/", parts[0].Hash, "/", pa.Hash, "/")
+		fetched := tk.FetchFrom != "" && re.has[part+tk.FetchFrom]
+		if re.has[part] && !re.has[part+tk.Endpoint.Addr] && !fetched {
+			re.read += pa.Tokens
+		}
+		re.has[part] = true
+		re.has[part+tk.Endpoint.Addr] = true
+	}
+}
+
+// tick ends the calls that are due, and lets some routers tell.
+func (re *replay) tick() {
+	re.step++
+	for _, tk := range re.ending[re.step] {
+		tk.Heard(re.now())
+		tk.Done(re.now(), place.Served)
+		re.calls[tk.Endpoint.ID]--
+	}
+	delete(re.ending, re.step)
+	for from, pl := range re.routers {
+		if (re.step+from)%tellSteps != 0 {
+			continue
+		}
+		for to, other := range re.routers {
+			if to != from {
+				other.Hear(re.now(), fmt.Sprint("router", from), pl.Tell())
+				other.HearMoves(pl.Moves(re.now()))
+			}
+		}
+	}
+}
+
+// Load comes at once, as when a stage starts: 26 routers before 47 engines, each with
+// a picture of its fellows' calls that is up to 0.4 s old. Popular chats share homes.
+// Callers whose home is hot would see tokens come late while other engines idle.
+func TestSurgeStaysWithinTheCap(t *testing.T) {
+	re := newReplay(26, 47)
+	ra := newRand(3)
+	for re.step < 500 {
+		// 300 long calls a second that run for 1.5 s, skewed towards some chats.
+		for range 3 {
+			id := uint64(ra.Float64() * ra.Float64() * 206)
+			re.place(t, ra.IntN(26), chat(id%3, id), 150)
+		}
+		re.tick()
+	}
+	if part := float64(re.over) / float64(re.placed); part > 0.03 {
+		t.Errorf("%.3f of %d calls went beyond the cap, want at most 0.03", part, re.placed)
+	}
+	if part := float64(re.read) / float64(re.sent); part > 0.05 {
+		t.Errorf("%.3f of the tokens that return were read anew, want at most 0.05", part)
+	}
+}
+
+// A tenth of a chat's fellows ask about one thing. Its home fills; the overflow goes
+// to the same few further homes from all routers, and fetches what the first has.
+func TestHotChatSpreadsToFewEndpoints(t *testing.T) {
+	re := newReplay(4, 12)
+	ra := newRand(4)
+	for re.step < 600 {
+		if re.step%2 == 0 {
+			id := uint64(ra.IntN(52))
+			if ra.Float64() < 0.28 {
+				id = 7
+			}
+			re.place(t, ra.IntN(4), chat(id%3, id), 150)
+		}
+		re.tick()
+	}
+	if part := float64(re.over) / float64(re.placed); part > 0.03 {
+		t.Errorf("%.3f of %d calls went beyond the cap", part, re.placed)
+	}
+	if part := float64(re.read) / float64(re.sent); part > 0.1 {
+		t.Errorf("%.3f of the tokens that return were read anew, want at most 0.1", part)
+	}
+}
+
+// Engines are replaced one after the other. Chats of those that leave are to be taken
+// over from them, not read anew.
+func TestReplacedEnginesHandTheirChatsOn(t *testing.T) {
+	re := newReplay(4, 12)
+	ra := newRand(5)
+	before := core.Tokens(0)
+	for re.step < 1500 {
+		if re.step == 700 {
+			before = re.read
+		}
+		if at := re.step - 700; at >= 0 && at%150 == 0 && at/150 < 4 {
+			for _, pl := range re.routers {
+				pl.Register(re.now(), endpoint(20+at/150))
+				leaving := endpoint(at / 150)
+				leaving.Draining = true
+				pl.Register(re.now(), leaving)
+			}
+		}
+		id := uint64(ra.IntN(52))
+		if re.step%4 == 0 {
+			re.place(t, ra.IntN(4), chat(id%3, id), 100)
+		}
+		re.tick()
+	}
+	// A third of the engines left; without a source, a third of 52 chats were read.
+	if anew := re.read - before; anew > 60000 {
+		t.Errorf("%d tokens were read anew, want at most 60,000 of some 180,000", anew)
+	}
+}
--- a/core/place/place.go
+++ b/core/place/place.go
@@ -136,6 +136,9 @@
 	// settledAfter is how long after an endpoint's coming prompts are still looked for
 	// where they were before: most return within it.
 	settledAfter = 10 * time.Second
+	// startTime is how long after the first endpoint others still count as there from
+	// the start: all register within a few heartbeats when a deployment begins.
+	startTime = 4 * time.Second
 	// leastHomes and homesPerRatio say among how many endpoints the homes lie of
 	// prompts that begin alike: half as many as the rest is longer than the
 	// beginning.
@@ -542,7 +545,7 @@
 	}
 	var before []*state
 	for _, st := range members {
-		settled := now.Sub(st.since) > settledAfter || st.since.Sub(pl.began) < settledAfter
+		settled := now.Sub(st.since) > settledAfter || st.since.Sub(pl.began) < startTime
 		if settled && !st.missing && !st.health.avoid(now, st.calls) {
 			before = append(before, st)
 		}
--- /dev/null
+++ b/core/place/place_test.go
@@ -0,0 +1,318 @@
+package place_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"almondrill/core"
+	"almondrill/core/place"
+)
+
+const pool = core.PoolID("chat")
+
+var begin = time.Unix(1_700_000_000, 0)
+
+type testRand struct{ *rand.Rand }
+
+func newRand(seed uint64) testRand { return testRand{rand.New(rand.NewPCG(seed, 1))} }
+
+func newPlacer(routers int) *place.Placer {
+	return &place.Placer{Zone: "a", Rand: newRand(1), CapFactor: 2, Routers: func() int { return routers }}
+}
+
+func endpoint(ix int) place.Endpoint {
+	return place.Endpoint{
+		ID: core.EndpointID(fmt.Sprintf("e%02d", ix)), Addr: fmt.Sprintf("10.0.0.%d:80", ix), Pool: pool, Zone: "a", Slots: 48,
+	}
+}
+
+func register(pl *place.Placer, count int) {
+	for ix := range count {
+		pl.Register(begin, endpoint(ix))
+	}
+}
+
+// chat is the prompt of a chat: a beginning that it shares, what it has said so far,
+// and the new turn.
+func chat(beginning, id uint64) []place.Part {
+	return []place.Part{{Hash: beginning, Tokens: 500}, {Hash: 1000 + id, Tokens: 10000}, {Hash: 1 << 40, Tokens: 1000}}
+}
+
+func ask(parts []place.Part) *place.Ask {
+	return &place.Ask{Pool: pool, Parts: parts, Engine: true, Memory: 400000, FetchPerMs: 1000, MaxConns: 300}
+}
+
+func pick(t *testing.T, pl *place.Placer, now time.Time, as *place.Ask) *place.Ticket {
+	t.Helper()
+	tk, re := pl.Pick(now, as)
+	if re != nil {
+		t.Fatal(re)
+	}
+	return tk
+}
+
+// serve places a call and ends it well.
+func serve(t *testing.T, pl *place.Placer, now time.Time, as *place.Ask) *place.Ticket {
+	t.Helper()
+	tk := pick(t, pl, now, as)
+	tk.Heard(now)
+	tk.Done(now, place.Served)
+	return tk
+}
+
+// An endpoint says that it drains, and a lagging copy of its registration says ready
+// once more. Callers whose request is sent there would see it cut when it exits.
+func TestDrainingEndpointGetsNothing(t *testing.T) {
+	pl := newPlacer(1)
+	register(pl, 2)
+	leaving := endpoint(0)
+	leaving.Draining = true
+	pl.Register(begin, leaving)
+	pl.Register(begin, endpoint(0))
+	for id := range uint64(50) {
+		if tk := serve(t, pl, begin, ask(chat(1, id))); tk.Endpoint.ID == "e00" {
+			t.Fatal("a draining endpoint was picked")
+		}
+	}
+	pl.Remove("e01")
+	if _, re := pl.Pick(begin, ask(chat(1, 1))); re == nil || re.Outcome != core.NotRun || re.RetryAfter <= 0 {
+		t.Errorf("with only a draining endpoint: %v, want a refusal with a time to return", re)
+	}
+}
+
+// The store was away and the registrations of some endpoints lapsed; one of them has
+// really left. Requests sent to it come back refused or late. Where all registrations
+// lapsed, the pool would seem empty and everything would be refused.
+func TestMissingRegistrationIsAvoidedButNotThePool(t *testing.T) {
+	pl := newPlacer(1)
+	register(pl, 3)
+	pl.Doubt("e00")
+	for id := range uint64(50) {
+		if tk := serve(t, pl, begin, ask(chat(1, id))); tk.Endpoint.ID == "e00" {
+			t.Fatal("an endpoint whose registration is missing was picked while others are there")
+		}
+	}
+	pl.Doubt("e01")
+	pl.Doubt("e02")
+	serve(t, pl, begin, ask(chat(1, 1)))
+	pl.Register(begin, endpoint(2))
+	for id := range uint64(50) {
+		if tk := serve(t, pl, begin, ask(chat(1, id))); tk.Endpoint.ID != "e02" {
+			t.Fatal("the endpoint that is back was not preferred")
+		}
+	}
+}
+
+// A machine loses power: its connections stay open and nothing comes any more. Each
+// request sent there is lost after seconds, so no more are to follow the first ones.
+func TestSilentEndpointIsLeftAlone(t *testing.T) {
+	pl := newPlacer(1)
+	register(pl, 3)
+	stuck := pick(t, pl, begin, ask(chat(1, 7)))
+	now := begin.Add(1200 * time.Millisecond)
+	for id := range uint64(30) {
+		if tk := serve(t, pl, now, ask(chat(1, id))); tk.Endpoint.ID == stuck.Endpoint.ID {
+			t.Fatal("an endpoint that is silent with a call in progress was picked")
+		}
+	}
+	stuck.Heard(now)
+	back := 0
+	for id := range uint64(30) {
+		if tk := serve(t, pl, now, ask(chat(2, 100+id))); tk.Endpoint.ID == stuck.Endpoint.ID {
+			back++
+		}
+	}
+	if back == 0 {
+		t.Error("an endpoint that was heard again gets nothing")
+	}
+}
+
+// An endpoint refuses connections while it restarts. It is tried again after a pause
+// that grows, by one call at a time.
+func TestUnreachableEndpointIsTriedWithCare(t *testing.T) {
+	pl := newPlacer(1)
+	register(pl, 2)
+	home := pick(t, pl, begin, ask(chat(1, 7)))
+	home.Done(begin, place.Unreached)
+	other := serve(t, pl, begin.Add(100*time.Millisecond), ask(chat(1, 7)))
+	if other.Endpoint.ID == home.Endpoint.ID {
+		t.Fatal("picked again at once")
+	}
+	later := begin.Add(10 * time.Second)
+	trials := 0
+	for id := range uint64(15) {
+		if tk := pick(t, pl, later, ask(chat(2, id))); tk.Endpoint.ID == home.Endpoint.ID {
+			trials++
+		}
+	}
+	if trials > 1 {
+		t.Errorf("%d calls at a time were sent to an endpoint that may still be down", trials)
+	}
+}
+
+// One endpoint fails 45 of 100 requests while its health check is good. Callers see
+// failures until others get its work; if all endpoints fail alike, none is better.
+func TestFailingEndpointIsAvoidedUnlessAllFail(t *testing.T) {
+	share := func(failing int) float64 {
+		pl := newPlacer(1)
+		register(pl, 4)
+		now, at := begin, 0
+		const calls = 400
+		for id := range uint64(calls) {
+			now = now.Add(10 * time.Millisecond)
+			tk := pick(t, pl, now, ask(chat(id%8, id%60)))
+			bad := place.Served
+			if tk.Endpoint.ID == "e00" {
+				at++
+			}
+			if tk.Endpoint.ID < core.EndpointID(fmt.Sprintf("e%02d", failing)) && id%2 == 0 {
+				bad = place.Failed
+			}
+			tk.Heard(now)
+			tk.Done(now, bad)
+		}
+		return float64(at) / calls
+	}
+	if got := share(1); got > 0.1 {
+		t.Errorf("the failing endpoint got %.2f of the calls", got)
+	}
+	if got := share(4); got < 0.1 {
+		t.Errorf("where all fail, one got only %.2f of the calls", got)
+	}
+}
+
+// Routers that never talked send a returning chat to the same endpoint; when an
+// endpoint joins, only its own part of the chats gets another home.
+func TestRoutersAgreeOnHomes(t *testing.T) {
+	one, two := newPlacer(2), newPlacer(2)
+	register(one, 12)
+	register(two, 12)
+	homes := map[uint64]core.EndpointID{}
+	for id := range uint64(200) {
+		homes[id] = serve(t, one, begin, ask(chat(id%3, id))).Endpoint.ID
+		if got := serve(t, two, begin, ask(chat(id%3, id))).Endpoint.ID; got != homes[id] {
+			t.Errorf("chat %d: %s and %s", id, homes[id], got)
+		}
+	}
+	fresh := newPlacer(2)
+	register(fresh, 13)
+	moved := 0
+	for id, home := range homes {
+		if serve(t, fresh, begin, ask(chat(id%3, id))).Endpoint.ID != home {
+			moved++
+		}
+	}
+	if moved > 40 {
+		t.Errorf("%d of 200 homes moved when a thirteenth endpoint came", moved)
+	}
+}
+
+// A chat's home leaves. The next endpoint is to take its context over from there,
+// which takes some 10 ms, instead of reading 10,000 tokens anew, which takes 86.
+func TestMovedChatNamesWhoHoldsIt(t *testing.T) {
+	pl := newPlacer(1)
+	register(pl, 6)
+	home := serve(t, pl, begin, ask(chat(1, 7)))
+	leaving := home.Endpoint
+	leaving.Draining = true
+	pl.Register(begin, leaving)
+	next := serve(t, pl, begin, ask(chat(1, 7)))
+	if next.FetchFrom != home.Endpoint.Addr || next.Fetched == 0 {
+		t.Errorf("fetches %d tokens from %q, want the context from %s", next.Fetched, next.FetchFrom, home.Endpoint.Addr)
+	}
+	as := ask(chat(1, 7))
+	as.FetchPerMs = 0
+	if tk := serve(t, pl, begin, as); tk.FetchFrom != "" {
+		t.Error("a source is named though engines of the pool hand nothing on")
+	}
+}
+
+// A router has seen a beginning that many chats share at one endpoint, and never the
+// chat itself, which a fellow has moved to another. The record of the beginning must
+// not hide where the chat is.
+func TestBeginningDoesNotHideTheChat(t *testing.T) {
+	one, two := newPlacer(2), newPlacer(2)
+	register(one, 6)
+	register(two, 6)
+	serve(t, two, begin, ask([]place.Part{{Hash: 1, Tokens: 500}, {Hash: 5, Tokens: 10}}))
+	home := serve(t, one, begin, ask(chat(1, 7))).Endpoint
+	as := ask(chat(1, 7))
+	as.Tried = []core.EndpointID{home.ID}
+	moved := serve(t, one, begin, as)
+	two.HearMoves(one.Moves(begin))
+	gone := home
+	gone.Draining = true
+	two.Register(begin, gone)
+	two.Remove(home.ID)
+	tk := serve(t, two, begin, ask(chat(1, 7)))
+	if tk.Endpoint.ID != moved.Endpoint.ID && tk.FetchFrom != moved.Endpoint.Addr {
+		t.Errorf("went to %s, fetching from %q; the chat is at %s", tk.Endpoint.ID, tk.FetchFrom, moved.Endpoint.Addr)
+	}
+}
+
+// An engine counts its calls in each answer; the count is brought forward by the own
+// calls since, and passed on to fellows with its age.
+func TestReadingsTravelAndAge(t *testing.T) {
+	one, two := newPlacer(2), newPlacer(2)
+	register(one, 1)
+	register(two, 1)
+	tk := pick(t, one, begin, ask(chat(1, 1)))
+	tk.Counted(begin, 9)
+	two.HearReadings(begin.Add(100*time.Millisecond), time.Millisecond, one.Readings(begin.Add(100*time.Millisecond)))
+	own := pick(t, two, begin.Add(200*time.Millisecond), ask(chat(1, 2)))
+	if own.Calls != 0 || own.Fellows != 9 {
+		t.Errorf("own %d, others %d; want 0 and the 9 that the engine counted", own.Calls, own.Fellows)
+	}
+	next := pick(t, two, begin.Add(200*time.Millisecond), ask(chat(1, 3)))
+	if next.Calls != 1 || next.Fellows != 9 {
+		t.Errorf("own %d, others %d; want 1 and 9", next.Calls, next.Fellows)
+	}
+	old := pick(t, two, begin.Add(5*time.Second), ask(chat(1, 4)))
+	if old.Fellows != 0 {
+		t.Errorf("a count of 5 s ago is still believed: %d", old.Fellows)
+	}
+}
+
+// A fellow's word counts for two seconds; a router that was killed does not seem to
+// hold its calls for ever.
+func TestFellowsWordExpires(t *testing.T) {
+	one, two := newPlacer(2), newPlacer(2)
+	register(one, 1)
+	register(two, 1)
+	for id := range uint64(3) {
+		pick(t, one, begin, ask(chat(1, id)))
+	}
+	two.Hear(begin, "10.0.0.1:7000", one.Tell())
+	if tk := pick(t, two, begin, ask(chat(1, 1))); tk.Fellows != 3 {
+		t.Errorf("told %d, want 3", tk.Fellows)
+	}
+	if tk := pick(t, two, begin.Add(3*time.Second), ask(chat(1, 1))); tk.Fellows != 0 {
+		t.Errorf("after 3 s still %d", tk.Fellows)
+	}
+}
+
+// A full endpoint refuses; it is passed over for a moment, and where all are full the
+// caller is told when to return.
+func TestFullEndpointIsPassedOver(t *testing.T) {
+	pl := newPlacer(1)
+	register(pl, 1)
+	pick(t, pl, begin, ask(chat(1, 1))).Done(begin, place.Full)
+	_, re := pl.Pick(begin, ask(chat(1, 1)))
+	if re == nil || re.Reason != core.ReasonLoadCap || re.RetryAfter <= 0 {
+		t.Fatalf("%v, want a refusal for the load with a time to return", re)
+	}
+	serve(t, pl, begin.Add(time.Second), ask(chat(1, 1)))
+}
+
+func TestConnectionsAreShared(t *testing.T) {
+	pl := newPlacer(4)
+	register(pl, 1)
+	as := &place.Ask{Pool: pool, MaxConns: 8}
+	pick(t, pl, begin, as)
+	pick(t, pl, begin, as)
+	if _, re := pl.Pick(begin, as); re == nil {
+		t.Error("a third connection was taken of 8 that four routers share")
+	}
+}
