A mirror gives whoever may lack a deletion everything it has

The endpoint's registration was removed while a router restarted; its first listing lacked the key, so it knew of no deletion, and a fellow one revision behind took its news for complete. Ruled out: the watch, the doubt of missing registrations. Change: a mirror knows from which revision on it has all deletions; for those behind it, it gives everything, to replace what they have. Test: two in core/mirror, the first seen failing without the guard.

--- a/core/mirror/mirror.go
+++ b/core/mirror/mirror.go
@@ -41,6 +41,8 @@
 	// gone are the deleted keys in the order of their deletion.
 	gone []string
 	asOf core.Version
+	// from is the revision from which on all deletions are known.
+	from core.Version
 }
 
 // AsOf is the revision up to which nothing is missing; 0 if nothing is known.
@@ -75,6 +77,9 @@
 			mi.take(core.Item{Key: key, Rev: asOf, Deleted: true})
 		}
 	}
+	if mi.asOf == 0 {
+		mi.from = asOf
+	}
 	mi.asOf = max(mi.asOf, asOf)
 }
 
@@ -101,22 +106,26 @@
 // forget drops the oldest deletions once there are too many.
 func (mi *Mirror) forget() {
 	for len(mi.gone) > mostDeleted {
-		if mi.items[mi.gone[0]].Deleted {
-			delete(mi.items, mi.gone[0])
+		if it := mi.items[mi.gone[0]]; it.Deleted {
+			delete(mi.items, it.Key)
+			mi.from = max(mi.from, it.Rev)
 		}
 		mi.gone = mi.gone[1:]
 	}
 }
 
 // Since is everything newer than rev, with the revision up to which it is complete.
-func (mi *Mirror) Since(rev core.Version) ([]core.Item, core.Version) {
+// Deletions before this mirror's first listing, and those that were forgotten, are
+// not known here: to whoever lacks them it gives everything there is, whole, which
+// is to be taken with Replace.
+func (mi *Mirror) Since(rev core.Version) (news []core.Item, asOf core.Version, whole bool) {
 	mi.mu.Lock()
 	defer mi.mu.Unlock()
-	var news []core.Item
+	whole = rev < mi.from
 	for _, it := range mi.items {
-		if it.Rev > rev {
+		if it.Rev > rev && !whole || whole && !it.Deleted {
 			news = append(news, it)
 		}
 	}
-	return news, mi.asOf
+	return news, mi.asOf, whole
 }
--- a/core/mirror/mirror_test.go
+++ b/core/mirror/mirror_test.go
@@ -61,7 +61,7 @@
 func TestSinceTellsOnlyNews(t *testing.T) {
 	mi := &mirror.Mirror{}
 	mi.Apply([]core.Item{{Key: "a", Rev: 3}, {Key: "b", Rev: 5}, {Key: "c", Rev: 6, Deleted: true}}, 7)
-	news, asOf := mi.Since(3)
+	news, asOf, _ := mi.Since(3)
 	if len(news) != 2 || asOf != 7 {
 		t.Errorf("news %+v as of %d, want b and c as of 7", news, asOf)
 	}
@@ -73,7 +73,97 @@
 	for rev := core.Version(1); rev < 20000; rev++ {
 		mi.Apply([]core.Item{{Key: fmt.Sprint("e", rev), Rev: rev, Deleted: true}}, rev)
 	}
-	if news, _ := mi.Since(0); len(news) > 8192 {
+	if news, _, _ := mi.Since(0); len(news) > 8192 {
 		t.Errorf("%d deletions are kept", len(news))
 	}
 }
+
+// A router restarts and lists the store just after an endpoint has left without a
+// word. A fellow that is one revision behind asks it for news: the deletion has to be
+// among it, or that fellow sends requests to the endpoint until it exits.
+func TestFreshMirrorTellsDeletionsItNeverSaw(t *testing.T) {
+	before := []core.Item{{Key: "a", Rev: 1}, {Key: "b", Rev: 2}}
+	behind := &mirror.Mirror{}
+	behind.Replace(before, 23)
+	fresh := &mirror.Mirror{}
+	fresh.Replace(before[:1], 24)
+	copyNews(fresh, behind)
+	for _, it := range items(behind) {
+		if it.Key == "b" && !it.Deleted {
+			t.Error("the fellow still has what was deleted")
+		}
+	}
+	if behind.AsOf() != 24 {
+		t.Errorf("as of %d, want 24", behind.AsOf())
+	}
+}
+
+// Whoever asks whom in which order, all mirrors that end at one revision hold the same.
+func TestMirrorsThatCopyFromEachOtherAgree(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		store := &mirror.Mirror{}
+		store.Replace(nil, 0)
+		mirrors := make([]*mirror.Mirror, 4)
+		for ix := range mirrors {
+			mirrors[ix] = &mirror.Mirror{}
+		}
+		rev := core.Version(0)
+		for range rapid.IntRange(1, 60).Draw(rt, "steps") {
+			ix := rapid.IntRange(0, 3).Draw(rt, "mirror")
+			switch rapid.IntRange(0, 4).Draw(rt, "what") {
+			case 0, 1:
+				rev++
+				key := rapid.SampledFrom([]string{"x", "y", "z"}).Draw(rt, "key")
+				store.Apply([]core.Item{{Key: key, Rev: rev, Deleted: rapid.Bool().Draw(rt, "deleted")}}, rev)
+			case 2:
+				mirrors[ix].Replace(live(store), rev)
+			case 3:
+				mirrors[ix] = &mirror.Mirror{} // a restart
+			case 4:
+				copyNews(mirrors[(ix+1)%4], mirrors[ix])
+			}
+		}
+		want := fmt.Sprint(keys(store))
+		for _, mi := range mirrors {
+			if mi.AsOf() == rev && rev > 0 && fmt.Sprint(keys(mi)) != want {
+				rt.Fatalf("holds %v, the store %v", keys(mi), want)
+			}
+		}
+	})
+}
+
+// copyNews brings a mirror up to date from another, as routers do.
+func copyNews(from, to *mirror.Mirror) {
+	if from.AsOf() <= to.AsOf() {
+		return
+	}
+	news, asOf, whole := from.Since(to.AsOf())
+	if whole {
+		to.Replace(news, asOf)
+		return
+	}
+	to.Apply(news, asOf)
+}
+
+func items(mi *mirror.Mirror) []core.Item {
+	all, _, _ := mi.Since(0)
+	return all
+}
+
+func live(mi *mirror.Mirror) []core.Item {
+	var out []core.Item
+	for _, it := range items(mi) {
+		if !it.Deleted {
+			out = append(out, it)
+		}
+	}
+	return out
+}
+
+func keys(mi *mirror.Mirror) map[string]core.Version {
+	out := map[string]core.Version{}
+	for _, it := range live(mi) {
+		out[it.Key] = it.Rev
+	}
+	return out
+}
--- a/io/fellow/items.go
+++ b/io/fellow/items.go
@@ -30,6 +30,8 @@
 type items struct {
 	AsOf  core.Version `cbor:"1,keyasint"`
 	Items []core.Item  `cbor:"2,keyasint"`
+	// Whole is set if Items are all there are: what is not among them is deleted.
+	Whole bool `cbor:"3,keyasint,omitempty"`
 }
 
 // Handler tells what this router knows of the store.
@@ -40,8 +42,8 @@
 			http.Error(wr, "After is not a revision: "+hr.URL.Query().Get("After"), http.StatusBadRequest)
 			return
 		}
-		news, asOf := gr.Mirror.Since(core.Version(after))
-		data, err := cbor.Marshal(&items{AsOf: asOf, Items: news})
+		news, asOf, whole := gr.Mirror.Since(core.Version(after))
+		data, err := cbor.Marshal(&items{AsOf: asOf, Items: news, Whole: whole})
 		if err != nil {
 			http.Error(wr, err.Error(), http.StatusInternalServerError)
 			return
@@ -118,8 +120,12 @@
 	if err = cbor.Unmarshal(data, &its); err != nil {
 		return fmt.Errorf("decode a fellow's items: %w", err)
 	}
-	gr.Mirror.Apply(its.Items, its.AsOf)
-	gr.Log.Info("Learned from a fellow.", zap.String("Addr", addr), zap.Int("Items", len(its.Items)),
+	if its.Whole {
+		gr.Mirror.Replace(its.Items, its.AsOf)
+	} else {
+		gr.Mirror.Apply(its.Items, its.AsOf)
+	}
+	gr.Log.Info("Learned from a fellow.", zap.String("Addr", addr), zap.Int("Items", len(its.Items)), zap.Bool("Whole", its.Whole),
 		zap.Uint64("After", uint64(after)), zap.Uint64("AsOf", uint64(its.AsOf)))
 	return nil
 }
--- /dev/null
+++ b/io/relay/harness_test.go
@@ -0,0 +1,220 @@
+package relay_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"almondrill/core"
+	"almondrill/core/place"
+	"almondrill/core/retry"
+	"almondrill/core/route"
+	"almondrill/io/clock"
+	"almondrill/io/conns"
+	"almondrill/io/relay"
+	"almondrill/io/stats"
+)
+
+// dialect has names of its own, so that the tests hold whatever a platform's are.
+var dialect = relay.Dialect{
+	RequestID: "X-Id", Deadline: "X-Wait", Key: "X-Key", Customer: "X-Customer", Expect: "X-Expect",
+	NotRun: "X-Not-Run", Stamp: "X-Stamp", Rank: "X-Rank", MostRank: 9, Resume: "Last-Event-Id", Fetch: "X-Fetch",
+	Private: []string{"X-Key", "X-Customer", "X-Expect", "X-Rank", "X-Fetch", "X-Secret"},
+	Prompt:  func(http.Header) []place.Part { return nil },
+	Calls:   func(http.Header) (int, bool) { return 0, false },
+}
+
+// seen is a request as an endpoint got it.
+type seen struct {
+	at     int // which endpoint
+	head   *http.Request
+	body   string
+	closed chan struct{} // closed when the router closes the connection
+}
+
+// fleet is a router before scripted endpoints.
+type fleet struct {
+	t      *testing.T
+	re     *relay.Relay
+	front  *httptest.Server
+	addrs  []string
+	age    time.Duration
+	leaves bool
+
+	mu  sync.Mutex // guards got
+	got []*seen
+}
+
+// script answers a request of an endpoint by writing to the connection; it returns
+// false to close it.
+type script func(se *seen, co net.Conn) bool
+
+// whole is a well-formed answer of an endpoint.
+func whole(se *seen, status int, body string) string {
+	return fmt.Sprintf("HTTP/1.1 %d X\r\nX-Id: %s\r\nX-Stamp: s%d\r\nContent-Length: %d\r\n\r\n%s",
+		status, se.head.Header.Get("X-Id"), se.at, len(body), body)
+}
+
+func say(text func(se *seen) string) script {
+	return func(se *seen, co net.Conn) bool {
+		_, _ = io.WriteString(co, text(se))
+		return true
+	}
+}
+
+func answer(status int, body string) script {
+	return say(func(se *seen) string { return whole(se, status, body) })
+}
+
+// newFleet starts a router before endpoints with these scripts, all of one pool.
+func newFleet(t *testing.T, scripts ...script) *fleet {
+	t.Helper()
+	fl := &fleet{t: t}
+	ra := clock.NewRand(1)
+	one := func() int { return 1 }
+	fl.re = &relay.Relay{
+		Dialect: dialect, Self: "router", Conns: &conns.Pool{}, Stats: stats.New(), Latency: &stats.Latency{}, Rand: ra, Log: zap.NewNop(),
+		Placer:  &place.Placer{Zone: "a", Rand: ra, Routers: one},
+		Budget:  &retry.Window{Ratio: 0.2, Slack: 200, Span: 10 * time.Second, Routers: one},
+		Age:     func() time.Duration { return fl.age },
+		Leaving: func() bool { return fl.leaves },
+	}
+	for ix, sc := range scripts {
+		addr := fl.endpoint(ix, sc)
+		fl.addrs = append(fl.addrs, addr)
+		fl.re.Placer.Register(time.Now(), place.Endpoint{
+			ID: core.EndpointID(fmt.Sprint("e", ix)), Addr: addr, Pool: "pool", Zone: "a", Slots: 8,
+		})
+	}
+	fl.front = httptest.NewServer(fl.re)
+	t.Cleanup(fl.front.Close)
+	return fl
+}
+
+func (fl *fleet) endpoint(ix int, sc script) string {
+	li, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		fl.t.Fatal(err)
+	}
+	fl.t.Cleanup(func() { _ = li.Close() })
+	go func() {
+		for {
+			co, err := li.Accept()
+			if err != nil {
+				return
+			}
+			go fl.answer(ix, sc, co)
+		}
+	}()
+	return li.Addr().String()
+}
+
+func (fl *fleet) answer(ix int, sc script, co net.Conn) {
+	defer co.Close()
+	for se := range fl.read(ix, co) {
+		if !sc(se, co) {
+			return
+		}
+	}
+}
+
+// read takes the requests of a connection, and notices when it is closed.
+func (fl *fleet) read(ix int, co net.Conn) <-chan *seen {
+	requests := make(chan *seen, 1)
+	go func() {
+		defer close(requests)
+		rd := bufio.NewReader(co)
+		closed := make(chan struct{})
+		for {
+			rq, err := http.ReadRequest(rd)
+			var body []byte
+			if err == nil {
+				body, err = io.ReadAll(rq.Body)
+			}
+			if err != nil {
+				close(closed)
+				return
+			}
+			closed = make(chan struct{})
+			se := &seen{at: ix, head: rq, body: string(body), closed: closed}
+			fl.mu.Lock()
+			fl.got = append(fl.got, se)
+			fl.mu.Unlock()
+			requests <- se
+		}
+	}()
+	return requests
+}
+
+func (fl *fleet) requests() []*seen {
+	fl.mu.Lock()
+	defer fl.mu.Unlock()
+	return append([]*seen(nil), fl.got...)
+}
+
+// serve puts a configuration in force with the route at /.
+func (fl *fleet) serve(ro route.Route) *fleet {
+	fl.t.Helper()
+	ro.Name, ro.Host, ro.Prefix = "r", "127.0.0.1", "/r/"
+	if ro.Timeout == 0 {
+		ro.Timeout = 3 * time.Second
+	}
+	ro.MaxAttempts = max(1, ro.MaxAttempts)
+	ro.Split = []route.Share{{Pool: "pool", Weight: 1}}
+	ta, err := route.Compile(&route.Document{
+		Version: 1, Routes: []route.Route{ro}, Pools: []route.Pool{{ID: "pool"}},
+		Keyed: true, Keys: map[string]core.CustomerID{"k": "herb"}, Limits: route.Limits{MaxBody: 1 << 20},
+	})
+	if err != nil {
+		fl.t.Fatal(err)
+	}
+	fl.re.SetTable(ta)
+	return fl
+}
+
+// call sends a request of the customer's.
+func (fl *fleet) call(method, path, body string, header ...string) (*http.Response, string, error) {
+	fl.t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	fl.t.Cleanup(cancel)
+	rq, err := http.NewRequestWithContext(ctx, method, fl.front.URL+path, strings.NewReader(body))
+	if err != nil {
+		fl.t.Fatal(err)
+	}
+	rq.Header.Set("X-Key", "k")
+	rq.Header.Set("X-Id", "id-1")
+	for ix := 0; ix+1 < len(header); ix += 2 {
+		rq.Header.Set(header[ix], header[ix+1])
+	}
+	rs, err := http.DefaultTransport.RoundTrip(rq)
+	if err != nil {
+		return nil, "", err
+	}
+	defer rs.Body.Close()
+	data, err := io.ReadAll(rs.Body)
+	return rs, string(data), err
+}
+
+// expect checks a call's status, and how many requests reached endpoints.
+func (fl *fleet) expect(rs *http.Response, err error, status, requests int) {
+	fl.t.Helper()
+	if err != nil {
+		fl.t.Fatal(err)
+	}
+	if rs.StatusCode != status {
+		fl.t.Errorf("status %d, want %d", rs.StatusCode, status)
+	}
+	if got := len(fl.requests()); got != requests {
+		fl.t.Errorf("%d requests reached endpoints, want %d", got, requests)
+	}
+}
--- /dev/null
+++ b/io/relay/stream_test.go
@@ -0,0 +1,203 @@
+package relay_test
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"almondrill/core/route"
+)
+
+var (
+	stream    = route.Route{Kind: route.Stream, MaxAttempts: 2, GapGoal: 100 * time.Millisecond}
+	resumable = route.Route{Kind: route.Stream, MaxAttempts: 2, GapGoal: 100 * time.Millisecond, Resumable: true}
+)
+
+// events writes a stream's head and some of its events in chunks.
+func events(se *seen, co net.Conn, from, to int) {
+	_, _ = fmt.Fprintf(co, "HTTP/1.1 200 OK\r\nX-Id: id-1\r\nX-Stamp: s%d\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", se.at)
+	for id := from; id <= to; id++ {
+		chunk(co, fmt.Sprintf("id: %d\ndata: token %d\n\n", id, id))
+	}
+}
+
+func chunk(co net.Conn, text string) { _, _ = fmt.Fprintf(co, "%x\r\n%s\r\n", len(text), text) }
+
+func end(co net.Conn) { _, _ = io.WriteString(co, "0\r\n\r\n") }
+
+func all(from, to int) string {
+	var out strings.Builder
+	for id := from; id <= to; id++ {
+		fmt.Fprintf(&out, "id: %d\ndata: token %d\n\n", id, id)
+	}
+	return out.String()
+}
+
+func TestStreamArrivesWhole(t *testing.T) {
+	fl := newFleet(t, func(se *seen, co net.Conn) bool {
+		events(se, co, 1, 50)
+		end(co)
+		return true
+	}).serve(stream)
+	for range 3 {
+		_, body, err := fl.call("POST", "/r/x", "hello")
+		if err != nil || body != all(1, 50) {
+			t.Fatalf("%q %v", body, err)
+		}
+	}
+}
+
+// Events are to reach the caller as they are made, not when the answer is over.
+func TestEventsArriveAsTheyAreMade(t *testing.T) {
+	next := make(chan struct{})
+	fl := newFleet(t, func(se *seen, co net.Conn) bool {
+		events(se, co, 1, 1)
+		<-next
+		chunk(co, "id: 2\ndata: token 2\n\n")
+		end(co)
+		return true
+	}).serve(stream)
+	rq, _ := http.NewRequest("POST", fl.front.URL+"/r/x", nil)
+	rq.Header.Set("X-Key", "k")
+	rq.Header.Set("X-Id", "id-1")
+	rs, err := http.DefaultTransport.RoundTrip(rq)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer rs.Body.Close()
+	rd := bufio.NewReader(rs.Body)
+	if line, err := rd.ReadString('\n'); err != nil || line != "id: 1\n" {
+		t.Fatalf("%q %v before the second event was made", line, err)
+	}
+	close(next)
+	rest, err := io.ReadAll(rd)
+	if err != nil || !strings.HasSuffix(string(rest), "token 2\n\n") {
+		t.Errorf("%q %v", rest, err)
+	}
+}
+
+// An endpoint dies in the middle of an event. A stream that may not be resumed breaks
+// off; the caller must see that it is not whole.
+func TestBrokenStreamDoesNotLookWhole(t *testing.T) {
+	for name, cut := range map[string]func(co net.Conn){
+		"between events":     func(net.Conn) {},
+		"within an event":    func(co net.Conn) { chunk(co, "id: 4\nda") },
+		"within a chunk":     func(co net.Conn) { _, _ = io.WriteString(co, "ff\r\nid: 4\n") },
+		"before the end":     func(co net.Conn) { _, _ = io.WriteString(co, "0\r\n") },
+		"with nonsense":      func(co net.Conn) { _, _ = io.WriteString(co, "what?\r\n") },
+		"reset by the other": func(co net.Conn) { _ = co.(*net.TCPConn).SetLinger(0) },
+	} {
+		fl := newFleet(t, func(se *seen, co net.Conn) bool {
+			events(se, co, 1, 3)
+			time.Sleep(20 * time.Millisecond)
+			cut(co)
+			return false
+		}).serve(stream)
+		_, body, err := fl.call("POST", "/r/x", "hello")
+		if err == nil {
+			t.Errorf("%s: looks whole: %q", name, body)
+		}
+		if strings.Contains(body, "da\n") || len(fl.requests()) != 1 {
+			t.Errorf("%s: %q after %d requests", name, body, len(fl.requests()))
+		}
+	}
+}
+
+// The same with a stream that may be resumed: another endpoint goes on behind the last
+// whole event, and the caller sees one stream without a gap or a repetition.
+func TestBrokenStreamGoesOnElsewhere(t *testing.T) {
+	script := func(se *seen, co net.Conn) bool {
+		if last := se.head.Header.Get("Last-Event-Id"); last == "3" {
+			events(se, co, 4, 9)
+			end(co)
+			return true
+		} else if last != "" {
+			t.Errorf("resumed behind %s, want 3", last)
+		}
+		events(se, co, 1, 3)
+		chunk(co, "id: 4\nda")
+		time.Sleep(20 * time.Millisecond)
+		return false
+	}
+	fl := newFleet(t, script, script).serve(resumable)
+	rs, body, err := fl.call("POST", "/r/x", "hello")
+	fl.expect(rs, err, 200, 2)
+	if body != all(1, 9) {
+		t.Errorf("the caller got %q", body)
+	}
+	if first := fl.requests()[0].at; rs.Header.Get("X-Stamp") != fmt.Sprint("s", first) {
+		t.Errorf("stamp %s, want that of the first endpoint, %d", rs.Header.Get("X-Stamp"), first)
+	}
+}
+
+// An endpoint falls silent within a stream, its connection open. The stream goes on
+// elsewhere before the caller gives up, and the first endpoint is stopped.
+func TestStalledStreamGoesOnElsewhere(t *testing.T) {
+	script := func(se *seen, co net.Conn) bool {
+		if se.head.Header.Get("Last-Event-Id") == "2" {
+			events(se, co, 3, 5)
+			end(co)
+			return true
+		}
+		events(se, co, 1, 2)
+		<-se.closed
+		return false
+	}
+	fl := newFleet(t, script, script).serve(resumable)
+	began := time.Now()
+	rs, body, err := fl.call("POST", "/r/x", "hello")
+	fl.expect(rs, err, 200, 2)
+	if body != all(1, 5) || time.Since(began) > 2*time.Second {
+		t.Errorf("%q after %s", body, time.Since(began))
+	}
+	waitClosed(t, fl.requests()[0])
+}
+
+// A caller resumes a stream itself after its connection broke; where it stopped is
+// passed on.
+func TestCallersResumptionIsPassedOn(t *testing.T) {
+	fl := newFleet(t, func(se *seen, co net.Conn) bool {
+		events(se, co, 8, 9)
+		end(co)
+		return true
+	}).serve(resumable)
+	_, body, err := fl.call("POST", "/r/x", "", "Last-Event-Id", "7")
+	if err != nil || body != all(8, 9) || fl.requests()[0].head.Header.Get("Last-Event-Id") != "7" {
+		t.Errorf("%q %v", body, err)
+	}
+}
+
+// An answer without a length ends with its connection; it is whole if that closes in
+// order.
+func TestUnframedStreamEndsWithItsConnection(t *testing.T) {
+	fl := newFleet(t, func(se *seen, co net.Conn) bool {
+		_, _ = fmt.Fprintf(co, "HTTP/1.1 200 OK\r\nX-Id: id-1\r\nX-Stamp: s0\r\nContent-Type: text/event-stream\r\n\r\n%s", all(1, 3))
+		return false
+	}).serve(stream)
+	_, body, err := fl.call("POST", "/r/x", "")
+	if err != nil || body != all(1, 3) {
+		t.Errorf("%q %v", body, err)
+	}
+}
+
+// The route's time is over in the middle of a stream.
+func TestTimeoutWithinAStream(t *testing.T) {
+	ro := stream
+	ro.Timeout = 300 * time.Millisecond
+	fl := newFleet(t, func(se *seen, co net.Conn) bool {
+		events(se, co, 1, 2)
+		<-se.closed
+		return false
+	}).serve(ro)
+	began := time.Now()
+	_, body, err := fl.call("POST", "/r/x", "")
+	if err == nil || body != all(1, 2) || time.Since(began) > time.Second {
+		t.Errorf("%q, %v after %s; want two events and a broken connection", body, err, time.Since(began))
+	}
+	waitClosed(t, fl.requests()[0])
+}
