--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -29,6 +29,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/go-kratos/kratos/v2"
 	"github.com/samber/oops"
 	"go.uber.org/zap"
 
@@ -90,6 +91,7 @@
 	view    *view
 	idle    atomic.Int64 // how long callers may be idle, in ns
 	leaving atomic.Bool
+	app     atomic.Pointer[kratos.App]
 }
 
 // Run runs the process until it is told to stop by a signal or by ctx.
@@ -115,6 +117,9 @@
 	return err
 }
 
+// Fellows are the routers that this one knows; valid once Run has begun to serve.
+func (pr *Process) Fellows() *fellow.Group { return pr.fellows }
+
 func (pr *Process) build() {
 	se := pr.Settings
 	if pr.Stats == nil {
--- a/io/entry/serve.go
+++ b/io/entry/serve.go
@@ -44,9 +44,20 @@
 		kratos.StopTimeout(pr.Settings.DrainTimeout-pr.Settings.DrainDelay-stopMargin),
 		kratos.BeforeStop(pr.beforeStop),
 	)
+	pr.app.Store(app)
 	return app.Run()
 }
 
+// Stop leaves gracefully, as a signal would; Run returns once it is done. It does
+// nothing before the process serves.
+func (pr *Process) Stop() error {
+	app := pr.app.Load()
+	if app == nil {
+		return nil
+	}
+	return app.Stop()
+}
+
 func (pr *Process) servers() ([]transport.Server, error) {
 	se := pr.Settings
 	ready := http.NewServeMux()
--- /dev/null
+++ b/io/fellow/fellow_test.go
@@ -0,0 +1,183 @@
+package fellow_test
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"almondrill/core"
+	"almondrill/core/mirror"
+	"almondrill/core/place"
+	"almondrill/io/clock"
+	"almondrill/io/fellow"
+)
+
+// feed is what a test says of the store.
+type feed struct {
+	confirmed atomic.Int64
+	failing   atomic.Bool
+	doubtful  atomic.Bool
+}
+
+func (fe *feed) Age() time.Duration {
+	return time.Since(time.Unix(0, fe.confirmed.Load()))
+}
+func (fe *feed) Confirm(age time.Duration) { fe.confirmed.Store(time.Now().Add(-age).UnixNano()) }
+func (fe *feed) Failing() bool             { return fe.failing.Load() }
+func (fe *feed) Doubtful() bool            { return fe.doubtful.Load() }
+func (fe *feed) Doubt()                    { fe.doubtful.Store(true) }
+
+// router is a fellow on loopback, with its datagrams and its news on one port.
+type router struct {
+	*fellow.Group
+	feed *feed
+}
+
+func start(t *testing.T, ix int) *router {
+	t.Helper()
+	fe := &feed{}
+	fe.Confirm(0)
+	gr := &fellow.Group{
+		Self: core.VMID(fmt.Sprint("r", ix)), Mirror: &mirror.Mirror{}, Feed: fe, Rand: clock.NewRand(uint64(ix)), Log: zap.NewNop(),
+		Placer: &place.Placer{Zone: "a", Rand: clock.NewRand(1), Routers: func() int { return 1 }},
+	}
+	gr.Placer.Register(time.Now(), place.Endpoint{ID: "e", Addr: "127.0.0.1:1", Pool: "pool", Slots: 8})
+	srv := httptest.NewUnstartedServer(gr.Handler())
+	gr.Addr = srv.Listener.Addr().String()
+	mux := http.NewServeMux()
+	mux.Handle(fellow.ItemsPath, gr.Handler())
+	srv.Config.Handler = mux
+	srv.Start()
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		if err := gr.Run(ctx); err != nil {
+			t.Error(err)
+		}
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-done
+		srv.Close()
+	})
+	return &router{gr, fe}
+}
+
+func eventually(t *testing.T, what string, is func() bool) {
+	t.Helper()
+	for range 300 {
+		if is() {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	t.Error("not within 3 s:", what)
+}
+
+// Routers that know one seed find each other; then each knows of the others' calls.
+func TestRoutersFindEachOther(t *testing.T) {
+	routers := []*router{start(t, 0), start(t, 1), start(t, 2)}
+	for _, ro := range routers[1:] {
+		ro.Add(routers[0].Addr)
+	}
+	for _, ro := range routers {
+		eventually(t, "all hear all", func() bool { return ro.Live() == 2 })
+	}
+	if _, re := routers[0].Placer.Pick(time.Now(), &place.Ask{Pool: "pool"}); re != nil {
+		t.Fatal(re)
+	}
+	eventually(t, "a fellow knows of the call", func() bool {
+		tk, re := routers[2].Placer.Pick(time.Now(), &place.Ask{Pool: "pool"})
+		if re != nil {
+			return false
+		}
+		defer tk.Done(time.Now(), place.Neutral)
+		return tk.Fellows == 1
+	})
+}
+
+// The store turns one router away while keys are revoked. It learns of the change from
+// its fellow, or goes on serving callers whose key was taken away.
+func TestNewsComesFromFellows(t *testing.T) {
+	one, two := start(t, 0), start(t, 1)
+	two.Add(one.Addr)
+	two.feed.failing.Store(true)
+	one.Mirror.Replace([]core.Item{{Key: "a", Rev: 3, Value: []byte("x")}}, 4)
+	eventually(t, "the news arrived", func() bool { return two.Mirror.AsOf() == 4 })
+	one.Mirror.Apply([]core.Item{{Key: "a", Rev: 5, Deleted: true}}, 5)
+	eventually(t, "the deletion arrived", func() bool { return two.Mirror.AsOf() == 5 })
+	news, _, _ := two.Mirror.Since(4)
+	if len(news) != 1 || !news[0].Deleted {
+		t.Errorf("news %+v", news)
+	}
+	two.feed.confirmed.Store(0)
+	one.feed.Confirm(0)
+	eventually(t, "a confirmation arrived", func() bool { return two.feed.Age() < time.Second })
+}
+
+// Of five routers two ask the store, and where their calls fail, two others do.
+func TestTwoLead(t *testing.T) {
+	var routers []*router
+	for ix := range 5 {
+		routers = append(routers, start(t, ix))
+		routers[ix].Add(routers[0].Addr)
+	}
+	leading := func() (leaders []*router) {
+		for _, ro := range routers {
+			if ro.Leads() {
+				leaders = append(leaders, ro)
+			}
+		}
+		return leaders
+	}
+	eventually(t, "two of five lead", func() bool { return len(leading()) == 2 })
+	first := leading()
+	for _, ro := range first {
+		ro.feed.failing.Store(true)
+	}
+	eventually(t, "others lead", func() bool {
+		well := 0
+		for _, ro := range leading() {
+			if !ro.feed.failing.Load() {
+				well++
+			}
+		}
+		return well == 2
+	})
+}
+
+// The store was in trouble as one router saw it; registrations may be missing for all.
+func TestTroubleIsTold(t *testing.T) {
+	one, two := start(t, 0), start(t, 1)
+	two.Add(one.Addr)
+	one.feed.Doubt()
+	eventually(t, "the doubt arrived", func() bool { return two.feed.Doubtful() })
+}
+
+// Datagrams that are no messages, from whoever, do no harm.
+func TestNonsenseIsDropped(t *testing.T) {
+	one, two := start(t, 0), start(t, 1)
+	co, err := net.Dial("udp", one.Addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer co.Close()
+	for _, text := range []string{"", "x", "\xa1\x01", "\xbf\xff\xff"} {
+		_, _ = co.Write([]byte(text))
+	}
+	two.Add(one.Addr)
+	eventually(t, "the router still hears", func() bool { return one.Live() >= 1 })
+	rs, err := http.Get("http://" + one.Addr + fellow.ItemsPath + "?After=x")
+	if err != nil || rs.StatusCode != http.StatusBadRequest {
+		t.Errorf("%v %v", rs, err)
+	}
+	_ = rs.Body.Close()
+}
