almondrill explain: a request's story from the logs; JSON lines that never block

Parts: io/story puts lines of several routers in order and adds to a request what its router had last learned of configuration, store and endpoints; each line bears its VM; check takes the relay's settings. Tests: stories, a reader that stops (5,000 lines, none waits), fuzz target.

--- a/cmd/almondrill/check.go
+++ b/cmd/almondrill/check.go
@@ -19,7 +19,7 @@
 func (*checkCommand) Synopsis() string { return "check a settings or declarations file" }
 
 func (*checkCommand) Usage() string {
-	return `check [-role router|agent] FILE
+	return `check [-role router|agent|relay] FILE
   Checks declarations, or with -role the settings of such a process, and lists
   everything that is wrong with file and line. Exits with 0 if the file is right,
   1 if not.
@@ -27,7 +27,7 @@
 }
 
 func (cc *checkCommand) SetFlags(fs *flag.FlagSet) {
-	fs.StringVar(&cc.role, "role", "", "check settings of a router or agent instead of declarations")
+	fs.StringVar(&cc.role, "role", "", "check settings of a router, agent or relay instead of declarations")
 }
 
 func (cc *checkCommand) Execute(_ context.Context, fs *flag.FlagSet, _ ...any) subcommands.ExitStatus {
@@ -35,17 +35,20 @@
 		return usage(fs, "exactly one FILE is needed")
 	}
 	role, known := roles[cc.role]
-	if cc.role != "" && !known {
-		return usage(fs, "-role is router or agent")
+	if cc.role != "" && !known && cc.role != relayRole {
+		return usage(fs, "-role is router, agent or relay")
 	}
 	file := fs.Arg(0)
 	data, err := os.ReadFile(file)
 	if err != nil {
 		return failure(err)
 	}
-	if known {
+	switch {
+	case cc.role == relayRole:
+		_, err = conf.ReadRelay(file, data)
+	case known:
 		_, err = conf.ReadSettings(file, data, role)
-	} else {
+	default:
 		_, err = conf.ReadDeclarations(file, data)
 	}
 	if err != nil {
@@ -54,3 +57,6 @@
 	fmt.Println(file + ": right")
 	return subcommands.ExitSuccess
 }
+
+// relayRole names the settings of a router without agents.
+const relayRole = "relay"
--- /dev/null
+++ b/cmd/almondrill/explain.go
@@ -0,0 +1,118 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"io"
+	"os"
+	"time"
+
+	"github.com/google/subcommands"
+
+	"almondrill/io/story"
+)
+
+// explainCommand tells from logs what happened.
+type explainCommand struct {
+	request  string
+	endpoint string
+	from, to string
+	asJSON   bool
+}
+
+func (*explainCommand) Name() string     { return "explain" }
+func (*explainCommand) Synopsis() string { return "tell from logs what happened to a request" }
+
+func (*explainCommand) Usage() string {
+	return `explain [-request ID | -endpoint ID | -from TIME -to TIME] [-json] [FILE...]
+  Reads the logs of one or several routers, from files or standard input, and prints
+  in order the story of a request, with what its router believed; or of an endpoint;
+  or of a span of time, given as 2026-01-31T15:04:05Z. Exits with 1 if nothing is
+  found.
+`
+}
+
+func (ec *explainCommand) SetFlags(fs *flag.FlagSet) {
+	fs.StringVar(&ec.request, "request", "", "the id of a request")
+	fs.StringVar(&ec.endpoint, "endpoint", "", "the id of an endpoint")
+	fs.StringVar(&ec.from, "from", "", "the beginning of a span of time")
+	fs.StringVar(&ec.to, "to", "", "its end")
+	fs.BoolVar(&ec.asJSON, "json", false, "print the lines as JSON")
+}
+
+func (ec *explainCommand) Execute(_ context.Context, fs *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	tell, what := ec.teller()
+	if tell == nil {
+		return usage(fs, what)
+	}
+	rd, err := inputs(fs.Args())
+	if err != nil {
+		return failure(err)
+	}
+	lines, skipped, err := story.Read(rd)
+	if err != nil {
+		return failure(err)
+	}
+	found := tell(lines)
+	for _, li := range found {
+		if err = ec.print(li); err != nil {
+			return failure(err)
+		}
+	}
+	if skipped.NoLog > 0 {
+		fmt.Fprintf(os.Stderr, "almondrill: %d of the lines read are no log lines\n", skipped.NoLog)
+	}
+	if len(found) == 0 {
+		fmt.Fprintf(os.Stderr, "almondrill: nothing about %s in %d lines. Requests that end well are logged by sample "+
+			"beyond 50 a second, and lines are dropped where the output is slow: see LogLinesSampled and LogLinesDropped.\n", what, len(lines))
+		return subcommands.ExitFailure
+	}
+	return subcommands.ExitSuccess
+}
+
+// teller is what picks the lines, with what they are about; nil with what is wrong.
+func (ec *explainCommand) teller() (func([]story.Line) []story.Line, string) {
+	switch {
+	case ec.request != "" && ec.endpoint == "" && ec.from == "":
+		return func(lines []story.Line) []story.Line { return story.Request(lines, ec.request) }, "request " + ec.request
+	case ec.endpoint != "" && ec.request == "" && ec.from == "":
+		return func(lines []story.Line) []story.Line { return story.Endpoint(lines, ec.endpoint) }, "endpoint " + ec.endpoint
+	case ec.from != "" && ec.request == "" && ec.endpoint == "":
+		from, err := time.Parse(time.RFC3339, ec.from)
+		if err != nil {
+			return nil, "-from is not a time such as 2026-01-31T15:04:05Z: " + ec.from
+		}
+		to, err := time.Parse(time.RFC3339, ec.to)
+		if err != nil {
+			return nil, "-to is not a time such as 2026-01-31T15:04:05Z: " + ec.to
+		}
+		return func(lines []story.Line) []story.Line { return story.Span(lines, from, to) }, "that span"
+	}
+	return nil, "one of -request, -endpoint, or -from and -to is needed"
+}
+
+// inputs reads the files one after the other, or standard input.
+func inputs(files []string) (io.Reader, error) {
+	if len(files) == 0 {
+		return os.Stdin, nil
+	}
+	var all []io.Reader
+	for _, name := range files {
+		file, err := os.Open(name)
+		if err != nil {
+			return nil, err
+		}
+		all = append(all, file)
+	}
+	return io.MultiReader(all...), nil
+}
+
+func (ec *explainCommand) print(li story.Line) error {
+	if !ec.asJSON {
+		_, err := fmt.Println(li)
+		return err
+	}
+	return json.NewEncoder(os.Stdout).Encode(li)
+}
--- a/cmd/almondrill/relay.go
+++ b/cmd/almondrill/relay.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/google/subcommands"
+	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
 
 	"almondrill/io/conf"
@@ -68,7 +69,7 @@
 	defer ring.Close(logTimeout)
 	pr := &entry.Process{
 		Settings: se, Platform: &platform.Platform{Store: platform.Store{Addr: se.KVAddr}},
-		Logs:    logs.JSON(ring, level, func() { set.Add(stats.LogLinesSampled, 1) }),
+		Logs:    logs.JSON(ring, level, func() { set.Add(stats.LogLinesSampled, 1) }).With(zap.String("VM", string(se.Name))),
 		Dropped: ring.Dropped, Reload: rc.read, Stats: set,
 	}
 	if err = pr.Run(ctx); err != nil {
--- a/io/logs/logs.go
+++ b/io/logs/logs.go
@@ -37,6 +37,9 @@
 // Part is the logger of one part; every line starts with its name.
 func (lo *Logs) Part(name string) *zap.Logger { return zap.New(lo.core).Named(name) }
 
+// With adds fields to every line.
+func (lo *Logs) With(fields ...zap.Field) *Logs { return &Logs{core: lo.core.With(fields)} }
+
 // Quiet drops everything.
 func Quiet() *Logs { return &Logs{core: zapcore.NewNopCore()} }
 
--- /dev/null
+++ b/io/logs/ring_test.go
@@ -0,0 +1,58 @@
+package logs_test
+
+import (
+	"bytes"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+
+	"almondrill/io/logs"
+)
+
+// slow is an output whose reader has stopped.
+type slow struct {
+	mu   sync.Mutex // guards out
+	out  bytes.Buffer
+	stop chan struct{}
+}
+
+func (sl *slow) Write(data []byte) (int, error) {
+	<-sl.stop
+	sl.mu.Lock()
+	defer sl.mu.Unlock()
+	return sl.out.Write(data)
+}
+
+// Whoever reads standard output stops reading. Requests are served all the same, and
+// what was dropped is counted.
+func TestStoppedReaderDelaysNobody(t *testing.T) {
+	out := &slow{stop: make(chan struct{})}
+	ring := logs.NewRing(out)
+	sampled := 0
+	lo := logs.JSON(ring, zapcore.InfoLevel, func() { sampled++ }).With(zap.String("VM", "one")).Part("relay")
+	began := time.Now()
+	for ix := range 5000 {
+		lo.Warn("Refused.", zap.Int("Number", ix))
+		_, _ = ring.Write([]byte("{}\n"))
+	}
+	if took := time.Since(began); took > 2*time.Second {
+		t.Errorf("5,000 lines took %s", took)
+	}
+	if ring.Dropped() == 0 || sampled == 0 {
+		t.Errorf("%d dropped, %d left out; want both", ring.Dropped(), sampled)
+	}
+	close(out.stop)
+	ring.Close(time.Second)
+	out.mu.Lock()
+	defer out.mu.Unlock()
+	first, _, _ := strings.Cut(out.out.String(), "\n")
+	for _, want := range []string{`"Part":"relay"`, `"VM":"one"`, `"Message":"Refused."`, `"Number":0`} {
+		if !strings.Contains(first, want) {
+			t.Errorf("the first line lacks %s: %s", want, first)
+		}
+	}
+}
--- /dev/null
+++ b/io/story/story_test.go
@@ -0,0 +1,82 @@
+package story_test
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"almondrill/io/story"
+)
+
+// Logs of two routers, as a collector joined them: prefixed, out of order, with a line
+// of something else.
+const logs = `
+x {"Level":"INFO","Time":"2026-01-31T15:04:06.000Z","Part":"view","Message":"Adopted a configuration.","VM":"one","Version":9}
+x {"Level":"INFO","Time":"2026-01-31T15:04:05.000Z","Part":"view","Message":"Adopted a configuration.","VM":"one","Version":7}
+panic: something else
+x {"Level":"INFO","Time":"2026-01-31T15:04:05.100Z","Part":"view","Message":"Endpoint.","VM":"one","Endpoint":"e1","Draining":false}
+x {"Level":"INFO","Time":"2026-01-31T15:04:05.150Z","Part":"view","Message":"Endpoint.","VM":"two","Endpoint":"e1","Draining":true}
+x {"Level":"INFO","Time":"2026-01-31T15:04:05.200Z","Part":"feeds","Message":"Lost the store.","VM":"one","Age":1500}
+x {"Level":"WARN","Time":"2026-01-31T15:04:05.500Z","Part":"relay","Message":"Refused.","VM":"one","Request":"abc","Endpoint":"e1","Peer":"e1","Reason":"CutShort","Age":1800}
+x {"Level":"INFO","Time":"2026-01-31T15:04:05.600Z","Part":"relay","Message":"Served.","VM":"one","Request":"def","Endpoint":"e1"}
+`
+
+func read(t *testing.T) []story.Line {
+	t.Helper()
+	lines, skipped, err := story.Read(strings.NewReader(logs))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if len(lines) != 7 || skipped.NoLog != 2 {
+		t.Fatalf("%d lines, %d skipped; want 7 and 2", len(lines), skipped.NoLog)
+	}
+	return lines
+}
+
+func messages(lines []story.Line) string {
+	var out []string
+	for _, li := range lines {
+		out = append(out, li.VM+" "+li.Message)
+	}
+	return strings.Join(out, "; ")
+}
+
+// A user complains about a request. Its story holds what its router believed then, not
+// what it or another one learned later.
+func TestStoryOfARequest(t *testing.T) {
+	found := story.Request(read(t), "abc")
+	want := "one Adopted a configuration.; one Endpoint.; one Lost the store.; one Refused."
+	if got := messages(found); got != want {
+		t.Fatalf("got  %s\nwant %s", got, want)
+	}
+	if version := found[0].Fields["Version"]; version != 7.0 {
+		t.Errorf("version %v, want the one in force at the time, 7", version)
+	}
+	if text := found[3].String(); !strings.Contains(text, "Reason=CutShort") || !strings.Contains(text, "Peer=e1") {
+		t.Errorf("the line for people lacks the cause: %s", text)
+	}
+	if story.Request(read(t), "unknown") != nil {
+		t.Error("a story of a request that is not there")
+	}
+}
+
+func TestStoryOfAnEndpointAndOfASpan(t *testing.T) {
+	lines := read(t)
+	if got := messages(story.Endpoint(lines, "e1")); got != "one Endpoint.; two Endpoint.; one Refused." {
+		t.Errorf("endpoint: %s", got)
+	}
+	from := time.Date(2026, 1, 31, 15, 4, 5, 140e6, time.UTC)
+	if got := messages(story.Span(lines, from, from.Add(100*time.Millisecond))); got != "two Endpoint.; one Lost the store." {
+		t.Errorf("span: %s", got)
+	}
+}
+
+func FuzzRead(f *testing.F) {
+	f.Add(logs)
+	f.Fuzz(func(t *testing.T, text string) {
+		lines, _, _ := story.Read(strings.NewReader(text))
+		for _, li := range story.Request(lines, "abc") {
+			_ = li.String()
+		}
+	})
+}
