--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -96,7 +96,7 @@
 
 // Run runs the process until it is told to stop by a signal or by ctx.
 func (pr *Process) Run(ctx context.Context) error {
-	pr.build()
+	pr.Build()
 	pr.log.Info("Started.", zap.String("Name", string(pr.Settings.Name)), zap.String("Zone", string(pr.Settings.Zone)),
 		zap.String("Callers", pr.Settings.CallersAddr), zap.String("Peers", pr.Settings.PeersAddr),
 		zap.Int("Seeds", len(pr.Settings.Seeds)))
@@ -117,10 +117,14 @@
 	return err
 }
 
-// Fellows are the routers that this one knows; valid once Run has begun to serve.
+// Fellows are the routers that this one knows; valid after Build.
 func (pr *Process) Fellows() *fellow.Group { return pr.fellows }
 
-func (pr *Process) build() {
+// Build makes the parts. Run calls it, unless it was called before.
+func (pr *Process) Build() {
+	if pr.log != nil {
+		return
+	}
 	se := pr.Settings
 	if pr.Stats == nil {
 		pr.Stats = stats.New()
--- a/io/entry/serve.go
+++ b/io/entry/serve.go
@@ -9,7 +9,6 @@
 	"time"
 
 	"github.com/go-kratos/kratos/v2"
-	kratoslog "github.com/go-kratos/kratos/v2/log"
 	"github.com/go-kratos/kratos/v2/transport"
 	kratoshttp "github.com/go-kratos/kratos/v2/transport/http"
 	"go.uber.org/zap"
@@ -34,7 +33,7 @@
 	if err != nil {
 		return err
 	}
-	kratoslog.SetLogger(pr.Logs.Kratos())
+	pr.Logs.TakeKratos()
 	app := kratos.New(
 		kratos.Name("almondrill-relay"),
 		kratos.ID(string(pr.Settings.Name)),
--- a/io/feeds/feeds_test.go
+++ b/io/feeds/feeds_test.go
@@ -172,9 +172,10 @@
 		st.set("a", true)
 		st.change(func() { st.compacted, st.down = st.rev, false })
 		time.Sleep(time.Second)
-		news, _, _ := mi.Since(2)
-		if len(news) != 1 || news[0].Key != "a" || !news[0].Deleted {
-			t.Errorf("news %+v, want the deletion of a", news)
+		// The mirror has listed anew, so it tells all that it has: b, without a.
+		news, asOf, whole := mi.Since(2)
+		if len(news) != 1 || news[0].Key != "b" || !whole || asOf != 3 {
+			t.Errorf("news %+v as of %d, whole %v; want b alone, whole, as of 3", news, asOf, whole)
 		}
 	})
 }
--- a/io/fellow/fellow.go
+++ b/io/fellow/fellow.go
@@ -65,7 +65,7 @@
 	// mostDatagram keeps a message within one frame.
 	mostDatagram = 1400
 	// mostNamed is how many other fellows a message names.
-	mostNamed = 3
+	mostNamed = 6
 	// mostAgeMs bounds the age that is told, an hour; beyond seconds it makes no
 	// difference.
 	mostAgeMs = 3_600_000
@@ -126,6 +126,8 @@
 	ticks   int
 	// news is the latest revision that was told at once.
 	news core.Version
+	// greet are fellows that were not heard before, to be introduced to.
+	greet []string
 }
 
 // member is a fellow, by its address.
@@ -251,6 +253,8 @@
 		return
 	}
 	if now.Sub(me.heard) >= liveFor {
+		// It may know nobody else yet.
+		gr.greet = append(gr.greet, from)
 		gr.Log.Info("Hears a fellow.", zap.String("Fellow", string(ms.From)), zap.String("Addr", from))
 	}
 	if ms.Leaving && !me.leaving {
@@ -342,10 +346,18 @@
 	return all
 }
 
-// introduce tells a few fellows, drawn anew each time, more.
+// introduce tells more to fellows that are new, and now and then to a few others,
+// drawn anew each time.
 func (gr *Group) introduce(pc net.PacketConn, now time.Time) {
+	gr.mu.Lock()
+	to := gr.greet
+	gr.greet = nil
+	gr.mu.Unlock()
 	gr.ticks++
-	if gr.ticks%introTicks != 1 {
+	if gr.ticks%introTicks == 1 {
+		to = append(to, gr.some(introTo)...)
+	}
+	if len(to) == 0 {
 		return
 	}
 	ms := gr.message(now)
@@ -359,7 +371,7 @@
 		gr.Log.Error("Encoding a message failed.", zap.Error(err))
 		return
 	}
-	for _, addr := range gr.some(introTo) {
+	for _, addr := range to {
 		gr.send(pc, addr, data)
 	}
 }
--- a/io/logs/logs.go
+++ b/io/logs/logs.go
@@ -9,6 +9,7 @@
 import (
 	"errors"
 	"io"
+	"sync"
 
 	kratoslog "github.com/go-kratos/kratos/v2/log"
 	"github.com/samber/oops"
@@ -43,6 +44,13 @@
 // Quiet drops everything.
 func Quiet() *Logs { return &Logs{core: zapcore.NewNopCore()} }
 
+// global guards kratos' logger, of which there is one per program: where several
+// processes live in one, the first gets its lines.
+var global sync.Once
+
+// TakeKratos makes these the logs of kratos' own lines, unless others are already.
+func (lo *Logs) TakeKratos() { global.Do(func() { kratoslog.SetLogger(lo.Kratos()) }) }
+
 // Kratos passes kratos' own lines on as part "kratos", at debug level: they
 // repeat what the parts tell.
 func (lo *Logs) Kratos() kratoslog.Logger { return kratosLogger{lo.Part("kratos").Sugar()} }
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -25,13 +25,11 @@
 	"net"
 	"net/http"
 	"os"
-	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
 
 	"github.com/go-kratos/kratos/v2"
-	kratoslog "github.com/go-kratos/kratos/v2/log"
 	"github.com/go-kratos/kratos/v2/transport"
 	kratoshttp "github.com/go-kratos/kratos/v2/transport/http"
 	"github.com/samber/oops"
@@ -308,10 +306,6 @@
 	}
 }
 
-// kratosLogger guards the library's logger, of which there is one per program:
-// the first process of a demo gets its lines.
-var kratosLogger sync.Once
-
 func (pr *Process) buildApp() {
 	servers := []transport.Server{pr.server, pr.adminServer()}
 	if pr.Role == core.RoleRouter {
@@ -323,7 +317,7 @@
 	if pr.Signals {
 		signals = []os.Signal{syscall.SIGTERM, syscall.SIGINT, syscall.SIGQUIT}
 	}
-	kratosLogger.Do(func() { kratoslog.SetLogger(pr.Logs.Kratos()) })
+	pr.Logs.TakeKratos()
 	pr.app = kratos.New(
 		kratos.Name("almondrill-"+string(pr.Role)),
 		kratos.ID(string(pr.Settings.Name)),
