--- a/io/logs/logs.go
+++ b/io/logs/logs.go
@@ -68,9 +68,10 @@
 }
 
 // Fields are an error's message with the step and the peer at which it arose,
-// which its message alone does not tell.
+// which its message alone does not tell. The library's own field would add a stack
+// of many lines.
 func Fields(err error) []zap.Field {
-	fields := []zap.Field{zap.Error(err)}
+	fields := []zap.Field{zap.String("Error", err.Error())}
 	var oo oops.OopsError
 	if errors.As(err, &oo) {
 		fields = append(fields, zap.String("Step", oo.Domain()), zap.Any("Peer", oo.Context()["peer"]))
--- a/io/relay/request.go
+++ b/io/relay/request.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"net/http"
 	"time"
 
@@ -180,11 +181,13 @@
 		fields = append(fields, zap.Int("Sends", rq.sends))
 	}
 	if tk := rq.ticket; tk != nil {
-		fields = append(fields, zap.String("Endpoint", string(tk.Endpoint.ID)), zap.Float64("CostMs", tk.CostMs),
-			zap.Int("Calls", tk.Calls), zap.Int("Fellows", tk.Fellows), zap.Float64("Mean", tk.Mean),
-			zap.Int("Usable", tk.Usable), zap.Int("Full", tk.Full), zap.Int("Of", tk.Of),
-			zap.Uint64("Chat", tk.Chat), zap.Bool("Home", tk.Home), zap.Int64("Prompt", int64(tk.Prompt)), zap.Int64("Uncached", int64(tk.Uncached)),
-			zap.Int64("Fetched", int64(tk.Fetched)), zap.String("FetchFrom", tk.FetchFrom))
+		fields = append(fields, zap.String("Endpoint", string(tk.Endpoint.ID)), zap.Float64("CostMs", math.Round(tk.CostMs)),
+			zap.Int("Calls", tk.Calls), zap.Int("Fellows", tk.Fellows), zap.Float64("Mean", math.Round(10*tk.Mean)/10),
+			zap.Int("Usable", tk.Usable), zap.Int("Full", tk.Full), zap.Int("Of", tk.Of))
+		if tk.Prompt > 0 {
+			fields = append(fields, zap.Uint64("Chat", tk.Chat), zap.Bool("Home", tk.Home), zap.Int64("Prompt", int64(tk.Prompt)),
+				zap.Int64("Uncached", int64(tk.Uncached)), zap.Int64("Fetched", int64(tk.Fetched)), zap.String("FetchFrom", tk.FetchFrom))
+		}
 	}
 	return append(fields, zap.Duration("Age", rq.re.Age()))
 }
