Mirror, placer and fellows never wait for each other

Ruled out: a process left paused. Change: the group calls others without its lock, and others ask it before theirs. Test: TestNobodyWaitsForEachOther, seen hanging before.

--- a/core/place/place.go
+++ b/core/place/place.go
@@ -250,10 +250,11 @@
 // Pick chooses an endpoint. The refusal, if any, is NotRun and says when trying
 // again makes sense.
 func (pl *Placer) Pick(now time.Time, as *Ask) (*Ticket, *core.Refusal) {
+	routers := max(1, pl.Routers()) // before the lock: whoever counts them may call the Placer
 	pl.mu.Lock()
 	defer pl.mu.Unlock()
 	members := pl.pools[as.Pool]
-	vi := pl.view(now, as, members)
+	vi := pl.view(now, as, members, routers)
 	if len(vi.usable) == 0 {
 		return nil, vi.refusal()
 	}
@@ -325,10 +326,11 @@
 
 // view is what one choice sees of a pool.
 type view struct {
-	pool   core.PoolID
-	all    int
-	mean   float64
-	usable []*state
+	pool    core.PoolID
+	routers int
+	all     int
+	mean    float64
+	usable  []*state
 	// members are all that are not leaving.
 	members []*state
 	// full counts the members left out because they have no room.
@@ -359,8 +361,8 @@
 	fullAfter = 400 * time.Millisecond
 )
 
-func (pl *Placer) view(now time.Time, as *Ask, members map[core.EndpointID]*state) *view {
-	vi := &view{pool: as.Pool}
+func (pl *Placer) view(now time.Time, as *Ask, members map[core.EndpointID]*state, routers int) *view {
+	vi := &view{pool: as.Pool, routers: routers}
 	told := pl.sumTold(now)
 	var calls int
 	var failing float64
@@ -416,7 +418,7 @@
 		return false
 	}
 	calls := st.calls + st.fellows
-	if as.MaxConns > 0 && st.calls >= max(1, as.MaxConns/max(1, pl.Routers())) {
+	if as.MaxConns > 0 && st.calls >= max(1, as.MaxConns/vi.routers) {
 		return false
 	}
 	if st.Slots > 0 && calls >= 2*st.Slots {
--- a/core/retry/window.go
+++ b/core/retry/window.go
@@ -49,6 +49,7 @@
 
 // Take takes one further attempt from the bound, if there is one.
 func (wi *Window) Take(now time.Time, po core.PoolID) bool {
+	routers := max(1, wi.Routers()) // before the lock, which is held for no one else's
 	wi.mu.Lock()
 	defer wi.mu.Unlock()
 	co := wi.of(now, po)
@@ -57,7 +58,7 @@
 		first += co.first[ix]
 		extra += co.extra[ix]
 	}
-	bound := usedRatio*wi.Ratio*float64(first) + usedSlack*wi.Slack/float64(max(1, wi.Routers()))
+	bound := usedRatio*wi.Ratio*float64(first) + usedSlack*wi.Slack/float64(routers)
 	if float64(extra+1) > bound {
 		return false
 	}
--- a/io/fellow/fellow.go
+++ b/io/fellow/fellow.go
@@ -245,12 +245,33 @@
 	}
 }
 
+// hear takes a message. The mirror and the placer are called without the lock: both
+// ask the group for things while they hold their own.
 func (gr *Group) hear(now time.Time, from string, ms *message) {
+	confirmed := now.Add(-time.Duration(ms.AgeMs) * time.Millisecond)
+	if !gr.note(now, confirmed, from, ms) {
+		return
+	}
+	if ms.Doubtful && !ms.Failing {
+		// One that fails alone may itself be cut off; one that does not has it from
+		// the store.
+		gr.Feed.Doubt()
+	}
+	if ms.AsOf <= gr.Mirror.AsOf() {
+		gr.Feed.Confirm(now.Sub(confirmed))
+	}
+	gr.Placer.Hear(now, from, ms.Calls)
+	gr.Placer.HearMoves(ms.Moves)
+	gr.Placer.HearReadings(now, way, ms.Readings)
+}
+
+// note keeps what a message tells of its sender; false if it is this router.
+func (gr *Group) note(now, confirmed time.Time, from string, ms *message) bool {
 	gr.mu.Lock()
 	defer gr.mu.Unlock()
 	me := gr.member(from)
 	if me == nil {
-		return
+		return false
 	}
 	if now.Sub(me.heard) >= liveFor {
 		// It may know nobody else yet.
@@ -263,22 +284,11 @@
 	if ms.From != "" {
 		me.id = ms.From
 	}
-	me.heard, me.asOf, me.leaving, me.failing = now, ms.AsOf, ms.Leaving, ms.Failing
-	me.confirmed = now.Add(-time.Duration(ms.AgeMs) * time.Millisecond)
-	if ms.Doubtful && !ms.Failing {
-		// One that fails alone may itself be cut off; one that does not has it from
-		// the store.
-		gr.Feed.Doubt()
-	}
-	if ms.AsOf <= gr.Mirror.AsOf() {
-		gr.Feed.Confirm(now.Sub(me.confirmed))
-	}
+	me.heard, me.asOf, me.leaving, me.failing, me.confirmed = now, ms.AsOf, ms.Leaving, ms.Failing, confirmed
 	for _, addr := range ms.Known {
 		gr.member(addr)
 	}
-	gr.Placer.Hear(now, from, ms.Calls)
-	gr.Placer.HearMoves(ms.Moves)
-	gr.Placer.HearReadings(now, way, ms.Readings)
+	return true
 }
 
 // forget drops fellows that were not heard for long.
--- a/io/fellow/fellow_test.go
+++ b/io/fellow/fellow_test.go
@@ -187,3 +187,43 @@
 	}
 	_ = rs.Body.Close()
 }
+
+// A router hears fellows, places calls and takes news at the same time. All three know
+// of each other: the choice asks how many routers there are, the news names fellows.
+// If they lock in different orders, the router stops answering anyone, for good.
+func TestNobodyWaitsForEachOther(t *testing.T) {
+	one, two := start(t, 0), start(t, 1)
+	two.Add(one.Addr)
+	one.Placer.Routers = one.Routers
+	one.Mirror.Changed = func(it core.Item) { one.Add(fmt.Sprint("127.0.0.1:", it.Rev)) }
+	co, err := net.Dial("udp", one.Addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer co.Close()
+	ended := make(chan struct{}, 3)
+	until := time.Now().Add(1500 * time.Millisecond)
+	hammer := func(what func(number int)) {
+		for number := 1; time.Now().Before(until); number++ {
+			what(number)
+		}
+		ended <- struct{}{}
+	}
+	go hammer(func(int) {
+		if tk, re := one.Placer.Pick(time.Now(), &place.Ask{Pool: "pool", MaxConns: 1000}); re == nil {
+			tk.Done(time.Now(), place.Served)
+		}
+	})
+	go hammer(func(number int) {
+		rev := core.Version(number % 60000)
+		one.Mirror.Apply([]core.Item{{Key: fmt.Sprint(number), Rev: rev}}, rev)
+	})
+	go hammer(func(int) { _, _ = co.Write([]byte("\xa1\x01\x01")) })
+	for range 3 {
+		select {
+		case <-ended:
+		case <-time.After(5 * time.Second):
+			t.Fatal("something waits for ever")
+		}
+	}
+}
