--- a/core/mirror/mirror_test.go
+++ b/core/mirror/mirror_test.go
@@ -10,7 +10,7 @@
 	"almondrill/core/mirror"
 )
 
-// A router that the store turns away is fed by two fellows, one of which lags. What
+// A router that the store turns away is fed by two peers, one of which lags. What
 // the lagging one brings last must not put an older configuration back in force.
 func TestNewsInAnyOrderNeverGoesBack(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
@@ -79,8 +79,8 @@
 }
 
 // A router restarts and lists the store just after an endpoint has left without a
-// word. A fellow that is one revision behind asks it for news: the deletion has to be
-// among it, or that fellow sends requests to the endpoint until it exits.
+// word. A peer that is one revision behind asks it for news: the deletion has to be
+// among it, or that peer sends requests to the endpoint until it exits.
 func TestFreshMirrorTellsDeletionsItNeverSaw(t *testing.T) {
 	before := []core.Item{{Key: "a", Rev: 1}, {Key: "b", Rev: 2}}
 	behind := &mirror.Mirror{}
@@ -90,7 +90,7 @@
 	copyNews(fresh, behind)
 	for _, it := range items(behind) {
 		if it.Key == "b" && !it.Deleted {
-			t.Error("the fellow still has what was deleted")
+			t.Error("the peer still has what was deleted")
 		}
 	}
 	if behind.AsOf() != 24 {
@@ -169,15 +169,15 @@
 }
 
 // The store drops its history. A router lists anew and cannot see an endpoint that came
-// and left in between; a fellow that knew it asks that router for news.
+// and left in between; a peer that knew it asks that router for news.
 func TestRelistedMirrorTellsWhatItMissed(t *testing.T) {
-	fellow := &mirror.Mirror{}
-	fellow.Replace([]core.Item{{Key: "x", Rev: 11}, {Key: "y", Rev: 12}}, 12)
+	peer := &mirror.Mirror{}
+	peer.Replace([]core.Item{{Key: "x", Rev: 11}, {Key: "y", Rev: 12}}, 12)
 	relisted := &mirror.Mirror{}
 	relisted.Replace([]core.Item{{Key: "x", Rev: 9}}, 9)
 	relisted.Replace([]core.Item{{Key: "x", Rev: 13}}, 14)
-	copyNews(relisted, fellow)
-	if got := fmt.Sprint(keys(fellow)); got != "map[x:13]" {
-		t.Errorf("the fellow holds %s, want x alone", got)
+	copyNews(relisted, peer)
+	if got := fmt.Sprint(keys(peer)); got != "map[x:13]" {
+		t.Errorf("the peer holds %s, want x alone", got)
 	}
 }
--- a/core/place/load_test.go
+++ b/core/place/load_test.go
@@ -99,7 +99,7 @@
 }
 
 // Load comes at once, as when a stage starts: 26 routers before 47 engines, each with
-// a picture of its fellows' calls that is up to 0.4 s old. Popular chats share homes.
+// a picture of its peers' calls that is up to 0.4 s old. Popular chats share homes.
 // Callers whose home is hot would see tokens come late while other engines idle.
 func TestSurgeStaysWithinTheCap(t *testing.T) {
 	re := newReplay(26, 47)
@@ -120,7 +120,7 @@
 	}
 }
 
-// A tenth of a chat's fellows ask about one thing. Its home fills; the overflow goes
+// A tenth of a chat's peers ask about one thing. Its home fills; the overflow goes
 // to the same few further homes from all routers, and fetches what the first has.
 func TestHotChatSpreadsToFewEndpoints(t *testing.T) {
 	re := newReplay(4, 12)
--- a/core/place/moves.go
+++ b/core/place/moves.go
@@ -11,12 +11,12 @@
 	// moveSize is the size of a move in a message: four bytes of the chat's hash, two
 	// of the endpoint's.
 	moveSize = 6
-	// tellMoveFor is how long a move is told: fellows are told in turn, each at least
+	// tellMoveFor is how long a move is told: peers are told in turn, each at least
 	// once within it unless there are dozens.
 	tellMoveFor = 600 * time.Millisecond
 	// mostMoves bounds the moves in a message; a busy router makes some 5 a second.
 	mostMoves = 40
-	// mostHolders bounds the moves of fellows that are remembered, 16 bytes each.
+	// mostHolders bounds the moves of peers that are remembered, 16 bytes each.
 	mostHolders = 16384
 )
 
@@ -37,7 +37,7 @@
 	pl.moves = append(pl.moves, move{now, shortChat(chat), short(endpoint)})
 }
 
-// Moves packs the latest own placements of chats away from their homes. Fellows that
+// Moves packs the latest own placements of chats away from their homes. Others that
 // know of them fetch a chat's context from there, where they would have it read anew.
 func (pl *Placer) Moves(now time.Time) []byte {
 	pl.mu.Lock()
@@ -53,7 +53,7 @@
 	return packed
 }
 
-// HearMoves takes a fellow's packed moves.
+// HearMoves takes a peer's packed moves.
 func (pl *Placer) HearMoves(packed []byte) {
 	pl.mu.Lock()
 	defer pl.mu.Unlock()
@@ -66,7 +66,7 @@
 	}
 }
 
-// toldHolder is the endpoint where a fellow has placed the chat.
+// toldHolder is the endpoint where a peer has placed the chat.
 func (pl *Placer) toldHolder(members map[core.EndpointID]*state, parts []Part, chain []uint64) (*state, core.Tokens) {
 	if len(parts) < 2 {
 		return nil, 0
--- a/core/place/place_test.go
+++ b/core/place/place_test.go
@@ -230,7 +230,7 @@
 }
 
 // A router has seen a beginning that many chats share at one endpoint, and never the
-// chat itself, which a fellow has moved to another. The record of the beginning must
+// chat itself, which a peer has moved to another. The record of the beginning must
 // not hide where the chat is.
 func TestBeginningDoesNotHideTheChat(t *testing.T) {
 	one, two := newPlacer(2), newPlacer(2)
@@ -253,7 +253,7 @@
 }
 
 // An engine counts its calls in each answer; the count is brought forward by the own
-// calls since, and passed on to fellows with its age.
+// calls since, and passed on to peers with its age.
 func TestReadingsTravelAndAge(t *testing.T) {
 	one, two := newPlacer(2), newPlacer(2)
 	register(one, 1)
@@ -262,22 +262,22 @@
 	tk.Counted(begin, 9)
 	two.HearReadings(begin.Add(100*time.Millisecond), time.Millisecond, one.Readings(begin.Add(100*time.Millisecond)))
 	own := pick(t, two, begin.Add(200*time.Millisecond), ask(chat(1, 2)))
-	if own.Calls != 0 || own.Fellows != 9 {
-		t.Errorf("own %d, others %d; want 0 and the 9 that the engine counted", own.Calls, own.Fellows)
+	if own.Calls != 0 || own.Others != 9 {
+		t.Errorf("own %d, others %d; want 0 and the 9 that the engine counted", own.Calls, own.Others)
 	}
 	next := pick(t, two, begin.Add(200*time.Millisecond), ask(chat(1, 3)))
-	if next.Calls != 1 || next.Fellows != 9 {
-		t.Errorf("own %d, others %d; want 1 and 9", next.Calls, next.Fellows)
+	if next.Calls != 1 || next.Others != 9 {
+		t.Errorf("own %d, others %d; want 1 and 9", next.Calls, next.Others)
 	}
 	old := pick(t, two, begin.Add(5*time.Second), ask(chat(1, 4)))
-	if old.Fellows != 0 {
-		t.Errorf("a count of 5 s ago is still believed: %d", old.Fellows)
+	if old.Others != 0 {
+		t.Errorf("a count of 5 s ago is still believed: %d", old.Others)
 	}
 }
 
-// A fellow's word counts for two seconds; a router that was killed does not seem to
+// A peer's word counts for two seconds; a router that was killed does not seem to
 // hold its calls for ever.
-func TestFellowsWordExpires(t *testing.T) {
+func TestPeersWordExpires(t *testing.T) {
 	one, two := newPlacer(2), newPlacer(2)
 	register(one, 1)
 	register(two, 1)
@@ -285,11 +285,11 @@
 		pick(t, one, begin, ask(chat(1, id)))
 	}
 	two.Hear(begin, "10.0.0.1:7000", one.Tell())
-	if tk := pick(t, two, begin, ask(chat(1, 1))); tk.Fellows != 3 {
-		t.Errorf("told %d, want 3", tk.Fellows)
+	if tk := pick(t, two, begin, ask(chat(1, 1))); tk.Others != 3 {
+		t.Errorf("told %d, want 3", tk.Others)
 	}
-	if tk := pick(t, two, begin.Add(3*time.Second), ask(chat(1, 1))); tk.Fellows != 0 {
-		t.Errorf("after 3 s still %d", tk.Fellows)
+	if tk := pick(t, two, begin.Add(3*time.Second), ask(chat(1, 1))); tk.Others != 0 {
+		t.Errorf("after 3 s still %d", tk.Others)
 	}
 }
 
--- a/core/place/reading.go
+++ b/core/place/reading.go
@@ -91,7 +91,7 @@
 	return all[:min(len(all), mostReadings)]
 }
 
-// HearReadings takes those of a fellow; way is how long the message took at least.
+// HearReadings takes those of a peer; way is how long the message took at least.
 func (pl *Placer) HearReadings(now time.Time, way time.Duration, heard []Reading) {
 	pl.mu.Lock()
 	defer pl.mu.Unlock()
--- a/core/place/state.go
+++ b/core/place/state.go
@@ -12,10 +12,10 @@
 	Endpoint
 	hash  uint64
 	since time.Time
-	// calls are the router's own in progress; fellows those told, as of the last
+	// calls are the router's own in progress; others those of other routers, as of the last
 	// choice.
-	calls   int
-	fellows int
+	calls  int
+	others int
 	// toRead are the prompt tokens of own calls whose first token is awaited.
 	toRead    core.Tokens
 	reading   reading
--- a/core/place/ticket.go
+++ b/core/place/ticket.go
@@ -11,12 +11,12 @@
 type Ticket struct {
 	Endpoint Endpoint
 	Started  time.Time
-	// CostMs is what the choice predicted; Calls, Fellows and Mean are own calls
-	// there, those told by fellows, and the pool's mean; Usable endpoints of Of
+	// CostMs is what the choice predicted; Calls, Others and Mean are own calls
+	// there, those told by peers, and the pool's mean; Usable endpoints of Of
 	// were weighed, Full ones had no room; of Prompt tokens, Uncached were thought to be read.
 	CostMs   float64
 	Calls    int
-	Fellows  int
+	Others   int
 	Mean     float64
 	Usable   int
 	Full     int
--- a/core/place/told.go
+++ b/core/place/told.go
@@ -2,7 +2,7 @@
 
 import "time"
 
-// word is a fellow router's last message: its calls in progress by the short hash
+// word is a peer's last message: its calls in progress by the short hash
 // of the endpoint's id.
 type word struct {
 	at    time.Time
@@ -10,7 +10,7 @@
 }
 
 const (
-	// toldFor is how long a fellow's word counts: a few of its messages. One that
+	// toldFor is how long a peer's word counts: a few of its messages. One that
 	// says nothing for longer has stopped, and its calls with it.
 	toldFor = 2 * time.Second
 	// entrySize is the size of an entry in a message: two bytes of hash, one of
@@ -25,7 +25,7 @@
 
 func short(hash uint64) uint16 { return uint16(hash >> 48) }
 
-// Tell packs the router's own calls in progress for its fellows.
+// Tell packs the router's own calls in progress for its peers.
 func (pl *Placer) Tell() []byte {
 	pl.mu.Lock()
 	defer pl.mu.Unlock()
@@ -39,7 +39,7 @@
 	return packed
 }
 
-// Hear takes a fellow's packed calls.
+// Hear takes a peer's packed calls.
 func (pl *Placer) Hear(now time.Time, from string, packed []byte) {
 	calls := make(map[uint16]int, len(packed)/entrySize)
 	for ; len(packed) >= entrySize; packed = packed[entrySize:] {
@@ -51,7 +51,7 @@
 	pl.told[from] = &word{at: now, calls: calls}
 }
 
-// sumTold adds the fellows' words up, and forgets old ones.
+// sumTold adds the peers' words up, and forgets old ones.
 func (pl *Placer) sumTold(now time.Time) map[uint16]int {
 	sum := map[uint16]int{}
 	for from, wo := range pl.told {
@@ -66,9 +66,9 @@
 	return sum
 }
 
-// othersCalls is how many calls of other routers the endpoint has: what fellows told
+// callsOfOthers is how many calls of other routers the endpoint has: what peers told
 // of theirs, or more if it counted more itself.
-func (pl *Placer) othersCalls(now time.Time, st *state, told map[uint16]int) int {
+func (pl *Placer) callsOfOthers(now time.Time, st *state, told map[uint16]int) int {
 	others := told[short(st.hash)]
 	if all, fresh := st.reading.now(now); fresh {
 		others = max(others, all-st.calls)
--- /dev/null
+++ b/core/place/view.go
@@ -0,0 +1,113 @@
+package place
+
+import (
+	"time"
+
+	"almondrill/core"
+)
+
+// view is what one choice sees of a pool.
+type view struct {
+	pool    core.PoolID
+	routers int
+	all     int
+	mean    float64
+	usable  []*state
+	// members are all that are not leaving.
+	members []*state
+	// full counts the members left out because they have no room.
+	full int
+	// failing is the pool's mean failure rate.
+	failing float64
+}
+
+func (vi *view) refusal() *core.Refusal {
+	re := &core.Refusal{
+		Outcome: core.NotRun, Reason: core.ReasonNoEndpoint, Step: "pick", Peer: string(vi.pool),
+		Detail: "no endpoint of the pool can take the request", RetryAfter: noEndpointAfter,
+	}
+	if vi.full > 0 {
+		re.Reason = core.ReasonLoadCap
+		re.Detail = "all endpoints of the pool are at their limit"
+		re.RetryAfter = fullAfter
+	}
+	return re
+}
+
+const (
+	// noEndpointAfter is when callers are told to return to a pool without
+	// endpoints: about the time in which one registers.
+	noEndpointAfter = time.Second
+	// fullAfter is when they are told to return to one that is full: about the
+	// time in which a stream of average length frees its place.
+	fullAfter = 400 * time.Millisecond
+)
+
+func (pl *Placer) view(now time.Time, as *Ask, members map[core.EndpointID]*state, routers int) *view {
+	vi := &view{pool: as.Pool, routers: routers}
+	told := pl.sumTold(now)
+	var calls int
+	var failing float64
+	for _, st := range members {
+		if st.Draining {
+			continue
+		}
+		vi.all++
+		vi.members = append(vi.members, st)
+		st.others = pl.callsOfOthers(now, st, told)
+		calls += st.calls + st.others
+		failing += st.health.rate(now)
+	}
+	if vi.all == 0 {
+		return vi
+	}
+	vi.mean = float64(calls) / float64(vi.all)
+	vi.failing = failing / float64(vi.all)
+	var doubtful []*state
+	for _, st := range members {
+		if st.Draining || tried(as, st.ID) {
+			continue
+		}
+		if !pl.hasRoom(now, st, as, vi) {
+			vi.full++
+			continue
+		}
+		if st.missing || st.health.avoid(now, st.calls) {
+			doubtful = append(doubtful, st)
+			continue
+		}
+		vi.usable = append(vi.usable, st)
+	}
+	if len(vi.usable) == 0 {
+		vi.usable = doubtful
+	}
+	return vi
+}
+
+func tried(as *Ask, id core.EndpointID) bool {
+	for _, other := range as.Tried {
+		if other == id {
+			return true
+		}
+	}
+	return false
+}
+
+// hasRoom tells whether the endpoint may be given one more call: within its
+// connections, its places and the cap over the pool's mean.
+func (pl *Placer) hasRoom(now time.Time, st *state, as *Ask, vi *view) bool {
+	if now.Before(st.fullUntil) {
+		return false
+	}
+	calls := st.calls + st.others
+	if as.MaxConns > 0 && st.calls >= max(1, as.MaxConns/vi.routers) {
+		return false
+	}
+	if st.Slots > 0 && calls >= 2*st.Slots {
+		return false
+	}
+	if pl.CapFactor <= 0 || !as.Engine {
+		return true
+	}
+	return float64(calls+1) <= max(capFloor, capSpare*pl.CapFactor*vi.mean+capFloor)
+}
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -4,7 +4,7 @@
 // # Concepts
 //
 // A Process takes callers on one address and the balancer's question on another,
-// follows the platform's store, and exchanges news with its fellows. What differs
+// follows the platform's store, and exchanges news with its peers. What differs
 // between platforms comes in as a Platform.
 //
 // # Invariants
@@ -41,7 +41,7 @@
 	"almondrill/io/conf"
 	"almondrill/io/conns"
 	"almondrill/io/feeds"
-	"almondrill/io/fellow"
+	"almondrill/io/gossip"
 	"almondrill/io/logs"
 	"almondrill/io/relay"
 	"almondrill/io/stats"
@@ -51,20 +51,20 @@
 type Platform interface {
 	core.Feed
 	// Decode tells what an item of the store means: a *route.Document, a
-	// place.Endpoint, a Departure, a FellowAddr, or nil if nothing.
+	// place.Endpoint, a Departure, a PeerAddr, or nil if nothing.
 	Decode(it core.Item) (any, error)
 	Dialect() relay.Dialect
 	// ReadyPath is where the balancer asks whether to send callers.
 	ReadyPath() string
-	// Announce keeps the address for fellows in the store until ctx ends.
+	// Announce keeps the address for peers in the store until ctx ends.
 	Announce(ctx context.Context, self core.VMID, addr string, log *zap.Logger)
 }
 
 // Departure tells that an endpoint's registration is gone.
 type Departure struct{ ID core.EndpointID }
 
-// FellowAddr is the address of a fellow router.
-type FellowAddr string
+// PeerAddr is the address of a peer.
+type PeerAddr string
 
 // Process is one router. Set the exported fields before Run.
 type Process struct {
@@ -87,7 +87,7 @@
 	pool    *conns.Pool
 	relay   *relay.Relay
 	reader  *feeds.Reader
-	fellows *fellow.Group
+	peers   *gossip.Group
 	view    *view
 	idle    atomic.Int64 // how long callers may be idle, in ns
 	leaving atomic.Bool
@@ -103,7 +103,7 @@
 	control, cancel := context.WithCancel(ctx)
 	defer cancel()
 	for _, loop := range []func(context.Context) error{
-		pr.reader.Run, pr.fellows.Run, pr.view.run, pr.tidy, pr.watchSettings, pr.announce,
+		pr.reader.Run, pr.peers.Run, pr.view.run, pr.tidy, pr.watchSettings, pr.announce,
 	} {
 		go func() {
 			if err := loop(control); err != nil && control.Err() == nil {
@@ -117,8 +117,8 @@
 	return err
 }
 
-// Fellows are the routers that this one knows; valid after Build.
-func (pr *Process) Fellows() *fellow.Group { return pr.fellows }
+// Peers are the other routers that this one knows; valid after Build.
+func (pr *Process) Peers() *gossip.Group { return pr.peers }
 
 // Build makes the parts. Run calls it, unless it was called before.
 func (pr *Process) Build() {
@@ -134,14 +134,14 @@
 	pr.pool = &conns.Pool{}
 	pr.idle.Store(int64(defaultIdle))
 	pr.mirror = &mirror.Mirror{}
-	pr.fellows = &fellow.Group{Self: se.Name, Addr: se.PeersAddr, Mirror: pr.mirror, Rand: pr.rand, Log: pr.Logs.Part("fellow")}
-	pr.placer = &place.Placer{Zone: se.Zone, Rand: pr.rand, CapFactor: se.CapFactor, Routers: pr.fellows.Routers}
-	pr.fellows.Placer = pr.placer
-	pr.budget = &retry.Window{Ratio: se.RetryRatio, Slack: se.RetrySlack, Span: se.RetrySpan, Routers: pr.fellows.Routers}
+	pr.peers = &gossip.Group{Self: se.Name, Addr: se.PeersAddr, Mirror: pr.mirror, Rand: pr.rand, Log: pr.Logs.Part("gossip")}
+	pr.placer = &place.Placer{Zone: se.Zone, Rand: pr.rand, CapFactor: se.CapFactor, Routers: pr.peers.Routers}
+	pr.peers.Placer = pr.placer
+	pr.budget = &retry.Window{Ratio: se.RetryRatio, Slack: se.RetrySlack, Span: se.RetrySpan, Routers: pr.peers.Routers}
 	pr.reader = &feeds.Reader{Feed: pr.Platform, Mirror: pr.mirror, Rand: pr.rand, Log: pr.Logs.Part("feeds")}
 	pr.reader.Init()
-	pr.reader.Leads, pr.reader.DoubtFor = pr.fellows.Leads, se.ReturnDelay+returnMargin
-	pr.fellows.Feed = pr.reader
+	pr.reader.Leads, pr.reader.DoubtFor = pr.peers.Leads, se.ReturnDelay+returnMargin
+	pr.peers.Feed = pr.reader
 	pr.relay = &relay.Relay{
 		Dialect: pr.Platform.Dialect(), Self: se.Name, Placer: pr.placer, Budget: pr.budget, Conns: pr.pool,
 		Stats: pr.Stats, Latency: &pr.latency, Rand: pr.rand, Log: pr.Logs.Part("relay"),
@@ -153,7 +153,7 @@
 	pr.publish()
 }
 
-// seed makes the routers known that the settings name. Their port for fellows is
+// seed makes the routers known that the settings name. Their port for peers is
 // the own one.
 func (pr *Process) seed() {
 	_, port, err := net.SplitHostPort(pr.Settings.PeersAddr)
@@ -166,7 +166,7 @@
 			pr.log.Warn("A seed is no address.", zap.String("Seed", addr))
 			continue
 		}
-		pr.fellows.Add(net.JoinHostPort(host, port))
+		pr.peers.Add(net.JoinHostPort(host, port))
 	}
 }
 
@@ -180,7 +180,7 @@
 		return 0
 	})
 	pr.Stats.Read(stats.ViewAgeMs, func() int64 { return pr.reader.Age().Milliseconds() })
-	pr.Stats.Read(stats.FellowsLive, func() int64 { return int64(pr.fellows.Live()) })
+	pr.Stats.Read(stats.PeersLive, func() int64 { return int64(pr.peers.Live()) })
 	pr.Stats.Read(stats.EndpointsKnown, func() int64 { return int64(pr.placer.Known()) })
 	if pr.Dropped != nil {
 		pr.Stats.Read(stats.LogLinesDropped, pr.Dropped)
--- a/io/entry/serve.go
+++ b/io/entry/serve.go
@@ -13,7 +13,7 @@
 	kratoshttp "github.com/go-kratos/kratos/v2/transport/http"
 	"go.uber.org/zap"
 
-	"almondrill/io/fellow"
+	"almondrill/io/gossip"
 )
 
 const (
@@ -62,7 +62,7 @@
 	ready := http.NewServeMux()
 	ready.HandleFunc(pr.Platform.ReadyPath(), pr.readyz)
 	peers := http.NewServeMux()
-	peers.Handle(fellow.ItemsPath, pr.fellows.Handler())
+	peers.Handle(gossip.ItemsPath, pr.peers.Handler())
 	admin := http.NewServeMux()
 	admin.HandleFunc("/healthz", func(wr http.ResponseWriter, _ *http.Request) { _, _ = wr.Write([]byte("ok\n")) })
 	admin.HandleFunc("/readyz", pr.readyz)
--- a/io/entry/view.go
+++ b/io/entry/view.go
@@ -37,8 +37,8 @@
 		vi.register(what, it.Rev)
 	case Departure:
 		vi.depart(what.ID, it.Rev)
-	case FellowAddr:
-		vi.pr.fellows.Add(string(what))
+	case PeerAddr:
+		vi.pr.peers.Add(string(what))
 	}
 }
 
--- a/io/feeds/feeds.go
+++ b/io/feeds/feeds.go
@@ -5,7 +5,7 @@
 // A Reader lists the store once, then waits for changes, again and again. Each
 // answer, also an empty one, confirms that what is believed was right a moment
 // ago. Only a few routers, the leaders, do so at a time: the others hear of changes
-// and confirmations from their fellows, so that the store's calls do not grow with
+// and confirmations from their peers, so that the store's calls do not grow with
 // the routers. One that hears no confirmation for takeoverAfter asks the store
 // itself, whoever leads.
 //
@@ -50,7 +50,7 @@
 	firstPause = 60 * time.Millisecond
 	mostPause  = 400 * time.Millisecond
 	// takeoverAfter is the age beyond which a router that does not lead asks the
-	// store itself: a wait, and the time in which fellows tell of it.
+	// store itself: a wait, and the time in which peers tell of it.
 	takeoverAfter = 1300 * time.Millisecond
 	// restTick is how often a router that does not lead looks whether it has to.
 	restTick = 100 * time.Millisecond
@@ -84,7 +84,7 @@
 // Age is how long ago an answer last confirmed the mirror.
 func (rd *Reader) Age() time.Duration { return time.Duration(rd.now() - rd.confirmed.Load()) }
 
-// Confirm takes a fellow's word that the mirror was right that long ago.
+// Confirm takes a peer's word that the mirror was right that long ago.
 func (rd *Reader) Confirm(age time.Duration) {
 	raise(&rd.confirmed, rd.now()-int64(age))
 }
@@ -112,7 +112,7 @@
 	return at > 0 && rd.now()-at < int64(rd.DoubtFor)
 }
 
-// Doubt takes a fellow's word that the store is, or was, in trouble.
+// Doubt takes a peer's word that the store is, or was, in trouble.
 func (rd *Reader) Doubt() { rd.doubted.Store(rd.now()) }
 
 // Run follows the store until ctx ends.
--- a/io/feeds/feeds_test.go
+++ b/io/feeds/feeds_test.go
@@ -205,7 +205,7 @@
 	})
 }
 
-// A router that does not lead costs the store nothing while fellows confirm what it
+// A router that does not lead costs the store nothing while peers confirm what it
 // knows, and asks for itself soon after they stop.
 func TestOthersAskOnlyWithoutConfirmation(t *testing.T) {
 	st := newStore()
@@ -218,7 +218,7 @@
 		waits := st.waits
 		st.mu.Unlock()
 		if waits > 2 {
-			t.Errorf("%d calls in 10 s though fellows confirm", waits)
+			t.Errorf("%d calls in 10 s though peers confirm", waits)
 		}
 		st.set("a", false)
 		time.Sleep(1800 * time.Millisecond)
--- a/io/fellow/fellow.go
+++ b/io/gossip/gossip.go
@@ -1,31 +1,30 @@
-// Package fellow lets the routers of a region tell each other little and often:
+// Package gossip lets the routers of a region tell each other little and often:
 // their calls in progress, and how far they know the store's changes.
 //
 // # Concepts
 //
-// A router sends a short datagram to its fellows several times a second. One that the
-// store turns away sees from it that a fellow knows more, and fetches what it
-// lacks over HTTP. Fellows are found through the store, through the seeds of the
-// settings, and through the fellows that a datagram names.
+// A router sends a short datagram to its peers several times a second. One that the
+// store turns away sees from it that a peer knows more, and fetches what it
+// lacks over HTTP. Peers are found through the store, through the seeds of the
+// settings, and through the peers that a datagram names.
 //
 // # Invariants
 //
-//   - What is sent of calls stays within callsBytes, however many fellows there are.
-//   - A fellow that was not heard for knownFor is forgotten.
+//   - What is sent of calls stays within callsBytes, however many peers there are.
+//   - A peer that was not heard for knownFor is forgotten.
 //
 // # Usage
 //
-//	gr := &fellow.Group{Self: name, Addr: addr, Mirror: mi, Placer: pl, Log: lo}
-//	mux.Handle(fellow.ItemsPath, gr.Handler())
+//	gr := &gossip.Group{Self: name, Addr: addr, Mirror: mi, Placer: pl, Log: lo}
+//	mux.Handle(gossip.ItemsPath, gr.Handler())
 //	err := gr.Run(ctx)
-package fellow
+package gossip
 
 import (
 	"context"
 	"errors"
 	"fmt"
 	"net"
-	"slices"
 	"sync"
 	"time"
 
@@ -39,7 +38,7 @@
 )
 
 const (
-	// tick is how often fellows are told. Each hears at most once in leastGap: calls
+	// tick is how often peers are told. Each hears at most once in leastGap: calls
 	// last a second or more, and a message takes a millisecond.
 	tick     = 100 * time.Millisecond
 	leastGap = 200 * time.Millisecond
@@ -47,7 +46,7 @@
 	// datagrams; the budget of a node is 5 KB/s for all of control. With 26 routers
 	// each hears each every 0.4 s.
 	callsBytes = 3300
-	// newsTo is how many fellows are told at once that there is news of the store.
+	// newsTo is how many peers are told at once that there is news of the store.
 	// Those tell others in turn: 420 routers hear of it in three rounds of a tick.
 	newsTo = 64
 	// leaders is how many routers ask the store; with two, one may end at any time.
@@ -55,16 +54,16 @@
 	leaders = 2
 	leadFor = time.Second
 	// introTicks is how often, in ticks, a router introduces itself to introTo
-	// fellows, with what it has heard from engines and whom it knows: some 600 bytes.
+	// peers, with what it has heard from engines and whom it knows: some 600 bytes.
 	introTicks = 12
 	introTo    = 2
-	// knownFor is how long a fellow that is not heard is kept; liveFor how long it
+	// knownFor is how long a peer that is not heard is kept; liveFor how long it
 	// counts as running.
 	knownFor = 30 * time.Second
 	liveFor  = 3 * time.Second
 	// mostDatagram keeps a message within one frame.
 	mostDatagram = 1400
-	// mostNamed is how many other fellows a message names.
+	// mostNamed is how many other peers a message names.
 	mostNamed = 6
 	// mostAgeMs bounds the age that is told, an hour; beyond seconds it makes no
 	// difference.
@@ -88,7 +87,7 @@
 	Moves []byte `cbor:"7,keyasint,omitempty"`
 	// Leaving is set in the last messages of a process.
 	Leaving bool `cbor:"3,keyasint,omitempty"`
-	// From introduces the sender; Known are addresses of other fellows, Readings
+	// From introduces the sender; Known are addresses of other peers, Readings
 	// engines' own counts of their calls.
 	From     core.VMID       `cbor:"4,keyasint,omitempty"`
 	Known    []string        `cbor:"5,keyasint,omitempty"`
@@ -97,13 +96,13 @@
 
 // Feed is what a router knows of the store, and how old it is.
 type Feed interface {
-	// Age is how long ago what is known was confirmed; Confirm takes a fellow's word.
+	// Age is how long ago what is known was confirmed; Confirm takes a peer's word.
 	Age() time.Duration
 	Confirm(age time.Duration)
 	// Failing tells whether the own calls fail.
 	Failing() bool
 	// Doubtful tells whether the store was in trouble of late; Doubt takes a
-	// fellow's word.
+	// peer's word.
 	Doubtful() bool
 	Doubt()
 }
@@ -126,18 +125,18 @@
 	ticks   int
 	// news is the latest revision that was told at once.
 	news core.Version
-	// greet are fellows that were not heard before, to be introduced to.
+	// greet are peers that were not heard before, to be introduced to.
 	greet []string
 }
 
-// member is a fellow, by its address.
+// member is a peer, by its address.
 type member struct {
 	id    core.VMID
 	added time.Time
 	heard time.Time
 	told  time.Time
 	asOf  core.Version
-	// confirmed is when the store confirmed asOf, as the fellow told.
+	// confirmed is when the store confirmed asOf, as the peer told.
 	confirmed time.Time
 	failing   bool
 	leaving   bool
@@ -165,7 +164,7 @@
 	return me
 }
 
-// Live is how many fellows were heard of late.
+// Live is how many peers were heard of late.
 func (gr *Group) Live() int {
 	gr.mu.Lock()
 	defer gr.mu.Unlock()
@@ -187,7 +186,7 @@
 }
 
 // Leads tells whether this router is one of those that ask the store: few of the
-// fellows that are well come before it in the order of their addresses' hashes.
+// peers that are well come before it in the order of their addresses' hashes.
 func (gr *Group) Leads() bool {
 	gr.mu.Lock()
 	defer gr.mu.Unlock()
@@ -204,7 +203,7 @@
 func (gr *Group) Run(ctx context.Context) error {
 	pc, err := net.ListenPacket("udp", gr.Addr)
 	if err != nil {
-		return fmt.Errorf("listen for fellows on %s: %w", gr.Addr, err)
+		return fmt.Errorf("listen for peers on %s: %w", gr.Addr, err)
 	}
 	defer pc.Close()
 	go gr.receive(pc)
@@ -233,12 +232,12 @@
 			return
 		}
 		if err != nil {
-			gr.Log.Warn("Reading a message of a fellow failed.", zap.Error(err))
+			gr.Log.Warn("Reading a message of a peer failed.", zap.Error(err))
 			continue
 		}
 		var ms message
 		if err = cbor.Unmarshal(buffer[:count], &ms); err != nil {
-			gr.Log.Warn("A message of a fellow makes no sense.", zap.String("Addr", from.String()), zap.Error(err))
+			gr.Log.Warn("A message of a peer makes no sense.", zap.String("Addr", from.String()), zap.Error(err))
 			continue
 		}
 		gr.hear(time.Now(), from.String(), &ms)
@@ -276,10 +275,10 @@
 	if now.Sub(me.heard) >= liveFor {
 		// It may know nobody else yet.
 		gr.greet = append(gr.greet, from)
-		gr.Log.Info("Hears a fellow.", zap.String("Fellow", string(ms.From)), zap.String("Addr", from))
+		gr.Log.Info("Hears a peer.", zap.String("Peer", string(ms.From)), zap.String("Addr", from))
 	}
 	if ms.Leaving && !me.leaving {
-		gr.Log.Info("A fellow leaves.", zap.String("Fellow", string(me.id)), zap.String("Addr", from))
+		gr.Log.Info("A peer leaves.", zap.String("Peer", string(me.id)), zap.String("Addr", from))
 	}
 	if ms.From != "" {
 		me.id = ms.From
@@ -291,7 +290,7 @@
 	return true
 }
 
-// forget drops fellows that were not heard for long.
+// forget drops peers that were not heard for long.
 func (gr *Group) forget(now time.Time) {
 	gr.mu.Lock()
 	defer gr.mu.Unlock()
@@ -302,111 +301,8 @@
 		}
 		if now.Sub(last) > knownFor {
 			delete(gr.members, addr)
-			gr.Log.Info("Forgets a fellow.", zap.String("Fellow", string(me.id)), zap.String("Addr", addr),
+			gr.Log.Info("Forgets a peer.", zap.String("Peer", string(me.id)), zap.String("Addr", addr),
 				zap.Duration("Silent", now.Sub(last)))
 		}
 	}
 }
-
-// tellCalls tells fellows of the own calls, those first that were told longest ago,
-// as many as the bytes allow.
-func (gr *Group) tellCalls(pc net.PacketConn, now time.Time, leaving bool) {
-	ms := gr.message(now)
-	ms.Leaving = leaving
-	data, err := cbor.Marshal(ms)
-	if err != nil {
-		gr.Log.Error("Encoding a message failed.", zap.Error(err))
-		return
-	}
-	allowed := max(1, int(callsBytes*tick.Seconds()/float64(len(data))))
-	gap := leastGap
-	if ms.AsOf > gr.news {
-		gr.news = ms.AsOf
-		allowed, gap = newsTo, 0
-	}
-	for _, addr := range gr.due(now, allowed, gap) {
-		gr.send(pc, addr, data)
-	}
-}
-
-// message holds what all messages do.
-func (gr *Group) message(now time.Time) *message {
-	return &message{
-		AsOf: gr.Mirror.AsOf(), AgeMs: uint32(min(mostAgeMs, max(0, gr.Feed.Age().Milliseconds()))),
-		Failing: gr.Feed.Failing(), Doubtful: gr.Feed.Doubtful(),
-		Calls: gr.Placer.Tell(), Moves: gr.Placer.Moves(now),
-	}
-}
-
-// due are the fellows that are to be told now.
-func (gr *Group) due(now time.Time, most int, gap time.Duration) []string {
-	gr.mu.Lock()
-	defer gr.mu.Unlock()
-	var all []string
-	for addr, me := range gr.members {
-		if now.Sub(me.told) >= gap {
-			all = append(all, addr)
-		}
-	}
-	slices.SortFunc(all, func(a, b string) int { return gr.members[a].told.Compare(gr.members[b].told) })
-	all = all[:min(most, len(all))]
-	for _, addr := range all {
-		gr.members[addr].told = now
-	}
-	return all
-}
-
-// introduce tells more to fellows that are new, and now and then to a few others,
-// drawn anew each time.
-func (gr *Group) introduce(pc net.PacketConn, now time.Time) {
-	gr.mu.Lock()
-	to := gr.greet
-	gr.greet = nil
-	gr.mu.Unlock()
-	gr.ticks++
-	if gr.ticks%introTicks == 1 {
-		to = append(to, gr.some(introTo)...)
-	}
-	if len(to) == 0 {
-		return
-	}
-	ms := gr.message(now)
-	ms.From, ms.Known, ms.Readings = gr.Self, gr.some(mostNamed), gr.Placer.Readings(now)
-	data, err := cbor.Marshal(ms)
-	for err == nil && len(data) > mostDatagram && len(ms.Readings) > 0 {
-		ms.Readings = ms.Readings[:len(ms.Readings)/2]
-		data, err = cbor.Marshal(ms)
-	}
-	if err != nil {
-		gr.Log.Error("Encoding a message failed.", zap.Error(err))
-		return
-	}
-	for _, addr := range to {
-		gr.send(pc, addr, data)
-	}
-}
-
-func (gr *Group) send(pc net.PacketConn, addr string, data []byte) {
-	ua, err := net.ResolveUDPAddr("udp", addr)
-	if err == nil {
-		_, err = pc.WriteTo(data, ua)
-	}
-	if err != nil {
-		gr.Log.Debug("Telling a fellow failed.", zap.String("Addr", addr), zap.Error(err))
-	}
-}
-
-// some draws addresses of fellows.
-func (gr *Group) some(most int) []string {
-	gr.mu.Lock()
-	defer gr.mu.Unlock()
-	all := make([]string, 0, len(gr.members))
-	for addr := range gr.members {
-		all = append(all, addr)
-	}
-	for ix := range all {
-		other := ix + int(gr.Rand.Uint64()%uint64(len(all)-ix))
-		all[ix], all[other] = all[other], all[ix]
-	}
-	return all[:min(most, len(all))]
-}
--- a/io/fellow/fellow_test.go
+++ b/io/gossip/gossip_test.go
@@ -1,4 +1,4 @@
-package fellow_test
+package gossip_test
 
 import (
 	"context"
@@ -16,7 +16,7 @@
 	"almondrill/core/mirror"
 	"almondrill/core/place"
 	"almondrill/io/clock"
-	"almondrill/io/fellow"
+	"almondrill/io/gossip"
 )
 
 // feed is what a test says of the store.
@@ -40,9 +40,9 @@
 func (fe *feed) Doubtful() bool { return fe.doubtful.Load() }
 func (fe *feed) Doubt()         { fe.doubtful.Store(true) }
 
-// router is a fellow on loopback, with its datagrams and its news on one port.
+// router is a peer on loopback, with its datagrams and its news on one port.
 type router struct {
-	*fellow.Group
+	*gossip.Group
 	feed *feed
 }
 
@@ -50,7 +50,7 @@
 	t.Helper()
 	fe := &feed{}
 	fe.Confirm(0)
-	gr := &fellow.Group{
+	gr := &gossip.Group{
 		Self: core.VMID(fmt.Sprint("r", ix)), Mirror: &mirror.Mirror{}, Feed: fe, Rand: clock.NewRand(uint64(ix)), Log: zap.NewNop(),
 		Placer: &place.Placer{Zone: "a", Rand: clock.NewRand(1), Routers: func() int { return 1 }},
 	}
@@ -58,7 +58,7 @@
 	srv := httptest.NewUnstartedServer(gr.Handler())
 	gr.Addr = srv.Listener.Addr().String()
 	mux := http.NewServeMux()
-	mux.Handle(fellow.ItemsPath, gr.Handler())
+	mux.Handle(gossip.ItemsPath, gr.Handler())
 	srv.Config.Handler = mux
 	srv.Start()
 	ctx, cancel := context.WithCancel(context.Background())
@@ -100,19 +100,19 @@
 	if _, re := routers[0].Placer.Pick(time.Now(), &place.Ask{Pool: "pool"}); re != nil {
 		t.Fatal(re)
 	}
-	eventually(t, "a fellow knows of the call", func() bool {
+	eventually(t, "a peer knows of the call", func() bool {
 		tk, re := routers[2].Placer.Pick(time.Now(), &place.Ask{Pool: "pool"})
 		if re != nil {
 			return false
 		}
 		defer tk.Done(time.Now(), place.Neutral)
-		return tk.Fellows == 1
+		return tk.Others == 1
 	})
 }
 
 // The store turns one router away while keys are revoked. It learns of the change from
-// its fellow, or goes on serving callers whose key was taken away.
-func TestNewsComesFromFellows(t *testing.T) {
+// its peer, or goes on serving callers whose key was taken away.
+func TestNewsComesFromPeers(t *testing.T) {
 	one, two := start(t, 0), start(t, 1)
 	two.Add(one.Addr)
 	two.feed.failing.Store(true)
@@ -181,15 +181,15 @@
 	}
 	two.Add(one.Addr)
 	eventually(t, "the router still hears", func() bool { return one.Live() >= 1 })
-	rs, err := http.Get("http://" + one.Addr + fellow.ItemsPath + "?After=x")
+	rs, err := http.Get("http://" + one.Addr + gossip.ItemsPath + "?After=x")
 	if err != nil || rs.StatusCode != http.StatusBadRequest {
 		t.Errorf("%v %v", rs, err)
 	}
 	_ = rs.Body.Close()
 }
 
-// A router hears fellows, places calls and takes news at the same time. All three know
-// of each other: the choice asks how many routers there are, the news names fellows.
+// A router hears peers, places calls and takes news at the same time. All three know
+// of each other: the choice asks how many routers there are, the news names peers.
 // If they lock in different orders, the router stops answering anyone, for good.
 func TestNobodyWaitsForEachOther(t *testing.T) {
 	one, two := start(t, 0), start(t, 1)
--- a/io/fellow/items.go
+++ b/io/gossip/items.go
@@ -1,4 +1,4 @@
-package fellow
+package gossip
 
 import (
 	"context"
@@ -16,17 +16,17 @@
 
 // ItemsPath is where a router tells what it knows of the store. The query After
 // names the revision from which on.
-const ItemsPath = "/fellow/items"
+const ItemsPath = "/gossip/items"
 
 const (
 	// fetchTimeout bounds a fetch: a megabyte takes 10 ms on a link of 1 Gbit/s, and
-	// a busy fellow some 100 ms.
+	// a busy peer some 100 ms.
 	fetchTimeout = time.Second
-	// mostItems bounds what is read of a fellow's answer.
+	// mostItems bounds what is read of a peer's answer.
 	mostItems = 8 << 20
 )
 
-// items is a fellow's answer.
+// items is a peer's answer.
 type items struct {
 	AsOf  core.Version `cbor:"1,keyasint"`
 	Items []core.Item  `cbor:"2,keyasint"`
@@ -48,7 +48,7 @@
 			http.Error(wr, err.Error(), http.StatusInternalServerError)
 			return
 		}
-		_, _ = wr.Write(data) // a fellow that is gone asks another
+		_, _ = wr.Write(data) // a peer that is gone asks another
 	})
 }
 
@@ -57,7 +57,7 @@
 	Transport: &http.Transport{DisableKeepAlives: true},
 }
 
-// catchUp fetches what the fellow that knows most knows beyond the own mirror.
+// catchUp fetches what the peer that knows most knows beyond the own mirror.
 func (gr *Group) catchUp(ctx context.Context) {
 	own := gr.Mirror.AsOf()
 	if own == 0 && !gr.Feed.Failing() {
@@ -73,14 +73,14 @@
 		gr.fetched = false
 		gr.mu.Unlock()
 		if err != nil {
-			gr.Log.Warn("Fetching news from a fellow failed.", zap.String("Addr", addr), zap.Error(err))
+			gr.Log.Warn("Fetching news from a peer failed.", zap.String("Addr", addr), zap.Error(err))
 			return
 		}
 		gr.Feed.Confirm(time.Since(confirmed))
 	}()
 }
 
-// ahead is the address of the fellow that knows the latest revision beyond own, and
+// ahead is the address of the peer that knows the latest revision beyond own, and
 // when the store confirmed it; "" if none does or a fetch is under way.
 func (gr *Group) ahead(own core.Version) (string, time.Time) {
 	gr.mu.Lock()
@@ -110,22 +110,22 @@
 	}
 	defer rs.Body.Close()
 	if rs.StatusCode != http.StatusOK {
-		return fmt.Errorf("fellow answered %s", rs.Status)
+		return fmt.Errorf("peer answered %s", rs.Status)
 	}
 	data, err := io.ReadAll(io.LimitReader(rs.Body, mostItems))
 	if err != nil {
-		return fmt.Errorf("read a fellow's items: %w", err)
+		return fmt.Errorf("read a peer's items: %w", err)
 	}
 	var its items
 	if err = cbor.Unmarshal(data, &its); err != nil {
-		return fmt.Errorf("decode a fellow's items: %w", err)
+		return fmt.Errorf("decode a peer's items: %w", err)
 	}
 	if its.Whole {
 		gr.Mirror.Replace(its.Items, its.AsOf)
 	} else {
 		gr.Mirror.Apply(its.Items, its.AsOf)
 	}
-	gr.Log.Info("Learned from a fellow.", zap.String("Addr", addr), zap.Int("Items", len(its.Items)), zap.Bool("Whole", its.Whole),
+	gr.Log.Info("Learned from a peer.", zap.String("Addr", addr), zap.Int("Items", len(its.Items)), zap.Bool("Whole", its.Whole),
 		zap.Uint64("After", uint64(after)), zap.Uint64("AsOf", uint64(its.AsOf)))
 	return nil
 }
--- a/io/relay/request.go
+++ b/io/relay/request.go
@@ -182,7 +182,7 @@
 	}
 	if tk := rq.ticket; tk != nil {
 		fields = append(fields, zap.String("Endpoint", string(tk.Endpoint.ID)), zap.Float64("CostMs", math.Round(tk.CostMs)),
-			zap.Int("Calls", tk.Calls), zap.Int("Fellows", tk.Fellows), zap.Float64("Mean", math.Round(10*tk.Mean)/10),
+			zap.Int("Calls", tk.Calls), zap.Int("Others", tk.Others), zap.Float64("Mean", math.Round(10*tk.Mean)/10),
 			zap.Int("Usable", tk.Usable), zap.Int("Full", tk.Full), zap.Int("Of", tk.Of))
 		if tk.Prompt > 0 {
 			fields = append(fields, zap.Uint64("Chat", tk.Chat), zap.Bool("Home", tk.Home), zap.Int64("Prompt", int64(tk.Prompt)),
--- a/io/stats/stats.go
+++ b/io/stats/stats.go
@@ -47,7 +47,7 @@
 	ContextsTaken   = "ContextsTakenIn"
 	PointersHanded  = "PointersHandedOn"
 	ViewAgeMs       = "ViewAgeMs"
-	FellowsLive     = "FellowsLive"
+	PeersLive       = "PeersLive"
 	EndpointsKnown  = "EndpointsKnown"
 	LogLinesDropped = "LogLinesDropped"
 	LogLinesSampled = "LogLinesSampled"
@@ -59,7 +59,7 @@
 	ControlBytes, ControlHeld, QueueCalls, RunningCalls, LoadWork, ConfigRevision, ConfigReverted,
 	EventsDropped, ConnectionsOpen, Replays, OrdersGiven, OrdersDone, OrdersFence,
 	ContextsHanded, ContextsTaken, PointersHanded,
-	ViewAgeMs, FellowsLive, EndpointsKnown, LogLinesDropped, LogLinesSampled,
+	ViewAgeMs, PeersLive, EndpointsKnown, LogLinesDropped, LogLinesSampled,
 }
 
 // Set is one process's counters.
