--- a/core/place/load_test.go
+++ b/core/place/load_test.go
@@ -172,3 +172,64 @@
 		t.Errorf("%d tokens were read anew, want at most 60,000 of some 180,000", anew)
 	}
 }
+
+// Everybody asks about one thing, and engines of the pool cannot take contexts over, so
+// moving a call means reading 10,000 tokens. Its home must not be buried all the same.
+func TestCapHoldsWhereMovingIsDear(t *testing.T) {
+	pl := newPlacer(1)
+	register(pl, 10)
+	calls := map[core.EndpointID]int{}
+	for placed := range 60 {
+		as := ask(chat(1, 7))
+		as.FetchPerMs = 0
+		tk := pick(t, pl, begin, as)
+		calls[tk.Endpoint.ID]++
+		if limit := 2*float64(placed)/10 + 3; float64(calls[tk.Endpoint.ID]) > limit {
+			t.Fatalf("call %d: %d calls at one endpoint, want at most %.1f", placed+1, calls[tk.Endpoint.ID], limit)
+		}
+	}
+}
+
+// An engine has twice its pool's mean of calls, still below the cap. Small chats leave
+// it, at the price of a step or two; large ones stay, as they are dear to move.
+func TestSmallChatsLeaveUnderPressureFirst(t *testing.T) {
+	pl := newPlacer(1)
+	register(pl, 8)
+	big := chat(1, 7)
+	home := serve(t, pl, begin, ask(big)).Endpoint.ID
+	small := smallAt(t, pl, home)
+	for ix := range 8 {
+		tried := []core.EndpointID{}
+		for other := range 8 {
+			if other != ix {
+				tried = append(tried, endpoint(other).ID)
+			}
+		}
+		count := 3
+		if endpoint(ix).ID == home {
+			count = 7
+		}
+		for range count {
+			pick(t, pl, begin, &place.Ask{Pool: pool, Engine: true, Tried: tried})
+		}
+	}
+	if tk := pick(t, pl, begin, ask(small)); tk.Endpoint.ID == home {
+		t.Error("a small chat stays at an engine under pressure")
+	}
+	if tk := pick(t, pl, begin, ask(big)); tk.Endpoint.ID != home {
+		t.Error("a large chat leaves its engine though there is room")
+	}
+}
+
+// smallAt finds a small chat whose home is that endpoint.
+func smallAt(t *testing.T, pl *place.Placer, home core.EndpointID) []place.Part {
+	t.Helper()
+	for id := range uint64(200) {
+		parts := []place.Part{{Hash: 90 + id, Tokens: 50}, {Hash: 5000 + id, Tokens: 150}, {Hash: 1 << 41, Tokens: 50}}
+		if serve(t, pl, begin, ask(parts)).Endpoint.ID == home {
+			return parts
+		}
+	}
+	t.Fatal("no small chat has its home there")
+	return nil
+}
