Limits of heads in the configuration are enforced

Cause: MaxHeader and HeaderTimeout were decoded, but the server's fixed 64 KB and 10 s applied to all callers. A longer head is refused with 431 before anything else is looked at; the time for a head is set by the callers' connection, which already did so for the idle time. The server itself reads up to net/http's default of 1 MB.

Both tests were seen failing before: a head of 3,000 bytes at a bound of 2,048 was served, and half a head stayed open beyond 3 s at a bound of 400 ms.

--- a/io/entry/caller.go
+++ b/io/entry/caller.go
@@ -11,22 +11,47 @@
 )
 
 const (
-	// defaultIdle is how long callers' connections may be idle while no
-	// configuration says otherwise.
+	// defaultIdle and defaultHead are how long callers' connections may be idle, and
+	// how long a head may take, while no configuration says otherwise: what common
+	// HTTP servers allow.
 	defaultIdle = time.Minute
-	// idleMark stands for the configuration's idle time in the server's settings,
-	// which cannot be changed while it runs.
+	defaultHead = 10 * time.Second
+	// idleMark and headMark stand for the configuration's times in the server's
+	// settings, which cannot be changed while it runs. They are far longer than any
+	// real time, and a day apart, so that each can be told from the other.
 	idleMark = 24 * time.Hour
+	headMark = 48 * time.Hour
+	// markSpan is how far a deadline may be from its mark and still be told: the
+	// server sets it a moment after it has worked it out.
+	markSpan = time.Hour
 	// callerTimeout is how long bytes to a caller may stay unacknowledged. A caller
 	// without power would otherwise hold an endpoint's place.
 	callerTimeout = 4 * time.Second
 )
 
+// callerTimes are the times that callers have, in ns. They change with the
+// configuration.
+type callerTimes struct {
+	idle atomic.Int64
+	head atomic.Int64
+}
+
+// set takes the configuration's times; 0 stands for the default.
+func (ct *callerTimes) set(idle, head time.Duration) {
+	if idle <= 0 {
+		idle = defaultIdle
+	}
+	if head <= 0 {
+		head = defaultHead
+	}
+	ct.idle.Store(int64(idle))
+	ct.head.Store(int64(head))
+}
+
 // callerListener accepts callers' connections.
 type callerListener struct {
 	net.Listener
-	// idle is how long they may be idle, in ns; it changes with the configuration.
-	idle *atomic.Int64
+	times *callerTimes
 }
 
 // Accept waits for a connection.
@@ -42,7 +67,7 @@
 	if rc, err := tcp.SyscallConn(); err == nil {
 		_ = conns.SetUserTimeout(rc, callerTimeout) // without it the connection only ends later
 	}
-	return &callerConn{TCPConn: tcp, idle: cl.idle}, nil
+	return &callerConn{TCPConn: tcp, times: cl.times}, nil
 }
 
 // callerConn is a caller's connection.
@@ -54,14 +79,17 @@
 // the relay looks at before it sends anything.
 type callerConn struct {
 	*net.TCPConn
-	idle   *atomic.Int64
+	times  *callerTimes
 	closed atomic.Bool
 }
 
-// SetReadDeadline puts the configuration's idle time in the place of idleMark.
+// SetReadDeadline puts the configuration's times in the place of their marks.
 func (cc *callerConn) SetReadDeadline(at time.Time) error {
-	if time.Until(at) > idleMark/2 {
-		at = time.Now().Add(time.Duration(cc.idle.Load()))
+	switch left := time.Until(at); {
+	case left > headMark-markSpan:
+		at = time.Now().Add(time.Duration(cc.times.head.Load()))
+	case left > idleMark-markSpan:
+		at = time.Now().Add(time.Duration(cc.times.idle.Load()))
 	}
 	return cc.TCPConn.SetReadDeadline(at)
 }
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -89,7 +89,7 @@
 	reader  *feeds.Reader
 	peers   *gossip.Group
 	view    *view
-	idle    atomic.Int64 // how long callers may be idle, in ns
+	times   callerTimes
 	leaving atomic.Bool
 	app     atomic.Pointer[kratos.App]
 }
@@ -132,7 +132,7 @@
 	pr.log = pr.Logs.Part("entry")
 	pr.rand = clock.NewRand(clock.RandomSeed())
 	pr.pool = &conns.Pool{}
-	pr.idle.Store(int64(defaultIdle))
+	pr.times.set(0, 0)
 	pr.mirror = &mirror.Mirror{}
 	pr.peers = &gossip.Group{Self: se.Name, Addr: se.PeersAddr, Mirror: pr.mirror, Rand: pr.rand, Log: pr.Logs.Part("gossip")}
 	pr.placer = &place.Placer{Zone: se.Zone, Rand: pr.rand, CapFactor: se.CapFactor, Routers: pr.peers.Routers}
--- a/io/entry/serve.go
+++ b/io/entry/serve.go
@@ -17,10 +17,11 @@
 )
 
 const (
-	// maxHeaderBytes bounds heads before the configuration's own limit is looked at.
-	maxHeaderBytes = 64 << 10
-	// headerTimeout is the longest that a caller may take for a head. The
-	// configuration's is shorter as a rule.
+	// maxHeaderBytes bounds what is read of a head, whatever the configuration says,
+	// so that heads cannot use up the memory; net/http's own default.
+	maxHeaderBytes = http.DefaultMaxHeaderBytes
+	// headerTimeout bounds the reading of a head on the addresses that callers do
+	// not use. The configuration sets it on theirs.
 	headerTimeout = 10 * time.Second
 	// stopMargin is the time between cutting what is still in progress and the end
 	// of DrainTimeout, for closing and the last log lines.
@@ -82,12 +83,13 @@
 			return nil, err
 		}
 		if on.key == "CallersAddr" {
-			li = &callerListener{Listener: li, idle: &pr.idle}
+			li = &callerListener{Listener: li, times: &pr.times}
 		}
 		srv := pr.httpServer(li, on.handler)
 		if on.key == "CallersAddr" {
 			srv.ConnContext = callerContext
 			srv.IdleTimeout = idleMark
+			srv.ReadHeaderTimeout = headMark
 		}
 		servers = append(servers, srv)
 	}
--- a/io/entry/view.go
+++ b/io/entry/view.go
@@ -56,9 +56,7 @@
 		return
 	}
 	vi.pr.relay.SetTable(ta)
-	if ta.Limits.IdleTimeout > 0 {
-		vi.pr.idle.Store(int64(ta.Limits.IdleTimeout))
-	}
+	vi.pr.times.set(ta.Limits.IdleTimeout, ta.Limits.HeaderTimeout)
 	routes, customers := ta.Counts()
 	vi.log.Info("Adopted a configuration.", zap.Uint64("Version", uint64(ta.Version)), zap.Uint64("Rev", uint64(rev)),
 		zap.Int("Routes", routes), zap.Int("Customers", customers), zap.Duration("Age", vi.pr.reader.Age()))
--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -99,7 +99,9 @@
 	// staleAfter is the age of beliefs beyond which an unknown route or key is no
 	// proof that it does not exist. A confirmation comes every second and a half.
 	staleAfter = 2500 * time.Millisecond
-	// defaultMaxBody bounds bodies while no configuration says otherwise.
+	// defaultMaxHead and defaultMaxBody bound heads and bodies where the
+	// configuration does not.
+	defaultMaxHead = 64 << 10
 	defaultMaxBody = 4 << 20
 	// noConfigAfter is when callers may return to a router that is starting.
 	noConfigAfter = 500 * time.Millisecond
@@ -174,6 +176,9 @@
 		rf.RetryAfter = noConfigAfter
 		return rf
 	}
+	if limit := rq.maxHead(); headSize(rq.hr) > limit {
+		return rq.tooLarge(http.StatusRequestHeaderFieldsTooLarge, "head", limit)
+	}
 	rq.route = rq.table.Find(rq.hr.Host, rq.hr.URL.Path)
 	if rq.route == nil {
 		return rq.unknown(core.ReasonUnknownModel, http.StatusNotFound, "no route for "+rq.hr.Host+rq.hr.URL.Path)
@@ -231,7 +236,7 @@
 		limit = defaultMaxBody
 	}
 	if hr.ContentLength > limit {
-		return rq.tooLarge(limit)
+		return rq.tooLarge(http.StatusRequestEntityTooLarge, "body", limit)
 	}
 	_ = rq.control.SetReadDeadline(rq.end) // supported by every server connection
 	body, err := readAll(http.MaxBytesReader(rq.wr, hr.Body, limit), hr.ContentLength)
@@ -243,7 +248,7 @@
 	var large *http.MaxBytesError
 	switch {
 	case errors.As(err, &large):
-		return rq.tooLarge(limit)
+		return rq.tooLarge(http.StatusRequestEntityTooLarge, "body", limit)
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		rf := rq.notRun(core.ReasonSlowCaller, "read", "the body did not come in time")
 		rf.Status = http.StatusRequestTimeout
@@ -256,12 +261,35 @@
 	return rf
 }
 
-func (rq *request) tooLarge(limit int64) *core.Refusal {
-	rf := rq.notRun(core.ReasonTooLarge, "read", "the body is larger than "+strconv.FormatInt(limit, 10)+" bytes")
-	rf.Status = http.StatusRequestEntityTooLarge
+// tooLarge refuses a request whose head or body is beyond its limit, in bytes.
+func (rq *request) tooLarge(status int, what string, limit int64) *core.Refusal {
+	rf := rq.notRun(core.ReasonTooLarge, "read", "the "+what+" is larger than "+strconv.FormatInt(limit, 10)+" bytes")
+	rf.Status = status
 	return rf
 }
 
+// maxHead is the longest head that the configuration allows, in bytes.
+func (rq *request) maxHead() int64 {
+	if limit := int64(rq.table.Limits.MaxHeader); limit > 0 {
+		return limit
+	}
+	return defaultMaxHead
+}
+
+// headSize is the length of a request's head as it came, in bytes: its first line,
+// and each header's with a colon, a space and the end of the line.
+func headSize(hr *http.Request) int64 {
+	const separators = len(": ") + len("\r\n")
+	size := len(hr.Method) + len(hr.RequestURI) + len(hr.Proto) + separators
+	size += len("Host") + len(hr.Host) + separators
+	for name, values := range hr.Header {
+		for _, value := range values {
+			size += len(name) + len(value) + separators
+		}
+	}
+	return int64(size)
+}
+
 // readAll is io.ReadAll with room for the length that is announced.
 func readAll(rd io.Reader, length int64) ([]byte, error) {
 	if length < 0 {
