Answers beyond 1 MB are passed on as they come

Cause: an answer was read whole before it was passed on, so that one that breaks off can be asked for again; beyond 1 MB it became a 502, though the request had run. Now what was read is passed on from there, and a later break cuts the caller's connection.

The tests were seen failing before: 115 bytes of an error in place of 3.2 MB, and two sends.

--- a/io/relay/answer.go
+++ b/io/relay/answer.go
@@ -15,6 +15,7 @@
 // passHead writes the head of an endpoint's answer. Its length is -1 if unknown.
 func (rq *request) passHead(status int, from http.Header, length int64) {
 	rq.begun = true
+	rq.status = status
 	rq.first = time.Now()
 	hd := rq.wr.Header()
 	leaving := hd.Get("Connection")
--- a/io/relay/attempt.go
+++ b/io/relay/attempt.go
@@ -24,8 +24,9 @@
 	// two seconds after which they give up.
 	stallGaps  = 4
 	leastStall = time.Second
-	// mostReply bounds an endpoint's answer that is kept whole.
-	mostReply = 1 << 20
+	// mostKept bounds what is kept of an answer, in bytes, to be able to ask another
+	// endpoint if it breaks off. A router's memory holds some hundred of them.
+	mostKept = 1 << 20
 )
 
 // exchange is one attempt at one endpoint.
@@ -155,12 +156,17 @@
 
 // failedReply keeps an endpoint's failure, to be passed on if nothing better comes.
 func (ex *exchange) failedReply(ctx context.Context) (*core.Refusal, place.Result) {
-	body, err := ex.readWhole()
+	body, whole, err := ex.readWhole()
 	if err != nil {
 		return ex.broken(ctx, "read", err)
 	}
-	ex.keep()
-	if !ex.rq.begun {
+	if !whole && !ex.rq.begun {
+		return ex.passLong(ctx, body, place.Failed)
+	}
+	if whole {
+		ex.keep()
+	}
+	if whole && !ex.rq.begun {
 		ex.rq.reply = &reply{status: ex.rs.StatusCode, header: ex.rs.Header, body: body}
 	}
 	rf := ex.fail(core.Failed, core.ReasonEndpointError, "read", errors.New(ex.rs.Status))
@@ -174,10 +180,13 @@
 // passWhole passes an answer on that is read whole first, so that one that breaks
 // off can still be asked for again.
 func (ex *exchange) passWhole(ctx context.Context) (*core.Refusal, place.Result) {
-	body, err := ex.readWhole()
+	body, whole, err := ex.readWhole()
 	if err != nil {
 		return ex.broken(ctx, "read", err)
 	}
+	if !whole {
+		return ex.passLong(ctx, body, place.Served)
+	}
 	ex.keep()
 	ex.rq.passHead(ex.rs.StatusCode, ex.rs.Header, int64(len(body)))
 	if _, err = ex.rq.wr.Write(body); err != nil {
@@ -186,18 +195,45 @@
 	return nil, place.Served
 }
 
-func (ex *exchange) readWhole() ([]byte, error) {
-	body, err := io.ReadAll(io.LimitReader(ex.rs.Body, mostReply+1))
-	if err == nil && len(body) > mostReply {
-		return nil, errors.New("the answer is larger than a megabyte")
+// passLong passes an answer on as it comes that is too long to be kept. One that
+// breaks off is cut at the caller too: it has the beginning already.
+func (ex *exchange) passLong(ctx context.Context, start []byte, re place.Result) (*core.Refusal, place.Result) {
+	ex.limit(ctx, 0)
+	ex.rq.passHead(ex.rs.StatusCode, ex.rs.Header, ex.rs.ContentLength)
+	if _, err := ex.rq.wr.Write(start); err != nil {
+		return ex.fail(core.Unknown, core.ReasonCallerGone, "write", err), place.Neutral
 	}
-	return body, err
+	buffer := buffers.Get().(*[readSize]byte)
+	defer buffers.Put(buffer)
+	for {
+		count, err := ex.rs.Body.Read(buffer[:])
+		if count > 0 {
+			ex.tk.Heard(time.Now())
+			if _, werr := ex.rq.wr.Write(buffer[:count]); werr != nil {
+				return ex.fail(core.Unknown, core.ReasonCallerGone, "write", werr), place.Neutral
+			}
+		}
+		switch {
+		case err == nil:
+			continue
+		case errors.Is(err, io.EOF):
+			ex.keep()
+			return nil, re
+		}
+		return ex.broken(ctx, "read", err)
+	}
+}
+
+// readWhole reads an answer up to mostKept; whole tells whether that was all.
+func (ex *exchange) readWhole() (body []byte, whole bool, err error) {
+	body, err = io.ReadAll(io.LimitReader(ex.rs.Body, mostKept+1))
+	return body, len(body) <= mostKept, err
 }
 
 // drainReply reads the rest of an answer that is not passed on, so that its
 // connection can be used again.
 func (ex *exchange) drainReply(ctx context.Context) {
-	if _, err := ex.readWhole(); err == nil && ctx.Err() == nil {
+	if _, whole, err := ex.readWhole(); whole && err == nil && ctx.Err() == nil {
 		ex.keep()
 	}
 }
--- a/io/relay/relay_test.go
+++ b/io/relay/relay_test.go
@@ -350,3 +350,44 @@
 		}
 	}
 }
+
+// A caller asks for a long report, larger than the router keeps of an answer. The
+// request ran, so that an error in its place would lose the answer: it has to be
+// passed on as it comes.
+func TestAnswerLargerThanIsKeptArrivesWhole(t *testing.T) {
+	long := strings.Repeat("0123456789abcdef", 200_000)
+	unframed := func(se *seen, co net.Conn) bool {
+		_, _ = io.WriteString(co, "HTTP/1.1 200 X\r\nX-Id: id-1\r\nX-Stamp: s0\r\n\r\n"+long)
+		return false
+	}
+	for name, sc := range map[string]script{"counted": answer(200, long), "unframed": unframed, "failure": answer(500, long)} {
+		t.Run(name, func(t *testing.T) {
+			fl := newFleet(t, sc).serve(onceOnly)
+			rs, body, err := fl.call("POST", "/r/x", "")
+			if err != nil || body != long {
+				t.Fatalf("%d of %d bytes: %v", len(body), len(long), err)
+			}
+			if want := map[bool]int{true: 500, false: 200}[name == "failure"]; rs.StatusCode != want {
+				t.Errorf("status %d, want %d", rs.StatusCode, want)
+			}
+		})
+	}
+}
+
+// The endpoint breaks off in the middle of a long answer, of which the caller has the
+// beginning. It must not look whole.
+func TestLongAnswerThatBreaksOffDoesNotLookWhole(t *testing.T) {
+	part := strings.Repeat("x", 2<<20)
+	cut := func(se *seen, co net.Conn) bool {
+		_, _ = fmt.Fprintf(co, "HTTP/1.1 200 X\r\nX-Id: id-1\r\nX-Stamp: s0\r\nContent-Length: %d\r\n\r\n%s", 2*len(part), part)
+		return false
+	}
+	fl := newFleet(t, cut, cut).serve(idempotent)
+	_, body, err := fl.call("GET", "/r/x", "")
+	if err == nil {
+		t.Errorf("%d bytes look whole", len(body))
+	}
+	if got := len(fl.requests()); got != 1 {
+		t.Errorf("sent %d times, though the caller has the beginning", got)
+	}
+}
--- a/io/relay/request.go
+++ b/io/relay/request.go
@@ -39,9 +39,10 @@
 	ran *core.Refusal
 	// reply is what an endpoint answered when it failed the request.
 	reply *reply
-	// begun is set once the caller has the answer's head, first when.
-	begun bool
-	first time.Time
+	// begun is set once the caller has the answer's head, first when, status which.
+	begun  bool
+	first  time.Time
+	status int
 	// lastEvent is the id of the last event that the caller has.
 	lastEvent string
 	ticket    *place.Ticket
@@ -127,7 +128,7 @@
 	rq.re.Stats.Answer(core.Whole)
 	rq.re.Latency.Whole(now.Sub(rq.began))
 	rq.re.Latency.First(rq.first.Sub(rq.began))
-	rq.re.Log.Info("Served.", rq.fields(zap.Duration("Took", now.Sub(rq.began)),
+	rq.re.Log.Info("Served.", rq.fields(zap.Int("Status", rq.status), zap.Duration("Took", now.Sub(rq.began)),
 		zap.Duration("First", rq.first.Sub(rq.began)))...)
 }
 
