Routers no longer renew each other's doubt of missing registrations

Change: nobody tells doubts. Each router goes by the store's confirmations, own or heard: none for 1.2 s (860 ms at most while the store is well, measured at 4, 6, 26 and 27 routers), or a failed own call while peers reach the store no more. What is missing is taken out when the doubt ends, not a fixed time after it went missing.

--- a/io/entry/view.go
+++ b/io/entry/view.go
@@ -17,8 +17,8 @@
 	pr  *Process
 	log *zap.Logger
 
-	mu        sync.Mutex // guards all below
-	departing map[core.EndpointID]time.Time
+	mu        sync.Mutex               // guards all below
+	departing map[core.EndpointID]bool // doubted, as their registrations are missing
 	states    map[core.EndpointID]bool // known endpoints; true if draining
 }
 
@@ -86,11 +86,11 @@
 
 // depart takes an endpoint out whose registration is gone. Registrations lapse
 // while endpoints cannot reach the store; during and right after its outage, one
-// that is missing may be back in a moment, and a whole pool would seem gone.
+// that is missing may be back in a moment, and a whole pool would seem gone. Once
+// the doubt ends, run takes out what has not come back.
 func (vi *view) depart(id core.EndpointID, rev core.Version) {
 	vi.mu.Lock()
 	defer vi.mu.Unlock()
-	delay := vi.pr.Settings.ReturnDelay + returnMargin
 	doubted := vi.pr.reader.Doubtful()
 	vi.log.Info("Endpoint's registration is gone.", zap.String("Endpoint", string(id)),
 		zap.Uint64("Rev", uint64(rev)), zap.Bool("Doubted", doubted))
@@ -99,9 +99,9 @@
 		return
 	}
 	if vi.departing == nil {
-		vi.departing = map[core.EndpointID]time.Time{}
+		vi.departing = map[core.EndpointID]bool{}
 	}
-	vi.departing[id] = time.Now().Add(delay)
+	vi.departing[id] = true
 	vi.pr.placer.Doubt(id)
 }
 
@@ -119,15 +119,20 @@
 		select {
 		case <-ctx.Done():
 			return nil
-		case now := <-tick.C:
-			vi.mu.Lock()
-			for id, at := range vi.departing {
-				if now.After(at) {
-					vi.log.Info("Endpoint did not come back.", zap.String("Endpoint", string(id)))
-					vi.remove(id)
-				}
+		case <-tick.C:
+			if !vi.pr.reader.Doubtful() {
+				vi.removeMissing()
 			}
-			vi.mu.Unlock()
 		}
 	}
 }
+
+// removeMissing takes out the endpoints whose registrations did not come back.
+func (vi *view) removeMissing() {
+	vi.mu.Lock()
+	defer vi.mu.Unlock()
+	for id := range vi.departing {
+		vi.log.Info("Endpoint did not come back.", zap.String("Endpoint", string(id)))
+		vi.remove(id)
+	}
+}
--- a/io/feeds/feeds.go
+++ b/io/feeds/feeds.go
@@ -56,6 +56,10 @@
 	restTick = 100 * time.Millisecond
 	// failingFor is how long a failed call counts.
 	failingFor = 3 * time.Second
+	// doubtAfter is how long the store may confirm nothing, to this router or its
+	// peers, before registrations may have lapsed. While it is well, confirmations
+	// were at most 860 ms apart, among 4 to 27 routers.
+	doubtAfter = 1200 * time.Millisecond
 )
 
 // Reader follows the store. Set the exported fields before Run.
@@ -66,13 +70,14 @@
 	Log    *zap.Logger
 	// Leads tells whether this router is to ask the store.
 	Leads func() bool
-	// DoubtFor is how long after trouble with the store a missing registration is
+	// DoubtFor is how long after the store's return a missing registration is
 	// doubted.
 	DoubtFor time.Duration
 
-	confirmed atomic.Int64 // when an answer last came, in ns of the steady clock
+	confirmed atomic.Int64 // when the store last confirmed the mirror, in ns of the steady clock
+	told      atomic.Int64 // the same, as peers told
 	failed    atomic.Int64 // when an own call last failed
-	doubted   atomic.Int64 // when the store was last in trouble, as seen here or told
+	away      atomic.Int64 // when the store was last away
 	began     time.Time
 }
 
@@ -86,15 +91,23 @@
 
 // Confirm takes a peer's word that the mirror was right that long ago.
 func (rd *Reader) Confirm(age time.Duration) {
-	raise(&rd.confirmed, rd.now()-int64(age))
+	at := rd.now() - int64(age)
+	raise(&rd.told, at)
+	rd.confirm(at)
 }
 
-// raise sets a time unless a later one is set.
-func raise(at *atomic.Int64, to int64) {
+func (rd *Reader) confirm(at int64) {
+	if old := raise(&rd.confirmed, at); at-old > int64(doubtAfter) {
+		rd.away.Store(rd.now())
+	}
+}
+
+// raise sets a time unless a later one is set, and returns the one before.
+func raise(at *atomic.Int64, to int64) int64 {
 	for {
 		old := at.Load()
 		if to <= old || at.CompareAndSwap(old, to) {
-			return
+			return old
 		}
 	}
 }
@@ -105,15 +118,28 @@
 	return at > 0 && rd.now()-at < int64(failingFor)
 }
 
-// Doubtful tells whether the store was in trouble of late, so that registrations may
-// have lapsed that will be back.
+// Doubtful tells whether the store is away, or was until lately, so that
+// registrations may have lapsed that will be back.
+//
+// Routers do not tell each other that they doubt: each would renew the others'
+// doubt, for good. They tell what the store confirmed, which only grows older.
 func (rd *Reader) Doubtful() bool {
-	at := rd.doubted.Load()
+	if rd.Age() > doubtAfter {
+		return true
+	}
+	at := rd.away.Load()
 	return at > 0 && rd.now()-at < int64(rd.DoubtFor)
 }
 
-// Doubt takes a peer's word that the store is, or was, in trouble.
-func (rd *Reader) Doubt() { rd.doubted.Store(rd.now()) }
+// fail notes that an own call failed. While peers reach the store, this router is cut
+// off alone, and what is missing has really left.
+func (rd *Reader) fail() {
+	now := rd.now()
+	rd.failed.Store(now)
+	if told := rd.told.Load(); told == 0 || now-told > int64(doubtAfter) {
+		rd.away.Store(now)
+	}
+}
 
 // Run follows the store until ctx ends.
 func (rd *Reader) Run(ctx context.Context) error {
@@ -128,7 +154,7 @@
 		err := rd.once(ctx, listed)
 		switch {
 		case err == nil:
-			raise(&rd.confirmed, rd.now())
+			rd.confirm(rd.now())
 			rd.failed.Store(0)
 			if lost || !listed {
 				rd.Log.Info("Follows the store.", zap.Uint64("AsOf", uint64(rd.Mirror.AsOf())))
@@ -142,8 +168,7 @@
 		case ctx.Err() != nil:
 			return nil
 		}
-		rd.failed.Store(rd.now())
-		rd.doubted.Store(rd.now())
+		rd.fail()
 		if !lost {
 			rd.Log.Warn("Lost the store.", append(logs.Fields(err),
 				zap.Duration("Age", rd.Age()), zap.Uint64("AsOf", uint64(rd.Mirror.AsOf())))...)
--- a/io/feeds/feeds_test.go
+++ b/io/feeds/feeds_test.go
@@ -227,3 +227,46 @@
 		}
 	})
 }
+
+// The store turns one router away and serves the others, whose confirmations it hears.
+// Registrations do not lapse then: one that is deleted is gone.
+func TestNoDoubtWhilePeersConfirm(t *testing.T) {
+	st := newStore()
+	follow(t, st, always, func(rd *feeds.Reader, _ *mirror.Mirror) {
+		st.change(func() { st.down = true })
+		for range 20 {
+			rd.Confirm(300 * time.Millisecond)
+			time.Sleep(200 * time.Millisecond)
+		}
+		if !rd.Failing() {
+			t.Error("its own calls do not count as failing")
+		}
+		if rd.Doubtful() {
+			t.Error("in doubt, though peers reach the store")
+		}
+	})
+}
+
+// A router that does not lead hears nothing of an outage but that its peers'
+// confirmations stop. What is missing after it may have lapsed.
+func TestDoubtWithoutOwnCalls(t *testing.T) {
+	st := newStore()
+	follow(t, st, func() bool { return false }, func(rd *feeds.Reader, _ *mirror.Mirror) {
+		rd.Confirm(0)
+		time.Sleep(1250 * time.Millisecond)
+		if !rd.Doubtful() {
+			t.Error("no doubt after 1.25 s without a word")
+		}
+		rd.Confirm(0)
+		if !rd.Doubtful() {
+			t.Error("no doubt right after the store's return")
+		}
+		for range 15 {
+			rd.Confirm(0)
+			time.Sleep(200 * time.Millisecond)
+		}
+		if rd.Doubtful() {
+			t.Error("still in doubt 3 s after the store's return")
+		}
+	})
+}
--- a/io/gossip/gossip.go
+++ b/io/gossip/gossip.go
@@ -79,10 +79,9 @@
 	// Calls are the own calls in progress, see place.Tell.
 	Calls []byte `cbor:"2,keyasint,omitempty"`
 	// AgeMs is how long ago the store confirmed AsOf. Failing is set if the sender's
-	// calls to the store fail, Doubtful if the store was in trouble of late.
-	AgeMs    uint32 `cbor:"8,keyasint,omitempty"`
-	Failing  bool   `cbor:"9,keyasint,omitempty"`
-	Doubtful bool   `cbor:"10,keyasint,omitempty"`
+	// calls to the store fail.
+	AgeMs   uint32 `cbor:"8,keyasint,omitempty"`
+	Failing bool   `cbor:"9,keyasint,omitempty"`
 	// Moves are chats placed away from their homes, see place.Moves.
 	Moves []byte `cbor:"7,keyasint,omitempty"`
 	// Leaving is set in the last messages of a process.
@@ -101,10 +100,6 @@
 	Confirm(age time.Duration)
 	// Failing tells whether the own calls fail.
 	Failing() bool
-	// Doubtful tells whether the store was in trouble of late; Doubt takes a
-	// peer's word.
-	Doubtful() bool
-	Doubt()
 }
 
 // Group is the routers that this one knows. Set the exported fields before use.
@@ -251,11 +246,6 @@
 	if !gr.note(now, confirmed, from, ms) {
 		return
 	}
-	if ms.Doubtful && !ms.Failing {
-		// One that fails alone may itself be cut off; one that does not has it from
-		// the store.
-		gr.Feed.Doubt()
-	}
 	if ms.AsOf <= gr.Mirror.AsOf() {
 		gr.Feed.Confirm(now.Sub(confirmed))
 	}
--- a/io/gossip/tell.go
+++ b/io/gossip/tell.go
@@ -34,8 +34,7 @@
 func (gr *Group) message(now time.Time) *message {
 	return &message{
 		AsOf: gr.Mirror.AsOf(), AgeMs: uint32(min(mostAgeMs, max(0, gr.Feed.Age().Milliseconds()))),
-		Failing: gr.Feed.Failing(), Doubtful: gr.Feed.Doubtful(),
-		Calls: gr.Placer.Tell(), Moves: gr.Placer.Moves(now),
+		Failing: gr.Feed.Failing(), Calls: gr.Placer.Tell(), Moves: gr.Placer.Moves(now),
 	}
 }
 
