A customer that surges leaves the last places of a pool to the others

Cause: a full pool refused all customers alike, so that the surge of one cost each of the others as large a part of its calls.

--- a/core/place/choice.go
+++ b/core/place/choice.go
@@ -176,6 +176,8 @@
 	if len(ch.chain) > 1 && !st.seen.has(tk.Chat) && st != homesOf(vi.members, as.Parts, ch.chain, 1)[0] {
 		pl.noteMove(now, tk.Chat, st.hash)
 	}
+	tk.use, tk.customer = pl.useOf(as.Pool), as.Customer
+	tk.use.add(as.Customer, 1)
 	st.calls++
 	st.reading.note(now, 1)
 	st.toRead += tk.toRead
--- a/core/place/place.go
+++ b/core/place/place.go
@@ -56,8 +56,9 @@
 
 // Ask is a request to place.
 type Ask struct {
-	Pool  core.PoolID
-	Parts []Part
+	Pool     core.PoolID
+	Customer core.CustomerID
+	Parts    []Part
 	// Tried are endpoints that are not to be picked again.
 	Tried []core.EndpointID
 	// MaxConns is how many connections an endpoint takes from all routers.
@@ -110,8 +111,9 @@
 	// moves are own placements away from a chat's home, holders those of peers.
 	moves   []move
 	holders map[uint32]uint16
-	// surges are the latest of each pool.
+	// surges are the latest of each pool, uses what customers have in progress there.
 	surges map[core.PoolID]*surge
+	uses   map[core.PoolID]*use
 }
 
 // Register takes an endpoint's registration, or a change of it. One that was seen
@@ -171,6 +173,7 @@
 		pl.pools = map[core.PoolID]map[core.EndpointID]*state{}
 		pl.told = map[string]*word{}
 		pl.surges = map[core.PoolID]*surge{}
+		pl.uses = map[core.PoolID]*use{}
 	}
 }
 
--- a/core/place/surge.go
+++ b/core/place/surge.go
@@ -31,14 +31,11 @@
 	since, last time.Time
 }
 
-// poolIsFull tells whether an engine pool has as many calls as it is to be given. It
-// goes by the pool, not by its engines: one of them may have more, where a context is,
-// as long as others have less. Engines that look dead have no places; where all do, the
-// view is doubted.
-func (vi *view) poolIsFull(now time.Time, as *Ask, calls int) bool {
-	if !as.Engine {
-		return false
-	}
+// poolIsFull tells whether a pool has as many calls as it is to be given. It goes by
+// the pool, not by its endpoints: one of them may have more, where a context is, as long
+// as others have less. Endpoints that look dead have no places; where all do, the view is
+// doubted.
+func (vi *view) poolIsFull(now time.Time, as *Ask, calls int, us *use) bool {
 	places := 0
 	for _, st := range vi.members {
 		if st.Slots == 0 {
@@ -48,7 +45,14 @@
 			places += st.Slots
 		}
 	}
-	return places > 0 && float64(calls) >= poolRoom*float64(places)
+	room := float64(plainRoom)
+	if as.Engine {
+		room = poolRoom
+	}
+	if us.heavy(as.Customer) {
+		room *= heavyPart
+	}
+	return places > 0 && float64(calls) >= room*float64(places)
 }
 
 // surgeAfter is when a caller may return to a pool that is full now. Nobody knows how
--- a/core/place/surge_test.go
+++ b/core/place/surge_test.go
@@ -23,6 +23,7 @@
 	router int
 	tk     *place.Ticket
 	again  bool // it was refused once
+	from   core.CustomerID
 }
 
 // surge plays a load before routers and engines, and counts how callers fared.
@@ -34,6 +35,9 @@
 	// inTime had their first token within goal steps of their first attempt, late
 	// ones after it, lost ones were refused twice.
 	all, inTime, late, lost int
+	// customer draws whose call it is; nil if nobody's. lostBy and allBy count theirs.
+	customer      func(ra testRand) core.CustomerID
+	lostBy, allBy map[core.CustomerID]int
 }
 
 const (
@@ -46,6 +50,7 @@
 	su := &surge{
 		engines: &engines{slots, runs, map[core.EndpointID][]*caller{}, map[core.EndpointID]int{}, map[int][]*caller{}},
 		back:    map[int][]*caller{},
+		lostBy:  map[core.CustomerID]int{}, allBy: map[core.CustomerID]int{},
 	}
 	for ix := range routers {
 		pl := &place.Placer{Zone: "a", Rand: newRand(uint64(ix)), CapFactor: 2, Routers: func() int { return routers }}
@@ -63,13 +68,16 @@
 
 // ask sends a caller's request through its router.
 func (su *surge) ask(ca *caller, id uint64) {
-	tk, rf := su.routers[ca.router].Pick(su.now(), ask(chat(id%3, id)))
+	as := ask(chat(id%3, id))
+	as.Customer = ca.from
+	tk, rf := su.routers[ca.router].Pick(su.now(), as)
 	switch {
 	case rf == nil:
 		ca.tk = tk
 		su.waiting[tk.Endpoint.ID] = append(su.waiting[tk.Endpoint.ID], ca)
 	case ca.again:
 		su.lost++
+		su.lostBy[ca.from]++
 	default:
 		ca.again = true
 		at := su.step + 1 + int(rf.RetryAfter/stepTime)
@@ -127,8 +135,13 @@
 			continue
 		}
 		for due += 2 * rate * ra.Float64(); due >= 1; due-- {
+			ca := &caller{came: su.step, router: ra.IntN(len(su.routers))}
+			if su.customer != nil {
+				ca.from = su.customer(ra)
+			}
 			su.all++
-			su.ask(&caller{came: su.step, router: ra.IntN(len(su.routers))}, ra.Uint64()%300)
+			su.allBy[ca.from]++
+			su.ask(ca, ra.Uint64()%300)
 		}
 	}
 }
@@ -152,6 +165,29 @@
 	}
 }
 
+// One customer's race begins: it sends two thirds of a load that is 1.6 times what the
+// pool can run, nine others the rest. They are to be served as on any day; what is too
+// much is refused to the one that surges.
+func TestSurgeOfOneCustomerCostsItAlone(t *testing.T) {
+	su := newSurge(4, 12, 48, 130)
+	su.customer = func(ra testRand) core.CustomerID {
+		if ra.Float64() < 0.667 {
+			return "surging"
+		}
+		return core.CustomerID(fmt.Sprint("customer", ra.IntN(9)))
+	}
+	su.play(1.6*12*48/130, 1000)
+	others, lost := su.all-su.allBy["surging"], su.lost-su.lostBy["surging"]
+	t.Logf("lost: %d of %d of the surging customer's, %d of %d of the others'",
+		su.lostBy["surging"], su.allBy["surging"], lost, others)
+	if part := float64(lost) / float64(others); part > 0.05 {
+		t.Errorf("%.3f of the other customers' calls were lost, want at most 0.05", part)
+	}
+	if part := float64(su.lostBy["surging"]) / float64(su.allBy["surging"]); part > 0.6 {
+		t.Errorf("%.3f of the surging customer's calls were lost, want at most 0.6", part)
+	}
+}
+
 // The load stays just below what the pool can run, in clumps. Nobody is to be refused
 // for a clump that is over before a first token would be late.
 func TestLoadBelowThePoolIsNotRefused(t *testing.T) {
--- a/core/place/ticket.go
+++ b/core/place/ticket.go
@@ -36,6 +36,9 @@
 	st     *state
 	toRead core.Tokens
 	done   bool
+	// use counts the call for its customer.
+	use      *use
+	customer core.CustomerID
 }
 
 // Heard tells that something came from the endpoint. The first time, its prompt
@@ -62,6 +65,7 @@
 	tk.done = true
 	st := tk.st
 	tk.read()
+	tk.use.add(tk.customer, -1)
 	st.calls--
 	st.reading.note(now, -1)
 	if st.calls == 0 {
--- a/core/place/view.go
+++ b/core/place/view.go
@@ -63,7 +63,7 @@
 	}
 	vi.mean = float64(calls) / float64(vi.all)
 	vi.failing = failing / float64(vi.all)
-	if vi.poolIsFull(now, as, calls) {
+	if vi.poolIsFull(now, as, calls, pl.uses[as.Pool]) {
 		vi.full = vi.all
 		return vi
 	}
--- a/io/relay/request.go
+++ b/io/relay/request.go
@@ -99,6 +99,9 @@
 // place picks the endpoint of the next attempt.
 func (rq *request) place() *core.Refusal {
 	as := &place.Ask{Pool: rq.pool, Parts: rq.parts, Tried: rq.tried}
+	if rq.customer != nil {
+		as.Customer = rq.customer.ID
+	}
 	if po := rq.table.Pool(rq.pool); po != nil {
 		as.MaxConns = po.MaxConns
 		as.Engine = po.Engine
