--- a/io/entry/caller.go
+++ b/io/entry/caller.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"almondrill/io/conns"
@@ -100,10 +102,32 @@
 	return cc.TCPConn.Close()
 }
 
-// callerContext lets the relay see whether the connection was closed.
+// ended tells whether the connection was closed, on this side or by the caller.
+//
+// The server notices a caller's close only once it reads again, which it does beside the
+// request; a router with more to do than it can would pass requests on by the hundred
+// whose callers gave up while they waited to be read. So the socket is asked.
+func (cc *callerConn) ended() bool {
+	if cc.closed.Load() {
+		return true
+	}
+	rc, err := cc.SyscallConn()
+	if err != nil {
+		return true // it is closed
+	}
+	left := false
+	err = rc.Control(func(fd uintptr) {
+		var one [1]byte
+		count, _, rerr := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		left = count == 0 && rerr == nil || errors.Is(rerr, syscall.ECONNRESET)
+	})
+	return left || err != nil
+}
+
+// callerContext lets the relay see whether the connection has ended.
 func callerContext(ctx context.Context, co net.Conn) context.Context {
 	if cc, ok := co.(*callerConn); ok {
-		return relay.WithClosed(ctx, cc.closed.Load)
+		return relay.WithClosed(ctx, cc.ended)
 	}
 	return ctx
 }
--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -138,12 +138,12 @@
 
 type closedKey struct{}
 
-// WithClosed lets requests of a connection ask whether the server has closed it.
+// WithClosed lets requests of a connection ask whether it has ended, on either side.
 func WithClosed(ctx context.Context, closed func() bool) context.Context {
 	return context.WithValue(ctx, closedKey{}, closed)
 }
 
-// closed tells whether the caller's connection was closed on this side.
+// closed tells whether the caller's connection has ended.
 func (rq *request) closed() bool {
 	closed, ok := rq.hr.Context().Value(closedKey{}).(func() bool)
 	return ok && closed()
