--- a/io/gossip/items.go
+++ b/io/gossip/items.go
@@ -63,11 +63,11 @@
 func readAsk(query url.Values) (ask, error) {
 	after, err := strconv.ParseUint(query.Get("After"), 10, 64)
 	if err != nil {
-		return ask{}, fmt.Errorf("After is not a revision: %q", query.Get("After"))
+		return ask{}, fmt.Errorf("no revision in After: %q", query.Get("After"))
 	}
 	rev, err := strconv.ParseUint(cmp.Or(query.Get("Rev"), "0"), 10, 64)
 	if err != nil {
-		return ask{}, fmt.Errorf("Rev is not a revision: %q", query.Get("Rev"))
+		return ask{}, fmt.Errorf("no revision in Rev: %q", query.Get("Rev"))
 	}
 	return ask{core.Version(after), query.Get("Key"), core.Version(rev)}, nil
 }
