--- a/core/place/choice.go
+++ b/core/place/choice.go
@@ -31,7 +31,7 @@
 	// chats whose first home is under pressure.
 	homes = 3
 	// waitWeight is how much the wait for a place at an engine counts, which is one more
-	// end of a call for each that is ahead. Counted in full, calls leave the engines that
+	// end of a call for each that is ahead. Counted by half, calls leave the engines that
 	// have their contexts: at 5 times the usual traffic worth is 0.62 instead of 0.67 on
 	// one site, 0.77 instead of 0.81 on the other; not at all, 0.025 instead of 0.004 of
 	// the callers come late at 0.9 times what a pool can run.
--- a/core/place/surge_test.go
+++ b/core/place/surge_test.go
@@ -151,7 +151,7 @@
 // served in time. What the pool cannot run is to be refused, at once, and the rest
 // served as on any day; who was refused should find a place when told to return.
 // Served in time are 0.58 of the callers. If twice the places are given, it is 0.15; if
-// all are told to return after 0.4 s, 0.46, and 0.21 instead of 0.11 are refused twice.
+// all are told to return after 0.4 s, 0.53, and 0.19 instead of 0.11 are refused twice.
 func TestSurgeBeyondThePoolIsServedInTime(t *testing.T) {
 	su := newSurge(4, 12, 48, 130)
 	su.play(1.3*12*48/130, 1000)
--- a/core/place/use.go
+++ b/core/place/use.go
@@ -15,7 +15,7 @@
 	// heavyPart is the part of a pool's room that heavy customers get. The tenth that is
 	// left takes the others' calls while the heavy one presses against its own limit:
 	// with one customer sending two thirds of 1.6 times what a pool can run, the others
-	// lose none of their calls, and 0.18 without it.
+	// lose none of their calls, and 0.14 without it.
 	heavyPart = 0.9
 )
 
