Refusals of a full pool are logged with what decided them

The line of such a request told only that all endpoints were at their limit; now also the pool's calls, how many it may have for this customer, its live places, and how many of its endpoints were full. Callers do not see it. DeadEnginesHaveNoPlaces checks the text.

--- a/core/outcome.go
+++ b/core/outcome.go
@@ -84,8 +84,9 @@
 	// or endpoint concerned.
 	Step string
 	Peer string
-	// Detail is for people.
+	// Detail is for people, Basis what it was decided on, for logs: callers do not see it.
 	Detail string
+	Basis  string
 	// RetryAfter tells when trying again makes sense; 0 is unspecified.
 	RetryAfter time.Duration
 	// Status is the endpoint's own HTTP status where it answered with an error.
--- a/core/place/surge.go
+++ b/core/place/surge.go
@@ -31,15 +31,15 @@
 	since, last time.Time
 }
 
-// poolIsFull tells whether a pool has as many calls as it is to be given. It goes by
-// the pool, not by its endpoints: one of them may have more, where a context is, as long
-// as others have less. Endpoints that look dead have no places; where all do, the view is
-// doubted.
-func (vi *view) poolIsFull(now time.Time, as *Ask, calls int, us *use) bool {
+// bound works out how many calls the pool may have for one more of this customer. It goes
+// by the pool, not by its endpoints: one of them may have more, where a context is, as
+// long as others have less. Endpoints that look dead have no places; where all do, the
+// view is doubted, and nothing bounds the pool.
+func (vi *view) bound(now time.Time, as *Ask, us *use) {
 	places := 0
 	for _, st := range vi.members {
 		if st.Slots == 0 {
-			return false // it does not tell how many it runs
+			return // it does not tell how many it runs
 		}
 		if !st.missing && !st.health.avoid(now, st.calls) {
 			places += st.Slots
@@ -52,7 +52,7 @@
 	if us.heavy(as.Customer) {
 		room *= heavyPart
 	}
-	return places > 0 && float64(calls) >= room*float64(places)
+	vi.places, vi.most = places, room*float64(places)
 }
 
 // surgeAfter is when a caller may return to a pool that is full now. Nobody knows how
--- a/core/place/surge_test.go
+++ b/core/place/surge_test.go
@@ -215,6 +215,9 @@
 	taken := 0
 	for {
 		if _, rf := pl.Pick(begin, &place.Ask{Pool: pool, Engine: true}); rf != nil {
+			if want := "53 calls, most 53 for this customer, 48 places; 3 of 3 endpoints full"; rf.Basis != want {
+				t.Errorf("decided on %q, want %q", rf.Basis, want)
+			}
 			break
 		}
 		taken++
--- a/core/place/view.go
+++ b/core/place/view.go
@@ -1,6 +1,7 @@
 package place
 
 import (
+	"fmt"
 	"time"
 
 	"almondrill/core"
@@ -17,6 +18,10 @@
 	members []*state
 	// full counts the members left out because they have no room.
 	full int
+	// calls are those of the pool, places what its live endpoints run, and most what a
+	// call of this customer may bring the pool to; 0 if nothing bounds it.
+	calls, places int
+	most          float64
 	// failing is the pool's mean failure rate.
 	failing float64
 }
@@ -30,6 +35,8 @@
 		re.Reason = core.ReasonLoadCap
 		re.Detail = "all endpoints of the pool are at their limit"
 		re.RetryAfter = pl.surgeAfter(now, vi.pool)
+		re.Basis = fmt.Sprintf("%d calls, most %.0f for this customer, %d places; %d of %d endpoints full",
+			vi.calls, vi.most, vi.places, vi.full, vi.all)
 	}
 	return re
 }
@@ -61,9 +68,11 @@
 	if vi.all == 0 {
 		return vi
 	}
+	vi.calls = calls
 	vi.mean = float64(calls) / float64(vi.all)
 	vi.failing = failing / float64(vi.all)
-	if vi.poolIsFull(now, as, calls, pl.uses[as.Pool]) {
+	vi.bound(now, as, pl.uses[as.Pool])
+	if vi.places > 0 && float64(calls) >= vi.most {
 		vi.full = vi.all
 		return vi
 	}
--- a/io/relay/request.go
+++ b/io/relay/request.go
@@ -205,7 +205,11 @@
 }
 
 func (rq *request) refusalFields(rf *core.Refusal) []zap.Field {
-	return rq.fields(zap.String("Outcome", rf.Outcome.String()), zap.String("Reason", string(rf.Reason)),
+	basis := zap.Skip()
+	if rf.Basis != "" {
+		basis = zap.String("Basis", rf.Basis)
+	}
+	return rq.fields(basis, zap.String("Outcome", rf.Outcome.String()), zap.String("Reason", string(rf.Reason)),
 		zap.String("Step", rf.Step), zap.String("Peer", rf.Peer), zap.String("Detail", rf.Detail),
 		zap.Duration("Took", time.Since(rq.began)))
 }
