Routers pause before they connect again; tests have addresses of their own

Its port had been let go of by another test's program, whose routers dialled the agent that had been there. grpc.ConnectParams without a Backoff means no pause at all, so they dialled some 4,800 times a second; net/http reads 'PRI * HTTP/2.0' as a request. Shown by a program that listened on every freed port while all tests ran: it got 20,078 such connections. Ruled out: requests that the relay sent itself (every one that it sends bears an id), the soak's workers (none of 88,964 listeners got a request of theirs).

Change: pauses of 0.1 to 2 s; io/stand/local claims a part of 127.0.0.0/8 for each test program. No check was changed.

--- a/cmd/almondrill/processes_test.go
+++ b/cmd/almondrill/processes_test.go
@@ -6,7 +6,6 @@
 	"crypto/sha256"
 	"encoding/json"
 	"fmt"
-	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -17,6 +16,7 @@
 
 	"almondrill/core"
 	"almondrill/io/caller"
+	"almondrill/io/stand/local"
 )
 
 // fleet is a fleet of separate processes of the built program.
@@ -29,15 +29,6 @@
 	list   []core.VM
 }
 
-func (fl *fleet) freeAddr() string {
-	li, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		fl.t.Fatal(err)
-	}
-	defer li.Close()
-	return li.Addr().String()
-}
-
 // start runs the program; it is ended with the test, by its own process id.
 func (fl *fleet) start(args ...string) *exec.Cmd {
 	fl.t.Helper()
@@ -70,9 +61,9 @@
 // process starts a router or agent and returns it with its peers' and callers'
 // addresses.
 func (fl *fleet) process(role, name, more string, pools ...core.PoolID) (*exec.Cmd, string, string) {
-	peers, callers := fl.freeAddr(), fl.freeAddr()
+	peers, callers := local.Addr(fl.t), local.Addr(fl.t)
 	text := fmt.Sprintf("Name: %s\nZone: a\nRegion: north\nPeersAddr: %s\nAdminAddr: %s\nKVAddr: %s\nVMsAddr: %s\nDrainDelay: 100ms\n%s",
-		name, peers, fl.freeAddr(), fl.kv, fl.vms, more)
+		name, peers, local.Addr(fl.t), fl.kv, fl.vms, more)
 	vm := core.VM{ID: core.VMID(name), Addr: peers, Zone: "a", Region: "north", Role: core.RoleAgent, Pools: pools}
 	if role == "router" {
 		text += "CallersAddr: " + callers + "\nOperators: [{Name: me, KeyHash: " + hash("operator") + "}]\n"
@@ -119,9 +110,9 @@
 	if out, err := exec.Command("go", "build", "-o", fl.binary, ".").CombinedOutput(); err != nil {
 		t.Fatalf("%v: %s", err, out)
 	}
-	fl.kv, fl.vms = fl.freeAddr(), fl.freeAddr()
+	fl.kv, fl.vms = local.Addr(fl.t), local.Addr(fl.t)
 	fl.start("standin", "-addr", fl.kv, "kv")
-	engine := fl.freeAddr()
+	engine := local.Addr(fl.t)
 	fl.start("standin", "-addr", engine, "-token", "20ms", "engine")
 	endpoints := "Endpoints: [{Name: e, Pool: chat, Kind: Engine, URL: http://" + engine + "}]\n"
 	agent, _, _ := fl.process("agent", "agent-1", endpoints, "chat")
--- a/io/relay/harness_test.go
+++ b/io/relay/harness_test.go
@@ -22,6 +22,7 @@
 	"almondrill/io/clock"
 	"almondrill/io/conns"
 	"almondrill/io/relay"
+	"almondrill/io/stand/local"
 	"almondrill/io/stats"
 )
 
@@ -102,11 +103,7 @@
 }
 
 func (fl *fleet) endpoint(ix int, sc script) string {
-	li, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		fl.t.Fatal(err)
-	}
-	fl.t.Cleanup(func() { _ = li.Close() })
+	li := local.Listen(fl.t)
 	go func() {
 		for {
 			co, err := li.Accept()
--- a/io/rpc/client.go
+++ b/io/rpc/client.go
@@ -29,6 +29,7 @@
 
 	"github.com/samber/oops"
 	"google.golang.org/grpc"
+	"google.golang.org/grpc/backoff"
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/connectivity"
 	"google.golang.org/grpc/credentials/insecure"
@@ -51,6 +52,11 @@
 	bufferSize = 8 << 10
 )
 
+// pauses are those between attempts to connect to a peer. Without them a router dials an
+// agent that is gone some five thousand times a second. A peer that is back is found
+// within the longest; until then calls fail at once and go elsewhere.
+var pauses = backoff.Config{BaseDelay: 100 * time.Millisecond, Multiplier: 1.6, Jitter: 0.2, MaxDelay: 2 * time.Second}
+
 // Client reaches peers. Set the exported fields before use.
 type Client struct {
 	// Addr finds a VM's address, "" if it is unknown.
@@ -145,7 +151,7 @@
 		// A retry inside grpc would be an attempt that nobody counts.
 		grpc.WithDisableRetry(),
 		grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: keepaliveAfter, Timeout: keepaliveTimeout}),
-		grpc.WithConnectParams(grpc.ConnectParams{MinConnectTimeout: connectTimeout}),
+		grpc.WithConnectParams(grpc.ConnectParams{Backoff: pauses, MinConnectTimeout: connectTimeout}),
 		grpc.WithReadBufferSize(bufferSize),
 		grpc.WithWriteBufferSize(bufferSize),
 		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessage), grpc.MaxCallSendMsgSize(maxMessage)),
--- /dev/null
+++ b/io/stand/local/local_test.go
@@ -0,0 +1,48 @@
+package local_test
+
+import (
+	"net"
+	"os"
+	"os/exec"
+	"strings"
+	"testing"
+
+	"almondrill/io/stand/local"
+)
+
+// Two test programs run at once and take addresses for servers that are not up yet. If
+// they got the same ones, requests of one would reach the other.
+func TestProgramsGetDifferentAddresses(t *testing.T) {
+	if os.Getenv("PRINT_ADDRESS") != "" {
+		t.Log("got", local.Addr(t))
+		return
+	}
+	mine := local.Addr(t)
+	cmd := exec.Command(os.Args[0], "-test.run", "^"+t.Name()+"$", "-test.v")
+	cmd.Env = append(os.Environ(), "PRINT_ADDRESS=1")
+	out, err := cmd.CombinedOutput()
+	if err != nil {
+		t.Fatalf("%v: %s", err, out)
+	}
+	part := strings.Join(strings.Split(mine, ".")[:2], ".") + "."
+	if !strings.Contains(string(out), "got 127.") || strings.Contains(string(out), "got "+part) {
+		t.Errorf("another program got an address beside %s: %s", mine, out)
+	}
+}
+
+func TestAddressesDiffer(t *testing.T) {
+	given := map[string]bool{}
+	for range 1000 {
+		addr := local.Addr(t)
+		if given[addr] {
+			t.Fatal("given twice:", addr)
+		}
+		given[addr] = true
+	}
+	li := local.Listen(t)
+	co, err := net.Dial("tcp", li.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = co.Close()
+}
