Counters as text on a port of their own; check reads deploy files

And a mistyped name in the deploy file or in the settings' template showed only on the platform, as a router that did not start.

If it is taken on a VM, callers are served all the same. almondrill check -deploy reads the deploy file and fills the template in with samples.

Not shown: that the platform fetches them.

--- a/cmd/almondrill/check.go
+++ b/cmd/almondrill/check.go
@@ -9,25 +9,29 @@
 	"github.com/google/subcommands"
 
 	"almondrill/io/conf"
+	"almondrill/platform"
 )
 
 type checkCommand struct {
-	role string
+	role   string
+	deploy bool
 }
 
 func (*checkCommand) Name() string     { return "check" }
-func (*checkCommand) Synopsis() string { return "check a settings or declarations file" }
+func (*checkCommand) Synopsis() string { return "check a settings, declarations or deploy file" }
 
 func (*checkCommand) Usage() string {
-	return `check [-role router|agent|relay] FILE
-  Checks declarations, or with -role the settings of such a process, and lists
-  everything that is wrong with file and line. Exits with 0 if the file is right,
-  1 if not.
+	return `check [-role router|agent|relay | -deploy] FILE
+  Checks declarations, or with -role the settings of such a process, or with -deploy
+  the file that tells the users' platform how to build and run almondrill, together
+  with the settings' template that it names, from the repository's root. Lists everything that is
+  wrong with file and line. Exits with 0 if the file is right, 1 if not.
 `
 }
 
 func (cc *checkCommand) SetFlags(fs *flag.FlagSet) {
 	fs.StringVar(&cc.role, "role", "", "check settings of a router, agent or relay instead of declarations")
+	fs.BoolVar(&cc.deploy, "deploy", false, "check a deploy file of the users' platform, and its templates")
 }
 
 func (cc *checkCommand) Execute(_ context.Context, fs *flag.FlagSet, _ ...any) subcommands.ExitStatus {
@@ -35,7 +39,10 @@
 		return usage(fs, "exactly one FILE is needed")
 	}
 	role, known := roles[cc.role]
-	if cc.role != "" && !known && cc.role != relayRole {
+	switch {
+	case cc.role != "" && cc.deploy:
+		return usage(fs, "-role and -deploy exclude each other")
+	case cc.role != "" && !known && cc.role != relayRole:
 		return usage(fs, "-role is router, agent or relay")
 	}
 	file := fs.Arg(0)
@@ -44,6 +51,8 @@
 		return failure(err)
 	}
 	switch {
+	case cc.deploy:
+		err = platform.CheckDeploy(file, data, os.ReadFile)
 	case cc.role == relayRole:
 		_, err = conf.ReadRelay(file, data)
 	case known:
--- a/io/conf/relay.go
+++ b/io/conf/relay.go
@@ -14,6 +14,7 @@
 	CallersAddr string      `yaml:"CallersAddr" doc:"IP address and port for callers." need:"yes"`
 	ReadyAddr   string      `yaml:"ReadyAddr" doc:"IP address and port at which the balancer asks whether to send callers here." need:"yes"`
 	AdminAddr   string      `yaml:"AdminAddr" doc:"IP address and port for /healthz and /debug/vars." need:"yes"`
+	MetricsAddr string      `yaml:"MetricsAddr" doc:"IP address and port for counters and latency histograms as text, at /metrics. None if left out."`
 	PeersAddr   string      `yaml:"PeersAddr" doc:"IP address and port for the other routers, over TCP and UDP; the port is the same on all." need:"yes"`
 	KVAddr      string      `yaml:"KVAddr" doc:"Address of the platform's store." need:"yes"`
 	Seeds       []string    `yaml:"Seeds" doc:"Addresses of other routers, to find them while the store is away. Only the host is used."`
@@ -58,6 +59,9 @@
 	} {
 		ch.addr(key, value)
 	}
+	if se.MetricsAddr != "" {
+		ch.addr("MetricsAddr", se.MetricsAddr)
+	}
 	for key, value := range map[string]float64{
 		"CapFactor": se.CapFactor, "RetryRatio": se.RetryRatio, "RetrySlack": se.RetrySlack,
 		"RetrySpan": float64(se.RetrySpan), "DrainDelay": float64(se.DrainDelay),
--- a/io/entry/serve.go
+++ b/io/entry/serve.go
@@ -14,6 +14,7 @@
 	"go.uber.org/zap"
 
 	"almondrill/io/gossip"
+	"almondrill/io/logs"
 )
 
 const (
@@ -93,9 +94,25 @@
 		}
 		servers = append(servers, srv)
 	}
+	if se.MetricsAddr != "" {
+		servers = append(servers, pr.metrics()...)
+	}
 	return servers, nil
 }
 
+// metrics serves the counters as text. Its port is the same on all VMs and may be taken
+// on one: callers are served all the same.
+func (pr *Process) metrics() []transport.Server {
+	li, err := listen("MetricsAddr", pr.Settings.MetricsAddr)
+	if err != nil {
+		pr.log.Warn("Serves no metrics.", logs.Fields(err)...)
+		return nil
+	}
+	mux := http.NewServeMux()
+	mux.Handle("/metrics", pr.Stats.TextHandler())
+	return []transport.Server{pr.httpServer(li, mux)}
+}
+
 // httpServer makes one of kratos' HTTP servers with the handler in place of its
 // router, which redirects paths that it finds unclean. The endpoint is given, or the
 // library would list the machine's interfaces to find it.
--- a/io/stats/latency.go
+++ b/io/stats/latency.go
@@ -58,8 +58,9 @@
 	return 0
 }
 
-// Publish adds the quantiles, in milliseconds, to a Set.
+// Publish adds the quantiles, in milliseconds, to a Set, and the histograms to its text.
 func (la *Latency) Publish(st *Set) {
+	st.latency = la
 	for _, de := range times {
 		for suffix, percent := range map[string]float64{"P50": 50, "P95": 95, "P99": 99, "Max": 100} {
 			st.Read(de.name+suffix, func() int64 { return la.quantile(Time(de.name), percent) })
--- a/io/stats/stats.go
+++ b/io/stats/stats.go
@@ -58,6 +58,7 @@
 	all      *expvar.Map
 	refusals *expvar.Map
 	retries  *expvar.Map
+	latency  *Latency
 }
 
 // New makes a Set with every counter at 0.
--- /dev/null
+++ b/io/stats/text.go
@@ -0,0 +1,60 @@
+package stats
+
+import (
+	"bufio"
+	"cmp"
+	"expvar"
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+)
+
+// bounds are the upper ends, in milliseconds, of the buckets in which latencies are
+// served: close together around the goals of routes, 150 to 600 ms.
+var bounds = []int64{10, 20, 50, 100, 150, 200, 300, 400, 600, 1000, 2000, 5000, 10000}
+
+// TextHandler serves the Set as text, a line a value, as scrapers of metrics read it:
+// the name, the reason as a label where there is one, and the value. Latencies come as
+// cumulative buckets.
+func (st *Set) TextHandler() http.Handler {
+	return http.HandlerFunc(func(wr http.ResponseWriter, _ *http.Request) {
+		wr.Header().Set("Content-Type", "text/plain; version=0.0.4; charset=utf-8")
+		out := bufio.NewWriter(wr)
+		st.all.Do(func(kv expvar.KeyValue) {
+			if by, ok := kv.Value.(*expvar.Map); ok {
+				by.Do(func(re expvar.KeyValue) { fmt.Fprintf(out, "%s{Reason=%q} %s\n", kv.Key, re.Key, re.Value) })
+				return
+			}
+			fmt.Fprintf(out, "%s %s\n", kv.Key, kv.Value)
+		})
+		if st.latency != nil {
+			st.latency.writeBuckets(out)
+		}
+		_ = out.Flush() // whoever asked has left
+	})
+}
+
+// writeBuckets writes every latency of which something was noted.
+func (la *Latency) writeBuckets(out io.Writer) {
+	la.mu.Lock()
+	defer la.mu.Unlock()
+	for _, de := range times {
+		hi := la.byTime[Time(de.name)]
+		if hi == nil {
+			continue
+		}
+		counts := make([]int64, len(bounds))
+		for _, bar := range hi.Distribution() {
+			at, _ := slices.BinarySearchFunc(bounds, bar.To, cmp.Compare[int64])
+			for ; at < len(bounds); at++ {
+				counts[at] += bar.Count
+			}
+		}
+		for ix, bound := range bounds {
+			fmt.Fprintf(out, "%s_bucket{le=\"%d\"} %d\n", de.name, bound, counts[ix])
+		}
+		fmt.Fprintf(out, "%s_bucket{le=\"+Inf\"} %d\n", de.name, hi.TotalCount())
+		fmt.Fprintf(out, "%s_sum %.0f\n%s_count %d\n", de.name, hi.Mean()*float64(hi.TotalCount()), de.name, hi.TotalCount())
+	}
+}
