Homes of chats lie among all endpoints of a pool

Homes of prompts that begin alike were kept among few endpoints, to read the beginning on few; the groups are lumps of load that hashing spreads badly.

Test: ChatsThatBeginAlikeStayAtHome, 0.101 of the calls away from home before, within 0.05 after.

--- a/core/place/choice.go
+++ b/core/place/choice.go
@@ -64,11 +64,6 @@
 	// startTime is how long after the first endpoint others still count as there from
 	// the start: all register within a few heartbeats when a deployment begins.
 	startTime = 4 * time.Second
-	// leastHomes and homesPerRatio say among how many endpoints the homes lie of
-	// prompts that begin alike: half as many as the rest is longer than the
-	// beginning.
-	leastHomes    = 2
-	homesPerRatio = 0.5
 	// capSpare is the part of the cap that is used: the rest covers what peers
 	// placed since their last message.
 	capSpare = 0.9
@@ -184,7 +179,7 @@
 	if len(ch.chain) > 0 {
 		tk.Chat = ch.chain[max(0, len(ch.chain)-2)]
 	}
-	if len(ch.chain) > 1 && !st.seen.has(tk.Chat) && st != homesOf(vi.members, as.Parts, ch.chain, 1)[0] {
+	if len(ch.chain) > 1 && !st.seen.has(tk.Chat) && st != homesOf(vi.members, ch.chain, 1)[0] {
 		pl.noteMove(now, tk.Chat, st.hash)
 	}
 	tk.use, tk.customer = pl.useOf(as.Pool), as.Customer
--- a/core/place/homes.go
+++ b/core/place/homes.go
@@ -10,23 +10,14 @@
 
 // homesOf are the endpoints on which all routers agree for a prompt, without a word.
 // Prompts that return together are named by all parts but the last, which is the
-// request's own. Those that begin alike have their homes among a few endpoints, so
-// that the beginning is not read on all: the fewer, the more of the prompt it is.
-func homesOf(members []*state, parts []Part, chain []uint64, most int) []*state {
-	if len(chain) == 0 || len(members) == 0 {
+// request's own. What several chats begin with is read once on each endpoint: keeping
+// such chats together on a few would save that, but a few of 47 endpoints were then at
+// the cap all the time, and a sixth of the calls left their homes.
+func homesOf(members []*state, chain []uint64, most int) []*state {
+	if len(chain) == 0 {
 		return nil
 	}
-	last := max(0, len(chain)-2)
-	among := members
-	if last > 0 {
-		rest := 0.0
-		for _, pa := range parts[1 : last+1] {
-			rest += float64(pa.Tokens)
-		}
-		count := max(leastHomes, int(homesPerRatio*rest/float64(max(1, parts[0].Tokens))))
-		among = highest(members, chain[0], count)
-	}
-	return highest(among, chain[last], most)
+	return highest(members, chain[max(0, len(chain)-2)], most)
 }
 
 // highest are the count members that score highest for the key.
@@ -80,7 +71,7 @@
 		return nil, 0
 	}
 	shared := promptTokens(parts[:len(parts)-1])
-	return homesOf(before, parts, chain, 1)[0], core.Tokens(homeCached * float64(shared))
+	return homesOf(before, chain, 1)[0], core.Tokens(homeCached * float64(shared))
 }
 
 func promptTokens(parts []Part) core.Tokens {
--- a/core/place/load_test.go
+++ b/core/place/load_test.go
@@ -17,11 +17,12 @@
 	calls   map[core.EndpointID]int
 	ending  map[int][]*place.Ticket // by step
 	step    int
-	// over counts placements beyond the cap, of placed ones; read the prompt tokens
-	// that an endpoint read though another had them, of those sent.
-	placed, over int
-	read, sent   core.Tokens
-	has          map[string]bool
+	// over counts placements beyond the cap, and away those elsewhere than at home, of placed
+	// ones; read the prompt tokens that an endpoint read though another had them, of those
+	// sent.
+	placed, over, away int
+	read, sent         core.Tokens
+	has                map[string]bool
 }
 
 const (
@@ -54,6 +55,9 @@
 	}
 	id := tk.Endpoint.ID
 	re.placed++
+	if !tk.Home {
+		re.away++
+	}
 	if float64(re.calls[id]+1) > 2*float64(total)/float64(re.count)+3 {
 		re.over++
 	}
@@ -120,6 +124,40 @@
 	}
 }
 
+// Three kinds of chats, of which each begins in one of a few ways, come at the rate of a
+// calm day. Callers of short prompts would wait behind the contexts that move, if those
+// that begin alike were kept together: a few engines are then at the cap all the time.
+func TestChatsThatBeginAlikeStayAtHome(t *testing.T) {
+	re := newReplay(26, 47)
+	ra := newRand(6)
+	kinds := []struct {
+		perSecond              float64
+		beginnings, chats      uint64
+		beginning, said, steps int
+	}{
+		{286, 8, 509, 341, 1700, 10},
+		{225, 40, 604, 119, 580, 70},
+		{118, 3, 217, 512, 10000, 110},
+	}
+	for re.step < 800 {
+		for at, ki := range kinds {
+			for due := ki.perSecond * stepTime.Seconds(); due > 0; due-- {
+				if due < 1 && ra.Float64() > due {
+					continue
+				}
+				id := uint64(ra.Float64()*float64(ki.chats)) + 1000*uint64(at)
+				begun := place.Part{Hash: 1 + id%ki.beginnings + 100*uint64(at), Tokens: core.Tokens(ki.beginning)}
+				said := place.Part{Hash: 1000 + id, Tokens: core.Tokens(ki.said)}
+				re.place(t, ra.IntN(26), []place.Part{begun, said, {Hash: 1 << 40, Tokens: 300}}, ki.steps)
+			}
+		}
+		re.tick()
+	}
+	if part := float64(re.away) / float64(re.placed); part > 0.05 {
+		t.Errorf("%.3f of %d calls were placed elsewhere than at home, want at most 0.05", part, re.placed)
+	}
+}
+
 // A tenth of a chat's peers ask about one thing. Its home fills; the overflow goes
 // to the same few further homes from all routers, and fetches what the first has.
 func TestHotChatSpreadsToFewEndpoints(t *testing.T) {
--- a/core/place/place.go
+++ b/core/place/place.go
@@ -202,7 +202,7 @@
 		return nil, pl.refusal(now, vi)
 	}
 	chain := chainOf(as.Parts)
-	ch := &choice{as: as, chain: chain, homes: homesOf(vi.usable, as.Parts, chain, homes), vi: vi}
+	ch := &choice{as: as, chain: chain, homes: homesOf(vi.usable, chain, homes), vi: vi}
 	if as.Engine && as.FetchPerMs > 0 {
 		ch.findHolder(pl, now, members)
 	}
