Whether a caller's connection has ended is asked of the socket alone

Cause: a mutation of the mark that Close leaves was noticed by no test, because the socket tells the same: Control fails on a closed connection. The mark is gone; OwnCloseHasEnded passes without it. Three guards in io/relay had no test that failed without them: the id of an answer, the bound on attempts, and the look at the caller's connection before sending. Each has one now, seen failing with the guard taken out.

--- a/io/entry/caller.go
+++ b/io/entry/caller.go
@@ -101,12 +101,11 @@
 // A request that arrives just as its idle connection is closed must not be passed
 // on: the caller could not be answered, and would not know whether it ran. The idle
 // time is therefore a read deadline, which loses against bytes that have arrived;
-// and where the server closes the connection, at its end, Close leaves a mark that
-// the relay looks at before it sends anything.
+// and where the server closes the connection, at its end, the relay finds that with
+// ended before it sends anything.
 type callerConn struct {
 	*net.TCPConn
-	times  *callerTimes
-	closed atomic.Bool
+	times *callerTimes
 }
 
 // SetReadDeadline puts the configuration's times in the place of their marks.
@@ -120,24 +119,15 @@
 	return cc.TCPConn.SetReadDeadline(at)
 }
 
-// Close closes the connection.
-func (cc *callerConn) Close() error {
-	cc.closed.Store(true)
-	return cc.TCPConn.Close()
-}
-
 // ended tells whether the connection was closed, on this side or by the caller.
 //
 // The server notices a caller's close only once it reads again, which it does beside the
 // request; a router with more to do than it can would pass requests on by the hundred
 // whose callers gave up while they waited to be read. So the socket is asked.
 func (cc *callerConn) ended() bool {
-	if cc.closed.Load() {
-		return true
-	}
 	rc, err := cc.SyscallConn()
 	if err != nil {
-		return true // it is closed
+		return true // it is closed on this side
 	}
 	left := false
 	err = rc.Control(func(fd uintptr) {
@@ -145,7 +135,7 @@
 		count, _, rerr := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 		left = count == 0 && rerr == nil || errors.Is(rerr, syscall.ECONNRESET)
 	})
-	return left || err != nil
+	return left || err != nil // Control fails on a connection that is closed on this side
 }
 
 // callerContext lets the relay see whether the connection has ended.
--- a/io/relay/passing_test.go
+++ b/io/relay/passing_test.go
@@ -1,12 +1,16 @@
 package relay_test
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"testing"
 	"time"
+
+	"almondrill/io/relay"
 )
 
 // A caller names headers that concern only its own connection. Passed on, they would
@@ -59,3 +63,40 @@
 		t.Error("no request was sent to the endpoint that breaks off first")
 	}
 }
+
+// A late answer to another caller's request, complete and stamped, comes before the one
+// that is awaited. The caller must get its own.
+func TestAnswerToAnotherRequestIsNotPassedOn(t *testing.T) {
+	fl := newFleet(t, say(func(se *seen) string {
+		others := "HTTP/1.1 200 X\r\nX-Id: other\r\nX-Stamp: s0\r\nContent-Length: 6\r\n\r\nothers"
+		return others + whole(se, 200, "mine")
+	})).serve(onceOnly)
+	rs, body, err := fl.call("POST", "/r/x", "hello")
+	if err != nil || rs.StatusCode != http.StatusOK || body != "mine" {
+		t.Errorf("%v %q %v, want the own answer", rs, body, err)
+	}
+}
+
+// A caller gives up while its request waits for the processor; the close is there, but
+// the server has not read it yet. Sent on, the request would run for nobody.
+func TestRequestOfACallerThatLeftIsNotSent(t *testing.T) {
+	fl := newFleet(t, answer(200, "ok")).serve(onceOnly)
+	left := httptest.NewUnstartedServer(fl.re)
+	left.Config.ConnContext = func(ctx context.Context, _ net.Conn) context.Context {
+		return relay.WithClosed(ctx, func() bool { return true })
+	}
+	left.Start()
+	t.Cleanup(left.Close)
+	fl.front.Close()
+	fl.front = left
+	rs, _, err := fl.call("POST", "/r/x", "hello")
+	fl.expect(rs, err, http.StatusServiceUnavailable, 0)
+}
+
+// All endpoints fail a request that may be repeated. It goes to as many as its route
+// allows: callers' failures must not multiply the load on a pool that is in trouble.
+func TestAttemptsAreBounded(t *testing.T) {
+	fl := newFleet(t, answer(500, "a"), answer(500, "b"), answer(500, "c"), answer(500, "d")).serve(idempotent)
+	rs, _, err := fl.call("GET", "/r/x", "")
+	fl.expect(rs, err, 500, idempotent.MaxAttempts)
+}
