--- /dev/null
+++ b/io/relay/log_test.go
@@ -0,0 +1,35 @@
+package relay_test
+
+import (
+	"net/http"
+	"testing"
+
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+	"go.uber.org/zap/zaptest/observer"
+
+	"almondrill/core/place"
+)
+
+// Someone on call looks for the other turns of a chat whose request failed. As a JSON
+// number its name loses its last digits in most readers, and nothing is found.
+func TestLogNamesChatsExactly(t *testing.T) {
+	fl := newFleet(t, answer(200, "ok"))
+	fl.re.Dialect.Prompt = func(http.Header) []place.Part {
+		return []place.Part{{Hash: 1, Tokens: 500}, {Hash: 2, Tokens: 9000}, {Hash: 3, Tokens: 100}}
+	}
+	ro := onceOnly
+	ro.Sticky = true
+	fl.serve(ro)
+	logged, lines := observer.New(zapcore.InfoLevel)
+	fl.re.Log = zap.New(logged)
+	rs, _, err := fl.call("POST", "/r/x", "hello")
+	fl.expect(rs, err, 200, 1)
+	served := lines.FilterMessage("Served.").All()
+	if len(served) != 1 {
+		t.Fatalf("%d lines", len(served))
+	}
+	if chat, ok := served[0].ContextMap()["Chat"].(string); !ok || len(chat) < 10 {
+		t.Errorf("the chat is named %v, want hexadecimal digits as text", served[0].ContextMap()["Chat"])
+	}
+}
--- a/io/relay/request.go
+++ b/io/relay/request.go
@@ -4,6 +4,7 @@
 	"context"
 	"math"
 	"net/http"
+	"strconv"
 	"time"
 
 	"go.uber.org/zap"
@@ -197,7 +198,7 @@
 			zap.Int("Calls", tk.Calls), zap.Int("Others", tk.Others), zap.Float64("Mean", math.Round(10*tk.Mean)/10),
 			zap.Int("Usable", tk.Usable), zap.Int("Full", tk.Full), zap.Int("Of", tk.Of))
 		if tk.Prompt > 0 {
-			fields = append(fields, zap.Uint64("Chat", tk.Chat), zap.Bool("Home", tk.Home), zap.Int64("Prompt", int64(tk.Prompt)),
+			fields = append(fields, zap.String("Chat", strconv.FormatUint(tk.Chat, 16)), zap.Bool("Home", tk.Home), zap.Int64("Prompt", int64(tk.Prompt)),
 				zap.Int64("Uncached", int64(tk.Uncached)), zap.Int64("Fetched", int64(tk.Fetched)), zap.String("FetchFrom", tk.FetchFrom))
 		}
 	}
