Reverts that callers wait for the first news of a router

Callers whose connections are taken but not read for so long give up and come back beside those that are new.

--- a/io/entry/caller.go
+++ b/io/entry/caller.go
@@ -29,11 +29,6 @@
 	// callerTimeout is how long bytes to a caller may stay unacknowledged. A caller
 	// without power would otherwise hold an endpoint's place.
 	callerTimeout = 4 * time.Second
-	// startPatience is how long after its start a router lets callers wait for its first
-	// news: 1,850 routes take up to 0.69 s over a link of 10 Mbit/s while 26 routers start.
-	// Refused at once, callers come back while it still knows nothing, and most may return
-	// only once.
-	startPatience = 700 * time.Millisecond
 )
 
 // callerTimes are the times that callers have, in ns. They change with the
@@ -59,15 +54,10 @@
 type callerListener struct {
 	net.Listener
 	times *callerTimes
-	// informed is closed once the router knows what it serves; until is when connections
-	// are accepted though it does not. They wait in the kernel's queue.
-	informed <-chan struct{}
-	until    time.Time
 }
 
 // Accept waits for a connection.
 func (cl *callerListener) Accept() (net.Conn, error) {
-	cl.awaitNews()
 	co, err := cl.Listener.Accept()
 	if err != nil {
 		return nil, err
@@ -82,20 +72,6 @@
 	return &callerConn{TCPConn: tcp, times: cl.times}, nil
 }
 
-// awaitNews returns once the router knows what it serves, or has had its time for it.
-func (cl *callerListener) awaitNews() {
-	left := time.Until(cl.until)
-	if left <= 0 {
-		return
-	}
-	timer := time.NewTimer(left)
-	defer timer.Stop()
-	select {
-	case <-cl.informed:
-	case <-timer.C:
-	}
-}
-
 // callerConn is a caller's connection.
 //
 // A request that arrives just as its idle connection is closed must not be passed
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -147,7 +147,7 @@
 		Stats: pr.Stats, Latency: &pr.latency, Rand: pr.rand, Log: pr.Logs.Part("relay"),
 		Age: pr.reader.Age, Leaving: pr.leaving.Load,
 	}
-	pr.view = &view{pr: pr, log: pr.Logs.Part("view"), informed: make(chan struct{})}
+	pr.view = &view{pr: pr, log: pr.Logs.Part("view")}
 	pr.mirror.Changed = pr.view.changed
 	pr.seed()
 	pr.publish()
--- a/io/entry/serve.go
+++ b/io/entry/serve.go
@@ -84,7 +84,7 @@
 			return nil, err
 		}
 		if on.key == "CallersAddr" {
-			li = &callerListener{Listener: li, times: &pr.times, informed: pr.view.informed, until: time.Now().Add(startPatience)}
+			li = &callerListener{Listener: li, times: &pr.times}
 		}
 		srv := pr.httpServer(li, on.handler)
 		if on.key == "CallersAddr" {
--- a/io/entry/view.go
+++ b/io/entry/view.go
@@ -16,9 +16,6 @@
 type view struct {
 	pr  *Process
 	log *zap.Logger
-	// informed is closed once a configuration and an endpoint are known.
-	informed chan struct{}
-	once     sync.Once
 
 	mu        sync.Mutex               // guards all below
 	departing map[core.EndpointID]bool // doubted, as their registrations are missing
@@ -36,10 +33,8 @@
 	switch what := what.(type) {
 	case *route.Document:
 		vi.adopt(what, it.Rev)
-		vi.inform()
 	case place.Endpoint:
 		vi.register(what, it.Rev)
-		vi.inform()
 	case Departure:
 		vi.depart(what.ID, it.Rev)
 	case PeerAddr:
@@ -47,13 +42,6 @@
 	}
 }
 
-// inform tells whoever waits for it that the router can serve.
-func (vi *view) inform() {
-	if vi.pr.relay.Table() != nil && vi.pr.placer.Known() > 0 {
-		vi.once.Do(func() { close(vi.informed) })
-	}
-}
-
 // adopt puts a configuration in force unless a later one is.
 func (vi *view) adopt(doc *route.Document, rev core.Version) {
 	old := vi.pr.relay.Table()
