--- a/core/place/choice.go
+++ b/core/place/choice.go
@@ -51,8 +51,8 @@
 	failMs = 400.0
 	// fetchMs is what a fetch costs beside its transfer, in ms: 1.7 to set it up, by
 	// the data sheet, and that the chat is then on one more engine, where it takes memory
-	// from others. At 12 ms, 1.4 times as much was moved among 47 engines, and 1.3 times as
-	// much read again, at 0.02 less worth; at 100 ms the same as at 50.
+	// from others. At 12 ms, 1.4 times as much is moved among 47 engines, and 1.3 times as
+	// much read again; at 100 ms as much as at 50.
 	// fetchWeight counts its transfer more than once, since it takes the links of two
 	// engines; leastFetch is, in tokens, what a fetch is worth at least.
 	fetchMs     = 50.0
--- a/core/place/homes.go
+++ b/core/place/homes.go
@@ -11,8 +11,8 @@
 // homesOf are the endpoints on which all routers agree for a prompt, without a word.
 // Prompts that return together are named by all parts but the last, which is the
 // request's own. What several chats begin with is read once on each endpoint: keeping
-// such chats together on a few would save that, but a few of 47 endpoints were then at
-// the cap all the time, and a sixth of the calls left their homes.
+// such chats together on a few would save that, but a few of 47 endpoints are then at
+// the cap all the time, and a sixth of the calls leave their homes.
 func homesOf(members []*state, chain []uint64, most int) []*state {
 	if len(chain) == 0 {
 		return nil
