An endpoint that starts again under its id is another one; only whole registrations name endpoints

Cause: the platform's entries now tell the start of an endpoint, which may come back under its id, and something else may write among them. A router that had seen an id draining kept it so for ever; records of its prompts, readings, peers' words and idle connections of the earlier start stayed; a late entry of the earlier start would have been taken for news. Entries were taken by their readable parts; one value that was no base64 text made a whole listing undecodable; an endpoint of an unknown pool made a router ready.

Change: place.Endpoint has its Start. Placer.Register refuses an earlier start than the latest known, which it remembers after the endpoint is gone (starts.go), and treats a later one as another endpoint; peers name endpoints by id and start, homes still go by the id alone, so that a restart moves no other chats. Registrations that lack a field, or have one of another type or an unknown state, take the endpoint out, counted and logged once a change.

--- a/core/place/homes.go
+++ b/core/place/homes.go
@@ -24,9 +24,9 @@
 func highest(members []*state, key uint64, count int) []*state {
 	best := make([]*state, 0, count+1)
 	for _, st := range members {
-		score := ring.Mix(st.hash, key)
+		score := ring.Mix(st.name, key)
 		at := len(best)
-		for at > 0 && ring.Mix(best[at-1].hash, key) < score {
+		for at > 0 && ring.Mix(best[at-1].name, key) < score {
 			at--
 		}
 		if at < count {
--- a/core/place/place.go
+++ b/core/place/place.go
@@ -12,6 +12,8 @@
 // # Invariants
 //
 //   - An endpoint that drains, or is gone, gets no ticket.
+//   - An endpoint that starts again under its id is another one: nothing that was
+//     believed of its earlier start holds for it.
 //   - Own calls are counted from Pick to Done, so that many requests that arrive
 //     between two messages of the peers do not all see the same gap.
 //   - An endpoint that failed is avoided only while others of its pool do better:
@@ -32,15 +34,17 @@
 	"time"
 
 	"almondrill/core"
-	"almondrill/core/decl"
 )
 
-// Endpoint is an endpoint as it registered itself. A restart makes another one.
+// Endpoint is an endpoint as it registered itself.
 type Endpoint struct {
-	ID   core.EndpointID
-	Addr string
-	Pool core.PoolID
-	Zone core.Zone
+	ID core.EndpointID
+	// Start tells one run of its process from the next, which may have the same ID; a
+	// later one is higher, 0 is unknown.
+	Start core.Incarnation
+	Addr  string
+	Pool  core.PoolID
+	Zone  core.Zone
 	// Slots is how many requests it runs at a time.
 	Slots    int
 	Draining bool
@@ -105,8 +109,10 @@
 	began time.Time  // when the first endpoint became known
 	pools map[core.PoolID]map[core.EndpointID]*state
 	byID  map[core.EndpointID]*state
-	// byHash finds endpoints by the hash of their id.
+	// byHash finds endpoints by the hash of their id and start.
 	byHash map[uint64]*state
+	// starts are the latest known of all endpoints, also of those that are gone.
+	starts starts
 	told   map[string]*word
 	// moves are own placements away from a chat's home, holders those of peers.
 	moves   []move
@@ -116,31 +122,41 @@
 	uses   map[core.PoolID]*use
 }
 
-// Register takes an endpoint's registration, or a change of it. One that was seen
-// draining stays so: only a restart, under another id, brings it back.
-func (pl *Placer) Register(now time.Time, ep Endpoint) {
+// Register takes an endpoint's registration, or a change of it. A start that was seen
+// draining stays so: only a later start brings the endpoint back. It returns false, and
+// changes nothing, for a registration of an earlier start than the latest known.
+func (pl *Placer) Register(now time.Time, ep Endpoint) bool {
 	pl.mu.Lock()
 	defer pl.mu.Unlock()
 	pl.start()
 	if pl.began.IsZero() {
 		pl.began = now
 	}
+	drained, current := pl.starts.note(&ep)
+	if !current {
+		return false
+	}
 	st := pl.byID[ep.ID]
+	if st != nil && st.Start != ep.Start {
+		pl.remove(st)
+		st = nil
+	}
 	if st == nil {
-		st = &state{hash: decl.HashName(string(ep.ID)), seen: newMemory(), since: now}
+		st = newState(now, &ep)
 		pl.byID[ep.ID] = st
 		pl.byHash[st.hash] = st
 	}
 	if old := pl.pools[st.Pool]; old != nil && st.Pool != ep.Pool {
 		delete(old, ep.ID)
 	}
-	ep.Draining = ep.Draining || st.Draining
+	ep.Draining = ep.Draining || st.Draining || drained
 	st.Endpoint = ep
 	st.missing = false
 	if pl.pools[ep.Pool] == nil {
 		pl.pools[ep.Pool] = map[core.EndpointID]*state{}
 	}
 	pl.pools[ep.Pool][ep.ID] = st
+	return true
 }
 
 // Doubt tells that an endpoint's registration is missing, though it may only have
@@ -160,12 +176,16 @@
 	pl.mu.Lock()
 	defer pl.mu.Unlock()
 	if st := pl.byID[id]; st != nil {
-		delete(pl.pools[st.Pool], id)
-		delete(pl.byID, id)
-		delete(pl.byHash, st.hash)
+		pl.remove(st)
 	}
 }
 
+func (pl *Placer) remove(st *state) {
+	delete(pl.pools[st.Pool], st.ID)
+	delete(pl.byID, st.ID)
+	delete(pl.byHash, st.hash)
+}
+
 func (pl *Placer) start() {
 	if pl.byID == nil {
 		pl.byID = map[core.EndpointID]*state{}
@@ -177,13 +197,13 @@
 	}
 }
 
-// Known is the number of endpoints that may get work.
-func (pl *Placer) Known() int {
+// Known is the number of endpoints, of the pools that are in use, that may get work.
+func (pl *Placer) Known(inUse func(core.PoolID) bool) int {
 	pl.mu.Lock()
 	defer pl.mu.Unlock()
 	count := 0
 	for _, st := range pl.byID {
-		if !st.Draining {
+		if !st.Draining && inUse(st.Pool) {
 			count++
 		}
 	}
--- /dev/null
+++ b/core/place/starts_test.go
@@ -0,0 +1,173 @@
+package place_test
+
+import (
+	"testing"
+	"time"
+
+	"almondrill/core"
+	"almondrill/core/place"
+)
+
+// started is an endpoint at one of its starts.
+func started(ix int, at core.Incarnation) place.Endpoint {
+	ep := endpoint(ix)
+	ep.Start = at
+	return ep
+}
+
+func draining(ep place.Endpoint) place.Endpoint {
+	ep.Draining = true
+	return ep
+}
+
+// picks tells how many of 50 chats the endpoint gets.
+func picks(t *testing.T, pl *place.Placer, now time.Time, id core.EndpointID) int {
+	t.Helper()
+	count := 0
+	for chatID := range uint64(50) {
+		if serve(t, pl, now, ask(chat(1, chatID))).Endpoint.ID == id {
+			count++
+		}
+	}
+	return count
+}
+
+// An endpoint drains, ends, and starts again under its id. Taken for the one that
+// drained, the new one would stay idle for good, while callers are refused for want of
+// room.
+func TestEndpointThatStartsAgainIsUsed(t *testing.T) {
+	pl := newPlacer(1)
+	pl.Register(begin, started(0, 100))
+	pl.Register(begin, started(1, 100))
+	pl.Register(begin, draining(started(0, 100)))
+	if got := picks(t, pl, begin, "e00"); got != 0 {
+		t.Fatalf("%d calls for an endpoint that drains", got)
+	}
+	if !pl.Register(begin, started(0, 200)) || picks(t, pl, begin, "e00") == 0 {
+		t.Error("an endpoint that started again gets nothing")
+	}
+}
+
+// The same, but its registration goes before the new one comes, as after a crash.
+func TestEndpointThatStartsAgainAfterItWasGoneIsUsed(t *testing.T) {
+	pl := newPlacer(1)
+	pl.Register(begin, started(1, 100))
+	pl.Register(begin, draining(started(0, 100)))
+	pl.Remove("e00")
+	pl.Register(begin, started(0, 100))
+	if got := picks(t, pl, begin, "e00"); got != 0 {
+		t.Errorf("%d calls for a start that was seen draining", got)
+	}
+	pl.Register(begin, started(0, 200))
+	if picks(t, pl, begin, "e00") == 0 {
+		t.Error("an endpoint that started again gets nothing")
+	}
+}
+
+// A registration of the earlier start was delayed in the store and comes after that of
+// the later one. Taken, it would lead callers to an address where nobody listens.
+func TestLateRegistrationOfAnEarlierStartIsIgnored(t *testing.T) {
+	for _, gone := range []bool{false, true} {
+		pl := newPlacer(1)
+		now := started(0, 200)
+		now.Addr = "10.0.9.9:80"
+		pl.Register(begin, now)
+		if gone {
+			pl.Remove("e00")
+		}
+		if pl.Register(begin, draining(started(0, 100))) {
+			t.Errorf("an earlier start was taken, gone %v", gone)
+		}
+		tk, re := pl.Pick(begin, ask(chat(1, 1)))
+		if gone && re == nil || !gone && (re != nil || tk.Endpoint.Addr != now.Addr) {
+			t.Errorf("gone %v: picked %+v, %v", gone, tk, re)
+		}
+	}
+}
+
+// An engine that held a prompt crashed and is back, empty. Asked to take the prompt over
+// from it, another engine would wait for nothing and then read it all the same.
+func TestNothingIsFetchedFromAnEarlierStart(t *testing.T) {
+	prompt := []place.Part{{Hash: 7, Tokens: 10000}}
+	elsewhere := ask(prompt)
+	elsewhere.Tried = []core.EndpointID{"e00"}
+	for _, restarted := range []bool{false, true} {
+		pl := newPlacer(1)
+		pl.Register(begin, started(0, 100))
+		serve(t, pl, begin, ask(prompt))
+		pl.Register(begin, started(1, 100))
+		if restarted {
+			pl.Register(begin, started(0, 200))
+		}
+		tk := pick(t, pl, begin, elsewhere)
+		if fetches := tk.FetchFrom == started(0, 100).Addr; fetches == restarted {
+			t.Errorf("restarted %v: fetches %d tokens from %q", restarted, tk.Fetched, tk.FetchFrom)
+		}
+		tk.Done(begin, place.Neutral)
+		pl.Remove("e01")
+		if tk = pick(t, pl, begin, ask(prompt)); (tk.Uncached == 0) == restarted {
+			t.Errorf("restarted %v: %d of 10000 tokens are to be read", restarted, tk.Uncached)
+		}
+	}
+}
+
+// Calls that were in progress at the earlier start, and what it said of its load, say
+// nothing of the new one: counted there, they would keep callers away from an empty
+// engine.
+func TestLoadOfAnEarlierStartIsForgotten(t *testing.T) {
+	pl := newPlacer(1)
+	pl.Register(begin, started(0, 100))
+	var open []*place.Ticket
+	for id := range uint64(20) {
+		tk := pick(t, pl, begin, ask(chat(1, id)))
+		tk.Counted(begin, 20)
+		open = append(open, tk)
+	}
+	pl.Register(begin, started(0, 200))
+	tk := pick(t, pl, begin, ask(chat(1, 1)))
+	if tk.Calls != 0 || tk.Others != 0 {
+		t.Errorf("%d own calls and %d of others at a start that has none", tk.Calls, tk.Others)
+	}
+	for _, old := range open {
+		old.Done(begin, place.Failed)
+	}
+	if next := pick(t, pl, begin, ask(chat(1, 2))); next.Calls != 1 {
+		t.Errorf("%d own calls after those of the earlier start ended, want 1", next.Calls)
+	}
+}
+
+// One of two routers has not heard yet that an endpoint started again. Its word of the
+// calls, the reading and the chats that it believes there is about the earlier start, and
+// does not count; once it has heard, it does.
+func TestPeersWordOfAnEarlierStartDoesNotCount(t *testing.T) {
+	one, two := newPlacer(2), newPlacer(2)
+	for _, pl := range []*place.Placer{one, two} {
+		pl.Register(begin, started(0, 100))
+	}
+	one.Register(begin, started(0, 200))
+	var open []*place.Ticket
+	for id := range uint64(9) {
+		tk := pick(t, two, begin, ask(chat(1, id)))
+		tk.Counted(begin, 9)
+		open = append(open, tk)
+	}
+	hear := func() int {
+		one.Hear(begin, "two", two.Tell())
+		one.HearReadings(begin, 0, two.Readings(begin))
+		one.HearMoves(two.Moves(begin))
+		tk := pick(t, one, begin, ask(chat(1, 1)))
+		defer tk.Done(begin, place.Neutral)
+		return tk.Others
+	}
+	if others := hear(); others != 0 {
+		t.Errorf("%d calls of an earlier start are counted at the later one", others)
+	}
+	two.Register(begin, started(0, 200))
+	for _, tk := range open {
+		tk.Done(begin, place.Failed)
+	}
+	pick(t, two, begin, ask(chat(1, 1)))
+	if others := hear(); others != 1 {
+		t.Errorf("%d calls of the later start, want 1", others)
+	}
+}
--- a/core/place/state.go
+++ b/core/place/state.go
@@ -5,13 +5,18 @@
 	"time"
 
 	"almondrill/core"
+	"almondrill/core/decl"
+	"almondrill/core/ring"
 )
 
 // state is what the router believes of one endpoint.
 type state struct {
 	Endpoint
-	hash  uint64
-	since time.Time
+	// name is the hash of its id, by which routers agree on homes; hash is that of its id
+	// and start, by which peers tell of it, so that their words of an earlier start are
+	// not taken for this one.
+	name, hash uint64
+	since      time.Time
 	// calls are the router's own in progress; others those of other routers, as of the last
 	// choice.
 	calls  int
@@ -26,6 +31,15 @@
 	missing bool
 }
 
+func newState(now time.Time, ep *Endpoint) *state {
+	name := decl.HashName(string(ep.ID))
+	hash := name
+	if ep.Start != 0 {
+		hash = ring.Mix(name, uint64(ep.Start))
+	}
+	return &state{name: name, hash: hash, seen: newMemory(), since: now}
+}
+
 // uncached is how many of the prompt's tokens the endpoint probably has to read, if
 // it has the assumed part of those that return beside what the record says.
 func (st *state) uncached(parts []Part, chain []uint64, assumed float64) core.Tokens {
--- a/core/place/ticket.go
+++ b/core/place/ticket.go
@@ -84,5 +84,6 @@
 		st.health.down(now)
 	case Replaced:
 		st.Draining = true
+		tk.pl.starts.drain(&st.Endpoint)
 	}
 }
--- a/io/conns/conns.go
+++ b/io/conns/conns.go
@@ -186,6 +186,17 @@
 	po.idle[co.Addr] = append(po.idle[co.Addr], co)
 }
 
+// Drop closes the idle connections to an address.
+func (po *Pool) Drop(addr string) {
+	po.mu.Lock()
+	list := po.idle[addr]
+	delete(po.idle, addr)
+	po.mu.Unlock()
+	for _, co := range list {
+		co.Close()
+	}
+}
+
 // Tidy closes idle connections whose time is over. It is to be called now and
 // then.
 func (po *Pool) Tidy(now time.Time) {
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -51,7 +51,7 @@
 type Platform interface {
 	core.Feed
 	// Decode tells what an item of the store means: a *route.Document, a
-	// place.Endpoint, a Departure, a PeerAddr, or nil if nothing.
+	// place.Endpoint, a Departure, an Unusable, a PeerAddr, or nil if nothing.
 	Decode(it core.Item) (any, error)
 	Dialect() relay.Dialect
 	// ReadyPath is where the balancer asks whether to send callers.
@@ -63,6 +63,13 @@
 // Departure tells that an endpoint's registration is gone.
 type Departure struct{ ID core.EndpointID }
 
+// Unusable tells that an endpoint's registration is there, but names no endpoint that
+// could be used, and why.
+type Unusable struct {
+	ID  core.EndpointID
+	Err error
+}
+
 // PeerAddr is the address of a peer.
 type PeerAddr string
 
@@ -181,12 +188,22 @@
 	})
 	pr.Stats.Read(stats.ViewAgeMs, func() int64 { return pr.reader.Age().Milliseconds() })
 	pr.Stats.Read(stats.PeersLive, func() int64 { return int64(pr.peers.Live()) })
-	pr.Stats.Read(stats.EndpointsKnown, func() int64 { return int64(pr.placer.Known()) })
+	pr.Stats.Read(stats.EndpointsKnown, func() int64 { return int64(pr.endpoints()) })
 	if pr.Dropped != nil {
 		pr.Stats.Read(stats.LogLinesDropped, pr.Dropped)
 	}
 }
 
+// endpoints is how many endpoints may get work. One that registered for a pool which the
+// configuration does not name serves nobody.
+func (pr *Process) endpoints() int {
+	ta := pr.relay.Table()
+	if ta == nil {
+		return 0
+	}
+	return pr.placer.Known(func(id core.PoolID) bool { return ta.Pool(id) != nil })
+}
+
 func (pr *Process) announce(ctx context.Context) error {
 	pr.Platform.Announce(ctx, pr.Settings.Name, pr.Settings.PeersAddr, pr.log)
 	return nil
@@ -216,7 +233,7 @@
 		http.Error(wr, "leaving", http.StatusServiceUnavailable)
 	case pr.relay.Table() == nil:
 		http.Error(wr, "no configuration yet", http.StatusServiceUnavailable)
-	case pr.placer.Known() == 0:
+	case pr.endpoints() == 0:
 		http.Error(wr, "no endpoints yet", http.StatusServiceUnavailable)
 	default:
 		fmt.Fprintln(wr, "ready")
--- a/io/entry/view.go
+++ b/io/entry/view.go
@@ -10,6 +10,7 @@
 	"almondrill/core"
 	"almondrill/core/place"
 	"almondrill/core/route"
+	"almondrill/io/stats"
 )
 
 // view puts what the store says in force.
@@ -17,9 +18,17 @@
 	pr  *Process
 	log *zap.Logger
 
-	mu        sync.Mutex               // guards all below
-	departing map[core.EndpointID]bool // doubted, as their registrations are missing
-	states    map[core.EndpointID]bool // known endpoints; true if draining
+	mu        sync.Mutex                // guards all below
+	departing map[core.EndpointID]bool  // doubted, as their registrations are missing
+	known     map[core.EndpointID]known // endpoints with a usable registration
+	unusable  map[core.EndpointID]string
+}
+
+// known is what was last logged of an endpoint.
+type known struct {
+	addr     string
+	start    core.Incarnation
+	draining bool
 }
 
 // changed takes an item that is new to the mirror.
@@ -37,6 +46,8 @@
 		vi.register(what, it.Rev)
 	case Departure:
 		vi.depart(what.ID, it.Rev)
+	case Unusable:
+		vi.reject(&what, it.Rev)
 	case PeerAddr:
 		vi.pr.peers.Add(string(what))
 	}
@@ -65,16 +76,50 @@
 func (vi *view) register(ep place.Endpoint, rev core.Version) {
 	vi.mu.Lock()
 	defer vi.mu.Unlock()
+	fields := []zap.Field{
+		zap.String("Endpoint", string(ep.ID)), zap.Uint64("Start", uint64(ep.Start)), zap.String("Pool", string(ep.Pool)),
+		zap.String("Addr", ep.Addr), zap.Bool("Draining", ep.Draining), zap.Uint64("Rev", uint64(rev)),
+	}
+	if !vi.pr.placer.Register(time.Now(), ep) {
+		vi.log.Info("Ignored the registration of an endpoint's earlier start.", fields...)
+		return
+	}
 	delete(vi.departing, ep.ID)
-	vi.pr.placer.Register(time.Now(), ep)
-	if vi.states == nil {
-		vi.states = map[core.EndpointID]bool{}
+	delete(vi.unusable, ep.ID)
+	if vi.known == nil {
+		vi.known = map[core.EndpointID]known{}
 	}
-	if draining, known := vi.states[ep.ID]; !known || draining != ep.Draining {
-		vi.log.Info("Endpoint.", zap.String("Endpoint", string(ep.ID)), zap.String("Pool", string(ep.Pool)),
-			zap.String("Addr", ep.Addr), zap.Bool("Draining", ep.Draining), zap.Uint64("Rev", uint64(rev)))
+	old, was := vi.known[ep.ID]
+	now := known{ep.Addr, ep.Start, ep.Draining}
+	vi.known[ep.ID] = now
+	switch {
+	case was && old.start != ep.Start:
+		// Its process is gone, and with it the connections: those left idle would only
+		// show that once a request is lost on them.
+		vi.pr.pool.Drop(old.addr)
+		vi.log.Info("Endpoint started again.", fields...)
+	case old != now:
+		vi.log.Info("Endpoint.", fields...)
 	}
-	vi.states[ep.ID] = ep.Draining
+}
+
+// reject takes an endpoint out whose registration cannot be used any more: unlike one
+// that is missing, it did not lapse while the store was away.
+func (vi *view) reject(un *Unusable, rev core.Version) {
+	vi.mu.Lock()
+	defer vi.mu.Unlock()
+	vi.remove(un.ID)
+	reason := un.Err.Error()
+	if vi.unusable == nil {
+		vi.unusable = map[core.EndpointID]string{}
+	}
+	if vi.unusable[un.ID] == reason {
+		return // written again as it was
+	}
+	vi.unusable[un.ID] = reason
+	vi.pr.Stats.Add(stats.RegistrationsUnusable, 1)
+	vi.log.Warn("Cannot use a registration; it names no endpoint.", zap.String("Endpoint", string(un.ID)),
+		zap.Uint64("Rev", uint64(rev)), zap.Error(un.Err))
 }
 
 const (
@@ -91,6 +136,10 @@
 func (vi *view) depart(id core.EndpointID, rev core.Version) {
 	vi.mu.Lock()
 	defer vi.mu.Unlock()
+	delete(vi.unusable, id)
+	if _, was := vi.known[id]; !was {
+		return
+	}
 	doubted := vi.pr.reader.Doubtful()
 	vi.log.Info("Endpoint's registration is gone.", zap.String("Endpoint", string(id)),
 		zap.Uint64("Rev", uint64(rev)), zap.Bool("Doubted", doubted))
@@ -107,7 +156,7 @@
 
 func (vi *view) remove(id core.EndpointID) {
 	vi.pr.placer.Remove(id)
-	delete(vi.states, id)
+	delete(vi.known, id)
 	delete(vi.departing, id)
 }
 
--- a/io/stats/docs.go
+++ b/io/stats/docs.go
@@ -37,8 +37,9 @@
 	{PointersHanded, "directory entries that this agent passed on when it left"},
 	{ViewAgeMs, "on a router without agents: time since the store last confirmed what is believed; above 2,500 unknown routes and keys are answered 503"},
 	{PeersLive, "peers heard within 3 s"},
-	{EndpointsKnown, "registered endpoints that are not draining"},
+	{EndpointsKnown, "registered endpoints, of pools that the configuration names, that are not draining"},
 	{LogLinesDropped, "log lines dropped because the reader of the output was slow"},
+	{RegistrationsUnusable, "registrations of endpoints that became unusable: fields missing or of another kind, an unknown state"},
 	{LogLinesSampled, "log lines left out because many of the same message came in a second"},
 }
 
--- a/io/stats/stats.go
+++ b/io/stats/stats.go
@@ -51,6 +51,8 @@
 	EndpointsKnown  = "EndpointsKnown"
 	LogLinesDropped = "LogLinesDropped"
 	LogLinesSampled = "LogLinesSampled"
+	// RegistrationsUnusable counts those that became unreadable.
+	RegistrationsUnusable = "RegistrationsUnusable"
 )
 
 // Set is one process's counters.
