--- a/io/feeds/feeds_test.go
+++ b/io/feeds/feeds_test.go
@@ -28,7 +28,7 @@
 	lists, waits int
 	// asked counts all calls, those without an answer too.
 	asked int
-	woken        chan struct{}
+	woken chan struct{}
 }
 
 func newStore() *store { return &store{items: map[string]core.Item{}} }
--- a/io/relay/attempt.go
+++ b/io/relay/attempt.go
@@ -58,6 +58,7 @@
 		return ex.fail(core.NotRun, core.ReasonCallerGone, "send", errClosed), place.Neutral
 	}
 	ex.rq.sends++
+	ex.rq.sent.Store(&sending{ex.tk.Endpoint, time.Now(), ex.rq.sends})
 	if ex.rq.sends == 1 {
 		ex.rq.re.Latency.Note(stats.SentMs, time.Since(ex.rq.began))
 	}
--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -133,6 +133,7 @@
 	}
 	ctx, cancel := context.WithDeadline(hr.Context(), rq.end)
 	defer cancel()
+	defer rq.watch()()
 	rq.serve(ctx)
 }
 
--- a/io/relay/request.go
+++ b/io/relay/request.go
@@ -5,6 +5,7 @@
 	"math"
 	"net/http"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -51,6 +52,8 @@
 	wrote     time.Time
 	gap       time.Duration
 	ticket    *place.Ticket
+	// sent is where it was sent last, for tellRunning.
+	sent atomic.Pointer[sending]
 }
 
 // reply is an endpoint's own answer that is no success.
--- /dev/null
+++ b/io/relay/running_test.go
@@ -0,0 +1,42 @@
+package relay_test
+
+import (
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+	"go.uber.org/zap/zaptest/observer"
+)
+
+// A router loses power while it carries streams. Their callers hear nothing more, and the
+// lines that tell how requests ended are never written; the on-call engineer looks for a
+// request by its id and has to find router, endpoint and time all the same. Requests that
+// end soon are told once, at their end.
+func TestRequestThatRunsForLongIsTold(t *testing.T) {
+	core, lines := observer.New(zapcore.InfoLevel)
+	isRunning := func() []observer.LoggedEntry { return lines.FilterMessage("Is running.").All() }
+	holdUntilTold := func(*seen, net.Conn) bool {
+		for deadline := time.Now().Add(2 * time.Second); len(isRunning()) == 0 && time.Now().Before(deadline); {
+			time.Sleep(10 * time.Millisecond)
+		}
+		return false
+	}
+	fl := newFleet(t, answer(http.StatusOK, "soon"), holdUntilTold)
+	fl.re.Log = zap.New(core)
+	fl.serve(onceOnly)
+	for len(isRunning()) == 0 && len(fl.requests()) < 20 { // until the second endpoint gets one
+		_, _, _ = fl.call("POST", "/r/x", "")
+	}
+	running := isRunning()
+	if len(running) != 1 {
+		t.Fatalf("%d lines of running requests, want 1", len(running))
+	}
+	fields := running[0].ContextMap()
+	if fields["Endpoint"] != "e1" || fields["Request"] != "id-1" || fields["Route"] != "r" || !strings.Contains(fields["Addr"].(string), ":") {
+		t.Errorf("%v", fields)
+	}
+}
