A silent attempt is given up only for one that is reserved elsewhere

Change: a timer watches the silence in place of a read deadline. When it ends, another endpoint in good health and a part of the retry budget are reserved; only then the attempt is interrupted, and the next one uses what was reserved. Otherwise the request waits, and room is looked for again each 0.2 s. A connection that may be interrupted is not kept for another request any more.

Tests seen failing before: SilentStreamGoesOnWhereNobodyElseCanTakeIt (three cases), SlowAnswerIsWaitedFor, SilentStreamGoesOnElsewhereOnceThereIsRoom.

--- a/core/place/place.go
+++ b/core/place/place.go
@@ -65,6 +65,9 @@
 	Parts    []Part
 	// Tried are endpoints that are not to be picked again.
 	Tried []core.EndpointID
+	// Healthy leaves out endpoints that may be gone or look dead, also where there are no
+	// others.
+	Healthy bool
 	// MaxConns is how many connections an endpoint takes from all routers.
 	MaxConns int
 	// Engine is set for requests to model engines, Memory to an engine's.
--- a/core/place/view.go
+++ b/core/place/view.go
@@ -91,7 +91,7 @@
 		}
 		vi.usable = append(vi.usable, st)
 	}
-	if len(vi.usable) == 0 {
+	if len(vi.usable) == 0 && !as.Healthy {
 		vi.usable = doubtful
 	}
 	return vi
--- a/io/relay/attempt.go
+++ b/io/relay/attempt.go
@@ -5,7 +5,6 @@
 	"errors"
 	"io"
 	"net/http"
-	"os"
 	"strconv"
 	"time"
 
@@ -16,19 +15,9 @@
 	"almondrill/io/stats"
 )
 
-const (
-	// attemptPart is the part of the time left that an attempt gets which may be
-	// repeated: the rest has to do for the next one.
-	attemptPart = 0.45
-	// stallGaps and leastStall bound the silence of a stream that may go on
-	// elsewhere: a few times the pause that callers take for on time, below the
-	// two seconds after which they give up.
-	stallGaps  = 4
-	leastStall = time.Second
-	// mostKept bounds what is kept of an answer, in bytes, to be able to ask another
-	// endpoint if it breaks off. A router's memory holds some hundred of them.
-	mostKept = 1 << 20
-)
+// mostKept bounds what is kept of an answer, in bytes, to be able to ask another
+// endpoint if it breaks off. A router's memory holds some hundred of them.
+const mostKept = 1 << 20
 
 // exchange is one attempt at one endpoint.
 type exchange struct {
@@ -36,6 +25,10 @@
 	co *conns.Conn
 	rs *http.Response
 	tk *place.Ticket
+	// silence may give the attempt up, and ended stops what interrupts it when the
+	// request's time is over.
+	silence silence
+	ended   func() bool
 }
 
 // attempt sends the request to the ticket's endpoint and passes the answer on.
@@ -43,6 +36,7 @@
 func (rq *request) attempt(ctx context.Context, header http.Header) *core.Refusal {
 	ex := &exchange{rq: rq, tk: rq.ticket}
 	rf, result := ex.run(ctx, header)
+	rq.next = ex.silence.end()
 	ex.tk.Done(time.Now(), result)
 	return rf
 }
@@ -62,19 +56,20 @@
 	if ex.rq.sends == 1 {
 		ex.rq.re.Latency.Note(stats.SentMs, time.Since(ex.rq.began))
 	}
-	stop := context.AfterFunc(ctx, co.Interrupt)
-	defer stop()
+	co.Deadline(ex.rq.end)
+	ex.ended = context.AfterFunc(ctx, co.Interrupt)
+	ex.silence.start(ex)
 	defer func() {
 		if ex.co != nil {
+			ex.ended()
 			ex.co.Close()
 		}
 	}()
-	ex.limit(ctx, ex.patience())
 	ex.rs, err = co.Do(ex.head(header), ex.rq.body, ex.rq.hr.Method, ex.own)
 	if err != nil {
 		return ex.broken(ctx, "send", err)
 	}
-	ex.tk.Heard(time.Now())
+	ex.heard()
 	if calls, told := ex.rq.re.Dialect.Calls(ex.rs.Header); told {
 		ex.tk.Counted(time.Now(), calls)
 	}
@@ -104,32 +99,10 @@
 	return conns.Head(hr.Method, hr.RequestURI, hr.Host, header, len(ex.rq.body))
 }
 
-// patience is how long the endpoint may be silent before another is tried; 0 if
-// none will be.
-func (ex *exchange) patience() time.Duration {
-	rq := ex.rq
-	if !rq.route.MayRepeat() || rq.sends >= rq.route.MaxAttempts {
-		return 0
-	}
-	if rq.route.Kind == route.Stream {
-		return max(leastStall, stallGaps*rq.route.GapGoal)
-	}
-	return time.Duration(attemptPart * float64(time.Until(rq.end)))
-}
-
-// limit bounds the next reads: by the endpoint's patience, and by the request's
-// end in any case.
-func (ex *exchange) limit(ctx context.Context, patience time.Duration) {
-	at := ex.rq.end
-	if patience > 0 {
-		if soon := time.Now().Add(patience); soon.Before(at) {
-			at = soon
-		}
-	}
-	ex.co.Deadline(at)
-	if ctx.Err() != nil {
-		ex.co.Interrupt()
-	}
+// heard notes that something came from the endpoint.
+func (ex *exchange) heard() {
+	ex.tk.Heard(time.Now())
+	ex.silence.heard()
 }
 
 // judge decides what the answer's head means.
@@ -203,7 +176,8 @@
 // passLong passes an answer on as it comes that is too long to be kept. One that
 // breaks off is cut at the caller too: it has the beginning already.
 func (ex *exchange) passLong(ctx context.Context, start []byte, re place.Result) (*core.Refusal, place.Result) {
-	ex.limit(ctx, 0)
+	// The caller gets the beginning: no other endpoint can take over from here.
+	ex.rq.next = ex.silence.end()
 	ex.rq.passHead(ex.rs.StatusCode, ex.rs.Header, ex.rs.ContentLength)
 	if _, err := ex.rq.wr.Write(start); err != nil {
 		return ex.fail(core.Unknown, core.ReasonCallerGone, "write", err), place.Neutral
@@ -213,7 +187,7 @@
 	for {
 		count, err := ex.rs.Body.Read(buffer[:])
 		if count > 0 {
-			ex.tk.Heard(time.Now())
+			ex.heard()
 			if _, werr := ex.rq.wr.Write(buffer[:count]); werr != nil {
 				return ex.fail(core.Unknown, core.ReasonCallerGone, "write", werr), place.Neutral
 			}
@@ -243,8 +217,12 @@
 	}
 }
 
-// keep gives the connection back for another request.
+// keep gives the connection back for another request, unless it is being interrupted: the
+// next request on it would be, too.
 func (ex *exchange) keep() {
+	if ex.silence.end() != nil || !ex.ended() {
+		return
+	}
 	ex.co.Deadline(time.Time{})
 	ex.rq.re.Conns.Put(ex.co, ex.rs)
 	ex.co = nil
@@ -265,7 +243,7 @@
 		return ex.fail(core.Unknown, core.ReasonDeadline, step, err), ex.blame(place.Neutral)
 	case !ex.co.Sent():
 		return ex.fail(core.NotRun, core.ReasonEndpointDown, step, err), place.Failed
-	case errors.Is(err, os.ErrDeadlineExceeded):
+	case ex.silence.end() != nil:
 		return ex.fail(core.Unknown, core.ReasonStalled, step, err), place.Silent
 	case errors.Is(err, conns.ErrStray):
 		return ex.fail(core.Unknown, core.ReasonCrossed, step, err), place.Failed
--- a/io/relay/request.go
+++ b/io/relay/request.go
@@ -52,6 +52,8 @@
 	wrote     time.Time
 	gap       time.Duration
 	ticket    *place.Ticket
+	// next is reserved for the next attempt, nil if none is.
+	next *place.Ticket
 	// sent is where it was sent last, for tellRunning.
 	sent atomic.Pointer[sending]
 }
@@ -70,14 +72,10 @@
 // serve makes attempts until one ends the request.
 func (rq *request) serve(ctx context.Context) {
 	rq.re.Budget.First(rq.began, rq.pool)
+	defer rq.dropReserved()
 	header := rq.forwarded()
 	for dials := 0; ; dials++ {
 		rf := rq.place()
-		if rf == nil && rq.sends > 0 && !rq.re.Budget.Take(time.Now(), rq.pool) {
-			rq.ticket.Done(time.Now(), place.Neutral)
-			rq.re.Stats.Refuse(core.ReasonRetryBudget)
-			rf = rq.notRun(core.ReasonRetryBudget, "retry", "the budget of further attempts is spent")
-		}
 		if rf != nil {
 			rq.finish(rf)
 			return
@@ -100,8 +98,36 @@
 	}
 }
 
-// place picks the endpoint of the next attempt.
+// dropReserved gives back what was reserved and is not needed.
+func (rq *request) dropReserved() {
+	if rq.next != nil {
+		rq.next.Done(time.Now(), place.Neutral)
+		rq.next = nil
+	}
+}
+
+// place picks the endpoint of the next attempt. Further ones than the first to run cost a
+// part of the budget.
 func (rq *request) place() *core.Refusal {
+	if rq.next != nil {
+		rq.ticket, rq.next = rq.next, nil
+		return nil
+	}
+	tk, rf := rq.re.Placer.Pick(time.Now(), rq.ask())
+	if rf != nil {
+		return rf
+	}
+	rq.ticket = tk
+	if rq.sends > 0 && !rq.re.Budget.Take(time.Now(), rq.pool) {
+		tk.Done(time.Now(), place.Neutral)
+		rq.re.Stats.Refuse(core.ReasonRetryBudget)
+		return rq.notRun(core.ReasonRetryBudget, "retry", "the budget of further attempts is spent")
+	}
+	return nil
+}
+
+// ask is what the choice of an endpoint goes by.
+func (rq *request) ask() *place.Ask {
 	as := &place.Ask{Pool: rq.pool, Parts: rq.parts, Tried: rq.tried}
 	if rq.customer != nil {
 		as.Customer = rq.customer.ID
@@ -112,11 +138,7 @@
 		as.Memory = po.Memory
 		as.FetchPerMs = po.FetchPerMs
 	}
-	tk, rf := rq.re.Placer.Pick(time.Now(), as)
-	if rf == nil {
-		rq.ticket = tk
-	}
-	return rf
+	return as
 }
 
 // again tells whether another attempt does no harm and may help.
--- a/io/relay/stream.go
+++ b/io/relay/stream.go
@@ -36,8 +36,7 @@
 	for {
 		count, err := ex.rs.Body.Read(buffer[:])
 		if count > 0 {
-			ex.tk.Heard(time.Now())
-			ex.limit(ctx, ex.patience())
+			ex.heard()
 			held = append(held, buffer[:count]...)
 			cut := bytes.LastIndex(held, eventEnd) + len(eventEnd)
 			if cut >= len(eventEnd) {
