The mean of a pool is that of its endpoints that are alive

The cap is a multiple of the pool's mean, and the dead engines, with no calls, counted in it.

Change: the mean counts endpoints that are neither missing nor look dead; where all look dead, all of them, as before.

Test WhatIsLeftOfAPoolTakesItsCalls: 72 of 90 callers were refused or sent to dead engines before, none now.

--- a/core/place/load_test.go
+++ b/core/place/load_test.go
@@ -271,3 +271,38 @@
 	t.Fatal("no small chat has its home there")
 	return nil
 }
+
+// Two thirds of a pool crash at once while it has a sixth of the calls that it can run.
+// The engines that are left have room for all of them, and callers are not to be refused
+// because the dead ones, which have none, pull the pool's mean down.
+func TestWhatIsLeftOfAPoolTakesItsCalls(t *testing.T) {
+	const engines, dead, calls = 9, 6, 90
+	pl := newPlacer(1)
+	register(pl, engines)
+	for ix := range dead { // each is found dead by a call
+		as := ask(nil)
+		for other := range engines {
+			if other != ix {
+				as.Tried = append(as.Tried, endpoint(other).ID)
+			}
+		}
+		pick(t, pl, begin, as).Done(begin, place.Unreached)
+	}
+	lost := 0
+	busiest := map[core.EndpointID]int{}
+	for id := range uint64(calls) {
+		as := ask(chat(1, id%30))
+		tk, re := pl.Pick(begin, as)
+		if re == nil && tk.Endpoint.ID >= endpoint(dead).ID {
+			busiest[tk.Endpoint.ID]++
+			continue
+		}
+		lost++
+		if re == nil {
+			tk.Done(begin, place.Unreached)
+		}
+	}
+	if lost > 0 {
+		t.Errorf("%d of %d callers were refused or sent to dead engines, while those that are left run %v of 48 each", lost, calls, busiest)
+	}
+}
--- a/core/place/view.go
+++ b/core/place/view.go
@@ -12,8 +12,14 @@
 	pool    core.PoolID
 	routers int
 	all     int
-	mean    float64
-	usable  []*state
+	// mean is the calls of an endpoint that is alive, as far as is known; where all look
+	// dead, of any.
+	//
+	// Failure: two thirds of a pool crash. Counted among those that are left, their empty
+	// places halve the mean, and with it the cap: the live ones refuse callers with two
+	// thirds of their own places free.
+	mean   float64
+	usable []*state
 	// members are all that are not leaving.
 	members []*state
 	// full counts the members left out because they have no room.
@@ -53,7 +59,7 @@
 func (pl *Placer) view(now time.Time, as *Ask, members map[core.EndpointID]*state, routers int) *view {
 	vi := &view{pool: as.Pool, routers: routers}
 	told := pl.sumTold(now)
-	var calls int
+	var calls, liveCalls, live int
 	var failing float64
 	for _, st := range members {
 		if st.Draining {
@@ -64,12 +70,19 @@
 		st.others = pl.callsOfOthers(now, st, told)
 		calls += st.calls + st.others
 		failing += st.health.rate(now)
+		if !st.missing && !st.health.avoid(now, st.calls) {
+			live++
+			liveCalls += st.calls + st.others
+		}
 	}
 	if vi.all == 0 {
 		return vi
 	}
 	vi.calls = calls
 	vi.mean = float64(calls) / float64(vi.all)
+	if live > 0 {
+		vi.mean = float64(liveCalls) / float64(live)
+	}
 	vi.failing = failing / float64(vi.all)
 	vi.bound(now, as, pl.uses[as.Pool])
 	if vi.places > 0 && float64(calls) >= vi.most {
