--- a/core/place/starts_test.go
+++ b/core/place/starts_test.go
@@ -111,18 +111,26 @@
 	}
 }
 
+// inProgress places calls and leaves them open; the endpoint says each time that it has
+// them all.
+func inProgress(t *testing.T, pl *place.Placer, count int) []*place.Ticket {
+	t.Helper()
+	var open []*place.Ticket
+	for id := range uint64(count) {
+		tk := pick(t, pl, begin, ask(chat(1, id)))
+		tk.Counted(begin, count)
+		open = append(open, tk)
+	}
+	return open
+}
+
 // Calls that were in progress at the earlier start, and what it said of its load, say
 // nothing of the new one: counted there, they would keep callers away from an empty
 // engine.
 func TestLoadOfAnEarlierStartIsForgotten(t *testing.T) {
 	pl := newPlacer(1)
 	pl.Register(begin, started(0, 100))
-	var open []*place.Ticket
-	for id := range uint64(20) {
-		tk := pick(t, pl, begin, ask(chat(1, id)))
-		tk.Counted(begin, 20)
-		open = append(open, tk)
-	}
+	open := inProgress(t, pl, 20)
 	pl.Register(begin, started(0, 200))
 	tk := pick(t, pl, begin, ask(chat(1, 1)))
 	if tk.Calls != 0 || tk.Others != 0 {
@@ -145,12 +153,7 @@
 		pl.Register(begin, started(0, 100))
 	}
 	one.Register(begin, started(0, 200))
-	var open []*place.Ticket
-	for id := range uint64(9) {
-		tk := pick(t, two, begin, ask(chat(1, id)))
-		tk.Counted(begin, 9)
-		open = append(open, tk)
-	}
+	open := inProgress(t, two, 9)
 	hear := func() int {
 		one.Hear(begin, "two", two.Tell())
 		one.HearReadings(begin, 0, two.Readings(begin))
--- a/io/relay/silence_test.go
+++ b/io/relay/silence_test.go
@@ -65,17 +65,7 @@
 // Room comes up elsewhere while a stream is silent: it goes on there, although there was
 // none when its patience ended.
 func TestSilentStreamGoesOnElsewhereOnceThereIsRoom(t *testing.T) {
-	script := func(se *seen, co net.Conn) bool {
-		if se.at == 1 {
-			events(se, co, 3, 5)
-			end(co)
-			return true
-		}
-		events(se, co, 1, 2)
-		<-se.closed
-		return false
-	}
-	fl := newFleet(t, script, script).serve(resumable)
+	fl := newFleet(t, silentAfterTwo, silentAfterTwo).serve(resumable)
 	second := place.Endpoint{ID: "e1", Addr: fl.addrs[1], Pool: "pool", Zone: "a", Slots: 8}
 	fl.re.Placer.Remove("e1")
 	time.AfterFunc(1300*time.Millisecond, func() { fl.re.Placer.Register(time.Now(), second) })
--- a/io/relay/stream_test.go
+++ b/io/relay/stream_test.go
@@ -30,6 +30,19 @@
 
 func end(co net.Conn) { _, _ = io.WriteString(co, "0\r\n\r\n") }
 
+// silentAfterTwo sends two events and falls silent; to whoever has these, it sends the
+// other three.
+func silentAfterTwo(se *seen, co net.Conn) bool {
+	if se.head.Header.Get("Last-Event-Id") == "2" {
+		events(se, co, 3, 5)
+		end(co)
+		return true
+	}
+	events(se, co, 1, 2)
+	<-se.closed
+	return false
+}
+
 func all(from, to int) string {
 	var out strings.Builder
 	for id := from; id <= to; id++ {
@@ -138,17 +151,7 @@
 // An endpoint falls silent within a stream, its connection open. The stream goes on
 // elsewhere before the caller gives up, and the first endpoint is stopped.
 func TestStalledStreamGoesOnElsewhere(t *testing.T) {
-	script := func(se *seen, co net.Conn) bool {
-		if se.head.Header.Get("Last-Event-Id") == "2" {
-			events(se, co, 3, 5)
-			end(co)
-			return true
-		}
-		events(se, co, 1, 2)
-		<-se.closed
-		return false
-	}
-	fl := newFleet(t, script, script).serve(resumable)
+	fl := newFleet(t, silentAfterTwo, silentAfterTwo).serve(resumable)
 	began := time.Now()
 	rs, body, err := fl.call("POST", "/r/x", "hello")
 	fl.expect(rs, err, 200, 2)
