A choice costs little whatever the size of the fleet

Cause: each choice added up the words of all peers into a new map, walked the pool four times, asked three maps an endpoint, and kept lists as long as the pool. Change: sums of peers' words are kept as they come and lapse; what was sent where is indexed by part; one walk surveys the pool and one finds who has room, both passing endpoints by about which nothing is known; only homes, the holder and those that were sent the chat are weighed, others if a lower bound says they may cost less. A peer's word counts three gaps between its words, at least 2 s as before, so that it does not lapse where hundreds are heard in turn.

--- a/core/place/choice.go
+++ b/core/place/choice.go
@@ -31,9 +31,9 @@
 	// 198 GB in place of 174 moved.
 	homeCached = 0.98
 	nextCached = 0.6
-	// homes is how many endpoints, in an order on which all routers agree, take the
+	// mostHomes is how many endpoints, in an order on which all routers agree, take the
 	// chats whose first home is under pressure.
-	homes = 3
+	mostHomes = 3
 	// waitWeight is how much the wait for a place at an engine counts, which is one more
 	// end of a call for each that is ahead. Counted by a tenth, 0.045 of the callers come
 	// late at 0.9 times what a pool can run, as a fetch seems dearer than the wait; with
@@ -87,40 +87,101 @@
 	fullFor = 150 * time.Millisecond
 )
 
+// mostByCalls is up to how many calls loadMs is worked out once a choice: few engines have
+// more.
+const mostByCalls = 64
+
 // choice is what one Pick weighs the endpoints with.
 type choice struct {
+	view
+	now   time.Time
 	as    *Ask
 	chain []uint64
-	homes []*state
-	vi    *view
-	// holder is the endpoint known to hold most of the prompt, held how much.
-	holder *state
-	held   core.Tokens
+	// key is by what homes are found; members are all of the pool, also leaving ones.
+	key     uint64
+	members []*state
+	// homes are those of the endpoints that may be picked, first is that of all, and former
+	// where the home was before endpoints joined and left of late. A router that has no
+	// record of the prompt finds it there, as its peers sent it.
+	homes  homes
+	first  *state
+	former *state
+	// holder is the endpoint believed to hold most of the prompt, held how much; recorded
+	// and recordedHeld go by the own record alone.
+	holder       *state
+	held         core.Tokens
+	recorded     *state
+	recordedHeld core.Tokens
+	// least is the endpoint that costs least but for the prompt.
+	least lowest
+	// byCalls is loadMs by calls.
+	byCalls [mostByCalls]float64
+}
+
+// lowest is the cheapest endpoint so far. Among equals each router draws its own.
+type lowest struct {
+	st    *state
+	cost  float64
+	equal int
+}
+
+func (lo *lowest) offer(pl *Placer, st *state, cost float64) {
+	switch {
+	case lo.st == nil || cost < lo.cost:
+		lo.st, lo.cost, lo.equal = st, cost, 1
+	case cost == lo.cost:
+		if lo.equal++; pl.oneOf(lo.equal) {
+			lo.st = st
+		}
+	}
+}
+
+// look finds out what the choice goes by.
+func (pl *Placer) look(now time.Time, as *Ask, routers int) *choice {
+	pl.start()
+	pl.words.lapse(now)
+	ch := &choice{now: now, as: as, chain: chainOf(as.Parts), members: pl.pools[as.Pool]}
+	ch.pool, ch.routers = as.Pool, routers
+	if len(ch.chain) > 0 {
+		ch.key = homeKey(ch.chain)
+	}
+	ch.survey(pl)
+	ch.allow(pl)
+	if ch.usable > 0 && as.Engine && as.FetchPerMs > 0 {
+		ch.findHolder(pl)
+	}
+	return ch
 }
 
 // findHolder finds the endpoint that probably holds most: by the own record, by
 // what peers told, or where the home was. A record of no more than the beginning,
 // which many prompts have, does not hide the others.
-func (ch *choice) findHolder(pl *Placer, now time.Time, members []*state) {
-	ch.holder, ch.held = pl.holderOf(now, members, ch.as.Parts, ch.chain)
-	if st, held := pl.toldHolder(members, ch.as.Parts, ch.chain); held > ch.held {
+func (ch *choice) findHolder(pl *Placer) {
+	ch.recorded, ch.recordedHeld = ch.holderOf(pl)
+	ch.holder, ch.held = ch.recorded, ch.recordedHeld
+	if st, held := pl.toldHolder(ch); held > ch.held {
 		ch.holder, ch.held = st, held
 	}
-	if st, held := pl.formerHome(now, members, ch.as.Parts, ch.chain); held > ch.held {
-		ch.holder, ch.held = st, held
+	if ch.former == nil || len(ch.chain) < 2 {
+		return
+	}
+	shared := promptTokens(ch.as.Parts[:len(ch.as.Parts)-1])
+	if held := core.Tokens(homeCached * float64(shared)); held > ch.held {
+		ch.holder, ch.held = ch.former, held
 	}
 }
 
 // assumed is the part of the prompt that peers have probably sent there.
 func (ch *choice) assumed(st *state) float64 {
+	rank, home := ch.homes.rank(st)
+	if !home {
+		return 0
+	}
 	part := homeCached
-	for _, home := range ch.homes {
-		if home == st {
-			return part
-		}
+	for range rank {
 		part *= nextCached
 	}
-	return 0
+	return part
 }
 
 // reads tells how many of the prompt's tokens the endpoint would have to read, and
@@ -130,6 +191,11 @@
 	if ch.holder == nil || ch.holder == st {
 		return uncached, 0
 	}
+	return ch.fetches(uncached)
+}
+
+// fetches is reads for an endpoint that is not the holder and lacks that many tokens.
+func (ch *choice) fetches(uncached core.Tokens) (read, fetched core.Tokens) {
 	known := promptTokens(ch.as.Parts) - uncached
 	fetched = ch.held - known
 	if fetched < leastFetch {
@@ -146,30 +212,83 @@
 // the beginning that other chats have too. Taken over from wherever this router has sent
 // that beginning, it is not read on each engine: 122,000 tokens are read again in 34 s on
 // 12 engines in place of 151,000, 46,000 on nine in place of 58,000.
-func (ch *choice) source(pl *Placer, now time.Time, st *state, members []*state) *state {
+func (ch *choice) source(st *state) *state {
 	if ch.holder != nil && ch.holder != st && ch.held >= leastFetch {
 		return ch.holder
 	}
-	if !ch.as.Engine || ch.as.FetchPerMs <= 0 {
+	known := promptTokens(ch.as.Parts) - st.uncached(ch.as.Parts, ch.chain, 0)
+	if ch.recorded == nil || ch.recorded == st || ch.recordedHeld-known < leastBeginning {
 		return nil
 	}
-	recorded := promptTokens(ch.as.Parts) - st.uncached(ch.as.Parts, ch.chain, 0)
-	from, held := pl.holderOf(now, members, ch.as.Parts, ch.chain)
-	if from == nil || from == st || held-recorded < leastBeginning {
-		return nil
+	return ch.recorded
+}
+
+// cheapest is the endpoint that costs least, and what it costs.
+//
+// Homes, the holder and the endpoints that were sent the chat are weighed first. Others
+// hold no more than the beginning, so that one of them is weighed only if it may cost less:
+// the answer is that of weighing them all, which takes 2.3 ms among 2,100.
+func (pl *Placer) cheapest(ch *choice) (*state, float64) {
+	if !ch.as.Engine {
+		return ch.least.st, ch.least.cost
+	}
+	var best lowest
+	weigh := func(st *state) {
+		if st != nil && st.seat.usable && !st.seat.weighed && st.Pool == ch.as.Pool {
+			st.seat.weighed = true
+			best.offer(pl, st, pl.base(st, ch)+ch.readMs(ch.reads(st)))
+		}
+	}
+	for ix := range ch.homes.count {
+		weigh(ch.homes.list[ix])
 	}
-	return from
+	weigh(ch.holder)
+	if len(ch.chain) > 0 {
+		for _, st := range pl.sent[ch.chain[min(1, len(ch.chain)-1)]] {
+			weigh(st)
+		}
+	}
+	other := ch.leastReadMs()
+	if best.st != nil && best.cost < ch.least.cost+other {
+		return best.st, best.cost
+	}
+	for _, st := range ch.members {
+		if st.seat.usable && (best.st == nil || st.seat.atLeast+other <= best.cost) {
+			weigh(st)
+		}
+	}
+	return best.st, best.cost
+}
+
+// leastReadMs is what reading the prompt costs at least on an endpoint that is no home and
+// holds nothing of it beyond the beginning.
+func (ch *choice) leastReadMs() float64 {
+	all := promptTokens(ch.as.Parts)
+	least := ch.readMs(ch.fetches(all))
+	if len(ch.as.Parts) > 1 {
+		least = min(least, ch.readMs(ch.fetches(all-ch.as.Parts[0].Tokens)))
+	}
+	return least
+}
+
+// readMs is what reading and fetching costs, in ms.
+func (ch *choice) readMs(read, fetched core.Tokens) float64 {
+	cost := readWeight * float64(read) / prefillPerMs
+	if fetched > 0 {
+		cost += fetchMs + fetchWeight*float64(fetched)/ch.as.FetchPerMs
+	}
+	return cost
 }
 
-// cost predicts, in ms, the wait for the first token there and what the call
-// costs others.
-func (pl *Placer) cost(now time.Time, st *state, ch *choice) float64 {
-	calls := float64(st.calls + st.others)
-	cost := failMs * max(0, st.health.rate(now)-ch.vi.failing)
-	if st.Zone != pl.Zone {
+// base predicts, in ms, the wait for the first token there and what the call
+// costs others, but for reading its prompt.
+func (pl *Placer) base(st *state, ch *choice) float64 {
+	calls := float64(st.calls + st.seat.others)
+	cost := failMs * max(0, st.health.rate(ch.now)-ch.failing)
+	if !st.near {
 		cost += zoneMs
 	}
-	if now.Before(st.ColdUntil) {
+	if ch.now.Before(st.ColdUntil) {
 		cost += coldMs
 	}
 	if !ch.as.Engine {
@@ -180,41 +299,57 @@
 		slots := float64(st.Slots)
 		cost += waitWeight * st.health.typicalMs() * max(0, calls+1-slots) / slots
 	}
-	read, fetched := ch.reads(st)
-	cost += (readWeight*float64(read)+float64(st.toRead))/prefillPerMs + runMs*calls
-	beyond := max(0, (calls+1)/(ch.vi.mean+pressureFloor)-1)
-	cost += pressureMs * beyond * beyond
-	if fetched > 0 {
-		cost += fetchMs + fetchWeight*float64(fetched)/ch.as.FetchPerMs
+	return cost + float64(st.toRead)/prefillPerMs + ch.loadMs(calls)
+}
+
+// loadMs is what the calls that an engine has cost one more, and it them, in ms.
+func (ch *choice) loadMs(calls float64) float64 {
+	beyond := max(0, (calls+1)/(ch.mean+pressureFloor)-1)
+	return runMs*calls + pressureMs*beyond*beyond
+}
+
+// atLeast is a lower bound of base that needs a few ns.
+func (ch *choice) atLeast(st *state) float64 {
+	if !ch.as.Engine {
+		return 0
 	}
-	return cost
+	var cost float64
+	if !st.near {
+		cost = zoneMs
+	}
+	calls := st.calls + st.seat.others
+	if calls < len(ch.byCalls) {
+		return cost + ch.byCalls[calls]
+	}
+	return cost + ch.loadMs(float64(calls))
 }
 
 // take counts the call at the endpoint and makes its ticket.
-func (pl *Placer) take(now time.Time, st *state, cost float64, ch *choice) *Ticket {
-	as, vi := ch.as, ch.vi
+func (pl *Placer) take(st *state, cost float64, ch *choice) *Ticket {
+	as := ch.as
 	read, fetched := ch.reads(st)
 	tk := &Ticket{
-		pl: pl, st: st, Endpoint: st.Endpoint, Started: now, CostMs: cost,
-		Calls: st.calls, Others: st.others, Mean: vi.mean, Usable: len(vi.usable), Full: vi.full, Of: vi.all,
-		Prompt: promptTokens(as.Parts), Uncached: read, Home: len(ch.homes) > 0 && st == ch.homes[0], toRead: read,
+		pl: pl, st: st, Endpoint: st.Endpoint, Started: ch.now, CostMs: cost,
+		Calls: st.calls, Others: st.seat.others, Mean: ch.mean, Usable: ch.usable, Full: ch.full, Of: ch.all,
+		Prompt: promptTokens(as.Parts), Uncached: read, Home: ch.homes.count > 0 && st == ch.homes.list[0], toRead: read,
 	}
-	if from := ch.source(pl, now, st, pl.pools[as.Pool]); from != nil {
+	if from := ch.source(st); from != nil {
 		tk.FetchFrom = from.Addr
 		tk.Fetched = fetched
 	}
 	if len(ch.chain) > 0 {
-		tk.Chat = ch.chain[max(0, len(ch.chain)-2)]
+		tk.Chat = ch.key
 	}
-	if len(ch.chain) > 1 && !st.seen.has(tk.Chat) && st != homesOf(vi.members, ch.chain, 1)[0] {
-		pl.noteMove(now, tk.Chat, st.hash)
+	if len(ch.chain) > 1 && !st.seen.has(tk.Chat) && st != ch.first {
+		pl.noteMove(ch.now, tk.Chat, st.hash)
 	}
 	tk.use, tk.customer = pl.useOf(as.Pool), as.Customer
 	tk.use.add(as.Customer, 1)
+	st.stir()
 	st.calls++
-	st.reading.note(now, 1)
+	st.reading.note(ch.now, 1)
 	st.toRead += tk.toRead
 	st.seen.note(as.Parts, ch.chain, as.Memory)
-	st.health.begun(now)
+	st.health.begun(ch.now)
 	return tk
 }
--- a/core/place/health.go
+++ b/core/place/health.go
@@ -26,6 +26,8 @@
 	failureHalfLife = 2 * time.Second
 	// priorGood keeps a single failure from standing out.
 	priorGood = 2.0
+	// forgotten is what is left of a failure after 40 s, which weighs nothing in a choice.
+	forgotten = 1e-6
 	// silentAfter is how long an endpoint with calls in progress may send nothing
 	// at all before it is taken for dead: several times a step of a busy engine
 	// (200 ms), below the time at which callers give up (2 s).
@@ -48,7 +50,13 @@
 }
 
 func (he *health) rate(now time.Time) float64 {
+	if he.bad == 0 {
+		return 0
+	}
 	he.decay(now)
+	if he.bad < forgotten {
+		he.bad = 0
+	}
 	return he.bad / (he.good + he.bad + priorGood)
 }
 
@@ -77,6 +85,11 @@
 	return calls > 0 && !he.busySince.IsZero() && now.Sub(he.busySince) > silentAfter
 }
 
+// quiet tells that there is nothing to avoid the endpoint for.
+func (he *health) quiet(now time.Time) bool {
+	return he.bad == 0 && he.backoff == 0 && !now.Before(he.downUntil)
+}
+
 func (he *health) down(now time.Time) {
 	he.backoff = min(mostBackoff, max(firstBackoff, 2*he.backoff))
 	he.downUntil = now.Add(he.backoff)
--- a/core/place/homes.go
+++ b/core/place/homes.go
@@ -1,86 +1,50 @@
 package place
 
 import (
-	"slices"
-	"time"
-
 	"almondrill/core"
 	"almondrill/core/ring"
 )
 
-// homesOf are the endpoints on which all routers agree for a prompt, without a word.
-// Prompts that return together are named by all parts but the last, which is the
-// request's own. What several chats begin with is read once on each endpoint: keeping
+// homes are the endpoints, in this order, on which all routers agree for a prompt,
+// without a word. Prompts that return together are named by all parts but the last, which
+// is the request's own. What several chats begin with is read once on each endpoint: keeping
 // such chats together on a few would save that, but a few of 47 endpoints are then at
 // the cap all the time, and a sixth of the calls leave their homes.
-func homesOf(members []*state, chain []uint64, most int) []*state {
-	if len(chain) == 0 {
-		return nil
-	}
-	return highest(members, chain[max(0, len(chain)-2)], most)
+type homes struct {
+	list  [mostHomes]*state
+	count int
 }
 
-// highest are the count members that score highest for the key.
-func highest(members []*state, key uint64, count int) []*state {
-	best := make([]*state, 0, count+1)
-	for _, st := range members {
-		score := ring.Mix(st.name, key)
-		at := len(best)
-		for at > 0 && ring.Mix(best[at-1].name, key) < score {
-			at--
-		}
-		if at < count {
-			best = slices.Insert(best, at, st)
-			best = best[:min(count, len(best))]
-		}
+// add puts the endpoint in, if it scores higher than one of them or there is room.
+func (ho *homes) add(st *state) {
+	at := ho.count
+	for at > 0 && ho.list[at-1].seat.score < st.seat.score {
+		at--
 	}
-	return best
-}
-
-// holderOf is the endpoint, of those that can be reached, that is known to hold
-// most of the prompt; one that is draining or full still hands its memory on.
-func (pl *Placer) holderOf(now time.Time, members []*state, parts []Part, chain []uint64) (*state, core.Tokens) {
-	var best *state
-	var most core.Tokens
-	equal := 0
-	all := promptTokens(parts)
-	for _, st := range members {
-		if st.missing || st.health.avoid(now, st.calls) {
-			continue
-		}
-		held := all - st.uncached(parts, chain, 0)
-		switch {
-		case held > most:
-			best, most, equal = st, held, 1
-		case held == most && best != nil:
-			if equal++; pl.oneOf(equal) {
-				best = st
-			}
-		}
+	if at == mostHomes {
+		return
 	}
-	return best, most
+	ho.count = min(ho.count+1, mostHomes)
+	copy(ho.list[at+1:ho.count], ho.list[at:])
+	ho.list[at] = st
 }
 
-// formerHome is where a prompt's home was before endpoints joined and left of late.
-// A router that has no record of the prompt finds it there, as its peers sent it.
-func (pl *Placer) formerHome(now time.Time, members []*state, parts []Part, chain []uint64) (*state, core.Tokens) {
-	if len(parts) < 2 {
-		return nil, 0
-	}
-	var before []*state
-	for _, st := range members {
-		settled := now.Sub(st.since) > settledAfter || st.since.Sub(pl.began) < startTime
-		if settled && !st.missing && !st.health.avoid(now, st.calls) {
-			before = append(before, st)
+// rank is the endpoint's place among the homes, from 0; false if it is none.
+func (ho *homes) rank(st *state) (int, bool) {
+	for ix := range ho.count {
+		if ho.list[ix] == st {
+			return ix, true
 		}
 	}
-	if len(before) == 0 {
-		return nil, 0
-	}
-	shared := promptTokens(parts[:len(parts)-1])
-	return homesOf(before, chain, 1)[0], core.Tokens(homeCached * float64(shared))
+	return 0, false
 }
 
+// homeKey is by what the homes of a prompt are found.
+func homeKey(chain []uint64) uint64 { return chain[max(0, len(chain)-2)] }
+
+// claim is the endpoint's claim on a key, by rendezvous hashing.
+func (st *state) claim(key uint64) uint64 { return ring.Mix(st.name, key) }
+
 func promptTokens(parts []Part) core.Tokens {
 	var sum core.Tokens
 	for _, pa := range parts {
--- a/core/place/moves.go
+++ b/core/place/moves.go
@@ -67,16 +67,17 @@
 }
 
 // toldHolder is the endpoint where a peer has placed the chat.
-func (pl *Placer) toldHolder(members []*state, parts []Part, chain []uint64) (*state, core.Tokens) {
+func (pl *Placer) toldHolder(ch *choice) (*state, core.Tokens) {
+	parts := ch.as.Parts
 	if len(parts) < 2 {
 		return nil, 0
 	}
-	endpoint, known := pl.holders[shortChat(chain[len(chain)-2])]
+	endpoint, known := pl.holders[shortChat(homeKey(ch.chain))]
 	if !known {
 		return nil, 0
 	}
-	for _, st := range members {
-		if short(st.hash) == endpoint && !st.missing {
+	for _, st := range pl.byShort[endpoint] {
+		if st.Pool == ch.as.Pool && !st.missing {
 			return st, promptTokens(parts[:len(parts)-1])
 		}
 	}
--- a/core/place/place.go
+++ b/core/place/place.go
@@ -30,7 +30,7 @@
 
 import (
 	"cmp"
-	"math"
+	"container/list"
 	"slices"
 	"sync"
 	"time"
@@ -117,9 +117,13 @@
 	byID  map[core.EndpointID]*state
 	// byHash finds endpoints by the hash of their id and start.
 	byHash map[uint64]*state
+	// byShort finds endpoints by the short hash by which peers tell of them.
+	byShort map[uint16][]*state
+	// sent are the endpoints that were sent the parts of prompts.
+	sent sentTo
 	// starts are the latest known of all endpoints, also of those that are gone.
 	starts starts
-	told   map[string]*word
+	words  words
 	// moves are own placements away from a chat's home, holders those of peers.
 	moves   []move
 	holders map[uint32]uint16
@@ -148,11 +152,14 @@
 		st = nil
 	}
 	if st == nil {
-		st = newState(now, &ep)
+		st = pl.newState(now, &ep)
 		pl.byID[ep.ID] = st
 		pl.byHash[st.hash] = st
+		pl.byShort[short(st.hash)] = append(pl.byShort[short(st.hash)], st)
 	}
 	pl.leavePool(st)
+	st.stir()
+	st.near = ep.Zone == pl.Zone
 	ep.Draining = ep.Draining || st.Draining || drained
 	st.Endpoint = ep
 	st.missing = false
@@ -184,6 +191,7 @@
 	pl.mu.Lock()
 	defer pl.mu.Unlock()
 	if st := pl.byID[id]; st != nil {
+		st.stir()
 		st.missing = true
 	}
 }
@@ -201,6 +209,8 @@
 	pl.leavePool(st)
 	delete(pl.byID, st.ID)
 	delete(pl.byHash, st.hash)
+	pl.byShort[short(st.hash)] = slices.DeleteFunc(pl.byShort[short(st.hash)], func(other *state) bool { return other == st })
+	st.seen.clear()
 }
 
 func (pl *Placer) start() {
@@ -208,12 +218,21 @@
 		pl.byID = map[core.EndpointID]*state{}
 		pl.byHash = map[uint64]*state{}
 		pl.pools = map[core.PoolID][]*state{}
-		pl.told = map[string]*word{}
+		pl.byShort = map[uint16][]*state{}
+		pl.sent = sentTo{}
+		pl.words = words{byPeer: map[string]*list.Element{}, order: list.New(), sums: map[uint16]int{}, added: pl.addTold}
 		pl.surges = map[core.PoolID]*surge{}
 		pl.uses = map[core.PoolID]*use{}
 	}
 }
 
+// addTold counts what peers told of an endpoint.
+func (pl *Placer) addTold(endpoint uint16, by int) {
+	for _, st := range pl.byShort[endpoint] {
+		st.told += by
+	}
+}
+
 // Known is the number of endpoints, of the pools that are in use, that may get work.
 func (pl *Placer) Known(inUse func(core.PoolID) bool) int {
 	pl.mu.Lock()
@@ -233,30 +252,12 @@
 	routers := max(1, pl.Routers()) // before the lock: whoever counts them may call the Placer
 	pl.mu.Lock()
 	defer pl.mu.Unlock()
-	members := pl.pools[as.Pool]
-	vi := pl.view(now, as, members, routers)
-	if len(vi.usable) == 0 {
-		return nil, pl.refusal(now, vi)
-	}
-	chain := chainOf(as.Parts)
-	ch := &choice{as: as, chain: chain, homes: homesOf(vi.usable, chain, homes), vi: vi}
-	if as.Engine && as.FetchPerMs > 0 {
-		ch.findHolder(pl, now, members)
-	}
-	var best *state
-	bestCost, equal := math.Inf(1), 0
-	for _, st := range vi.usable {
-		cost := pl.cost(now, st, ch)
-		switch {
-		case cost < bestCost:
-			best, bestCost, equal = st, cost, 1
-		case cost == bestCost:
-			if equal++; pl.oneOf(equal) {
-				best = st
-			}
-		}
+	ch := pl.look(now, as, routers)
+	if ch.usable == 0 {
+		return nil, pl.refusal(now, ch)
 	}
-	return pl.take(now, best, bestCost, ch), nil
+	best, cost := pl.cheapest(ch)
+	return pl.take(best, cost, ch), nil
 }
 
 // oneOf draws, with a chance of one in count. Among equals each router draws its own:
--- a/core/place/reading.go
+++ b/core/place/reading.go
@@ -31,8 +31,10 @@
 // reading is an endpoint's own count of its calls at a time, and how the router's
 // own have changed since.
 type reading struct {
-	calls   int
-	at      time.Time
+	calls int
+	at    time.Time
+	// since is the sum of changes.
+	since   int
 	changes []change
 }
 
@@ -49,31 +51,39 @@
 	}
 	re.calls, re.at = calls, at
 	re.changes = slices.DeleteFunc(re.changes, func(ch change) bool { return !ch.at.After(at) })
+	re.since = 0
+	for _, ch := range re.changes {
+		re.since += ch.by
+	}
 }
 
 func (re *reading) note(at time.Time, by int) {
 	if len(re.changes) >= mostChanges {
+		for _, ch := range re.changes[:mostChanges/2] {
+			re.since -= ch.by
+		}
 		re.changes = slices.Delete(re.changes, 0, mostChanges/2)
 	}
 	re.changes = append(re.changes, change{at, by})
+	re.since += by
 }
 
+// old tells that there is no count that is used still.
+func (re *reading) old(now time.Time) bool { return re.at.IsZero() || now.Sub(re.at) > readingFor }
+
 // now is the count, brought forward by the own calls since; false if it is too old.
 func (re *reading) now(now time.Time) (int, bool) {
-	if re.at.IsZero() || now.Sub(re.at) > readingFor {
+	if re.old(now) {
 		return 0, false
 	}
-	sum := re.calls
-	for _, ch := range re.changes {
-		sum += ch.by
-	}
-	return max(0, sum), true
+	return max(0, re.calls+re.since), true
 }
 
 // Counted tells how many calls the endpoint said that it has, this one included.
 func (tk *Ticket) Counted(now time.Time, calls int) {
 	tk.pl.mu.Lock()
 	defer tk.pl.mu.Unlock()
+	tk.st.stir()
 	tk.st.reading.take(calls, now)
 }
 
@@ -97,6 +107,7 @@
 	defer pl.mu.Unlock()
 	for _, re := range heard {
 		if st := pl.byHash[re.Endpoint]; st != nil {
+			st.stir()
 			st.reading.take(int(re.Calls), now.Add(-way-time.Duration(re.AgeMs)*time.Millisecond))
 		}
 	}
--- /dev/null
+++ b/core/place/size_test.go
@@ -0,0 +1,97 @@
+package place_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"almondrill/core/place"
+)
+
+// fleet is a size at which the choice is measured.
+type fleet struct{ endpoints, peers int }
+
+func (fl fleet) String() string { return fmt.Sprintf("endpoints=%d/peers=%d", fl.endpoints, fl.peers) }
+
+// fleets are from a pool of today to one pool of the whole target.
+var fleets = []fleet{{9, 3}, {47, 25}, {180, 102}, {2100, 420}}
+
+const (
+	// callsOfPeer is how many endpoints a peer tells calls of: a router of a hundred or
+	// more has some 20 calls in progress.
+	callsOfPeer = 20
+	// chatsOfFleet is how many chats return to an endpoint, and beginningsOfFleet how many
+	// beginnings all share.
+	chatsOfFleet      = 20
+	beginningsOfFleet = 12
+)
+
+// busy is a router of a fleet under load: its peers have told their calls, and most chats
+// have been served by it once.
+func busy(fl fleet) (*place.Placer, func(id uint64) *place.Ask) {
+	prompt := func(id uint64) *place.Ask {
+		id %= uint64(chatsOfFleet * fl.endpoints)
+		return ask(chat(id%beginningsOfFleet, id))
+	}
+	pl := newPlacer(fl.peers + 1)
+	register(pl, fl.endpoints)
+	for ix := range fl.peers {
+		pl.Hear(begin, fmt.Sprint("router", ix), wordOfPeer(fl, uint64(ix)))
+	}
+	for id := range uint64(chatsOfFleet * fl.endpoints) {
+		if tk, rf := pl.Pick(begin, prompt(id)); rf == nil {
+			tk.Done(begin, place.Served)
+		}
+	}
+	return pl, prompt
+}
+
+// wordOfPeer is what a peer tells that has calls in progress at some endpoints.
+func wordOfPeer(fl fleet, seed uint64) []byte {
+	ra := newRand(seed)
+	peer := newPlacer(fl.peers + 1)
+	for range callsOfPeer {
+		peer.Register(begin, endpoint(ra.IntN(fl.endpoints)))
+	}
+	for id := range uint64(callsOfPeer) {
+		if _, rf := peer.Pick(begin, ask(chat(1, id))); rf != nil {
+			break // the few endpoints that it knows are at their cap
+		}
+	}
+	return peer.Tell()
+}
+
+// BenchmarkChoice measures one choice of an endpoint, by the size of the fleet.
+func BenchmarkChoice(b *testing.B) {
+	for _, fl := range fleets {
+		b.Run(fl.String(), func(b *testing.B) {
+			pl, prompt := busy(fl)
+			now := begin.Add(100 * time.Millisecond)
+			ra := newRand(5)
+			b.ReportAllocs()
+			for b.Loop() {
+				tk, rf := pl.Pick(now, prompt(ra.Uint64()))
+				if rf != nil {
+					b.Fatal(rf)
+				}
+				tk.Done(now, place.Served)
+			}
+		})
+	}
+}
+
+// BenchmarkHear measures taking a peer's word of its calls.
+func BenchmarkHear(b *testing.B) {
+	for _, fl := range fleets {
+		b.Run(fl.String(), func(b *testing.B) {
+			pl, _ := busy(fl)
+			words := [][]byte{wordOfPeer(fl, 1), wordOfPeer(fl, 2)}
+			b.ReportAllocs()
+			turn := 0
+			for b.Loop() {
+				pl.Hear(begin, "router0", words[turn%len(words)])
+				turn++
+			}
+		})
+	}
+}
--- a/core/place/state.go
+++ b/core/place/state.go
@@ -1,7 +1,6 @@
 package place
 
 import (
-	"container/list"
 	"time"
 
 	"almondrill/core"
@@ -9,94 +8,74 @@
 	"almondrill/core/ring"
 )
 
-// state is what the router believes of one endpoint.
+// state is what the router believes of one endpoint. What each choice looks at comes
+// first.
 type state struct {
-	Endpoint
-	// name is the hash of its id, by which routers agree on homes; hash is that of its id
-	// and start, by which peers tell of it, so that their words of an earlier start are
-	// not taken for this one.
-	name, hash uint64
-	since      time.Time
-	// calls are the router's own in progress; others those of other routers, as of the last
-	// choice.
-	calls  int
-	others int
+	// name is the hash of its id, by which routers agree on homes.
+	name uint64
+	// calls are the router's own in progress, told those that peers told of theirs.
+	calls, told int
 	// toRead are the prompt tokens of own calls whose first token is awaited.
-	toRead    core.Tokens
-	reading   reading
-	seen      *memory
-	health    health
-	fullUntil time.Time
+	toRead core.Tokens
 	// missing is set while the registration is missing, but may come back.
 	missing bool
+	// near is set in the router's own zone.
+	near bool
+	// quiet is set by a choice that finds nothing about the endpoint but what peers told: no
+	// own calls, failures, counts or refusals, and no limit in time. The next choices pass
+	// it in a few ns. Whoever changes any of these clears it with stir.
+	quiet     bool
+	fullUntil time.Time
+	health    health
+	reading   reading
+	Endpoint
+
+	// hash is that of its id and start, by which peers tell of it, so that their words of an
+	// earlier start are not taken for this one.
+	hash  uint64
+	since time.Time
+	seen  *record
+	seat  seat
 }
 
-func newState(now time.Time, ep *Endpoint) *state {
+// seat is what one choice works out of an endpoint.
+type seat struct {
+	// others are calls of other routers, score its claim as a home of the chat.
+	others int
+	score  uint64
+	// avoid is set if it looks dead, settled if it does not and has been there for a time,
+	// usable if it may be picked.
+	avoid, settled, usable bool
+	// atLeast is a lower bound of the cost of a call there but for its prompt, in ms.
+	atLeast float64
+	// weighed is set once its cost is known.
+	weighed bool
+}
+
+func (pl *Placer) newState(now time.Time, ep *Endpoint) *state {
 	name := decl.HashName(string(ep.ID))
 	hash := name
 	if ep.Start != 0 {
 		hash = ring.Mix(name, uint64(ep.Start))
 	}
-	return &state{name: name, hash: hash, seen: newMemory(), since: now}
-}
-
-// uncached is how many of the prompt's tokens the endpoint probably has to read, if
-// it has the assumed part of those that return beside what the record says.
-func (st *state) uncached(parts []Part, chain []uint64, assumed float64) core.Tokens {
-	var known core.Tokens
-	all := promptTokens(parts)
-	held := true
-	for ix, pa := range parts {
-		held = held && st.seen.has(chain[ix])
-		if held {
-			known += pa.Tokens
-		}
-	}
-	if assumed > 0 && len(parts) > 1 {
-		shared := all - parts[len(parts)-1].Tokens
-		known = max(known, core.Tokens(assumed*float64(shared)))
-	}
-	return all - known
+	st := &state{name: name, hash: hash, since: now, told: pl.words.sums[short(hash)], near: ep.Zone == pl.Zone}
+	st.seen = newRecord(st, pl.sent)
+	return st
 }
 
-// memory remembers which parts an endpoint was sent, as long as they fit into its
-// memory: it forgets the least recently used, as engines do.
-type memory struct {
-	order  *list.List // of *held, the most recently used first
-	byHash map[uint64]*list.Element
-	tokens core.Tokens
-}
+// stir lets the next choice look at the endpoint in full again.
+func (st *state) stir() { st.quiet = false }
 
-type held struct {
-	hash   uint64
-	tokens core.Tokens
+// settle makes the endpoint quiet if nothing is left that a choice has to look at.
+func (st *state) settle(now time.Time, settled bool) {
+	st.quiet = settled && st.calls == 0 && !st.missing && st.toRead == 0 &&
+		st.health.quiet(now) && st.reading.old(now) && !now.Before(st.fullUntil) && !now.Before(st.ColdUntil)
 }
 
-// heldPart is the part of an engine's memory that the record assumes for kept
-// parts; the rest is taken by running requests.
-const heldPart = 0.7
-
-// mostHeld bounds the record where an engine's memory is unknown.
-const mostHeld = 4096
-
-func newMemory() *memory { return &memory{order: list.New(), byHash: map[uint64]*list.Element{}} }
-
-func (me *memory) has(hash uint64) bool { return me.byHash[hash] != nil }
-
-func (me *memory) note(parts []Part, chain []uint64, room core.Tokens) {
-	for ix := len(parts) - 1; ix >= 0; ix-- {
-		if el := me.byHash[chain[ix]]; el != nil {
-			me.order.MoveToFront(el)
-			continue
-		}
-		me.byHash[chain[ix]] = me.order.PushFront(&held{chain[ix], parts[ix].Tokens})
-		me.tokens += parts[ix].Tokens
-	}
-	limit := core.Tokens(heldPart * float64(room))
-	for me.order.Len() > mostHeld || room > 0 && me.tokens > limit && me.order.Len() > len(parts) {
-		last := me.order.Back()
-		gone := me.order.Remove(last).(*held)
-		delete(me.byHash, gone.hash)
-		me.tokens -= gone.tokens
+// failing is the endpoint's failure rate, 0 if it drains.
+func (st *state) failing(now time.Time) float64 {
+	if st.Draining {
+		return 0
 	}
+	return st.health.rate(now)
 }
--- a/core/place/surge.go
+++ b/core/place/surge.go
@@ -35,24 +35,15 @@
 // by the pool, not by its endpoints: one of them may have more, where a context is, as
 // long as others have less. Endpoints that look dead have no places; where all do, the
 // view is doubted, and nothing bounds the pool.
-func (vi *view) bound(now time.Time, as *Ask, us *use) {
-	places := 0
-	for _, st := range vi.members {
-		if st.Slots == 0 {
-			return // it does not tell how many it runs
-		}
-		if !st.missing && !st.health.avoid(now, st.calls) {
-			places += st.Slots
-		}
-	}
+func (ch *choice) bound(places int, us *use) {
 	room := float64(plainRoom)
-	if as.Engine {
+	if ch.as.Engine {
 		room = poolRoom
 	}
-	if us.heavy(as.Customer) {
+	if us.heavy(ch.as.Customer) {
 		room *= heavyPart
 	}
-	vi.places, vi.most = places, room*float64(places)
+	ch.places, ch.most = places, room*float64(places)
 }
 
 // surgeAfter is when a caller may return to a pool that is full now. Nobody knows how
--- a/core/place/ticket.go
+++ b/core/place/ticket.go
@@ -46,6 +46,7 @@
 func (tk *Ticket) Heard(now time.Time) {
 	tk.pl.mu.Lock()
 	defer tk.pl.mu.Unlock()
+	tk.st.stir()
 	tk.st.health.hear(now)
 	tk.read()
 }
@@ -64,6 +65,7 @@
 	}
 	tk.done = true
 	st := tk.st
+	st.stir()
 	tk.read()
 	tk.use.add(tk.customer, -1)
 	st.calls--
--- a/core/place/told.go
+++ b/core/place/told.go
@@ -1,18 +1,51 @@
 package place
 
-import "time"
+import (
+	"container/list"
+	"time"
+)
 
-// word is a peer's last message: its calls in progress by the short hash
-// of the endpoint's id.
+// word is a peer's last message: its calls in progress by the short hashes of the
+// endpoints.
 type word struct {
-	at    time.Time
-	calls map[uint16]int
+	from string
+	at   time.Time
+	// gap is how far words of this peer were apart of late, and until when this one counts.
+	gap   time.Duration
+	until time.Time
+	calls []callsAt
+}
+
+// callsAt is an entry of a word.
+type callsAt struct {
+	endpoint uint16
+	calls    int
+}
+
+// words are the peers' last messages, and their sums. The sums are kept, as a choice among
+// thousands of endpoints cannot add up hundreds of words.
+type words struct {
+	byPeer map[string]*list.Element // of *word
+	// order has the word first that lapses first.
+	order *list.List
+	sums  map[uint16]int
+	// added tells of each change of a sum.
+	added func(endpoint uint16, by int)
 }
 
 const (
-	// toldFor is how long a peer's word counts: a few of its messages. One that
+	// toldFor is how long a peer's word counts at least: a few of its messages. One that
 	// says nothing for longer has stopped, and its calls with it.
 	toldFor = 2 * time.Second
+	// toldGaps is how many gaps between a peer's words the last one counts, and mostToldFor
+	// how long at most.
+	//
+	// Failure: what a router sends is bounded, so that among 300 each peer hears it every few
+	// seconds. Forgotten after toldFor, most words are missing from the sums, and full
+	// endpoints look idle. The sum of older words still is the usual load: with words 4 s
+	// apart all calls are believed, and half of them if a word counts for 2 s.
+	toldGaps    = 3
+	mostToldFor = 20 * time.Second
 	// entrySize is the size of an entry in a message: two bytes of hash, one of
 	// calls. Endpoints whose short hashes are equal, 3 pairs in 100 fleets of 60, are
 	// taken to have each other's calls too.
@@ -41,35 +74,79 @@
 
 // Hear takes a peer's packed calls.
 func (pl *Placer) Hear(now time.Time, from string, packed []byte) {
-	calls := make(map[uint16]int, len(packed)/entrySize)
+	calls := make([]callsAt, 0, len(packed)/entrySize)
 	for ; len(packed) >= entrySize; packed = packed[entrySize:] {
-		calls[uint16(packed[0])<<8|uint16(packed[1])] += int(packed[2])
+		calls = append(calls, callsAt{uint16(packed[0])<<8 | uint16(packed[1]), int(packed[2])})
 	}
 	pl.mu.Lock()
 	defer pl.mu.Unlock()
 	pl.start()
-	pl.told[from] = &word{at: now, calls: calls}
+	pl.words.take(now, from, calls)
+}
+
+// take replaces a peer's word.
+func (wo *words) take(now time.Time, from string, calls []callsAt) {
+	wd := &word{from: from, at: now, until: now.Add(toldFor), calls: calls}
+	if el := wo.byPeer[from]; el != nil {
+		old := wo.drop(el)
+		// News is told at once: a short gap is followed by longer ones.
+		wd.gap = max(now.Sub(old.at), old.gap/2)
+		wd.until = now.Add(min(mostToldFor, max(toldFor, toldGaps*wd.gap)))
+	}
+	wo.add(wd, 1)
+	wo.insert(wd)
+}
+
+// insert puts a word where it belongs in the order, which is near the end as a rule.
+func (wo *words) insert(wd *word) {
+	at := wo.order.Back()
+	for at != nil && at.Value.(*word).until.After(wd.until) {
+		at = at.Prev()
+	}
+	if at == nil {
+		wo.byPeer[wd.from] = wo.order.PushFront(wd)
+		return
+	}
+	wo.byPeer[wd.from] = wo.order.InsertAfter(wd, at)
+}
+
+func (wo *words) drop(el *list.Element) *word {
+	wd := wo.order.Remove(el).(*word)
+	delete(wo.byPeer, wd.from)
+	wo.add(wd, -1)
+	return wd
 }
 
-// sumTold adds the peers' words up, and forgets old ones.
-func (pl *Placer) sumTold(now time.Time) map[uint16]int {
-	sum := map[uint16]int{}
-	for from, wo := range pl.told {
-		if now.Sub(wo.at) > toldFor {
-			delete(pl.told, from)
-			continue
+// add counts a word in, or out with a sign of -1.
+func (wo *words) add(wd *word, sign int) {
+	for _, ca := range wd.calls {
+		wo.sums[ca.endpoint] += sign * ca.calls
+		if wo.sums[ca.endpoint] == 0 {
+			delete(wo.sums, ca.endpoint)
 		}
-		for hash, calls := range wo.calls {
-			sum[hash] += calls
+		wo.added(ca.endpoint, sign*ca.calls)
+	}
+}
+
+// lapse stops counting the words of peers that have stopped. When they were heard is kept
+// for longer, so that the gap of a peer that is heard rarely becomes known.
+func (wo *words) lapse(now time.Time) {
+	for el := wo.order.Front(); el != nil && now.After(el.Value.(*word).until); el = wo.order.Front() {
+		wd := wo.drop(el)
+		if end := wd.at.Add(mostToldFor); now.Before(end) {
+			wd.until, wd.calls = end, nil
+			wo.insert(wd)
 		}
 	}
-	return sum
 }
 
 // callsOfOthers is how many calls of other routers the endpoint has: what peers told
 // of theirs, or more if it counted more itself.
-func (pl *Placer) callsOfOthers(now time.Time, st *state, told map[uint16]int) int {
-	others := told[short(st.hash)]
+func (st *state) callsOfOthers(now time.Time) int {
+	others := st.told
+	if st.quiet {
+		return others
+	}
 	if all, fresh := st.reading.now(now); fresh {
 		others = max(others, all-st.calls)
 	}
--- a/core/place/view.go
+++ b/core/place/view.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"time"
 
 	"almondrill/core"
@@ -18,12 +19,11 @@
 	// Failure: two thirds of a pool crash. Counted among those that are left, their empty
 	// places halve the mean, and with it the cap: the live ones refuse callers with two
 	// thirds of their own places free.
-	mean   float64
-	usable []*state
-	// members are all that are not leaving.
-	members []*state
-	// full counts the members left out because they have no room.
-	full int
+	mean float64
+	// usable counts the endpoints that may be picked, full those left out because they have
+	// no room.
+	usable int
+	full   int
 	// calls are those of the pool, places what its live endpoints run, and most what a
 	// call of this customer may bring the pool to; 0 if nothing bounds it.
 	calls, places int
@@ -32,17 +32,17 @@
 	failing float64
 }
 
-func (pl *Placer) refusal(now time.Time, vi *view) *core.Refusal {
+func (pl *Placer) refusal(now time.Time, ch *choice) *core.Refusal {
 	re := &core.Refusal{
-		Outcome: core.NotRun, Reason: core.ReasonNoEndpoint, Step: "pick", Peer: string(vi.pool),
+		Outcome: core.NotRun, Reason: core.ReasonNoEndpoint, Step: "pick", Peer: string(ch.pool),
 		Detail: "no endpoint of the pool can take the request", RetryAfter: noEndpointAfter,
 	}
-	if vi.full > 0 {
+	if ch.full > 0 {
 		re.Reason = core.ReasonLoadCap
 		re.Detail = "all endpoints of the pool are at their limit"
-		re.RetryAfter = pl.surgeAfter(now, vi.pool)
+		re.RetryAfter = pl.surgeAfter(now, ch.pool)
 		re.Basis = fmt.Sprintf("%d calls, most %.0f for this customer, %d places; %d of %d endpoints full",
-			vi.calls, vi.most, vi.places, vi.full, vi.all)
+			ch.calls, ch.most, ch.places, ch.full, ch.all)
 	}
 	return re
 }
@@ -56,58 +56,116 @@
 	fullAfter = 400 * time.Millisecond
 )
 
-func (pl *Placer) view(now time.Time, as *Ask, members []*state, routers int) *view {
-	vi := &view{pool: as.Pool, routers: routers}
-	told := pl.sumTold(now)
-	var calls, liveCalls, live int
+// survey looks at all endpoints of the pool that are not leaving, and works out what the
+// choice compares them with. It and allow are the only walks over a pool that each choice
+// makes, so they ask nothing of an endpoint that needs a search.
+func (ch *choice) survey(pl *Placer) {
+	var calls, liveCalls, live, places int
 	var failing float64
-	for _, st := range members {
+	bounded := true
+	settledBefore, startedBefore := ch.now.Add(-settledAfter), pl.began.Add(startTime)
+	for _, st := range ch.members {
+		se := &st.seat
+		if !st.quiet {
+			settled := st.since.Before(settledBefore) || st.since.Before(startedBefore)
+			st.settle(ch.now, settled)
+			se.avoid = st.missing || st.health.avoid(ch.now, st.calls)
+			se.settled = settled && !se.avoid
+			failing += st.failing(ch.now)
+		}
+		ch.rankHome(st)
 		if st.Draining {
 			continue
 		}
-		vi.all++
-		vi.members = append(vi.members, st)
-		st.others = pl.callsOfOthers(now, st, told)
-		calls += st.calls + st.others
-		failing += st.health.rate(now)
-		if !st.missing && !st.health.avoid(now, st.calls) {
+		ch.all++
+		se.others = st.callsOfOthers(ch.now)
+		calls += st.calls + se.others
+		if !se.avoid {
 			live++
-			liveCalls += st.calls + st.others
+			liveCalls += st.calls + se.others
+			places += st.Slots
 		}
+		bounded = bounded && st.Slots > 0 // others do not tell how many they run
 	}
-	if vi.all == 0 {
-		return vi
+	if ch.all == 0 {
+		return
 	}
-	vi.calls = calls
-	vi.mean = float64(calls) / float64(vi.all)
+	ch.calls = calls
+	ch.mean = float64(calls) / float64(ch.all)
 	if live > 0 {
-		vi.mean = float64(liveCalls) / float64(live)
+		ch.mean = float64(liveCalls) / float64(live)
+	}
+	ch.failing = failing / float64(ch.all)
+	if bounded {
+		ch.bound(places, pl.uses[ch.as.Pool])
+	}
+}
+
+// rankHome scores the endpoint as a home. One that drains was a home before, and hands its
+// memory on.
+func (ch *choice) rankHome(st *state) {
+	if len(ch.chain) == 0 {
+		return
+	}
+	se := &st.seat
+	se.score = st.claim(ch.key)
+	if !st.Draining && (ch.first == nil || se.score > ch.first.seat.score) {
+		ch.first = st
 	}
-	vi.failing = failing / float64(vi.all)
-	vi.bound(now, as, pl.uses[as.Pool])
-	if vi.places > 0 && float64(calls) >= vi.most {
-		vi.full = vi.all
-		return vi
+	if se.settled && (ch.former == nil || se.score > ch.former.seat.score) {
+		ch.former = st
 	}
-	var doubtful []*state
-	for _, st := range members {
-		if st.Draining || tried(as, st.ID) {
+}
+
+// allow finds the endpoints that may be picked: those with room, or, where none of them
+// looks alive, those with room that may be dead.
+func (ch *choice) allow(pl *Placer) {
+	if ch.places > 0 && float64(ch.calls) >= ch.most {
+		ch.full = ch.all
+		return
+	}
+	for calls := range ch.byCalls {
+		ch.byCalls[calls] = ch.loadMs(float64(calls))
+	}
+	doubtful := 0
+	most := ch.limits(pl)
+	retried := len(ch.as.Tried) > 0
+	for _, st := range ch.members {
+		st.seat.usable, st.seat.weighed = false, false
+		if st.Draining || retried && tried(ch.as, st.ID) {
 			continue
 		}
-		if !pl.hasRoom(now, st, as, vi) {
-			vi.full++
+		if !most.room(ch.now, st) {
+			ch.full++
 			continue
 		}
-		if st.missing || st.health.avoid(now, st.calls) {
-			doubtful = append(doubtful, st)
+		if st.seat.avoid {
+			doubtful++
 			continue
 		}
-		vi.usable = append(vi.usable, st)
+		ch.use(pl, st)
+	}
+	if ch.usable > 0 || doubtful == 0 || ch.as.Healthy {
+		return
 	}
-	if len(vi.usable) == 0 && !as.Healthy {
-		vi.usable = doubtful
+	for _, st := range ch.members {
+		if !st.Draining && st.seat.avoid && !tried(ch.as, st.ID) && most.room(ch.now, st) {
+			ch.use(pl, st)
+		}
+	}
+}
+
+// use makes an endpoint one that may be picked.
+func (ch *choice) use(pl *Placer, st *state) {
+	ch.usable++
+	st.seat.usable = true
+	if len(ch.chain) > 0 {
+		ch.homes.add(st)
+	}
+	st.seat.atLeast = ch.atLeast(st)
+	if ch.least.st == nil || st.seat.atLeast <= ch.least.cost {
+		ch.least.offer(pl, st, pl.base(st, ch))
 	}
-	return vi
 }
 
 func tried(as *Ask, id core.EndpointID) bool {
@@ -119,25 +177,33 @@
 	return false
 }
 
-// hasRoom tells whether the endpoint may be given one more call: within its
-// connections, its places and the cap over the pool's mean.
-func (pl *Placer) hasRoom(now time.Time, st *state, as *Ask, vi *view) bool {
-	if now.Before(st.fullUntil) {
-		return false
+// limits are the calls from which on an endpoint gets no more.
+type limits struct {
+	// own are the router's, placed a multiple of an endpoint's places, capped all.
+	own, placed, capped int
+}
+
+func (ch *choice) limits(pl *Placer) *limits {
+	li := &limits{own: math.MaxInt, placed: plainRoom, capped: math.MaxInt}
+	if ch.as.MaxConns > 0 {
+		li.own = max(1, ch.as.MaxConns/ch.routers)
 	}
-	calls := st.calls + st.others
-	if as.MaxConns > 0 && st.calls >= max(1, as.MaxConns/vi.routers) {
-		return false
+	if !ch.as.Engine {
+		return li
 	}
-	most := engineRoom
-	if !as.Engine {
-		most = plainRoom
+	li.placed = engineRoom
+	if pl.CapFactor > 0 {
+		li.capped = int(max(capFloor, capSpare*pl.CapFactor*ch.mean+capFloor))
 	}
-	if st.Slots > 0 && calls >= most*st.Slots {
+	return li
+}
+
+// room tells whether the endpoint may be given one more call: within its connections, its
+// places and the cap over the pool's mean.
+func (li *limits) room(now time.Time, st *state) bool {
+	calls := st.calls + st.seat.others
+	if st.calls >= li.own || calls >= li.capped || st.Slots > 0 && calls >= li.placed*st.Slots {
 		return false
 	}
-	if pl.CapFactor <= 0 || !as.Engine {
-		return true
-	}
-	return float64(calls+1) <= max(capFloor, capSpare*pl.CapFactor*vi.mean+capFloor)
+	return st.quiet || !now.Before(st.fullUntil)
 }
