Routers ask an endpoint's keeper how many calls it has

Change: each endpoint's count is kept by one router, agreed on by rendezvous hashing. Others pass on to it what the endpoint says with its answers, and ask it before they place a call in a pool that has a quarter of its places in use. A count of this moment goes before peers' words, and the cap is used in full with it.

--- a/core/place/choice.go
+++ b/core/place/choice.go
@@ -70,8 +70,10 @@
 	// startTime is how long after the first endpoint others still count as there from
 	// the start: all register within a few heartbeats when a deployment begins.
 	startTime = 4 * time.Second
-	// capSpare is the part of the cap that is used: the rest covers what peers
-	// placed since their last message.
+	// capSpare is the part of the cap that is used where an endpoint's calls are believed
+	// from peers' messages: the rest covers what they placed since. Used also where the calls
+	// are known as of now, it makes 1,051 GB of contexts move in place of 843 (11 s of 180
+	// engines, twice the usual traffic for four of them).
 	capSpare = 0.9
 	// capFloor is the number of calls below which the cap does not apply.
 	capFloor = 3
@@ -332,6 +334,7 @@
 		pl: pl, st: st, Endpoint: st.Endpoint, Started: ch.now, CostMs: cost,
 		Calls: st.calls, Others: st.seat.others, Mean: ch.mean, Usable: ch.usable, Full: ch.full, Of: ch.all,
 		Prompt: promptTokens(as.Parts), Uncached: read, Home: ch.homes.count > 0 && st == ch.homes.list[0], toRead: read,
+		Hash: st.hash, Said: -1,
 	}
 	if from := ch.source(st); from != nil {
 		tk.FetchFrom = from.Addr
@@ -347,7 +350,7 @@
 	tk.use.add(as.Customer, 1)
 	st.stir()
 	st.calls++
-	st.reading.note(ch.now, 1)
+	st.reading.Note(ch.now, 1)
 	st.toRead += tk.toRead
 	st.seen.note(as.Parts, ch.chain, as.Memory)
 	st.health.begun(ch.now)
--- a/core/place/reading.go
+++ b/core/place/reading.go
@@ -17,74 +17,16 @@
 	AgeMs    uint32
 }
 
-const (
-	// readingFor is how long a reading is used: beyond it, calls of some hundred
-	// milliseconds have come and gone unseen.
-	readingFor = 1500 * time.Millisecond
-	// mostReadings bounds those in a message: with 11 bytes each it stays within one
-	// frame.
-	mostReadings = 100
-	// mostChanges bounds the own calls remembered since a reading.
-	mostChanges = 256
-)
-
-// reading is an endpoint's own count of its calls at a time, and how the router's
-// own have changed since.
-type reading struct {
-	calls int
-	at    time.Time
-	// since is the sum of changes.
-	since   int
-	changes []change
-}
-
-// change is the start or the end of an own call.
-type change struct {
-	at time.Time
-	by int
-}
-
-// take keeps a newer count.
-func (re *reading) take(calls int, at time.Time) {
-	if !at.After(re.at) {
-		return
-	}
-	re.calls, re.at = calls, at
-	re.changes = slices.DeleteFunc(re.changes, func(ch change) bool { return !ch.at.After(at) })
-	re.since = 0
-	for _, ch := range re.changes {
-		re.since += ch.by
-	}
-}
-
-func (re *reading) note(at time.Time, by int) {
-	if len(re.changes) >= mostChanges {
-		for _, ch := range re.changes[:mostChanges/2] {
-			re.since -= ch.by
-		}
-		re.changes = slices.Delete(re.changes, 0, mostChanges/2)
-	}
-	re.changes = append(re.changes, change{at, by})
-	re.since += by
-}
-
-// old tells that there is no count that is used still.
-func (re *reading) old(now time.Time) bool { return re.at.IsZero() || now.Sub(re.at) > readingFor }
-
-// now is the count, brought forward by the own calls since; false if it is too old.
-func (re *reading) now(now time.Time) (int, bool) {
-	if re.old(now) {
-		return 0, false
-	}
-	return max(0, re.calls+re.since), true
-}
+// mostReadings bounds those in a message: with 11 bytes each it stays within one frame.
+const mostReadings = 100
 
 // Counted tells how many calls the endpoint said that it has, this one included.
 func (tk *Ticket) Counted(now time.Time, calls int) {
+	tk.Said = calls
 	tk.pl.mu.Lock()
 	defer tk.pl.mu.Unlock()
 	tk.st.stir()
-	tk.st.reading.take(calls, now)
+	tk.st.reading.Take(calls, now)
 }
 
 // Readings are the latest that the router has, its own and those it heard.
@@ -93,8 +35,8 @@
 	defer pl.mu.Unlock()
 	var all []Reading
 	for _, st := range pl.byID {
-		if age := now.Sub(st.reading.at); !st.reading.at.IsZero() && age < readingFor {
-			all = append(all, Reading{Endpoint: st.hash, Calls: uint32(st.reading.calls), AgeMs: uint32(age.Milliseconds())})
+		if calls, at := st.reading.Latest(); !st.reading.Old(now) {
+			all = append(all, Reading{Endpoint: st.hash, Calls: uint32(calls), AgeMs: uint32(now.Sub(at).Milliseconds())})
 		}
 	}
 	slices.SortFunc(all, func(a, b Reading) int { return cmp.Compare(a.AgeMs, b.AgeMs) })
@@ -108,7 +50,54 @@
 	for _, re := range heard {
 		if st := pl.byHash[re.Endpoint]; st != nil {
 			st.stir()
-			st.reading.take(int(re.Calls), now.Add(-way-time.Duration(re.AgeMs)*time.Millisecond))
+			st.reading.Take(int(re.Calls), now.Add(-way-time.Duration(re.AgeMs)*time.Millisecond))
 		}
 	}
 }
+
+// freshFor is how long a count is taken for what the endpoint has now: it is not asked for
+// again, and goes before what peers told, which is older. Within 20 ms a popular home gets one
+// call or two; asked for always, 0.018 of the callers are late on a fleet of a hundred routers
+// whose popular chats change with 100 ms, 0.008 with 20 ms.
+const freshFor = 20 * time.Millisecond
+
+// loadedPart is the part of its places that a pool has in use, on average, from which on
+// counts are asked for. Below it an engine hardly has all of them taken, and a count of now
+// would be held against a mean that lags behind a rising load: asked for always, twice as
+// many tokens are read again while the load doubles, as chats leave homes that have room.
+const loadedPart = 0.25
+
+// Uncertain is the endpoint that Pick would choose, by its hash, if how many calls it has
+// should be asked first: it is an engine shared with other routers, and what is believed of
+// it may be old.
+//
+// Failure: a hundred routers place calls on one engine, each knowing of the others' as of
+// some 0.8 s ago. Within that time a popular home gets twice as many calls as it has
+// places, and its callers wait for seconds while the pool has room. Of calls that were sent
+// to engines believed to have 12, those that had 20 to 25 in truth were late in 0.59 of all
+// cases, those that had less than 15 in 0.004 (103 routers before 180 engines, twice the
+// usual traffic).
+func (pl *Placer) Uncertain(now time.Time, as *Ask) (uint64, bool) {
+	routers := max(1, pl.Routers())
+	if !as.Engine || routers == 1 {
+		return 0, false
+	}
+	pl.mu.Lock()
+	defer pl.mu.Unlock()
+	ch := pl.look(now, as, routers)
+	if ch.usable == 0 {
+		return 0, false
+	}
+	st, _ := pl.cheapest(ch)
+	return st.hash, ch.mean >= loadedPart*float64(st.Slots) && !st.reading.Fresh(now, freshFor)
+}
+
+// HearCount takes how many calls an endpoint has now.
+func (pl *Placer) HearCount(now time.Time, endpoint uint64, calls int) {
+	pl.mu.Lock()
+	defer pl.mu.Unlock()
+	if st := pl.byHash[endpoint]; st != nil {
+		st.stir()
+		st.reading.Take(calls, now)
+	}
+}
--- a/core/place/state.go
+++ b/core/place/state.go
@@ -5,6 +5,7 @@
 
 	"almondrill/core"
 	"almondrill/core/decl"
+	"almondrill/core/gauge"
 	"almondrill/core/ring"
 )
 
@@ -27,7 +28,8 @@
 	quiet     bool
 	fullUntil time.Time
 	health    health
-	reading   reading
+	// reading is how many calls it said that it has, and the own ones begun and ended since.
+	reading gauge.Count
 	Endpoint
 
 	// hash is that of its id and start, by which peers tell of it, so that their words of an
@@ -69,7 +71,7 @@
 // settle makes the endpoint quiet if nothing is left that a choice has to look at.
 func (st *state) settle(now time.Time, settled bool) {
 	st.quiet = settled && st.calls == 0 && !st.missing && st.toRead == 0 &&
-		st.health.quiet(now) && st.reading.old(now) && !now.Before(st.fullUntil) && !now.Before(st.ColdUntil)
+		st.health.quiet(now) && st.reading.Old(now) && !now.Before(st.fullUntil) && !now.Before(st.ColdUntil)
 }
 
 // failing is the endpoint's failure rate, 0 if it drains.
--- a/core/place/surge_test.go
+++ b/core/place/surge_test.go
@@ -38,6 +38,23 @@
 	// customer draws whose call it is; nil if nobody's. lostBy and allBy count theirs.
 	customer      func(ra testRand) core.CustomerID
 	lostBy, allBy map[core.CustomerID]int
+	// tellSteps is how often, in steps, a router hears each other one, goal within how many
+	// steps a first token is in time.
+	tellSteps, goal int
+	// chat draws whose turn it is; nil for one of 300 alike.
+	chat func(ra testRand) uint64
+	// seed is what the load is drawn from.
+	seed uint64
+	// prompt is what a chat sends.
+	prompt func(id uint64) []place.Part
+	// counts are asked before each choice; nil if nobody keeps them.
+	counts counts
+}
+
+// counts knows how many calls engines have.
+type counts interface {
+	Ask(now time.Time, endpoint uint64) (int, bool)
+	Said(now time.Time, endpoint uint64, calls int)
 }
 
 const (
@@ -51,6 +68,8 @@
 		engines: &engines{slots, runs, map[core.EndpointID][]*caller{}, map[core.EndpointID]int{}, map[int][]*caller{}},
 		back:    map[int][]*caller{},
 		lostBy:  map[core.CustomerID]int{}, allBy: map[core.CustomerID]int{},
+		tellSteps: surgeTell, goal: goalSteps, seed: 9,
+		prompt: func(id uint64) []place.Part { return chat(id%3, id) },
 	}
 	for ix := range routers {
 		pl := &place.Placer{Zone: "a", Rand: newRand(uint64(ix)), CapFactor: 2, Routers: func() int { return routers }}
@@ -68,9 +87,13 @@
 
 // ask sends a caller's request through its router.
 func (su *surge) ask(ca *caller, id uint64) {
-	as := ask(chat(id%3, id))
+	as := ask(su.prompt(id))
 	as.Customer = ca.from
-	tk, rf := su.routers[ca.router].Pick(su.now(), as)
+	pl := su.routers[ca.router]
+	if su.counts != nil {
+		su.askCount(pl, as)
+	}
+	tk, rf := pl.Pick(su.now(), as)
 	switch {
 	case rf == nil:
 		ca.tk = tk
@@ -85,6 +108,17 @@
 	}
 }
 
+// askCount is what a router does before a choice where counts are kept.
+func (su *surge) askCount(pl *place.Placer, as *place.Ask) {
+	endpoint, uncertain := pl.Uncertain(su.now(), as)
+	if !uncertain {
+		return
+	}
+	if calls, known := su.counts.Ask(su.now(), endpoint); known {
+		pl.HearCount(su.now(), endpoint, calls)
+	}
+}
+
 // tick lets the engines work for a step, and the routers tell each other.
 func (su *surge) tick() {
 	su.step++
@@ -101,7 +135,7 @@
 	}
 	for from, pl := range su.routers {
 		for to, other := range su.routers {
-			if (su.step+from)%surgeTell == 0 && to != from {
+			if su.tells(from, to) {
 				other.Hear(su.now(), fmt.Sprint("router", from), pl.Tell())
 				other.HearReadings(su.now(), 0, pl.Readings(su.now()))
 			}
@@ -109,10 +143,24 @@
 	}
 }
 
+// tells tells whether a router is heard by another in this step. All of a few are heard by all
+// at once; among many each has a turn for each other.
+func (su *surge) tells(from, to int) bool {
+	turn := from
+	if su.tellSteps != surgeTell {
+		turn += len(su.routers) * to
+	}
+	return from != to && (su.step+turn)%su.tellSteps == 0
+}
+
 func (su *surge) start(id core.EndpointID, ca *caller) {
 	ca.tk.Heard(su.now())
-	ca.tk.Counted(su.now(), su.running[id]+len(su.waiting[id]))
-	if su.step-ca.came <= goalSteps {
+	calls := su.running[id] + len(su.waiting[id])
+	ca.tk.Counted(su.now(), calls)
+	if su.counts != nil {
+		su.counts.Said(su.now(), ca.tk.Hash, calls)
+	}
+	if su.step-ca.came <= su.goal {
 		su.inTime++
 	} else {
 		su.late++
@@ -125,11 +173,11 @@
 // play lets callers come at a rate, in calls a step, for so many steps, and waits until
 // all have been served or lost.
 func (su *surge) play(rate float64, steps int) {
-	ra := newRand(9)
+	ra := newRand(su.seed)
 	due := 0.0
 	for until := su.step + steps; su.step < until || su.inTime+su.late+su.lost < su.all; su.tick() {
 		for _, ca := range su.back[su.step] {
-			su.ask(ca, ra.Uint64()%300)
+			su.ask(ca, su.draw(ra))
 		}
 		if su.step >= until {
 			continue
@@ -141,11 +189,19 @@
 			}
 			su.all++
 			su.allBy[ca.from]++
-			su.ask(ca, ra.Uint64()%300)
+			su.ask(ca, su.draw(ra))
 		}
 	}
 }
 
+// draw is whose turn it is.
+func (su *surge) draw(ra testRand) uint64 {
+	if su.chat == nil {
+		return ra.Uint64() % 300
+	}
+	return su.chat(ra)
+}
+
 // A term opens: for ten seconds, 1.3 times as many calls come as the pool can run. If all
 // are taken, each waits behind the ones before it, and after some seconds nobody is
 // served in time. What the pool cannot run is to be refused, at once, and the rest
--- a/core/place/ticket.go
+++ b/core/place/ticket.go
@@ -31,6 +31,10 @@
 	// kept tokens, "" if none is known; Fetched of them are thought to be needed.
 	FetchFrom string
 	Fetched   core.Tokens
+	// Hash names the endpoint and its start to peers. Said is how many calls it said that it
+	// had when it answered, this one included; -1 if it did not tell.
+	Hash uint64
+	Said int
 
 	pl     *Placer
 	st     *state
@@ -69,7 +73,7 @@
 	tk.read()
 	tk.use.add(tk.customer, -1)
 	st.calls--
-	st.reading.note(now, -1)
+	st.reading.Note(now, -1)
 	if st.calls == 0 {
 		st.health.busySince = time.Time{}
 	}
--- a/core/place/told.go
+++ b/core/place/told.go
@@ -140,15 +140,19 @@
 	}
 }
 
-// callsOfOthers is how many calls of other routers the endpoint has: what peers told
-// of theirs, or more if it counted more itself.
+// callsOfOthers is how many calls of other routers the endpoint has: what it counted itself
+// a moment ago, or else what peers told of theirs, or more if it counted more.
 func (st *state) callsOfOthers(now time.Time) int {
 	others := st.told
 	if st.quiet {
 		return others
 	}
-	if all, fresh := st.reading.now(now); fresh {
-		others = max(others, all-st.calls)
+	all, known := st.reading.Now(now)
+	if !known {
+		return others
+	}
+	if st.reading.Fresh(now, freshFor) {
+		return max(0, all-st.calls)
 	}
-	return others
+	return max(others, all-st.calls)
 }
--- a/core/place/view.go
+++ b/core/place/view.go
@@ -181,10 +181,12 @@
 type limits struct {
 	// own are the router's, placed a multiple of an endpoint's places, capped all.
 	own, placed, capped int
+	// exact is capped for endpoints whose calls are known as of now.
+	exact int
 }
 
 func (ch *choice) limits(pl *Placer) *limits {
-	li := &limits{own: math.MaxInt, placed: plainRoom, capped: math.MaxInt}
+	li := &limits{own: math.MaxInt, placed: plainRoom, capped: math.MaxInt, exact: math.MaxInt}
 	if ch.as.MaxConns > 0 {
 		li.own = max(1, ch.as.MaxConns/ch.routers)
 	}
@@ -193,7 +195,8 @@
 	}
 	li.placed = engineRoom
 	if pl.CapFactor > 0 {
-		li.capped = int(max(capFloor, capSpare*pl.CapFactor*ch.mean+capFloor))
+		li.capped = int(capSpare*pl.CapFactor*ch.mean + capFloor)
+		li.exact = int(pl.CapFactor*ch.mean + capFloor)
 	}
 	return li
 }
@@ -202,7 +205,11 @@
 // places and the cap over the pool's mean.
 func (li *limits) room(now time.Time, st *state) bool {
 	calls := st.calls + st.seat.others
-	if st.calls >= li.own || calls >= li.capped || st.Slots > 0 && calls >= li.placed*st.Slots {
+	capped := li.capped
+	if !st.quiet && st.reading.Fresh(now, freshFor) {
+		capped = li.exact
+	}
+	if st.calls >= li.own || calls >= capped || st.Slots > 0 && calls >= li.placed*st.Slots {
 		return false
 	}
 	return st.quiet || !now.Before(st.fullUntil)
--- a/core/platform.go
+++ b/core/platform.go
@@ -57,6 +57,16 @@
 	Watch(ctx context.Context, prefix string, after Version) (Entry, error)
 }
 
+// Counts knows how many calls endpoints have, from what they said to any router.
+// Endpoints are named by the hashes of their ids and starts.
+type Counts interface {
+	// Ask tells how many calls the endpoint has, before the one that the asker is about to
+	// place; false if that is unknown, or not told in time.
+	Ask(ctx context.Context, endpoint uint64) (calls int, known bool)
+	// Said passes on what an endpoint said.
+	Said(endpoint uint64, calls int)
+}
+
 // VMState is a VM's state in the platform's list.
 type VMState uint8
 
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -150,7 +150,7 @@
 	pr.reader.Leads, pr.reader.DoubtFor = pr.peers.Leads, se.ReturnDelay+returnMargin
 	pr.peers.Feed = pr.reader
 	pr.relay = &relay.Relay{
-		Dialect: pr.Platform.Dialect(), Self: se.Name, Placer: pr.placer, Budget: pr.budget, Conns: pr.pool,
+		Dialect: pr.Platform.Dialect(), Self: se.Name, Placer: pr.placer, Counts: pr.peers, Budget: pr.budget, Conns: pr.pool,
 		Stats: pr.Stats, Latency: &pr.latency, Rand: pr.rand, Log: pr.Logs.Part("relay"),
 		Age: pr.reader.Age, Leaving: pr.leaving.Load,
 	}
--- /dev/null
+++ b/io/gossip/counts.go
@@ -0,0 +1,225 @@
+package gossip
+
+import (
+	"cmp"
+	"context"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/fxamacker/cbor/v2"
+	"go.uber.org/zap"
+
+	"almondrill/core/gauge"
+	"almondrill/core/ring"
+)
+
+// Each endpoint's count is kept by one router, on which all agree by rendezvous hashing over
+// those that are alive: the endpoint's keeper. Routers pass on to it what the endpoint says
+// with its answers, and ask it before they place a call there. What a router sends for this
+// depends on its own requests alone, some 50 bytes each, not on how many routers or
+// endpoints there are, and what it learns is a millisecond old.
+//
+// A keeper that is lost, or a new one that knows nothing yet, costs no call: the asker goes
+// by what its peers told of their calls, as it does for endpoints that do not count.
+
+const (
+	// askTimeout bounds the wait for a keeper: a few ways between zones, and a busy peer's
+	// turn at its processor.
+	askTimeout = 5 * time.Millisecond
+	// muteFor is how long a keeper that did not answer in time is not asked again: one
+	// request a second then waits in vain for a router that is lost.
+	muteFor = time.Second
+	// unknownCalls stands for a count that the keeper does not know.
+	unknownCalls = 1<<32 - 1
+)
+
+// countKind is what a countMessage is for.
+type countKind uint8
+
+const (
+	countAsked countKind = iota + 1
+	countAnswered
+	countSaid
+)
+
+// countMessage asks for an endpoint's calls, answers, or passes on what the endpoint said.
+type countMessage struct {
+	_        struct{} `cbor:",toarray"`
+	Kind     countKind
+	Endpoint uint64
+	// Calls are those asked for or passed on; Ask ties an answer to what it answers.
+	Calls uint32
+	Ask   uint32
+}
+
+// keeper is a router that may keep counts.
+type keeper struct {
+	addr string
+	hash uint64
+	// to is where it listens; nil for this router itself.
+	to    *net.UDPAddr
+	mutes *mutes
+}
+
+// mutes tells until when a keeper is not asked, in ns of the Unix epoch.
+type mutes struct{ until atomic.Int64 }
+
+// counts is the part of a Group that asks for counts and keeps them.
+type counts struct {
+	table   gauge.Table
+	keepers atomic.Pointer[[]keeper]
+	socket  atomic.Pointer[net.UDPConn]
+	// sent are the bytes sent since the last tick.
+	sent atomic.Int64
+
+	mu      sync.Mutex // guards all below
+	asks    uint32
+	waiting map[uint32]chan uint32
+}
+
+// seat works out who may keep counts: the routers that were heard of late, and this one.
+func (gr *Group) seat(now time.Time) {
+	gr.mu.Lock()
+	defer gr.mu.Unlock()
+	all := make([]keeper, 0, len(gr.members)+1)
+	all = append(all, keeper{addr: gr.Addr, hash: xxhash.Sum64String(gr.Addr)})
+	for addr, me := range gr.members {
+		if me.leaving || now.Sub(me.heard) >= liveFor {
+			continue
+		}
+		if me.to == nil {
+			to, err := net.ResolveUDPAddr("udp", addr)
+			if err != nil {
+				gr.Log.Warn("A peer's address makes no sense.", zap.String("Addr", addr), zap.Error(err))
+				continue
+			}
+			me.to = to
+		}
+		all = append(all, keeper{addr, xxhash.Sum64String(addr), me.to, &me.mutes})
+	}
+	gr.counts.keepers.Store(&all)
+}
+
+// keeperOf is the router that keeps the endpoint's count; nil before the first seat.
+func (gr *Group) keeperOf(endpoint uint64) *keeper {
+	all := gr.counts.keepers.Load()
+	if all == nil {
+		return nil
+	}
+	var best *keeper
+	var most uint64
+	for ix := range *all {
+		ke := &(*all)[ix]
+		if score := ring.Mix(ke.hash, endpoint); best == nil || score > most {
+			best, most = ke, score
+		}
+	}
+	return best
+}
+
+// Ask implements core.Counts.
+func (gr *Group) Ask(ctx context.Context, endpoint uint64) (int, bool) {
+	ke := gr.keeperOf(endpoint)
+	if ke == nil {
+		return 0, false
+	}
+	if ke.to == nil {
+		return gr.counts.table.Ask(time.Now(), endpoint)
+	}
+	if time.Now().UnixNano() < ke.mutes.until.Load() {
+		return 0, false
+	}
+	number, answer := gr.counts.expect()
+	defer gr.counts.forget(number)
+	gr.sendCount(ke.to, &countMessage{Kind: countAsked, Endpoint: endpoint, Ask: number})
+	wait := cmp.Or(gr.AskTimeout, askTimeout)
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case calls := <-answer:
+		return int(calls), calls != unknownCalls
+	case <-timer.C:
+		ke.mutes.until.Store(time.Now().Add(muteFor).UnixNano())
+		gr.Log.Info("A peer did not tell an endpoint's calls in time.", zap.String("Addr", ke.addr), zap.Duration("Waited", wait))
+	case <-ctx.Done():
+	}
+	return 0, false
+}
+
+// Said implements core.Counts.
+func (gr *Group) Said(endpoint uint64, calls int) {
+	ke := gr.keeperOf(endpoint)
+	switch {
+	case ke == nil:
+	case ke.to == nil:
+		gr.counts.table.Said(time.Now(), endpoint, calls)
+	default:
+		gr.sendCount(ke.to, &countMessage{Kind: countSaid, Endpoint: endpoint, Calls: uint32(calls)})
+	}
+}
+
+// expect prepares for the answer to an ask.
+func (co *counts) expect() (uint32, chan uint32) {
+	co.mu.Lock()
+	defer co.mu.Unlock()
+	if co.waiting == nil {
+		co.waiting = map[uint32]chan uint32{}
+	}
+	co.asks++
+	answer := make(chan uint32, 1)
+	co.waiting[co.asks] = answer
+	return co.asks, answer
+}
+
+func (co *counts) forget(number uint32) {
+	co.mu.Lock()
+	defer co.mu.Unlock()
+	delete(co.waiting, number)
+}
+
+// answered hands an answer to who waits for it; one that comes late is dropped.
+func (co *counts) answered(cm *countMessage) {
+	co.mu.Lock()
+	defer co.mu.Unlock()
+	if answer := co.waiting[cm.Ask]; answer != nil {
+		answer <- cm.Calls
+		delete(co.waiting, cm.Ask)
+	}
+}
+
+// hearCount takes a peer's countMessage.
+func (gr *Group) hearCount(now time.Time, from net.Addr, cm *countMessage) {
+	switch cm.Kind {
+	case countSaid:
+		gr.counts.table.Said(now, cm.Endpoint, int(cm.Calls))
+	case countAnswered:
+		gr.counts.answered(cm)
+	case countAsked:
+		out := &countMessage{Kind: countAnswered, Endpoint: cm.Endpoint, Calls: unknownCalls, Ask: cm.Ask}
+		if calls, known := gr.counts.table.Ask(now, cm.Endpoint); known {
+			out.Calls = uint32(calls)
+		}
+		gr.sendCount(from, out)
+	default:
+		gr.Log.Warn("A peer's question makes no sense.", zap.String("Addr", from.String()), zap.Uint8("Kind", uint8(cm.Kind)))
+	}
+}
+
+func (gr *Group) sendCount(to net.Addr, cm *countMessage) {
+	socket := gr.counts.socket.Load()
+	if socket == nil {
+		return // the process is starting or stopping
+	}
+	data, err := cbor.Marshal(&message{Count: cm})
+	if err != nil {
+		gr.Log.Error("Encoding a count failed.", zap.Error(err))
+		return
+	}
+	gr.counts.sent.Add(int64(len(data)))
+	if _, err = socket.WriteTo(data, to); err != nil {
+		gr.Log.Debug("Telling a peer a count failed.", zap.String("Addr", to.String()), zap.Error(err))
+	}
+}
--- /dev/null
+++ b/io/gossip/counts_test.go
@@ -0,0 +1,105 @@
+package gossip_test
+
+import (
+	"context"
+	"net"
+	"testing"
+	"time"
+)
+
+// tick is how often a router looks which others are alive.
+const tick = 100 * time.Millisecond
+
+func (ro *router) address(t *testing.T) net.Addr {
+	t.Helper()
+	addr, err := net.ResolveUDPAddr("udp", ro.Addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return addr
+}
+
+// meet starts routers that all have heard each other.
+func meet(t *testing.T, count int) []*router {
+	t.Helper()
+	var all []*router
+	for ix := range count {
+		all = append(all, start(t, ix))
+	}
+	for _, ro := range all {
+		for _, other := range all {
+			ro.Add(other.Addr)
+		}
+	}
+	for _, ro := range all {
+		eventually(t, "all routers hear each other", func() bool { return ro.Live() == count-1 })
+	}
+	time.Sleep(2 * tick) // they count as keepers from the next tick
+	return all
+}
+
+// Routers that place calls on one engine each pass on what it says and ask how many it has.
+// They all have to mean the same router by its keeper, and the second that asks has to hear of
+// the first one's call, or both fill the same gap.
+func TestRoutersAskTheSameKeeper(t *testing.T) {
+	all := meet(t, 4)
+	ctx := context.Background()
+	for endpoint := range uint64(20) {
+		eventually(t, "what an endpoint said is told", func() bool {
+			all[endpoint%4].Said(endpoint, 7)
+			_, known := all[(endpoint+1)%4].Ask(ctx, endpoint)
+			return known
+		})
+		first, known := all[(endpoint+2)%4].Ask(ctx, endpoint)
+		second, _ := all[(endpoint+3)%4].Ask(ctx, endpoint)
+		if !known || second != first+1 {
+			t.Errorf("endpoint %d: %d calls are told, then %d, known %v; want one more", endpoint, first, second, known)
+		}
+	}
+}
+
+// An endpoint's keeper loses power. Requests for it must not wait long for an answer that
+// does not come, nor each of them: after the first, the router goes by what it believes.
+func TestLostKeeperHoldsNobodyUp(t *testing.T) {
+	const timeout = 5 * time.Millisecond
+	alone := start(t, 0)
+	lost, err := net.ListenPacket("udp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer lost.Close()
+	hello := []byte("\xa1\x01\x01") // it knows revision 1
+	eventually(t, "the keeper is heard once", func() bool {
+		_, _ = lost.WriteTo(hello, alone.address(t))
+		return alone.Live() == 1
+	})
+	time.Sleep(2 * tick) // it counts as a keeper from the next tick
+	ctx := context.Background()
+	waited := 0
+	for endpoint := range uint64(100) {
+		began := time.Now()
+		if _, known := alone.Ask(ctx, endpoint); known {
+			t.Fatal("a count is known that nobody told")
+		}
+		if time.Since(began) >= timeout {
+			waited++
+		}
+	}
+	if waited == 0 {
+		t.Error("no request asked the lost keeper: the test shows nothing")
+	}
+	if waited > 3 {
+		t.Errorf("%d of 100 requests waited for a keeper that is lost", waited)
+	}
+}
+
+// A router that has just started knows no counts, and says so rather than that there are none:
+// taken for idle, a full engine would get all calls.
+func TestNewKeeperKnowsNothing(t *testing.T) {
+	all := meet(t, 2)
+	for endpoint := range uint64(10) {
+		if calls, known := all[0].Ask(context.Background(), endpoint); known {
+			t.Errorf("endpoint %d is said to have %d calls, which nobody told", endpoint, calls)
+		}
+	}
+}
--- a/io/gossip/gossip.go
+++ b/io/gossip/gossip.go
@@ -1,5 +1,6 @@
 // Package gossip lets the routers of a region tell each other little and often:
-// their calls in progress, and how far they know the store's changes.
+// their calls in progress, how many calls endpoints have, and how far they know the store's
+// changes.
 //
 // # Concepts
 //
@@ -43,8 +44,8 @@
 	tick     = 100 * time.Millisecond
 	leastGap = 200 * time.Millisecond
 	// callsBytes bounds what a router sends of its calls in a second, bodies of
-	// datagrams; the budget of a node is 5 KB/s for all of control. With 26 routers
-	// each hears each every 0.4 s.
+	// datagrams; the budget of a node is 5 KB/s for all of control. What is sent to ask for
+	// counts goes before what is told. With 26 routers each hears each every 0.4 s.
 	callsBytes = 3300
 	// newsTo is how many peers are told at once that there is news of the store.
 	// Those tell others in turn: 420 routers hear of it in three rounds of a tick.
@@ -75,7 +76,7 @@
 // message is what a router tells. Its sender is known by its address; most
 // messages hold only AsOf and Calls.
 type message struct {
-	AsOf core.Version `cbor:"1,keyasint"`
+	AsOf core.Version `cbor:"1,keyasint,omitempty"`
 	// Calls are the own calls in progress, see place.Tell.
 	Calls []byte `cbor:"2,keyasint,omitempty"`
 	// AgeMs is how long ago the store confirmed AsOf. Failing is set if the sender's
@@ -91,6 +92,8 @@
 	From     core.VMID       `cbor:"4,keyasint,omitempty"`
 	Known    []string        `cbor:"5,keyasint,omitempty"`
 	Readings []place.Reading `cbor:"6,keyasint,omitempty"`
+	// Count is set in messages about one endpoint's calls, which hold nothing else.
+	Count *countMessage `cbor:"10,keyasint,omitempty"`
 }
 
 // Feed is what a router knows of the store, and how old it is.
@@ -115,8 +118,11 @@
 	Log    *zap.Logger
 	// Feed is what this router knows of the store.
 	Feed Feed
+	// AskTimeout bounds the wait for an endpoint's count, askTimeout if it is 0.
+	AskTimeout time.Duration
 
 	parcels parcels
+	counts  counts
 	mu      sync.Mutex // guards all below
 	members map[string]*member
 	fetched bool // a fetch is under way
@@ -138,6 +144,9 @@
 	confirmed time.Time
 	failing   bool
 	leaving   bool
+	// to is addr resolved, nil until it is needed; mutes is set while it does not answer.
+	to    *net.UDPAddr
+	mutes mutes
 }
 
 // Add makes an address known.
@@ -199,11 +208,17 @@
 
 // Run exchanges messages until ctx ends.
 func (gr *Group) Run(ctx context.Context) error {
-	pc, err := net.ListenPacket("udp", gr.Addr)
+	at, err := net.ResolveUDPAddr("udp", gr.Addr)
+	if err != nil {
+		return fmt.Errorf("read the address for peers %s: %w", gr.Addr, err)
+	}
+	pc, err := net.ListenUDP("udp", at)
 	if err != nil {
 		return fmt.Errorf("listen for peers on %s: %w", gr.Addr, err)
 	}
 	defer pc.Close()
+	gr.counts.socket.Store(pc)
+	defer gr.counts.socket.Store(nil)
 	go gr.receive(pc)
 	ticker := time.NewTicker(tick)
 	defer ticker.Stop()
@@ -214,6 +229,7 @@
 			return nil
 		case now := <-ticker.C:
 			gr.forget(now)
+			gr.seat(now)
 			gr.tellCalls(pc, now, false)
 			gr.introduce(pc, now)
 			gr.catchUp(ctx)
@@ -238,6 +254,10 @@
 			gr.Log.Warn("A message of a peer makes no sense.", zap.String("Addr", from.String()), zap.Error(err))
 			continue
 		}
+		if ms.Count != nil {
+			gr.hearCount(time.Now(), from, ms.Count)
+			continue
+		}
 		gr.hear(time.Now(), from.String(), &ms)
 	}
 }
--- a/io/gossip/gossip_test.go
+++ b/io/gossip/gossip_test.go
@@ -50,7 +50,8 @@
 	fe.Confirm(0)
 	gr := &gossip.Group{
 		Self: core.VMID(fmt.Sprint("r", ix)), Mirror: &mirror.Mirror{}, Feed: fe, Rand: clock.NewRand(uint64(ix)), Log: zap.NewNop(),
-		Placer: &place.Placer{Zone: "a", Rand: clock.NewRand(1), Routers: func() int { return 1 }},
+		Placer:     &place.Placer{Zone: "a", Rand: clock.NewRand(1), Routers: func() int { return 1 }},
+		AskTimeout: time.Second, // beside other programs, an answer may take long
 	}
 	gr.Placer.Register(time.Now(), place.Endpoint{ID: "e", Addr: "127.0.0.1:1", Pool: "pool", Slots: 8})
 	srv := httptest.NewUnstartedServer(gr.Handler())
--- a/io/gossip/tell.go
+++ b/io/gossip/tell.go
@@ -19,7 +19,8 @@
 		gr.Log.Error("Encoding a message failed.", zap.Error(err))
 		return
 	}
-	allowed := max(1, int(callsBytes*tick.Seconds()/float64(len(data))))
+	left := callsBytes*tick.Seconds() - float64(gr.counts.sent.Swap(0))
+	allowed := max(1, int(left/float64(len(data))))
 	gap := leastGap
 	if ms.AsOf > gr.news {
 		gr.news = ms.AsOf
--- a/io/relay/attempt.go
+++ b/io/relay/attempt.go
@@ -72,6 +72,9 @@
 	ex.heard()
 	if calls, told := ex.rq.re.Dialect.Calls(ex.rs.Header); told {
 		ex.tk.Counted(time.Now(), calls)
+		if counts := ex.rq.re.Counts; counts != nil {
+			counts.Said(ex.tk.Hash, calls)
+		}
 	}
 	return ex.judge(ctx)
 }
--- /dev/null
+++ b/io/relay/counts_test.go
@@ -0,0 +1,82 @@
+package relay_test
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"almondrill/core/place"
+	"almondrill/core/route"
+)
+
+// keeper tells the same count of each endpoint, and remembers what it was told.
+type keeper struct {
+	calls int
+	known bool
+
+	mu    sync.Mutex // guards all below
+	asked []uint64
+	said  map[uint64]int
+}
+
+func (ke *keeper) Ask(_ context.Context, endpoint uint64) (int, bool) {
+	ke.mu.Lock()
+	defer ke.mu.Unlock()
+	ke.asked = append(ke.asked, endpoint)
+	return ke.calls, ke.known
+}
+
+func (ke *keeper) Said(endpoint uint64, calls int) {
+	ke.mu.Lock()
+	defer ke.mu.Unlock()
+	if ke.said == nil {
+		ke.said = map[uint64]int{}
+	}
+	ke.said[endpoint] = calls
+}
+
+// crowded is a router before two engines of a pool that another router shares.
+func crowded(t *testing.T, ke *keeper) *fleet {
+	t.Helper()
+	fl := newFleet(t, answer(http.StatusOK, "x"), answer(http.StatusOK, "x"))
+	fl.re.Placer.Routers = func() int { return 2 }
+	fl.re.Dialect.Calls = func(http.Header) (int, bool) { return 5, true }
+	fl.re.Counts = ke
+	for range 6 { // the pool is in use
+		if _, rf := fl.re.Placer.Pick(time.Now(), &place.Ask{Pool: "pool", Engine: true}); rf != nil {
+			t.Fatal(rf)
+		}
+	}
+	return fl.serveFrom(route.Route{Kind: route.Idempotent}, route.Pool{ID: "pool", Engine: true})
+}
+
+// The engine that a router would choose has more calls than places, by other routers' calls,
+// of which it has not heard yet. Told so when it asks, it sends the request to the other.
+func TestFullEngineIsLearnedOfBeforeTheSend(t *testing.T) {
+	ke := &keeper{calls: 12, known: true}
+	fl := crowded(t, ke)
+	rs, _, err := fl.call(http.MethodGet, "/r/a", "")
+	fl.expect(rs, err, http.StatusOK, 1)
+	ke.mu.Lock()
+	defer ke.mu.Unlock()
+	if len(ke.asked) != 1 {
+		t.Fatalf("counts of %v were asked for, want that of one engine", ke.asked)
+	}
+	if _, told := ke.said[ke.asked[0]]; told || len(ke.said) != 1 {
+		t.Errorf("engines said %v, want an answer of the one that was not asked about", ke.said)
+	}
+}
+
+// Nobody knows the engine's count, as its keeper is lost. The request goes on by what is
+// believed.
+func TestRequestGoesOnWithoutACount(t *testing.T) {
+	ke := &keeper{}
+	fl := crowded(t, ke)
+	rs, _, err := fl.call(http.MethodGet, "/r/a", "")
+	fl.expect(rs, err, http.StatusOK, 1)
+	if len(ke.asked) != 1 {
+		t.Errorf("counts were asked for %d times, want once", len(ke.asked))
+	}
+}
--- a/io/relay/harness_test.go
+++ b/io/relay/harness_test.go
@@ -161,6 +161,11 @@
 
 // serve puts a configuration in force with the route at /.
 func (fl *fleet) serve(ro route.Route) *fleet {
+	return fl.serveFrom(ro, route.Pool{ID: "pool"})
+}
+
+// serveFrom is serve with the pool's limits.
+func (fl *fleet) serveFrom(ro route.Route, po route.Pool) *fleet {
 	fl.t.Helper()
 	ro.Name, ro.Host, ro.Prefix = "r", "127.0.0.1", "/r/"
 	if ro.Timeout == 0 {
@@ -169,7 +174,7 @@
 	ro.MaxAttempts = max(1, ro.MaxAttempts)
 	ro.Split = []route.Share{{Pool: "pool", Weight: 1}}
 	ta, err := route.Compile(&route.Document{
-		Version: 1, Routes: []route.Route{ro}, Pools: []route.Pool{{ID: "pool"}},
+		Version: 1, Routes: []route.Route{ro}, Pools: []route.Pool{po},
 		Keyed: true, Keys: map[string]core.CustomerID{"k": "herb"}, Limits: route.Limits{MaxBody: 1 << 20},
 	})
 	if err != nil {
--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -81,6 +81,8 @@
 	Dialect Dialect
 	Self    core.VMID
 	Placer  *place.Placer
+	// Counts knows how many calls endpoints have; nil if nobody does.
+	Counts  core.Counts
 	Budget  *retry.Window
 	Conns   *conns.Pool
 	Stats   *stats.Set
--- a/io/relay/request.go
+++ b/io/relay/request.go
@@ -38,6 +38,8 @@
 	tried []core.EndpointID
 	// sends counts the endpoints that the request was sent to.
 	sends int
+	// asked is set if an endpoint's calls were asked for, and told, before a choice.
+	asked bool
 	// ran is how an attempt ended that may have run, nil if none may have.
 	ran *core.Refusal
 	// reply is what an endpoint answered when it failed the request.
@@ -75,7 +77,7 @@
 	defer rq.dropReserved()
 	header := rq.forwarded()
 	for dials := 0; ; dials++ {
-		rf := rq.place()
+		rf := rq.place(ctx)
 		if rf != nil {
 			rq.finish(rf)
 			return
@@ -108,12 +110,14 @@
 
 // place picks the endpoint of the next attempt. Further ones than the first to run cost a
 // part of the budget.
-func (rq *request) place() *core.Refusal {
+func (rq *request) place(ctx context.Context) *core.Refusal {
 	if rq.next != nil {
 		rq.ticket, rq.next = rq.next, nil
 		return nil
 	}
-	tk, rf := rq.re.Placer.Pick(time.Now(), rq.ask())
+	as := rq.ask()
+	rq.askCount(ctx, as)
+	tk, rf := rq.re.Placer.Pick(time.Now(), as)
 	if rf != nil {
 		return rf
 	}
@@ -126,6 +130,24 @@
 	return nil
 }
 
+// askCount learns how many calls the endpoint has that the choice would fall on. Where it
+// turns out to be full, the next is taken without another question: with two questions as
+// many callers come late (313 and 306 of 24,000 streams on 103 routers under twice their
+// usual traffic).
+func (rq *request) askCount(ctx context.Context, as *place.Ask) {
+	if rq.re.Counts == nil {
+		return
+	}
+	endpoint, uncertain := rq.re.Placer.Uncertain(time.Now(), as)
+	if !uncertain {
+		return
+	}
+	if calls, known := rq.re.Counts.Ask(ctx, endpoint); known {
+		rq.asked = true
+		rq.re.Placer.HearCount(time.Now(), endpoint, calls)
+	}
+}
+
 // ask is what the choice of an endpoint goes by.
 func (rq *request) ask() *place.Ask {
 	as := &place.Ask{Pool: rq.pool, Parts: rq.parts, Tried: rq.tried}
@@ -216,11 +238,11 @@
 		fields = append(fields, zap.String("Customer", string(rq.customer.ID)))
 	}
 	if rq.sends > 0 {
-		fields = append(fields, zap.Int("Sends", rq.sends))
+		fields = append(fields, zap.Int("Sends", rq.sends), zap.Bool("Asked", rq.asked))
 	}
 	if tk := rq.ticket; tk != nil {
 		fields = append(fields, zap.String("Endpoint", string(tk.Endpoint.ID)), zap.Float64("CostMs", math.Round(tk.CostMs)),
-			zap.Int("Calls", tk.Calls), zap.Int("Others", tk.Others), zap.Float64("Mean", math.Round(10*tk.Mean)/10),
+			zap.Int("Calls", tk.Calls), zap.Int("Others", tk.Others), zap.Int("Said", tk.Said), zap.Float64("Mean", math.Round(10*tk.Mean)/10),
 			zap.Int("Usable", tk.Usable), zap.Int("Full", tk.Full), zap.Int("Of", tk.Of))
 		if tk.Prompt > 0 {
 			fields = append(fields, zap.String("Chat", strconv.FormatUint(tk.Chat, 16)), zap.Bool("Home", tk.Home), zap.Int64("Prompt", int64(tk.Prompt)),
