Changes of the store are asked for at most ten times a second

Each change wakes the routers that follow the store, and at a start each of 103 routers writes its address while all still believe to lead, so that each asks once a change. Change: the next question follows the last one by 100 ms at least. The first change is still told at once; peers are told no more often than that either.

--- a/io/feeds/feeds.go
+++ b/io/feeds/feeds.go
@@ -61,6 +61,11 @@
 	// back at once; the store takes 2,000 calls a second.
 	firstPause = 60 * time.Millisecond
 	mostPause  = 400 * time.Millisecond
+	// changesGap is the least time from one question for changes to the next. The first of
+	// several changes is told at once, those that follow with it: peers are told of news no
+	// more often than this. When 100 routers start, each writes its address, and a question
+	// for each would make some 100 calls of each router that follows the store.
+	changesGap = 100 * time.Millisecond
 	// takeoverAfter is the age beyond which a router that does not lead asks the
 	// store itself: a wait, and the time in which peers tell of it.
 	takeoverAfter = 1300 * time.Millisecond
@@ -174,6 +179,7 @@
 			rest(ctx, restTick)
 			continue
 		}
+		began, waited := rd.now(), listed
 		err := rd.once(ctx, listed)
 		switch {
 		case err == nil:
@@ -183,6 +189,9 @@
 				rd.Log.Info("Follows the store.", zap.Uint64("AsOf", uint64(rd.Mirror.AsOf())))
 			}
 			listed, lost, pause = true, false, firstPause
+			if left := changesGap - time.Duration(rd.now()-began); waited && left > 0 {
+				rest(ctx, left)
+			}
 			continue
 		case errors.Is(err, core.ErrCompacted):
 			rd.Log.Info("The store lost its history. Lists anew.", zap.Uint64("AsOf", uint64(rd.Mirror.AsOf())))
--- a/io/feeds/feeds_test.go
+++ b/io/feeds/feeds_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"strconv"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -193,6 +194,32 @@
 	})
 }
 
+// A hundred routers start, and each writes its address. The routers that follow the store
+// are woken by each of these changes: a question for each would make thousands of calls,
+// which are paid for, and news would come no sooner, as peers are told ten times a second.
+func TestBurstOfChangesNeedsFewCalls(t *testing.T) {
+	st := newStore()
+	follow(t, st, always, func(_ *feeds.Reader, mi *mirror.Mirror) {
+		time.Sleep(time.Second)
+		before := 0
+		st.change(func() { before = st.waits })
+		const burst = 200
+		for ix := range burst {
+			st.set(strconv.Itoa(ix), false)
+			time.Sleep(5 * time.Millisecond)
+		}
+		time.Sleep(100 * time.Millisecond)
+		after := 0
+		st.change(func() { after = st.waits })
+		if calls := after - before; calls > 14 {
+			t.Errorf("%d calls were made for changes within a second, want one each 100 ms", calls)
+		}
+		if mi.AsOf() != burst {
+			t.Errorf("as of %d, want %d", mi.AsOf(), burst)
+		}
+	})
+}
+
 // The store drops its history while a change was made that the watch did not hear.
 func TestHistoryIsLost(t *testing.T) {
 	st := newStore()
