Each peer is told of all moves since its last turn

Cause: moves of chats were told for 0.6 s, and a router tells each of 102 peers every 0.8 s (median) to 2.1 s, so that less than half of them heard of one. Change: each peer is told what was moved since it was told last, for 10 s at most.

--- a/core/place/load_test.go
+++ b/core/place/load_test.go
@@ -96,7 +96,7 @@
 		for to, other := range re.routers {
 			if to != from {
 				other.Hear(re.now(), fmt.Sprint("router", from), pl.Tell())
-				other.HearMoves(pl.Moves(re.now()))
+				other.HearMoves(pl.Moves(re.now(), re.now().Add(-tellSteps*stepTime)))
 			}
 		}
 	}
--- a/core/place/moves.go
+++ b/core/place/moves.go
@@ -11,9 +11,9 @@
 	// moveSize is the size of a move in a message: four bytes of the chat's hash, two
 	// of the endpoint's.
 	moveSize = 6
-	// tellMoveFor is how long a move is told: peers are told in turn, each at least
-	// once within it unless there are dozens.
-	tellMoveFor = 600 * time.Millisecond
+	// tellMoveFor is how long a move is told, to peers that were not told of it before: most
+	// chats return within it, and a peer of hundreds is told every few seconds.
+	tellMoveFor = 10 * time.Second
 	// mostMoves bounds the moves in a message; a busy router makes some 5 a second.
 	mostMoves = 40
 	// mostHolders bounds the moves of peers that are remembered, 16 bytes each.
@@ -37,14 +37,14 @@
 	pl.moves = append(pl.moves, move{now, shortChat(chat), short(endpoint)})
 }
 
-// Moves packs the latest own placements of chats away from their homes. Others that
+// Moves packs the own placements of chats away from their homes since then. Others that
 // know of them fetch a chat's context from there, where they would have it read anew.
-func (pl *Placer) Moves(now time.Time) []byte {
+func (pl *Placer) Moves(now, since time.Time) []byte {
 	pl.mu.Lock()
 	defer pl.mu.Unlock()
 	var packed []byte
 	for _, mo := range pl.moves {
-		if now.Sub(mo.at) > tellMoveFor {
+		if !mo.at.After(since) || now.Sub(mo.at) > tellMoveFor {
 			continue
 		}
 		packed = binary.BigEndian.AppendUint32(packed, mo.chat)
--- a/core/place/place_test.go
+++ b/core/place/place_test.go
@@ -241,7 +241,7 @@
 	as := ask(chat(1, 7))
 	as.Tried = []core.EndpointID{home.ID}
 	moved := serve(t, one, begin, as)
-	two.HearMoves(one.Moves(begin))
+	two.HearMoves(one.Moves(begin, time.Time{}))
 	gone := home
 	gone.Draining = true
 	two.Register(begin, gone)
--- a/core/place/starts_test.go
+++ b/core/place/starts_test.go
@@ -157,7 +157,7 @@
 	hear := func() int {
 		one.Hear(begin, "two", two.Tell())
 		one.HearReadings(begin, 0, two.Readings(begin))
-		one.HearMoves(two.Moves(begin))
+		one.HearMoves(two.Moves(begin, time.Time{}))
 		tk := pick(t, one, begin, ask(chat(1, 1)))
 		defer tk.Done(begin, place.Neutral)
 		return tk.Others
--- a/core/place/walk_test.go
+++ b/core/place/walk_test.go
@@ -58,7 +58,7 @@
 			tk.Done(wo.now, place.Served)
 		}
 		wo.pl.Hear(wo.now, fmt.Sprint("peer", at), peer.Tell())
-		wo.pl.HearMoves(peer.Moves(wo.now))
+		wo.pl.HearMoves(peer.Moves(wo.now, time.Time{}))
 		wo.pl.HearReadings(wo.now, time.Millisecond, peer.Readings(wo.now))
 	case 6:
 		if tk, rf := wo.pl.Pick(wo.now, wo.ask(rt)); rf == nil {
--- a/io/gossip/counts_test.go
+++ b/io/gossip/counts_test.go
@@ -5,6 +5,11 @@
 	"net"
 	"testing"
 	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"almondrill/core"
+	"almondrill/core/place"
 )
 
 // tick is how often a router looks which others are alive.
@@ -103,3 +108,72 @@
 		}
 	}
 }
+
+// A chat moves to another engine, and one of a hundred peers gets its next turn. What a router
+// sends is bounded, so that a peer has its turn every few seconds: told only of the latest
+// moves, most peers never hear of this one, and have the chat read anew elsewhere.
+func TestEachPeerHearsOfAMove(t *testing.T) {
+	const peers = 150
+	ro := start(t, 0)
+	var all []net.PacketConn
+	for range peers {
+		pc, err := net.ListenPacket("udp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer pc.Close()
+		all = append(all, pc)
+		ro.Add(pc.LocalAddr().String())
+	}
+	moveAChat(t, ro)
+	heard := make(chan bool, peers)
+	for _, pc := range all {
+		go func() { heard <- hearsMove(pc, time.Now().Add(8*time.Second)) }()
+	}
+	count := 0
+	for range all {
+		if <-heard {
+			count++
+		}
+	}
+	if count < peers {
+		t.Errorf("%d of %d peers heard of the move", count, peers)
+	}
+}
+
+// moveAChat places a chat away from its home.
+func moveAChat(t *testing.T, ro *router) {
+	t.Helper()
+	parts := []place.Part{{Hash: 1, Tokens: 500}, {Hash: 2, Tokens: 500}, {Hash: 3, Tokens: 100}}
+	now := time.Now()
+	ro.Placer.Register(now, place.Endpoint{ID: "e2", Addr: "127.0.0.1:2", Pool: "pool", Slots: 8})
+	first, re := ro.Placer.Pick(now, &place.Ask{Pool: "pool", Parts: parts, Engine: true})
+	if re != nil {
+		t.Fatal(re)
+	}
+	tried := []core.EndpointID{first.Endpoint.ID}
+	if _, re = ro.Placer.Pick(now, &place.Ask{Pool: "pool", Parts: parts, Engine: true, Tried: tried}); re != nil {
+		t.Fatal(re)
+	}
+	if len(ro.Placer.Moves(now, time.Time{})) == 0 {
+		t.Fatal("the chat did not leave its home: the test shows nothing")
+	}
+}
+
+// hearsMove tells whether a message with a move comes in time.
+func hearsMove(pc net.PacketConn, until time.Time) bool {
+	_ = pc.SetReadDeadline(until)
+	buffer := make([]byte, 1500)
+	for {
+		count, _, err := pc.ReadFrom(buffer)
+		if err != nil {
+			return false
+		}
+		var ms struct {
+			Moves []byte `cbor:"7,keyasint"`
+		}
+		if cbor.Unmarshal(buffer[:count], &ms) == nil && len(ms.Moves) > 0 {
+			return true
+		}
+	}
+}
--- a/io/gossip/tell.go
+++ b/io/gossip/tell.go
@@ -1,6 +1,7 @@
 package gossip
 
 import (
+	"math"
 	"net"
 	"slices"
 	"time"
@@ -10,51 +11,70 @@
 )
 
 // tellCalls tells peers of the own calls, those first that were told longest ago,
-// as many as the bytes allow.
+// as many as the bytes allow, and each of the moves since it was told last.
+//
+// Failure: what a router sends is bounded, so that among a hundred it tells each peer every
+// second or so. Told of the moves of the last 0.6 s alone, less than half of the peers hear of
+// one; the others have its chat read anew, or fetch it from an engine that lacks the last turn.
 func (gr *Group) tellCalls(pc net.PacketConn, now time.Time, leaving bool) {
-	ms := gr.message(now)
+	ms := gr.message()
 	ms.Leaving = leaving
-	data, err := cbor.Marshal(ms)
-	if err != nil {
-		gr.Log.Error("Encoding a message failed.", zap.Error(err))
-		return
-	}
 	left := callsBytes*tick.Seconds() - float64(gr.counts.sent.Swap(0))
-	allowed := max(1, int(left/float64(len(data))))
-	gap := leastGap
+	gap, most := leastGap, math.MaxInt
 	if ms.AsOf > gr.news {
 		gr.news = ms.AsOf
-		allowed, gap = newsTo, 0
+		gap, most, left = 0, newsTo, math.Inf(1)
 	}
-	for _, addr := range gr.due(now, allowed, gap) {
-		gr.send(pc, addr, data)
+	for _, tu := range gr.due(now, most, gap) {
+		ms.Moves = gr.Placer.Moves(now, tu.last)
+		data, err := cbor.Marshal(ms)
+		if err != nil {
+			gr.Log.Error("Encoding a message failed.", zap.Error(err))
+			return
+		}
+		gr.send(pc, tu.addr, data)
+		gr.toldNow(tu.addr, now)
+		if left -= float64(len(data)); left < float64(len(data)) {
+			return
+		}
 	}
 }
 
 // message holds what all messages do.
-func (gr *Group) message(now time.Time) *message {
+func (gr *Group) message() *message {
 	return &message{
 		AsOf: gr.Mirror.AsOf(), AgeMs: uint32(min(mostAgeMs, max(0, gr.Feed.Age().Milliseconds()))),
-		Failing: gr.Feed.Failing(), Calls: gr.Placer.Tell(), Moves: gr.Placer.Moves(now),
+		Failing: gr.Feed.Failing(), Calls: gr.Placer.Tell(),
 	}
 }
 
-// due are the peers that are to be told now.
-func (gr *Group) due(now time.Time, most int, gap time.Duration) []string {
+// turn is a peer to be told, and when it was last.
+type turn struct {
+	addr string
+	last time.Time
+}
+
+// due are the peers that are to be told now, those first that were told longest ago.
+func (gr *Group) due(now time.Time, most int, gap time.Duration) []turn {
 	gr.mu.Lock()
 	defer gr.mu.Unlock()
-	var all []string
+	var all []turn
 	for addr, me := range gr.members {
 		if now.Sub(me.told) >= gap {
-			all = append(all, addr)
+			all = append(all, turn{addr, me.told})
 		}
 	}
-	slices.SortFunc(all, func(a, b string) int { return gr.members[a].told.Compare(gr.members[b].told) })
-	all = all[:min(most, len(all))]
-	for _, addr := range all {
-		gr.members[addr].told = now
+	slices.SortFunc(all, func(a, b turn) int { return a.last.Compare(b.last) })
+	return all[:min(most, len(all))]
+}
+
+// toldNow notes that a peer was told, unless it was forgotten meanwhile.
+func (gr *Group) toldNow(addr string, now time.Time) {
+	gr.mu.Lock()
+	defer gr.mu.Unlock()
+	if me := gr.members[addr]; me != nil {
+		me.told = now
 	}
-	return all
 }
 
 // introduce tells more to peers that are new, and now and then to a few others,
@@ -71,7 +91,7 @@
 	if len(to) == 0 {
 		return
 	}
-	ms := gr.message(now)
+	ms := gr.message()
 	ms.From, ms.Known, ms.Readings = gr.Self, gr.some(mostNamed), gr.Placer.Readings(now)
 	data, err := cbor.Marshal(ms)
 	for err == nil && len(data) > mostDatagram && len(ms.Readings) > 0 {
