A share of connections below two calls is judged by the endpoint's total

Cause: a router's share of an endpoint's connections is MaxConns by the number of routers, with a floor of one. 420 routers that share 300 had one call at a time each at an endpoint, and refused callers whose pool had a few calls of dozens. Change: with a share below two, a router goes up to where half of the connections are believed to be in use by all. Shares of two and more are as before.

--- a/core/place/view.go
+++ b/core/place/view.go
@@ -177,10 +177,24 @@
 	return false
 }
 
+const (
+	// leastShare is an even share of an endpoint's connections, in calls, below which it says
+	// nothing: a router then goes by all calls that the endpoint is believed to have.
+	//
+	// Failure: 420 routers share 300 connections. Held to one call at a time at an endpoint,
+	// a router refuses a caller once it has one at each of the pool's, though these run a few
+	// calls of dozens.
+	leastShare = 2
+	// connsPart is the part of the connections that is in use then before a router is held to
+	// its share: the rest is for idle ones, and for calls that are not known of yet.
+	connsPart = 0.5
+)
+
 // limits are the calls from which on an endpoint gets no more.
 type limits struct {
-	// own are the router's, placed a multiple of an endpoint's places, capped all.
-	own, placed, capped int
+	// own are the router's, where all have conns or more, placed a multiple of an endpoint's places,
+	// capped all.
+	own, conns, placed, capped int
 	// exact is capped for endpoints whose calls are known as of now.
 	exact int
 }
@@ -189,6 +203,9 @@
 	li := &limits{own: math.MaxInt, placed: plainRoom, capped: math.MaxInt, exact: math.MaxInt}
 	if ch.as.MaxConns > 0 {
 		li.own = max(1, ch.as.MaxConns/ch.routers)
+		if li.own < leastShare {
+			li.conns = int(connsPart * float64(ch.as.MaxConns))
+		}
 	}
 	if !ch.as.Engine {
 		return li
@@ -209,7 +226,7 @@
 	if !st.quiet && st.reading.Fresh(now, freshFor) {
 		capped = li.exact
 	}
-	if st.calls >= li.own || calls >= capped || st.Slots > 0 && calls >= li.placed*st.Slots {
+	if st.calls >= li.own && calls >= li.conns || calls >= capped || st.Slots > 0 && calls >= li.placed*st.Slots {
 		return false
 	}
 	return st.quiet || !now.Before(st.fullUntil)
