Eight routers announce themselves in the store

Peers name each other, so that a newcomer that finds one finds all. Change: a router announces itself if, a second after its start, fewer than eight of the peers that it hears come before it in the order of their addresses' hashes.

--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -204,7 +204,21 @@
 	return pr.placer.Known(func(id core.PoolID) bool { return ta.Pool(id) != nil })
 }
 
+// announceTick is how often a router looks whether it is to be found through the store. It
+// is long enough to have heard of the peers that are.
+const announceTick = time.Second
+
+// announce makes this router known in the store once it is among those that should be.
 func (pr *Process) announce(ctx context.Context) error {
+	tick := time.NewTicker(announceTick)
+	defer tick.Stop()
+	for waiting := true; waiting; waiting = !pr.peers.Announces() {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-tick.C:
+		}
+	}
 	pr.Platform.Announce(ctx, pr.Settings.Name, pr.Settings.PeersAddr, pr.log)
 	return nil
 }
--- a/io/gossip/gossip.go
+++ b/io/gossip/gossip.go
@@ -54,6 +54,9 @@
 	// leadFor is how long one counts that is not heard.
 	leaders = 2
 	leadFor = time.Second
+	// announcers is how many routers are to be found through the store: enough for a newcomer
+	// to reach one, also after the loss of a zone or two, whatever the number of routers.
+	announcers = 8
 	// introTicks is how often, in ticks, a router introduces itself to introTo
 	// peers, with what it has heard from engines and whom it knows: some 600 bytes.
 	introTicks = 12
@@ -195,15 +198,30 @@
 // Leads tells whether this router is one of those that ask the store: few of the
 // peers that are well come before it in the order of their addresses' hashes.
 func (gr *Group) Leads() bool {
+	return gr.before(func(now time.Time, me *member) bool { return now.Sub(me.heard) < leadFor && !me.failing }) < leaders
+}
+
+// Announces tells whether this router is one of those that are to be found through the store.
+//
+// Each announcement is two calls to the store, a renewal now and then, and a change that all
+// are told of. Peers name each other, so that whoever finds one finds all: on a calm day of
+// 103 routers, announcements were 370 of 800 calls.
+func (gr *Group) Announces() bool {
+	return gr.before(func(now time.Time, me *member) bool { return now.Sub(me.heard) < liveFor }) < announcers
+}
+
+// before counts the peers that come before this router in the order of their addresses'
+// hashes, of those that count and are not leaving.
+func (gr *Group) before(counts func(now time.Time, me *member) bool) int {
 	gr.mu.Lock()
 	defer gr.mu.Unlock()
 	now, own, before := time.Now(), xxhash.Sum64String(gr.Addr), 0
 	for addr, me := range gr.members {
-		if now.Sub(me.heard) < leadFor && !me.failing && !me.leaving && xxhash.Sum64String(addr) < own {
+		if !me.leaving && counts(now, me) && xxhash.Sum64String(addr) < own {
 			before++
 		}
 	}
-	return before < leaders
+	return before
 }
 
 // Run exchanges messages until ctx ends.
