--- a/core/place/export_test.go
+++ b/core/place/export_test.go
@@ -68,3 +68,14 @@
 
 // HashOf is by what readings name an endpoint without a start.
 func HashOf(id core.EndpointID) uint64 { return decl.HashName(string(id)) }
+
+// Entries is how many parts are remembered to have been sent, of all endpoints.
+func (pl *Placer) Entries() int {
+	pl.mu.Lock()
+	defer pl.mu.Unlock()
+	count := 0
+	for _, st := range pl.byID {
+		count += st.seen.order.Len()
+	}
+	return count
+}
--- a/core/place/place.go
+++ b/core/place/place.go
@@ -120,7 +120,7 @@
 	// byShort finds endpoints by the short hash by which peers tell of them.
 	byShort map[uint16][]*state
 	// sent are the endpoints that were sent the parts of prompts.
-	sent sentTo
+	sent *sentTo
 	// starts are the latest known of all endpoints, also of those that are gone.
 	starts starts
 	words  words
@@ -219,7 +219,7 @@
 		pl.byHash = map[uint64]*state{}
 		pl.pools = map[core.PoolID][]*state{}
 		pl.byShort = map[uint16][]*state{}
-		pl.sent = sentTo{}
+		pl.sent = newSentTo()
 		pl.words = words{byPeer: map[string]*list.Element{}, order: list.New(), sums: map[uint16]int{}, added: pl.addTold}
 		pl.surges = map[core.PoolID]*surge{}
 		pl.uses = map[core.PoolID]*use{}
--- a/core/place/record.go
+++ b/core/place/record.go
@@ -15,7 +15,7 @@
 	byHash map[uint64]*list.Element
 	tokens core.Tokens
 	// sent is the router's index, in which this record's parts are.
-	sent sentTo
+	sent *sentTo
 }
 
 type held struct {
@@ -25,7 +25,18 @@
 
 // sentTo are the endpoints whose records have a part. Who holds a chat is found without a
 // walk over all endpoints.
-type sentTo map[uint64][]*state
+//
+// Failure: a router sends a part of a chat to one of thousands of endpoints some hundred times
+// a second. Bounded by each endpoint's memory alone, its records grow for hours, to
+// hundreds of MB, until the process is killed. They are bounded in all; what was not sent
+// for minutes is not in an engine's memory any more, which all routers fill.
+type sentTo struct {
+	byPart map[uint64][]*state
+	// entries counts those of all records, which take turns to forget once there are too many.
+	entries int
+	records []*record
+	turn    int
+}
 
 const (
 	// heldPart is the part of an engine's memory that the record assumes for kept
@@ -33,10 +44,48 @@
 	heldPart = 0.7
 	// mostHeld bounds the record where an engine's memory is unknown.
 	mostHeld = 4096
+	// mostSent bounds the entries of all records, some 200 bytes each: with 60 requests a
+	// second of three parts, those of six minutes.
+	mostSent = 65536
 )
 
-func newRecord(of *state, sent sentTo) *record {
-	return &record{of: of, order: list.New(), byHash: map[uint64]*list.Element{}, sent: sent}
+func newSentTo() *sentTo { return &sentTo{byPart: map[uint64][]*state{}} }
+
+// to are the endpoints that were sent a part.
+func (se *sentTo) to(part uint64) []*state { return se.byPart[part] }
+
+func (se *sentTo) add(part uint64, st *state) {
+	se.byPart[part] = append(se.byPart[part], st)
+	se.entries++
+}
+
+func (se *sentTo) remove(part uint64, st *state) {
+	se.entries--
+	rest := se.byPart[part]
+	at := slices.Index(rest, st)
+	rest[at] = rest[len(rest)-1]
+	rest[len(rest)-1] = nil
+	if rest = rest[:len(rest)-1]; len(rest) == 0 {
+		delete(se.byPart, part)
+		return
+	}
+	se.byPart[part] = rest
+}
+
+// shrink lets the records forget, each in its turn what it was sent longest ago.
+func (se *sentTo) shrink() {
+	for se.entries > mostSent {
+		se.turn = (se.turn + 1) % len(se.records)
+		if oldest := se.records[se.turn].order.Back(); oldest != nil {
+			se.records[se.turn].forget(oldest)
+		}
+	}
+}
+
+func newRecord(of *state, sent *sentTo) *record {
+	re := &record{of: of, order: list.New(), byHash: map[uint64]*list.Element{}, sent: sent}
+	sent.records = append(sent.records, re)
+	return re
 }
 
 func (re *record) has(hash uint64) bool { return re.byHash[hash] != nil }
@@ -48,28 +97,21 @@
 			continue
 		}
 		re.byHash[chain[ix]] = re.order.PushFront(&held{chain[ix], parts[ix].Tokens})
-		re.sent[chain[ix]] = append(re.sent[chain[ix]], re.of)
+		re.sent.add(chain[ix], re.of)
 		re.tokens += parts[ix].Tokens
 	}
 	limit := core.Tokens(heldPart * float64(room))
 	for re.order.Len() > mostHeld || room > 0 && re.tokens > limit && re.order.Len() > len(parts) {
 		re.forget(re.order.Back())
 	}
+	re.sent.shrink()
 }
 
 func (re *record) forget(el *list.Element) {
 	gone := re.order.Remove(el).(*held)
 	delete(re.byHash, gone.hash)
 	re.tokens -= gone.tokens
-	rest := re.sent[gone.hash]
-	at := slices.Index(rest, re.of)
-	rest[at] = rest[len(rest)-1]
-	rest[len(rest)-1] = nil
-	if rest = rest[:len(rest)-1]; len(rest) == 0 {
-		delete(re.sent, gone.hash)
-		return
-	}
-	re.sent[gone.hash] = rest
+	re.sent.remove(gone.hash, re.of)
 }
 
 // clear forgets all, as the endpoint is gone.
@@ -77,6 +119,7 @@
 	for el := re.order.Back(); el != nil; el = re.order.Back() {
 		re.forget(el)
 	}
+	re.sent.records = slices.DeleteFunc(re.sent.records, func(other *record) bool { return other == re })
 }
 
 // uncached is how many of the prompt's tokens the endpoint probably has to read, if
@@ -112,7 +155,7 @@
 // first that does behind a place drawn is taken: a beginning may be held by thousands, and
 // routers that all took the first would bury it.
 func (ch *choice) holderTo(pl *Placer, depth int) *state {
-	among := pl.sent[ch.chain[depth]]
+	among := pl.sent.to(ch.chain[depth])
 	if len(among) == 0 {
 		return nil
 	}
