Names of the choice read as what they hold

Cause: read as a newcomer, seat and most said nothing of what one choice works out of an endpoint, of its limits, or of who may keep counts. Change: scratch, li, listKeepers; the refusal takes the choice alone. No behaviour. Measured: go test ./core/place ./io/gossip, as before.

--- a/core/place/choice.go
+++ b/core/place/choice.go
@@ -149,8 +149,8 @@
 	}
 	var best lowest
 	weigh := func(st *state) {
-		if st != nil && st.seat.usable && !st.seat.weighed && st.Pool == ch.as.Pool {
-			st.seat.weighed = true
+		if st != nil && st.scratch.usable && !st.scratch.weighed && st.Pool == ch.as.Pool {
+			st.scratch.weighed = true
 			best.offer(pl, st, pl.base(st, ch)+ch.readMs(ch.reads(st)))
 		}
 	}
@@ -168,7 +168,7 @@
 		return best.st, best.cost
 	}
 	for _, st := range ch.members {
-		if st.seat.usable && (best.st == nil || st.seat.atLeast+other <= best.cost) {
+		if st.scratch.usable && (best.st == nil || st.scratch.atLeast+other <= best.cost) {
 			weigh(st)
 		}
 	}
@@ -181,7 +181,7 @@
 	read, fetched := ch.reads(st)
 	tk := &Ticket{
 		pl: pl, st: st, Endpoint: st.Endpoint, Started: ch.now, CostMs: cost,
-		Calls: st.calls, Others: st.seat.others, Mean: ch.mean, Usable: ch.usable, Full: ch.full, Of: ch.all,
+		Calls: st.calls, Others: st.scratch.others, Mean: ch.mean, Usable: ch.usable, Full: ch.full, Of: ch.all,
 		Prompt: promptTokens(as.Parts), Uncached: read, Home: ch.homes.count > 0 && st == ch.homes.list[0], toRead: read,
 		Hash: st.hash, Said: -1,
 	}
--- a/core/place/cost.go
+++ b/core/place/cost.go
@@ -96,7 +96,7 @@
 // base predicts, in ms, the wait for the first token there and what the call
 // costs others, but for reading its prompt.
 func (pl *Placer) base(st *state, ch *choice) float64 {
-	calls := float64(st.calls + st.seat.others)
+	calls := float64(st.calls + st.scratch.others)
 	cost := failMs * max(0, st.health.rate(ch.now)-ch.failing)
 	if !st.near {
 		cost += zoneMs
@@ -130,7 +130,7 @@
 	if !st.near {
 		cost = zoneMs
 	}
-	calls := st.calls + st.seat.others
+	calls := st.calls + st.scratch.others
 	if calls < len(ch.byCalls) {
 		return cost + ch.byCalls[calls]
 	}
--- a/core/place/export_test.go
+++ b/core/place/export_test.go
@@ -31,7 +31,7 @@
 		CostMs: math.Inf(1),
 	}
 	for _, st := range ch.members {
-		if ch.usable > 0 && st.seat.usable {
+		if ch.usable > 0 && st.scratch.usable {
 			we.CostMs = min(we.CostMs, pl.base(st, ch)+ch.readMs(ch.reads(st)))
 		}
 	}
--- a/core/place/homes.go
+++ b/core/place/homes.go
@@ -18,7 +18,7 @@
 // add puts the endpoint in, if it scores higher than one of them or there is room.
 func (ho *homes) add(st *state) {
 	at := ho.count
-	for at > 0 && ho.list[at-1].seat.score < st.seat.score {
+	for at > 0 && ho.list[at-1].scratch.score < st.scratch.score {
 		at--
 	}
 	if at == mostHomes {
--- a/core/place/place.go
+++ b/core/place/place.go
@@ -254,7 +254,7 @@
 	defer pl.mu.Unlock()
 	ch := pl.look(now, as, routers)
 	if ch.usable == 0 {
-		return nil, pl.refusal(now, ch)
+		return nil, pl.refusal(ch)
 	}
 	best, cost := pl.cheapest(ch)
 	return pl.take(best, cost, ch), nil
--- a/core/place/state.go
+++ b/core/place/state.go
@@ -34,14 +34,14 @@
 
 	// hash is that of its id and start, by which peers tell of it, so that their words of an
 	// earlier start are not taken for this one.
-	hash  uint64
-	since time.Time
-	seen  *record
-	seat  seat
+	hash    uint64
+	since   time.Time
+	seen    *record
+	scratch scratch
 }
 
-// seat is what one choice works out of an endpoint.
-type seat struct {
+// scratch is what one choice works out of an endpoint.
+type scratch struct {
 	// others are calls of other routers, score its claim as a home of the chat.
 	others int
 	score  uint64
--- a/core/place/view.go
+++ b/core/place/view.go
@@ -32,7 +32,7 @@
 	failing float64
 }
 
-func (pl *Placer) refusal(now time.Time, ch *choice) *core.Refusal {
+func (pl *Placer) refusal(ch *choice) *core.Refusal {
 	re := &core.Refusal{
 		Outcome: core.NotRun, Reason: core.ReasonNoEndpoint, Step: "pick", Peer: string(ch.pool),
 		Detail: "no endpoint of the pool can take the request", RetryAfter: noEndpointAfter,
@@ -40,7 +40,7 @@
 	if ch.full > 0 {
 		re.Reason = core.ReasonLoadCap
 		re.Detail = "all endpoints of the pool are at their limit"
-		re.RetryAfter = pl.surgeAfter(now, ch.pool)
+		re.RetryAfter = pl.surgeAfter(ch.now, ch.pool)
 		re.Basis = fmt.Sprintf("%d calls, most %.0f for this customer, %d places; %d of %d endpoints full",
 			ch.calls, ch.most, ch.places, ch.full, ch.all)
 	}
@@ -65,12 +65,12 @@
 	bounded := true
 	settledBefore, startedBefore := ch.now.Add(-settledAfter), pl.began.Add(startTime)
 	for _, st := range ch.members {
-		se := &st.seat
+		sc := &st.scratch
 		if !st.quiet {
 			settled := st.since.Before(settledBefore) || st.since.Before(startedBefore)
 			st.settle(ch.now, settled)
-			se.avoid = st.missing || st.health.avoid(ch.now, st.calls)
-			se.settled = settled && !se.avoid
+			sc.avoid = st.missing || st.health.avoid(ch.now, st.calls)
+			sc.settled = settled && !sc.avoid
 			failing += st.failing(ch.now)
 		}
 		ch.rankHome(st)
@@ -78,11 +78,11 @@
 			continue
 		}
 		ch.all++
-		se.others = st.callsOfOthers(ch.now)
-		calls += st.calls + se.others
-		if !se.avoid {
+		sc.others = st.callsOfOthers(ch.now)
+		calls += st.calls + sc.others
+		if !sc.avoid {
 			live++
-			liveCalls += st.calls + se.others
+			liveCalls += st.calls + sc.others
 			places += st.Slots
 		}
 		bounded = bounded && st.Slots > 0 // others do not tell how many they run
@@ -107,12 +107,12 @@
 	if len(ch.chain) == 0 {
 		return
 	}
-	se := &st.seat
-	se.score = st.claim(ch.key)
-	if !st.Draining && (ch.first == nil || se.score > ch.first.seat.score) {
+	sc := &st.scratch
+	sc.score = st.claim(ch.key)
+	if !st.Draining && (ch.first == nil || sc.score > ch.first.scratch.score) {
 		ch.first = st
 	}
-	if se.settled && (ch.former == nil || se.score > ch.former.seat.score) {
+	if sc.settled && (ch.former == nil || sc.score > ch.former.scratch.score) {
 		ch.former = st
 	}
 }
@@ -128,18 +128,18 @@
 		ch.byCalls[calls] = ch.loadMs(float64(calls))
 	}
 	doubtful := 0
-	most := ch.limits(pl)
+	li := ch.limits(pl)
 	retried := len(ch.as.Tried) > 0
 	for _, st := range ch.members {
-		st.seat.usable, st.seat.weighed = false, false
+		st.scratch.usable, st.scratch.weighed = false, false
 		if st.Draining || retried && tried(ch.as, st.ID) {
 			continue
 		}
-		if !most.room(ch.now, st) {
+		if !li.room(ch.now, st) {
 			ch.full++
 			continue
 		}
-		if st.seat.avoid {
+		if st.scratch.avoid {
 			doubtful++
 			continue
 		}
@@ -149,7 +149,7 @@
 		return
 	}
 	for _, st := range ch.members {
-		if !st.Draining && st.seat.avoid && !tried(ch.as, st.ID) && most.room(ch.now, st) {
+		if !st.Draining && st.scratch.avoid && !tried(ch.as, st.ID) && li.room(ch.now, st) {
 			ch.use(pl, st)
 		}
 	}
@@ -158,12 +158,12 @@
 // use makes an endpoint one that may be picked.
 func (ch *choice) use(pl *Placer, st *state) {
 	ch.usable++
-	st.seat.usable = true
+	st.scratch.usable = true
 	if len(ch.chain) > 0 {
 		ch.homes.add(st)
 	}
-	st.seat.atLeast = ch.atLeast(st)
-	if ch.least.st == nil || st.seat.atLeast <= ch.least.cost {
+	st.scratch.atLeast = ch.atLeast(st)
+	if ch.least.st == nil || st.scratch.atLeast <= ch.least.cost {
 		ch.least.offer(pl, st, pl.base(st, ch))
 	}
 }
@@ -221,7 +221,7 @@
 // room tells whether the endpoint may be given one more call: within its connections, its
 // places and the cap over the pool's mean.
 func (li *limits) room(now time.Time, st *state) bool {
-	calls := st.calls + st.seat.others
+	calls := st.calls + st.scratch.others
 	capped := li.capped
 	if !st.quiet && st.reading.Fresh(now, freshFor) {
 		capped = li.exact
--- a/io/capac/capac.go
+++ b/io/capac/capac.go
@@ -1,4 +1,4 @@
-// Package capac works out docs/CAPACITY.md from measured slopes.
+// Package capac works out docs/CAPACITY-AGENTS.md from measured slopes.
 //
 // # Concepts
 //
--- a/io/capac/capac_test.go
+++ b/io/capac/capac_test.go
@@ -26,12 +26,12 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	page, err := os.ReadFile(filepath.Join(docs, "CAPACITY.md"))
+	page, err := os.ReadFile(filepath.Join(docs, "CAPACITY-AGENTS.md"))
 	if err != nil {
 		t.Fatal(err)
 	}
 	if string(page) != want {
-		t.Error("docs/CAPACITY.md is stale; run: go run ./cmd/capac")
+		t.Error("docs/CAPACITY-AGENTS.md is stale; run: go run ./cmd/capac")
 	}
 	if _, err = capac.Picture(fi); err != nil {
 		t.Error(err)
--- a/io/gossip/counts.go
+++ b/io/gossip/counts.go
@@ -80,8 +80,8 @@
 	waiting map[uint32]chan uint32
 }
 
-// seat works out who may keep counts: the routers that were heard of late, and this one.
-func (gr *Group) seat(now time.Time) {
+// listKeepers works out who may keep counts: the routers that were heard of late, and this one.
+func (gr *Group) listKeepers(now time.Time) {
 	gr.mu.Lock()
 	defer gr.mu.Unlock()
 	all := make([]keeper, 0, len(gr.members)+1)
@@ -103,7 +103,7 @@
 	gr.counts.keepers.Store(&all)
 }
 
-// keeperOf is the router that keeps the endpoint's count; nil before the first seat.
+// keeperOf is the router that keeps the endpoint's count; nil before the first tick.
 func (gr *Group) keeperOf(endpoint uint64) *keeper {
 	all := gr.counts.keepers.Load()
 	if all == nil {
--- a/io/gossip/gossip.go
+++ b/io/gossip/gossip.go
@@ -247,7 +247,7 @@
 			return nil
 		case now := <-ticker.C:
 			gr.forget(now)
-			gr.seat(now)
+			gr.listKeepers(now)
 			gr.tellCalls(pc, now, false)
 			gr.introduce(pc, now)
 			gr.catchUp(ctx)
