Engines that two routers cannot reach are told to all

Each router had to find out by a request of its own. Change: a router that cannot connect tells the endpoint's keeper, which tells all once two could not within a second.

--- a/core/gauge/gauge.go
+++ b/core/gauge/gauge.go
@@ -96,11 +96,51 @@
 // Latest is the figure itself, and when it was made; the zero time if there is none.
 func (co *Count) Latest() (int, time.Time) { return co.calls, co.at }
 
-// Table holds the Counts of endpoints, by the hashes of their ids and starts. It is safe
-// for concurrent use.
+// Table holds the Counts of endpoints, by the hashes of their ids and starts, and who could
+// not reach them. It is safe for concurrent use.
 type Table struct {
 	mu     sync.Mutex // guards all below
 	counts map[uint64]*Count
+	downs  map[uint64]*down
+}
+
+// down is the latest that was heard of an endpoint that could not be reached.
+type down struct {
+	at   time.Time
+	from string
+	// told is when two had said so.
+	told time.Time
+}
+
+const (
+	// downWithin is within what time two have to find an endpoint down: with a few requests
+	// a second for each endpoint, others find out within it.
+	downWithin = time.Second
+	// downAgain is how often it is told that an endpoint is down.
+	downAgain = 500 * time.Millisecond
+)
+
+// Down takes that a router could not reach the endpoint. It returns whether that is to be told
+// to all: two have found so, as one alone may be cut off itself, and it was not told a
+// moment ago.
+func (ta *Table) Down(now time.Time, endpoint uint64, from string) bool {
+	ta.mu.Lock()
+	defer ta.mu.Unlock()
+	if ta.downs == nil || len(ta.downs) >= mostKept {
+		ta.downs = map[uint64]*down{}
+	}
+	do := ta.downs[endpoint]
+	if do == nil {
+		ta.downs[endpoint] = &down{at: now, from: from}
+		return false
+	}
+	another := do.from != from && now.Sub(do.at) <= downWithin
+	do.at, do.from = now, from
+	if !another || now.Sub(do.told) < downAgain {
+		return false
+	}
+	do.told = now
+	return true
 }
 
 // Said takes what an endpoint said.
--- a/core/gauge/gauge_test.go
+++ b/core/gauge/gauge_test.go
@@ -112,3 +112,30 @@
 		t.Errorf("%d counts are kept, want at most 4096", kept)
 	}
 }
+
+// One router is cut off and finds every endpoint down. All would go by it, if one were enough.
+// Found down by two, it is told at once, and not for each request that fails.
+func TestTwoFindAnEndpointDown(t *testing.T) {
+	var ta gauge.Table
+	at := func(ms int) time.Time { return begin.Add(time.Duration(ms) * time.Millisecond) }
+	for ix, step := range []struct {
+		ms   int
+		from string
+		want bool
+	}{
+		{0, "a", false},
+		{10, "a", false},   // the same router again
+		{2000, "b", false}, // the first one's word is old
+		{2010, "a", true},  // two within a second
+		{2020, "b", false}, // told a moment ago
+		{2600, "a", true},  // still down
+		{2610, "c", false}, // told a moment ago
+		{9000, "c", false}, // the words before are old
+		{9001, "c", false}, // and this is the same router
+		{9002, "bb", true}, // found anew
+	} {
+		if got := ta.Down(at(step.ms), 1, step.from); got != step.want {
+			t.Errorf("step %d, %s after %d ms: told %v, want %v", ix, step.from, step.ms, got, step.want)
+		}
+	}
+}
--- a/core/place/cost.go
+++ b/core/place/cost.go
@@ -53,6 +53,9 @@
 	// failMs is what a failure rate of 1 costs, in ms: more than the time in which an
 	// engine reads the longest context anew, 30,000 tokens at prefillPerMs.
 	failMs = 400.0
+	// lostMs is what an endpoint costs, in ms, that two peers could not reach: a trial takes
+	// as long as a connection's timeout at worst.
+	lostMs = 400.0
 	// fetchMs is what a fetch costs beside its transfer, in ms: a few to set it up, and
 	// that the chat is then on one more engine, where it takes memory from others. At 12 ms, 1.4 times as much is moved among 47 engines, and 1.3 times as
 	// much read again; at 100 ms as much as at 50.
@@ -104,6 +107,9 @@
 	if ch.now.Before(st.ColdUntil) {
 		cost += coldMs
 	}
+	if ch.now.Before(st.lostUntil) {
+		cost += lostMs
+	}
 	if !ch.as.Engine {
 		slots := float64(max(1, st.Slots))
 		return cost + st.health.typicalMs()*max(0, calls+1-slots)/slots + spreadMs*calls/slots + pl.Rand.Float64()
--- a/core/place/state.go
+++ b/core/place/state.go
@@ -27,6 +27,8 @@
 	// it in a few ns. Whoever changes any of these clears it with stir.
 	quiet     bool
 	fullUntil time.Time
+	// lostUntil is until when it is taken to be down as peers told.
+	lostUntil time.Time
 	health    health
 	// reading is how many calls it said that it has, and the own ones begun and ended since.
 	reading gauge.Count
@@ -71,7 +73,7 @@
 // settle makes the endpoint quiet if nothing is left that a choice has to look at.
 func (st *state) settle(now time.Time, settled bool) {
 	st.quiet = settled && st.calls == 0 && !st.missing && st.toRead == 0 &&
-		st.health.quiet(now) && st.reading.Old(now) && !now.Before(st.fullUntil) && !now.Before(st.ColdUntil)
+		st.health.quiet(now) && st.reading.Old(now) && !now.Before(st.fullUntil) && !now.Before(st.lostUntil) && !now.Before(st.ColdUntil)
 }
 
 // failing is the endpoint's failure rate, 0 if it drains.
--- a/core/place/view.go
+++ b/core/place/view.go
@@ -70,7 +70,7 @@
 			settled := st.since.Before(settledBefore) || st.since.Before(startedBefore)
 			st.settle(ch.now, settled)
 			sc.avoid = st.missing || st.health.avoid(ch.now, st.calls)
-			sc.settled = settled && !sc.avoid
+			sc.settled = settled && st.handsOn(ch.now)
 			failing += st.failing(ch.now)
 		}
 		ch.rankHome(st)
--- a/core/platform.go
+++ b/core/platform.go
@@ -65,6 +65,8 @@
 	Ask(ctx context.Context, endpoint uint64) (calls int, known bool)
 	// Said passes on what an endpoint said.
 	Said(endpoint uint64, calls int)
+	// Down passes on that no connection to the endpoint could be made.
+	Down(endpoint uint64)
 }
 
 // VMState is a VM's state in the platform's list.
--- a/io/gossip/counts.go
+++ b/io/gossip/counts.go
@@ -20,7 +20,8 @@
 // those that are alive: the endpoint's keeper. Routers pass on to it what the endpoint says
 // with its answers, and ask it before they place a call there. What a router sends for this
 // depends on its own requests alone, some 50 bytes each, not on how many routers or
-// endpoints there are, and what it learns is a millisecond old.
+// endpoints there are, and what it learns is a millisecond old. The keeper is also told who
+// cannot reach the endpoint, and tells all once two could not.
 //
 // A keeper that is lost, or a new one that knows nothing yet, costs no call: the asker goes
 // by what its peers told of their calls, as it does for endpoints that do not count.
@@ -43,6 +44,10 @@
 	countAsked countKind = iota + 1
 	countAnswered
 	countSaid
+	// countDown tells the keeper that its sender cannot reach the endpoint, countLost all that
+	// two could not.
+	countDown
+	countLost
 )
 
 // countMessage asks for an endpoint's calls, answers, or passes on what the endpoint said.
@@ -161,6 +166,33 @@
 	}
 }
 
+// Down implements core.Counts.
+func (gr *Group) Down(endpoint uint64) {
+	ke := gr.keeperOf(endpoint)
+	switch {
+	case ke == nil:
+	case ke.to == nil:
+		gr.hearDown(time.Now(), endpoint, gr.Addr)
+	default:
+		gr.sendCount(ke.to, &countMessage{Kind: countDown, Endpoint: endpoint})
+	}
+}
+
+// hearDown tells all routers of an endpoint that two of them cannot reach: 16 bytes to each,
+// twice a second at most while it is down.
+func (gr *Group) hearDown(now time.Time, endpoint uint64, from string) {
+	if !gr.counts.table.Down(now, endpoint, from) {
+		return
+	}
+	gr.Log.Info("Two routers cannot reach an endpoint; tells all.", zap.Uint64("Hash", endpoint), zap.String("From", from))
+	gr.Placer.HearDown(now, endpoint)
+	for _, ke := range *gr.counts.keepers.Load() {
+		if ke.to != nil {
+			gr.sendCount(ke.to, &countMessage{Kind: countLost, Endpoint: endpoint})
+		}
+	}
+}
+
 // expect prepares for the answer to an ask.
 func (co *counts) expect() (uint32, chan uint32) {
 	co.mu.Lock()
@@ -197,6 +229,10 @@
 		gr.counts.table.Said(now, cm.Endpoint, int(cm.Calls))
 	case countAnswered:
 		gr.counts.answered(cm)
+	case countDown:
+		gr.hearDown(now, cm.Endpoint, from.String())
+	case countLost:
+		gr.Placer.HearDown(now, cm.Endpoint)
 	case countAsked:
 		out := &countMessage{Kind: countAnswered, Endpoint: cm.Endpoint, Calls: unknownCalls, Ask: cm.Ask}
 		if calls, known := gr.counts.table.Ask(now, cm.Endpoint); known {
--- a/io/gossip/counts_test.go
+++ b/io/gossip/counts_test.go
@@ -109,6 +109,35 @@
 	}
 }
 
+// Two routers find an engine down. The others are told, or each of them finds out by a
+// request of its own.
+func TestLostEngineIsToldToAll(t *testing.T) {
+	all := meet(t, 4)
+	for _, ro := range all {
+		ro.Placer.Register(time.Now(), place.Endpoint{ID: "e2", Addr: "127.0.0.1:2", Pool: "pool", Slots: 8})
+	}
+	tk, re := all[0].Placer.Pick(time.Now(), &place.Ask{Pool: "pool", Engine: true})
+	if re != nil {
+		t.Fatal(re)
+	}
+	lost := tk.Endpoint.ID
+	tk.Done(time.Now(), place.Neutral)
+	eventually(t, "no router chooses the lost engine", func() bool {
+		all[0].Down(tk.Hash)
+		all[1].Down(tk.Hash)
+		for _, ro := range all {
+			for range 5 {
+				other, re := ro.Placer.Pick(time.Now(), &place.Ask{Pool: "pool", Engine: true})
+				if re != nil || other.Endpoint.ID == lost {
+					return false
+				}
+				other.Done(time.Now(), place.Neutral)
+			}
+		}
+		return true
+	})
+}
+
 // A chat moves to another engine, and one of a hundred peers gets its next turn. What a router
 // sends is bounded, so that a peer has its turn every few seconds: told only of the latest
 // moves, most peers never hear of this one, and have the chat read anew elsewhere.
--- a/io/relay/attempt.go
+++ b/io/relay/attempt.go
@@ -38,6 +38,9 @@
 	rf, result := ex.run(ctx, header)
 	rq.next = ex.silence.end()
 	ex.tk.Done(time.Now(), result)
+	if counts := rq.re.Counts; counts != nil && result == place.Unreached {
+		counts.Down(ex.tk.Hash)
+	}
 	return rf
 }
 
--- a/io/relay/counts_test.go
+++ b/io/relay/counts_test.go
@@ -9,6 +9,7 @@
 
 	"almondrill/core/place"
 	"almondrill/core/route"
+	"almondrill/io/stand/local"
 )
 
 // keeper tells the same count of each endpoint, and remembers what it was told.
@@ -19,6 +20,13 @@
 	mu    sync.Mutex // guards all below
 	asked []uint64
 	said  map[uint64]int
+	down  []uint64
+}
+
+func (ke *keeper) Down(endpoint uint64) {
+	ke.mu.Lock()
+	defer ke.mu.Unlock()
+	ke.down = append(ke.down, endpoint)
 }
 
 func (ke *keeper) Ask(_ context.Context, endpoint uint64) (int, bool) {
@@ -80,3 +88,22 @@
 		t.Errorf("counts were asked for %d times, want once", len(ke.asked))
 	}
 }
+
+// An engine has crashed, and the router that finds out is one of many. It says so, or each of
+// the others has to find out by a request of its own.
+func TestDeadEngineIsPassedOn(t *testing.T) {
+	ke := &keeper{}
+	fl := crowded(t, ke)
+	fl.re.Placer.Register(time.Now(), place.Endpoint{ID: "dead", Addr: local.Addr(t), Pool: "pool", Zone: "a", Slots: 1000})
+	for range 8 {
+		rs, _, err := fl.call(http.MethodGet, "/r/a", "")
+		if err != nil || rs.StatusCode != http.StatusOK {
+			t.Fatal(rs, err)
+		}
+	}
+	ke.mu.Lock()
+	defer ke.mu.Unlock()
+	if len(ke.down) == 0 {
+		t.Error("nobody was told of an engine that refuses connections")
+	}
+}
