A word that an endpoint is down is logged with its id

Cause: a decision that changes what a router believes has a line; this one had it at the keeper alone, with a hash.

--- a/core/place/lost.go
+++ b/core/place/lost.go
@@ -1,6 +1,10 @@
 package place
 
-import "time"
+import (
+	"time"
+
+	"almondrill/core"
+)
 
 // Load pattern: a part of a large pool crashes. A router of a hundred sends each engine a
 // request in ten seconds, so that it does not find out for as long, and goes on naming
@@ -19,15 +23,20 @@
 
 // HearDown takes that peers could not reach an endpoint. It hands nothing on then, and gets
 // calls only where the others cost more: peers may be wrong, as where a link between is cut.
-func (pl *Placer) HearDown(now time.Time, endpoint uint64) {
+// It returns which endpoint that is, and false where peers are not believed.
+func (pl *Placer) HearDown(now time.Time, endpoint uint64) (core.EndpointID, bool) {
 	pl.mu.Lock()
 	defer pl.mu.Unlock()
 	st := pl.byHash[endpoint]
-	if st == nil || now.Sub(st.health.heard) < heardWithin {
-		return
+	if st == nil {
+		return "", false
+	}
+	if now.Sub(st.health.heard) < heardWithin {
+		return st.ID, false
 	}
 	st.stir()
 	st.lostUntil = now.Add(lostFor)
+	return st.ID, true
 }
 
 // handsOn tells whether others may take prompts over from the endpoint.
--- a/io/gossip/counts.go
+++ b/io/gossip/counts.go
@@ -184,8 +184,7 @@
 	if !gr.counts.table.Down(now, endpoint, from) {
 		return
 	}
-	gr.Log.Info("Two routers cannot reach an endpoint; tells all.", zap.Uint64("Hash", endpoint), zap.String("From", from))
-	gr.Placer.HearDown(now, endpoint)
+	gr.believeDown(now, endpoint, from)
 	for _, ke := range *gr.counts.keepers.Load() {
 		if ke.to != nil {
 			gr.sendCount(ke.to, &countMessage{Kind: countLost, Endpoint: endpoint})
@@ -193,6 +192,13 @@
 	}
 }
 
+// believeDown takes that two routers cannot reach an endpoint.
+func (gr *Group) believeDown(now time.Time, endpoint uint64, from string) {
+	id, believed := gr.Placer.HearDown(now, endpoint)
+	gr.Log.Info("Two routers cannot reach an endpoint.", zap.String("Endpoint", string(id)), zap.String("From", from),
+		zap.Bool("Believed", believed))
+}
+
 // expect prepares for the answer to an ask.
 func (co *counts) expect() (uint32, chan uint32) {
 	co.mu.Lock()
@@ -232,7 +238,7 @@
 	case countDown:
 		gr.hearDown(now, cm.Endpoint, from.String())
 	case countLost:
-		gr.Placer.HearDown(now, cm.Endpoint)
+		gr.believeDown(now, cm.Endpoint, from.String())
 	case countAsked:
 		out := &countMessage{Kind: countAnswered, Endpoint: cm.Endpoint, Calls: unknownCalls, Ask: cm.Ask}
 		if calls, known := gr.counts.table.Ask(now, cm.Endpoint); known {
