--- a/cmd/capac/main.go
+++ b/cmd/capac/main.go
@@ -1,4 +1,4 @@
-// Capac makes docs/CAPACITY.md. With -figures it first reads benchmarks' output
+// Capac makes docs/CAPACITY-AGENTS.md. With -figures it first reads benchmarks' output
 // from standard input and writes the figures; see .ci/measure.
 package main
 
@@ -44,7 +44,7 @@
 	if err != nil {
 		return err
 	}
-	if err = os.WriteFile(filepath.Join(docs, "CAPACITY.md"), []byte(page), 0o644); err != nil {
+	if err = os.WriteFile(filepath.Join(docs, "CAPACITY-AGENTS.md"), []byte(page), 0o644); err != nil {
 		return err
 	}
 	picture, err := capac.Picture(fi)
