Logs tell attempts at the same request, and crashes of endpoints from broken connections

A router connects to an endpoint at which an attempt broke off; one that refuses has crashed, and a line and the counter CrashedUnder name what it was running. No decision depends on it yet.

--- a/core/place/counts_test.go
+++ b/core/place/counts_test.go
@@ -88,7 +88,7 @@
 		t.Error("a router that is alone asks for a count")
 	}
 	endpoint, uncertain := shared.Uncertain(begin, ask(nil))
-	if !uncertain || endpoint != place.HashOf("e00") {
+	if !uncertain || endpoint != place.HashOf("e00", 0) {
 		t.Fatal("a count that was never heard is not asked for")
 	}
 	shared.HearCount(begin, endpoint, 5)
@@ -110,7 +110,7 @@
 		pick(t, peer, begin, ask(nil))
 	}
 	pl.Hear(begin, "peer", peer.Tell())
-	pl.HearCount(begin.Add(time.Millisecond), place.HashOf(endpoint(0).ID), 1)
+	pl.HearCount(begin.Add(time.Millisecond), place.HashOf(endpoint(0).ID, 0), 1)
 	if tk := pick(t, pl, begin.Add(2*time.Millisecond), ask(nil)); tk.Others != 1 {
 		t.Errorf("%d calls of others are believed, want the 1 that the endpoint counted", tk.Others)
 	}
--- a/core/place/export_test.go
+++ b/core/place/export_test.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"almondrill/core"
-	"almondrill/core/decl"
 )
 
 // Weighed is what a choice would go by, and what the cheapest endpoint costs in ms.
@@ -66,9 +65,6 @@
 	return st.told, true
 }
 
-// HashOf is by what readings name an endpoint without a start.
-func HashOf(id core.EndpointID) uint64 { return decl.HashName(string(id)) }
-
 // Entries is how many parts are remembered to have been sent, of all endpoints.
 func (pl *Placer) Entries() int {
 	pl.mu.Lock()
--- a/core/place/place.go
+++ b/core/place/place.go
@@ -246,6 +246,14 @@
 	return count
 }
 
+// Draining tells whether the endpoint of that hash is known to drain.
+func (pl *Placer) Draining(endpoint uint64) bool {
+	pl.mu.Lock()
+	defer pl.mu.Unlock()
+	st := pl.byHash[endpoint]
+	return st != nil && st.Draining
+}
+
 // Pick chooses an endpoint. The refusal, if any, is NotRun and says when trying
 // again makes sense.
 func (pl *Placer) Pick(now time.Time, as *Ask) (*Ticket, *core.Refusal) {
--- a/core/place/share_test.go
+++ b/core/place/share_test.go
@@ -32,7 +32,7 @@
 func TestShareHoldsWhereConnectionsAreFew(t *testing.T) {
 	pl, as := sharing(false)
 	for ix := range 2 {
-		pl.HearCount(begin, place.HashOf(endpoint(ix).ID), 150)
+		pl.HearCount(begin, place.HashOf(endpoint(ix).ID, 0), 150)
 	}
 	for ix := range 2 {
 		if _, rf := pl.Pick(begin, as); rf != nil {
--- a/core/place/state.go
+++ b/core/place/state.go
@@ -56,12 +56,17 @@
 	weighed bool
 }
 
-func (pl *Placer) newState(now time.Time, ep *Endpoint) *state {
-	name := decl.HashName(string(ep.ID))
-	hash := name
-	if ep.Start != 0 {
-		hash = ring.Mix(name, uint64(ep.Start))
+// HashOf names a start of an endpoint to peers.
+func HashOf(id core.EndpointID, start core.Incarnation) uint64 {
+	name := decl.HashName(string(id))
+	if start == 0 {
+		return name
 	}
+	return ring.Mix(name, uint64(start))
+}
+
+func (pl *Placer) newState(now time.Time, ep *Endpoint) *state {
+	name, hash := decl.HashName(string(ep.ID)), HashOf(ep.ID, ep.Start)
 	st := &state{name: name, hash: hash, since: now, told: pl.words.sums[short(hash)], near: ep.Zone == pl.Zone}
 	st.seen = newRecord(st, pl.sent)
 	return st
--- a/core/platform.go
+++ b/core/platform.go
@@ -69,6 +69,22 @@
 	Down(endpoint uint64)
 }
 
+// EndpointRef names one start of an endpoint.
+type EndpointRef struct {
+	ID   EndpointID
+	Addr string
+	// Hash is that of its id and start, by which routers tell each other of it.
+	Hash uint64
+}
+
+// Blame finds out which requests crash the endpoints that run them.
+type Blame interface {
+	// Broke tells that an attempt broke off, or got no answer in its time.
+	Broke(en EndpointRef, began time.Time, fp Fingerprint)
+	// Refused tells that the endpoint refused a connection.
+	Refused(en EndpointRef)
+}
+
 // VMState is a VM's state in the platform's list.
 type VMState uint8
 
--- a/io/conns/conns.go
+++ b/io/conns/conns.go
@@ -102,6 +102,17 @@
 	}
 }
 
+// Reach makes a connection to the address, whether or not there are idle ones, and keeps it
+// for the next Get. Its error tells why it could not.
+func (po *Pool) Reach(ctx context.Context, addr string) error {
+	co, err := po.dial(ctx, addr)
+	if err != nil {
+		return err
+	}
+	po.PutUnused(co)
+	return nil
+}
+
 // take takes the connection that was used last: the others may then end.
 func (po *Pool) take(addr string) *Conn {
 	po.mu.Lock()
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -42,6 +42,7 @@
 	"almondrill/io/conns"
 	"almondrill/io/feeds"
 	"almondrill/io/gossip"
+	"almondrill/io/guard"
 	"almondrill/io/logs"
 	"almondrill/io/relay"
 	"almondrill/io/stats"
@@ -95,6 +96,7 @@
 	relay   *relay.Relay
 	reader  *feeds.Reader
 	peers   *gossip.Group
+	guard   *guard.Controller
 	view    *view
 	times   callerTimes
 	leaving atomic.Bool
@@ -149,8 +151,9 @@
 	pr.reader.Init()
 	pr.reader.Leads, pr.reader.DoubtFor = pr.peers.Leads, se.ReturnDelay+returnMargin
 	pr.peers.Feed = pr.reader
+	pr.guard = &guard.Controller{Conns: pr.pool, Placer: pr.placer, Stats: pr.Stats, Log: pr.Logs.Part("guard")}
 	pr.relay = &relay.Relay{
-		Dialect: pr.Platform.Dialect(), Self: se.Name, Placer: pr.placer, Counts: pr.peers, Budget: pr.budget, Conns: pr.pool,
+		Dialect: pr.Platform.Dialect(), Self: se.Name, Placer: pr.placer, Counts: pr.peers, Blame: pr.guard, Budget: pr.budget, Conns: pr.pool,
 		Stats: pr.Stats, Latency: &pr.latency, Rand: pr.rand, Log: pr.Logs.Part("relay"),
 		Age: pr.reader.Age, Leaving: pr.leaving.Load,
 	}
--- a/io/entry/view.go
+++ b/io/entry/view.go
@@ -97,10 +97,30 @@
 		// Its process is gone, and with it the connections: those left idle would only
 		// show that once a request is lost on them.
 		vi.pr.pool.Drop(old.addr)
+		vi.replaced(ep.ID, old)
 		vi.log.Info("Endpoint started again.", fields...)
 	case old != now:
 		vi.log.Info("Endpoint.", fields...)
 	}
+	if !was {
+		vi.takesPlace(ep)
+	}
+}
+
+// takesPlace looks for an endpoint that had the address of a new one.
+func (vi *view) takesPlace(ep place.Endpoint) {
+	for id, old := range vi.known {
+		if id != ep.ID && old.addr == ep.Addr {
+			vi.replaced(id, old)
+		}
+	}
+}
+
+// replaced tells that the process of an endpoint is gone, if that was not planned.
+func (vi *view) replaced(id core.EndpointID, old known) {
+	if !old.draining {
+		vi.pr.guard.Replaced(core.EndpointRef{ID: id, Addr: old.addr, Hash: place.HashOf(id, old.start)})
+	}
 }
 
 // reject takes an endpoint out whose registration cannot be used any more: unlike one
--- a/io/relay/attempt.go
+++ b/io/relay/attempt.go
@@ -29,13 +29,17 @@
 	// request's time is over.
 	silence silence
 	ended   func() bool
+	// refused is set if the endpoint refused the connection.
+	refused bool
 }
 
 // attempt sends the request to the ticket's endpoint and passes the answer on.
 // It returns nil if the answer was passed on whole.
 func (rq *request) attempt(ctx context.Context, header http.Header) *core.Refusal {
 	ex := &exchange{rq: rq, tk: rq.ticket}
+	began := time.Now()
 	rf, result := ex.run(ctx, header)
+	ex.tellBlame(began, rf)
 	rq.next = ex.silence.end()
 	ex.tk.Done(time.Now(), result)
 	if counts := rq.re.Counts; counts != nil && result == place.Unreached {
@@ -47,6 +51,7 @@
 func (ex *exchange) run(ctx context.Context, header http.Header) (*core.Refusal, place.Result) {
 	co, err := ex.rq.re.Conns.Get(ctx, ex.tk.Endpoint.Addr)
 	if err != nil {
+		ex.refused = isRefused(err)
 		return ex.fail(core.NotRun, core.ReasonEndpointDown, "connect", err), ex.blame(place.Unreached)
 	}
 	ex.co = co
--- /dev/null
+++ b/io/relay/blame.go
@@ -0,0 +1,43 @@
+package relay
+
+import (
+	"errors"
+	"syscall"
+	"time"
+
+	"almondrill/core"
+	"almondrill/core/blame"
+)
+
+// identify works out the request's fingerprint.
+func (rq *request) identify() core.Fingerprint {
+	customer := core.CustomerID("")
+	if rq.customer != nil {
+		customer = rq.customer.ID
+	}
+	return blame.Fingerprint(customer, rq.hr.Method, rq.hr.Host, rq.hr.URL.RequestURI(), rq.body)
+}
+
+// tellBlame tells how the attempt ended, where that may be the endpoint's crash.
+func (ex *exchange) tellBlame(began time.Time, rf *core.Refusal) {
+	bl := ex.rq.re.Blame
+	if bl == nil || rf == nil {
+		return
+	}
+	en := core.EndpointRef{ID: ex.tk.Endpoint.ID, Addr: ex.tk.Endpoint.Addr, Hash: ex.tk.Hash}
+	switch {
+	case ex.refused:
+		bl.Refused(en)
+	case rf.Outcome == core.Unknown && mayBeCrash[rf.Reason]:
+		bl.Broke(en, began, ex.rq.fingerprint)
+	}
+}
+
+// mayBeCrash are the reasons for which an attempt ends when its endpoint crashes: the
+// connection ends, or nothing comes any more.
+var mayBeCrash = map[core.Reason]bool{
+	core.ReasonCutShort: true, core.ReasonStalled: true, core.ReasonDeadline: true,
+}
+
+// isRefused tells whether the endpoint's VM is there but nothing listens.
+func isRefused(err error) bool { return errors.Is(err, syscall.ECONNREFUSED) }
--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -82,7 +82,9 @@
 	Self    core.VMID
 	Placer  *place.Placer
 	// Counts knows how many calls endpoints have; nil if nobody does.
-	Counts  core.Counts
+	Counts core.Counts
+	// Blame is told how attempts end that did not end well; nil if nobody asks.
+	Blame   core.Blame
 	Budget  *retry.Window
 	Conns   *conns.Pool
 	Stats   *stats.Set
@@ -163,6 +165,9 @@
 	if rf := rq.readBody(); rf != nil {
 		return rf
 	}
+	if rq.re.Blame != nil {
+		rq.fingerprint = rq.identify()
+	}
 	rq.pool = rq.route.Pool(rq.re.Rand.Float64())
 	if rq.route.Sticky {
 		rq.parts = rq.re.Dialect.Prompt(rq.hr.Header)
--- a/io/relay/request.go
+++ b/io/relay/request.go
@@ -33,6 +33,8 @@
 	pool     core.PoolID
 	parts    []place.Part
 	body     []byte
+	// fingerprint tells that attempts of the caller are the same request.
+	fingerprint core.Fingerprint
 
 	// tried are the endpoints that failed the request or refused it.
 	tried []core.EndpointID
@@ -237,6 +239,9 @@
 	if rq.customer != nil {
 		fields = append(fields, zap.String("Customer", string(rq.customer.ID)))
 	}
+	if rq.fingerprint != (core.Fingerprint{}) {
+		fields = append(fields, zap.Stringer("Fingerprint", rq.fingerprint))
+	}
 	if rq.sends > 0 {
 		fields = append(fields, zap.Int("Sends", rq.sends), zap.Bool("Asked", rq.asked))
 	}
--- a/io/stats/docs.go
+++ b/io/stats/docs.go
@@ -40,6 +40,7 @@
 	{EndpointsKnown, "registered endpoints, of pools that the configuration names, that are not draining"},
 	{LogLinesDropped, "log lines dropped because the reader of the output was slow"},
 	{RegistrationsUnusable, "registrations of endpoints that became unusable: fields missing or of another kind, an unknown state"},
+	{CrashedUnder, "requests of this router that an endpoint was running when it crashed; the lines \"An endpoint crashed.\" name them"},
 	{LogLinesSampled, "log lines left out because many of the same message came in a second"},
 }
 
--- a/io/stats/stats.go
+++ b/io/stats/stats.go
@@ -53,6 +53,8 @@
 	LogLinesSampled = "LogLinesSampled"
 	// RegistrationsUnusable counts those that became unreadable.
 	RegistrationsUnusable = "RegistrationsUnusable"
+	// CrashedUnder counts requests that were running at an endpoint when it crashed.
+	CrashedUnder = "CrashedUnder"
 )
 
 // Set is one process's counters.
