A request that crashes the endpoints that run it is quarantined

What callers saw: one request, coming again as a new attempt through any router, ended one engine after the other, 20 of a pool of nine in 15 s, with all that ran there; a tenth and more of the requests that may not be repeated were lost. Cause: bounds lived within an attempt, a router or a pool's sum of second sends. Nothing told that attempts are the same request. The class: work that is itself the fault, repeated on its caller's behalf without a bound of its own. Change: a request is known by its fingerprint. Endpoints found to have crashed are told, with the requests they ran, to two keepers of each request, which count; the third crash quarantines it at all routers, by datagrams and an entry of the platform's store, which also outlives all routers. An attempt that ends clears it; crashes that another explains do not count; one router at a time wins a trial. It is refused as not run, with the time of the next trial. Why it holds: each crash is seen by the router whose connection ended; two routers count; at most two trials follow, none beyond the fourth known crash, so that no more than three sends come late.

--- /dev/null
+++ b/core/blame/verdict.go
@@ -0,0 +1,149 @@
+package blame
+
+import (
+	"slices"
+	"time"
+
+	"almondrill/core"
+)
+
+// Judge tells whether a request may be sent to an endpoint.
+func (ta *Table) Judge(now time.Time, fp core.Fingerprint) Verdict {
+	if ta.quarantines.Load() == 0 {
+		return Verdict{}
+	}
+	ta.mu.Lock()
+	defer ta.mu.Unlock()
+	qu := ta.quarantined[fp]
+	if qu == nil || qu.over(now) {
+		return Verdict{}
+	}
+	ve := Verdict{Quarantined: true, Entry: qu.entry(fp)}
+	age := now.Sub(qu.since)
+	if pause, allowed := ta.trialPause(fp, qu); allowed {
+		ve.RetryAfter = max(0, pause-age)
+		ve.Trial = ve.RetryAfter == 0 && qu.rev != 0
+		return ve
+	}
+	ve.RetryAfter = keptFor - age
+	ve.Renew = age > keptFor/2 && qu.rev != 0
+	return ve
+}
+
+// trialPause is how long the request is quarantined before it is tried; false if it is not.
+func (ta *Table) trialPause(fp core.Fingerprint, qu *quarantine) (time.Duration, bool) {
+	if qu.trials >= mostTrials || qu.total() > mostForTrial {
+		return 0, false
+	}
+	turn, doubt := ta.doubtful(fp, qu)
+	switch {
+	case !doubt:
+		return trialPauses[qu.trials], true
+	case qu.trials == 0:
+		return doubtPauses[0] + time.Duration(turn)*turnPause, true
+	}
+	return doubtPauses[qu.trials], true
+}
+
+// entry is what the store is to have of it.
+func (qu *quarantine) entry(fp core.Fingerprint) core.Quarantine {
+	return core.Quarantine{Request: fp, Trials: qu.trials, Crashes: qu.total(), Rev: qu.rev}
+}
+
+// over tells that a quarantine has lapsed. Entries of the store lapse there.
+func (qu *quarantine) over(now time.Time) bool {
+	if qu.rev == 0 && !qu.own {
+		return now.Sub(qu.told) > unstoredFor
+	}
+	return now.Sub(qu.since) > keptFor
+}
+
+// Store takes an entry of the platform's store, as it is new or has changed.
+func (ta *Table) Store(now time.Time, en core.Quarantine) Effects {
+	ta.mu.Lock()
+	defer ta.mu.Unlock()
+	var ef Effects
+	if en.Trials == 0 && ta.ended.since(en.Request, now.Add(-unstoredFor)) {
+		// It was written while a peer or this router cleared the request.
+		ef.Remove = append(ef.Remove, en)
+		return ef
+	}
+	qu := ta.take(now, en.Request, &ef)
+	if qu == nil || en.Rev <= qu.rev {
+		return ef
+	}
+	if qu.trials != en.Trials || qu.rev != 0 {
+		qu.since = now
+	}
+	qu.trials, qu.count, qu.rev = en.Trials, max(qu.count, en.Crashes), en.Rev
+	return ef
+}
+
+// Unstore takes that an entry of the platform's store is gone: it has lapsed, or a router
+// has cleared the request.
+func (ta *Table) Unstore(fp core.Fingerprint, rev core.Version) Effects {
+	ta.mu.Lock()
+	defer ta.mu.Unlock()
+	var ef Effects
+	if qu := ta.quarantined[fp]; qu != nil && qu.rev != 0 && qu.rev <= rev {
+		ta.release(fp, &ef)
+		delete(ta.suspects, fp)
+	}
+	return ef
+}
+
+// Decided is a quarantine that this router decided and the store does not have yet.
+type Decided struct {
+	Note  Note
+	Entry core.Quarantine
+}
+
+// Tick forgets quarantines that have lapsed. unstored are to be written into the store, and
+// told again.
+func (ta *Table) Tick(now time.Time) (unstored []Decided, ef Effects) {
+	ta.mu.Lock()
+	defer ta.mu.Unlock()
+	for fp, qu := range ta.quarantined {
+		switch {
+		case qu.over(now):
+			ta.release(fp, &ef)
+		case qu.own && qu.rev == 0:
+			unstored = append(unstored, Decided{qu.note(fp), qu.entry(fp)})
+		}
+	}
+	return unstored, ef
+}
+
+// Report is a quarantine as people on call see it.
+type Report struct {
+	Request core.Fingerprint
+	// Since is when this router learned of it, or of its last trial.
+	Since   time.Time
+	Crashes int
+	Trials  int
+	Stored  bool
+}
+
+// Reports lists the quarantined requests, the latest first.
+func (ta *Table) Reports() []Report {
+	ta.mu.Lock()
+	defer ta.mu.Unlock()
+	all := make([]Report, 0, len(ta.quarantined))
+	for fp, qu := range ta.quarantined {
+		all = append(all, Report{fp, qu.since, qu.total(), qu.trials, qu.rev != 0})
+	}
+	slices.SortFunc(all, func(a, b Report) int {
+		if by := b.Since.Compare(a.Since); by != 0 {
+			return by
+		}
+		return slices.Compare(a.Request[:], b.Request[:])
+	})
+	return all
+}
+
+// Len is how many requests are quarantined and suspected.
+func (ta *Table) Len() (quarantined, suspected int) {
+	ta.mu.Lock()
+	defer ta.mu.Unlock()
+	return len(ta.quarantined), len(ta.suspects)
+}
--- a/core/outcome.go
+++ b/core/outcome.go
@@ -59,6 +59,7 @@
 	ReasonCrossed       Reason = "Crossed"       // the reply was for another attempt
 	ReasonStalled       Reason = "Stalled"       // nothing came for too long
 	ReasonRetryBudget   Reason = "RetryBudget"   // the retry budget is spent
+	ReasonQuarantined   Reason = "Quarantined"   // the request crashed the endpoints that ran it
 	ReasonReloading     Reason = "Reloading"     // the engine is loading another model or version
 	ReasonOldFence      Reason = "OldFence"      // an order from a past holder of the lease
 	ReasonOrderBusy     Reason = "OrderBusy"     // another order is in progress at the endpoint
@@ -72,7 +73,7 @@
 	ReasonQueueFull, ReasonShareExceeded, ReasonBusyHolder, ReasonHeldElsewhere,
 	ReasonDeadline, ReasonCallerGone, ReasonKVDown, ReasonClaimLost, ReasonKeyReused, ReasonAnswerGone,
 	ReasonUnreachable, ReasonPeerLost, ReasonEndpointDown, ReasonEndpointError,
-	ReasonCutShort, ReasonCrossed, ReasonStalled, ReasonRetryBudget,
+	ReasonCutShort, ReasonCrossed, ReasonStalled, ReasonRetryBudget, ReasonQuarantined,
 	ReasonReloading, ReasonOldFence, ReasonOrderBusy, ReasonWeightsBusy,
 }
 
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -51,8 +51,10 @@
 // Platform is what a router needs of the platform it runs on.
 type Platform interface {
 	core.Feed
+	core.Quarantines
 	// Decode tells what an item of the store means: a *route.Document, a
-	// place.Endpoint, a Departure, an Unusable, a PeerAddr, or nil if nothing.
+	// place.Endpoint, a Departure, an Unusable, a PeerAddr, a core.Quarantine, a Released,
+	// or nil if nothing.
 	Decode(it core.Item) (any, error)
 	Dialect() relay.Dialect
 	// ReadyPath is where the balancer asks whether to send callers.
@@ -71,6 +73,12 @@
 	Err error
 }
 
+// Released tells that the entry of a quarantined request is gone.
+type Released struct {
+	Request core.Fingerprint
+	Rev     core.Version
+}
+
 // PeerAddr is the address of a peer.
 type PeerAddr string
 
@@ -112,7 +120,7 @@
 	control, cancel := context.WithCancel(ctx)
 	defer cancel()
 	for _, loop := range []func(context.Context) error{
-		pr.reader.Run, pr.peers.Run, pr.view.run, pr.tidy, pr.watchSettings, pr.announce,
+		pr.reader.Run, pr.peers.Run, pr.view.run, pr.guard.Run, pr.tidy, pr.watchSettings, pr.announce,
 	} {
 		go func() {
 			if err := loop(control); err != nil && control.Err() == nil {
@@ -151,7 +159,10 @@
 	pr.reader.Init()
 	pr.reader.Leads, pr.reader.DoubtFor = pr.peers.Leads, se.ReturnDelay+returnMargin
 	pr.peers.Feed = pr.reader
-	pr.guard = &guard.Controller{Conns: pr.pool, Placer: pr.placer, Stats: pr.Stats, Log: pr.Logs.Part("guard")}
+	pr.guard = &guard.Controller{
+		Conns: pr.pool, Placer: pr.placer, Peers: pr.peers, Store: pr.Platform, Stats: pr.Stats, Log: pr.Logs.Part("guard"),
+	}
+	pr.peers.Blamed = pr.guard.Hear
 	pr.relay = &relay.Relay{
 		Dialect: pr.Platform.Dialect(), Self: se.Name, Placer: pr.placer, Counts: pr.peers, Blame: pr.guard, Budget: pr.budget, Conns: pr.pool,
 		Stats: pr.Stats, Latency: &pr.latency, Rand: pr.rand, Log: pr.Logs.Part("relay"),
--- a/io/entry/serve.go
+++ b/io/entry/serve.go
@@ -14,6 +14,7 @@
 	"go.uber.org/zap"
 
 	"almondrill/io/gossip"
+	"almondrill/io/guard"
 	"almondrill/io/logs"
 )
 
@@ -69,6 +70,8 @@
 	admin.HandleFunc("/healthz", func(wr http.ResponseWriter, _ *http.Request) { _, _ = wr.Write([]byte("ok\n")) })
 	admin.HandleFunc("/readyz", pr.readyz)
 	admin.Handle("/debug/vars", pr.Stats.Handler())
+	admin.Handle(guard.Path, pr.guard.Handler())
+	admin.Handle(guard.Path+"/", pr.guard.Handler())
 	var servers []transport.Server
 	for _, on := range []struct {
 		key, addr string
--- a/io/entry/view.go
+++ b/io/entry/view.go
@@ -48,6 +48,10 @@
 		vi.depart(what.ID, it.Rev)
 	case Unusable:
 		vi.reject(&what, it.Rev)
+	case core.Quarantine:
+		vi.pr.guard.Stored(what)
+	case Released:
+		vi.pr.guard.Unstored(what.Request, what.Rev)
 	case PeerAddr:
 		vi.pr.peers.Add(string(what))
 	}
--- /dev/null
+++ b/io/gossip/blame_test.go
@@ -0,0 +1,121 @@
+package gossip_test
+
+import (
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"almondrill/core"
+	"almondrill/core/blame"
+	"almondrill/io/gossip"
+)
+
+// notes collects what a router is told.
+type notes struct {
+	mu  sync.Mutex
+	all []blame.Note
+}
+
+func (no *notes) take(_ time.Time, _ string, note blame.Note) {
+	no.mu.Lock()
+	defer no.mu.Unlock()
+	no.all = append(no.all, note)
+}
+
+func (no *notes) count(fp core.Fingerprint) int {
+	no.mu.Lock()
+	defer no.mu.Unlock()
+	count := 0
+	for _, note := range no.all {
+		if note.Request == fp {
+			count++
+		}
+	}
+	return count
+}
+
+// collect starts routers that keep what they are told.
+func collect(t *testing.T, count int) ([]*router, []*notes) {
+	t.Helper()
+	var told []*notes
+	all := meetWith(t, count, func(gr *gossip.Group) {
+		no := &notes{}
+		told = append(told, no)
+		gr.Blamed = no.take
+	})
+	return all, told
+}
+
+// Routers that see a request crash endpoints tell it to the same two of them, so that these
+// count all crashes whoever saw them; what they conclude is told to all.
+func TestCrashesAreToldToTheSameKeepers(t *testing.T) {
+	all, told := collect(t, 5)
+	now := time.Now()
+	for request := range byte(10) {
+		fp := core.Fingerprint{request, 1}
+		for _, ro := range all {
+			ro.TellKeepers(now, blame.Note{Kind: blame.Suspected, Request: fp, Crashes: []blame.Crash{{Endpoint: 7, At: now.Add(-50 * time.Millisecond)}}})
+		}
+		// Each of the two is told by all others, and tells itself nothing.
+		eventually(t, "both keepers are told by the four others", func() bool {
+			keepers := 0
+			for _, no := range told {
+				if no.count(fp) == len(all)-1 {
+					keepers++
+				}
+			}
+			return keepers == 2
+		})
+	}
+	fp := core.Fingerprint{99}
+	all[0].TellAll(now, blame.Note{Kind: blame.Quarantined, Request: fp})
+	eventually(t, "all others are told", func() bool {
+		count := 0
+		for _, no := range told {
+			count += no.count(fp)
+		}
+		return count == len(all)-1
+	})
+	for _, no := range told {
+		for _, note := range no.all {
+			if note.Kind == blame.Suspected && (len(note.Crashes) != 1 || note.Crashes[0].Endpoint != 7 || time.Since(note.Crashes[0].At) < 50*time.Millisecond) {
+				t.Errorf("told as %+v", note)
+			}
+		}
+	}
+}
+
+// A router of another version, or something else that sends to the port, tells nonsense. It is
+// passed over, and what comes after it is heard.
+func TestNotesThatMakeNoSense(t *testing.T) {
+	all, told := collect(t, 2)
+	co, err := net.Dial("udp", all[0].Addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer co.Close()
+	for _, body := range []any{
+		map[int]any{11: []any{1, []byte{1, 2}, []any{}}},
+		map[int]any{11: []any{9, make([]byte, 16), []any{}}},
+		map[int]any{11: []any{0, make([]byte, 16), nil}},
+		map[int]any{11: []any{1}},
+		map[int]any{11: "text"},
+	} {
+		data, err := cbor.Marshal(body)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err = co.Write(data); err != nil {
+			t.Fatal(err)
+		}
+	}
+	fp := core.Fingerprint{5}
+	all[1].TellAll(time.Now(), blame.Note{Kind: blame.Cleared, Request: fp})
+	eventually(t, "the next note is heard", func() bool { return told[0].count(fp) == 1 })
+	if got := len(told[0].all); got != 1 {
+		t.Errorf("%d notes are taken, want one", got)
+	}
+}
--- a/io/gossip/counts.go
+++ b/io/gossip/counts.go
@@ -250,18 +250,21 @@
 	}
 }
 
-func (gr *Group) sendCount(to net.Addr, cm *countMessage) {
+func (gr *Group) sendCount(to net.Addr, cm *countMessage) { gr.sendOne(to, &message{Count: cm}) }
+
+// sendOne sends a message to one peer, at the cost of what is told of calls.
+func (gr *Group) sendOne(to net.Addr, ms *message) {
 	socket := gr.counts.socket.Load()
 	if socket == nil {
 		return // the process is starting or stopping
 	}
-	data, err := cbor.Marshal(&message{Count: cm})
+	data, err := cbor.Marshal(ms)
 	if err != nil {
-		gr.Log.Error("Encoding a count failed.", zap.Error(err))
+		gr.Log.Error("Encoding a message failed.", zap.Error(err))
 		return
 	}
 	gr.counts.sent.Add(int64(len(data)))
 	if _, err = socket.WriteTo(data, to); err != nil {
-		gr.Log.Debug("Telling a peer a count failed.", zap.String("Addr", to.String()), zap.Error(err))
+		gr.Log.Debug("Telling a peer failed.", zap.String("Addr", to.String()), zap.Error(err))
 	}
 }
--- a/io/gossip/counts_test.go
+++ b/io/gossip/counts_test.go
@@ -10,6 +10,7 @@
 
 	"almondrill/core"
 	"almondrill/core/place"
+	"almondrill/io/gossip"
 )
 
 // tick is how often a router looks which others are alive.
@@ -26,10 +27,15 @@
 
 // meet starts routers that all have heard each other.
 func meet(t *testing.T, count int) []*router {
+	t.Helper()
+	return meetWith(t, count, func(*gossip.Group) {})
+}
+
+func meetWith(t *testing.T, count int, set func(gr *gossip.Group)) []*router {
 	t.Helper()
 	var all []*router
 	for ix := range count {
-		all = append(all, start(t, ix))
+		all = append(all, startWith(t, ix, set))
 	}
 	for _, ro := range all {
 		for _, other := range all {
--- a/io/gossip/gossip.go
+++ b/io/gossip/gossip.go
@@ -34,6 +34,7 @@
 	"go.uber.org/zap"
 
 	"almondrill/core"
+	"almondrill/core/blame"
 	"almondrill/core/mirror"
 	"almondrill/core/place"
 )
@@ -97,6 +98,8 @@
 	Readings []place.Reading `cbor:"6,keyasint,omitempty"`
 	// Count is set in messages about one endpoint's calls, which hold nothing else.
 	Count *countMessage `cbor:"10,keyasint,omitempty"`
+	// Blame is set in messages about a request that crashes endpoints, which hold nothing else.
+	Blame *blameMessage `cbor:"11,keyasint,omitempty"`
 }
 
 // Feed is what a router knows of the store, and how old it is.
@@ -121,6 +124,8 @@
 	Log    *zap.Logger
 	// Feed is what this router knows of the store.
 	Feed Feed
+	// Blamed takes what peers tell of requests that crash endpoints; nil if nobody asks.
+	Blamed func(now time.Time, from string, no blame.Note)
 	// AskTimeout bounds the wait for an endpoint's count, askTimeout if it is 0.
 	AskTimeout time.Duration
 
@@ -276,6 +281,10 @@
 			gr.hearCount(time.Now(), from, ms.Count)
 			continue
 		}
+		if ms.Blame != nil {
+			gr.hearBlame(time.Now(), from.String(), ms.Blame)
+			continue
+		}
 		gr.hear(time.Now(), from.String(), &ms)
 	}
 }
--- a/io/gossip/gossip_test.go
+++ b/io/gossip/gossip_test.go
@@ -56,6 +56,12 @@
 }
 
 func start(t *testing.T, ix int) *router {
+	t.Helper()
+	return startWith(t, ix, func(*gossip.Group) {})
+}
+
+// startWith lets the caller set fields before the router runs.
+func startWith(t *testing.T, ix int, set func(gr *gossip.Group)) *router {
 	t.Helper()
 	fe := &feed{}
 	fe.Confirm(0)
@@ -70,6 +76,7 @@
 	mux := http.NewServeMux()
 	mux.Handle(gossip.ItemsPath, gr.Handler())
 	srv.Config.Handler = mux
+	set(gr)
 	srv.Start()
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
--- /dev/null
+++ b/io/guard/report.go
@@ -0,0 +1,80 @@
+package guard
+
+import (
+	"encoding/hex"
+	"encoding/json"
+	"net/http"
+	"strings"
+	"time"
+
+	"go.uber.org/zap"
+
+	"almondrill/core"
+)
+
+// Path is where people on call ask what is quarantined, and lift it.
+const Path = "/debug/quarantine"
+
+// Quarantined is an entry of the answer to GET Path.
+type Quarantined struct {
+	// Fingerprint is whole; log lines bear its first half.
+	Fingerprint string
+	// SinceMs is how long ago this router learned of it, or of its last trial.
+	SinceMs int64
+	Crashes int
+	Trials  int
+	// Stored is set once the platform's store has it.
+	Stored bool
+}
+
+// Handler answers GET Path with what is quarantined, and lifts a request on DELETE Path/X, where
+// X is its fingerprint or as much of it as log lines bear.
+func (ct *Controller) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+Path, func(wr http.ResponseWriter, _ *http.Request) {
+		wr.Header().Set("Content-Type", "application/json; charset=utf-8")
+		if err := json.NewEncoder(wr).Encode(ct.list()); err != nil {
+			ct.Log.Info("Listing what is quarantined failed.", zap.Error(err))
+		}
+	})
+	mux.HandleFunc("DELETE "+Path+"/{fingerprint}", func(wr http.ResponseWriter, rq *http.Request) {
+		name := strings.ToLower(rq.PathValue("fingerprint"))
+		if !ct.lift(name) {
+			http.Error(wr, "no request with the fingerprint "+name+" is quarantined", http.StatusNotFound)
+			return
+		}
+		_, _ = wr.Write([]byte("lifted\n"))
+	})
+	return mux
+}
+
+func (ct *Controller) list() []Quarantined {
+	now := time.Now()
+	all := []Quarantined{}
+	for _, re := range ct.table.Reports() {
+		all = append(all, Quarantined{
+			Fingerprint: hex.EncodeToString(re.Request[:]), SinceMs: now.Sub(re.Since).Milliseconds(),
+			Crashes: re.Crashes, Trials: re.Trials, Stored: re.Stored,
+		})
+	}
+	return all
+}
+
+// lift ends the quarantine of the request, everywhere; false if there is none.
+func (ct *Controller) lift(name string) bool {
+	for _, re := range ct.table.Reports() {
+		if name == re.Request.String() || name == hex.EncodeToString(re.Request[:]) {
+			return ct.liftOne(re.Request)
+		}
+	}
+	return false
+}
+
+func (ct *Controller) liftOne(fp core.Fingerprint) bool {
+	ef, lifted := ct.table.Lift(fp)
+	if lifted {
+		ct.Log.Info("The quarantine of a request is lifted by hand.", zap.Stringer("Fingerprint", fp))
+	}
+	ct.apply(time.Now(), ef)
+	return lifted
+}
--- a/io/relay/answer.go
+++ b/io/relay/answer.go
@@ -86,9 +86,13 @@
 // retryAfter is when the caller may return, in seconds, spread so that those that
 // were refused together do not return together.
 func (rq *request) retryAfter(rf *core.Refusal) string {
-	const least = 0.6
+	const most = 1.4
+	least := 0.6
+	if rf.Reason == core.ReasonQuarantined {
+		least = 1 // sooner it would be refused again
+	}
 	after := max(failedAfter, rf.RetryAfter).Seconds()
-	spread := least + 2*(1-least)*rq.re.Rand.Float64()
+	spread := least + (most-least)*rq.re.Rand.Float64()
 	return strconv.FormatFloat(after*spread, 'f', 3, 64)
 }
 
--- a/io/relay/blame.go
+++ b/io/relay/blame.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"context"
 	"errors"
 	"syscall"
 	"time"
@@ -18,14 +19,32 @@
 	return blame.Fingerprint(customer, rq.hr.Method, rq.hr.Host, rq.hr.URL.RequestURI(), rq.body)
 }
 
-// tellBlame tells how the attempt ended, where that may be the endpoint's crash.
+// quarantined refuses a request that crashes the endpoints that run it, before each send: it
+// comes again as another attempt, through any router, and each costs an endpoint with all
+// that runs there. It is told when to return, as whether it is the cause is inferred.
+func (rq *request) quarantined(ctx context.Context) *core.Refusal {
+	if rq.re.Blame == nil {
+		return nil
+	}
+	allowed, after := rq.re.Blame.May(ctx, rq.fingerprint)
+	if allowed {
+		return nil
+	}
+	rf := rq.notRun(core.ReasonQuarantined, "place", "endpoints crashed when they ran this request")
+	rf.RetryAfter = after
+	return rf
+}
+
+// tellBlame tells how the attempt ended.
 func (ex *exchange) tellBlame(began time.Time, rf *core.Refusal) {
 	bl := ex.rq.re.Blame
-	if bl == nil || rf == nil {
+	if bl == nil {
 		return
 	}
 	en := core.EndpointRef{ID: ex.tk.Endpoint.ID, Addr: ex.tk.Endpoint.Addr, Hash: ex.tk.Hash}
 	switch {
+	case rf == nil || ex.answered:
+		bl.Ended(ex.rq.fingerprint)
 	case ex.refused:
 		bl.Refused(en)
 	case rf.Outcome == core.Unknown && mayBeCrash[rf.Reason]:
--- /dev/null
+++ b/io/relay/blame_test.go
@@ -0,0 +1,114 @@
+package relay_test
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"almondrill/core"
+	"almondrill/core/route"
+)
+
+// blames keeps what a relay tells, and refuses after some asks.
+type blames struct {
+	mu      sync.Mutex // guards all below
+	allowed int
+	after   time.Duration
+	broke   []core.EndpointID
+	refused []core.EndpointID
+	ended   []core.Fingerprint
+}
+
+func (bl *blames) May(context.Context, core.Fingerprint) (bool, time.Duration) {
+	bl.mu.Lock()
+	defer bl.mu.Unlock()
+	bl.allowed--
+	return bl.allowed >= 0, bl.after
+}
+
+func (bl *blames) Ended(fp core.Fingerprint) {
+	bl.mu.Lock()
+	defer bl.mu.Unlock()
+	bl.ended = append(bl.ended, fp)
+}
+
+func (bl *blames) Broke(en core.EndpointRef, _ time.Time, _ core.Fingerprint) {
+	bl.mu.Lock()
+	defer bl.mu.Unlock()
+	bl.broke = append(bl.broke, en.ID)
+}
+
+func (bl *blames) Refused(en core.EndpointRef) {
+	bl.mu.Lock()
+	defer bl.mu.Unlock()
+	bl.refused = append(bl.refused, en.ID)
+}
+
+func crashing(*seen, net.Conn) bool { return false }
+
+// A request that crashed endpoints comes again. It is answered at once, with the promise that
+// it did not run and the time after which it may be tried, and no endpoint gets it. A caller
+// that returned sooner would be refused for nothing.
+func TestQuarantinedRequestIsRefusedAtOnce(t *testing.T) {
+	fl := newFleet(t, answer(200, "x")).serve(route.Route{Kind: route.OnceOnly})
+	fl.re.Blame = &blames{after: 20 * time.Second}
+	for range 20 {
+		rs, body, err := fl.call("POST", "/r/x", "b")
+		fl.expect(rs, err, http.StatusServiceUnavailable, 0)
+		after, perr := strconv.ParseFloat(rs.Header.Get("Retry-After"), 64)
+		if perr != nil || after < 20 || after > 28 {
+			t.Errorf("Retry-After %q, want 20 to 28 s; %s", rs.Header.Get("Retry-After"), body)
+		}
+	}
+	if got := fl.re.Stats.Refusals(core.ReasonQuarantined); got != 20 {
+		t.Errorf("%d refusals are counted, want 20", got)
+	}
+}
+
+// A lookup crashes its endpoint and is quarantined by that. It is not sent to the next, though
+// lookups may be repeated, and the caller is not told that it did not run.
+func TestQuarantineHoldsBetweenAttempts(t *testing.T) {
+	fl := newFleet(t, crashing, crashing).serve(route.Route{Kind: route.Idempotent, MaxAttempts: 2})
+	bl := &blames{allowed: 1}
+	fl.re.Blame = bl
+	rs, _, err := fl.call("GET", "/r/x", "")
+	fl.expect(rs, err, http.StatusBadGateway, 1)
+	if len(bl.broke) != 1 || len(bl.ended) != 0 {
+		t.Errorf("%d attempts are told to have broken off, %d to have ended", len(bl.broke), len(bl.ended))
+	}
+}
+
+// What a request ran to clears it, or not: a whole answer and an endpoint's own failure do, a
+// refusal that did not run it and a connection that was refused do not.
+func TestWhatEndsARequest(t *testing.T) {
+	for _, tc := range []struct {
+		name          string
+		script        script
+		status        int
+		ended, broken int
+	}{
+		{"whole", answer(200, "x"), http.StatusOK, 1, 0},
+		{"failed", answer(500, "x"), http.StatusInternalServerError, 1, 0},
+		{"refused", say(func(se *seen) string {
+			return "HTTP/1.1 503 X\r\nX-Id: " + se.head.Header.Get("X-Id") + "\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"
+		}), http.StatusServiceUnavailable, 0, 0},
+		{"crashed", crashing, http.StatusBadGateway, 0, 1},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			fl := newFleet(t, tc.script).serve(route.Route{Kind: route.OnceOnly})
+			bl := &blames{allowed: 9}
+			fl.re.Blame = bl
+			rs, _, err := fl.call("POST", "/r/x", "b")
+			fl.expect(rs, err, tc.status, 1)
+			bl.mu.Lock()
+			defer bl.mu.Unlock()
+			if len(bl.ended) != tc.ended || len(bl.broke) != tc.broken || len(bl.refused) != 0 {
+				t.Errorf("%d ended, %d broke, %d refused; want %d, %d, 0", len(bl.ended), len(bl.broke), len(bl.refused), tc.ended, tc.broken)
+			}
+		})
+	}
+}
--- a/io/relay/request.go
+++ b/io/relay/request.go
@@ -79,7 +79,10 @@
 	defer rq.dropReserved()
 	header := rq.forwarded()
 	for dials := 0; ; dials++ {
-		rf := rq.place(ctx)
+		rf := rq.quarantined(ctx)
+		if rf == nil {
+			rf = rq.place(ctx)
+		}
 		if rf != nil {
 			rq.finish(rf)
 			return
--- a/io/stats/stats.go
+++ b/io/stats/stats.go
@@ -55,6 +55,10 @@
 	RegistrationsUnusable = "RegistrationsUnusable"
 	// CrashedUnder counts requests that were running at an endpoint when it crashed.
 	CrashedUnder = "CrashedUnder"
+	// RequestsQuarantined is how many are not sent to endpoints as they crash them, and
+	// QuarantineTrials counts those that were sent all the same to see whether they still do.
+	RequestsQuarantined = "RequestsQuarantined"
+	QuarantineTrials    = "QuarantineTrials"
 )
 
 // Set is one process's counters.
