Test: a message of peers ends a router that has just started, failing

Cause: found by looking for what else ends a process each time it comes again: hearDown uses the list of peers, which the first tick makes. Measured: go test -run RouterThatStartsHears ./io/gossip: nil pointer dereference.

--- a/io/gossip/counts_test.go
+++ b/io/gossip/counts_test.go
@@ -7,9 +7,11 @@
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
+	"go.uber.org/zap"
 
 	"almondrill/core"
 	"almondrill/core/place"
+	"almondrill/io/clock"
 	"almondrill/io/gossip"
 )
 
@@ -212,3 +214,13 @@
 		}
 	}
 }
+
+// An endpoint crashes while a router starts. Two peers that still take the one before for the
+// endpoint's keeper tell it, within the first tenth of a second, that they cannot reach it. The
+// new router does not know its peers yet; it must go on, or it ends at each start for as long
+// as endpoints crash: "invalid memory address", and its callers' connections are refused.
+func TestRouterThatStartsHearsOfALostEndpoint(t *testing.T) {
+	gr := &gossip.Group{Addr: "127.0.0.1:1", Placer: &place.Placer{Rand: clock.NewRand(1), Routers: func() int { return 1 }}, Log: zap.NewNop()}
+	gr.HearDown(7, "127.0.0.2")
+	gr.HearDown(7, "127.0.0.3")
+}
--- a/io/gossip/export_test.go
+++ b/io/gossip/export_test.go
@@ -1,6 +1,11 @@
 package gossip
 
-import "almondrill/core"
+import (
+	"net"
+	"time"
+
+	"almondrill/core"
+)
 
 // Ahead is the peer that would be asked for news beyond own; "" if there is none.
 func (gr *Group) Ahead(own core.Version) string {
@@ -10,3 +15,8 @@
 	gr.fetched = false
 	return addr
 }
+
+// HearDown takes a peer's word that it cannot reach the endpoint.
+func (gr *Group) HearDown(endpoint uint64, from string) {
+	gr.hearCount(time.Now(), &net.UDPAddr{IP: net.ParseIP(from)}, &countMessage{Kind: countDown, Endpoint: endpoint})
+}
