Peers' word of a lost endpoint does not end a router that has just started

What callers saw: had an endpoint crashed within the first tenth of a second of a router, their connections to it were refused until its next start, and again then. Cause: two peers tell the router that they cannot reach the endpoint, and it tells all others from a list that its first tick makes. Change: nobody is told before the first tick. Why it holds: the list is read once, and its absence is the only case without peers. Measured: go test -run RouterThatStartsHears ./io/gossip fails before, passes now.

--- a/io/gossip/counts.go
+++ b/io/gossip/counts.go
@@ -185,7 +185,11 @@
 		return
 	}
 	gr.believeDown(now, endpoint, from)
-	for _, ke := range *gr.counts.keepers.Load() {
+	all := gr.counts.keepers.Load()
+	if all == nil {
+		return // no peer is known before the first tick
+	}
+	for _, ke := range *all {
 		if ke.to != nil {
 			gr.sendCount(ke.to, &countMessage{Kind: countLost, Endpoint: endpoint})
 		}
