--- a/io/gossip/export_test.go
+++ b/io/gossip/export_test.go
@@ -20,3 +20,8 @@
 func (gr *Group) HearDown(endpoint uint64, from string) {
 	gr.hearCount(time.Now(), &net.UDPAddr{IP: net.ParseIP(from)}, &countMessage{Kind: countDown, Endpoint: endpoint})
 }
+
+// HearBytes takes a message as it came from the socket.
+func (gr *Group) HearBytes(data []byte) {
+	gr.take(time.Now(), &net.UDPAddr{IP: net.IPv4(127, 0, 0, 2), Port: 1}, data)
+}
--- /dev/null
+++ b/io/gossip/fuzz_test.go
@@ -0,0 +1,43 @@
+package gossip_test
+
+import (
+	"testing"
+
+	"github.com/fxamacker/cbor/v2"
+	"go.uber.org/zap"
+
+	"almondrill/core/mirror"
+	"almondrill/core/place"
+	"almondrill/io/clock"
+	"almondrill/io/gossip"
+)
+
+// Whatever comes from a peer's port, of another version or damaged, must not end a router: the
+// peer sends it again at each start.
+func FuzzHear(f *testing.F) {
+	for _, body := range []any{
+		map[int]any{1: 7, 2: []byte{1, 2, 3}, 5: []string{"127.0.0.1:1"}, 6: []any{[]any{1, 2, 3}}, 7: []byte{1, 2, 3, 4, 5, 6}},
+		map[int]any{10: []any{1, 7, 3, 9}},
+		map[int]any{10: []any{4, 7, 0, 0}},
+		map[int]any{10: []any{5, 7, 0, 0}},
+		map[int]any{11: []any{1, make([]byte, 16), []any{[]any{7, 100}}}},
+		map[int]any{11: []any{2, make([]byte, 16), []any{[]any{7, 1 << 31}}}},
+	} {
+		data, err := cbor.Marshal(body)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(data)
+	}
+	f.Add([]byte{0xa1, 0x0a, 0xf6})
+	f.Fuzz(func(_ *testing.T, data []byte) {
+		fe := &feed{}
+		fe.Confirm(0)
+		gr := &gossip.Group{
+			Addr: "127.0.0.1:1", Mirror: &mirror.Mirror{}, Feed: fe, Rand: clock.NewRand(1), Log: zap.NewNop(),
+			Placer: &place.Placer{Rand: clock.NewRand(1), Routers: func() int { return 1 }},
+		}
+		gr.HearBytes(data)
+		gr.HearBytes(data)
+	})
+}
--- a/io/gossip/gossip.go
+++ b/io/gossip/gossip.go
@@ -272,20 +272,24 @@
 			gr.Log.Warn("Reading a message of a peer failed.", zap.Error(err))
 			continue
 		}
-		var ms message
-		if err = cbor.Unmarshal(buffer[:count], &ms); err != nil {
-			gr.Log.Warn("A message of a peer makes no sense.", zap.String("Addr", from.String()), zap.Error(err))
-			continue
-		}
-		if ms.Count != nil {
-			gr.hearCount(time.Now(), from, ms.Count)
-			continue
-		}
-		if ms.Blame != nil {
-			gr.hearBlame(time.Now(), from.String(), ms.Blame)
-			continue
-		}
-		gr.hear(time.Now(), from.String(), &ms)
+		gr.take(time.Now(), from, buffer[:count])
+	}
+}
+
+// take takes a message as it came.
+func (gr *Group) take(now time.Time, from net.Addr, data []byte) {
+	var ms message
+	if err := cbor.Unmarshal(data, &ms); err != nil {
+		gr.Log.Warn("A message of a peer makes no sense.", zap.String("Addr", from.String()), zap.Error(err))
+		return
+	}
+	switch {
+	case ms.Count != nil:
+		gr.hearCount(now, from, ms.Count)
+	case ms.Blame != nil:
+		gr.hearBlame(now, from.String(), ms.Blame)
+	default:
+		gr.hear(now, from.String(), &ms)
 	}
 }
 
