Test: an item of the store that the decoder fails on ends all routers, failing

Cause: found by looking for what else ends a process each time it comes again: a router that starts lists the store and reads the item again.

--- a/io/entry/export_test.go
+++ b/io/entry/export_test.go
@@ -1,9 +1,19 @@
 package entry
 
-import "net"
+import (
+	"net"
+
+	"almondrill/core"
+)
 
 // Accepted makes a connection one of a caller's, and returns what tells that it has ended.
 func Accepted(co net.Conn) (net.Conn, func() bool) {
 	cc := &callerConn{TCPConn: co.(*net.TCPConn), times: &callerTimes{}}
 	return cc, cc.ended
 }
+
+// Changed takes an item that is new to the mirror.
+func (pr *Process) Changed(it core.Item) { pr.view.changed(it) }
+
+// Endpoints is how many are known, of whichever pools.
+func (pr *Process) Endpoints() int { return pr.placer.Known(func(core.PoolID) bool { return true }) }
--- a/io/stats/stats.go
+++ b/io/stats/stats.go
@@ -53,6 +53,8 @@
 	LogLinesSampled = "LogLinesSampled"
 	// RegistrationsUnusable counts those that became unreadable.
 	RegistrationsUnusable = "RegistrationsUnusable"
+	// ItemsFailed counts those of the store that brought a fault of this program about.
+	ItemsFailed = "ItemsFailed"
 	// CrashedUnder counts requests that were running at an endpoint when it crashed.
 	CrashedUnder = "CrashedUnder"
 	// RequestsQuarantined is how many are not sent to endpoints as they crash them, and
