An item of the store that brings a fault about ends no router

What callers would see: all routers end at once and at each start, until somebody removes the item; nobody is served. Cause: what the store tells is decoded and put in force in the process's own loop, where a fault ends it; the item is still there when it starts again. Change: the fault is logged with its stack and counted (ItemsFailed), and the item passed over. Why it holds: each item is taken by itself, and locks are let go of as the fault unwinds.

--- a/io/entry/view.go
+++ b/io/entry/view.go
@@ -31,8 +31,10 @@
 	draining bool
 }
 
-// changed takes an item that is new to the mirror.
+// changed takes an item that is new to the mirror. A fault that the item brings about must not
+// end the process: all routers read the same store, and read it again when they start.
 func (vi *view) changed(it core.Item) {
+	defer vi.survive(it)
 	what, err := vi.pr.Platform.Decode(it)
 	if err != nil {
 		vi.log.Warn("Cannot use an item of the store; what is in force stays.", zap.String("Key", it.Key),
@@ -57,6 +59,17 @@
 	}
 }
 
+// survive tells of a fault and lets the process go on; what was in force before the item stays.
+func (vi *view) survive(it core.Item) {
+	fault := recover()
+	if fault == nil {
+		return
+	}
+	vi.pr.Stats.Add(stats.ItemsFailed, 1)
+	vi.log.Error("An item of the store brought a fault about; it is passed over.", zap.String("Key", it.Key),
+		zap.Uint64("Rev", uint64(it.Rev)), zap.Any("Fault", fault), zap.StackSkip("Stack", 1))
+}
+
 // adopt puts a configuration in force unless a later one is.
 func (vi *view) adopt(doc *route.Document, rev core.Version) {
 	old := vi.pr.relay.Table()
