Test: a version that crashes its engines is ordered from one after the other, failing

Cause: found by looking for the same class as the quarantined request: work that is itself the fault, given on to the next engine without a bound of its own. An engine that is gone after an order even counts as an order that went well.

--- a/core/trial/orders_test.go
+++ b/core/trial/orders_test.go
@@ -97,7 +97,7 @@
 func (ro *rollout) at(version string) int {
 	count := 0
 	for _, en := range ro.engines {
-		if st, _ := en.State(ro.ctx); st.Version == version {
+		if st, err := en.State(ro.ctx); err == nil && st.Version == version {
 			count++
 		}
 	}
@@ -244,6 +244,34 @@
 	return nil
 }
 
+// A version is declared that crashes each engine that loads it; the engine is back half a
+// minute later with what it had. Given on to the next engine each time, the order takes the
+// pool down to its Minimum for as long as the version stands: what fails is the order, not the
+// engine. The next version, which is sound, rolls at once.
+func TestVersionThatCrashesItsEnginesIsGivenUp(t *testing.T) {
+	const most = 3
+	onRollout(t, 24, 8, 2, func(ro *rollout) {
+		for _, en := range ro.engines {
+			en.Tuning.CrashOn, en.Tuning.Away = "bad", 30*time.Second
+		}
+		ro.declare(0, "bad")
+		time.Sleep(5 * time.Minute)
+		crashes := 0
+		for _, en := range ro.engines {
+			crashes += en.CrashCount()
+		}
+		if crashes == 0 || crashes > most {
+			t.Errorf("%d crashes of engines in five minutes, want one to %d", crashes, most)
+		}
+		ro.declare(0, "good")
+		took := ro.until(20*time.Minute, func() bool { return ro.at("good") == len(ro.engines) })
+		if took > 5*time.Minute {
+			t.Errorf("the next version is on %d of %d engines after %s", ro.at("good"), len(ro.engines), took)
+		}
+		ro.fencesRise()
+	})
+}
+
 // Operators change the version every half minute while routers are paused in
 // turn, the KV fails and loses answers, and agents are replaced. No engine runs
 // an order after one with a higher number; once all is well again, every engine
--- a/io/stand/inmem/engine.go
+++ b/io/stand/inmem/engine.go
@@ -68,6 +68,9 @@
 // Do runs a call. Its body names the request for the audit.
 func (en *Engine) Do(ctx context.Context, ca *core.Call, si core.Sink) (core.Usage, error) {
 	nonce := string(ca.Body)
+	if en.isAway() {
+		return core.Usage{}, en.broken(core.NotRun, core.ReasonEndpointDown)
+	}
 	if en.Audit != nil {
 		en.Audit.Ran(nonce, idemName(ca))
 	}
@@ -86,6 +89,12 @@
 	return us, nil
 }
 
+func (en *Engine) isAway() bool {
+	en.mu.Lock()
+	defer en.mu.Unlock()
+	return en.Tuning.away
+}
+
 // idemName names work that must not run twice: by its key, or, where the caller
 // gave none, by the request.
 func idemName(ca *core.Call) string {
