An order that crashes its engines is not given on from one to the next

What callers would see: a declared version that crashes the engines that load it kept a pool at its Minimum, with calls cut or refused, for as long as it was declared. Cause: an order that failed was put off for its engine alone and given to the others; an engine that was gone after its order even counted as one that went well. Change: until an order has gone well on one engine of its pool, at most three have it or have failed on it; then one gets it again after ten minutes, later up to two hours. Why it holds: the count goes by what is ordered, not by the engine, and an engine that cannot be reached after its order counts as failed. A new holder of the lease begins anew, with three.

--- a/core/order/control.go
+++ b/core/order/control.go
@@ -45,11 +45,16 @@
 	Issued  func(gi Given)
 	Refused func(gi Given, re *core.Refusal)
 	Held    func(fence core.Fence)
+	// GivenUp, if set, is told of an order that has failed on several engines and on none
+	// gone well: no further engine of the pool gets it for now.
+	GivenUp func(po core.PoolID, or core.Order, failures int)
 
 	// Owned by the goroutine of sweeps.
 	fence core.Fence
 	pace  Pace
 	seen  map[core.VMID]*seen
+	// proofs are what is known of the orders of this holder; those of a later one begin anew.
+	proofs map[content]*proof
 }
 
 // seen is what an agent last told.
@@ -58,6 +63,8 @@
 	at          time.Time
 	states      []core.EndpointState
 	again       map[core.EndpointID]*again
+	// given are the orders in progress.
+	given map[core.EndpointID]core.Order
 }
 
 // again delays an order that failed.
@@ -120,11 +127,11 @@
 func (co *Controller) sweep(ctx context.Context) {
 	fence, held := co.Lease.Fence()
 	if !held {
-		co.fence, co.seen = 0, nil
+		co.fence, co.seen, co.proofs = 0, nil, nil
 		return
 	}
 	if fence != co.fence {
-		co.fence, co.seen = fence, map[core.VMID]*seen{}
+		co.fence, co.seen, co.proofs = fence, map[core.VMID]*seen{}, map[content]*proof{}
 		if co.Held != nil {
 			co.Held(fence)
 		}
@@ -134,7 +141,9 @@
 	co.look(ctx, sn, pools)
 	loads := co.pace.Window() - co.loading()
 	for _, po := range pools {
-		given := Next(po, co.views(sn, po), loads)
+		given := Next(po, co.views(sn, po), loads, func(or *core.Order, open int) bool {
+			return co.proofs[contentOf(po.Name, or)].allows(co.Clock.Now(), open)
+		})
 		loads -= co.give(ctx, given)
 	}
 }
@@ -221,7 +230,7 @@
 	}
 	se := co.seen[vm]
 	if se == nil {
-		se = &seen{again: map[core.EndpointID]*again{}}
+		se = &seen{again: map[core.EndpointID]*again{}, given: map[core.EndpointID]core.Order{}}
 		co.seen[vm] = se
 	}
 	for ix := range states {
@@ -241,15 +250,49 @@
 	if ix < 0 || se.states[ix].Phase != core.PhaseOrdered || now.Phase == core.PhaseOrdered {
 		return
 	}
-	if now.Problem == nil {
+	or, known := se.given[now.Endpoint]
+	delete(se.given, now.Endpoint)
+	if now.Problem == nil && now.Phase != core.PhaseUnreachable {
 		co.pace.Well()
 		delete(se.again, now.Endpoint)
+		if known && now.Engine.Meets(&or) {
+			co.proofOf(now.Pool, &or).proved = true
+		}
 		return
 	}
-	if now.Problem.Reason == core.ReasonWeightsBusy {
+	if now.Problem != nil && now.Problem.Reason == core.ReasonWeightsBusy {
 		co.pace.Refused()
 	}
 	co.postpone(se, now.Endpoint)
+	if known && engineFailed(now) {
+		co.failed(now.Pool, or)
+	}
+}
+
+// engineFailed tells whether the engine itself did not bear the order, and not that it was not
+// handed over, or that there were no weights.
+func engineFailed(es *core.EndpointState) bool {
+	if es.Phase == core.PhaseUnreachable {
+		return true
+	}
+	return es.Problem.Outcome != core.NotRun && es.Problem.Reason != core.ReasonWeightsBusy
+}
+
+func (co *Controller) proofOf(po core.PoolID, or *core.Order) *proof {
+	key := contentOf(po, or)
+	pr := co.proofs[key]
+	if pr == nil {
+		pr = &proof{}
+		co.proofs[key] = pr
+	}
+	return pr
+}
+
+func (co *Controller) failed(po core.PoolID, or core.Order) {
+	pr := co.proofOf(po, &or)
+	if pr.fail(co.Clock.Now()) && co.GivenUp != nil {
+		co.GivenUp(po, or, pr.failures)
+	}
 }
 
 func (co *Controller) postpone(se *seen, id core.EndpointID) {
@@ -355,6 +398,7 @@
 	if re == nil && co.Issued != nil {
 		co.Issued(gi)
 	}
+	se.given[gi.Endpoint] = gi.Order
 	for ix := range se.states {
 		if se.states[ix].Endpoint == gi.Endpoint {
 			se.states[ix].Phase = core.PhaseOrdered
--- a/core/order/order_test.go
+++ b/core/order/order_test.go
@@ -195,7 +195,7 @@
 		}
 		before := count(serving)
 		begun := 0
-		for _, gi := range order.Next(po, views, loads) {
+		for _, gi := range order.Next(po, views, loads, nil) {
 			if gi.Kind == core.OrderLoadModel {
 				delete(serving, gi.VM)
 			}
--- a/core/order/plan.go
+++ b/core/order/plan.go
@@ -36,16 +36,20 @@
 // Next picks the orders to give now for a pool, of which at most loads fetch from
 // the weight store. Engines that serve are only taken away while Minimum others
 // go on serving. An endpoint not seen yet counts as not serving: it may be in the
-// middle of an earlier holder's order.
-func Next(po *decl.Pool, views []View, loads int) []Given {
+// middle of an earlier holder's order. allow tells whether one more engine may get an
+// order, beside those with one in progress; nil allows all.
+func Next(po *decl.Pool, views []View, loads int, allow func(or *core.Order, open int) bool) []Given {
 	if po.Version == "" {
 		return nil
 	}
-	spare := -max(1, po.Minimum)
+	spare, open := -max(1, po.Minimum), 0
 	for ix := range views {
 		if views[ix].serving(po) {
 			spare++
 		}
+		if views[ix].Phase == core.PhaseOrdered {
+			open++
+		}
 	}
 	var given []Given
 	for ix := range views {
@@ -57,6 +61,9 @@
 		if fetches(or.Kind) && loads <= 0 {
 			continue
 		}
+		if allow != nil && !allow(or, open) {
+			continue
+		}
 		if or.Kind == core.OrderLoadModel && vi.serving(po) {
 			if spare <= 0 {
 				continue
@@ -66,6 +73,7 @@
 		if fetches(or.Kind) {
 			loads--
 		}
+		open++
 		given = append(given, Given{VM: vi.VM, Order: *or})
 	}
 	return given
--- a/io/entry/view_test.go
+++ b/io/entry/view_test.go
@@ -28,10 +28,13 @@
 }
 
 func (faulty) PutQuarantine(context.Context, core.Quarantine) (core.Version, error) { return 0, nil }
-func (faulty) DropQuarantine(context.Context, core.Quarantine) error                { return nil }
+
+func (faulty) DropQuarantine(context.Context, core.Quarantine) error { return nil }
+
 func (faulty) Dialect() relay.Dialect { return relay.Dialect{} }
 
-func (faulty) ReadyPath() string                                        { return "/ready" }
+func (faulty) ReadyPath() string { return "/ready" }
+
 func (faulty) Announce(context.Context, core.VMID, string, *zap.Logger) {}
 
 func (faulty) Decode(it core.Item) (any, error) {
--- a/io/node/orders.go
+++ b/io/node/orders.go
@@ -21,6 +21,11 @@
 		Held: func(fence core.Fence) {
 			out.Info("This process gives the orders now.", zap.Uint64("Fence", uint64(fence)))
 		},
+		GivenUp: func(po core.PoolID, or core.Order, failures int) {
+			pr.Stats.Add(stats.OrdersGivenUp, 1)
+			out.Error("An order failed on several engines; no further one gets it for now.", zap.String("Pool", string(po)),
+				zap.String("Kind", string(or.Kind)), zap.String("Name", or.Name), zap.String("Version", or.Version), zap.Int("Failures", failures))
+		},
 		Issued: func(gi order.Given) {
 			pr.Stats.Add(stats.OrdersGiven, 1)
 			out.Info("An order was given.", orderFields(&gi.Order, gi.VM)...)
--- a/io/stats/docs.go
+++ b/io/stats/docs.go
@@ -31,6 +31,7 @@
 	{Replays, "outcomes replayed to a retry with the same key"},
 	{OrdersGiven, "orders that an agent took from this router"},
 	{OrdersDone, "orders that this agent's engines carried out"},
+	{OrdersGivenUp, "times that an order failed on several engines of its pool and on none went well, so that the others keep what they have; see rolling-versions.md"},
 	{OrdersFence, "the fencing number under which this router gives orders; 0 while another does"},
 	{ContextsHanded, "contexts that this agent moved to other engines when it left"},
 	{ContextsTaken, "contexts that this agent took in from leaving ones"},
--- a/io/stats/stats.go
+++ b/io/stats/stats.go
@@ -43,6 +43,7 @@
 	OrdersGiven     = "OrdersGiven"
 	OrdersDone      = "OrdersDone"
 	OrdersFence     = "OrdersFence"
+	OrdersGivenUp   = "OrdersGivenUp"
 	ContextsHanded  = "ContextsHandedOn"
 	ContextsTaken   = "ContextsTakenIn"
 	PointersHanded  = "PointersHandedOn"
