On call: quarantines are listed and lifted, and explained from a request's id

Cause: a refusal told its reason, but not which endpoints had crashed under other ids, and only time ended it. Change: almondrill quarantine lists, on any router, and lifts one everywhere; explain -request adds the lines about the same request under whatever id, from all routers. Measured: go test -run 'Listed|Explained' ./platform; go test ./cmd/almondrill.

--- a/cmd/almondrill/main.go
+++ b/cmd/almondrill/main.go
@@ -29,6 +29,7 @@
 	cd.Register(&standinCommand{}, "trying out")
 	cd.Register(&checkCommand{}, "operators")
 	cd.Register(&explainCommand{}, "operators")
+	cd.Register(&quarantineCommand{}, "operators")
 	cd.Register(&planCommand{}, "operators")
 	cd.Register(&applyCommand{}, "operators")
 	cd.Register(&rollbackCommand{}, "operators")
--- a/io/story/story.go
+++ b/io/story/story.go
@@ -103,26 +103,56 @@
 const logTime = "2006-01-02T15:04:05.000Z0700"
 
 // Request is the story of a request: its lines, and before them what its VM had last
-// learned of the configuration and of the endpoints that its lines name.
+// learned of the configuration and of the endpoints that its lines name, and what any router
+// found out about it: which endpoints crashed while they ran it, under this id or another.
 func Request(lines []Line, id string) []Line {
 	var found []Line
 	endpoints := map[string]bool{}
 	vms := map[string]bool{}
+	prints := map[string]bool{}
 	for _, li := range lines {
 		if li.Request == id {
 			found = append(found, li)
 			endpoints[li.Endpoint], endpoints[li.Peer] = true, true
 			vms[li.VM] = true
+			prints[li.text("Fingerprint")] = true
 		}
 	}
 	if len(found) == 0 {
 		return nil
 	}
 	delete(endpoints, "")
+	delete(prints, "")
 	before := lastBelief(lines, found[0].Time, vms, endpoints)
+	before = append(before, blamed(lines, prints)...)
+	slices.SortStableFunc(before, func(a, b Line) int { return a.Time.Compare(b.Time) })
 	return append(before, found...)
 }
 
+// blamed are the lines about requests of these fingerprints as such, whichever attempt.
+func blamed(lines []Line, prints map[string]bool) []Line {
+	var out []Line
+	for _, li := range lines {
+		if li.Request != "" {
+			continue
+		}
+		ran, _ := li.Fields["Ran"].([]any)
+		named := slices.ContainsFunc(ran, func(one any) bool {
+			fp, _ := one.(string)
+			return prints[fp]
+		})
+		if named || prints[li.text("Fingerprint")] {
+			out = append(out, li)
+		}
+	}
+	return out
+}
+
+func (li *Line) text(field string) string {
+	value, _ := li.Fields[field].(string)
+	return value
+}
+
 // lastBelief finds the last lines before a time, by VM, that changed what it believed
 // of the configuration, of the store and of the endpoints.
 func lastBelief(lines []Line, until time.Time, vms, endpoints map[string]bool) []Line {
