--- a/core/trial/orders_test.go
+++ b/core/trial/orders_test.go
@@ -252,7 +252,7 @@
 	const most = 3
 	onRollout(t, 24, 8, 2, func(ro *rollout) {
 		for _, en := range ro.engines {
-			en.Tuning.CrashOn, en.Tuning.Away = "bad", 30*time.Second
+			en.Crashes.OnVersion, en.Crashes.Away = "bad", 30*time.Second
 		}
 		ro.declare(0, "bad")
 		time.Sleep(5 * time.Minute)
--- a/io/stand/inmem/engine.go
+++ b/io/stand/inmem/engine.go
@@ -32,6 +32,7 @@
 	// StallFor, if above 0, holds every call up before its first token.
 	StallFor time.Duration
 	Tuning   Tuning
+	Crashes  Crashes
 
 	mu      sync.Mutex // guards all below
 	running int
@@ -68,9 +69,11 @@
 // Do runs a call. Its body names the request for the audit.
 func (en *Engine) Do(ctx context.Context, ca *core.Call, si core.Sink) (core.Usage, error) {
 	nonce := string(ca.Body)
-	if en.isAway() {
+	ctx, there := en.enter(ctx, ca)
+	if !there {
 		return core.Usage{}, en.broken(core.NotRun, core.ReasonEndpointDown)
 	}
+	defer en.exit(ca)
 	if en.Audit != nil {
 		en.Audit.Ran(nonce, idemName(ca))
 	}
@@ -79,7 +82,13 @@
 	defer en.finish()
 	wait := en.StallFor + time.Duration(ca.Prompt-hit)*en.Prefill
 	if err := en.Clock.Sleep(ctx, wait); err != nil {
-		return core.Usage{}, en.broken(core.Unknown, core.ReasonCallerGone)
+		return core.Usage{}, en.interrupted(ctx)
+	}
+	if en.crashesUnder(ca) {
+		if en.Clock.Sleep(ctx, en.Crashes.After) == nil {
+			en.crash()
+		}
+		return core.Usage{}, en.interrupted(ctx)
 	}
 	us := core.Usage{Prompt: ca.Prompt, Cached: hit, Output: ca.Output}
 	if err := en.decode(ctx, ca, si, nonce); err != nil {
@@ -89,12 +98,6 @@
 	return us, nil
 }
 
-func (en *Engine) isAway() bool {
-	en.mu.Lock()
-	defer en.mu.Unlock()
-	return en.Tuning.away
-}
-
 // idemName names work that must not run twice: by its key, or, where the caller
 // gave none, by the request.
 func idemName(ca *core.Call) string {
@@ -116,7 +119,7 @@
 		}
 		step := min(chunk, ca.Output-sent)
 		if en.Clock.Sleep(ctx, time.Duration(step)*en.stepTime()) != nil {
-			return en.broken(core.Unknown, core.ReasonCallerGone)
+			return en.interrupted(ctx)
 		}
 		sent += step
 		pa.Position = int64(sent)
--- a/io/stand/inmem/tune.go
+++ b/io/stand/inmem/tune.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"slices"
-	"time"
 
 	"almondrill/core"
 	"almondrill/io/stand/wstore"
@@ -22,12 +21,6 @@
 	Fences []core.Fence
 	// Interrupted counts calls that a load cut off.
 	Interrupted int
-	// CrashOn is a version whose loading crashes the engine; it is back after Away with
-	// what it had. Crashes counts that.
-	CrashOn string
-	Away    time.Duration
-	Crashes int
-	away    bool
 }
 
 var _ core.Orderable = (*Engine)(nil)
@@ -36,7 +29,7 @@
 func (en *Engine) State(context.Context) (*core.EngineState, error) {
 	en.mu.Lock()
 	defer en.mu.Unlock()
-	if en.Tuning.away {
+	if en.Crashes.away {
 		return nil, en.broken(core.NotRun, core.ReasonEndpointDown)
 	}
 	st := en.Tuning.Loaded
@@ -58,7 +51,8 @@
 			return en.broken(core.Unknown, core.ReasonStalled)
 		}
 	}
-	if or.Kind == core.OrderLoadModel && en.crashes(or.Version) {
+	if or.Kind == core.OrderLoadModel && or.Version != "" && or.Version == en.Crashes.OnVersion {
+		en.crash()
 		return en.broken(core.Unknown, core.ReasonPeerLost)
 	}
 	en.mu.Lock()
@@ -78,31 +72,6 @@
 	return nil
 }
 
-// crashes ends the engine for a while if the version does that.
-func (en *Engine) crashes(version string) bool {
-	en.mu.Lock()
-	defer en.mu.Unlock()
-	if version != en.Tuning.CrashOn || version == "" {
-		return false
-	}
-	en.Tuning.away = true
-	en.Tuning.Crashes++
-	go func() {
-		_ = en.Clock.Sleep(context.Background(), en.Tuning.Away) // only ends early with the program
-		en.mu.Lock()
-		defer en.mu.Unlock()
-		en.Tuning.away = false
-	}()
-	return true
-}
-
-// CrashCount is how often a version crashed the engine.
-func (en *Engine) CrashCount() int {
-	en.mu.Lock()
-	defer en.mu.Unlock()
-	return en.Tuning.Crashes
-}
-
 // takes notes the order's number.
 func (en *Engine) takes(or *core.Order) bool {
 	en.mu.Lock()
