With agents too, a request that crashes its engines is quarantined

What callers would see: a request that comes again ended an engine with each attempt, two within one where it may be repeated, with all that ran there. Cause: as without agents: nothing outlived the attempt that tells what was asked. Change: an agent whose call broke off asks whether its endpoint is there, and tells the router by the reason Crashed; routers count for all, as without agents, tell each other by a call of their own (Blame), and keep quarantines in the KV. The Ledger of io/guard serves both arrangements; what finds crashes is apart. Stand-in engines crash under calls, in memory and over sockets. Why it holds: the request's fingerprint is counted before each attempt, whichever router and agent.

--- a/core/agent/agent.go
+++ b/core/agent/agent.go
@@ -43,8 +43,9 @@
 	Pool     core.PoolID
 	Endpoint core.Endpoint
 
-	gate *admit.Gate
-	door door
+	gate    *admit.Gate
+	door    door
+	crashes crashes
 }
 
 // Gate is the admission before the endpoint.
@@ -217,9 +218,12 @@
 	}
 	ctx, cancel := ag.outlast(ctx, ca)
 	defer cancel()
+	began := ag.Clock.Now()
 	us, err := sl.Endpoint.Do(ctx, ca, &progress{sink: si, gate: sl.gate, ticket: ti})
 	if err != nil {
-		return us, core.AsRefusal(err, "endpoint", string(sl.ID))
+		re := core.AsRefusal(err, "endpoint", string(sl.ID))
+		ag.findCrash(ctx, sl, began, re)
+		return us, re
 	}
 	return us, nil
 }
--- a/core/blame/table.go
+++ b/core/blame/table.go
@@ -62,36 +62,11 @@
 	mostTurns = 4
 )
 
-// Crash is an endpoint's crash under a request.
-type Crash struct {
-	Endpoint uint64
-	At       time.Time
-}
-
-// Kind is what a Note tells.
-type Kind uint8
-
-const (
-	// Suspected: the request was running at an endpoint when that crashed.
-	Suspected Kind = iota + 1
-	// Quarantined: it has crashed so many that it is not sent to any more.
-	Quarantined
-	// Cleared: it has run to an end, or was lifted; it is not suspected any more.
-	Cleared
-)
-
-// Note is what routers tell each other about a request.
-type Note struct {
-	Kind    Kind
-	Request core.Fingerprint
-	Crashes []Crash
-}
-
 // Effects are what a router has to do for what it heard or saw.
 type Effects struct {
 	// ToKeepers are for the routers that count the crashes of the request, ToAll for all.
-	ToKeepers []Note
-	ToAll     []Note
+	ToKeepers []core.BlameNote
+	ToAll     []core.BlameNote
 	// Remove are entries of the platform's store that hold no longer.
 	Remove []core.Quarantine
 	// Began are requests that are quarantined from now on, Over those that are not any more.
@@ -133,11 +108,11 @@
 }
 
 // suspect is a request that was running at endpoints that crashed.
-type suspect struct{ crashes []Crash }
+type suspect struct{ crashes []core.Crash }
 
 // quarantine is a request that is not sent to endpoints.
 type quarantine struct {
-	crashes []Crash
+	crashes []core.Crash
 	// since is when this router learned of it, or of its last trial.
 	since  time.Time
 	trials int
@@ -155,12 +130,12 @@
 	ta.mu.Lock()
 	defer ta.mu.Unlock()
 	var ef Effects
-	cr := Crash{endpoint, now}
+	cr := core.Crash{Endpoint: endpoint, At: now}
 	for _, fp := range requests {
 		if ta.ended.since(fp, now.Add(-excuse)) {
 			continue
 		}
-		ef.ToKeepers = append(ef.ToKeepers, Note{Suspected, fp, []Crash{cr}})
+		ef.ToKeepers = append(ef.ToKeepers, core.BlameNote{Kind: core.BlameSuspected, Request: fp, Crashes: []core.Crash{cr}})
 		ta.count(now, fp, cr, &ef)
 	}
 	return ef
@@ -185,7 +160,7 @@
 // clear takes back what is held against a request.
 func (ta *Table) clear(fp core.Fingerprint) Effects {
 	var ef Effects
-	cleared := Note{Kind: Cleared, Request: fp}
+	cleared := core.BlameNote{Kind: core.BlameCleared, Request: fp}
 	if qu := ta.quarantined[fp]; qu != nil {
 		ef.ToAll = append(ef.ToAll, cleared)
 		if qu.rev != 0 {
@@ -200,22 +175,22 @@
 }
 
 // Hear takes a peer's note.
-func (ta *Table) Hear(now time.Time, no Note) Effects {
+func (ta *Table) Hear(now time.Time, no core.BlameNote) Effects {
 	ta.mu.Lock()
 	defer ta.mu.Unlock()
 	var ef Effects
 	switch no.Kind {
-	case Suspected:
+	case core.BlameSuspected:
 		for _, cr := range no.Crashes {
 			ta.count(now, no.Request, cr, &ef)
 		}
-	case Cleared:
+	case core.BlameCleared:
 		ta.ended.note(no.Request, now)
 		delete(ta.suspects, no.Request)
 		ta.release(no.Request, &ef)
-	case Quarantined:
+	case core.BlameQuarantined:
 		if ta.innocent(no) {
-			ef.ToAll = append(ef.ToAll, Note{Kind: Cleared, Request: no.Request})
+			ef.ToAll = append(ef.ToAll, core.BlameNote{Kind: core.BlameCleared, Request: no.Request})
 			break
 		}
 		qu := ta.take(now, no.Request, &ef)
@@ -232,7 +207,7 @@
 }
 
 // innocent tells whether this router saw the request end around the time of its first crash.
-func (ta *Table) innocent(no Note) bool {
+func (ta *Table) innocent(no core.BlameNote) bool {
 	if len(no.Crashes) == 0 {
 		return false
 	}
@@ -242,7 +217,7 @@
 
 // count adds a crash to what is held against a request, and quarantines it with the last that
 // is allowed.
-func (ta *Table) count(now time.Time, fp core.Fingerprint, cr Crash, ef *Effects) {
+func (ta *Table) count(now time.Time, fp core.Fingerprint, cr core.Crash, ef *Effects) {
 	if qu := ta.quarantined[fp]; qu != nil {
 		if qu.add(cr) {
 			ta.explain(qu.crashes)
@@ -272,14 +247,14 @@
 }
 
 // known tells whether the crash is one of them, that another router tells of.
-func known(crashes []Crash, cr Crash) bool {
-	return slices.ContainsFunc(crashes, func(other Crash) bool {
+func known(crashes []core.Crash, cr core.Crash) bool {
+	return slices.ContainsFunc(crashes, func(other core.Crash) bool {
 		return other.Endpoint == cr.Endpoint && cr.At.Sub(other.At).Abs() < oneCrash
 	})
 }
 
 // add notes a further crash; false if it is known.
-func (qu *quarantine) add(cr Crash) bool {
+func (qu *quarantine) add(cr core.Crash) bool {
 	if known(qu.crashes, cr) || len(qu.crashes) >= mostListed {
 		return false
 	}
@@ -290,15 +265,15 @@
 // total is at how many crashes it was.
 func (qu *quarantine) total() int { return max(qu.count, len(qu.crashes)) }
 
-func (qu *quarantine) note(fp core.Fingerprint) Note {
-	return Note{Quarantined, fp, slices.Clone(qu.crashes)}
+func (qu *quarantine) note(fp core.Fingerprint) core.BlameNote {
+	return core.BlameNote{Kind: core.BlameQuarantined, Request: fp, Crashes: slices.Clone(qu.crashes)}
 }
 
 // suspect is what is held against a request, made if there is nothing yet.
 func (ta *Table) suspect(now time.Time, fp core.Fingerprint) *suspect {
 	su := ta.suspects[fp]
 	if su != nil {
-		su.crashes = slices.DeleteFunc(su.crashes, func(cr Crash) bool { return now.Sub(cr.At) > keptFor })
+		su.crashes = slices.DeleteFunc(su.crashes, func(cr core.Crash) bool { return now.Sub(cr.At) > keptFor })
 		return su
 	}
 	if ta.suspects == nil {
@@ -351,7 +326,7 @@
 }
 
 // explain notes the crashes at which a quarantined request was.
-func (ta *Table) explain(crashes []Crash) {
+func (ta *Table) explain(crashes []core.Crash) {
 	if ta.explained == nil || len(ta.explained) >= mostExplained {
 		ta.explained = map[uint64]explanation{}
 	}
@@ -404,10 +379,10 @@
 }
 
 // atOnce tells whether the crashes may be one outage.
-func atOnce(crashes []Crash) bool {
+func atOnce(crashes []core.Crash) bool {
 	first := slices.MinFunc(crashes, byTime)
 	last := slices.MaxFunc(crashes, byTime)
 	return last.At.Sub(first.At) < oneOutage
 }
 
-func byTime(a, b Crash) int { return a.At.Compare(b.At) }
+func byTime(a, b core.Crash) int { return a.At.Compare(b.At) }
--- a/core/blame/verdict.go
+++ b/core/blame/verdict.go
@@ -94,7 +94,7 @@
 
 // Decided is a quarantine that this router decided and the store does not have yet.
 type Decided struct {
-	Note  Note
+	Note  core.BlameNote
 	Entry core.Quarantine
 }
 
--- a/core/call.go
+++ b/core/call.go
@@ -79,6 +79,12 @@
 	Do(ctx context.Context, ca *Call, si Sink) (Usage, error)
 }
 
+// Liveness is an endpoint that can be asked whether its process is there.
+type Liveness interface {
+	// Alive is false only if nothing listens there.
+	Alive(ctx context.Context) bool
+}
+
 // Usage is what an endpoint tells of a finished call, in tokens.
 type Usage struct {
 	Prompt Tokens
@@ -94,6 +100,8 @@
 	Claim(ctx context.Context, to VMID, cl *Claim) (*Verdict, error)
 	Fetch(ctx context.Context, to VMID, since Revision) (*Changes, error)
 	Place(ctx context.Context, to VMID, pl []Placement) error
+	// Blame tells a router of a request that crashes endpoints.
+	Blame(ctx context.Context, to VMID, no *BlameNote) error
 	// Order hands an agent an order for an endpoint beside it, and Inspect asks
 	// for the state of all of them. Order's error is a *Refusal.
 	Order(ctx context.Context, to VMID, or *Order) error
--- a/core/ids.go
+++ b/core/ids.go
@@ -1,7 +1,5 @@
 package core
 
-import "encoding/hex"
-
 // Names of the things that the fleet keeps apart. Each is opaque: nothing
 // parses one.
 type (
@@ -36,14 +34,6 @@
 	LeaseID uint64
 )
 
-// Fingerprint names a request by what it asks: it is equal for all attempts at the same
-// request of a customer, whichever router or connection they come by. It tells nothing of
-// the request's content.
-type Fingerprint [16]byte
-
-// String is the first half in hexadecimal, which is enough to find a request in logs.
-func (fp Fingerprint) String() string { return hex.EncodeToString(fp[:len(fp)/2]) }
-
 // Units.
 type (
 	// Tokens counts model tokens.
--- a/core/outcome.go
+++ b/core/outcome.go
@@ -55,6 +55,7 @@
 	ReasonPeerLost      Reason = "PeerLost"      // the connection broke after sending
 	ReasonEndpointDown  Reason = "EndpointDown"  // no connection to the endpoint
 	ReasonEndpointError Reason = "EndpointError" // the endpoint answered with an error
+	ReasonCrashed       Reason = "Crashed"       // the endpoint crashed while it ran the request
 	ReasonCutShort      Reason = "CutShort"      // the stream ended without its end mark
 	ReasonCrossed       Reason = "Crossed"       // the reply was for another attempt
 	ReasonStalled       Reason = "Stalled"       // nothing came for too long
@@ -72,7 +73,7 @@
 	ReasonNoConfig, ReasonNoEndpoint, ReasonWrongPool, ReasonDraining, ReasonLoadCap,
 	ReasonQueueFull, ReasonShareExceeded, ReasonBusyHolder, ReasonHeldElsewhere,
 	ReasonDeadline, ReasonCallerGone, ReasonKVDown, ReasonClaimLost, ReasonKeyReused, ReasonAnswerGone,
-	ReasonUnreachable, ReasonPeerLost, ReasonEndpointDown, ReasonEndpointError,
+	ReasonUnreachable, ReasonPeerLost, ReasonEndpointDown, ReasonEndpointError, ReasonCrashed,
 	ReasonCutShort, ReasonCrossed, ReasonStalled, ReasonRetryBudget, ReasonQuarantined,
 	ReasonReloading, ReasonOldFence, ReasonOrderBusy, ReasonWeightsBusy,
 }
--- a/core/platform.go
+++ b/core/platform.go
@@ -69,47 +69,6 @@
 	Down(endpoint uint64)
 }
 
-// EndpointRef names one start of an endpoint.
-type EndpointRef struct {
-	ID   EndpointID
-	Addr string
-	// Hash is that of its id and start, by which routers tell each other of it.
-	Hash uint64
-}
-
-// Quarantine is an entry of the platform's store: a request that crashes endpoints and is
-// not sent to any more. The entry lapses if it is not written again.
-type Quarantine struct {
-	Request Fingerprint
-	// Trials is how often the request was sent since, to see whether it still does; Crashes at
-	// how many crashes of endpoints it was running, as far as the writer knew.
-	Trials  int
-	Crashes int
-	// Rev is the entry's revision; 0 if there is none yet.
-	Rev Version
-}
-
-// Quarantines keeps entries in the platform's store.
-type Quarantines interface {
-	// PutQuarantine writes the entry if the store's is still of revision Rev, and returns
-	// its new one. ErrConflict: it is not.
-	PutQuarantine(ctx context.Context, qu Quarantine) (Version, error)
-	// DropQuarantine removes the entry if it is still of revision Rev.
-	DropQuarantine(ctx context.Context, qu Quarantine) error
-}
-
-// Blame finds out which requests crash the endpoints that run them.
-type Blame interface {
-	// May tells whether the request may be sent to an endpoint now, or else when it might.
-	May(ctx context.Context, fp Fingerprint) (allowed bool, after time.Duration)
-	// Ended tells that an attempt ran to an end, well or not.
-	Ended(fp Fingerprint)
-	// Broke tells that an attempt broke off, or got no answer in its time.
-	Broke(en EndpointRef, began time.Time, fp Fingerprint)
-	// Refused tells that the endpoint refused a connection.
-	Refused(en EndpointRef)
-}
-
 // VMState is a VM's state in the platform's list.
 type VMState uint8
 
--- a/core/router/router.go
+++ b/core/router/router.go
@@ -27,6 +27,7 @@
 	"time"
 
 	"almondrill/core"
+	"almondrill/core/blame"
 	"almondrill/core/board"
 	"almondrill/core/decl"
 	"almondrill/core/pick"
@@ -51,6 +52,8 @@
 	Dropped func()
 	// Exhausted, if set, counts a retry that the Budget did not allow.
 	Exhausted func()
+	// Blame, if set, knows requests that crash endpoints.
+	Blame core.Blame
 	// Heard, if set, is told of every peer's revision.
 	Heard func(from core.VMID, rev core.Revision)
 }
@@ -81,6 +84,8 @@
 	pointed bool
 	// ran is how an earlier attempt ended that may have run, nil if there is none.
 	ran *core.Refusal
+	// fingerprint tells that attempts of the caller are the same request.
+	fingerprint core.Fingerprint
 }
 
 // Route runs the request. The error, if any, is a *core.Refusal.
@@ -95,6 +100,10 @@
 		Pool: po, Hint: rq.Hint, Zone: ro.Zone, Rand: ro.Rand,
 		Key: ring.Key(rq.Call.Customer, rq.Group.ID, rq.Call.Chat),
 	}}
+	if ro.Blame != nil {
+		ca := &rq.Call
+		at.fingerprint = blame.Fingerprint(ca.Customer, ca.Method, string(ca.Pool), ca.Path, ca.Body)
+	}
 	return at.run(ctx, sn, si)
 }
 
@@ -103,6 +112,9 @@
 	rq.Call.Revision = sn.Revision()
 	ix := at.se.First()
 	for {
+		if re := at.quarantined(ctx); re != nil {
+			return nil, at.final(re)
+		}
 		at.number++
 		gu := &guard{sink: si, vm: at.pool.Members[ix].VM, dropped: at.ro.Dropped}
 		rep, re := at.once(ctx, ix, gu)
@@ -137,6 +149,7 @@
 	gu.attempt = ca.Attempt
 	rep, err := at.ro.Peers.Serve(ctx, gu.vm, &ca, gu)
 	at.learn(ix, rep, err)
+	at.tellBlame(gu.vm, err)
 	if err != nil {
 		return rep, core.AsRefusal(err, "serve", string(gu.vm))
 	}
@@ -149,6 +162,38 @@
 	return rep, nil
 }
 
+// quarantined refuses a request that crashes the endpoints that run it, before each attempt: it
+// comes again through any router, and each attempt costs an endpoint.
+func (at *attempts) quarantined(ctx context.Context) *core.Refusal {
+	if at.ro.Blame == nil {
+		return nil
+	}
+	allowed, after := at.ro.Blame.May(ctx, at.fingerprint)
+	if allowed {
+		return nil
+	}
+	re := at.ro.refuse(core.ReasonQuarantined, "pick", string(at.rq.Group.ID), "endpoints crashed when they ran this request")
+	re.RetryAfter = max(re.RetryAfter, after)
+	return re
+}
+
+// tellBlame tells how an attempt ended: at a crash, or so that the endpoint lived on.
+func (at *attempts) tellBlame(vm core.VMID, err error) {
+	if at.ro.Blame == nil {
+		return
+	}
+	if err == nil {
+		at.ro.Blame.Ended(at.fingerprint)
+		return
+	}
+	switch re := core.AsRefusal(err, "serve", string(vm)); re.Reason {
+	case core.ReasonEndpointError:
+		at.ro.Blame.Ended(at.fingerprint)
+	case core.ReasonCrashed:
+		at.ro.Blame.Crashed(ring.Mix(decl.HashName(string(vm)), decl.HashName(re.Peer)), at.fingerprint)
+	}
+}
+
 // learn passes on what the attempt showed of the agent.
 func (at *attempts) learn(ix int, rep *core.Report, err error) {
 	me := &at.pool.Members[ix]
@@ -198,7 +243,7 @@
 	switch re.Reason {
 	case core.ReasonEndpointError:
 		return re.Status >= firstServerError
-	case core.ReasonPeerLost, core.ReasonEndpointDown, core.ReasonCutShort, core.ReasonCrossed, core.ReasonStalled:
+	case core.ReasonPeerLost, core.ReasonEndpointDown, core.ReasonCrashed, core.ReasonCutShort, core.ReasonCrossed, core.ReasonStalled:
 		return true
 	}
 	return false
--- a/io/back/back.go
+++ b/io/back/back.go
@@ -28,8 +28,10 @@
 	"io"
 	"net"
 	"net/http"
+	"net/url"
 	"strconv"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/samber/oops"
@@ -68,7 +70,10 @@
 	Crossed func()
 }
 
-var _ core.Endpoint = (*Endpoint)(nil)
+var (
+	_ core.Endpoint = (*Endpoint)(nil)
+	_ core.Liveness = (*Endpoint)(nil)
+)
 
 // client keeps connections per endpoint. onceClient opens one for each call: on
 // a kept connection that the endpoint is just closing, a request can be lost so
@@ -92,6 +97,19 @@
 	}
 }
 
+// Alive implements core.Liveness: a process that is there accepts a connection.
+func (ep *Endpoint) Alive(ctx context.Context) bool {
+	at, err := url.Parse(ep.URL)
+	if err != nil {
+		return true
+	}
+	co, err := (&net.Dialer{}).DialContext(ctx, "tcp", at.Host)
+	if err == nil {
+		_ = co.Close() // nothing was sent on it
+	}
+	return !errors.Is(err, syscall.ECONNREFUSED)
+}
+
 // CacheKey is the name under which engines keep a chat's context.
 func CacheKey(key uint64) string { return strconv.FormatUint(key, 16) }
 
--- /dev/null
+++ b/io/demo/crash_test.go
@@ -0,0 +1,48 @@
+package demo_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"almondrill/core"
+	"almondrill/io/caller"
+	"almondrill/io/demo"
+	"almondrill/io/stand/engine"
+)
+
+// A chat's turn crashes the engine that runs it, at its second token. The caller comes back
+// with it 15 times, through both routers. Each agent tells its router that the engine is gone,
+// the routers tell each other over their own protocol, and the turn is refused everywhere from
+// the third crash on, while others are served.
+func TestTurnThatCrashesItsEnginesIsRefused(t *testing.T) {
+	const returns, most = 15, 6
+	fl := startFleet(t)
+	for _, en := range fl.Standins {
+		en.SetFaults(engine.Faults{CrashOn: "crash", CrashAt: 1})
+	}
+	turn := chat(true)
+	turn.Messages[0].Content = "crash"
+	cl := &caller.Client{Key: demo.Key}
+	refused := 0
+	for ix := range returns {
+		rs := cl.Chat(context.Background(), fl.RouterAddrs()[ix%2], turn)
+		if rs.Reason == core.ReasonQuarantined {
+			refused++
+		}
+		time.Sleep(200 * time.Millisecond)
+	}
+	asked := 0
+	for _, en := range fl.Standins {
+		asked += en.Served().Requests
+	}
+	if asked > most || refused < returns-2*most {
+		t.Errorf("engines were asked %d times, at most %d allowed; refused %d of %d times", asked, most, refused, returns)
+	}
+	time.Sleep(time.Second)
+	for _, addr := range fl.RouterAddrs() {
+		if rs := cl.Chat(context.Background(), addr, chat(true)); rs.Outcome != core.Whole {
+			t.Errorf("another turn: %v", rs)
+		}
+	}
+}
--- a/io/demo/fleet.go
+++ b/io/demo/fleet.go
@@ -176,7 +176,7 @@
 		Clock: fl.clock, Model: Model, TokenEvery: fl.TokenEvery, Audit: fl.Audit, ReportLag: time.Second,
 		Version: "1",
 	}
-	addr, err := fl.serve(en.Handler())
+	addr, err := fl.serveEngine(en)
 	if err != nil {
 		return err
 	}
@@ -328,6 +328,53 @@
 	return li, nil
 }
 
+// crashedFor is how long an engine that crashes is away.
+const crashedFor = 500 * time.Millisecond
+
+// serveEngine serves an engine that may crash: its connections end, and it is back at the
+// same address a moment later.
+func (fl *Fleet) serveEngine(en *engine.Engine) (string, error) {
+	li, err := fl.listen()
+	if err != nil {
+		return "", err
+	}
+	addr := li.Addr().String()
+	var mu sync.Mutex // guards all below
+	var server *http.Server
+	ended := false
+	begin := func(li net.Listener) {
+		mu.Lock()
+		defer mu.Unlock()
+		if ended {
+			_ = li.Close()
+			return
+		}
+		server = &http.Server{Handler: en.Handler(), ReadHeaderTimeout: 10 * time.Second}
+		go func(srv *http.Server) { _ = srv.Serve(li) }(server)
+	}
+	en.Crash = func() {
+		mu.Lock()
+		defer mu.Unlock()
+		_ = server.Close()
+		time.AfterFunc(crashedFor, func() {
+			back, err := net.Listen("tcp", addr)
+			if err != nil {
+				fl.fail(oops.In("restart an engine").With("peer", addr).Wrap(err))
+				return
+			}
+			begin(back)
+		})
+	}
+	begin(li)
+	fl.closers = append(fl.closers, func() {
+		mu.Lock()
+		defer mu.Unlock()
+		ended = true
+		_ = server.Close()
+	})
+	return addr, nil
+}
+
 func (fl *Fleet) serve(handler http.Handler) (string, error) {
 	li, err := fl.listen()
 	if err != nil {
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -160,7 +160,8 @@
 	pr.reader.Leads, pr.reader.DoubtFor = pr.peers.Leads, se.ReturnDelay+returnMargin
 	pr.peers.Feed = pr.reader
 	pr.guard = &guard.Controller{
-		Conns: pr.pool, Placer: pr.placer, Peers: pr.peers, Store: pr.Platform, Stats: pr.Stats, Log: pr.Logs.Part("guard"),
+		Ledger: &guard.Ledger{Peers: pr.peers, Store: pr.Platform, Stats: pr.Stats, Log: pr.Logs.Part("guard")},
+		Conns:  pr.pool, Placer: pr.placer,
 	}
 	pr.peers.Blamed = pr.guard.Hear
 	pr.relay = &relay.Relay{
--- a/io/gossip/blame.go
+++ b/io/gossip/blame.go
@@ -8,7 +8,6 @@
 	"go.uber.org/zap"
 
 	"almondrill/core"
-	"almondrill/core/blame"
 	"almondrill/core/ring"
 )
 
@@ -16,10 +15,10 @@
 // still knows.
 const blameKeepers = 2
 
-// blameMessage is a blame.Note on its way, some 60 bytes.
+// blameMessage is a core.BlameNote on its way, some 60 bytes.
 type blameMessage struct {
 	_       struct{} `cbor:",toarray"`
-	Kind    blame.Kind
+	Kind    core.BlameKind
 	Request []byte
 	Crashes []blameCrash
 }
@@ -31,7 +30,7 @@
 }
 
 // TellKeepers sends a note to the routers that count for its request.
-func (gr *Group) TellKeepers(now time.Time, no blame.Note) {
+func (gr *Group) TellKeepers(now time.Time, no core.BlameNote) {
 	all := gr.counts.keepers.Load()
 	if all == nil {
 		return // the process has just started, and nobody is known
@@ -59,7 +58,7 @@
 
 // TellAll sends a note to all routers; where there are more than newsTo, to as many that are
 // drawn. The others hear of it through the store, or by a later note.
-func (gr *Group) TellAll(now time.Time, no blame.Note) {
+func (gr *Group) TellAll(now time.Time, no core.BlameNote) {
 	for _, addr := range gr.some(newsTo) {
 		to, err := net.ResolveUDPAddr("udp", addr)
 		if err != nil {
@@ -70,7 +69,7 @@
 	}
 }
 
-func (gr *Group) sendBlame(now time.Time, to net.Addr, no blame.Note) {
+func (gr *Group) sendBlame(now time.Time, to net.Addr, no core.BlameNote) {
 	bm := &blameMessage{Kind: no.Kind, Request: no.Request[:]}
 	for _, cr := range no.Crashes {
 		age := min(mostAgeMs, max(0, now.Sub(cr.At).Milliseconds()))
@@ -81,15 +80,15 @@
 
 // hearBlame takes a peer's note.
 func (gr *Group) hearBlame(now time.Time, from string, bm *blameMessage) {
-	no := blame.Note{Kind: bm.Kind}
-	if len(bm.Request) != len(no.Request) || bm.Kind < blame.Suspected || bm.Kind > blame.Cleared {
+	no := core.BlameNote{Kind: bm.Kind}
+	if len(bm.Request) != len(no.Request) || bm.Kind < core.BlameSuspected || bm.Kind > core.BlameCleared {
 		gr.Log.Warn("A peer's note of a request makes no sense.", zap.String("Addr", from), zap.Uint8("Kind", uint8(bm.Kind)))
 		return
 	}
 	no.Request = core.Fingerprint(bm.Request)
 	for _, cr := range bm.Crashes {
 		at := now.Add(-time.Duration(min(cr.AgeMs, mostAgeMs)) * time.Millisecond)
-		no.Crashes = append(no.Crashes, blame.Crash{Endpoint: cr.Endpoint, At: at})
+		no.Crashes = append(no.Crashes, core.Crash{Endpoint: cr.Endpoint, At: at})
 	}
 	if gr.Blamed != nil {
 		gr.Blamed(now, from, no)
--- a/io/gossip/gossip.go
+++ b/io/gossip/gossip.go
@@ -34,7 +34,6 @@
 	"go.uber.org/zap"
 
 	"almondrill/core"
-	"almondrill/core/blame"
 	"almondrill/core/mirror"
 	"almondrill/core/place"
 )
@@ -125,7 +124,7 @@
 	// Feed is what this router knows of the store.
 	Feed Feed
 	// Blamed takes what peers tell of requests that crash endpoints; nil if nobody asks.
-	Blamed func(now time.Time, from string, no blame.Note)
+	Blamed func(now time.Time, from string, no core.BlameNote)
 	// AskTimeout bounds the wait for an endpoint's count, askTimeout if it is 0.
 	AskTimeout time.Duration
 
--- /dev/null
+++ b/io/guard/kvstore.go
@@ -0,0 +1,124 @@
+package guard
+
+import (
+	"context"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"strings"
+	"time"
+
+	"go.uber.org/zap"
+
+	"almondrill/core"
+	"almondrill/io/logs"
+)
+
+const (
+	kvPrefix = "quarantine/"
+	// kvEnd is the first key behind those with the prefix.
+	kvEnd = "quarantine0"
+	// kvTTL is how long an entry lasts that is not written again.
+	kvTTL = 10 * time.Minute
+	// mostEntries bounds a listing; a router keeps no more.
+	mostEntries = 256
+	// listsPerSecond is the whole fleet's pace of listing, a hundredth of the KV's reads;
+	// leastPause is for small fleets.
+	listsPerSecond = 20
+	leastPause     = 2 * time.Second
+)
+
+// KVStore keeps quarantines in the KV. Set KV before use.
+type KVStore struct{ KV core.KV }
+
+var _ core.Quarantines = (*KVStore)(nil)
+
+// entry is an entry's value.
+type entry struct{ Trials, Crashes int }
+
+// PutQuarantine implements core.Quarantines.
+func (ks *KVStore) PutQuarantine(ctx context.Context, qu core.Quarantine) (core.Version, error) {
+	value, err := json.Marshal(entry{qu.Trials, qu.Crashes})
+	if err != nil {
+		return 0, err
+	}
+	le, err := ks.KV.Grant(ctx, kvTTL)
+	if err != nil {
+		return 0, err
+	}
+	return ks.KV.Put(ctx, kvKey(qu.Request), value, qu.Rev, le)
+}
+
+// DropQuarantine implements core.Quarantines.
+func (ks *KVStore) DropQuarantine(ctx context.Context, qu core.Quarantine) error {
+	return ks.KV.Delete(ctx, kvKey(qu.Request), qu.Rev)
+}
+
+func kvKey(fp core.Fingerprint) string { return kvPrefix + hex.EncodeToString(fp[:]) }
+
+// list reads all entries. One that makes no sense is left out, and told.
+func (ks *KVStore) list(ctx context.Context, log *zap.Logger) (map[core.Fingerprint]core.Quarantine, error) {
+	entries, err := ks.KV.List(ctx, kvPrefix, kvEnd, mostEntries)
+	if err != nil {
+		return nil, err
+	}
+	all := map[core.Fingerprint]core.Quarantine{}
+	for _, en := range entries {
+		qu, err := decodeEntry(&en)
+		if err != nil {
+			log.Warn("An entry of a quarantine makes no sense.", append(logs.Fields(err), zap.String("Key", en.Key))...)
+			continue
+		}
+		all[qu.Request] = qu
+	}
+	return all, nil
+}
+
+func decodeEntry(en *core.Entry) (core.Quarantine, error) {
+	data, err := hex.DecodeString(strings.TrimPrefix(en.Key, kvPrefix))
+	if err != nil || len(data) != len(core.Fingerprint{}) {
+		return core.Quarantine{}, fmt.Errorf("%s names no request", en.Key)
+	}
+	var value entry
+	if err = json.Unmarshal(en.Value, &value); err != nil {
+		return core.Quarantine{}, fmt.Errorf("read %s: %w", en.Key, err)
+	}
+	return core.Quarantine{
+		Request: core.Fingerprint(data), Trials: max(0, value.Trials), Crashes: max(0, value.Crashes), Rev: en.Version,
+	}, nil
+}
+
+// Follow tells the Ledger of the KV's entries until ctx ends: at once, and then at a pace that
+// does not grow with the routers, of which there are so many. A router that was not told by a
+// peer learns of a quarantine by it.
+func (ks *KVStore) Follow(ctx context.Context, le *Ledger, clock core.Clock, routers func() int) error {
+	var known map[core.Fingerprint]core.Quarantine
+	for {
+		now, err := ks.list(ctx, le.Log)
+		switch {
+		case err == nil:
+			le.compare(known, now)
+			known = now
+		case ctx.Err() == nil:
+			le.Log.Info("Listing quarantines failed.", logs.Fields(err)...)
+		}
+		pause := max(leastPause, time.Duration(routers())*time.Second/listsPerSecond)
+		if clock.Sleep(ctx, pause) != nil {
+			return nil
+		}
+	}
+}
+
+// compare takes what is new in the store, and what is gone.
+func (le *Ledger) compare(before, now map[core.Fingerprint]core.Quarantine) {
+	for fp, qu := range now {
+		if before[fp].Rev != qu.Rev {
+			le.Stored(qu)
+		}
+	}
+	for fp, qu := range before {
+		if _, still := now[fp]; !still {
+			le.Unstored(fp, qu.Rev)
+		}
+	}
+}
--- /dev/null
+++ b/io/guard/kvstore_test.go
@@ -0,0 +1,55 @@
+package guard_test
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"go.uber.org/zap"
+
+	"almondrill/core"
+	"almondrill/io/clock"
+	"almondrill/io/guard"
+	"almondrill/io/stand/kvsrv"
+	"almondrill/io/stats"
+)
+
+// Two routers before agents keep quarantines in the KV: one writes, the other, which no peer
+// told, finds it there, and sees it go. Entries that something else wrote are passed over.
+func TestQuarantinesInTheKV(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		kv := &kvsrv.Store{Clock: clock.Wall{}, Rand: clock.NewRand(1), Latency: 2 * time.Millisecond}
+		store := &guard.KVStore{KV: kv}
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		le := &guard.Ledger{Peers: &group{}, Store: store, Stats: stats.New(), Log: zap.NewNop()}
+		go func() { _ = store.Follow(ctx, le, clock.Wall{}, func() int { return 2 }) }()
+		qu := core.Quarantine{Request: core.Fingerprint{1}, Crashes: 3}
+		rev, err := store.PutQuarantine(ctx, qu)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err = store.PutQuarantine(ctx, qu); !errors.Is(err, core.ErrConflict) {
+			t.Errorf("written twice as if there were none: %v", err)
+		}
+		for _, key := range []string{"quarantine/xx", "quarantine/01020304050607080102030405060708"} {
+			if _, err = kv.Put(ctx, key, []byte("["), 0, 0); err != nil {
+				t.Fatal(err)
+			}
+		}
+		time.Sleep(3 * time.Second)
+		if allowed, _ := le.May(ctx, qu.Request); allowed {
+			t.Error("a router that follows the KV lets it through")
+		}
+		qu.Rev = rev
+		if err = store.DropQuarantine(ctx, qu); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(3 * time.Second)
+		if allowed, _ := le.May(ctx, qu.Request); !allowed {
+			t.Error("an entry that is gone holds on")
+		}
+	})
+}
--- a/io/guard/report.go
+++ b/io/guard/report.go
@@ -29,17 +29,17 @@
 
 // Handler answers GET Path with what is quarantined, and lifts a request on DELETE Path/X, where
 // X is its fingerprint or as much of it as log lines bear.
-func (ct *Controller) Handler() http.Handler {
+func (le *Ledger) Handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+Path, func(wr http.ResponseWriter, _ *http.Request) {
 		wr.Header().Set("Content-Type", "application/json; charset=utf-8")
-		if err := json.NewEncoder(wr).Encode(ct.list()); err != nil {
-			ct.Log.Info("Listing what is quarantined failed.", zap.Error(err))
+		if err := json.NewEncoder(wr).Encode(le.list()); err != nil {
+			le.Log.Info("Listing what is quarantined failed.", zap.Error(err))
 		}
 	})
 	mux.HandleFunc("DELETE "+Path+"/{fingerprint}", func(wr http.ResponseWriter, rq *http.Request) {
 		name := strings.ToLower(rq.PathValue("fingerprint"))
-		if !ct.lift(name) {
+		if !le.lift(name) {
 			http.Error(wr, "no request with the fingerprint "+name+" is quarantined", http.StatusNotFound)
 			return
 		}
@@ -48,10 +48,10 @@
 	return mux
 }
 
-func (ct *Controller) list() []Quarantined {
+func (le *Ledger) list() []Quarantined {
 	now := time.Now()
 	all := []Quarantined{}
-	for _, re := range ct.table.Reports() {
+	for _, re := range le.table.Reports() {
 		all = append(all, Quarantined{
 			Fingerprint: hex.EncodeToString(re.Request[:]), SinceMs: now.Sub(re.Since).Milliseconds(),
 			Crashes: re.Crashes, Trials: re.Trials, Stored: re.Stored,
@@ -61,20 +61,20 @@
 }
 
 // lift ends the quarantine of the request, everywhere; false if there is none.
-func (ct *Controller) lift(name string) bool {
-	for _, re := range ct.table.Reports() {
+func (le *Ledger) lift(name string) bool {
+	for _, re := range le.table.Reports() {
 		if name == re.Request.String() || name == hex.EncodeToString(re.Request[:]) {
-			return ct.liftOne(re.Request)
+			return le.liftOne(re.Request)
 		}
 	}
 	return false
 }
 
-func (ct *Controller) liftOne(fp core.Fingerprint) bool {
-	ef, lifted := ct.table.Lift(fp)
+func (le *Ledger) liftOne(fp core.Fingerprint) bool {
+	ef, lifted := le.table.Lift(fp)
 	if lifted {
-		ct.Log.Info("The quarantine of a request is lifted by hand.", zap.Stringer("Fingerprint", fp))
+		le.Log.Info("The quarantine of a request is lifted by hand.", zap.Stringer("Fingerprint", fp))
 	}
-	ct.apply(time.Now(), ef)
+	le.apply(time.Now(), ef)
 	return lifted
 }
--- /dev/null
+++ b/io/node/guard.go
@@ -0,0 +1,25 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"almondrill/core"
+	"almondrill/io/guard"
+)
+
+// buildGuard makes what keeps a router from sending requests on that crash endpoints.
+func (pr *Process) buildGuard() {
+	log := pr.Logs.Part("guard")
+	pr.ledger = &guard.Ledger{
+		Peers: &guard.Fleet{Board: pr.board, Peers: pr.peers, Rand: pr.rand, Spent: pr.meter.Spend, Log: log},
+		Store: &guard.KVStore{KV: pr.kv}, Stats: pr.Stats, Log: log,
+	}
+	pr.router.Blame = pr.ledger
+	pr.server.Blame = func(no *core.BlameNote) { pr.ledger.Hear(time.Now(), "peer", *no) }
+}
+
+func (pr *Process) followQuarantines(ctx context.Context) error {
+	store := &guard.KVStore{KV: pr.kv}
+	return store.Follow(ctx, pr.ledger, pr.clock, func() int { return len(pr.board.Snapshot().Routers) })
+}
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -48,6 +48,7 @@
 	"almondrill/io/back"
 	"almondrill/io/clock"
 	"almondrill/io/conf"
+	"almondrill/io/guard"
 	"almondrill/io/kvrpc"
 	"almondrill/io/logs"
 	"almondrill/io/rpc"
@@ -81,6 +82,7 @@
 	agent       *agent.Agent
 	orders      *order.Gate       // agents only
 	control     *order.Controller // routers only
+	ledger      *guard.Ledger     // routers only
 	followers   []*back.Follower
 	app         *kratos.App
 	part        *zap.Logger
@@ -224,6 +226,7 @@
 			Heard:     pr.spreader.Heard,
 		}
 		pr.buildControl()
+		pr.buildGuard()
 		return
 	}
 	pr.buildAgent()
@@ -286,7 +289,7 @@
 	if pr.agent != nil {
 		loops = append(loops, pr.agent.Run)
 	} else {
-		loops = append(loops, pr.control.Run)
+		loops = append(loops, pr.control.Run, pr.ledger.Run, pr.followQuarantines)
 	}
 	for _, fo := range pr.followers {
 		loops = append(loops, fo.Run)
@@ -373,6 +376,10 @@
 	mux.HandleFunc("/healthz", func(wr http.ResponseWriter, _ *http.Request) { fmt.Fprintln(wr, "ok") })
 	mux.HandleFunc("/readyz", pr.readyz)
 	mux.Handle("/debug/vars", pr.Stats.Handler())
+	if pr.ledger != nil {
+		mux.Handle(guard.Path, pr.ledger.Handler())
+		mux.Handle(guard.Path+"/", pr.ledger.Handler())
+	}
 	return pr.httpServer(pr.listeners.admin, mux)
 }
 
--- a/io/relay/blame_test.go
+++ b/io/relay/blame_test.go
@@ -48,6 +48,8 @@
 	bl.refused = append(bl.refused, en.ID)
 }
 
+func (*blames) Crashed(uint64, core.Fingerprint) {}
+
 func crashing(*seen, net.Conn) bool { return false }
 
 // A request that crashed endpoints comes again. It is answered at once, with the promise that
--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -84,7 +84,7 @@
 	// Counts knows how many calls endpoints have; nil if nobody does.
 	Counts core.Counts
 	// Blame is told how attempts end that did not end well; nil if nobody asks.
-	Blame   core.Blame
+	Blame   core.CrashWatch
 	Budget  *retry.Window
 	Conns   *conns.Pool
 	Stats   *stats.Set
--- a/io/rpc/client.go
+++ b/io/rpc/client.go
@@ -305,6 +305,16 @@
 	return err
 }
 
+// Blame tells a router of a request that crashes endpoints.
+func (cl *Client) Blame(ctx context.Context, to core.VMID, no *core.BlameNote) error {
+	ctx, cancel := context.WithTimeout(ctx, controlTimeout)
+	defer cancel()
+	_, err := node(ctx, cl, to, "blame", func(nc wire.NodeClient) (*wire.BlameReply, error) {
+		return nc.Blame(ctx, blameToWire(time.Now(), no))
+	}, func(re *wire.BlameReply) *wire.BlameReply { return re })
+	return err
+}
+
 // Order hands an agent an order. Without an answer it may have been taken.
 func (cl *Client) Order(ctx context.Context, to core.VMID, or *core.Order) error {
 	refused, err := node(ctx, cl, to, "order", func(nc wire.NodeClient) (*wire.OrderReply, error) {
--- a/io/rpc/convert.go
+++ b/io/rpc/convert.go
@@ -1,6 +1,7 @@
 package rpc
 
 import (
+	"errors"
 	"time"
 
 	"almondrill/core"
@@ -122,6 +123,34 @@
 	return out
 }
 
+func blameToWire(now time.Time, no *core.BlameNote) *wire.BlameCall {
+	out := &wire.BlameCall{Kind: uint32(no.Kind), Request: no.Request[:]}
+	for _, cr := range no.Crashes {
+		out.Endpoints = append(out.Endpoints, cr.Endpoint)
+		out.AgeMillis = append(out.AgeMillis, max(0, now.Sub(cr.At).Milliseconds()))
+	}
+	return out
+}
+
+var errNoNote = errors.New("this is no note of a request")
+
+func blameFromWire(now time.Time, in *wire.BlameCall) (*core.BlameNote, error) {
+	no := &core.BlameNote{Kind: core.BlameKind(in.Kind)}
+	if len(in.Request) != len(no.Request) || in.Kind < uint32(core.BlameSuspected) || in.Kind > uint32(core.BlameCleared) {
+		return nil, errNoNote
+	}
+	no.Request = core.Fingerprint(in.Request)
+	for ix := range min(len(in.Endpoints), len(in.AgeMillis)) {
+		age := time.Duration(min(mostAgeMillis, max(0, in.AgeMillis[ix]))) * time.Millisecond
+		no.Crashes = append(no.Crashes, core.Crash{Endpoint: in.Endpoints[ix], At: now.Add(-age)})
+	}
+	return no, nil
+}
+
+// mostAgeMillis bounds the age of a crash that is told, an hour; beyond minutes it makes no
+// difference.
+const mostAgeMillis = 3_600_000
+
 // digestFromWire drops columns of unequal length: no peer of this version sends
 // them.
 func digestFromWire(di *wire.Digest) *core.Digest {
--- a/io/rpc/server.go
+++ b/io/rpc/server.go
@@ -25,6 +25,7 @@
 	Claim    func(ctx context.Context, cl *core.Claim) (*core.Verdict, error)
 	Fetch    func(since core.Revision) (*core.Changes, error)
 	Place    func(pls []core.Placement)
+	Blame    func(no *core.BlameNote)
 	Hand     func(ctx context.Context, ha *core.Handover, rd io.Reader) error
 	Order    func(ctx context.Context, or *core.Order) error
 	Inspect  func(ctx context.Context) []core.EndpointState
@@ -173,6 +174,19 @@
 	return &wire.PlaceReply{Revision: ha.revision()}, nil
 }
 
+// Blame takes a note of a request that crashes endpoints.
+func (ha *handler) Blame(_ context.Context, in *wire.BlameCall) (*wire.BlameReply, error) {
+	if ha.se.Blame == nil {
+		return nil, status.Error(codes.Unimplemented, "this process sends no requests to agents")
+	}
+	no, err := blameFromWire(time.Now(), in)
+	if err != nil {
+		return nil, status.Error(codes.InvalidArgument, err.Error())
+	}
+	ha.se.Blame(no)
+	return &wire.BlameReply{Revision: ha.revision()}, nil
+}
+
 // Order takes an order.
 func (ha *handler) Order(ctx context.Context, in *wire.OrderCall) (*wire.OrderReply, error) {
 	if ha.se.Order == nil {
--- a/io/stand/engine/engine.go
+++ b/io/stand/engine/engine.go
@@ -48,6 +48,9 @@
 	LoseEvents int
 	// Status answers with this HTTP status before running anything.
 	Status int
+	// CrashOn begins the last messages of requests that crash the engine, at token CrashAt.
+	CrashOn string
+	CrashAt int
 }
 
 // Engine is the stand-in. Set the exported fields before use.
@@ -71,6 +74,9 @@
 	LoadTime time.Duration
 	Weights  string
 	Audit    *audit.Audit
+	// Crash ends the engine's connections, and lets it take none for a while; needed for
+	// Faults.CrashOn.
+	Crash func()
 
 	mu       sync.Mutex // guards all below
 	faults   Faults
@@ -240,6 +246,10 @@
 		<-an.rq.Context().Done()
 	}
 	an.en.sleep(an.rq, an.en.stepTime())
+	if an.fa.CrashOn != "" && n == an.fa.CrashAt && strings.HasPrefix(an.nonce, an.fa.CrashOn) {
+		an.en.Crash()
+		return false
+	}
 	if an.rq.Context().Err() != nil {
 		return false
 	}
--- a/io/stand/inmem/crash.go
+++ b/io/stand/inmem/crash.go
@@ -70,8 +70,8 @@
 	return under != "" && strings.HasPrefix(string(ca.Body), under)
 }
 
-// crash ends the engine, with all that it runs, for a while.
-func (en *Engine) crash() {
+// Crash ends the engine, with all that it runs, for a while.
+func (en *Engine) Crash() {
 	en.mu.Lock()
 	defer en.mu.Unlock()
 	if en.Crashes.away {
--- a/io/stand/inmem/engine.go
+++ b/io/stand/inmem/engine.go
@@ -86,7 +86,7 @@
 	}
 	if en.crashesUnder(ca) {
 		if en.Clock.Sleep(ctx, en.Crashes.After) == nil {
-			en.crash()
+			en.Crash()
 		}
 		return core.Usage{}, en.interrupted(ctx)
 	}
--- a/io/stand/inmem/fleet.go
+++ b/io/stand/inmem/fleet.go
@@ -8,6 +8,8 @@
 	"sync/atomic"
 	"time"
 
+	"go.uber.org/zap"
+
 	"almondrill/core"
 	"almondrill/core/agent"
 	"almondrill/core/board"
@@ -21,8 +23,10 @@
 	"almondrill/core/router"
 	"almondrill/core/spread"
 	"almondrill/io/clock"
+	"almondrill/io/guard"
 	"almondrill/io/stand/kvsrv"
 	"almondrill/io/stand/vmsrv"
+	"almondrill/io/stats"
 )
 
 // Member is one router or agent of the fleet.
@@ -34,6 +38,7 @@
 	Spreader *spread.Spreader
 	Meter    *meter.Meter
 	Router   *router.Router // nil on agents
+	Ledger   *guard.Ledger  // nil on agents
 	Agent    *agent.Agent   // nil on routers
 	Keeper   *claim.Keeper  // nil on routers
 	Keys     *claim.Keys
@@ -215,6 +220,12 @@
 		Clock: fl.Clock, Rand: fl.Rand, Board: me.Board, Peers: port{fl.Net, me.ID}, Zone: me.VM.Zone,
 		Budget: &retry.Budget{Ratio: 0.1}, Heard: me.Spreader.Heard,
 	}
+	store := &guard.KVStore{KV: ownKV{fl.Store, me}}
+	me.Ledger = &guard.Ledger{
+		Peers: &guard.Fleet{Board: me.Board, Peers: port{fl.Net, me.ID}, Rand: fl.Rand, Spent: me.Meter.Spend, Log: zap.NewNop()},
+		Store: store, Stats: stats.New(), Log: zap.NewNop(),
+	}
+	me.Router.Blame = me.Ledger
 	me.Control = &order.Controller{
 		Lease: &order.Lease{
 			KV: ownKV{fl.Store, me}, Clock: fl.Clock, TTL: order.DefaultTTL,
@@ -225,6 +236,8 @@
 	}
 	fl.run(me)
 	go func() { _ = me.Control.Run(me.alive) }()
+	go func() { _ = me.Ledger.Run(me.alive) }()
+	go func() { _ = store.Follow(me.alive, me.Ledger, fl.Clock, func() int { return fl.Routers }) }()
 	return me
 }
 
--- a/io/stand/inmem/net.go
+++ b/io/stand/inmem/net.go
@@ -212,6 +212,16 @@
 	return nil
 }
 
+// Blame tells another member's router of a request.
+func (po port) Blame(ctx context.Context, to core.VMID, no *core.BlameNote) error {
+	me, err := po.net.way(ctx, po.from, to)
+	if err != nil || me.Ledger == nil {
+		return errCut
+	}
+	me.Ledger.Hear(time.Now(), string(po.from), *no)
+	return nil
+}
+
 // Order hands an order to another member's agent.
 func (po port) Order(ctx context.Context, to core.VMID, or *core.Order) error {
 	ctx = context.WithoutCancel(ctx)
--- a/io/stand/inmem/tune.go
+++ b/io/stand/inmem/tune.go
@@ -52,7 +52,7 @@
 		}
 	}
 	if or.Kind == core.OrderLoadModel && or.Version != "" && or.Version == en.Crashes.OnVersion {
-		en.crash()
+		en.Crash()
 		return en.broken(core.Unknown, core.ReasonPeerLost)
 	}
 	en.mu.Lock()
--- a/io/stats/docs.go
+++ b/io/stats/docs.go
@@ -89,6 +89,7 @@
 	{core.ReasonPeerLost, "the connection broke after the request was sent", "look at the VM named as peer"},
 	{core.ReasonEndpointDown, "the agent cannot reach its endpoint", "look at the endpoint"},
 	{core.ReasonEndpointError, "the endpoint answered with a status of 500 or above", "look at the endpoint"},
+	{core.ReasonCrashed, "the agent's endpoint crashed while it ran the request", "look at the endpoint; requests that were there three times are quarantined"},
 	{core.ReasonCutShort, "an answer stopped before its end", "look at the endpoint"},
 	{core.ReasonCrossed, "a reply was for another attempt; dropped", "look at the endpoint: it mixes up answers"},
 	{core.ReasonStalled, "the endpoint sent nothing for StallTimeout", "look at the endpoint"},
