--- a/core/blame/table_test.go
+++ b/core/blame/table_test.go
@@ -90,6 +90,27 @@
 	}
 }
 
+// A lookup ends well all the time, here and elsewhere, and some attempts at it are running
+// when endpoints crash. Neither the router that serves it tells of these, nor does a keeper
+// count them that heard of an end shortly before.
+func TestCrashesRightAfterAGoodEndDoNotCount(t *testing.T) {
+	ta, keeper := &blame.Table{}, &blame.Table{}
+	for ix := range 4 {
+		ta.Ended(after(1000*ix), first)
+		if ef := ta.Crashed(after(1000*ix+500), uint64(10+ix), []core.Fingerprint{first}); len(ef.ToKeepers) > 0 {
+			t.Errorf("crash %d is told: %+v", ix, ef)
+		}
+		keeper.Hear(after(1000*ix), core.BlameNote{Kind: core.BlameCleared, Request: first})
+		keeper.Hear(after(1000*ix+510), suspected(first, uint64(10+ix), 1000*ix+500))
+	}
+	if quarantined(ta, after(5000), first) || quarantined(keeper, after(5000), first) {
+		t.Error("a request that ends well all the time is quarantined")
+	}
+	if _, suspects := keeper.Len(); suspects != 0 {
+		t.Error("the keeper holds something against it")
+	}
+}
+
 // Many attempts at one lookup run at a time, and three endpoints crash in the same second for
 // a reason of their own. It ended well elsewhere a moment before, at a router that does not
 // know of the crashes: as that one hears of the quarantine it tells all that it is wrong.
@@ -154,13 +175,13 @@
 // second is quarantined with its fifth crash at the latest, and not tried any more.
 func TestCausesSideBySide(t *testing.T) {
 	ta := &blame.Table{}
-	for ix := range 5 {
+	for ix := range 8 {
 		ta.Crashed(after(1000*ix), uint64(10+ix), []core.Fingerprint{first})
 	}
 	for ix := range 5 {
-		ta.Crashed(after(5000+1000*ix), uint64(10+ix), []core.Fingerprint{second})
-	}
-	for ix := range 5 {
+		if quarantined(ta, after(10000), second) {
+			t.Errorf("quarantined at %d crashes that the other explains", ix)
+		}
 		ta.Hear(after(10000+ix), suspected(second, uint64(10+ix), 1000*ix))
 	}
 	ve := ta.Judge(after(300000), second)
--- a/core/blame/verdict.go
+++ b/core/blame/verdict.go
@@ -1,6 +1,7 @@
 package blame
 
 import (
+	"bytes"
 	"slices"
 	"time"
 
@@ -111,6 +112,7 @@
 			unstored = append(unstored, Decided{qu.note(fp), qu.entry(fp)})
 		}
 	}
+	slices.SortFunc(unstored, func(a, b Decided) int { return bytes.Compare(a.Entry.Request[:], b.Entry.Request[:]) })
 	return unstored, ef
 }
 
--- a/io/conf/relay.go
+++ b/io/conf/relay.go
@@ -13,7 +13,7 @@
 	Region      core.Region `yaml:"Region" doc:"The VM's region." need:"yes"`
 	CallersAddr string      `yaml:"CallersAddr" doc:"IP address and port for callers." need:"yes"`
 	ReadyAddr   string      `yaml:"ReadyAddr" doc:"IP address and port at which the balancer asks whether to send callers here." need:"yes"`
-	AdminAddr   string      `yaml:"AdminAddr" doc:"IP address and port for /healthz and /debug/vars." need:"yes"`
+	AdminAddr   string      `yaml:"AdminAddr" doc:"IP address and port for /healthz, /debug/vars and /debug/quarantine." need:"yes"`
 	MetricsAddr string      `yaml:"MetricsAddr" doc:"IP address and port for counters and latency histograms as text, at /metrics. None if left out."`
 	PeersAddr   string      `yaml:"PeersAddr" doc:"IP address and port for the other routers, over TCP and UDP; the port is the same on all." need:"yes"`
 	KVAddr      string      `yaml:"KVAddr" doc:"Address of the platform's store." need:"yes"`
