--- a/core/blame/breaks_test.go
+++ b/core/blame/breaks_test.go
@@ -78,6 +78,18 @@
 	}
 }
 
+// An answer is lost at an endpoint that lives on, and a moment later a request crashes it: only
+// that one was running. On a day of lost answers every crash has such a break before it, and
+// would be laid to it while the cause goes on.
+func TestBreakJustBeforeACrashIsApart(t *testing.T) {
+	br := &blame.Breaks{}
+	br.Broke(after(0), run(first, -100))
+	br.Broke(after(600), run(second, 300))
+	if got := br.Gone(after(605), endpoint, blame.Refused); len(got) != 1 || got[0] != second {
+		t.Errorf("crashed: %v, want the second", got)
+	}
+}
+
 // The fingerprint of a request is that of what it asks, not of how its fields run together.
 func TestFingerprintTellsRequestsApart(t *testing.T) {
 	one := blame.Fingerprint("herb", "POST", "site.example", "/a/b?c", []byte("body"))
--- a/io/relay/blame_test.go
+++ b/io/relay/blame_test.go
@@ -84,8 +84,9 @@
 	}
 }
 
-// What a request ran to clears it, or not: a whole answer and an endpoint's own failure do, a
-// refusal that did not run it and a connection that was refused do not.
+// What a request ran to clears it, or not: a whole answer does. An endpoint's own failure tells
+// nothing, as endpoints fail requests that they have hardly begun, and a refusal or a connection
+// that breaks off do not either.
 func TestWhatEndsARequest(t *testing.T) {
 	for _, tc := range []struct {
 		name          string
@@ -94,7 +95,7 @@
 		ended, broken int
 	}{
 		{"whole", answer(200, "x"), http.StatusOK, 1, 0},
-		{"failed", answer(500, "x"), http.StatusInternalServerError, 1, 0},
+		{"failed", answer(500, "x"), http.StatusInternalServerError, 0, 0},
 		{"refused", say(func(se *seen) string {
 			return "HTTP/1.1 503 X\r\nX-Id: " + se.head.Header.Get("X-Id") + "\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"
 		}), http.StatusServiceUnavailable, 0, 0},
