A crash is laid to the attempts that broke off with it, not to one before

Cause: of all attempts that broke off in the second before an endpoint was found gone, those that began after the first were passed over as sent to an endpoint that was gone already. Change: only what broke off within 0.2 s of the last counts as one moment. Why it holds: connections end together when a process does; an answer that was lost before them is apart.

--- a/core/blame/breaks.go
+++ b/core/blame/breaks.go
@@ -27,9 +27,11 @@
 }
 
 const (
-	// refusedWithin is how long before an endpoint refused connections an attempt may have
-	// broken off that ran there when it crashed: all connections end in the same moment.
+	// refusedWithin is how long before an endpoint refused connections it may have crashed.
 	refusedWithin = time.Second
+	// oneMoment is how far attempts break off from each other that end with a crash: all
+	// connections end at once, and a busy router reads that some time later.
+	oneMoment = 200 * time.Millisecond
 	// replacedWithin is the same for an endpoint that is replaced: one that went silent is
 	// started again within seconds.
 	replacedWithin = 10 * time.Second
@@ -95,11 +97,11 @@
 	if en == nil {
 		return nil
 	}
-	within := refusedWithin
-	if ev == Replaced {
-		within = replacedWithin
+	since := now.Add(-replacedWithin)
+	if ev == Refused {
+		since = en.crashedSince(now)
 	}
-	en.runs = slices.DeleteFunc(en.runs, func(ru brokenRun) bool { return now.Sub(ru.at) > within })
+	en.runs = slices.DeleteFunc(en.runs, func(ru brokenRun) bool { return ru.at.Before(since) })
 	var crashed []core.Fingerprint
 	for _, ru := range en.runs {
 		// The first of the runs is that which broke off first.
@@ -115,6 +117,18 @@
 	return crashed
 }
 
+// crashedSince is from when on attempts broke off with a crash that shows now. What broke off
+// before, such as by a lost answer, has nothing to do with it.
+func (en *broken) crashedSince(now time.Time) time.Time {
+	since := now.Add(-refusedWithin)
+	for _, ru := range en.runs {
+		if moment := ru.at.Add(-oneMoment); moment.After(since) {
+			since = moment
+		}
+	}
+	return since
+}
+
 // Waiting tells whether attempts broke off at an endpoint of which it is not known whether it
 // is gone.
 func (br *Breaks) Waiting(endpoint uint64) bool {
