A failure that an endpoint answers does not clear a request that crashes endpoints

What callers saw: none yet; where endpoints fail a part of their requests, a crashing one would have ended one after the other: each failure cleared it, and crashes within 5 s of it did not count. Cause: an answered failure was taken for an end. It tells that the endpoint lived, and that it may have begun nothing. Change: only a success clears, without agents and before them. Why it holds: a request that crashes what begins it has no success.

--- a/core/blame.go
+++ b/core/blame.go
@@ -36,7 +36,7 @@
 	BlameSuspected BlameKind = iota + 1
 	// BlameQuarantined: it has crashed so many that it is not sent to any more.
 	BlameQuarantined
-	// BlameCleared: it has run to an end, or was lifted; it is not suspected any more.
+	// BlameCleared: an attempt at it has ended well, or it was lifted; it is not suspected any more.
 	BlameCleared
 )
 
@@ -72,7 +72,7 @@
 type Blame interface {
 	// May tells whether the request may be sent to an endpoint now, or else when it might.
 	May(ctx context.Context, fp Fingerprint) (allowed bool, after time.Duration)
-	// Ended tells that an attempt ran to an end, well or not.
+	// Ended tells that an attempt ended well.
 	Ended(fp Fingerprint)
 	// Crashed tells that an endpoint, named by a hash, crashed while it ran the request.
 	Crashed(endpoint uint64, fp Fingerprint)
--- a/core/blame/doc.go
+++ b/core/blame/doc.go
@@ -13,7 +13,7 @@
 //
 // A Table counts at how many crashes each suspect was. With the third it is quarantined: no
 // router sends it to an endpoint. Two keepers of the request, on which all routers agree,
-// count for all. A suspect is cleared by any attempt that runs to its end, and is not counted
+// count for all. A suspect is cleared by any attempt that ends well, and is not counted
 // for a crash at which a quarantined request was. A quarantine ends with an attempt that was
 // under way and ends well, by a trial, or when it lapses.
 //
--- a/core/blame/ended.go
+++ b/core/blame/ended.go
@@ -11,7 +11,7 @@
 // at 60 a second. A later one takes the place of an earlier one.
 const endedSlots = 4096
 
-// ended remembers which requests ran to an end lately, and when.
+// ended remembers which requests ended well lately, and when.
 type ended struct{ slots []endedSlot }
 
 type endedSlot struct {
--- a/core/blame/table.go
+++ b/core/blame/table.go
@@ -141,7 +141,7 @@
 	return ef
 }
 
-// Ended takes that a request ran to an end: it does not crash endpoints.
+// Ended takes that an attempt ended well: the request does not crash endpoints.
 func (ta *Table) Ended(now time.Time, fp core.Fingerprint) Effects {
 	ta.mu.Lock()
 	defer ta.mu.Unlock()
--- a/core/router/router.go
+++ b/core/router/router.go
@@ -177,7 +177,8 @@
 	return re
 }
 
-// tellBlame tells how an attempt ended: at a crash, or so that the endpoint lived on.
+// tellBlame tells how an attempt ended: at a crash, or whole. An endpoint's own failure tells
+// nothing of the request, as endpoints fail some that they have hardly begun.
 func (at *attempts) tellBlame(vm core.VMID, err error) {
 	if at.ro.Blame == nil {
 		return
@@ -186,10 +187,7 @@
 		at.ro.Blame.Ended(at.fingerprint)
 		return
 	}
-	switch re := core.AsRefusal(err, "serve", string(vm)); re.Reason {
-	case core.ReasonEndpointError:
-		at.ro.Blame.Ended(at.fingerprint)
-	case core.ReasonCrashed:
+	if re := core.AsRefusal(err, "serve", string(vm)); re.Reason == core.ReasonCrashed {
 		at.ro.Blame.Crashed(ring.Mix(decl.HashName(string(vm)), decl.HashName(re.Peer)), at.fingerprint)
 	}
 }
--- a/io/relay/attempt.go
+++ b/io/relay/attempt.go
@@ -31,8 +31,6 @@
 	ended   func() bool
 	// refused is set if the endpoint refused the connection.
 	refused bool
-	// answered is set if the endpoint has answered in full that the request failed there.
-	answered bool
 }
 
 // attempt sends the request to the ticket's endpoint and passes the answer on.
@@ -155,7 +153,6 @@
 		return ex.passLong(ctx, body, place.Failed)
 	}
 	if whole {
-		ex.answered = ex.rs.Header.Get(ex.rq.re.Dialect.Stamp) != ""
 		ex.keep()
 	}
 	if whole && !ex.rq.begun {
--- a/io/relay/blame.go
+++ b/io/relay/blame.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net/http"
 	"syscall"
 	"time"
 
@@ -35,7 +36,8 @@
 	return rf
 }
 
-// tellBlame tells how the attempt ended.
+// tellBlame tells how the attempt ended. A success clears the request; a failure that the
+// endpoint answers does not, as endpoints fail requests that they have hardly begun.
 func (ex *exchange) tellBlame(began time.Time, rf *core.Refusal) {
 	bl := ex.rq.re.Blame
 	if bl == nil {
@@ -43,7 +45,7 @@
 	}
 	en := core.EndpointRef{ID: ex.tk.Endpoint.ID, Addr: ex.tk.Endpoint.Addr, Hash: ex.tk.Hash}
 	switch {
-	case rf == nil || ex.answered:
+	case rf == nil && ex.rq.status < http.StatusMultipleChoices:
 		bl.Ended(ex.rq.fingerprint)
 	case ex.refused:
 		bl.Refused(en)
