Tests of an agent's crash finding, and of versions that crash engines once loaded

Cause: two guards had no test that fails without them: calls that came after the crash, and an engine that is gone after an order that went well. Change: both have one; a version crashes its engines while it is loaded, or a moment later.

--- /dev/null
+++ b/core/agent/crash_test.go
@@ -0,0 +1,47 @@
+package agent_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"almondrill/core"
+	"almondrill/core/agent"
+)
+
+// gone is an endpoint at which calls break off, and that is there or not.
+type gone struct {
+	core.Endpoint
+	alive bool
+}
+
+func (en *gone) Alive(context.Context) bool { return en.alive }
+
+// An endpoint crashes with two calls. A third is sent a moment later on a connection that was
+// kept, and breaks off too: it was not running, and must not be counted for the crash. Where
+// the endpoint is there still, an answer was lost, and no call is told as crashed.
+func TestCallThatCameAfterTheCrashDidNotRun(t *testing.T) {
+	start := time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)
+	for _, alive := range []bool{false, true} {
+		now := start
+		find := agent.CrashFinder(func() time.Time { return now }, &gone{alive: alive})
+		broke := func(began, at int) core.Reason {
+			now = start.Add(time.Duration(at) * time.Millisecond)
+			re := &core.Refusal{Outcome: core.Unknown, Reason: core.ReasonCutShort}
+			find(start.Add(time.Duration(began)*time.Millisecond), re)
+			return re.Reason
+		}
+		for _, ca := range []struct {
+			began, at int
+			ran       bool
+		}{{0, 100, true}, {50, 101, true}, {102, 103, false}, {500, 3000, true}} {
+			want := core.ReasonCutShort
+			if ca.ran && !alive {
+				want = core.ReasonCrashed
+			}
+			if got := broke(ca.began, ca.at); got != want {
+				t.Errorf("alive %v, from %d to %d ms: %s, want %s", alive, ca.began, ca.at, got, want)
+			}
+		}
+	}
+}
--- a/core/trial/orders_test.go
+++ b/core/trial/orders_test.go
@@ -249,10 +249,15 @@
 // pool down to its Minimum for as long as the version stands: what fails is the order, not the
 // engine. The next version, which is sound, rolls at once.
 func TestVersionThatCrashesItsEnginesIsGivenUp(t *testing.T) {
+	t.Run("while it is loaded", func(t *testing.T) { crashByVersion(t, 24, false) })
+	t.Run("once it is loaded", func(t *testing.T) { crashByVersion(t, 25, true) })
+}
+
+func crashByVersion(t *testing.T, seed uint64, loaded bool) {
 	const most = 3
-	onRollout(t, 24, 8, 2, func(ro *rollout) {
+	onRollout(t, seed, 8, 2, func(ro *rollout) {
 		for _, en := range ro.engines {
-			en.Crashes.OnVersion, en.Crashes.Away = "bad", 30*time.Second
+			en.Crashes.OnVersion, en.Crashes.Loaded, en.Crashes.Away = "bad", loaded, 30*time.Second
 		}
 		ro.declare(0, "bad")
 		time.Sleep(5 * time.Minute)
--- a/io/stand/inmem/crash.go
+++ b/io/stand/inmem/crash.go
@@ -16,6 +16,8 @@
 	UnderBody string
 	After     time.Duration
 	OnVersion string
+	// Loaded lets the version be loaded first; the engine crashes a moment later.
+	Loaded bool
 	// Away is how long it is gone; it is back with what it had loaded, its cache empty.
 	Away time.Duration
 
--- a/io/stand/inmem/tune.go
+++ b/io/stand/inmem/tune.go
@@ -53,6 +53,9 @@
 	}
 	if or.Kind == core.OrderLoadModel && or.Version != "" && or.Version == en.Crashes.OnVersion {
 		en.Crash()
+		if en.Crashes.Loaded {
+			return nil
+		}
 		return en.broken(core.Unknown, core.ReasonPeerLost)
 	}
 	en.mu.Lock()
