--- /dev/null
+++ b/io/feeds/store_test.go
@@ -0,0 +1,184 @@
+package feeds_test
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"go.uber.org/zap"
+
+	"almondrill/core"
+	"almondrill/core/mirror"
+	"almondrill/io/clock"
+	"almondrill/io/feeds"
+)
+
+// store is a store on virtual time.
+type store struct {
+	mu        sync.Mutex // guards all below
+	items     map[string]core.Item
+	changes   []core.Item
+	rev       core.Version
+	compacted core.Version
+	// down makes calls fail, silent makes them hang.
+	down, silent bool
+	lists, waits int
+	// asked counts all calls, those without an answer too.
+	asked int
+	woken chan struct{}
+	// parts are those of a listing; each takes the link to the store for a tenth of a
+	// second.
+	parts int
+	link  link
+}
+
+// link carries one thing at a time. A channel, as virtual time stands still at a mutex.
+type link struct{ turn chan struct{} }
+
+func (li *link) use(ctx context.Context, lasting time.Duration) error {
+	select {
+	case li.turn <- struct{}{}:
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	defer func() { <-li.turn }()
+	select {
+	case <-time.After(lasting):
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func newStore() *store { return &store{items: map[string]core.Item{}} }
+
+func (st *store) set(key string, deleted bool) {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	st.rev++
+	it := core.Item{Key: key, Rev: st.rev, Deleted: deleted}
+	st.changes = append(st.changes, it)
+	if deleted {
+		delete(st.items, key)
+	} else {
+		st.items[key] = it
+	}
+	if st.woken != nil {
+		close(st.woken)
+		st.woken = make(chan struct{})
+	}
+}
+
+func (st *store) change(fn func()) {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	fn()
+}
+
+var errDown = errors.New("store is down")
+
+// trouble fails or hangs as it is told to.
+func (st *store) trouble(ctx context.Context) error {
+	st.mu.Lock()
+	st.asked++
+	down, silent := st.down, st.silent
+	st.mu.Unlock()
+	if silent {
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	if down {
+		return errDown
+	}
+	return nil
+}
+
+func (st *store) All(ctx context.Context, heard func([]core.Item)) ([]core.Item, core.Version, error) {
+	if err := st.trouble(ctx); err != nil {
+		return nil, 0, err
+	}
+	for range st.parts {
+		if err := st.link.use(ctx, 100*time.Millisecond); err != nil {
+			return nil, 0, err
+		}
+		heard(nil)
+	}
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	st.lists++
+	var all []core.Item
+	for _, it := range st.items {
+		all = append(all, it)
+	}
+	return all, st.rev, nil
+}
+
+func (st *store) Changes(ctx context.Context, after core.Version, wait time.Duration) ([]core.Item, core.Version, error) {
+	if err := st.trouble(ctx); err != nil {
+		return nil, 0, err
+	}
+	st.mu.Lock()
+	st.waits++
+	woken := st.woken
+	st.mu.Unlock()
+	if news, rev, err := st.since(after); len(news) > 0 || err != nil {
+		return news, rev, err
+	}
+	select {
+	case <-woken:
+	case <-time.After(wait):
+	case <-ctx.Done():
+		return nil, 0, ctx.Err()
+	}
+	return st.since(after)
+}
+
+func (st *store) since(after core.Version) ([]core.Item, core.Version, error) {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	if after < st.compacted {
+		return nil, 0, core.ErrCompacted
+	}
+	var news []core.Item
+	for _, it := range st.changes {
+		if it.Rev > after {
+			news = append(news, it)
+		}
+	}
+	return news, st.rev, nil
+}
+
+// follow runs a Reader on virtual time.
+func follow(t *testing.T, st *store, leads func() bool, test func(rd *feeds.Reader, mi *mirror.Mirror)) {
+	mi := &mirror.Mirror{}
+	followFeed(t, st, st, mi, leads, func(rd *feeds.Reader) { test(rd, mi) })
+}
+
+// followFeed is follow with a feed of one's own before the store.
+func followFeed(t *testing.T, feed core.Feed, st *store, mi *mirror.Mirror, leads func() bool, test func(rd *feeds.Reader)) {
+	synctest.Test(t, func(t *testing.T) {
+		st.woken = make(chan struct{}) // made here, to be of the test's virtual time
+		st.link.turn = make(chan struct{}, 1)
+		rd := &feeds.Reader{
+			Feed: feed, Mirror: mi, Rand: clock.NewRand(1), Log: zap.NewNop(), Leads: leads, DoubtFor: 2 * time.Second,
+		}
+		rd.Init()
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			if err := rd.Run(ctx); err != nil {
+				t.Error(err)
+			}
+		}()
+		time.Sleep(50 * time.Millisecond)
+		test(rd)
+		cancel()
+		<-done
+	})
+}
+
+func always() bool { return true }
--- a/io/guard/kvstore.go
+++ b/io/guard/kvstore.go
@@ -2,15 +2,13 @@
 
 import (
 	"context"
-	"encoding/hex"
-	"encoding/json"
-	"fmt"
 	"strings"
 	"time"
 
 	"go.uber.org/zap"
 
 	"almondrill/core"
+	"almondrill/core/blame"
 	"almondrill/io/logs"
 )
 
@@ -33,12 +31,9 @@
 
 var _ core.Quarantines = (*KVStore)(nil)
 
-// entry is an entry's value.
-type entry struct{ Trials, Crashes int }
-
 // PutQuarantine implements core.Quarantines.
 func (ks *KVStore) PutQuarantine(ctx context.Context, qu core.Quarantine) (core.Version, error) {
-	value, err := json.Marshal(entry{qu.Trials, qu.Crashes})
+	value, err := blame.EntryValue(qu)
 	if err != nil {
 		return 0, err
 	}
@@ -54,7 +49,7 @@
 	return ks.KV.Delete(ctx, kvKey(qu.Request), qu.Rev)
 }
 
-func kvKey(fp core.Fingerprint) string { return kvPrefix + hex.EncodeToString(fp[:]) }
+func kvKey(fp core.Fingerprint) string { return kvPrefix + blame.EntryName(fp) }
 
 // list reads all entries. One that makes no sense is left out, and told.
 func (ks *KVStore) list(ctx context.Context, log *zap.Logger) (map[core.Fingerprint]core.Quarantine, error) {
@@ -64,7 +59,7 @@
 	}
 	all := map[core.Fingerprint]core.Quarantine{}
 	for _, en := range entries {
-		qu, err := decodeEntry(&en)
+		qu, err := blame.ReadEntry(strings.TrimPrefix(en.Key, kvPrefix), en.Value, en.Version)
 		if err != nil {
 			log.Warn("An entry of a quarantine makes no sense.", append(logs.Fields(err), zap.String("Key", en.Key))...)
 			continue
@@ -74,20 +69,6 @@
 	return all, nil
 }
 
-func decodeEntry(en *core.Entry) (core.Quarantine, error) {
-	data, err := hex.DecodeString(strings.TrimPrefix(en.Key, kvPrefix))
-	if err != nil || len(data) != len(core.Fingerprint{}) {
-		return core.Quarantine{}, fmt.Errorf("%s names no request", en.Key)
-	}
-	var value entry
-	if err = json.Unmarshal(en.Value, &value); err != nil {
-		return core.Quarantine{}, fmt.Errorf("read %s: %w", en.Key, err)
-	}
-	return core.Quarantine{
-		Request: core.Fingerprint(data), Trials: max(0, value.Trials), Crashes: max(0, value.Crashes), Rev: en.Version,
-	}, nil
-}
-
 // Follow tells the Ledger of the KV's entries until ctx ends: at once, and then at a pace that
 // does not grow with the routers, of which there are so many. A router that was not told by a
 // peer learns of a quarantine by it.
