Test: peers forget quarantines while the store is silent, failing

Cause: found in reading: a router writes and tells the same eight in each turn, and a silent store takes each write's whole time.

--- a/io/guard/guard_test.go
+++ b/io/guard/guard_test.go
@@ -222,3 +222,44 @@
 		}
 	})
 }
+
+// slowStore takes a call's whole time and fails, as one that is silent.
+type slowStore struct{ store }
+
+func (*slowStore) PutQuarantine(ctx context.Context, _ core.Quarantine) (core.Version, error) {
+	<-ctx.Done()
+	return 0, ctx.Err()
+}
+
+// noKeepers is a group in which the teller counts by itself.
+type noKeepers struct{ group }
+
+func (*noKeepers) TellKeepers(time.Time, core.BlameNote) {}
+
+// The store is silent while forty requests are quarantined, one after the other. The router that
+// decided it goes on telling its peers of each: one that hears nothing of a quarantine for 30 s
+// forgets it, and would send the request on.
+func TestAllQuarantinesAreToldWhileTheStoreIsSilent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		one, two := newController(), newController()
+		one.Store = &slowStore{}
+		one.Peers = &noKeepers{group{others: []*guard.Controller{two}}}
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		go func() { _ = one.Run(ctx) }()
+		go func() { _ = two.Run(ctx) }()
+		const requests = 40
+		for request := range byte(requests) {
+			for ix := range uint64(3) {
+				one.Crashed(uint64(request)<<8|ix, core.Fingerprint{1, request})
+				time.Sleep(10 * time.Millisecond)
+			}
+		}
+		for range 5 {
+			time.Sleep(20 * time.Second)
+			if got := two.Stats.Value(stats.RequestsQuarantined); got != requests {
+				t.Errorf("the peer knows of %d quarantines, want %d", got, requests)
+			}
+		}
+	})
+}
