All quarantines are told and written in turn while the store is silent

What callers would see: with more than eight quarantines and a silent store, routers send on requests that crash endpoints 30 s after they were told not to. Cause: each turn took the first eight, and a silent store took the whole time of each write. Change: 32 in a turn, and the next ones in the next; a write that fails ends the turn's writes, and peers are told before them. Why it holds: eight turns of at most two seconds take in all that a router keeps, and peers remember for 30.

--- a/io/guard/ledger.go
+++ b/io/guard/ledger.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"time"
 
@@ -22,8 +23,10 @@
 	storeAgain = time.Second
 	// storeTimeout bounds a call to the store; it takes a quarter of a second when slow.
 	storeTimeout = time.Second
-	// mostStores bounds the quarantines that are written in storeAgain, two calls each.
-	mostStores = 8
+	// mostStores bounds the quarantines that are written, two calls each, and told again in
+	// storeAgain. The 256 that a router keeps take eight turns, of which a silent store makes
+	// two seconds each: peers hear of each well before they forget it.
+	mostStores = 32
 	// trialTimeout bounds the wait of a request for its trial to be won.
 	trialTimeout = 300 * time.Millisecond
 )
@@ -47,6 +50,8 @@
 	once sync.Once
 	// decided wakes Run once a quarantine is to be written.
 	decided chan struct{}
+	// turn is where Run goes on among those that the store does not have; Run's alone.
+	turn int
 
 	mu sync.Mutex // guards writing
 	// writing are requests whose entries this router is writing.
@@ -85,17 +90,35 @@
 	}
 }
 
-// storeAll writes what the store does not have yet; again if that has failed before.
+// storeAll tells peers again, if it is not the first time, and writes what the store does not
+// have yet. A call that fails ends it: a silent store takes the whole time of each.
 func (le *Ledger) storeAll(ctx context.Context, again bool) {
 	now := time.Now()
 	unstored, ef := le.table.Tick(now)
 	le.apply(now, ef)
-	for _, de := range unstored[:min(len(unstored), mostStores)] {
+	some := le.nextOf(unstored)
+	for _, de := range some {
 		if again {
 			le.Peers.TellAll(now, de.Note)
 		}
-		_ = le.put(ctx, de.Entry, storeTimeout) // put logs it, and it is tried again
 	}
+	for _, de := range some {
+		err := le.put(ctx, de.Entry, storeTimeout)
+		if err != nil && !errors.Is(err, core.ErrConflict) && !errors.Is(err, errWriting) {
+			return // put has logged it, and the next turn tries again
+		}
+	}
+}
+
+// nextOf are those whose turn it is, so that each is told before peers forget it.
+func (le *Ledger) nextOf(unstored []blame.Decided) []blame.Decided {
+	if len(unstored) <= mostStores {
+		return unstored
+	}
+	le.turn %= len(unstored)
+	some := slices.Concat(unstored[le.turn:], unstored[:le.turn])[:mostStores]
+	le.turn += mostStores
+	return some
 }
 
 // May implements core.Blame.
