Nobody is invited back for a trial that cannot be won

What callers saw: while the store was away, a request whose trial was due was refused with the least Retry-After, a quarter of a second, again and again. Cause: the pause was over, and the refusal did not look at why there was no trial. Change: at least a second. Why it holds: a trial is won in the store, which is asked again at the next return. Measured: go test -run OnceTheStore ./io/guard fails before, passes now.

--- a/io/guard/ledger.go
+++ b/io/guard/ledger.go
@@ -27,6 +27,9 @@
 	// storeAgain. The 256 that a router keeps take eight turns, of which a silent store makes
 	// two seconds each: peers hear of each well before they forget it.
 	mostStores = 32
+	// leastReturn is when a caller may return at the earliest whose request is to be tried, but
+	// not by this router now: the store does not answer, or another router has won it.
+	leastReturn = time.Second
 	// trialTimeout bounds the wait of a request for its trial to be won.
 	trialTimeout = 300 * time.Millisecond
 )
@@ -135,7 +138,7 @@
 			_ = le.put(context.Background(), ve.Entry, storeTimeout) // put logs it; the next return tries again
 		}()
 	}
-	return false, ve.RetryAfter
+	return false, max(leastReturn, ve.RetryAfter)
 }
 
 // try wins the trial of a quarantined request, if no other router does.
