--- a/core/blame/verdict.go
+++ b/core/blame/verdict.go
@@ -31,34 +31,6 @@
 	return ve
 }
 
-// trialPause is how long the request is quarantined before it is tried; false if it is not.
-func (ta *Table) trialPause(fp core.Fingerprint, qu *quarantine) (time.Duration, bool) {
-	if qu.trials >= mostTrials || qu.total() > mostForTrial {
-		return 0, false
-	}
-	turn, doubt := ta.doubtful(fp, qu)
-	switch {
-	case !doubt:
-		return trialPauses[qu.trials], true
-	case qu.trials == 0:
-		return doubtPauses[0] + time.Duration(turn)*turnPause, true
-	}
-	return doubtPauses[qu.trials], true
-}
-
-// entry is what the store is to have of it.
-func (qu *quarantine) entry(fp core.Fingerprint) core.Quarantine {
-	return core.Quarantine{Request: fp, Trials: qu.trials, Crashes: qu.total(), Rev: qu.rev}
-}
-
-// over tells that a quarantine has lapsed. Entries of the store lapse there.
-func (qu *quarantine) over(now time.Time) bool {
-	if qu.rev == 0 && !qu.own {
-		return now.Sub(qu.told) > unstoredFor
-	}
-	return now.Sub(qu.since) > keptFor
-}
-
 // Store takes an entry of the platform's store, as it is new or has changed.
 func (ta *Table) Store(now time.Time, en core.Quarantine) Effects {
 	ta.mu.Lock()
