--- a/io/relay/blame_test.go
+++ b/io/relay/blame_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -115,3 +116,26 @@
 		})
 	}
 }
+
+// An endpoint answers a failure that is too long to be kept, and it is passed on as it comes. The
+// caller gets all of it: a fault after its end would cut the connection, so that the answer
+// looks broken off.
+func TestLongFailureIsPassedOnWhole(t *testing.T) {
+	long := strings.Repeat("x", 3<<20)
+	fl := newFleet(t, answer(500, long)).serve(route.Route{Kind: route.OnceOnly})
+	bl := &blames{allowed: 9}
+	fl.re.Blame = bl
+	rs, body, err := fl.call("POST", "/r/x", "b")
+	fl.expect(rs, err, http.StatusInternalServerError, 1)
+	if len(body) != len(long) {
+		t.Errorf("%d bytes came, want %d", len(body), len(long))
+	}
+	bl.mu.Lock()
+	defer bl.mu.Unlock()
+	if len(bl.ended)+len(bl.broke) > 0 {
+		t.Errorf("told as %d ends and %d that broke off", len(bl.ended), len(bl.broke))
+	}
+	if got := fl.faults.Load(); got != 0 {
+		t.Errorf("%d faults while it was served", got)
+	}
+}
--- a/io/relay/harness_test.go
+++ b/io/relay/harness_test.go
@@ -10,6 +10,7 @@
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -52,6 +53,9 @@
 	age    time.Duration
 	leaves bool
 
+	// faults counts requests whose serving ended by a fault of the program.
+	faults atomic.Int64
+
 	mu  sync.Mutex // guards got
 	got []*seen
 }
@@ -97,11 +101,26 @@
 			ID: core.EndpointID(fmt.Sprint("e", ix)), Addr: addr, Pool: "pool", Zone: "a", Slots: 8,
 		})
 	}
-	fl.front = httptest.NewServer(fl.re)
+	fl.front = httptest.NewServer(http.HandlerFunc(fl.serveFront))
 	t.Cleanup(fl.front.Close)
 	return fl
 }
 
+// serveFront serves a caller, and counts faults.
+func (fl *fleet) serveFront(wr http.ResponseWriter, rq *http.Request) {
+	defer func() {
+		fault := recover()
+		if fault == nil {
+			return
+		}
+		if fault != http.ErrAbortHandler {
+			fl.faults.Add(1)
+		}
+		panic(http.ErrAbortHandler)
+	}()
+	fl.re.ServeHTTP(wr, rq)
+}
+
 func (fl *fleet) endpoint(ix int, sc script) string {
 	li := local.Listen(fl.t)
 	go func() {
