A long failure of an endpoint is passed on without a fault

What callers would see: after an answer of over a megabyte with a status of 300 or above, their connection was cut; one without a length would have looked broken off. Cause: it has no refusal, as it was passed on, and is no success; what tells of attempts looked into the refusal. Change: an attempt without a refusal is told only where it was a success. Why it holds: the refusal is looked at only where there is one. Measured: go test -run LongFailure ./io/relay: one fault before, none now.

--- a/io/relay/blame.go
+++ b/io/relay/blame.go
@@ -45,8 +45,10 @@
 	}
 	en := core.EndpointRef{ID: ex.tk.Endpoint.ID, Addr: ex.tk.Endpoint.Addr, Hash: ex.tk.Hash}
 	switch {
-	case rf == nil && ex.rq.status < http.StatusMultipleChoices:
-		bl.Ended(ex.rq.fingerprint)
+	case rf == nil:
+		if ex.rq.status < http.StatusMultipleChoices {
+			bl.Ended(ex.rq.fingerprint)
+		}
 	case ex.refused:
 		bl.Refused(en)
 	case rf.Outcome == core.Unknown && mayBeCrash[rf.Reason]:
