--- a/core/agent/crash_test.go
+++ b/core/agent/crash_test.go
@@ -17,6 +17,22 @@
 
 func (en *gone) Alive(context.Context) bool { return en.alive }
 
+// An answer is lost, and a moment later the endpoint crashes under a call that began since: that
+// one was running, whatever broke off before.
+func TestBreakBeforeACrashHidesNothing(t *testing.T) {
+	start := time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)
+	now, en := start, &gone{alive: true}
+	find := agent.CrashFinder(func() time.Time { return now }, en)
+	lost := &core.Refusal{Outcome: core.Unknown, Reason: core.ReasonCutShort}
+	find(start.Add(-time.Second), lost)
+	now, en.alive = start.Add(500*time.Millisecond), false
+	re := &core.Refusal{Outcome: core.Unknown, Reason: core.ReasonCutShort}
+	find(start.Add(200*time.Millisecond), re)
+	if lost.Reason != core.ReasonCutShort || re.Reason != core.ReasonCrashed {
+		t.Errorf("told as %s and %s, want CutShort and Crashed", lost.Reason, re.Reason)
+	}
+}
+
 // An endpoint crashes with two calls. A third is sent a moment later on a connection that was
 // kept, and breaks off too: it was not running, and must not be counted for the crash. Where
 // the endpoint is there still, an answer was lost, and no call is told as crashed.
