An agent finds a crash that follows a lost answer

Cause: any call that broke off began the second in which calls count for one crash, and those that began after it were passed over. Change: the endpoint is asked first; only a call that broke off at one that is gone begins it. Why it holds: a lost answer leaves its endpoint there. Measured: go test -run BreakBeforeACrash ./core/agent fails before, passes now.

--- a/core/agent/crash.go
+++ b/core/agent/crash.go
@@ -15,15 +15,15 @@
 	oneCrash = time.Second
 )
 
-// crashes is when calls broke off at an endpoint lately.
+// crashes is when an endpoint crashed lately.
 type crashes struct {
 	mu sync.Mutex // guards all below
-	// first is when the first of the latest calls broke off.
+	// first is when the first call broke off that the latest crash ended.
 	first time.Time
 }
 
-// ran tells whether a call that began then was running when the first of those broke off that
-// break off now. One that came later was sent to an endpoint that was gone already.
+// ran tells whether a call that broke off now at an endpoint that is gone was running when
+// that crashed. One that began later was sent to an endpoint that was gone already.
 func (cr *crashes) ran(now, began time.Time) bool {
 	cr.mu.Lock()
 	defer cr.mu.Unlock()
@@ -40,12 +40,10 @@
 	if !able || re.Outcome == core.NotRun || !brokeOff[re.Reason] {
 		return
 	}
-	if !sl.crashes.ran(ag.Clock.Now(), began) {
-		return
-	}
+	now := ag.Clock.Now()
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), aliveTimeout)
 	defer cancel()
-	if !en.Alive(ctx) {
+	if !en.Alive(ctx) && sl.crashes.ran(now, began) {
 		re.Reason = core.ReasonCrashed
 	}
 }
