Logs and counters tell what endpoints announce beside their answers

What callers saw: requests that went on reaching an endpoint that had said that it leaves, and refusals by endpoints that had asked for a pause. No line or counter showed either notice, so that a notice that was not sent and one that was not read looked the same. Each line of a request now has EndpointLeaves and BackoffMs, where its endpoint's last answer announced them; LeavingNotices and BackoffNotices count such answers. Nothing is decided by them yet.

--- a/io/relay/attempt.go
+++ b/io/relay/attempt.go
@@ -82,6 +82,7 @@
 		return ex.broken(ctx, "send", err)
 	}
 	ex.heard()
+	ex.takeNotice()
 	if calls, told := ex.rq.re.Dialect.Calls(ex.rs.Header); told {
 		ex.tk.Counted(time.Now(), calls)
 		if counts := ex.rq.re.Counts; counts != nil {
--- a/io/relay/harness_test.go
+++ b/io/relay/harness_test.go
@@ -34,6 +34,13 @@
 	Private: []string{"X-Key", "X-Customer", "X-Expect", "X-Rank", "X-Fetch", "X-Secret"},
 	Prompt:  func(http.Header) []place.Part { return nil },
 	Calls:   func(http.Header) (int, bool) { return 0, false },
+	Notice:  notice,
+}
+
+// notice reads what the harness' endpoints announce.
+func notice(_ int, hd http.Header) relay.Notice {
+	backoff, _ := time.ParseDuration(hd.Get("X-Backoff"))
+	return relay.Notice{Leaving: hd.Get("X-Leaving") != "", Backoff: backoff}
 }
 
 // seen is a request as an endpoint got it.
--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -74,6 +74,16 @@
 	// Calls reads how many calls an endpoint has, from its answer; false if it does
 	// not tell.
 	Calls func(hd http.Header) (int, bool)
+	// Notice reads what an endpoint announces beside an answer of that status.
+	Notice func(status int, hd http.Header) Notice
+}
+
+// Notice is what an endpoint announces beside an answer. The zero value announces nothing.
+type Notice struct {
+	// Leaving is set by an endpoint that is about to leave.
+	Leaving bool
+	// Backoff is for how long the endpoint wants no requests from this router.
+	Backoff time.Duration
 }
 
 // Relay serves callers. Set the exported fields before use.
--- a/io/relay/request.go
+++ b/io/relay/request.go
@@ -56,6 +56,8 @@
 	wrote     time.Time
 	gap       time.Duration
 	ticket    *place.Ticket
+	// notice is what the last endpoint that answered announced.
+	notice Notice
 	// next is reserved for the next attempt, nil if none is.
 	next *place.Ticket
 	// sent is where it was sent last, for tellRunning.
@@ -276,6 +278,9 @@
 	if rq.sends > 0 {
 		fields = append(fields, zap.Int("Sends", rq.sends), zap.Bool("Asked", rq.asked))
 	}
+	if rq.notice != (Notice{}) {
+		fields = append(fields, zap.Bool("EndpointLeaves", rq.notice.Leaving), zap.Int64("BackoffMs", rq.notice.Backoff.Milliseconds()))
+	}
 	if tk := rq.ticket; tk != nil {
 		fields = append(fields, zap.String("Endpoint", string(tk.Endpoint.ID)), zap.Float64("CostMs", math.Round(tk.CostMs)),
 			zap.Int("Calls", tk.Calls), zap.Int("Others", tk.Others), zap.Int("Said", tk.Said), zap.Float64("Mean", math.Round(10*tk.Mean)/10),
--- a/io/stats/docs.go
+++ b/io/stats/docs.go
@@ -45,6 +45,8 @@
 	{CrashedUnder, "requests of this router that an endpoint was running when it crashed; the lines \"An endpoint crashed.\" name them"},
 	{RequestsQuarantined, "requests that are not sent to endpoints now, as they crash them"},
 	{QuarantineTrials, "times that such a request was sent to an endpoint to see whether it still does"},
+	{LeavingNotices, "answers of endpoints that announced that they leave; requests in progress there end, new ones go elsewhere"},
+	{BackoffNotices, "answers of endpoints that refused a request and asked for none from this router for a time"},
 	{ZonesEvacuated, "zones under evacuation; their endpoints get no new requests"},
 	{ColdDenied, "times that a cold endpoint was chosen whose limit in requests a second was used up, and another was looked for"},
 	{LogLinesSampled, "log lines left out because many of the same message came in a second"},
--- a/io/stats/stats.go
+++ b/io/stats/stats.go
@@ -64,6 +64,10 @@
 	// QuarantineTrials counts those that were sent all the same to see whether they still do.
 	RequestsQuarantined = "RequestsQuarantined"
 	QuarantineTrials    = "QuarantineTrials"
+	// LeavingNotices and BackoffNotices count answers beside which an endpoint announced that it
+	// leaves, or asked for no requests for a time.
+	LeavingNotices = "LeavingNotices"
+	BackoffNotices = "BackoffNotices"
 )
 
 // Set is one process's counters.
