Tests: an endpoint that announces that it leaves goes on getting requests, failing

The relay's test fails in four of its six cases: the answer is a success; the registration is renewed, or lapses and is back; the choice was made before. After a failure or a refusal the endpoint is passed over for other reasons.

--- a/io/relay/notice_test.go
+++ b/io/relay/notice_test.go
@@ -4,10 +4,14 @@
 	"fmt"
 	"net/http"
 	"testing"
+	"time"
 
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
 	"go.uber.org/zap/zaptest/observer"
+
+	"almondrill/core"
+	"almondrill/core/place"
 )
 
 // announcing is an answer that bears a further header.
@@ -33,3 +37,70 @@
 		t.Errorf("LeavingNotices is %d, want 1", got)
 	}
 }
+
+// Guards against requests that reach an endpoint after it has announced, beside any answer, that
+// it leaves: chosen later or before, with its registration renewed or lapsed and back.
+func TestEndpointThatAnnouncedItLeavesGetsNothingNew(t *testing.T) {
+	for name, ca := range map[string]struct {
+		answer string
+		change func(fl *fleet)
+	}{
+		"success": {announced(200, ""), func(*fleet) {}},
+		"failure": {announced(500, ""), func(*fleet) {}},
+		"refusal": {announced(503, "X-Not-Run: 1\r\n"), func(*fleet) {}},
+		"renewed": {announced(200, ""), func(fl *fleet) { fl.register(0) }},
+		"back": {announced(200, ""), func(fl *fleet) {
+			fl.re.Placer.Remove("e0")
+			fl.register(0)
+		}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			fl := newFleet(t, say(func(se *seen) string { return fmt.Sprintf(ca.answer, se.head.Header.Get("X-Id")) })).serve(onceOnly)
+			fl.addrs = append(fl.addrs, fl.endpoint(1, answer(200, "other")))
+			_, _, err := fl.call("POST", "/r/x", "hello")
+			if err != nil {
+				t.Fatal(err)
+			}
+			ca.change(fl)
+			fl.register(1)
+			for range 20 {
+				if rs, body, err := fl.call("POST", "/r/x", "hello"); err != nil || rs.StatusCode != 200 || body != "other" {
+					t.Fatalf("%v, %q, %v", rs, body, err)
+				}
+			}
+		})
+	}
+	t.Run("chosen before", func(t *testing.T) {
+		fl := newFleet(t, say(func(se *seen) string { return fmt.Sprintf(announced(200, ""), se.head.Header.Get("X-Id")) })).serve(onceOnly)
+		fl.addrs = append(fl.addrs, fl.endpoint(1, answer(200, "other")))
+		first := true
+		fl.beforeSending(func() {
+			if !first {
+				return
+			}
+			first = false
+			_, _, err := fl.call("POST", "/r/x", "hello")
+			if err != nil {
+				t.Error(err)
+			}
+			fl.register(1)
+		})
+		rs, body, err := fl.call("POST", "/r/x", "hello")
+		fl.expect(rs, err, 200, 2)
+		if body != "other" {
+			t.Errorf("%q", body)
+		}
+	})
+}
+
+// announced is an answer, without its request's id, whose endpoint leaves.
+func announced(status int, more string) string {
+	return fmt.Sprintf("HTTP/1.1 %d X\r\nX-Id: %%s\r\nX-Stamp: s\r\nX-Leaving: 1\r\n%sContent-Length: 0\r\n\r\n", status, more)
+}
+
+// register registers an endpoint that is ready.
+func (fl *fleet) register(ix int) {
+	fl.re.Placer.Register(time.Now(), place.Endpoint{
+		ID: core.EndpointID(fmt.Sprint("e", ix)), Addr: fl.addrs[ix], Pool: "pool", Zone: "a", Slots: 8,
+	})
+}
