An endpoint that announces that it leaves gets nothing new

What callers saw: while the store was silent, requests went on reaching an engine that had announced beside its answers that it leaves.

Cause: routers learned of a departure from the store alone; the announcement was passed on to the caller and read by nobody. Class: news of an endpoint that arrives on the path of the requests is dropped, since another path is thought to bring it.

Fix: the announcement closes the endpoint's start in the placer, as a registration that drains does: no ticket from then on, and Ticket.Send turns back what was chosen before. The start stays closed when its registration is renewed, or lapses and comes back, also for endpoints that do not tell when they started; only a later start opens it.

--- /dev/null
+++ b/core/place/leaves_test.go
@@ -0,0 +1,41 @@
+package place_test
+
+import (
+	"testing"
+
+	"almondrill/core"
+	"almondrill/core/place"
+)
+
+// Guards against an endpoint that gets calls again after it has announced that it leaves, as its
+// registration lapses and comes back, before or after the announcement.
+func TestAnnouncedLeavingOutlastsTheRegistration(t *testing.T) {
+	for _, at := range []core.Incarnation{0, 100} {
+		pl := newPlacer(1)
+		leaving := started(0, at)
+		pl.Register(begin, leaving)
+		tk := pick(t, pl, begin, ask(chat(1, 1)))
+		late := pick(t, pl, begin, ask(chat(1, 2)))
+		pl.Remove(leaving.ID)
+		pl.Register(begin, leaving)
+		if !tk.Leaves() || tk.Leaves() {
+			t.Error("the announcement is not told as new once")
+		}
+		if late.Send(begin) != core.ReasonDraining {
+			t.Error("a call chosen before may be sent")
+		}
+		if _, rf := pl.Pick(begin, ask(chat(1, 3))); rf == nil {
+			t.Errorf("start %d: a call was placed after the announcement", at)
+		}
+		pl.Remove(leaving.ID)
+		pl.Register(begin, leaving)
+		if _, rf := pl.Pick(begin, ask(chat(1, 3))); rf == nil {
+			t.Errorf("start %d: a call was placed once the registration was back", at)
+		}
+		pl.Register(begin, started(0, 200))
+		if tk := pick(t, pl, begin, ask(chat(1, 3))); tk.Endpoint.Start != 200 {
+			t.Errorf("start %d: a later start is not used", at)
+		}
+		tk.Done(begin, place.Served)
+	}
+}
--- a/core/place/place.go
+++ b/core/place/place.go
@@ -11,8 +11,8 @@
 //
 // # Invariants
 //
-//   - An endpoint that drains, is gone, or whose zone is evacuated, gets no ticket, and
-//     Ticket.Send tells of one that became such after the choice.
+//   - An endpoint that drains, has announced that it leaves, is gone, or whose zone is evacuated,
+//     gets no ticket, and Ticket.Send tells of one that became such after the choice.
 //   - An endpoint that starts again under its id is another one: nothing that was
 //     believed of its earlier start holds for it.
 //   - Own calls are counted from Pick to Done, so that many requests that arrive
--- a/core/place/starts.go
+++ b/core/place/starts.go
@@ -19,7 +19,8 @@
 	draining bool
 }
 
-// starts are the latest known starts. Endpoints that do not tell theirs are not kept.
+// starts are the latest known starts. Of endpoints that do not tell theirs, those are kept that
+// are closed: their ids are not used again.
 type starts struct {
 	latest map[core.EndpointID]start
 	// order is in which they were first noted.
@@ -33,10 +34,10 @@
 	if ep.Start < known.at {
 		return false, false
 	}
+	drained = seen && ep.Start == known.at && known.draining
 	if ep.Start == 0 {
-		return false, true
+		return drained, true
 	}
-	drained = ep.Start == known.at && known.draining
 	if !seen {
 		ss.add(ep.ID)
 	}
@@ -57,7 +58,12 @@
 
 // drain notes that a start gets no more work.
 func (ss *starts) drain(ep *Endpoint) {
-	if known, seen := ss.latest[ep.ID]; seen && known.at == ep.Start {
-		ss.latest[ep.ID] = start{at: ep.Start, draining: true}
+	known, seen := ss.latest[ep.ID]
+	if seen && known.at != ep.Start {
+		return
+	}
+	if !seen {
+		ss.add(ep.ID)
 	}
+	ss.latest[ep.ID] = start{at: ep.Start, draining: true}
 }
--- a/io/relay/notice.go
+++ b/io/relay/notice.go
@@ -3,6 +3,8 @@
 import (
 	"net/http"
 
+	"go.uber.org/zap"
+
 	"almondrill/io/stats"
 )
 
@@ -16,8 +18,20 @@
 	rq.notice = rq.re.Dialect.Notice(ex.rs.StatusCode, ex.rs.Header)
 	if rq.notice.Leaving {
 		rq.re.Stats.Add(stats.LeavingNotices, 1)
+		ex.noteLeaving()
 	}
 	if rq.notice.Backoff > 0 {
 		rq.re.Stats.Add(stats.BackoffNotices, 1)
 	}
 }
+
+// noteLeaving closes the endpoint to new requests. It may announce that it leaves long before its
+// registration tells so, as where the store is away.
+func (ex *exchange) noteLeaving() {
+	if !ex.tk.Leaves() {
+		return
+	}
+	ex.rq.re.Log.Info("An endpoint announces that it leaves.", zap.String("Endpoint", string(ex.tk.Endpoint.ID)),
+		zap.String("Addr", ex.tk.Endpoint.Addr), zap.String("Request", ex.rq.id), zap.Int("Status", ex.rs.StatusCode),
+		zap.Duration("Age", ex.rq.re.Age()))
+}
