Peers hear at once that an endpoint has announced that it leaves

What callers saw: nothing in the record; found by looking for the cause of DRAIN elsewhere. While the store is silent, each router learns of an endpoint that leaves by an answer of its own, so that of n routers each sends it one request more, and one that starts meanwhile does too.

Cause: what a router learns on the path of requests stays with it. A datagram that is lost costs the one request.

LeavingEndpointIsToldOnce fails with an announcement told for each answer.

--- a/core/place/ticket.go
+++ b/core/place/ticket.go
@@ -106,18 +106,6 @@
 	tk.toRead = 0
 }
 
-// Leaves tells that the endpoint has announced that it leaves: it gets no new calls, whatever its
-// registration says. It returns false if that was known.
-func (tk *Ticket) Leaves() bool {
-	tk.pl.mu.Lock()
-	defer tk.pl.mu.Unlock()
-	if tk.st.Draining {
-		return false
-	}
-	tk.pl.close(tk.st)
-	return true
-}
-
 // Done tells how the call ended; only the first time counts.
 func (tk *Ticket) Done(now time.Time, re Result) {
 	tk.pl.mu.Lock()
@@ -158,14 +146,3 @@
 		tk.pl.close(st)
 	}
 }
-
-// close keeps new calls from this start of an endpoint for good, also where it was removed and
-// has registered again since the call was placed.
-func (pl *Placer) close(st *state) {
-	st.Draining = true
-	pl.starts.drain(&st.Endpoint)
-	if current := pl.byID[st.ID]; current != nil && current.Start == st.Start {
-		current.stir()
-		current.Draining = true
-	}
-}
--- a/core/platform.go
+++ b/core/platform.go
@@ -65,8 +65,10 @@
 	Ask(ctx context.Context, endpoint uint64) (calls int, known bool)
 	// Said passes on what an endpoint said.
 	Said(endpoint uint64, calls int)
-	// Down passes on that no connection to the endpoint could be made.
+	// Down passes on that no connection to the endpoint could be made, Leaves that it has
+	// announced that it leaves.
 	Down(endpoint uint64)
+	Leaves(endpoint uint64)
 }
 
 // Grants divides limits in requests a second among the routers that share them.
--- a/io/gossip/counts.go
+++ b/io/gossip/counts.go
@@ -51,6 +51,8 @@
 	// countWanted asks the keeper for one of Calls requests a second; it answers with
 	// countAnswered, whose Calls is 0 if it is granted, or else in how many ms to ask again.
 	countWanted
+	// countLeaves tells that the endpoint has announced that it leaves.
+	countLeaves
 )
 
 // countMessage asks for an endpoint's calls, answers, or passes on what the endpoint said.
@@ -196,17 +198,35 @@
 		return
 	}
 	gr.believeDown(now, endpoint, from)
+	gr.notifyPeers(&countMessage{Kind: countLost, Endpoint: endpoint})
+}
+
+// notifyPeers sends a message to all routers that are alive.
+func (gr *Group) notifyPeers(cm *countMessage) {
 	all := gr.counts.keepers.Load()
 	if all == nil {
 		return // no peer is known before the first tick
 	}
 	for _, ke := range *all {
 		if ke.to != nil {
-			gr.sendCount(ke.to, &countMessage{Kind: countLost, Endpoint: endpoint})
+			gr.sendCount(ke.to, cm)
 		}
 	}
 }
 
+// Leaves implements core.Counts. Each router that learns of it by an answer tells all, once for
+// each endpoint; a peer that the message does not reach learns of it by its own next answer.
+func (gr *Group) Leaves(endpoint uint64) {
+	gr.notifyPeers(&countMessage{Kind: countLeaves, Endpoint: endpoint})
+}
+
+// hearLeaves takes a peer's word that an endpoint leaves.
+func (gr *Group) hearLeaves(endpoint uint64, from string) {
+	if id, news := gr.Placer.HearLeaves(endpoint); news {
+		gr.Log.Info("A peer knows that an endpoint leaves.", zap.String("Endpoint", string(id)), zap.String("From", from))
+	}
+}
+
 // believeDown takes that two routers cannot reach an endpoint.
 func (gr *Group) believeDown(now time.Time, endpoint uint64, from string) {
 	id, believed := gr.Placer.HearDown(now, endpoint)
@@ -254,6 +274,8 @@
 		gr.hearDown(now, cm.Endpoint, from.String())
 	case countLost:
 		gr.believeDown(now, cm.Endpoint, from.String())
+	case countLeaves:
+		gr.hearLeaves(cm.Endpoint, from.String())
 	case countWanted:
 		out := &countMessage{Kind: countAnswered, Endpoint: cm.Endpoint, Calls: unknownCalls, Ask: cm.Ask}
 		if ke := gr.keeperOf(cm.Endpoint); ke != nil && ke.to == nil && gr.settled.Load() {
--- a/io/relay/counts_test.go
+++ b/io/relay/counts_test.go
@@ -21,6 +21,8 @@
 	asked []uint64
 	said  map[uint64]int
 	down  []uint64
+	// leaves are the endpoints that announced that they leave.
+	leaves []uint64
 }
 
 func (ke *keeper) Down(endpoint uint64) {
@@ -29,6 +31,12 @@
 	ke.down = append(ke.down, endpoint)
 }
 
+func (ke *keeper) Leaves(endpoint uint64) {
+	ke.mu.Lock()
+	defer ke.mu.Unlock()
+	ke.leaves = append(ke.leaves, endpoint)
+}
+
 func (ke *keeper) Ask(_ context.Context, endpoint uint64) (int, bool) {
 	ke.mu.Lock()
 	defer ke.mu.Unlock()
--- a/io/relay/notice.go
+++ b/io/relay/notice.go
@@ -34,4 +34,7 @@
 	ex.rq.re.Log.Info("An endpoint announces that it leaves.", zap.String("Endpoint", string(ex.tk.Endpoint.ID)),
 		zap.String("Addr", ex.tk.Endpoint.Addr), zap.String("Request", ex.rq.id), zap.Int("Status", ex.rs.StatusCode),
 		zap.Duration("Age", ex.rq.re.Age()))
+	if counts := ex.rq.re.Counts; counts != nil {
+		counts.Leaves(ex.tk.Hash)
+	}
 }
--- a/io/relay/notice_test.go
+++ b/io/relay/notice_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"net"
 	"net/http"
+	"sync"
 	"testing"
 	"time"
 
@@ -104,3 +106,35 @@
 		ID: core.EndpointID(fmt.Sprint("e", ix)), Addr: fl.addrs[ix], Pool: "pool", Zone: "a", Slots: 8,
 	})
 }
+
+// Guards against peers that are told of each answer of an endpoint that leaves, not once.
+func TestLeavingEndpointIsToldOnce(t *testing.T) {
+	const calls = 4
+	ke := &keeper{}
+	var fl *fleet
+	fl = newFleet(t, func(se *seen, co net.Conn) bool {
+		for len(fl.requests()) < calls {
+			time.Sleep(time.Millisecond)
+		}
+		return announcing(200, "ok", "X-Leaving", "1")(se, co)
+	}).serve(onceOnly)
+	fl.re.Counts = ke
+	var all sync.WaitGroup
+	for range calls {
+		all.Go(func() {
+			if rs, _, err := fl.call("POST", "/r/x", "hello"); err != nil || rs.StatusCode != http.StatusOK {
+				t.Errorf("%v, %v", rs, err)
+			}
+		})
+	}
+	all.Wait()
+	if got := ke.toldLeaving(); got != 1 {
+		t.Errorf("peers were told %d times", got)
+	}
+}
+
+func (ke *keeper) toldLeaving() int {
+	ke.mu.Lock()
+	defer ke.mu.Unlock()
+	return len(ke.leaves)
+}
