Tests: endpoints that asked for no requests go on getting them, failing

The tests: the endpoint is left alone for the time it asked for and gets requests again afterwards; a choice made before is not sent; where all endpoints of a pool ask for a pause, callers are refused at once and told to return when the first takes requests again.

--- a/io/relay/notice_test.go
+++ b/io/relay/notice_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"strconv"
 	"sync"
 	"testing"
 	"time"
@@ -138,3 +139,91 @@
 	defer ke.mu.Unlock()
 	return len(ke.leaves)
 }
+
+// refusing turns requests away and asks for no more for so long.
+func refusing(backoff time.Duration) script {
+	return say(func(se *seen) string {
+		return fmt.Sprintf("HTTP/1.1 503 X\r\nX-Id: %s\r\nX-Not-Run: 1\r\nX-Backoff: %s\r\nContent-Length: 0\r\n\r\n",
+			se.head.Header.Get("X-Id"), backoff)
+	})
+}
+
+// Guards against requests that reach an endpoint within the time for which it has asked for none:
+// as the one with the fewest calls it would get most of them, and refuse them all.
+func TestEndpointThatAskedForNoRequestsGetsNone(t *testing.T) {
+	const backoff = 600 * time.Millisecond
+	fl := newFleet(t, refusing(backoff)).serve(onceOnly)
+	fl.addrs = append(fl.addrs, fl.endpoint(1, answer(200, "other")))
+	rs, _, err := fl.call("POST", "/r/x", "hello")
+	fl.expect(rs, err, http.StatusServiceUnavailable, 1)
+	asked := time.Now()
+	fl.register(1)
+	for time.Since(asked) < backoff-100*time.Millisecond {
+		if rs, body, err := fl.call("POST", "/r/x", "hello"); err != nil || rs.StatusCode != 200 || body != "other" {
+			t.Fatalf("after %s: %v, %q, %v", time.Since(asked), rs, body, err)
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	if got := fl.reached(0); got != 1 {
+		t.Errorf("%d requests reached the endpoint, want the first alone", got)
+	}
+	time.Sleep(backoff - time.Since(asked) + 50*time.Millisecond)
+	for range 40 {
+		_, _, _ = fl.call("POST", "/r/x", "hello")
+	}
+	if fl.reached(0) == 1 {
+		t.Error("the endpoint gets nothing after that time")
+	}
+}
+
+// Guards against a request that is sent on a choice made before its endpoint asked for no more.
+func TestRequestIsNotSentToAnEndpointThatAskedForNone(t *testing.T) {
+	fl := newFleet(t, refusing(10*time.Second)).serve(onceOnly)
+	fl.addrs = append(fl.addrs, fl.endpoint(1, answer(200, "other")))
+	first := true
+	fl.beforeSending(func() {
+		if !first {
+			return
+		}
+		first = false
+		if _, _, err := fl.call("POST", "/r/x", "hello"); err != nil {
+			t.Error(err)
+		}
+		fl.register(1)
+	})
+	rs, body, err := fl.call("POST", "/r/x", "hello")
+	fl.expect(rs, err, http.StatusOK, 2)
+	if body != "other" {
+		t.Errorf("%q", body)
+	}
+}
+
+// Guards against callers that wait, or are told to return too soon, when all endpoints of a pool
+// have asked for no requests: they are refused at once and told when the first takes some again.
+func TestAllEndpointsAskedForNoRequests(t *testing.T) {
+	fl := newFleet(t, refusing(3*time.Second), refusing(5*time.Second)).serve(onceOnly)
+	for fl.reached(0) == 0 || fl.reached(1) == 0 {
+		_, _, _ = fl.call("POST", "/r/x", "hello")
+	}
+	before := len(fl.requests())
+	for range 20 {
+		began := time.Now()
+		rs, body, err := fl.call("POST", "/r/x", "hello")
+		fl.expect(rs, err, http.StatusServiceUnavailable, before)
+		after, _ := strconv.ParseFloat(rs.Header.Get("Retry-After"), 64)
+		if after < 2 || after > 5 || time.Since(began) > time.Second {
+			t.Errorf("after %s told to return in %g s: %s", time.Since(began), after, body)
+		}
+	}
+}
+
+// reached counts the requests that reached an endpoint.
+func (fl *fleet) reached(ix int) int {
+	count := 0
+	for _, se := range fl.requests() {
+		if se.at == ix {
+			count++
+		}
+	}
+	return count
+}
