Endpoints that ask for no requests get none for as long

Cause: the time asked for beside a refusal was read by nobody. A refusal counted as a full queue for 150 ms; after that the endpoint, which has no calls, was the cheapest of its pool and drew the next requests. Class, as with the announcement of leaving: news of an endpoint on the path of the requests is dropped.

Evidence: in the record the sends to one engine resume 0.2 to 0.4 s after each refusal, with Calls 0 and all engines usable.

Fix: the placer leaves the endpoint out for the time it asked for, in the choice and, for choices made before, in Ticket.Send; the longest time holds, also when the registration lapses and comes back.

--- /dev/null
+++ b/core/place/backoff.go
@@ -0,0 +1,48 @@
+package place
+
+import "time"
+
+// Load pattern: endpoints turn requests away at once, and ask for none for some seconds. Without
+// calls of its own such an endpoint looks the least loaded, draws the next requests and turns them
+// away too, while the others have room. Therefore it is left out for as long as it asked.
+
+// Backoff tells that the endpoint wants no requests from this router for that long. It returns false
+// if that was known.
+func (tk *Ticket) Backoff(now time.Time, lasts time.Duration) bool {
+	tk.pl.mu.Lock()
+	defer tk.pl.mu.Unlock()
+	st := tk.st
+	if current := tk.pl.byHash[st.hash]; current != nil {
+		st = current // it has registered again since the call was placed
+	}
+	known := now.Before(st.backoffUntil)
+	if until := now.Add(lasts); until.After(st.backoffUntil) {
+		st.stir()
+		st.backoffUntil = until
+		tk.pl.keepBackoff(now, st.hash, until)
+	}
+	return !known
+}
+
+// keepBackoff remembers until when a start of an endpoint wants no requests, so that it holds also
+// when the endpoint is removed and registers again.
+func (pl *Placer) keepBackoff(now time.Time, endpoint uint64, until time.Time) {
+	for other, ends := range pl.backoffs {
+		if !now.Before(ends) {
+			delete(pl.backoffs, other)
+		}
+	}
+	pl.backoffs[endpoint] = until
+}
+
+// backsOff tells whether the endpoint wants no requests now, and counts it.
+func (ch *choice) backsOff(st *state) bool {
+	if st.quiet || !ch.now.Before(st.backoffUntil) {
+		return false
+	}
+	ch.backingOff++
+	if ch.backoffEnds.IsZero() || st.backoffUntil.Before(ch.backoffEnds) {
+		ch.backoffEnds = st.backoffUntil
+	}
+	return true
+}
--- /dev/null
+++ b/core/place/backoff_test.go
@@ -0,0 +1,58 @@
+package place_test
+
+import (
+	"testing"
+	"time"
+
+	"almondrill/core"
+	"almondrill/core/place"
+)
+
+// Guards against calls placed on endpoints that want none: the longest time that was asked for holds,
+// also when the registration lapses and comes back, and for no longer.
+func TestBackoffHoldsForItsTime(t *testing.T) {
+	pl := newPlacer(1)
+	register(pl, 2)
+	held := map[core.EndpointID]*place.Ticket{}
+	for id := uint64(1); len(held) < 2; id++ {
+		tk := pick(t, pl, begin, ask(chat(1, id)))
+		held[tk.Endpoint.ID] = tk
+	}
+	tk := held["e00"]
+	if !tk.Backoff(begin, 3*time.Second) || tk.Backoff(begin, time.Second) {
+		t.Error("the pause is not told as new once")
+	}
+	tk.Done(begin, place.Full)
+	refresh := func() {
+		pl.Remove("e00")
+		pl.Register(begin, endpoint(0))
+	}
+	for _, at := range []time.Duration{0, 900 * time.Millisecond, 1100 * time.Millisecond, 2999 * time.Millisecond} {
+		if got := picks(t, pl, begin.Add(at), "e00"); got != 0 {
+			t.Errorf("%d calls after %s of a pause of 3 s", got, at)
+		}
+		refresh()
+	}
+	if picks(t, pl, begin.Add(3*time.Second), "e00") == 0 {
+		t.Error("no calls after the pause")
+	}
+}
+
+// Guards against a refusal that does not tell when the first endpoint takes calls again, and
+// against endpoints that look dead being used though they want no calls.
+func TestAllEndpointsBackOff(t *testing.T) {
+	pl := newPlacer(1)
+	register(pl, 2)
+	held := map[core.EndpointID]*place.Ticket{}
+	for id := uint64(1); len(held) < 2; id++ {
+		tk := pick(t, pl, begin, ask(chat(1, id)))
+		held[tk.Endpoint.ID] = tk
+	}
+	held["e00"].Backoff(begin, 5*time.Second)
+	held["e01"].Backoff(begin, 3*time.Second)
+	pl.Doubt("e01")
+	_, rf := pl.Pick(begin.Add(time.Second), ask(chat(1, 1)))
+	if rf == nil || rf.Outcome != core.NotRun || rf.Reason != core.ReasonBackoff || rf.RetryAfter != 2*time.Second {
+		t.Errorf("%+v", rf)
+	}
+}
--- a/core/place/choice.go
+++ b/core/place/choice.go
@@ -181,7 +181,7 @@
 	read, fetched := ch.reads(st)
 	tk := &Ticket{
 		pl: pl, st: st, Endpoint: st.Endpoint, Started: ch.now, CostMs: cost,
-		Calls: st.calls, Others: st.scratch.others, Mean: ch.mean, Usable: ch.usable, Full: ch.full, ColdFull: ch.coldFull, Of: ch.all,
+		Calls: st.calls, Others: st.scratch.others, Mean: ch.mean, Usable: ch.usable, Full: ch.full, BackingOff: ch.backingOff, ColdFull: ch.coldFull, Of: ch.all,
 		Prompt: promptTokens(as.Parts), Uncached: read, Home: ch.homes.count > 0 && st == ch.homes.list[0], toRead: read,
 		Hash: st.hash, Said: -1,
 	}
--- a/core/place/place.go
+++ b/core/place/place.go
@@ -17,6 +17,7 @@
 //     believed of its earlier start holds for it.
 //   - Own calls are counted from Pick to Done, so that many requests that arrive
 //     between two messages of the peers do not all see the same gap.
+//   - An endpoint that asked for no requests gets none for as long.
 //   - An endpoint that failed is avoided only while others of its pool do better:
 //     if all look bad, the view is doubted and all stay in use.
 //
@@ -139,7 +140,9 @@
 	sent *sentTo
 	// starts are the latest known of all endpoints, also of those that are gone.
 	starts starts
-	words  words
+	// backoffs are until when endpoints want no requests, by the hashes of their starts.
+	backoffs map[uint64]time.Time
+	words    words
 	// moves are own placements away from a chat's home, holders those of peers.
 	moves   []move
 	holders map[uint32]uint16
@@ -237,6 +240,7 @@
 		pl.pools = map[core.PoolID][]*state{}
 		pl.byShort = map[uint16][]*state{}
 		pl.evacuated = map[core.Zone]*evacuation{}
+		pl.backoffs = map[uint64]time.Time{}
 		pl.sent = newSentTo()
 		pl.words = words{byPeer: map[string]*list.Element{}, order: list.New(), sums: map[uint16]int{}, added: pl.addTold}
 		pl.surges = map[core.PoolID]*surge{}
--- a/core/place/state.go
+++ b/core/place/state.go
@@ -29,6 +29,8 @@
 	// it in a few ns. Whoever changes any of these clears it with stir.
 	quiet     bool
 	fullUntil time.Time
+	// backoffUntil is until when it wants no requests from this router.
+	backoffUntil time.Time
 	// lostUntil is until when it is taken to be down as peers told.
 	lostUntil time.Time
 	health    health
@@ -70,7 +72,7 @@
 
 func (pl *Placer) newState(now time.Time, ep *Endpoint) *state {
 	name, hash := decl.HashName(string(ep.ID)), HashOf(ep.ID, ep.Start)
-	st := &state{name: name, hash: hash, since: now, told: pl.words.sums[short(hash)], near: ep.Zone == pl.Zone}
+	st := &state{name: name, hash: hash, since: now, told: pl.words.sums[short(hash)], near: ep.Zone == pl.Zone, backoffUntil: pl.backoffs[hash]}
 	st.seen = newRecord(st, pl.sent)
 	return st
 }
@@ -81,7 +83,8 @@
 // settle makes the endpoint quiet if nothing is left that a choice has to look at.
 func (st *state) settle(now time.Time, settled bool, coldFor time.Duration) {
 	st.quiet = settled && !st.isCold(now, coldFor) && st.calls == 0 && !st.missing && st.toRead == 0 &&
-		st.health.quiet(now) && st.reading.Old(now) && !now.Before(st.fullUntil) && !now.Before(st.lostUntil)
+		st.health.quiet(now) && st.reading.Old(now) && !now.Before(st.fullUntil) && !now.Before(st.backoffUntil) &&
+		!now.Before(st.lostUntil)
 }
 
 // failing is the endpoint's failure rate, 0 if it gets no calls.
--- a/core/place/ticket.go
+++ b/core/place/ticket.go
@@ -15,17 +15,19 @@
 	// there, those told by peers, and the pool's mean; Usable endpoints of Of
 	// were weighed, Full ones had no room, ColdFull of them as their limit while cold is used
 	// up; Cold tells whether the chosen one is cold; of Prompt tokens, Uncached were thought to be read.
-	CostMs   float64
-	Calls    int
-	Others   int
-	Mean     float64
-	Usable   int
-	Full     int
-	ColdFull int
-	Of       int
-	Cold     bool
-	Prompt   core.Tokens
-	Uncached core.Tokens
+	CostMs float64
+	Calls  int
+	Others int
+	Mean   float64
+	Usable int
+	Full   int
+	// BackingOff endpoints were left out as they want no requests for a time.
+	BackingOff int
+	ColdFull   int
+	Of         int
+	Cold       bool
+	Prompt     core.Tokens
+	Uncached   core.Tokens
 	// Chat names the parts that return, 0 if there are none; Home is set if the
 	// endpoint is the one on which all routers agree for them.
 	Chat uint64
@@ -67,6 +69,8 @@
 		return core.ReasonEvacuated
 	case st.Draining || st.removed:
 		return core.ReasonDraining
+	case now.Before(st.backoffUntil):
+		return core.ReasonBackoff
 	case !tk.reserved && tk.ask.ColdRate > 0 && st.isCold(now, tk.ask.ColdFor):
 		return core.ReasonColdLimit // it was not granted
 	}
--- a/core/place/view.go
+++ b/core/place/view.go
@@ -26,6 +26,9 @@
 	// no room.
 	usable int
 	full   int
+	// backingOff counts those that want no requests for a time, the first of them until backoffEnds.
+	backingOff  int
+	backoffEnds time.Time
 	// coldFull counts those of the full ones that are cold and whose limit is used up.
 	coldFull int
 	// calls are those of the pool, places what its live endpoints run, and most what a
@@ -53,12 +56,21 @@
 		re.Detail = "all endpoints of the pool are in evacuated zones"
 		re.Basis = fmt.Sprintf("%d endpoints in evacuated zones", ch.evacuated)
 	}
+	if ch.backingOff > 0 {
+		re.Reason = core.ReasonBackoff
+		re.Detail = "the endpoints of the pool asked for no requests for a time"
+		re.RetryAfter = ch.backoffEnds.Sub(ch.now)
+		re.Basis = fmt.Sprintf("%d of %d endpoints want no requests", ch.backingOff, ch.all)
+	}
 	if ch.full > 0 {
 		re.Reason = core.ReasonLoadCap
 		re.Detail = "all endpoints of the pool are at their limit"
 		re.RetryAfter = pl.surgeAfter(ch.now, ch.pool)
 		re.Basis = fmt.Sprintf("%d calls, most %.0f for this customer, %d places; %d of %d endpoints full",
 			ch.calls, ch.most, ch.places, ch.full, ch.all)
+		if ch.backingOff > 0 {
+			re.Basis += fmt.Sprintf(", %d want no requests", ch.backingOff)
+		}
 		if ch.coldFull > 0 {
 			re.Basis += fmt.Sprintf(", %d of them cold with their limit used up", ch.coldFull)
 		}
@@ -170,6 +182,9 @@
 		if ch.closedTo(st) || retried && tried(ch.as, st.ID) {
 			continue
 		}
+		if ch.backsOff(st) {
+			continue
+		}
 		if !li.room(ch.now, st) {
 			ch.full++
 			continue
@@ -193,7 +208,7 @@
 		return
 	}
 	for _, st := range ch.members {
-		if !ch.closedTo(st) && st.scratch.avoid && !tried(ch.as, st.ID) && li.room(ch.now, st) && ch.coldRoom(pl, st) {
+		if !ch.closedTo(st) && !ch.now.Before(st.backoffUntil) && st.scratch.avoid && !tried(ch.as, st.ID) && li.room(ch.now, st) && ch.coldRoom(pl, st) {
 			ch.use(pl, st)
 		}
 	}
--- a/io/relay/answer.go
+++ b/io/relay/answer.go
@@ -88,7 +88,7 @@
 func (rq *request) retryAfter(rf *core.Refusal) string {
 	const most = 1.4
 	least := 0.6
-	if rf.Reason == core.ReasonQuarantined {
+	if rf.Reason == core.ReasonQuarantined || rf.Reason == core.ReasonBackoff {
 		least = 1 // sooner it would be refused again
 	}
 	after := max(failedAfter, rf.RetryAfter).Seconds()
--- a/io/relay/notice.go
+++ b/io/relay/notice.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"time"
 
 	"go.uber.org/zap"
 
@@ -22,6 +23,7 @@
 	}
 	if rq.notice.Backoff > 0 {
 		rq.re.Stats.Add(stats.BackoffNotices, 1)
+		ex.noteBackoff()
 	}
 }
 
@@ -38,3 +40,14 @@
 		counts.Leaves(ex.tk.Hash)
 	}
 }
+
+// noteBackoff leaves the endpoint alone for the time that it asked for.
+func (ex *exchange) noteBackoff() {
+	backoff := ex.rq.notice.Backoff
+	if !ex.tk.Backoff(time.Now(), backoff) {
+		return
+	}
+	ex.rq.re.Log.Info("An endpoint wants no requests for a time.", zap.String("Endpoint", string(ex.tk.Endpoint.ID)),
+		zap.String("Addr", ex.tk.Endpoint.Addr), zap.String("Request", ex.rq.id), zap.Duration("For", backoff),
+		zap.Duration("Age", ex.rq.re.Age()))
+}
--- a/io/relay/request.go
+++ b/io/relay/request.go
@@ -284,7 +284,7 @@
 	if tk := rq.ticket; tk != nil {
 		fields = append(fields, zap.String("Endpoint", string(tk.Endpoint.ID)), zap.Float64("CostMs", math.Round(tk.CostMs)),
 			zap.Int("Calls", tk.Calls), zap.Int("Others", tk.Others), zap.Int("Said", tk.Said), zap.Float64("Mean", math.Round(10*tk.Mean)/10),
-			zap.Int("Usable", tk.Usable), zap.Int("Full", tk.Full), zap.Int("ColdFull", tk.ColdFull), zap.Int("Of", tk.Of), zap.Bool("Cold", tk.Cold))
+			zap.Int("Usable", tk.Usable), zap.Int("Full", tk.Full), zap.Int("BackingOff", tk.BackingOff), zap.Int("ColdFull", tk.ColdFull), zap.Int("Of", tk.Of), zap.Bool("Cold", tk.Cold))
 		if tk.Prompt > 0 {
 			fields = append(fields, zap.String("Chat", strconv.FormatUint(tk.Chat, 16)), zap.Bool("Home", tk.Home), zap.Int64("Prompt", int64(tk.Prompt)),
 				zap.Int64("Uncached", int64(tk.Uncached)), zap.Int64("Fetched", int64(tk.Fetched)), zap.String("FetchFrom", tk.FetchFrom))
--- a/io/stats/docs.go
+++ b/io/stats/docs.go
@@ -102,6 +102,7 @@
 	{core.ReasonEvacuated, "all endpoints of the request's pool are in zones that the operator evacuated", "end an evacuation (`evacuated-zones.md`) or add endpoints elsewhere"},
 	{core.ReasonNoHome, "the pool has no endpoint in the regions that are the homes of the request's route and customer", "look at the zones' regions in the settings, and at the endpoints there"},
 	{core.ReasonColdLimit, "the endpoint became cold after it was chosen, and takes no more for now; the router tried elsewhere", "nothing"},
+	{core.ReasonBackoff, "the endpoint asked for no requests for a time; where all of a pool did, the caller was refused and told when the first takes some again", "look at the endpoint if it goes on: it refuses what it gets"},
 	{core.ReasonReloading, "the engine is loading another model or version; the router tried elsewhere", "nothing while a version rolls; rolling-versions.md"},
 	{core.ReasonOldFence, "an order came from a past holder of the lease and was refused", "nothing: the guard held"},
 	{core.ReasonOrderBusy, "another order is in progress at the engine; it is given again", "nothing"},
