A pause that an endpoint asked for holds when a later start registers

The worker had crashed and started again while the store was silent; it asked for the pause before its new registration arrived, so that the router kept the pause for the start before, and dropped it with that one.

Fix: pauses are kept by the endpoint's id. A start that is really later gets nothing from this router for the rest of the pause, some seconds at most.

Open, of the same kind: an announcement of leaving by a start whose registration has not arrived closes the start before; the later one gets a request until it announces it again. Closing both would leave engines that were restarted without work for good.

--- a/core/place/backoff.go
+++ b/core/place/backoff.go
@@ -1,6 +1,10 @@
 package place
 
-import "time"
+import (
+	"time"
+
+	"almondrill/core"
+)
 
 // Load pattern: endpoints turn requests away at once, and ask for none for some seconds. Without
 // calls of its own such an endpoint looks the least loaded, draws the next requests and turns them
@@ -12,21 +16,22 @@
 	tk.pl.mu.Lock()
 	defer tk.pl.mu.Unlock()
 	st := tk.st
-	if current := tk.pl.byHash[st.hash]; current != nil {
+	if current := tk.pl.byID[st.ID]; current != nil {
 		st = current // it has registered again since the call was placed
 	}
 	known := now.Before(st.backoffUntil)
 	if until := now.Add(lasts); until.After(st.backoffUntil) {
 		st.stir()
 		st.backoffUntil = until
-		tk.pl.keepBackoff(now, st.hash, until)
+		tk.pl.keepBackoff(now, st.ID, until)
 	}
 	return !known
 }
 
-// keepBackoff remembers until when a start of an endpoint wants no requests, so that it holds also
-// when the endpoint is removed and registers again.
-func (pl *Placer) keepBackoff(now time.Time, endpoint uint64, until time.Time) {
+// keepBackoff remembers until when an endpoint wants no requests, so that it holds also when the
+// endpoint is removed and registers again. It holds for a later start too: the registration may
+// come late, so that it was that start which asked.
+func (pl *Placer) keepBackoff(now time.Time, endpoint core.EndpointID, until time.Time) {
 	for other, ends := range pl.backoffs {
 		if !now.Before(ends) {
 			delete(pl.backoffs, other)
--- a/core/place/backoff_test.go
+++ b/core/place/backoff_test.go
@@ -9,7 +9,7 @@
 )
 
 // Guards against calls placed on endpoints that want none: the longest time that was asked for holds,
-// also when the registration lapses and comes back, and for no longer.
+// also when the registration lapses and comes back or a later start's arrives, and for no longer.
 func TestBackoffHoldsForItsTime(t *testing.T) {
 	pl := newPlacer(1)
 	register(pl, 2)
@@ -23,15 +23,15 @@
 		t.Error("the pause is not told as new once")
 	}
 	tk.Done(begin, place.Full)
-	refresh := func() {
+	refresh := func(at core.Incarnation) {
 		pl.Remove("e00")
-		pl.Register(begin, endpoint(0))
+		pl.Register(begin, started(0, at))
 	}
-	for _, at := range []time.Duration{0, 900 * time.Millisecond, 1100 * time.Millisecond, 2999 * time.Millisecond} {
+	for ix, at := range []time.Duration{0, 900 * time.Millisecond, 1100 * time.Millisecond, 2999 * time.Millisecond} {
 		if got := picks(t, pl, begin.Add(at), "e00"); got != 0 {
 			t.Errorf("%d calls after %s of a pause of 3 s", got, at)
 		}
-		refresh()
+		refresh(core.Incarnation(ix / 2))
 	}
 	if picks(t, pl, begin.Add(3*time.Second), "e00") == 0 {
 		t.Error("no calls after the pause")
--- a/core/place/place.go
+++ b/core/place/place.go
@@ -140,8 +140,8 @@
 	sent *sentTo
 	// starts are the latest known of all endpoints, also of those that are gone.
 	starts starts
-	// backoffs are until when endpoints want no requests, by the hashes of their starts.
-	backoffs map[uint64]time.Time
+	// backoffs are until when endpoints want no requests.
+	backoffs map[core.EndpointID]time.Time
 	words    words
 	// moves are own placements away from a chat's home, holders those of peers.
 	moves   []move
@@ -240,7 +240,7 @@
 		pl.pools = map[core.PoolID][]*state{}
 		pl.byShort = map[uint16][]*state{}
 		pl.evacuated = map[core.Zone]*evacuation{}
-		pl.backoffs = map[uint64]time.Time{}
+		pl.backoffs = map[core.EndpointID]time.Time{}
 		pl.sent = newSentTo()
 		pl.words = words{byPeer: map[string]*list.Element{}, order: list.New(), sums: map[uint16]int{}, added: pl.addTold}
 		pl.surges = map[core.PoolID]*surge{}
--- a/core/place/state.go
+++ b/core/place/state.go
@@ -72,7 +72,7 @@
 
 func (pl *Placer) newState(now time.Time, ep *Endpoint) *state {
 	name, hash := decl.HashName(string(ep.ID)), HashOf(ep.ID, ep.Start)
-	st := &state{name: name, hash: hash, since: now, told: pl.words.sums[short(hash)], near: ep.Zone == pl.Zone, backoffUntil: pl.backoffs[hash]}
+	st := &state{name: name, hash: hash, since: now, told: pl.words.sums[short(hash)], near: ep.Zone == pl.Zone, backoffUntil: pl.backoffs[ep.ID]}
 	st.seen = newRecord(st, pl.sent)
 	return st
 }
