--- a/io/feeds/feeds.go
+++ b/io/feeds/feeds.go
@@ -87,11 +87,12 @@
 	// doubted.
 	DoubtFor time.Duration
 
-	confirmed atomic.Int64 // when the store last confirmed the mirror, in ns of the steady clock
-	told      atomic.Int64 // the same, as peers told
-	failed    atomic.Int64 // when an own call last failed
-	away      atomic.Int64 // when the store was last away
-	heard     atomic.Int64 // when a part of a listing last came
+	confirmed atomic.Int64  // when the store last confirmed the mirror, in ns of the steady clock
+	told      atomic.Int64  // the same, as peers told
+	failed    atomic.Int64  // when an own call last failed
+	away      atomic.Int64  // when the store was last away
+	heard     atomic.Int64  // when a part of a listing last came
+	said      atomic.Uint64 // the store's own revision, as its last answer told
 	began     time.Time
 }
 
@@ -182,7 +183,7 @@
 			rd.confirm(rd.now())
 			rd.failed.Store(0)
 			if lost || !listed {
-				rd.Log.Info("Follows the store.", zap.Uint64("AsOf", uint64(rd.Mirror.AsOf())))
+				rd.Log.Info("Follows the store.", zap.Uint64("AsOf", uint64(rd.Mirror.AsOf())), zap.Uint64("Said", rd.said.Load()))
 			}
 			listed, lost, pause = true, false, firstPause
 			if left := changesGap - time.Duration(rd.now()-began); waited && left > 0 {
@@ -236,6 +237,7 @@
 	defer cancel()
 	items, asOf, err := rd.Feed.Changes(ctx, rd.Mirror.AsOf(), wait)
 	if err == nil {
+		rd.said.Store(uint64(asOf))
 		rd.Mirror.Apply(items, asOf)
 	}
 	return err
@@ -291,6 +293,7 @@
 		case an := <-answers:
 			ended++
 			if an.err == nil {
+				rd.said.Store(uint64(an.asOf))
 				rd.Mirror.Replace(an.items, an.asOf)
 				return nil
 			}
