What is written to a store that came back from a copy is in force

Cause: the store came back from a copy some seconds old, and gave revisions out again. Routers ordered what it said by revision alone: what had a lower or equal one was taken for old, in the mirror and between peers, and the revision after which they asked for changes stayed one that the store did not have. Class: a number that orders news is compared across a reset of its source.

Evidence: the router's AsOf stays at 38 (50) while the notes of removals have 36 and 37; versions 56, 85, 87 and 90 are adopted by no router; it ends with the first write above AsOf.

Fix: a version holds the store's era above the revision, from the header of the answer that told it. All that compares versions, the mirror, what peers tell and fetch, packing against a value that the asker has, is ordered across restores by that. Losses of history that follow each other are listed twice a second at most. Items that a restore only renumbers are not told as changed: endpoints would count as cold again.

--- a/core/ids.go
+++ b/core/ids.go
@@ -28,8 +28,6 @@
 	Revision uint64
 	// Fence is the number of a lease; a later holder has a higher one.
 	Fence uint64
-	// Version is a KV entry's version; 0 means the entry does not exist.
-	Version uint64
 	// LeaseID names a lease granted by the KV; 0 is no lease.
 	LeaseID uint64
 )
--- a/core/mirror/mirror.go
+++ b/core/mirror/mirror.go
@@ -4,12 +4,13 @@
 // # Concepts
 //
 // The store numbers its changes. A Mirror holds the newest item of each key and
-// AsOf, the revision up to which nothing is missing. It is fed by the store's
-// watch and, while the store turns this process away, by the mirrors of others.
+// AsOf, the version up to which nothing is missing. It is fed by the store's
+// watch and, while the store turns this process away, by the mirrors of others. A store that
+// comes back from a copy begins a new era; all of its versions are later than those before.
 //
 // # Invariants
 //
-//   - An item is only ever replaced by one of a higher revision, so that what was
+//   - An item is only ever replaced by one of a higher version, so that what was
 //     learned never goes back, in whichever order news arrives.
 //   - A deletion is kept as an item too: an older copy cannot bring the key back.
 //
@@ -21,6 +22,7 @@
 package mirror
 
 import (
+	"bytes"
 	"sync"
 
 	"almondrill/core"
@@ -42,7 +44,8 @@
 // Mirror is the copy. Set Changed before use.
 type Mirror struct {
 	// Changed is told of each item that became the newest of its key, in the
-	// order in which they were taken. It must not call the Mirror.
+	// order in which they were taken, unless its value is as it was: all items of a store that
+	// came back from a copy have later versions. It must not call the Mirror.
 	Changed func(it core.Item)
 
 	mu    sync.Mutex // guards all below
@@ -119,6 +122,9 @@
 	}
 	mi.items[it.Key] = it
 	mi.keep(old)
+	if known && !old.Deleted && !it.Deleted && bytes.Equal(old.Value, it.Value) {
+		return
+	}
 	if it.Deleted {
 		mi.gone = append(mi.gone, it.Key)
 		mi.forget()
--- a/core/mirror/mirror_test.go
+++ b/core/mirror/mirror_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"testing"
 
 	"pgregory.net/rapid"
@@ -197,3 +198,62 @@
 		t.Errorf("%+v as of %d, want a alone, as of 3", news, asOf)
 	}
 }
+
+// Guards against mirrors that keep what a store lost when it came back from a copy, or miss what was
+// written under its revisions after that.
+func TestMirrorsAgreeAcrossRestores(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		type state struct {
+			rev   uint64
+			items map[string]core.Item
+		}
+		store, copied := state{items: map[string]core.Item{}}, state{items: map[string]core.Item{}}
+		era := core.Era(1)
+		asOf := func() core.Version { return core.VersionOf(era, store.rev) }
+		listed := func() (all []core.Item) {
+			for _, it := range store.items {
+				all = append(all, core.Item{Key: it.Key, Rev: core.VersionOf(era, it.Rev.Revision()), Value: it.Value})
+			}
+			return all
+		}
+		mirrors := []*mirror.Mirror{{}, {}, {}}
+		for range rapid.IntRange(1, 80).Draw(rt, "steps") {
+			mi := mirrors[rapid.IntRange(0, 2).Draw(rt, "mirror")]
+			switch rapid.IntRange(0, 6).Draw(rt, "what") {
+			case 0, 1, 2:
+				store.rev++
+				key := rapid.SampledFrom([]string{"x", "y", "z"}).Draw(rt, "key")
+				if rapid.Bool().Draw(rt, "deleted") {
+					delete(store.items, key)
+				} else {
+					store.items[key] = core.Item{Key: key, Rev: asOf(), Value: []byte{byte(store.rev), byte(era)}}
+				}
+			case 3:
+				copied = state{store.rev, maps.Clone(store.items)}
+			case 4:
+				store = state{copied.rev, maps.Clone(copied.items)}
+				era++
+			case 5:
+				mi.Replace(listed(), asOf())
+			case 6:
+				copyNews(mirrors[rapid.IntRange(0, 2).Draw(rt, "from")], mi)
+			}
+		}
+		want := map[string]string{}
+		for _, it := range store.items {
+			want[it.Key] = string(it.Value)
+		}
+		for _, mi := range mirrors {
+			if mi.AsOf() != asOf() || store.rev == 0 {
+				continue
+			}
+			got := map[string]string{}
+			for _, it := range live(mi) {
+				got[it.Key] = string(it.Value)
+			}
+			if !maps.Equal(got, want) {
+				rt.Fatalf("holds %v, the store %v", got, want)
+			}
+		}
+	})
+}
--- a/io/entry/view.go
+++ b/io/entry/view.go
@@ -40,7 +40,7 @@
 	what, err := vi.pr.Platform.Decode(it)
 	if err != nil {
 		vi.log.Warn("Cannot use an item of the store; what is in force stays.", zap.String("Key", it.Key),
-			zap.Uint64("Rev", uint64(it.Rev)), zap.Error(err))
+			zap.Stringer("Rev", it.Rev), zap.Error(err))
 		return
 	}
 	switch what := what.(type) {
@@ -71,7 +71,7 @@
 	}
 	vi.pr.Stats.Add(stats.ItemsFailed, 1)
 	vi.log.Error("An item of the store brought a fault about; it is passed over.", zap.String("Key", it.Key),
-		zap.Uint64("Rev", uint64(it.Rev)), zap.Any("Fault", fault), zap.StackSkip("Stack", 1))
+		zap.Stringer("Rev", it.Rev), zap.Any("Fault", fault), zap.StackSkip("Stack", 1))
 }
 
 // adopt puts a configuration in force unless a later one is.
@@ -79,18 +79,18 @@
 	old := vi.pr.relay.Table()
 	if old != nil && doc.Version <= old.Version {
 		vi.log.Warn("Refused an older configuration.", zap.Uint64("Version", uint64(doc.Version)),
-			zap.Uint64("InForce", uint64(old.Version)), zap.Uint64("Rev", uint64(rev)))
+			zap.Uint64("InForce", uint64(old.Version)), zap.Stringer("Rev", rev))
 		return
 	}
 	ta, err := route.Compile(doc)
 	if err != nil {
-		vi.log.Warn("Refused a configuration; the one in force stays.", zap.Uint64("Rev", uint64(rev)), zap.Error(err))
+		vi.log.Warn("Refused a configuration; the one in force stays.", zap.Stringer("Rev", rev), zap.Error(err))
 		return
 	}
 	vi.pr.relay.SetTable(ta)
 	vi.pr.times.set(ta.Limits.IdleTimeout, ta.Limits.HeaderTimeout)
 	routes, customers := ta.Counts()
-	vi.log.Info("Adopted a configuration.", zap.Uint64("Version", uint64(ta.Version)), zap.Uint64("Rev", uint64(rev)),
+	vi.log.Info("Adopted a configuration.", zap.Uint64("Version", uint64(ta.Version)), zap.Stringer("Rev", rev),
 		zap.Int("Routes", routes), zap.Int("Customers", customers), zap.Duration("Age", vi.pr.reader.Age()))
 }
 
@@ -99,7 +99,7 @@
 	defer vi.mu.Unlock()
 	fields := []zap.Field{
 		zap.String("Endpoint", string(ep.ID)), zap.Uint64("Start", uint64(ep.Start)), zap.String("Pool", string(ep.Pool)),
-		zap.String("Addr", ep.Addr), zap.Bool("Draining", ep.Draining), zap.Uint64("Rev", uint64(rev)),
+		zap.String("Addr", ep.Addr), zap.Bool("Draining", ep.Draining), zap.Stringer("Rev", rev),
 	}
 	if !vi.pr.placer.Register(time.Now(), ep) {
 		vi.log.Info("Ignored the registration of an endpoint's earlier start.", fields...)
@@ -161,7 +161,7 @@
 	vi.unusable[un.ID] = reason
 	vi.pr.Stats.Add(stats.RegistrationsUnusable, 1)
 	vi.log.Warn("Cannot use a registration; it names no endpoint.", zap.String("Endpoint", string(un.ID)),
-		zap.Uint64("Rev", uint64(rev)), zap.Error(un.Err))
+		zap.Stringer("Rev", rev), zap.Error(un.Err))
 }
 
 const (
@@ -178,7 +178,7 @@
 // evacuate puts the evacuation of a zone in force, or ends it.
 func (vi *view) evacuate(ev Evacuation, rev core.Version) {
 	now, age := time.Now(), vi.pr.reader.Age()
-	fields := []zap.Field{zap.String("Zone", string(ev.Zone)), zap.Uint64("Rev", uint64(rev)), zap.Duration("Age", age)}
+	fields := []zap.Field{zap.String("Zone", string(ev.Zone)), zap.Stringer("Rev", rev), zap.Duration("Age", age)}
 	if ev.Ended {
 		if vi.pr.placer.Restore(now, ev.Zone) {
 			vi.log.Info("The evacuation of a zone has ended.", fields...)
@@ -211,7 +211,7 @@
 	}
 	doubted := vi.pr.reader.Doubtful()
 	vi.log.Info("Endpoint's registration is gone.", zap.String("Endpoint", string(id)),
-		zap.Uint64("Rev", uint64(rev)), zap.Bool("Doubted", doubted))
+		zap.Stringer("Rev", rev), zap.Bool("Doubted", doubted))
 	if !doubted {
 		vi.remove(id)
 		return
--- a/io/feeds/feeds.go
+++ b/io/feeds/feeds.go
@@ -63,6 +63,8 @@
 	// several changes is told at once, those that follow with it. When hundreds of routers start,
 	// each change would otherwise be a call of each router that follows the store.
 	changesGap = 100 * time.Millisecond
+	// listGap is the least time between two listings that a loss of history asks for.
+	listGap = 500 * time.Millisecond
 	// takeoverAfter is the age beyond which a router that does not lead asks the
 	// store itself: a wait, and the time in which peers tell of it.
 	takeoverAfter = 1300 * time.Millisecond
@@ -170,6 +172,7 @@
 	// unlisted is the revision after which the history is not known until a listing,
 	// here or by a peer that tells of it, has made up for it.
 	unlisted := core.Version(0)
+	compacted := rd.now() - int64(listGap) // when the history was last found lost
 	for ctx.Err() == nil {
 		listed = listed || rd.Mirror.AsOf() > unlisted
 		if listed && !rd.Leads() && rd.Age() < takeoverAfter {
@@ -183,7 +186,7 @@
 			rd.confirm(rd.now())
 			rd.failed.Store(0)
 			if lost || !listed {
-				rd.Log.Info("Follows the store.", zap.Uint64("AsOf", uint64(rd.Mirror.AsOf())), zap.Uint64("Said", rd.said.Load()))
+				rd.Log.Info("Follows the store.", zap.Stringer("AsOf", rd.Mirror.AsOf()), zap.Stringer("Said", core.Version(rd.said.Load())))
 			}
 			listed, lost, pause = true, false, firstPause
 			if left := changesGap - time.Duration(rd.now()-began); waited && left > 0 {
@@ -191,8 +194,12 @@
 			}
 			continue
 		case errors.Is(err, core.ErrCompacted):
-			rd.Log.Info("The store lost its history. Lists anew.", zap.Uint64("AsOf", uint64(rd.Mirror.AsOf())))
+			rd.Log.Info("The store lost its history. Lists anew.", zap.Stringer("AsOf", rd.Mirror.AsOf()))
 			unlisted, listed = rd.Mirror.AsOf(), false
+			if left := listGap - time.Duration(rd.now()-compacted); left > 0 {
+				rest(ctx, left)
+			}
+			compacted = rd.now()
 			continue
 		case ctx.Err() != nil:
 			return nil
@@ -200,7 +207,7 @@
 		rd.fail()
 		if !lost {
 			rd.Log.Warn("Lost the store.", append(logs.Fields(err),
-				zap.Duration("Age", rd.Age()), zap.Uint64("AsOf", uint64(rd.Mirror.AsOf())))...)
+				zap.Duration("Age", rd.Age()), zap.Stringer("AsOf", rd.Mirror.AsOf()))...)
 			lost = true
 		}
 		if !errors.Is(err, errSilent) {
--- a/io/feeds/feeds_test.go
+++ b/io/feeds/feeds_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"slices"
 	"strconv"
 	"strings"
@@ -335,3 +336,18 @@
 		})
 	}
 }
+
+// Guards against a store that is listed without a pause while it goes on losing its history.
+func TestLostHistoryIsListedAtAPace(t *testing.T) {
+	st := newStore()
+	st.set("a", false)
+	st.compacted = math.MaxUint64
+	follow(t, st, always, func(*feeds.Reader, *mirror.Mirror) {
+		time.Sleep(5 * time.Second)
+		st.change(func() {
+			if st.lists > 12 {
+				t.Errorf("%d listings in 5 s", st.lists)
+			}
+		})
+	})
+}
--- a/io/gossip/items.go
+++ b/io/gossip/items.go
@@ -56,7 +56,7 @@
 
 func (as *ask) query() string {
 	return url.Values{
-		"After": {fmt.Sprint(as.After)}, "Key": {as.Key}, "Rev": {fmt.Sprint(as.Rev)},
+		"After": {strconv.FormatUint(uint64(as.After), 10)}, "Key": {as.Key}, "Rev": {strconv.FormatUint(uint64(as.Rev), 10)},
 	}.Encode()
 }
 
@@ -122,7 +122,7 @@
 		}
 		data, err := gr.parcels.get(as, gr.Mirror)
 		if err != nil {
-			gr.Log.Error("Packing news for a peer failed.", zap.Uint64("After", uint64(as.After)), zap.Error(err))
+			gr.Log.Error("Packing news for a peer failed.", zap.Stringer("After", as.After), zap.Error(err))
 			http.Error(wr, err.Error(), http.StatusInternalServerError)
 			return
 		}
@@ -200,7 +200,7 @@
 		gr.Mirror.Apply(its.Items, its.AsOf)
 	}
 	gr.Log.Info("Learned from a peer.", zap.String("Addr", addr), zap.Int("Items", len(its.Items)), zap.Bool("Whole", its.Whole),
-		zap.Int("Bytes", size), zap.Uint64("After", uint64(after)), zap.Uint64("AsOf", uint64(its.AsOf)))
+		zap.Int("Bytes", size), zap.Stringer("After", after), zap.Stringer("AsOf", its.AsOf))
 	return nil
 }
 
@@ -231,7 +231,7 @@
 		base = nil
 	case as.Rev:
 	default:
-		return nil, 0, fmt.Errorf("a peer packed against revision %d, asked for %d", pa.Base, as.Rev)
+		return nil, 0, fmt.Errorf("a peer packed against version %s, asked for %s", pa.Base, as.Rev)
 	}
 	plain, err := delta.Unpack(pa.Packed, base, mostItems)
 	if err != nil {
