What a restore of the store brings or takes away is doubted until it is written again

A copy lacks what was written since, and has what has ended since, until the operator and the workers write again. An endpoint that had registered since was taken out with all that is known of it; one that had left since was used again at once, and one that had drained and gone, too, where it does not tell its start.

Cause: the doubt of missing registrations hung on how long the store had been away. Fix: a restore begins the doubt whatever the time it took, told by the mirror before the items. A registration that departed within a minute and is back while the doubt lasts is doubted too: it gets calls only where nobody else can take them, until the doubt ends and it is still there, or its worker writes it again. A start that drained stays closed also for endpoints that do not tell theirs.

The counter StoreEra and the line The store came back from a copy. are new.

--- a/core/mirror/mirror.go
+++ b/core/mirror/mirror.go
@@ -47,6 +47,9 @@
 	// order in which they were taken, unless its value is as it was: all items of a store that
 	// came back from a copy have later versions. It must not call the Mirror.
 	Changed func(it core.Item)
+	// Restored is told, before the items, that the store has come back from a copy since. It must
+	// not call the Mirror.
+	Restored func(from, to core.Version)
 
 	mu    sync.Mutex // guards all below
 	items map[string]core.Item
@@ -95,6 +98,9 @@
 func (mi *Mirror) Replace(items []core.Item, asOf core.Version) {
 	mi.mu.Lock()
 	defer mi.mu.Unlock()
+	if mi.asOf > 0 && asOf.Era() > mi.asOf.Era() && mi.Restored != nil {
+		mi.Restored(mi.asOf, asOf)
+	}
 	listed := map[string]bool{}
 	for _, it := range items {
 		listed[it.Key] = true
--- a/core/place/leaves_test.go
+++ b/core/place/leaves_test.go
@@ -7,6 +7,21 @@
 	"almondrill/core/place"
 )
 
+// Guards against an endpoint that gets calls again after it has drained, as its registration of before is
+// back from a copy of the store.
+func TestDrainingOutlastsTheRegistration(t *testing.T) {
+	for _, at := range []core.Incarnation{0, 100} {
+		pl := newPlacer(1)
+		pl.Register(begin, started(0, at))
+		pl.Register(begin, draining(started(0, at)))
+		pl.Remove("e00")
+		pl.Register(begin, started(0, at))
+		if _, rf := pl.Pick(begin, ask(chat(1, 3))); rf == nil {
+			t.Errorf("start %d: a call was placed on an endpoint that had drained", at)
+		}
+	}
+}
+
 // Guards against an endpoint that gets calls again after it has announced that it leaves, as its
 // registration lapses and comes back, before or after the announcement.
 func TestAnnouncedLeavingOutlastsTheRegistration(t *testing.T) {
--- a/core/place/place.go
+++ b/core/place/place.go
@@ -165,6 +165,9 @@
 	if !current {
 		return false
 	}
+	if ep.Draining {
+		pl.starts.drain(&ep)
+	}
 	st := pl.byID[ep.ID]
 	if st != nil && st.Start != ep.Start {
 		pl.remove(st)
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -184,7 +184,7 @@
 		Age: pr.reader.Age, Leaving: pr.leaving.Load,
 	}
 	pr.view = &view{pr: pr, log: pr.Logs.Part("view")}
-	pr.mirror.Changed = pr.view.changed
+	pr.mirror.Changed, pr.mirror.Restored = pr.view.changed, pr.reader.Restored
 	pr.seed()
 	pr.publish()
 }
@@ -216,6 +216,7 @@
 		return 0
 	})
 	pr.Stats.Read(stats.ViewAgeMs, func() int64 { return pr.reader.Age().Milliseconds() })
+	pr.Stats.Read(stats.StoreEra, func() int64 { return int64(pr.mirror.AsOf().Era()) })
 	pr.Stats.Read(stats.PeersLive, func() int64 { return int64(pr.peers.Live()) })
 	pr.Stats.Read(stats.EndpointsKnown, func() int64 { return int64(pr.endpoints()) })
 	pr.Stats.Read(stats.ZonesEvacuated, func() int64 { return int64(len(pr.placer.Evacuated())) })
--- a/io/entry/view.go
+++ b/io/entry/view.go
@@ -24,8 +24,22 @@
 	unusable  map[core.EndpointID]string
 	// at is which endpoint last registered with an address.
 	at map[string]core.EndpointID
+	// departed are the last starts of endpoints whose registrations are gone, and when they went;
+	// returned are those that are back though the store may have brought them from a copy.
+	departed map[core.EndpointID]departure
+	returned map[core.EndpointID]place.Endpoint
 }
 
+// departure is a start of an endpoint that is gone.
+type departure struct {
+	start core.Incarnation
+	at    time.Time
+}
+
+// departedFor is how long departures are remembered: a copy from which the store comes back is some
+// seconds old.
+const departedFor = time.Minute
+
 // known is what was last logged of an endpoint.
 type known struct {
 	addr     string
@@ -107,6 +121,7 @@
 	}
 	delete(vi.departing, ep.ID)
 	delete(vi.unusable, ep.ID)
+	vi.doubtReturn(ep)
 	if vi.known == nil {
 		vi.known = map[core.EndpointID]known{}
 	}
@@ -126,6 +141,37 @@
 	vi.takePlace(ep)
 }
 
+// doubtReturn doubts an endpoint that had departed and is back, while the store may have brought it
+// from a copy. It is taken for one that is there once the doubt ends, unless it departs again.
+func (vi *view) doubtReturn(ep place.Endpoint) {
+	gone, was := vi.departed[ep.ID]
+	delete(vi.departed, ep.ID)
+	delete(vi.returned, ep.ID)
+	if !was || gone.start != ep.Start || !vi.pr.reader.Doubtful() {
+		return
+	}
+	vi.log.Info("Endpoint is back, perhaps from a copy of the store.", zap.String("Endpoint", string(ep.ID)))
+	if vi.returned == nil {
+		vi.returned = map[core.EndpointID]place.Endpoint{}
+	}
+	vi.returned[ep.ID] = ep
+	vi.pr.placer.Doubt(ep.ID)
+}
+
+// noteDeparture remembers that an endpoint is gone.
+func (vi *view) noteDeparture(id core.EndpointID) {
+	now := time.Now()
+	for other, gone := range vi.departed {
+		if now.Sub(gone.at) > departedFor {
+			delete(vi.departed, other)
+		}
+	}
+	if vi.departed == nil {
+		vi.departed = map[core.EndpointID]departure{}
+	}
+	vi.departed[id] = departure{vi.known[id].start, now}
+}
+
 // takePlace notes an endpoint's address, and tells that the one is gone that had it before.
 func (vi *view) takePlace(ep place.Endpoint) {
 	if vi.at == nil {
@@ -212,7 +258,8 @@
 	doubted := vi.pr.reader.Doubtful()
 	vi.log.Info("Endpoint's registration is gone.", zap.String("Endpoint", string(id)),
 		zap.Stringer("Rev", rev), zap.Bool("Doubted", doubted))
-	if !doubted {
+	if !doubted || vi.returned[id].ID == id {
+		vi.noteDeparture(id)
 		vi.remove(id)
 		return
 	}
@@ -230,9 +277,11 @@
 	}
 	delete(vi.known, id)
 	delete(vi.departing, id)
+	delete(vi.returned, id)
 }
 
-// run removes endpoints whose registration did not come back.
+// run ends doubts: it removes endpoints whose registration did not come back, and takes those into use
+// that are back and have stayed.
 func (vi *view) run(ctx context.Context) error {
 	tick := time.NewTicker(departTick)
 	defer tick.Stop()
@@ -243,6 +292,7 @@
 		case <-tick.C:
 			if !vi.pr.reader.Doubtful() {
 				vi.removeMissing()
+				vi.acceptReturned()
 			}
 		}
 	}
@@ -254,6 +304,18 @@
 	defer vi.mu.Unlock()
 	for id := range vi.departing {
 		vi.log.Info("Endpoint did not come back.", zap.String("Endpoint", string(id)))
+		vi.noteDeparture(id)
 		vi.remove(id)
 	}
 }
+
+// acceptReturned takes the endpoints into use that are back and have stayed.
+func (vi *view) acceptReturned() {
+	vi.mu.Lock()
+	defer vi.mu.Unlock()
+	for id, ep := range vi.returned {
+		vi.log.Info("Endpoint has come back.", zap.String("Endpoint", string(id)))
+		vi.pr.placer.Register(time.Now(), ep)
+		delete(vi.returned, id)
+	}
+}
--- a/io/feeds/feeds.go
+++ b/io/feeds/feeds.go
@@ -142,7 +142,7 @@
 }
 
 // Doubtful tells whether the store is away, or was until lately, so that
-// registrations may have lapsed that will be back.
+// registrations may have lapsed that will be back, or came back from a copy.
 //
 // Routers do not tell each other that they doubt: each would renew the others'
 // doubt, for good. They tell what the store confirmed, which only grows older.
@@ -154,6 +154,13 @@
 	return at > 0 && rd.now()-at < int64(rd.DoubtFor)
 }
 
+// Restored takes that the store came back from a copy: what was written since the copy is missing
+// until it is written again, and what has ended since is back until it ends again.
+func (rd *Reader) Restored(from, to core.Version) {
+	rd.away.Store(rd.now())
+	rd.Log.Warn("The store came back from a copy.", zap.Stringer("Before", from), zap.Stringer("AsOf", to))
+}
+
 // fail notes that an own call failed. While peers reach the store, this router is cut
 // off alone, and what is missing has really left.
 func (rd *Reader) fail() {
--- a/io/stats/docs.go
+++ b/io/stats/docs.go
@@ -45,6 +45,7 @@
 	{CrashedUnder, "requests of this router that an endpoint was running when it crashed; the lines \"An endpoint crashed.\" name them"},
 	{RequestsQuarantined, "requests that are not sent to endpoints now, as they crash them"},
 	{QuarantineTrials, "times that such a request was sent to an endpoint to see whether it still does"},
+	{StoreEra, "how often the platform's store came back from a copy, as its answers count it; 0 if it does not tell"},
 	{LeavingNotices, "answers of endpoints that announced that they leave; requests in progress there end, new ones go elsewhere"},
 	{BackoffNotices, "answers of endpoints that refused a request and asked for none from this router for a time"},
 	{ZonesEvacuated, "zones under evacuation; their endpoints get no new requests"},
--- a/io/stats/stats.go
+++ b/io/stats/stats.go
@@ -64,6 +64,8 @@
 	// QuarantineTrials counts those that were sent all the same to see whether they still do.
 	RequestsQuarantined = "RequestsQuarantined"
 	QuarantineTrials    = "QuarantineTrials"
+	// StoreEra counts how often the platform's store came back from a copy.
+	StoreEra = "StoreEra"
 	// LeavingNotices and BackoffNotices count answers beside which an endpoint announced that it
 	// leaves, or asked for no requests for a time.
 	LeavingNotices = "LeavingNotices"
