A configuration does not go back with the store

A router that starts after the store came back from a copy, and before the operator has written again, put the copy's configuration in force: keys that had been accepted were refused with 401 there, which callers do not repeat, while its peers served them. Routers that had the later one passed the earlier on.

Cause: between eras the later item replaced the earlier whatever it held. Fix: the mirror asks whether a value outranks the one that replaces it; the operator's document does by its version, also where the copy has none. The later one is kept under the new version, so that it goes on to peers. Routers introduce themselves with the version in force; one that is behind fetches all that such a peer knows, once a second at most. Values may differ under one version then: an answer that cannot be unpacked against the base is asked for once more without one.

--- a/core/mirror/mirror.go
+++ b/core/mirror/mirror.go
@@ -13,6 +13,7 @@
 //   - An item is only ever replaced by one of a higher version, so that what was
 //     learned never goes back, in whichever order news arrives.
 //   - A deletion is kept as an item too: an older copy cannot bring the key back.
+//   - A value that outranks what a later era has in its place is kept, under that version.
 //
 // # Usage
 //
@@ -50,6 +51,9 @@
 	// Restored is told, before the items, that the store has come back from a copy since. It must
 	// not call the Mirror.
 	Restored func(from, to core.Version)
+	// Outranks tells that an item is later than another of its key whatever their versions: a
+	// store that came back from a copy tells what it had before. Nil if none does.
+	Outranks func(it, other core.Item) bool
 
 	mu    sync.Mutex // guards all below
 	items map[string]core.Item
@@ -123,6 +127,14 @@
 		mi.items = map[string]core.Item{}
 	}
 	old, known := mi.items[it.Key]
+	if known && mi.restored(old, it) {
+		switch {
+		case mi.Outranks(old, it):
+			it.Value, it.Deleted = old.Value, false
+		case mi.Outranks(it, old) && it.Rev <= old.Rev:
+			it.Rev, known = old.Rev, false // it replaces what it does not follow
+		}
+	}
 	if known && (it.Rev < old.Rev || it.Rev == old.Rev && (old.Deleted || !it.Deleted)) {
 		return
 	}
@@ -140,6 +152,15 @@
 	}
 }
 
+// restored tells whether one of the items may be from a copy that the store came back from: they are
+// of two eras, or differ under one version.
+func (mi *Mirror) restored(old, it core.Item) bool {
+	if mi.Outranks == nil || it.Rev != old.Rev && it.Rev.Era() == old.Rev.Era() {
+		return false
+	}
+	return it.Deleted != old.Deleted || !bytes.Equal(it.Value, old.Value)
+}
+
 // keep remembers a value that was replaced.
 func (mi *Mirror) keep(old core.Item) {
 	if len(old.Value) < leastPast {
--- a/core/mirror/mirror_test.go
+++ b/core/mirror/mirror_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"maps"
+	"slices"
 	"testing"
 
 	"pgregory.net/rapid"
@@ -257,3 +258,32 @@
 		}
 	})
 }
+
+// Guards against a value that goes back as the store tells, or peers tell, what a copy has of it.
+func TestLaterValueOutlastsARestore(t *testing.T) {
+	outranks := func(it, other core.Item) bool {
+		return it.Key == "doc" && !it.Deleted && (other.Deleted || string(it.Value) > string(other.Value))
+	}
+	doc := func(era core.Era, rev uint64, value string) core.Item {
+		return core.Item{Key: "doc", Rev: core.VersionOf(era, rev), Value: []byte(value)}
+	}
+	newMirror := func(told *[]string) *mirror.Mirror {
+		return &mirror.Mirror{Outranks: outranks, Changed: func(it core.Item) { *told = append(*told, string(it.Value)) }}
+	}
+	for _, listed := range [][]core.Item{{doc(2, 5, "v1")}, nil} {
+		var told, toldFresh []string
+		mi, fresh := newMirror(&told), newMirror(&toldFresh)
+		mi.Replace([]core.Item{doc(1, 8, "v2")}, core.VersionOf(1, 9))
+		mi.Replace(listed, core.VersionOf(2, 6))
+		fresh.Replace(listed, core.VersionOf(2, 6))
+		news, asOf, _ := mi.Since(0)
+		fresh.Replace(news, asOf)
+		for _, mi := range []*mirror.Mirror{mi, fresh} {
+			mi.Apply([]core.Item{doc(2, 7, "v3")}, core.VersionOf(2, 7))
+			mi.Apply([]core.Item{doc(1, 8, "v2")}, core.VersionOf(1, 9))
+		}
+		if !slices.Equal(told, []string{"v2", "v3"}) || !slices.Equal(toldFresh[len(listed):], []string{"v2", "v3"}) {
+			t.Errorf("told %v and %v", told, toldFresh)
+		}
+	}
+}
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -37,6 +37,7 @@
 	"almondrill/core/mirror"
 	"almondrill/core/place"
 	"almondrill/core/retry"
+	"almondrill/core/route"
 	"almondrill/io/clock"
 	"almondrill/io/conf"
 	"almondrill/io/conns"
@@ -57,6 +58,9 @@
 	// a Released, or nil if nothing.
 	Decode(it core.Item) (any, error)
 	Dialect() relay.Dialect
+	// Outranks tells that an item of the store is later than another of its key, whatever their
+	// versions.
+	Outranks(it, other core.Item) bool
 	// ReadyPath is where the balancer asks whether to send callers.
 	ReadyPath() string
 	// Announce keeps the address for peers in the store until ctx ends.
@@ -161,13 +165,13 @@
 	pr.rand = clock.NewRand(clock.RandomSeed())
 	pr.pool = &conns.Pool{}
 	pr.times.set(0, 0)
-	pr.mirror = &mirror.Mirror{}
+	pr.mirror = &mirror.Mirror{Outranks: pr.Platform.Outranks}
 	pr.peers = &gossip.Group{Self: se.Name, Addr: se.PeersAddr, Mirror: pr.mirror, Rand: pr.rand, Log: pr.Logs.Part("gossip")}
 	pr.placer = &place.Placer{
 		Zone: se.Zone, Regions: se.Zones, Rand: pr.rand, CapFactor: se.CapFactor, Routers: pr.peers.Routers,
 		Cold: place.ColdLimits{Overrun: se.ColdOverrun, Slack: se.ColdSlack},
 	}
-	pr.peers.Placer = pr.placer
+	pr.peers.Placer, pr.peers.InForce = pr.placer, pr.inForce
 	pr.budget = &retry.Window{Ratio: se.RetryRatio, Slack: se.RetrySlack, Span: se.RetrySpan, Routers: pr.peers.Routers}
 	pr.reader = &feeds.Reader{Feed: pr.Platform, Mirror: pr.mirror, Rand: pr.rand, Log: pr.Logs.Part("feeds")}
 	pr.reader.Init()
@@ -209,12 +213,7 @@
 // publish makes the counters read what other parts hold.
 func (pr *Process) publish() {
 	pr.latency.Publish(pr.Stats)
-	pr.Stats.Read(stats.ConfigRevision, func() int64 {
-		if ta := pr.relay.Table(); ta != nil {
-			return int64(ta.Version)
-		}
-		return 0
-	})
+	pr.Stats.Read(stats.ConfigRevision, func() int64 { return int64(pr.inForce()) })
 	pr.Stats.Read(stats.ViewAgeMs, func() int64 { return pr.reader.Age().Milliseconds() })
 	pr.Stats.Read(stats.StoreEra, func() int64 { return int64(pr.mirror.AsOf().Era()) })
 	pr.Stats.Read(stats.PeersLive, func() int64 { return int64(pr.peers.Live()) })
@@ -225,6 +224,14 @@
 	}
 }
 
+// inForce is the version of the configuration in force, 0 if there is none.
+func (pr *Process) inForce() route.Version {
+	if ta := pr.relay.Table(); ta != nil {
+		return ta.Version
+	}
+	return 0
+}
+
 // endpoints is how many endpoints may get work. One that registered for a pool which the
 // configuration does not name serves nobody.
 func (pr *Process) endpoints() int {
--- a/io/entry/view_test.go
+++ b/io/entry/view_test.go
@@ -37,6 +37,8 @@
 
 func (faulty) ReadyPath() string { return "/ready" }
 
+func (faulty) Outranks(core.Item, core.Item) bool { return false }
+
 func (faulty) Announce(context.Context, core.VMID, string, *zap.Logger) {}
 
 func (fa faulty) Decode(it core.Item) (any, error) {
--- a/io/gossip/gossip.go
+++ b/io/gossip/gossip.go
@@ -37,6 +37,7 @@
 	"almondrill/core"
 	"almondrill/core/mirror"
 	"almondrill/core/place"
+	"almondrill/core/route"
 )
 
 const (
@@ -96,8 +97,10 @@
 	From     core.VMID       `cbor:"4,keyasint,omitempty"`
 	Known    []string        `cbor:"5,keyasint,omitempty"`
 	Readings []place.Reading `cbor:"6,keyasint,omitempty"`
-	// Hears is how many peers the sender heard of late, in introductions.
-	Hears uint16 `cbor:"12,keyasint,omitempty"`
+	// Hears is how many peers the sender heard of late, Config the version of the configuration that
+	// is in force there, both in introductions.
+	Hears  uint16        `cbor:"12,keyasint,omitempty"`
+	Config route.Version `cbor:"13,keyasint,omitempty"`
 	// Count is set in messages about one endpoint's calls, which hold nothing else.
 	Count *countMessage `cbor:"10,keyasint,omitempty"`
 	// Blame is set in messages about a request that crashes endpoints, which hold nothing else.
@@ -128,6 +131,8 @@
 	Feed Feed
 	// Blamed takes what peers tell of requests that crash endpoints; nil if nobody asks.
 	Blamed func(now time.Time, from string, no core.BlameNote)
+	// InForce tells the version of the configuration in force here; nil if there is none.
+	InForce func() route.Version
 	// AskTimeout bounds the wait for an endpoint's count, askTimeout if it is 0.
 	AskTimeout time.Duration
 
@@ -140,7 +145,9 @@
 	// was first found in the store.
 	began, grown, announced time.Time
 	fetched                 bool // a fetch is under way
-	ticks                   int
+	// wholeFetch is when all that a peer knows was last asked for.
+	wholeFetch time.Time
+	ticks      int
 	// news is the latest revision that was told at once.
 	news core.Version
 	// greet are peers that were not heard before, to be introduced to.
@@ -160,6 +167,8 @@
 	leaving   bool
 	// hears is how many peers it heard of late, as it told.
 	hears uint16
+	// config is the version of the configuration in force there, as it told.
+	config route.Version
 	// to is addr resolved, nil until it is needed; mutes is set while it does not answer.
 	to    *net.UDPAddr
 	mutes mutes
@@ -337,7 +346,7 @@
 		gr.Log.Info("A peer leaves.", zap.String("Peer", string(me.id)), zap.String("Addr", from))
 	}
 	if ms.From != "" {
-		me.id, me.hears = ms.From, ms.Hears
+		me.id, me.hears, me.config = ms.From, ms.Hears, ms.Config
 	}
 	me.heard, me.asOf, me.leaving, me.failing, me.confirmed = now, ms.AsOf, ms.Leaving, ms.Failing, confirmed
 	for _, addr := range ms.Known {
--- a/io/gossip/items.go
+++ b/io/gossip/items.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -16,6 +17,7 @@
 
 	"almondrill/core"
 	"almondrill/core/mirror"
+	"almondrill/core/route"
 	"almondrill/io/delta"
 )
 
@@ -146,11 +148,16 @@
 		return
 	}
 	addr, confirmed := gr.ahead(own)
+	after := own
+	if addr == "" {
+		addr, confirmed = gr.aheadInConfig()
+		after = 0
+	}
 	if addr == "" {
 		return
 	}
 	go func() {
-		err := gr.fetch(ctx, addr, own)
+		err := gr.fetch(ctx, addr, after)
 		gr.mu.Lock()
 		gr.fetched = false
 		gr.mu.Unlock()
@@ -182,15 +189,55 @@
 	if len(among) == 0 {
 		return "", time.Time{}
 	}
+	return gr.oneOf(among)
+}
+
+// oneOf draws the peer that is asked next.
+func (gr *Group) oneOf(among []string) (string, time.Time) {
 	gr.fetched = true
 	one := among[gr.Rand.Uint64()%uint64(len(among))]
 	return one, gr.members[one].confirmed
 }
 
+func (gr *Group) inForce() route.Version {
+	if gr.InForce == nil {
+		return 0
+	}
+	return gr.InForce()
+}
+
+// wholeGap is the least time between two fetches of all that a peer knows.
+const wholeGap = time.Second
+
+// aheadInConfig is ahead for a peer with a later configuration in force. This router may know as
+// much of the store, which came back from a copy before the configuration was accepted.
+func (gr *Group) aheadInConfig() (string, time.Time) {
+	own := gr.inForce()
+	gr.mu.Lock()
+	defer gr.mu.Unlock()
+	if gr.fetched || time.Since(gr.wholeFetch) < wholeGap {
+		return "", time.Time{}
+	}
+	var among []string
+	for addr, me := range gr.members {
+		if me.config > own && time.Since(me.heard) < liveFor {
+			among = append(among, addr)
+		}
+	}
+	if len(among) == 0 {
+		return "", time.Time{}
+	}
+	gr.wholeFetch = time.Now()
+	return gr.oneOf(among)
+}
+
 // fetch takes over what a peer knows beyond a revision.
 func (gr *Group) fetch(ctx context.Context, addr string, after core.Version) error {
 	base := gr.Mirror.Largest()
 	its, size, err := fetchItems(ctx, addr, &ask{after, base.Key, base.Rev}, base.Value)
+	if errors.Is(err, errBase) {
+		its, size, err = fetchItems(ctx, addr, &ask{After: after}, nil)
+	}
 	if err != nil {
 		return err
 	}
@@ -204,6 +251,10 @@
 	return nil
 }
 
+// errBase: an answer cannot be unpacked. The peer may have another value under the version that it was
+// packed against, where the store came back from a copy.
+var errBase = errors.New("unpack a peer's parcel")
+
 // fetchItems asks a peer, and returns the size of its answer too.
 func fetchItems(ctx context.Context, addr string, as *ask, base []byte) (*items, int, error) {
 	rq, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+addr+ItemsPath+"?"+as.query(), nil)
@@ -235,7 +286,7 @@
 	}
 	plain, err := delta.Unpack(pa.Packed, base, mostItems)
 	if err != nil {
-		return nil, 0, err
+		return nil, 0, fmt.Errorf("%w: %w", errBase, err)
 	}
 	its := new(items)
 	if err = cbor.Unmarshal(plain, its); err != nil {
--- a/io/gossip/tell.go
+++ b/io/gossip/tell.go
@@ -92,7 +92,7 @@
 	}
 	ms := gr.message()
 	ms.From, ms.Known, ms.Readings = gr.Self, gr.some(mostNamed), gr.Placer.Readings(now)
-	ms.Hears = uint16(min(math.MaxUint16, gr.Live()))
+	ms.Hears, ms.Config = uint16(min(math.MaxUint16, gr.Live())), gr.inForce()
 	data, err := cbor.Marshal(ms)
 	for err == nil && len(data) > mostDatagram && len(ms.Readings) > 0 {
 		ms.Readings = ms.Readings[:len(ms.Readings)/2]
