An evacuation that a restore of the store lost holds until it can be written again

What callers saw: nothing in the record; found by looking for the same cause elsewhere. A zone that had been evacuated since the copy was filled again by all routers at once when the store came back, and emptied again when the operator had written it anew.

Cause: an item that is missing from a listing counted as removed. Fix: while the store may have lost what it accepted, a missing evacuation holds; it ends with the doubt if it has not been written again.

Evidence: EvacuationOutlastsARestore failed before (no zone under evacuation, requests in the zone); EvacuationThatIsNotWrittenAgainEnds holds the other way round.

--- a/io/entry/view.go
+++ b/io/entry/view.go
@@ -28,6 +28,8 @@
 	// returned are those that are back though the store may have brought them from a copy.
 	departed map[core.EndpointID]departure
 	returned map[core.EndpointID]place.Endpoint
+	// ending are zones whose evacuation is missing while the store may have lost it.
+	ending map[core.Zone]bool
 }
 
 // departure is a start of an endpoint that is gone.
@@ -221,16 +223,26 @@
 // and what is on its way to endpoints.
 const evacuateMargin = 1500 * time.Millisecond
 
-// evacuate puts the evacuation of a zone in force, or ends it.
+// evacuate puts the evacuation of a zone in force, or ends it. One that is missing from a store which
+// came back from a copy holds until the operator has had time to write it again.
 func (vi *view) evacuate(ev Evacuation, rev core.Version) {
+	vi.mu.Lock()
+	defer vi.mu.Unlock()
 	now, age := time.Now(), vi.pr.reader.Age()
 	fields := []zap.Field{zap.String("Zone", string(ev.Zone)), zap.Stringer("Rev", rev), zap.Duration("Age", age)}
 	if ev.Ended {
-		if vi.pr.placer.Restore(now, ev.Zone) {
-			vi.log.Info("The evacuation of a zone has ended.", fields...)
+		if !vi.pr.reader.Doubtful() {
+			vi.endEvacuation(ev.Zone)
+			return
+		}
+		if vi.ending == nil {
+			vi.ending = map[core.Zone]bool{}
 		}
+		vi.ending[ev.Zone] = true
+		vi.log.Info("The evacuation of a zone is missing.", fields...)
 		return
 	}
+	delete(vi.ending, ev.Zone)
 	// What is believed was confirmed age ago without it, so that it was accepted since.
 	until := now.Add(max(0, vi.pr.evacuateTime()-evacuateMargin-age))
 	if !vi.pr.placer.Evacuate(now, ev.Zone, until) {
@@ -244,6 +256,22 @@
 	}
 }
 
+func (vi *view) endEvacuation(zone core.Zone) {
+	if vi.pr.placer.Restore(time.Now(), zone) {
+		vi.log.Info("The evacuation of a zone has ended.", zap.String("Zone", string(zone)), zap.Duration("Age", vi.pr.reader.Age()))
+	}
+}
+
+// endMissing ends the evacuations that were not written again.
+func (vi *view) endMissing() {
+	vi.mu.Lock()
+	defer vi.mu.Unlock()
+	for zone := range vi.ending {
+		vi.endEvacuation(zone)
+		delete(vi.ending, zone)
+	}
+}
+
 // depart takes an endpoint out whose registration is gone. Registrations lapse
 // while endpoints cannot reach the store; during and right after its outage, one
 // that is missing may be back in a moment, and a whole pool would seem gone. Once
@@ -280,8 +308,8 @@
 	delete(vi.returned, id)
 }
 
-// run ends doubts: it removes endpoints whose registration did not come back, and takes those into use
-// that are back and have stayed.
+// run ends doubts: it removes endpoints whose registration did not come back, takes those into use
+// that are back and have stayed, and ends evacuations that are still missing.
 func (vi *view) run(ctx context.Context) error {
 	tick := time.NewTicker(departTick)
 	defer tick.Stop()
@@ -293,6 +321,7 @@
 			if !vi.pr.reader.Doubtful() {
 				vi.removeMissing()
 				vi.acceptReturned()
+				vi.endMissing()
 			}
 		}
 	}
