A quarantine that a restore of the store lost is held and written again

What callers saw: nothing in the record; found by looking for the same cause elsewhere. When the store came back from a copy without the entry of a request that crashes engines, all routers took it for released, and the request crashed three more.

Cause: an entry that is missing counted as removed. Fix: one that is missing in a later era than it was written in is lost: the quarantine is held, the router that decided it writes it again, and so does any at which the request returns. What the copy has as it was is told to nobody; what was written again, also with the same value, is, since its version is needed for the next change.

--- a/core/blame/quarantine.go
+++ b/core/blame/quarantine.go
@@ -43,6 +43,8 @@
 	// of fewer.
 	count int
 	rev   core.Version
+	// lost is set while the store has lost its entry.
+	lost bool
 	// own is set if this router decided it, told is when a peer last told of it.
 	own  bool
 	told time.Time
@@ -144,7 +146,7 @@
 
 // over tells that a quarantine has lapsed. Entries of the store lapse there.
 func (qu *quarantine) over(now time.Time) bool {
-	if qu.rev == 0 && !qu.own {
+	if qu.rev == 0 && !qu.own && !qu.lost {
 		return now.Sub(qu.told) > unstoredFor
 	}
 	return now.Sub(qu.since) > keptFor
--- a/core/blame/table_test.go
+++ b/core/blame/table_test.go
@@ -284,3 +284,27 @@
 		t.Error("one that comes again is not found among them")
 	}
 }
+
+// Guards against a quarantine that ends as the store has lost its entry, at a router that knows of it from
+// the store alone: it is held, and written again when the request returns.
+func TestLostEntryIsWrittenAgain(t *testing.T) {
+	var ta blame.Table
+	begin, fp := time.Unix(1_700_000_000, 0), core.Fingerprint{7}
+	stored := core.Quarantine{Request: fp, Crashes: 3, Rev: core.VersionOf(1, 14)}
+	ta.Store(begin, stored)
+	ta.Unstore(fp, core.VersionOf(2, 9))
+	at := begin.Add(time.Minute)
+	ve := ta.Judge(at, fp)
+	if !ve.Quarantined || !ve.Renew || ve.Trial || ve.Entry.Rev != 0 || ve.Entry.Crashes != 3 {
+		t.Errorf("%+v", ve)
+	}
+	stored.Rev = core.VersionOf(2, 10)
+	ta.Store(at, stored)
+	if ve = ta.Judge(at.Add(time.Second), fp); !ve.Quarantined || ve.Renew {
+		t.Errorf("once it is stored: %+v", ve)
+	}
+	ta.Unstore(fp, core.VersionOf(2, 11))
+	if ve = ta.Judge(at.Add(time.Second), fp); ve.Quarantined {
+		t.Errorf("once it is removed: %+v", ve)
+	}
+}
--- a/core/blame/verdict.go
+++ b/core/blame/verdict.go
@@ -19,7 +19,7 @@
 	if qu == nil || qu.over(now) {
 		return Verdict{}
 	}
-	ve := Verdict{Quarantined: true, Entry: qu.entry(fp)}
+	ve := Verdict{Quarantined: true, Renew: qu.lost, Entry: qu.entry(fp)}
 	age := now.Sub(qu.since)
 	if pause, allowed := ta.trialPause(fp, qu); allowed {
 		ve.RetryAfter = max(0, pause-age)
@@ -27,7 +27,7 @@
 		return ve
 	}
 	ve.RetryAfter = keptFor - age
-	ve.Renew = age > keptFor/2 && qu.rev != 0
+	ve.Renew = qu.lost || age > keptFor/2 && qu.rev != 0
 	return ve
 }
 
@@ -48,20 +48,28 @@
 	if qu.trials != en.Trials || qu.rev != 0 {
 		qu.since = now
 	}
-	qu.trials, qu.count, qu.rev = en.Trials, max(qu.count, en.Crashes), en.Rev
+	qu.trials, qu.count, qu.rev, qu.lost = en.Trials, max(qu.count, en.Crashes), en.Rev, false
 	return ef
 }
 
 // Unstore takes that an entry of the platform's store is gone: it has lapsed, or a router
-// has cleared the request.
+// has cleared the request. One that is missing in a later era than it was written in was lost as the
+// store came back from a copy; it is written again by the router that decided it, or where the
+// request returns.
 func (ta *Table) Unstore(fp core.Fingerprint, rev core.Version) Effects {
 	ta.mu.Lock()
 	defer ta.mu.Unlock()
 	var ef Effects
-	if qu := ta.quarantined[fp]; qu != nil && qu.rev != 0 && qu.rev <= rev {
-		ta.release(fp, &ef)
-		delete(ta.suspects, fp)
+	qu := ta.quarantined[fp]
+	if qu == nil || qu.rev == 0 || qu.rev > rev {
+		return ef
+	}
+	if rev.Era() > qu.rev.Era() {
+		qu.rev, qu.lost = 0, true
+		return ef
 	}
+	ta.release(fp, &ef)
+	delete(ta.suspects, fp)
 	return ef
 }
 
--- a/core/mirror/mirror.go
+++ b/core/mirror/mirror.go
@@ -45,7 +45,7 @@
 // Mirror is the copy. Set Changed before use.
 type Mirror struct {
 	// Changed is told of each item that became the newest of its key, in the
-	// order in which they were taken, unless its value is as it was: all items of a store that
+	// order in which they were taken, unless it was not written again: all items of a store that
 	// came back from a copy have later versions. It must not call the Mirror.
 	Changed func(it core.Item)
 	// Restored is told, before the items, that the store has come back from a copy since. It must
@@ -127,10 +127,11 @@
 		mi.items = map[string]core.Item{}
 	}
 	old, known := mi.items[it.Key]
+	kept := known && renumbered(old, it)
 	if known && mi.restored(old, it) {
 		switch {
 		case mi.Outranks(old, it):
-			it.Value, it.Deleted = old.Value, false
+			it.Value, it.Deleted, kept = old.Value, false, true
 		case mi.Outranks(it, old) && it.Rev <= old.Rev:
 			it.Rev, known = old.Rev, false // it replaces what it does not follow
 		}
@@ -140,7 +141,7 @@
 	}
 	mi.items[it.Key] = it
 	mi.keep(old)
-	if known && !old.Deleted && !it.Deleted && bytes.Equal(old.Value, it.Value) {
+	if kept {
 		return
 	}
 	if it.Deleted {
@@ -152,6 +153,12 @@
 	}
 }
 
+// renumbered tells that an item is as it was before the store came back from a copy that has it.
+func renumbered(old, it core.Item) bool {
+	return old.Rev.Era() != it.Rev.Era() && old.Rev.Revision() == it.Rev.Revision() &&
+		!old.Deleted && !it.Deleted && bytes.Equal(old.Value, it.Value)
+}
+
 // restored tells whether one of the items may be from a copy that the store came back from: they are
 // of two eras, or differ under one version.
 func (mi *Mirror) restored(old, it core.Item) bool {
--- a/io/entry/view.go
+++ b/io/entry/view.go
@@ -93,7 +93,11 @@
 // adopt puts a configuration in force unless a later one is.
 func (vi *view) adopt(doc *route.Document, rev core.Version) {
 	old := vi.pr.relay.Table()
-	if old != nil && doc.Version <= old.Version {
+	if old != nil && doc.Version == old.Version {
+		vi.log.Info("The configuration in force was written again.", zap.Uint64("Version", uint64(doc.Version)), zap.Stringer("Rev", rev))
+		return
+	}
+	if old != nil && doc.Version < old.Version {
 		vi.log.Warn("Refused an older configuration.", zap.Uint64("Version", uint64(doc.Version)),
 			zap.Uint64("InForce", uint64(old.Version)), zap.Stringer("Rev", rev))
 		return
