Only a restore holds what the store lacks

Fix: evacuations that are missing, and registrations that are back, are held or doubted only within that time of a restore.

Evidence: EvacuationEndsWhereTheStoreWasOnlyAway failed before (not within 4 s, with ReturnDelay at 30 s).

--- a/io/entry/view.go
+++ b/io/entry/view.go
@@ -153,7 +153,7 @@
 	gone, was := vi.departed[ep.ID]
 	delete(vi.departed, ep.ID)
 	delete(vi.returned, ep.ID)
-	if !was || gone.start != ep.Start || !vi.pr.reader.Doubtful() {
+	if !was || gone.start != ep.Start || !vi.pr.reader.RestoredLately() {
 		return
 	}
 	vi.log.Info("Endpoint is back, perhaps from a copy of the store.", zap.String("Endpoint", string(ep.ID)))
@@ -235,7 +235,7 @@
 	now, age := time.Now(), vi.pr.reader.Age()
 	fields := []zap.Field{zap.String("Zone", string(ev.Zone)), zap.Stringer("Rev", rev), zap.Duration("Age", age)}
 	if ev.Ended {
-		if !vi.pr.reader.Doubtful() {
+		if !vi.pr.reader.RestoredLately() {
 			vi.endEvacuation(ev.Zone)
 			return
 		}
@@ -324,6 +324,8 @@
 		case <-tick.C:
 			if !vi.pr.reader.Doubtful() {
 				vi.removeMissing()
+			}
+			if !vi.pr.reader.RestoredLately() {
 				vi.acceptReturned()
 				vi.endMissing()
 			}
--- a/io/feeds/feeds.go
+++ b/io/feeds/feeds.go
@@ -93,6 +93,7 @@
 	told      atomic.Int64  // the same, as peers told
 	failed    atomic.Int64  // when an own call last failed
 	away      atomic.Int64  // when the store was last away
+	restored  atomic.Int64  // when it was last learned that it came back from a copy
 	heard     atomic.Int64  // when a part of a listing last came
 	said      atomic.Uint64 // the store's own revision, as its last answer told
 	began     time.Time
@@ -158,9 +159,16 @@
 // until it is written again, and what has ended since is back until it ends again.
 func (rd *Reader) Restored(from, to core.Version) {
 	rd.away.Store(rd.now())
+	rd.restored.Store(rd.now())
 	rd.Log.Warn("The store came back from a copy.", zap.Stringer("Before", from), zap.Stringer("AsOf", to))
 }
 
+// RestoredLately tells whether what the store has may be a copy's, as it was not written again yet.
+func (rd *Reader) RestoredLately() bool {
+	at := rd.restored.Load()
+	return at > 0 && rd.now()-at < int64(rd.DoubtFor)
+}
+
 // fail notes that an own call failed. While peers reach the store, this router is cut
 // off alone, and what is missing has really left.
 func (rd *Reader) fail() {
