Telling peers that an endpoint leaves delays no answer

The router that learns of it by an answer sends each peer a datagram, hundreds on the largest deployments; the answer waited for that. It is done beside it now. Test: PeersHearThatAWorkerLeaves.

--- a/io/gossip/counts.go
+++ b/io/gossip/counts.go
@@ -215,9 +215,10 @@
 }
 
 // Leaves implements core.Counts. Each router that learns of it by an answer tells all, once for
-// each endpoint; a peer that the message does not reach learns of it by its own next answer.
+// each endpoint; a peer that the message does not reach learns of it by its own next answer. The
+// request whose answer told it does not wait for that.
 func (gr *Group) Leaves(endpoint uint64) {
-	gr.notifyPeers(&countMessage{Kind: countLeaves, Endpoint: endpoint})
+	go gr.notifyPeers(&countMessage{Kind: countLeaves, Endpoint: endpoint})
 }
 
 // hearLeaves takes a peer's word that an endpoint leaves.
