What is said of evacuations after a restore is in force at once

An evacuation that had ended was back with the store's copy and was put in force; when the operator ended it again, 0.3 s later, that was held for as long as a missing one is, and then the zone's endpoints counted as cold, so that three of four took no more for 1.5 s.

Cause: any end of an evacuation soon after a restore counted as one that the store had lost, and one that a copy brought back as one that was accepted. Fix: both are told by the version: what has a later one than the listing by which the restore was learned was written since, and is in force at once. What the listing lacks holds, what it brings back waits, until the doubt ends; one that stays then counts from when it was heard of.

Evidence: EvacuationThatHadEndedIsNotBackWithTheStore failed before; EvacuationAfterARestore holds that one which is accepted anew, or stays, is obeyed.

--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -187,7 +187,7 @@
 		Stats: pr.Stats, Latency: &pr.latency, Rand: pr.rand, Log: pr.Logs.Part("relay"),
 		Age: pr.reader.Age, Leaving: pr.leaving.Load,
 	}
-	pr.view = &view{pr: pr, log: pr.Logs.Part("view")}
+	pr.view = &view{pr: pr, log: pr.Logs.Part("view"), zones: newZones()}
 	pr.mirror.Changed, pr.mirror.Restored = pr.view.changed, pr.reader.Restored
 	pr.seed()
 	pr.publish()
--- a/io/entry/view.go
+++ b/io/entry/view.go
@@ -28,8 +28,7 @@
 	// returned are those that are back though the store may have brought them from a copy.
 	departed map[core.EndpointID]departure
 	returned map[core.EndpointID]place.Endpoint
-	// ending are zones whose evacuation is missing while the store may have lost it.
-	ending map[core.Zone]bool
+	zones    zones
 }
 
 // departure is a start of an endpoint that is gone.
@@ -223,59 +222,6 @@
 	departTick   = 100 * time.Millisecond
 )
 
-// evacuateMargin is the part of EvacuateMs that is not used: for the store's answer on its way,
-// and what is on its way to endpoints.
-const evacuateMargin = 1500 * time.Millisecond
-
-// evacuate puts the evacuation of a zone in force, or ends it. One that is missing from a store which
-// came back from a copy holds until the operator has had time to write it again.
-func (vi *view) evacuate(ev Evacuation, rev core.Version) {
-	vi.mu.Lock()
-	defer vi.mu.Unlock()
-	now, age := time.Now(), vi.pr.reader.Age()
-	fields := []zap.Field{zap.String("Zone", string(ev.Zone)), zap.Stringer("Rev", rev), zap.Duration("Age", age)}
-	if ev.Ended {
-		if !vi.pr.reader.RestoredLately() {
-			vi.endEvacuation(ev.Zone)
-			return
-		}
-		if vi.ending == nil {
-			vi.ending = map[core.Zone]bool{}
-		}
-		vi.ending[ev.Zone] = true
-		vi.log.Info("The evacuation of a zone is missing.", fields...)
-		return
-	}
-	delete(vi.ending, ev.Zone)
-	// What is believed was confirmed age ago without it, so that it was accepted since.
-	until := now.Add(max(0, vi.pr.evacuateTime()-evacuateMargin-age))
-	if !vi.pr.placer.Evacuate(now, ev.Zone, until) {
-		return
-	}
-	fields = append(fields, zap.Duration("Within", until.Sub(now)))
-	open := vi.pr.placer.Open()
-	vi.log.Warn("A zone is evacuated.", append(fields, zap.Int("EndpointsLeft", open))...)
-	if open == 0 {
-		vi.log.Error("All endpoints are in evacuated zones; every request is refused.", fields...)
-	}
-}
-
-func (vi *view) endEvacuation(zone core.Zone) {
-	if vi.pr.placer.Restore(time.Now(), zone) {
-		vi.log.Info("The evacuation of a zone has ended.", zap.String("Zone", string(zone)), zap.Duration("Age", vi.pr.reader.Age()))
-	}
-}
-
-// endMissing ends the evacuations that were not written again.
-func (vi *view) endMissing() {
-	vi.mu.Lock()
-	defer vi.mu.Unlock()
-	for zone := range vi.ending {
-		vi.endEvacuation(zone)
-		delete(vi.ending, zone)
-	}
-}
-
 // depart takes an endpoint out whose registration is gone. Registrations lapse
 // while endpoints cannot reach the store; during and right after its outage, one
 // that is missing may be back in a moment, and a whole pool would seem gone. Once
@@ -313,7 +259,7 @@
 }
 
 // run ends doubts: it removes endpoints whose registration did not come back, takes those into use
-// that are back and have stayed, and ends evacuations that are still missing.
+// that are back and have stayed, and does the same with evacuations.
 func (vi *view) run(ctx context.Context) error {
 	tick := time.NewTicker(departTick)
 	defer tick.Stop()
@@ -327,7 +273,7 @@
 			}
 			if !vi.pr.reader.RestoredLately() {
 				vi.acceptReturned()
-				vi.endMissing()
+				vi.settleEvacuations()
 			}
 		}
 	}
--- a/io/feeds/feeds.go
+++ b/io/feeds/feeds.go
@@ -89,14 +89,15 @@
 	// doubted.
 	DoubtFor time.Duration
 
-	confirmed atomic.Int64  // when the store last confirmed the mirror, in ns of the steady clock
-	told      atomic.Int64  // the same, as peers told
-	failed    atomic.Int64  // when an own call last failed
-	away      atomic.Int64  // when the store was last away
-	restored  atomic.Int64  // when it was last learned that it came back from a copy
-	heard     atomic.Int64  // when a part of a listing last came
-	said      atomic.Uint64 // the store's own revision, as its last answer told
-	began     time.Time
+	confirmed  atomic.Int64  // when the store last confirmed the mirror, in ns of the steady clock
+	told       atomic.Int64  // the same, as peers told
+	failed     atomic.Int64  // when an own call last failed
+	away       atomic.Int64  // when the store was last away
+	restored   atomic.Int64  // when it was last learned that it came back from a copy
+	restoredAt atomic.Uint64 // the version up to which was known what it has, when that was learned
+	heard      atomic.Int64  // when a part of a listing last came
+	said       atomic.Uint64 // the store's own revision, as its last answer told
+	began      time.Time
 }
 
 // Init must be called before the Reader is asked anything.
@@ -160,6 +161,7 @@
 func (rd *Reader) Restored(from, to core.Version) {
 	rd.away.Store(rd.now())
 	rd.restored.Store(rd.now())
+	rd.restoredAt.Store(uint64(to))
 	rd.Log.Warn("The store came back from a copy.", zap.Stringer("Before", from), zap.Stringer("AsOf", to))
 }
 
@@ -169,6 +171,12 @@
 	return at > 0 && rd.now()-at < int64(rd.DoubtFor)
 }
 
+// PerhapsLost tells whether a change of that version may be one that nobody made: what the store came
+// back with, or without.
+func (rd *Reader) PerhapsLost(ve core.Version) bool {
+	return rd.RestoredLately() && ve <= core.Version(rd.restoredAt.Load())
+}
+
 // fail notes that an own call failed. While peers reach the store, this router is cut
 // off alone, and what is missing has really left.
 func (rd *Reader) fail() {
