An announcement of leaving may be a later start's that has not registered yet

A worker crashed and started again while the store was away, and announced that it leaves before its new registration arrived; that one was from a copy of the store, as ready.

Cause: the announcement closed the start that the router knew. Fix: where contact was lost and regained since that start registered, a later one gets nothing for 5 s after the announcement. An endpoint that is really new loses at most these at one router; closing it for good would leave restarted engines without work.

Evidence: AnnouncementOfAStartThatHasNotRegistered failed before.

--- a/core/place/backoff.go
+++ b/core/place/backoff.go
@@ -37,7 +37,9 @@
 			delete(pl.backoffs, other)
 		}
 	}
-	pl.backoffs[endpoint] = until
+	if until.After(pl.backoffs[endpoint]) {
+		pl.backoffs[endpoint] = until
+	}
 }
 
 // backsOff tells whether the endpoint wants no requests now, and counts it.
--- a/core/place/leaves.go
+++ b/core/place/leaves.go
@@ -1,16 +1,29 @@
 package place
 
-import "almondrill/core"
+import (
+	"time"
+
+	"almondrill/core"
+)
+
+// laterStartFor is how long a later start of an endpoint gets nothing that may have announced before
+// it registered that it leaves: endpoints serve on for some seconds after that.
+const laterStartFor = 5 * time.Second
 
 // Leaves tells that the endpoint has announced that it leaves: it gets no new calls, whatever its
 // registration says. It returns false if that was known.
-func (tk *Ticket) Leaves() bool {
+func (tk *Ticket) Leaves(now time.Time) bool {
 	tk.pl.mu.Lock()
 	defer tk.pl.mu.Unlock()
-	if tk.st.Draining {
+	st := tk.st
+	if st.Draining {
 		return false
 	}
-	tk.pl.close(tk.st)
+	if !st.cold.since.IsZero() && st.Start != 0 {
+		// It was reached again after contact was lost: its process may be another by now.
+		tk.pl.keepBackoff(now, st.ID, now.Add(laterStartFor))
+	}
+	tk.pl.close(st)
 	return true
 }
 
--- a/core/place/leaves_test.go
+++ b/core/place/leaves_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"almondrill/core"
 	"almondrill/core/place"
@@ -22,6 +23,33 @@
 	}
 }
 
+// Guards against an announcement that is taken for an earlier start's alone: the endpoint crashed and was
+// reached again, so that the later start, whose registration comes afterwards, may have made it.
+func TestAnnouncementOfAStartThatHasNotRegistered(t *testing.T) {
+	for name, lost := range map[string]bool{"reached again": true, "never lost": false} {
+		pl := newPlacer(1)
+		pl.Register(begin, started(0, 100))
+		tk := pick(t, pl, begin, ask(chat(1, 1)))
+		if lost {
+			tk.Done(begin, place.Unreached)
+		} else {
+			tk.Done(begin, place.Served)
+		}
+		again := begin.Add(time.Second)
+		tk = pick(t, pl, again, ask(chat(1, 1)))
+		tk.Heard(again)
+		tk.Leaves(again)
+		tk.Done(again, place.Served)
+		pl.Register(again, started(0, 200))
+		if _, rf := pl.Pick(again.Add(4*time.Second), ask(chat(1, 1))); (rf != nil) != lost {
+			t.Errorf("%s: %v four seconds after", name, rf)
+		}
+		if _, rf := pl.Pick(again.Add(6*time.Second), ask(chat(1, 1))); rf != nil {
+			t.Errorf("%s: the later start stays unused: %v", name, rf)
+		}
+	}
+}
+
 // Guards against an endpoint that gets calls again after it has announced that it leaves, as its
 // registration lapses and comes back, before or after the announcement.
 func TestAnnouncedLeavingOutlastsTheRegistration(t *testing.T) {
@@ -33,7 +61,7 @@
 		late := pick(t, pl, begin, ask(chat(1, 2)))
 		pl.Remove(leaving.ID)
 		pl.Register(begin, leaving)
-		if !tk.Leaves() || tk.Leaves() {
+		if !tk.Leaves(begin) || tk.Leaves(begin) {
 			t.Error("the announcement is not told as new once")
 		}
 		if late.Send(begin) != core.ReasonDraining {
--- a/io/relay/notice.go
+++ b/io/relay/notice.go
@@ -30,7 +30,7 @@
 // noteLeaving closes the endpoint to new requests. It may announce that it leaves long before its
 // registration tells so, as where the store is away.
 func (ex *exchange) noteLeaving() {
-	if !ex.tk.Leaves() {
+	if !ex.tk.Leaves(time.Now()) {
 		return
 	}
 	ex.rq.re.Log.Info("An endpoint announces that it leaves.", zap.String("Endpoint", string(ex.tk.Endpoint.ID)),
