An endpoint's own 503 that is too long to be kept promises nothing

Callers would have seen a 503, with the endpoint's stamp, for a request that had run; a 503 promises that it did not and never will, so that work that must not repeat is sent again.

Cause: a failure longer than 1 MiB is passed on as it comes, with its status; the shorter ones were checked for statuses that promise, this way was not. Now such a failure ends as unknown, 502.

--- a/io/relay/attempt.go
+++ b/io/relay/attempt.go
@@ -155,7 +155,7 @@
 	if err != nil {
 		return ex.broken(ctx, "read", err)
 	}
-	if !whole && !ex.rq.begun {
+	if !whole && !ex.rq.begun && !promises[ex.rs.StatusCode] {
 		return ex.passLong(ctx, body, place.Failed)
 	}
 	if whole {
--- /dev/null
+++ b/io/relay/refused_test.go
@@ -0,0 +1,164 @@
+package relay_test
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"almondrill/core/route"
+)
+
+// promises are the statuses that tell a caller that its request did not run and never will.
+var promises = map[int]bool{408: true, 421: true, 429: true, 503: true}
+
+// ending is how an endpoint ends a request.
+type ending struct {
+	name string
+	// runs is set if the endpoint has run the request.
+	runs bool
+	end  script
+}
+
+// headed is an answer with that head after its status line, whose body is as long as it says.
+func headed(status int, head, body string) script {
+	return say(func(se *seen) string {
+		return fmt.Sprintf("HTTP/1.1 %d X\r\nX-Id: %s\r\n%sContent-Length: %d\r\n\r\n%s", status, se.head.Header.Get("X-Id"), head, len(body), body)
+	})
+}
+
+// then breaks the connection off after what another script wrote.
+func then(first script) script {
+	return func(se *seen, co net.Conn) bool {
+		first(se, co)
+		return false
+	}
+}
+
+// until waits so long before it goes on.
+func until(pause time.Duration, next script) script {
+	return func(se *seen, co net.Conn) bool {
+		select {
+		case <-se.closed:
+		case <-time.After(pause):
+		}
+		return next(se, co)
+	}
+}
+
+// reset ends the connection so that what was sent on it is lost.
+func reset(_ *seen, co net.Conn) bool {
+	_ = co.(*net.TCPConn).SetLinger(0)
+	return false
+}
+
+const (
+	stamped = "X-Stamp: s\r\n"
+	notRun  = "X-Not-Run: 1\r\n"
+)
+
+// callerWait is how long the callers wait, mute how long an endpoint is silent that answers too late.
+const (
+	callerWait = 100 * time.Millisecond
+	mute       = 2 * callerWait
+)
+
+// endings are those that endpoints may bring about, faulty ones too.
+func endings() []ending {
+	long := strings.Repeat("x", 1<<20+1)
+	text := func(status int, rest string) script {
+		return say(func(*seen) string { return fmt.Sprintf("HTTP/1.1 %d X\r\n%s", status, rest) })
+	}
+	return []ending{
+		{"answered", true, answer(200, "ok")},
+		{"failed", true, answer(500, "no")},
+		{"own 503", true, headed(503, stamped, "busy")},
+		{"own 503 without a stamp", true, headed(503, "", "busy")},
+		{"own 429", true, headed(429, stamped, "busy")},
+		{"own 408", true, headed(408, stamped, "late")},
+		{"own 503, long", true, headed(503, stamped, long)},
+		{"own 429, chunked", true, say(func(se *seen) string {
+			return "HTTP/1.1 429 X\r\nX-Id: " + se.head.Header.Get("X-Id") + "\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nno\r\n0\r\n\r\n"
+		})},
+		{"own 503 that ends with its connection", true, then(say(func(se *seen) string {
+			return "HTTP/1.1 503 X\r\nX-Id: " + se.head.Header.Get("X-Id") + "\r\n" + stamped + "\r\nbusy"
+		}))},
+		{"own 503 that breaks off", true, then(text(503, "Content-Length: 9\r\n\r\nbusy"))},
+		{"own 503 after the caller's deadline", true, until(mute, headed(503, stamped, "late"))},
+		{"not run, 503", false, headed(503, notRun, "")},
+		{"not run, 429", false, headed(429, notRun, "full")},
+		{"not run, and breaks off", false, then(text(503, notRun+"Content-Length: 9\r\n\r\nfull"))},
+		{"another endpoint", false, headed(421, "", "")},
+		{"not run, of another request", true, text(503, "X-Id: other\r\n"+notRun+"Content-Length: 0\r\n\r\n")},
+		{"broken off before the answer", true, breakOff},
+		{"reset before the answer", true, reset},
+		{"broken off in the status line", true, then(say(func(*seen) string { return "HTTP/1.1 50" }))},
+		{"broken off in the head", true, then(text(503, "X-Not-Run: 1\r\nX-Id"))},
+		{"broken off in the body", true, then(text(200, stamped+"Content-Length: 9\r\n\r\nok"))},
+		{"no answer in the protocol", true, then(say(func(*seen) string { return "\x00\x01\x02 nonsense\r\n\r\n" }))},
+		{"silent", true, until(mute, breakOff)},
+	}
+}
+
+// refusedCase is a request before two endpoints.
+type refusedCase struct {
+	kind          route.Route
+	leaving       bool
+	first, second ending
+}
+
+// Guards against REFUSED: a caller that is told that its request did not run, though an endpoint
+// has run it, sends it again. Every pair of ways in which two endpoints may end a request, each
+// kind of route, and on a router that leaves.
+func TestPromiseOfNotRunIsTrue(t *testing.T) {
+	kinds := map[string]route.Route{
+		"once only": {Kind: route.OnceOnly, MaxAttempts: 2}, "idempotent": {Kind: route.Idempotent, MaxAttempts: 2},
+		"stream": {Kind: route.Stream, MaxAttempts: 2}, "resumable": {Kind: route.Stream, Resumable: true, MaxAttempts: 2},
+	}
+	for name, kind := range kinds {
+		t.Run(name, func(t *testing.T) { everyPair(t, &refusedCase{kind: kind}) })
+	}
+	t.Run("once only, leaving", func(t *testing.T) { everyPair(t, &refusedCase{kind: kinds["once only"], leaving: true}) })
+}
+
+// everyPair checks a case with each pair of endings.
+func everyPair(t *testing.T, ca *refusedCase) {
+	all := endings()
+	for ix, first := range all {
+		for _, second := range all[ix:] { // either of two endpoints may come first
+			t.Run(first.name+", "+second.name, func(t *testing.T) {
+				t.Parallel()
+				(&refusedCase{ca.kind, ca.leaving, first, second}).check(t)
+			})
+		}
+	}
+}
+
+func (ca *refusedCase) check(t *testing.T) {
+	var runs atomic.Int64
+	var fl *fleet
+	counted := func(en ending) script {
+		return func(se *seen, co net.Conn) bool {
+			if en.runs {
+				runs.Add(1)
+			}
+			return en.end(se, co)
+		}
+	}
+	fl = newFleet(t, counted(ca.first), counted(ca.second)).serve(ca.kind)
+	fl.leaves = ca.leaving
+	rs, _, _ := fl.call("POST", "/r/x", "draft", "X-Wait", fmt.Sprint(callerWait.Milliseconds()))
+	ran := runs.Load()
+	if ca.kind.Kind == route.OnceOnly && ran > 1 {
+		t.Errorf("ran %d times", ran)
+	}
+	if rs != nil && promises[rs.StatusCode] && ran > 0 {
+		t.Errorf("status %d, though it ran %d times", rs.StatusCode, ran)
+	}
+	if rs != nil && promises[rs.StatusCode] && rs.StatusCode != http.StatusServiceUnavailable {
+		t.Errorf("status %d, want 503 for a request that did not run", rs.StatusCode)
+	}
+}
