An endpoint whose address another has registered with gets nothing new

What each router had to find out by an answer of its own (357 routers times 125 endpoints) the store had told all of them with the new registration: an address belongs to one process.

Now the later registration with an address displaces the earlier one, which is doubted until it is removed or renewed; one for a pool that the configuration does not name displaces nobody. Counter EndpointsDisplaced.

Test EndpointWhoseAddressAnotherHasGetsNothing, seen failing without the doubt (4 of 6 cases).

--- a/io/entry/export_test.go
+++ b/io/entry/export_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"almondrill/core"
+	"almondrill/core/place"
 )
 
 // Accepted makes a connection one of a caller's, and returns what tells that it has ended.
@@ -19,6 +20,11 @@
 // Endpoints is how many are known, of whichever pools.
 func (pr *Process) Endpoints() int { return pr.placer.Known(func(core.PoolID) bool { return true }) }
 
+// Pick chooses an endpoint of the pool.
+func (pr *Process) Pick(pool core.PoolID) (*place.Ticket, *core.Refusal) {
+	return pr.placer.Pick(time.Now(), &place.Ask{Pool: pool})
+}
+
 // Broke tells that an attempt broke off.
 func (pr *Process) Broke(en core.EndpointRef, began time.Time, fp core.Fingerprint) {
 	pr.guard.Broke(en, began, fp)
--- a/io/entry/view.go
+++ b/io/entry/view.go
@@ -22,7 +22,7 @@
 	departing map[core.EndpointID]bool  // doubted, as their registrations are missing
 	known     map[core.EndpointID]known // endpoints with a usable registration
 	unusable  map[core.EndpointID]string
-	// at is which endpoint last registered with an address.
+	// at is which endpoint has an address, by the latest registration that names it.
 	at map[string]core.EndpointID
 	// departed are the last starts of endpoints whose registrations are gone, and when they went;
 	// returned are those that are back though the store may have brought them from a copy.
@@ -41,11 +41,18 @@
 // seconds old.
 const departedFor = time.Minute
 
-// known is what was last logged of an endpoint.
+// known is what was last registered of an endpoint, and in which version of the store.
 type known struct {
 	addr     string
 	start    core.Incarnation
 	draining bool
+	rev      core.Version
+}
+
+// sameAs tells that two registrations differ in their versions at most.
+func (kn known) sameAs(other known) bool {
+	other.rev = kn.rev
+	return kn == other
 }
 
 // changed takes an item that is new to the mirror. A fault that the item brings about must not
@@ -131,7 +138,7 @@
 		vi.known = map[core.EndpointID]known{}
 	}
 	old, was := vi.known[ep.ID]
-	now := known{ep.Addr, ep.Start, ep.Draining}
+	now := known{ep.Addr, ep.Start, ep.Draining, rev}
 	vi.known[ep.ID] = now
 	switch {
 	case was && old.start != ep.Start:
@@ -140,10 +147,10 @@
 		vi.pr.pool.Drop(old.addr)
 		vi.replaced(ep.ID, old)
 		vi.log.Info("Endpoint started again.", fields...)
-	case old != now:
+	case !was || !old.sameAs(now):
 		vi.log.Info("Endpoint.", fields...)
 	}
-	vi.takePlace(ep)
+	vi.takeAddress(&ep, rev)
 }
 
 // doubtReturn doubts an endpoint that had departed and is back, while the store may have brought it
@@ -177,18 +184,45 @@
 	vi.departed[id] = departure{vi.known[id].start, now}
 }
 
-// takePlace notes an endpoint's address, and tells that the one is gone that had it before.
-func (vi *view) takePlace(ep place.Endpoint) {
+// takeAddress notes an endpoint's address. An address belongs to one process: of two endpoints that are
+// registered with it, the later one is there, and the other is gone though its registration has not
+// lapsed yet. A registration for a pool that the configuration does not name displaces nobody.
+func (vi *view) takeAddress(ep *place.Endpoint, rev core.Version) {
 	if vi.at == nil {
 		vi.at = map[string]core.EndpointID{}
 	}
-	before, taken := vi.at[ep.Addr]
-	vi.at[ep.Addr] = ep.ID
-	if old, known := vi.known[before]; taken && known && before != ep.ID && old.addr == ep.Addr {
-		vi.replaced(before, old)
+	holder := vi.at[ep.Addr]
+	old, taken := vi.known[holder]
+	switch {
+	case !taken || holder == ep.ID || old.addr != ep.Addr:
+		vi.at[ep.Addr] = ep.ID
+	case !vi.inUse(ep.Pool):
+	case rev < old.rev:
+		vi.displace(ep.ID, holder)
+	default:
+		vi.at[ep.Addr] = ep.ID
+		vi.replaced(holder, old)
+		vi.displace(holder, ep.ID)
 	}
 }
 
+// inUse tells whether the configuration names the pool, or none is in force yet.
+func (vi *view) inUse(pool core.PoolID) bool {
+	ta := vi.pr.relay.Table()
+	return ta == nil || ta.Pool(pool) != nil
+}
+
+// displace takes an endpoint whose address another has for gone. It is only doubted: its registration
+// is removed or renewed by itself.
+func (vi *view) displace(id, by core.EndpointID) {
+	addr := vi.known[id].addr
+	vi.pr.placer.Doubt(id)
+	vi.pr.pool.Drop(addr)
+	vi.pr.Stats.Add(stats.EndpointsDisplaced, 1)
+	vi.log.Info("Another endpoint has this one's address.", zap.String("Endpoint", string(id)), zap.String("Other", string(by)),
+		zap.String("Addr", addr), zap.Duration("Age", vi.pr.reader.Age()))
+}
+
 // replaced tells that the process of an endpoint is gone, if that was not planned.
 func (vi *view) replaced(id core.EndpointID, old known) {
 	if !old.draining {
--- a/io/entry/view_test.go
+++ b/io/entry/view_test.go
@@ -9,6 +9,7 @@
 
 	"almondrill/core"
 	"almondrill/core/place"
+	"almondrill/core/route"
 	"almondrill/io/conf"
 	"almondrill/io/entry"
 	"almondrill/io/logs"
@@ -21,7 +22,7 @@
 // addr, and drain if their value says so.
 type faulty struct{ addr string }
 
-func (faulty) All(context.Context, func([]core.Item)) ([]core.Item, core.Version, error) {
+func (faulty) All(context.Context, bool, func([]core.Item)) ([]core.Item, core.Version, error) {
 	return nil, 0, nil
 }
 
@@ -42,12 +43,22 @@
 func (faulty) Announce(context.Context, core.VMID, string, *zap.Logger) {}
 
 func (fa faulty) Decode(it core.Item) (any, error) {
+	if it.Deleted {
+		return entry.Departure{ID: core.EndpointID(it.Key)}, nil
+	}
 	if it.Key == "faulty" {
 		var none []int
 		return none[len(it.Value)], nil
 	}
+	if it.Key == "config" {
+		return &route.Document{Version: 1, Pools: []route.Pool{{ID: "pool"}}}, nil
+	}
+	pool := core.PoolID("pool")
+	if string(it.Value) == "other pool" {
+		pool = "unnamed"
+	}
 	return place.Endpoint{
-		ID: core.EndpointID(it.Key), Addr: fa.addr, Pool: "pool", Slots: 1, Draining: string(it.Value) == "draining",
+		ID: core.EndpointID(it.Key), Addr: fa.addr, Pool: pool, Slots: 1, Draining: string(it.Value) == "draining",
 	}, nil
 }
 
@@ -79,6 +90,44 @@
 	}
 }
 
+// Guards against requests that are sent to endpoints which are gone until their registrations lapse:
+// after a part of a pool had crashed and come back at the same addresses under other ids, callers were
+// refused for as long as that takes.
+func TestEndpointWhoseAddressAnotherHasGetsNothing(t *testing.T) {
+	item := func(key string, rev core.Version, value string) core.Item {
+		return core.Item{Key: key, Rev: rev, Value: []byte(value)}
+	}
+	for name, ca := range map[string]struct {
+		items []core.Item
+		want  core.EndpointID
+	}{
+		"registered later":         {[]core.Item{item("a", 2, ""), item("b", 3, "")}, "b"},
+		"listed first":             {[]core.Item{item("a", 3, ""), item("b", 2, "")}, "a"},
+		"back at its address":      {[]core.Item{item("a", 2, ""), item("b", 3, ""), item("a", 4, "again")}, "a"},
+		"entry of another writer":  {[]core.Item{item("a", 2, ""), item("b", 3, "other pool")}, "a"},
+		"three after one another":  {[]core.Item{item("a", 2, ""), item("b", 3, ""), item("c", 4, "")}, "c"},
+		"the last to come is left": {[]core.Item{item("a", 2, ""), item("b", 3, ""), {Key: "a", Rev: 4, Deleted: true}}, "b"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			pr := process(faulty{"127.0.0.1:1"})
+			pr.Changed(item("config", 1, ""))
+			for _, it := range ca.items {
+				pr.Changed(it)
+			}
+			for range 40 {
+				tk, rf := pr.Pick("pool")
+				if rf != nil {
+					t.Fatal(rf.Detail)
+				}
+				if tk.Endpoint.ID != ca.want {
+					t.Fatalf("chose %s, want %s", tk.Endpoint.ID, ca.want)
+				}
+				tk.Done(time.Now(), place.Served)
+			}
+		})
+	}
+}
+
 // Something writes an item into the store that brings a fault of the decoder about. All
 // routers read it, now and at each start: without a guard all end together, again and again
 // until somebody removes it, and callers find nobody. What else the store has is in force.
--- a/io/stats/docs.go
+++ b/io/stats/docs.go
@@ -41,6 +41,7 @@
 	{EndpointsKnown, "registered endpoints, of pools that the configuration names, that are not draining"},
 	{LogLinesDropped, "log lines dropped because the reader of the output was slow"},
 	{RegistrationsUnusable, "registrations of endpoints that became unusable: fields missing or of another kind, an unknown state"},
+	{EndpointsDisplaced, "endpoints that were taken for gone as another registered with their address"},
 	{ItemsFailed, "items of the platform's store that brought a fault of this program about and were passed over; should stay 0"},
 	{CrashedUnder, "requests of this router that an endpoint was running when it crashed; the lines \"An endpoint crashed.\" name them"},
 	{RequestsQuarantined, "requests that are not sent to endpoints now, as they crash them"},
--- a/io/stats/stats.go
+++ b/io/stats/stats.go
@@ -56,6 +56,8 @@
 	ColdDenied      = "ColdDenied"
 	// RegistrationsUnusable counts those that became unreadable.
 	RegistrationsUnusable = "RegistrationsUnusable"
+	// EndpointsDisplaced counts endpoints whose address another registered with.
+	EndpointsDisplaced = "EndpointsDisplaced"
 	// ItemsFailed counts those of the store that brought a fault of this program about.
 	ItemsFailed = "ItemsFailed"
 	// CrashedUnder counts requests that were running at an endpoint when it crashed.
