--- a/core/platform.go
+++ b/core/platform.go
@@ -132,11 +132,11 @@
 
 // Feed tells what changes in the platform's store.
 type Feed interface {
-	// All lists every item, and the revision at which the listing began: what
-	// changed since may or may not be in it. heard is called whenever a part of the
-	// answer has arrived, with the items that became complete by it, if any; it may be
-	// called from any goroutine.
-	All(ctx context.Context, heard func(some []Item)) ([]Item, Version, error)
+	// All lists every item, and the revision from which on changes may be missing. heard is
+	// called whenever a part of the answer has arrived, with the items that became complete by
+	// it, if any; it may be called from any goroutine. With stale, parts of the listing may be
+	// some seconds old, at a fraction of what it costs the store otherwise.
+	All(ctx context.Context, stale bool, heard func(some []Item)) ([]Item, Version, error)
 	// Changes waits until something changed after that revision, or for wait. It
 	// returns the changes and the revision up to which they are complete.
 	// ErrCompacted: they are no longer known; list anew.
--- a/io/feeds/feeds.go
+++ b/io/feeds/feeds.go
@@ -206,7 +206,6 @@
 		err := rd.once(ctx, listed)
 		switch {
 		case err == nil:
-			rd.confirm(rd.now())
 			rd.failed.Store(0)
 			if lost || !listed {
 				rd.Log.Info("Follows the store.", zap.Stringer("AsOf", rd.Mirror.AsOf()), zap.Stringer("Said", core.Version(rd.said.Load())))
@@ -269,6 +268,7 @@
 	if err == nil {
 		rd.said.Store(uint64(asOf))
 		rd.Mirror.Apply(items, asOf)
+		rd.confirm(rd.now())
 	}
 	return err
 }
@@ -295,19 +295,24 @@
 //
 // An attempt whose answer is arriving is left alone: attempts that share a thin link would all
 // end too late.
+//
+// The first listing may be stale, as hundreds of routers may start at once. It confirms nothing: what
+// it lacks comes with the next changes, from the store or from a peer. A listing after a loss of
+// history has to make up for changes that nobody tells any more.
 func (rd *Reader) list(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	silence := time.AfterFunc(listTime, cancel)
 	defer silence.Stop()
 	before := rd.Mirror.AsOf()
+	stale := before == 0
 	answers := make(chan listing, mostAttempts)
 	begun, ended := 0, 0
 	set := rd.now() // when the timer was
 	begin := func() {
 		begun++
 		go func() {
-			items, asOf, err := rd.Feed.All(ctx, func(some []core.Item) {
+			items, asOf, err := rd.Feed.All(ctx, stale, func(some []core.Item) {
 				raise(&rd.heard, rd.now())
 				silence.Reset(listTime)
 				rd.Mirror.Preview(some)
@@ -325,6 +330,9 @@
 			if an.err == nil {
 				rd.said.Store(uint64(an.asOf))
 				rd.Mirror.Replace(an.items, an.asOf)
+				if !stale {
+					rd.confirm(rd.now())
+				}
 				return nil
 			}
 			if ctx.Err() != nil {
--- a/io/feeds/feeds_test.go
+++ b/io/feeds/feeds_test.go
@@ -37,8 +37,8 @@
 // paged is a store whose listing comes in two pages, the second a second after the first.
 type paged struct{ *store }
 
-func (pa *paged) All(ctx context.Context, heard func([]core.Item)) ([]core.Item, core.Version, error) {
-	all, rev, err := pa.store.All(ctx, heard)
+func (pa *paged) All(ctx context.Context, stale bool, heard func([]core.Item)) ([]core.Item, core.Version, error) {
+	all, rev, err := pa.store.All(ctx, stale, heard)
 	if err != nil {
 		return nil, 0, err
 	}
@@ -351,3 +351,62 @@
 		})
 	})
 }
+
+// staleAtFirst is a store whose stale listings lack the last change.
+type staleAtFirst struct {
+	*store
+	exact int
+}
+
+func (sf *staleAtFirst) All(ctx context.Context, stale bool, heard func([]core.Item)) ([]core.Item, core.Version, error) {
+	all, rev, err := sf.store.All(ctx, stale, heard)
+	if err != nil || !stale {
+		sf.exact++
+		return all, rev, err
+	}
+	return slices.DeleteFunc(all, func(it core.Item) bool { return it.Rev == rev }), rev - 1, nil
+}
+
+// Guards against a stale listing that is taken for what the store has now: a change that it lacks
+// would never arrive, and peers would be told that the store has just confirmed what is old. What
+// was lost with the store's history is not in a stale listing either.
+func TestStaleListingConfirmsNothing(t *testing.T) {
+	st := newStore()
+	st.set("a", false)
+	st.set("b", false)
+	sf := &staleAtFirst{store: st}
+	mi := &mirror.Mirror{}
+	leads := false
+	followFeed(t, sf, st, mi, func() bool { return leads }, func(rd *feeds.Reader) {
+		if mi.AsOf() != 1 || rd.Age() < 50*time.Millisecond {
+			t.Errorf("as of %s, confirmed %s ago; want 1, and nothing confirmed", mi.AsOf(), rd.Age())
+		}
+		leads = true
+		time.Sleep(200 * time.Millisecond)
+		if mi.AsOf() != 2 || rd.Age() > 200*time.Millisecond {
+			t.Errorf("as of %s, confirmed %s ago; want 2, confirmed by the changes", mi.AsOf(), rd.Age())
+		}
+		st.change(func() { st.compacted = 3 })
+		st.set("c", false)
+		st.set("d", false)
+		st.change(func() { st.compacted = st.rev })
+		time.Sleep(2 * time.Second)
+		if mi.AsOf() != 4 || sf.exact == 0 {
+			t.Errorf("as of %s after %d listings that were not stale; want 4", mi.AsOf(), sf.exact)
+		}
+	})
+}
+
+// Guards against a router that tells its peers that the silent store has just confirmed what one of
+// them told it: each start during an outage would end the doubt about registrations that lapse in it.
+func TestWhatAPeerToldIsNoConfirmation(t *testing.T) {
+	st := newStore()
+	st.silent = true
+	follow(t, st, always, func(rd *feeds.Reader, mi *mirror.Mirror) {
+		mi.Replace([]core.Item{{Key: "a", Rev: 3}}, 3)
+		time.Sleep(2 * time.Second)
+		if rd.Age() < 2*time.Second {
+			t.Errorf("confirmed %s ago, though the store never answered", rd.Age())
+		}
+	})
+}
--- a/io/feeds/store_test.go
+++ b/io/feeds/store_test.go
@@ -96,7 +96,7 @@
 	return nil
 }
 
-func (st *store) All(ctx context.Context, heard func([]core.Item)) ([]core.Item, core.Version, error) {
+func (st *store) All(ctx context.Context, _ bool, heard func([]core.Item)) ([]core.Item, core.Version, error) {
 	if err := st.trouble(ctx); err != nil {
 		return nil, 0, err
 	}
