--- a/io/feeds/feeds_test.go
+++ b/io/feeds/feeds_test.go
@@ -374,11 +374,13 @@
 	st := newStore()
 	st.set("a", false)
 	st.set("b", false)
+	st.parts = 5
 	sf := &staleAtFirst{store: st}
 	mi := &mirror.Mirror{}
 	leads := false
 	followFeed(t, sf, st, mi, func() bool { return leads }, func(rd *feeds.Reader) {
-		if mi.AsOf() != 1 || rd.Age() < 50*time.Millisecond {
+		time.Sleep(600 * time.Millisecond)
+		if mi.AsOf() != 1 || rd.Age() < 600*time.Millisecond {
 			t.Errorf("as of %s, confirmed %s ago; want 1, and nothing confirmed", mi.AsOf(), rd.Age())
 		}
 		leads = true
