--- /dev/null
+++ b/core/swim/swim_test.go
@@ -0,0 +1,231 @@
+package swim_test
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"almondrill/core/swim"
+)
+
+// sizes are those of the fleets: the whole one, and twice as many.
+var sizes = []int{4, 30, 357, 714}
+
+// deadWithin is the time within which all are to know of a lost router, whatever their number.
+const deadWithin = 7 * time.Second
+
+// Guards against detection that takes as long as a round of words to all peers, which grows with
+// their number, so that routers mean different keepers of an endpoint's count for that long.
+func TestLostRouterIsKnownToAllAtAnySize(t *testing.T) {
+	t.Parallel()
+	for _, size := range sizes {
+		fl := newFleet(t, size)
+		fl.meet()
+		fl.run(2 * time.Second)
+		lost := fl.routers[size/2]
+		lost.down = true
+		first := fl.within(deadWithin, "one knows of the lost router", func() bool { return fl.believers(lost) < size-1 })
+		half := fl.within(deadWithin, "half know of the lost router", func() bool { return fl.believers(lost) <= size/2 })
+		all := fl.within(deadWithin, "all know of the lost router", func() bool { return fl.believers(lost) == 0 })
+		t.Logf("%d routers: lost one known to the first after %s, half %s, all %s", size, first, first+half, first+half+all)
+		if first+half+all > deadWithin {
+			t.Errorf("%d routers: known to all after %s, want %s", size, first+half+all, deadWithin)
+		}
+	}
+}
+
+// Guards against routers that mean different keepers for good: grants for cold endpoints and counts
+// of calls hold only while they mean the same one.
+func TestRoutersAgreeOnKeepersThroughChurn(t *testing.T) {
+	t.Parallel()
+	for _, size := range []int{30, 357, 714} {
+		fl := newFleet(t, size)
+		fl.meet()
+		fl.run(2 * time.Second)
+		const seconds = 20
+		var total, least float64 = 0, 1
+		for second := range seconds {
+			if second < seconds/2 { // one in fifty is lost each second, and back after two
+				for ix := range max(1, size/50) {
+					ro := fl.routers[(second*size/50+ix)%size]
+					ro.down = true
+				}
+			}
+			fl.run(time.Second)
+			if second >= 2 {
+				for ix := range max(1, size/50) {
+					if ro := fl.routers[((second-2)*size/50+ix)%size]; ro.down {
+						fl.start(ro)
+					}
+				}
+			}
+			ag := fl.agreement()
+			total, least = total+ag, min(least, ag)
+		}
+		end := fl.agreement()
+		t.Logf("%d routers: mean the same keeper %.3f on average, %.3f at least, %.3f at the end", size, total/seconds, least, end)
+		if mean := total / seconds; mean < 0.9 || end < 0.99 {
+			t.Errorf("%d routers: %.3f mean the same keeper, %.3f at the end; want 0.9 and 0.99", size, mean, end)
+		}
+	}
+}
+
+// Guards against routers that are taken for dead though they run: what they keep is forgotten.
+func TestNobodyIsFalselyDead(t *testing.T) {
+	t.Parallel()
+	for name, disturb := range map[string]func(fl *fleet){
+		"messages are lost": func(fl *fleet) { fl.lost = 0.03 },
+		"a one-way cut": func(fl *fleet) {
+			fl.cut = func(from, to *router) bool { return from == fl.routers[1] && to == fl.routers[2] }
+		},
+		"a pause of 1.5 s": func(fl *fleet) {
+			fl.routers[5].down = true
+			fl.run(1500 * time.Millisecond)
+			fl.routers[5].down = false
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			const size = 200
+			fl := newFleet(t, size)
+			fl.meet()
+			fl.run(2 * time.Second)
+			disturb(fl)
+			for range 15 {
+				fl.run(time.Second)
+				for ix, ro := range fl.routers {
+					if got := fl.believers(ro); got < size-1 {
+						t.Fatalf("router %d is alive to %d of %d others", ix, got, size-1)
+					}
+				}
+			}
+		})
+	}
+}
+
+// Guards against two parts of a fleet that take each other for dead for good after a cut between them.
+func TestPartsFindTogetherAfterACut(t *testing.T) {
+	t.Parallel()
+	const size = 100
+	fl := newFleet(t, size)
+	fl.meet()
+	fl.run(2 * time.Second)
+	side := func(ro *router) bool { return slices.Index(fl.routers, ro) < size/2 }
+	sides := map[*router]bool{}
+	for _, ro := range fl.routers {
+		sides[ro] = side(ro)
+	}
+	fl.cut = func(from, to *router) bool { return sides[from] != sides[to] }
+	fl.within(30*time.Second, "each part takes the other for dead", func() bool {
+		return fl.believers(fl.routers[0]) == size/2-1 && fl.believers(fl.routers[size-1]) == size/2-1
+	})
+	fl.cut = func(_, _ *router) bool { return false }
+	fl.within(30*time.Second, "all are alive to all", func() bool {
+		for _, ro := range fl.routers {
+			if fl.believers(ro) < size-1 {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// Guards against a router that is cut off and has all others believe that everybody is dead, and
+// against one of two that goes on counting on the other after its end.
+func TestRouterThatHearsNobody(t *testing.T) {
+	t.Parallel()
+	fl := newFleet(t, 50)
+	fl.meet()
+	fl.run(2 * time.Second)
+	alone := fl.routers[7]
+	fl.cut = func(from, to *router) bool { return from == alone || to == alone }
+	fl.run(4 * time.Second)
+	if got := alone.Live(); got > 0 {
+		t.Errorf("%d peers are alive to a router that has heard nobody for 4 s", got)
+	}
+	fl.cut = func(_, _ *router) bool { return false }
+	fl.within(5*time.Second, "all are alive to all", func() bool {
+		for _, ro := range fl.routers {
+			if fl.believers(ro) < 49 {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// Guards against a router that leaves and stays a keeper to those that did not hear its last words.
+func TestRouterThatLeavesIsKnownToHaveLeft(t *testing.T) {
+	t.Parallel()
+	fl := newFleet(t, 100)
+	fl.meet()
+	fl.run(2 * time.Second)
+	ro := fl.routers[3]
+	ro.Leave()
+	for _, to := range fl.routers[10:14] {
+		fl.message(ro, to)
+	}
+	ro.down = true
+	fl.within(2*time.Second, "all know that it left", func() bool { return fl.believers(ro) == 0 })
+	fl.start(ro)
+	fl.within(5*time.Second, "it is alive again", func() bool { return fl.believers(ro) == 99 })
+}
+
+// Guards against a start of all routers at once after which some do not know each other.
+func TestAllRoutersStartAtOnce(t *testing.T) {
+	t.Parallel()
+	fl := newFleet(t, 357)
+	took := fl.within(20*time.Second, "all are alive to all", func() bool {
+		for _, ro := range fl.routers {
+			if ro.Live() < 356 {
+				return false
+			}
+		}
+		return true
+	})
+	t.Logf("all know all after %s", took)
+}
+
+// Guards against a cost for each router that grows with their number.
+func TestMessagesDoNotGrowWithTheFleet(t *testing.T) {
+	t.Parallel()
+	perSecond := func(size int) float64 {
+		fl := newFleet(t, size)
+		fl.meet()
+		fl.run(5 * time.Second)
+		fl.sent = 0
+		fl.run(5 * time.Second)
+		return float64(fl.sent) / 5 / float64(size)
+	}
+	small, large := perSecond(100), perSecond(700)
+	t.Logf("messages a router and second: %.1f of 100, %.1f of 700", small, large)
+	if large > 1.1*small {
+		t.Errorf("%.1f messages a second of 700 routers, %.1f of 100", large, small)
+	}
+}
+
+// Guards against a rumor that brings back what is known to be older.
+func TestOlderRumorsAreDropped(t *testing.T) {
+	t.Parallel()
+	now := time.Unix(1_000_000, 0)
+	ta := &swim.Table{Self: "self:1", Rand: newFleet(t, 1).rand}
+	take := func(st swim.State, in swim.Incarnation) {
+		ta.Take(now, []swim.Rumor{{Addr: "a:1", State: st, Incarnation: in}})
+	}
+	for _, sp := range []struct {
+		state swim.State
+		in    swim.Incarnation
+		alive bool
+	}{
+		{swim.Dead, 3, false}, {swim.Alive, 3, true}, {swim.Suspect, 3, true}, {swim.Alive, 3, true}, {swim.Dead, 3, false},
+		{swim.Alive, 3, false}, {swim.Suspect, 3, false}, {swim.Alive, 4, true}, {swim.Dead, 3, true}, {swim.Left, 4, false}, {9, 9, false},
+	} {
+		take(sp.state, sp.in)
+		if got := ta.Alive("a:1"); got != sp.alive {
+			t.Errorf("after state %d of incarnation %d: alive %v, want %v", sp.state, sp.in, got, sp.alive)
+		}
+	}
+	ta.Take(now, []swim.Rumor{{Addr: "self:1", State: swim.Dead, Incarnation: 6}})
+	if ta.Incarnation() != 7 {
+		t.Errorf("incarnation %d after a rumor of the own death in 6, want 7", ta.Incarnation())
+	}
+}
