Peers are alive by probing, and two routers follow the store, at any size

What held only while the fleet is small: a peer was alive that had been heard within 3 s, while a round of words to all takes 9 s at 420 routers, so that each router took another third of them for alive. By that it chose keepers of counts and grants (a cold endpoint's limit is granted by each keeper that anybody means), whom to announce, and who follows the store: with 1 s for leaders some 18 of 357 did. Beyond 1,300 routers peers that run were forgotten between two words. While the store was silent all routers asked it, from the same moment on.

Now peers are alive by core/swim, whose probes and rumors are within the 3,300 bytes a second that words have; followers are told along and counted by core/lead; who hears no confirmation asks by itself one after the other, at once only if it hears nobody. A router that has just started leaves following to those that newcomers know of for its first 1.2 s. A leaving router is known to all by rumor; its four last words reached four. Newcomers are greeted with 120 peers if they know less than half. Named peers are 7 bytes, not 22.

--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -175,7 +175,7 @@
 	pr.budget = &retry.Window{Ratio: se.RetryRatio, Slack: se.RetrySlack, Span: se.RetrySpan, Routers: pr.peers.Routers}
 	pr.reader = &feeds.Reader{Feed: pr.Platform, Mirror: pr.mirror, Rand: pr.rand, Log: pr.Logs.Part("feeds")}
 	pr.reader.Init()
-	pr.reader.Leads, pr.reader.DoubtFor = pr.peers.Leads, se.ReturnDelay+returnMargin
+	pr.reader.Leads, pr.reader.Patience, pr.reader.DoubtFor = pr.peers.Leads, pr.peers.Patience, se.ReturnDelay+returnMargin
 	pr.peers.Feed = pr.reader
 	pr.guard = &guard.Controller{
 		Ledger: &guard.Ledger{Peers: pr.peers, Store: pr.Platform, Stats: pr.Stats, Log: pr.Logs.Part("guard")},
--- a/io/feeds/feeds.go
+++ b/io/feeds/feeds.go
@@ -7,8 +7,8 @@
 // answer, also an empty one, confirms that what is believed was right a moment
 // ago. Only a few routers, the leaders, do so at a time: the others hear of changes
 // and confirmations from their peers, so that the store's calls do not grow with
-// the routers. One that hears no confirmation for takeoverAfter asks the store
-// itself, whoever leads.
+// the routers. One that hears no confirmation for takeoverAfter and its Patience asks the
+// store itself, whoever leads.
 //
 // # Invariants
 //
@@ -29,6 +29,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math"
 	"sync/atomic"
 	"time"
 
@@ -65,7 +66,7 @@
 	changesGap = 100 * time.Millisecond
 	// listGap is the least time between two listings that a loss of history asks for.
 	listGap = 500 * time.Millisecond
-	// takeoverAfter is the age beyond which a router that does not lead asks the
+	// takeoverAfter is the age beyond which the first of the routers that do not lead asks the
 	// store itself: a wait, and the time in which peers tell of it.
 	takeoverAfter = 1300 * time.Millisecond
 	// restTick is how often a router that does not lead looks whether it has to.
@@ -83,14 +84,17 @@
 	Mirror *mirror.Mirror
 	Rand   core.Rand
 	Log    *zap.Logger
-	// Leads tells whether this router is to ask the store.
-	Leads func() bool
+	// Leads tells whether this router is to ask the store, Patience how much longer than
+	// takeoverAfter it waits for a confirmation before it does all the same; nil if not at all.
+	Leads    func() bool
+	Patience func() time.Duration
 	// DoubtFor is how long after the store's return a missing registration is
 	// doubted.
 	DoubtFor time.Duration
 
 	confirmed  atomic.Int64  // when the store last confirmed the mirror, in ns of the steady clock
 	told       atomic.Int64  // the same, as peers told
+	followed   atomic.Int64  // the same, by an own call; 0 if none was answered
 	failed     atomic.Int64  // when an own call last failed
 	away       atomic.Int64  // when the store was last away
 	restored   atomic.Int64  // when it was last learned that it came back from a copy
@@ -131,6 +135,24 @@
 	}
 }
 
+// answered notes that an own call confirmed the mirror.
+func (rd *Reader) answered() {
+	rd.followed.Store(rd.now())
+	rd.confirm(rd.now())
+}
+
+// Followed is how long ago an own call confirmed the mirror; never if none did.
+func (rd *Reader) Followed() time.Duration {
+	at := rd.followed.Load()
+	if at == 0 {
+		return never
+	}
+	return time.Duration(rd.now() - at)
+}
+
+// never stands for the age of what has not been.
+const never = time.Duration(math.MaxInt64)
+
 // Failing tells whether the own calls to the store fail.
 func (rd *Reader) Failing() bool {
 	at := rd.failed.Load()
@@ -198,7 +220,7 @@
 	compacted := rd.now() - int64(listGap) // when the history was last found lost
 	for ctx.Err() == nil {
 		listed = listed || rd.Mirror.AsOf() > unlisted
-		if listed && !rd.Leads() && rd.Age() < takeoverAfter {
+		if listed && !rd.Leads() && rd.Age() < takeoverAfter+rd.patience() {
 			rest(ctx, restTick)
 			continue
 		}
@@ -240,6 +262,13 @@
 	return nil
 }
 
+func (rd *Reader) patience() time.Duration {
+	if rd.Patience == nil {
+		return 0
+	}
+	return rd.Patience()
+}
+
 func (rd *Reader) sleep(ctx context.Context, pause time.Duration) { rest(ctx, rd.spread(pause)) }
 
 // spread draws a pause around the given one, so that routers that began together do not
@@ -268,7 +297,7 @@
 	if err == nil {
 		rd.said.Store(uint64(asOf))
 		rd.Mirror.Apply(items, asOf)
-		rd.confirm(rd.now())
+		rd.answered()
 	}
 	return err
 }
@@ -331,7 +360,7 @@
 				rd.said.Store(uint64(an.asOf))
 				rd.Mirror.Replace(an.items, an.asOf)
 				if !stale {
-					rd.confirm(rd.now())
+					rd.answered()
 				}
 				return nil
 			}
--- a/io/gossip/counts.go
+++ b/io/gossip/counts.go
@@ -90,14 +90,13 @@
 	waiting map[uint32]chan uint32
 }
 
-// listKeepers works out who may keep counts: the routers that were heard of late, and this one.
-func (gr *Group) listKeepers(now time.Time) {
-	gr.mu.Lock()
-	defer gr.mu.Unlock()
+// listKeepers works out who may keep counts: the routers that are alive, and this one. The lock is
+// held.
+func (gr *Group) listKeepers() {
 	all := make([]keeper, 0, len(gr.members)+1)
 	all = append(all, keeper{addr: gr.Addr, hash: xxhash.Sum64String(gr.Addr)})
 	for addr, me := range gr.members {
-		if me.leaving || now.Sub(me.heard) >= liveFor {
+		if me.leaving || !gr.alive.Alive(addr) {
 			continue
 		}
 		if me.to == nil {
@@ -108,7 +107,7 @@
 			}
 			me.to = to
 		}
-		all = append(all, keeper{addr, xxhash.Sum64String(addr), me.to, &me.mutes})
+		all = append(all, keeper{addr, me.hash, me.to, &me.mutes})
 	}
 	gr.counts.keepers.Store(&all)
 }
--- a/io/gossip/gossip.go
+++ b/io/gossip/gossip.go
@@ -7,12 +7,12 @@
 // A router sends a short datagram to its peers several times a second. One that the
 // store turns away sees from it that a peer knows more, and fetches what it
 // lacks over HTTP. Peers are found through the store, through the seeds of the
-// settings, and through the peers that a datagram names.
+// settings, and through the peers that a datagram names. Which of them are alive is core/swim's
+// to decide, which of them ask the store core/lead's.
 //
 // # Invariants
 //
-//   - What is sent of calls stays within callsBytes, however many peers there are.
-//   - A peer that was not heard for knownFor is forgotten.
+//   - What is sent of calls and to probe peers stays within callsBytes, however many peers there are.
 //
 // # Usage
 //
@@ -35,9 +35,11 @@
 	"go.uber.org/zap"
 
 	"almondrill/core"
+	"almondrill/core/lead"
 	"almondrill/core/mirror"
 	"almondrill/core/place"
 	"almondrill/core/route"
+	"almondrill/core/swim"
 )
 
 const (
@@ -52,10 +54,9 @@
 	// newsTo is how many peers are told at once that there is news of the store.
 	// Those tell others in turn: 420 routers hear of it in three rounds of a tick.
 	newsTo = 64
-	// leaders is how many routers ask the store; with two, one may end at any time.
-	// leadFor is how long one counts that is not heard.
-	leaders = 2
-	leadFor = time.Second
+	// startGrace is how long a router leaves asking the store to those that newcomers know of,
+	// unless it is one of these: it knows few peers yet, and so do all others where all start.
+	startGrace = 1200 * time.Millisecond
 	// announcers is how many routers are to be found through the store: enough for a newcomer
 	// to reach one, also after the loss of a zone or two, whatever the number of routers.
 	announcers = 8
@@ -63,14 +64,27 @@
 	// peers, with what it has heard from engines and whom it knows: some 600 bytes.
 	introTicks = 12
 	introTo    = 2
-	// knownFor is how long a peer that is not heard is kept; liveFor how long it
-	// counts as running.
-	knownFor = 30 * time.Second
-	liveFor  = 3 * time.Second
+	// soonTicks is how often, in ticks, a router introduces itself that hears fewer than fewPeers.
+	soonTicks = 3
+	fewPeers  = 8
+	// mostGreeted is how many newcomers are greeted in a tick; a greeting is a datagram.
+	mostGreeted = 20
+	// probeTicks is swim.Period in ticks.
+	probeTicks = int(swim.Period / tick)
+	// countedFor is how long a peer that is taken for dead counts among the routers that share
+	// the endpoints: it may be cut off, and serve callers still.
+	countedFor = 30 * time.Second
+	// silentFor is how long no peer may be heard before this router asks the store without
+	// waiting for others.
+	silentFor = time.Second
 	// mostDatagram keeps a message within one frame.
 	mostDatagram = 1400
-	// mostNamed is how many other peers a message names.
-	mostNamed = 6
+	// mostNamed is how many other peers an introduction names, mostGreeting a greeting, each some
+	// 7 bytes.
+	mostNamed    = 20
+	mostGreeting = 120
+	// mostRumors is how many rumors go with a message, some 12 bytes each.
+	mostRumors = 16
 	// mostAgeMs bounds the age that is told, an hour; beyond seconds it makes no
 	// difference.
 	mostAgeMs = 3_600_000
@@ -92,10 +106,10 @@
 	Moves []byte `cbor:"7,keyasint,omitempty"`
 	// Leaving is set in the last messages of a process.
 	Leaving bool `cbor:"3,keyasint,omitempty"`
-	// From introduces the sender; Known are addresses of other peers, Readings
+	// From introduces the sender; Peers are addresses of others that are alive to it, Readings
 	// engines' own counts of their calls.
 	From     core.VMID       `cbor:"4,keyasint,omitempty"`
-	Known    []string        `cbor:"5,keyasint,omitempty"`
+	Peers    []packedAddr    `cbor:"14,keyasint,omitempty"`
 	Readings []place.Reading `cbor:"6,keyasint,omitempty"`
 	// Hears is how many peers the sender heard of late, Config the version of the configuration that
 	// is in force there, both in introductions.
@@ -105,6 +119,13 @@
 	Count *countMessage `cbor:"10,keyasint,omitempty"`
 	// Blame is set in messages about a request that crashes endpoints, which hold nothing else.
 	Blame *blameMessage `cbor:"11,keyasint,omitempty"`
+	// Probe is set in messages that probe a peer, which hold nothing else but Rumors. Incarnation
+	// is the sender's.
+	Probe       *probeMessage    `cbor:"15,keyasint,omitempty"`
+	Rumors      []rumor          `cbor:"16,keyasint,omitempty"`
+	Incarnation swim.Incarnation `cbor:"17,keyasint,omitempty"`
+	// Followers are the routers that ask the store, see packFollowers.
+	Followers []byte `cbor:"18,keyasint,omitempty"`
 }
 
 // Feed is what a router knows of the store, and how old it is.
@@ -116,6 +137,8 @@
 	// come for longer than it takes as a rule.
 	Failing() bool
 	Silent() bool
+	// Followed is how long ago an own call was answered.
+	Followed() time.Duration
 }
 
 // Group is the routers that this one knows. Set the exported fields before use.
@@ -141,6 +164,8 @@
 	settled atomic.Bool
 	mu      sync.Mutex // guards all below
 	members map[string]*member
+	alive   swim.Table
+	leaders lead.Table
 	// began is when Run did, grown when a member was last added, announced when the own address
 	// was first found in the store.
 	began, grown, announced time.Time
@@ -156,11 +181,11 @@
 
 // member is a peer, by its address.
 type member struct {
-	id    core.VMID
-	added time.Time
-	heard time.Time
-	told  time.Time
-	asOf  core.Version
+	id core.VMID
+	// hash is that of its address, by which routers are ordered.
+	hash uint64
+	told time.Time
+	asOf core.Version
 	// confirmed is when the store confirmed asOf, as the peer told.
 	confirmed time.Time
 	failing   bool
@@ -187,44 +212,34 @@
 func (gr *Group) member(addr string) *member {
 	if gr.members == nil {
 		gr.members = map[string]*member{}
+		gr.alive.Self, gr.alive.Rand = gr.Addr, gr.Rand
 	}
 	if addr == gr.Addr || addr == "" {
 		return nil
 	}
 	me := gr.members[addr]
 	if me == nil {
-		me = &member{added: time.Now()}
+		me = &member{hash: xxhash.Sum64String(addr)}
 		gr.members[addr] = me
-		gr.grown = me.added
+		gr.grown = time.Now()
+		gr.alive.Add(gr.grown, addr)
 	}
 	return me
 }
 
-// Live is how many peers were heard of late.
+// Live is how many peers are alive.
 func (gr *Group) Live() int {
 	gr.mu.Lock()
 	defer gr.mu.Unlock()
-	now, count := time.Now(), 0
-	for _, me := range gr.members {
-		if now.Sub(me.heard) < liveFor {
-			count++
-		}
-	}
-	return count
+	return gr.alive.Live()
 }
 
-// Routers is how many routers there may be, this one included: all that were
-// heard within knownFor, and those that are known but were not heard yet.
+// Routers is how many routers there may be, this one included: all that are alive, were until
+// lately, or are known but were not heard yet.
 func (gr *Group) Routers() int {
 	gr.mu.Lock()
 	defer gr.mu.Unlock()
-	return 1 + len(gr.members)
-}
-
-// Leads tells whether this router is one of those that ask the store: few of the
-// peers that are well come before it in the order of their addresses' hashes.
-func (gr *Group) Leads() bool {
-	return gr.before(func(now time.Time, me *member) bool { return now.Sub(me.heard) < leadFor && !me.failing }) < leaders
+	return 1 + gr.alive.Counted(time.Now(), countedFor)
 }
 
 // Announces tells whether this router is one of those that are to be found through the store.
@@ -232,17 +247,17 @@
 // Each announcement is two calls to the store, a renewal now and then, and a change that all
 // are told of. Peers name each other, so that whoever finds one finds all.
 func (gr *Group) Announces() bool {
-	return gr.before(func(now time.Time, me *member) bool { return now.Sub(me.heard) < liveFor }) < announcers
-}
-
-// before counts the peers that come before this router in the order of their addresses'
-// hashes, of those that count and are not leaving.
-func (gr *Group) before(counts func(now time.Time, me *member) bool) int {
 	gr.mu.Lock()
 	defer gr.mu.Unlock()
-	now, own, before := time.Now(), xxhash.Sum64String(gr.Addr), 0
+	return gr.rank(func(*member) bool { return true }) < announcers
+}
+
+// rank is how many live peers come before this router in the order of their addresses' hashes,
+// of those that count and are not leaving.
+func (gr *Group) rank(counts func(me *member) bool) int {
+	own, before := xxhash.Sum64String(gr.Addr), 0
 	for addr, me := range gr.members {
-		if !me.leaving && counts(now, me) && xxhash.Sum64String(addr) < own {
+		if me.hash < own && !me.leaving && counts(me) && gr.alive.Alive(addr) {
 			before++
 		}
 	}
@@ -271,8 +286,8 @@
 			gr.tellCalls(pc, time.Now(), true)
 			return nil
 		case now := <-ticker.C:
-			gr.forget(now)
-			gr.listKeepers(now)
+			gr.probePeers(pc, now)
+			gr.tidy()
 			gr.settle(now)
 			gr.tellCalls(pc, now, false)
 			gr.introduce(pc, now)
@@ -305,6 +320,8 @@
 		return
 	}
 	switch {
+	case ms.Probe != nil:
+		gr.hearProbe(now, from, &ms)
 	case ms.Count != nil:
 		gr.hearCount(now, from, ms.Count)
 	case ms.Blame != nil:
@@ -329,7 +346,7 @@
 	gr.Placer.HearReadings(now, way, ms.Readings)
 }
 
-// note keeps what a message tells of its sender; false if it is this router.
+// note keeps what a message tells of its sender and of others; false if it is this router.
 func (gr *Group) note(now, confirmed time.Time, from string, ms *message) bool {
 	gr.mu.Lock()
 	defer gr.mu.Unlock()
@@ -337,37 +354,35 @@
 	if me == nil {
 		return false
 	}
-	if now.Sub(me.heard) >= liveFor {
-		// It may know nobody else yet.
-		gr.greet = append(gr.greet, from)
-		gr.Log.Info("Hears a peer.", zap.String("Peer", string(ms.From)), zap.String("Addr", from))
-	}
+	gr.hearRumors(now, from, ms)
 	if ms.Leaving && !me.leaving {
 		gr.Log.Info("A peer leaves.", zap.String("Peer", string(me.id)), zap.String("Addr", from))
 	}
 	if ms.From != "" {
 		me.id, me.hears, me.config = ms.From, ms.Hears, ms.Config
+		if gr.alive.Greets(int(ms.Hears)) {
+			gr.greet = append(gr.greet, from)
+		}
 	}
-	me.heard, me.asOf, me.leaving, me.failing, me.confirmed = now, ms.AsOf, ms.Leaving, ms.Failing, confirmed
-	for _, addr := range ms.Known {
-		gr.member(addr)
+	me.asOf, me.leaving, me.failing, me.confirmed = ms.AsOf, ms.Leaving, ms.Failing, confirmed
+	gr.leaders.Take(now, unpackFollowers(now, ms.Followers))
+	for _, pa := range ms.Peers {
+		if addr, ok := pa.unpack(); ok && gr.member(addr) != nil {
+			gr.alive.Join(now, addr)
+		}
 	}
 	return true
 }
 
-// forget drops peers that were not heard for long.
-func (gr *Group) forget(now time.Time) {
+// tidy drops peers that have long been dead, and lists those that may keep counts.
+func (gr *Group) tidy() {
 	gr.mu.Lock()
 	defer gr.mu.Unlock()
 	for addr, me := range gr.members {
-		last := me.heard
-		if me.added.After(last) {
-			last = me.added
-		}
-		if now.Sub(last) > knownFor {
+		if !gr.alive.Known(addr) {
 			delete(gr.members, addr)
-			gr.Log.Info("Forgets a peer.", zap.String("Peer", string(me.id)), zap.String("Addr", addr),
-				zap.Duration("Silent", now.Sub(last)))
+			gr.Log.Info("Forgets a peer.", zap.String("Peer", string(me.id)), zap.String("Addr", addr))
 		}
 	}
+	gr.listKeepers()
 }
--- a/io/gossip/gossip_test.go
+++ b/io/gossip/gossip_test.go
@@ -38,6 +38,8 @@
 func (fe *feed) Failing() bool { return fe.failing.Load() }
 func (fe *feed) Silent() bool  { return fe.failing.Load() }
 
+func (fe *feed) Followed() time.Duration { return time.Hour }
+
 // router is a peer on loopback, with its datagrams and its news on one port.
 type router struct {
 	*gossip.Group
--- a/io/gossip/grants.go
+++ b/io/gossip/grants.go
@@ -58,9 +58,9 @@
 	settled := now.Sub(gr.began) >= settleTime && now.Sub(gr.grown) >= settleTime
 	// One without peers is alone only if others could find it.
 	heard := len(gr.members) == 0 && !gr.announced.IsZero() && now.Sub(gr.announced) >= settleTime
-	for _, me := range gr.members {
-		heard = heard || !me.heard.IsZero()
-		if now.Sub(me.heard) < liveFor && int(me.hears) > len(gr.members) {
+	for addr, me := range gr.members {
+		heard = heard || !gr.alive.HeardAt(addr).IsZero()
+		if gr.alive.Alive(addr) && int(me.hears) > len(gr.members) {
 			settled = false // it hears peers that are not known here
 		}
 	}
--- a/io/gossip/items.go
+++ b/io/gossip/items.go
@@ -182,7 +182,7 @@
 	}
 	var among []string
 	for addr, me := range gr.members {
-		if me.asOf > own && time.Since(me.heard) < liveFor {
+		if me.asOf > own && gr.alive.Alive(addr) {
 			among = append(among, addr)
 		}
 	}
@@ -220,7 +220,7 @@
 	}
 	var among []string
 	for addr, me := range gr.members {
-		if me.config > own && time.Since(me.heard) < liveFor {
+		if me.config > own && gr.alive.Alive(addr) {
 			among = append(among, addr)
 		}
 	}
--- a/io/gossip/tell.go
+++ b/io/gossip/tell.go
@@ -16,8 +16,10 @@
 // What a router sends is bounded, so that among hundreds it tells each peer every few seconds: a
 // peer is told of all moves since its last turn.
 func (gr *Group) tellCalls(pc net.PacketConn, now time.Time, leaving bool) {
-	ms := gr.message()
-	ms.Leaving = leaving
+	ms := gr.message(now)
+	if ms.Leaving = leaving; leaving {
+		gr.leave()
+	}
 	left := callsBytes*tick.Seconds() - float64(gr.counts.sent.Swap(0))
 	gap, most := leastGap, math.MaxInt
 	if ms.AsOf > gr.news {
@@ -25,7 +27,8 @@
 		gap, most, left = 0, newsTo, math.Inf(1)
 	}
 	for _, tu := range gr.due(now, most, gap) {
-		ms.Moves = gr.Placer.Moves(now, tu.last)
+		ms.Moves, ms.Rumors = gr.Placer.Moves(now, tu.last), nil
+		gr.addRumors(ms)
 		data, err := cbor.Marshal(ms)
 		if err != nil {
 			gr.Log.Error("Encoding a message failed.", zap.Error(err))
@@ -39,12 +42,23 @@
 	}
 }
 
+// leave has the peers that are told now tell all others.
+func (gr *Group) leave() {
+	gr.mu.Lock()
+	defer gr.mu.Unlock()
+	gr.alive.Leave()
+}
+
 // message holds what all messages do.
-func (gr *Group) message() *message {
-	return &message{
+func (gr *Group) message(now time.Time) *message {
+	ms := &message{
 		AsOf: gr.Mirror.AsOf(), AgeMs: uint32(min(mostAgeMs, max(0, gr.Feed.Age().Milliseconds()))),
 		Failing: gr.Feed.Failing(), Calls: gr.Placer.Tell(),
 	}
+	gr.mu.Lock()
+	defer gr.mu.Unlock()
+	ms.Followers = packFollowers(now, gr.followers(now))
+	return ms
 }
 
 // turn is a peer to be told, and when it was last.
@@ -59,7 +73,7 @@
 	defer gr.mu.Unlock()
 	var all []turn
 	for addr, me := range gr.members {
-		if now.Sub(me.told) >= gap {
+		if now.Sub(me.told) >= gap && gr.alive.MayAnswer(addr) {
 			all = append(all, turn{addr, me.told})
 		}
 	}
@@ -76,23 +90,35 @@
 	}
 }
 
-// introduce tells more to peers that are new, and now and then to a few others,
-// drawn anew each time.
+// introduce tells more to a few peers, drawn anew each time, and names others to newcomers.
 func (gr *Group) introduce(pc net.PacketConn, now time.Time) {
 	gr.mu.Lock()
-	to := gr.greet
-	gr.greet = nil
+	greet := gr.greet[:min(mostGreeted, len(gr.greet))]
+	gr.greet = nil // whoever is not greeted now introduces itself again
+	live := gr.alive.Live()
 	gr.mu.Unlock()
 	gr.ticks++
-	if gr.ticks%introTicks == 1 {
-		to = append(to, gr.some(introTo)...)
+	if len(greet) > 0 {
+		gr.tellMore(pc, now, mostGreeting, greet)
 	}
+	if gr.ticks%introTicks == 1 || live < fewPeers && gr.ticks%soonTicks == 1 {
+		gr.tellMore(pc, now, mostNamed, gr.some(introTo))
+	}
+}
+
+// tellMore sends an introduction that names at most so many peers.
+func (gr *Group) tellMore(pc net.PacketConn, now time.Time, most int, to []string) {
 	if len(to) == 0 {
 		return
 	}
-	ms := gr.message()
-	ms.From, ms.Known, ms.Readings = gr.Self, gr.some(mostNamed), gr.Placer.Readings(now)
+	ms := gr.message(now)
+	ms.From, ms.Readings = gr.Self, gr.Placer.Readings(now)
 	ms.Hears, ms.Config = uint16(min(math.MaxUint16, gr.Live())), gr.inForce()
+	for _, addr := range gr.living(most) {
+		if packed := packAddr(addr); packed != nil {
+			ms.Peers = append(ms.Peers, packed)
+		}
+	}
 	data, err := cbor.Marshal(ms)
 	for err == nil && len(data) > mostDatagram && len(ms.Readings) > 0 {
 		ms.Readings = ms.Readings[:len(ms.Readings)/2]
@@ -107,6 +133,13 @@
 	}
 }
 
+// living draws addresses of peers that are alive.
+func (gr *Group) living(most int) []string {
+	gr.mu.Lock()
+	defer gr.mu.Unlock()
+	return gr.alive.Some(most)
+}
+
 func (gr *Group) send(pc net.PacketConn, addr string, data []byte) {
 	ua, err := net.ResolveUDPAddr("udp", addr)
 	if err == nil {
@@ -117,13 +150,15 @@
 	}
 }
 
-// some draws addresses of peers.
+// some draws addresses of peers that may answer.
 func (gr *Group) some(most int) []string {
 	gr.mu.Lock()
 	defer gr.mu.Unlock()
 	all := make([]string, 0, len(gr.members))
 	for addr := range gr.members {
-		all = append(all, addr)
+		if gr.alive.MayAnswer(addr) {
+			all = append(all, addr)
+		}
 	}
 	for ix := range all {
 		other := ix + int(gr.Rand.Uint64()%uint64(len(all)-ix))
