One request finds a lost endpoint for all routers, once

Cause: two routers had to fail at an endpoint within a second before all were told, and all believed it for a second, then found it again. That held while endpoints got several requests a second; of 625 each gets 1.5, of 2,100 as many, and the more endpoints the fewer routers meet at one.

Now the keeper of the endpoint connects to it itself when the first router cannot, tells all if it cannot either, and looks again after 1, 2, 4 and at most 8 s, each time before the belief ends; all are told when it is back. A lost endpoint costs its keeper one datagram of 28 bytes to each router three times in the first seven seconds.

Tests OneRequestFindsALostEndpointForAll (fails without the keeper's look), RouterThatAloneCannotReachAnEndpoint.

--- a/core/place/lost.go
+++ b/core/place/lost.go
@@ -13,18 +13,17 @@
 // is told to all.
 
 const (
-	// lostFor is how long an endpoint is taken to be down after peers told so; they tell again
-	// while it is.
-	lostFor = time.Second
+	// LostFor is how long an endpoint is taken to be down after two peers told so.
+	LostFor = time.Second
 	// heardWithin is how lately something has to have come from an endpoint itself to go
 	// before what peers tell.
 	heardWithin = 200 * time.Millisecond
 )
 
-// HearDown takes that peers could not reach an endpoint. It hands nothing on then, and gets
+// HearDown takes for some time that peers could not reach an endpoint. It hands nothing on then, and gets
 // calls only where the others cost more: peers may be wrong, as where a link between is cut.
 // It returns which endpoint that is, and false where peers are not believed.
-func (pl *Placer) HearDown(now time.Time, endpoint uint64) (core.EndpointID, bool) {
+func (pl *Placer) HearDown(now time.Time, endpoint uint64, lasting time.Duration) (core.EndpointID, bool) {
 	pl.mu.Lock()
 	defer pl.mu.Unlock()
 	st := pl.byHash[endpoint]
@@ -35,11 +34,32 @@
 		return st.ID, false
 	}
 	st.stir()
-	st.lostUntil = now.Add(lostFor)
+	st.lostUntil = now.Add(lasting)
 	st.cold.lost = true
 	return st.ID, true
 }
 
+// HearBack takes that an endpoint can be reached again.
+func (pl *Placer) HearBack(endpoint uint64) {
+	pl.mu.Lock()
+	defer pl.mu.Unlock()
+	if st := pl.byHash[endpoint]; st != nil {
+		st.stir()
+		st.lostUntil = time.Time{}
+	}
+}
+
+// AddrOf is the address of the endpoint of that hash; false if it is not known, or about to leave.
+func (pl *Placer) AddrOf(endpoint uint64) (string, bool) {
+	pl.mu.Lock()
+	defer pl.mu.Unlock()
+	st := pl.byHash[endpoint]
+	if st == nil || st.Draining || st.missing {
+		return "", false
+	}
+	return st.Addr, true
+}
+
 // handsOn tells whether others may take prompts over from the endpoint.
 func (st *state) handsOn(now time.Time) bool {
 	return st.quiet || !st.missing && !now.Before(st.lostUntil) && !st.health.avoid(now, st.calls)
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -181,7 +181,7 @@
 		Ledger: &guard.Ledger{Peers: pr.peers, Store: pr.Platform, Stats: pr.Stats, Log: pr.Logs.Part("guard")},
 		Conns:  pr.pool, Placer: pr.placer,
 	}
-	pr.peers.Blamed = pr.guard.Hear
+	pr.peers.Blamed, pr.peers.Reach = pr.guard.Hear, pr.reach
 	pr.relay = &relay.Relay{
 		Dialect: pr.Platform.Dialect(), Self: se.Name, Placer: pr.placer, Counts: pr.peers, Grants: pr.peers, Blame: pr.guard, Budget: pr.budget, Conns: pr.pool,
 		Stats: pr.Stats, Latency: &pr.latency, Rand: pr.rand, Log: pr.Logs.Part("relay"),
@@ -193,6 +193,12 @@
 	pr.publish()
 }
 
+// reach tells whether a connection to an endpoint can be made; known is false for one that is gone.
+func (pr *Process) reach(ctx context.Context, endpoint uint64) (reached, known bool) {
+	addr, known := pr.placer.AddrOf(endpoint)
+	return known && pr.pool.Reach(ctx, addr) == nil, known
+}
+
 // seed makes the routers known that the settings name. Their port for peers is
 // the own one.
 func (pr *Process) seed() {
--- a/io/gossip/counts.go
+++ b/io/gossip/counts.go
@@ -13,6 +13,7 @@
 	"go.uber.org/zap"
 
 	"almondrill/core/gauge"
+	"almondrill/core/place"
 	"almondrill/core/ring"
 )
 
@@ -53,6 +54,8 @@
 	countWanted
 	// countLeaves tells that the endpoint has announced that it leaves.
 	countLeaves
+	// countBack tells all that the keeper can connect to the endpoint again.
+	countBack
 )
 
 // countMessage asks for an endpoint's calls, answers, or passes on what the endpoint said.
@@ -60,7 +63,8 @@
 	_        struct{} `cbor:",toarray"`
 	Kind     countKind
 	Endpoint uint64
-	// Calls are those asked for or passed on; Ask ties an answer to what it answers.
+	// Calls are those asked for or passed on, with countLost for how many ms it is to be believed;
+	// Ask ties an answer to what it answers.
 	Calls uint32
 	Ask   uint32
 }
@@ -88,6 +92,8 @@
 	mu      sync.Mutex // guards all below
 	asks    uint32
 	waiting map[uint32]chan uint32
+	// watched are the endpoints that are looked after as they cannot be reached.
+	watched map[uint64]bool
 }
 
 // listKeepers works out who may keep counts: the routers that are alive, and this one. The lock is
@@ -190,14 +196,21 @@
 	}
 }
 
-// hearDown tells all routers of an endpoint that two of them cannot reach: 16 bytes to each,
-// twice a second at most while it is down.
+// hearDown takes that a router cannot reach an endpoint. Once two cannot, all are told; the keeper
+// finds out by itself whether it is one.
 func (gr *Group) hearDown(now time.Time, endpoint uint64, from string) {
-	if !gr.counts.table.Down(now, endpoint, from) {
-		return
+	if gr.counts.table.Down(now, endpoint, from) {
+		gr.tellDown(now, endpoint, from, place.LostFor)
+	}
+	if gr.Reach != nil && gr.counts.startWatch(endpoint) {
+		go gr.watchDown(endpoint)
 	}
-	gr.believeDown(now, endpoint, from)
-	gr.notifyPeers(&countMessage{Kind: countLost, Endpoint: endpoint})
+}
+
+// tellDown has all routers believe for some time that the endpoint cannot be reached.
+func (gr *Group) tellDown(now time.Time, endpoint uint64, from string, lasting time.Duration) {
+	gr.believeDown(now, endpoint, from, lasting)
+	gr.notifyPeers(&countMessage{Kind: countLost, Endpoint: endpoint, Calls: uint32(lasting.Milliseconds())})
 }
 
 // notifyPeers sends a message to all routers that are alive.
@@ -228,10 +241,10 @@
 }
 
 // believeDown takes that two routers cannot reach an endpoint.
-func (gr *Group) believeDown(now time.Time, endpoint uint64, from string) {
-	id, believed := gr.Placer.HearDown(now, endpoint)
+func (gr *Group) believeDown(now time.Time, endpoint uint64, from string, lasting time.Duration) {
+	id, believed := gr.Placer.HearDown(now, endpoint, lasting)
 	gr.Log.Info("Two routers cannot reach an endpoint.", zap.String("Endpoint", string(id)), zap.String("From", from),
-		zap.Bool("Believed", believed))
+		zap.Duration("For", lasting), zap.Bool("Believed", believed))
 }
 
 // expect prepares for the answer to an ask.
@@ -273,7 +286,9 @@
 	case countDown:
 		gr.hearDown(now, cm.Endpoint, from.String())
 	case countLost:
-		gr.believeDown(now, cm.Endpoint, from.String())
+		gr.believeDown(now, cm.Endpoint, from.String(), min(mostLost, time.Duration(cm.Calls)*time.Millisecond))
+	case countBack:
+		gr.Placer.HearBack(cm.Endpoint)
 	case countLeaves:
 		gr.hearLeaves(cm.Endpoint, from.String())
 	case countWanted:
--- /dev/null
+++ b/io/gossip/down_test.go
@@ -0,0 +1,86 @@
+package gossip_test
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"almondrill/core"
+	"almondrill/core/place"
+	"almondrill/io/gossip"
+)
+
+// Guards against a large pool's lost endpoints that each router has to find, and again each second:
+// where an endpoint gets few requests, no two routers find it within the time that two have for that.
+func TestOneRequestFindsALostEndpointForAll(t *testing.T) {
+	t.Parallel()
+	var lost atomic.Bool
+	var looks atomic.Int64
+	lost.Store(true)
+	all := meetWith(t, 4, func(gr *gossip.Group) {
+		gr.Reach = func(context.Context, uint64) (bool, bool) {
+			looks.Add(1)
+			return !lost.Load(), true
+		}
+	})
+	for _, ro := range all {
+		ro.Placer.Register(time.Now(), place.Endpoint{ID: "e2", Addr: "127.0.0.1:2", Pool: "pool", Slots: 8})
+	}
+	endpoint := core.EndpointID("e2")
+	chosen := func() int {
+		count := 0
+		for _, ro := range all {
+			for range 20 {
+				tk, rf := ro.Placer.Pick(time.Now(), &place.Ask{Pool: "pool", Engine: true})
+				if rf != nil {
+					t.Fatal(rf)
+				}
+				if tk.Endpoint.ID == endpoint {
+					count++
+				}
+				tk.Done(time.Now(), place.Neutral)
+			}
+		}
+		return count
+	}
+	if chosen() == 0 {
+		t.Fatal("nobody chooses the endpoint before it is lost: the test shows nothing")
+	}
+	all[0].Down(place.HashOf(endpoint, 0))
+	eventually(t, "nobody chooses the lost endpoint", func() bool { return chosen() == 0 })
+	for began := time.Now(); time.Since(began) < 4*place.LostFor; time.Sleep(50 * time.Millisecond) {
+		if got := chosen(); got > 0 {
+			t.Fatalf("chosen %d times again after %s, though it is still lost", got, time.Since(began))
+		}
+	}
+	if got := looks.Load(); got > 5 {
+		t.Errorf("the keeper looked %d times in 4 s, want fewer and fewer", got)
+	}
+	lost.Store(false)
+	time.Sleep(4 * time.Second) // the keeper's next look
+	if chosen() == 0 {
+		t.Error("nobody chooses the endpoint after its return")
+	}
+}
+
+// Guards against a router that is cut off from an endpoint by itself and has all others avoid it.
+func TestRouterThatAloneCannotReachAnEndpoint(t *testing.T) {
+	t.Parallel()
+	all := meetWith(t, 3, func(gr *gossip.Group) {
+		gr.Reach = func(context.Context, uint64) (bool, bool) { return true, true }
+	})
+	endpoint := place.HashOf("e", 0)
+	all[0].Down(endpoint)
+	time.Sleep(300 * time.Millisecond)
+	for ix, ro := range all {
+		tk, rf := ro.Placer.Pick(time.Now(), &place.Ask{Pool: "pool", Engine: true})
+		if rf != nil {
+			t.Fatal(rf)
+		}
+		if tk.CostMs > 100 {
+			t.Errorf("router %d takes the endpoint for lost: %g ms", ix, tk.CostMs)
+		}
+		tk.Done(time.Now(), place.Neutral)
+	}
+}
--- a/io/gossip/gossip.go
+++ b/io/gossip/gossip.go
@@ -156,6 +156,9 @@
 	Blamed func(now time.Time, from string, no core.BlameNote)
 	// InForce tells the version of the configuration in force here; nil if there is none.
 	InForce func() route.Version
+	// Reach tells whether a connection to an endpoint can be made, by its hash; known is false for
+	// one that is gone. Nil if nobody finds out.
+	Reach func(ctx context.Context, endpoint uint64) (reached, known bool)
 	// AskTimeout bounds the wait for an endpoint's count, askTimeout if it is 0.
 	AskTimeout time.Duration
 
