What a router holds for slow callers and endpoints is bounded in all

A router read each body whole, into memory of its announced length, and kept up to 1 MiB of each answer; neither was bounded in all.

Now bodies and answers together take a quarter of the process's memory at most, and of a body no more than came of it. A caller for whose body there is no memory is refused at once, as not run, and told to return after a second; an answer that there is no memory for is passed on as it comes, whole. Counter BytesHeld, reason Memory.

--- a/core/outcome.go
+++ b/core/outcome.go
@@ -64,6 +64,7 @@
 	ReasonEvacuated     Reason = "Evacuated"     // all endpoints of the pool are in evacuated zones
 	ReasonNoHome        Reason = "NoHome"        // the pool has no endpoint in the request's home regions
 	ReasonColdLimit     Reason = "ColdLimit"     // the endpoint is cold, and its limit in requests a second used up
+	ReasonMemory        Reason = "Memory"        // the router holds as many bytes of bodies and answers as it may
 	ReasonBackoff       Reason = "Backoff"       // the endpoint asked for no requests for a time
 	ReasonReloading     Reason = "Reloading"     // the engine is loading another model or version
 	ReasonOldFence      Reason = "OldFence"      // an order from a past holder of the lease
@@ -79,7 +80,7 @@
 	ReasonDeadline, ReasonCallerGone, ReasonKVDown, ReasonClaimLost, ReasonKeyReused, ReasonAnswerGone,
 	ReasonUnreachable, ReasonPeerLost, ReasonEndpointDown, ReasonEndpointError, ReasonCrashed,
 	ReasonCutShort, ReasonCrossed, ReasonStalled, ReasonRetryBudget, ReasonQuarantined,
-	ReasonEvacuated, ReasonNoHome, ReasonColdLimit, ReasonBackoff, ReasonReloading, ReasonOldFence, ReasonOrderBusy, ReasonWeightsBusy,
+	ReasonEvacuated, ReasonNoHome, ReasonColdLimit, ReasonBackoff, ReasonMemory, ReasonReloading, ReasonOldFence, ReasonOrderBusy, ReasonWeightsBusy,
 }
 
 // Refusal is the error of an attempt that did not end Whole.
--- a/io/delta/delta.go
+++ b/io/delta/delta.go
@@ -31,7 +31,7 @@
 // Pack compresses data against the base, which may be empty.
 func Pack(data, base []byte) ([]byte, error) {
 	options := []zstd.EOption{
-		zstd.WithEncoderConcurrency(1), zstd.WithLowerEncoderMem(true), zstd.WithEncoderLevel(zstd.SpeedDefault),
+		zstd.WithEncoderConcurrency(1), zstd.WithLowerEncoderMem(true), zstd.WithEncoderLevel(zstd.SpeedFastest),
 		zstd.WithWindowSize(window(len(data) + len(base))), zstd.WithSingleSegment(false),
 	}
 	if len(base) > 0 {
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -121,6 +121,9 @@
 	app     atomic.Pointer[kratos.App]
 }
 
+// heldPart is the part of the process's memory that bodies and answers may take.
+const heldPart = 0.25
+
 // evacuateTime is how long after its acceptance an evacuation may be obeyed.
 func (pr *Process) evacuateTime() time.Duration {
 	return time.Duration(pr.Settings.EvacuateMs) * time.Millisecond
@@ -187,6 +190,7 @@
 		Stats: pr.Stats, Latency: &pr.latency, Rand: pr.rand, Log: pr.Logs.Part("relay"),
 		Age: pr.reader.Age, Leaving: pr.leaving.Load,
 	}
+	pr.relay.Memory.Most = int64(heldPart * float64(se.MemoryMB) * (1 << 20))
 	pr.view = &view{pr: pr, log: pr.Logs.Part("view"), zones: newZones()}
 	pr.mirror.Changed, pr.mirror.Restored = pr.view.changed, pr.reader.Restored
 	pr.seed()
@@ -220,6 +224,7 @@
 func (pr *Process) publish() {
 	pr.latency.Publish(pr.Stats)
 	pr.Stats.Read(stats.ConfigRevision, func() int64 { return int64(pr.inForce()) })
+	pr.Stats.Read(stats.BytesHeld, pr.relay.Memory.Held)
 	pr.Stats.Read(stats.ViewAgeMs, func() int64 { return pr.reader.Age().Milliseconds() })
 	pr.Stats.Read(stats.StoreEra, func() int64 { return int64(pr.mirror.AsOf().Era()) })
 	pr.Stats.Read(stats.PeersLive, func() int64 { return int64(pr.peers.Live()) })
--- a/io/relay/attempt.go
+++ b/io/relay/attempt.go
@@ -220,9 +220,13 @@
 	}
 }
 
-// readWhole reads an answer up to mostKept; whole tells whether that was all.
+// readWhole reads an answer up to mostKept, or as far as the memory for that goes; whole tells
+// whether that was all.
 func (ex *exchange) readWhole() (body []byte, whole bool, err error) {
-	body, err = io.ReadAll(io.LimitReader(ex.rs.Body, mostKept+1))
+	body, err = ex.rq.readHeld(io.LimitReader(ex.rs.Body, mostKept+1), -1)
+	if errors.Is(err, errMemory) {
+		return body, false, nil
+	}
 	return body, len(body) <= mostKept, err
 }
 
--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -96,9 +96,11 @@
 	// Grants divides the limits of cold endpoints among routers; nil if this is the only one.
 	Grants core.Grants
 	// Blame is told how attempts end that did not end well; nil if nobody asks.
-	Blame   core.CrashWatch
-	Budget  *retry.Window
-	Conns   *conns.Pool
+	Blame  core.CrashWatch
+	Budget *retry.Window
+	Conns  *conns.Pool
+	// Memory bounds what is held of bodies and answers.
+	Memory  Memory
 	Stats   *stats.Set
 	Latency *stats.Latency
 	Rand    core.Rand
@@ -143,6 +145,7 @@
 	if re.Leaving() {
 		wr.Header().Set("Connection", "close")
 	}
+	defer rq.release()
 	if rf := rq.read(); rf != nil {
 		rq.refuse(rf)
 		return
@@ -259,7 +262,7 @@
 		return rq.tooLarge(http.StatusRequestEntityTooLarge, "body", limit)
 	}
 	_ = rq.control.SetReadDeadline(rq.end) // supported by every server connection
-	body, err := readAll(http.MaxBytesReader(rq.wr, hr.Body, limit), hr.ContentLength)
+	body, err := rq.readHeld(http.MaxBytesReader(rq.wr, hr.Body, limit), hr.ContentLength)
 	if err == nil {
 		_ = rq.control.SetReadDeadline(time.Time{})
 		rq.body = body
@@ -267,6 +270,10 @@
 	}
 	var large *http.MaxBytesError
 	switch {
+	case errors.Is(err, errMemory):
+		rf := rq.notRun(core.ReasonMemory, "read", "bodies and answers of other requests take the memory that there is for them")
+		rf.RetryAfter = memoryAfter
+		return rf
 	case errors.As(err, &large):
 		return rq.tooLarge(http.StatusRequestEntityTooLarge, "body", limit)
 	case errors.Is(err, os.ErrDeadlineExceeded):
@@ -310,18 +317,6 @@
 	return int64(size)
 }
 
-// readAll is io.ReadAll with room for the length that is announced.
-func readAll(rd io.Reader, length int64) ([]byte, error) {
-	if length < 0 {
-		return io.ReadAll(rd)
-	}
-	body := make([]byte, length)
-	if _, err := io.ReadFull(rd, body); err != nil {
-		return nil, err
-	}
-	return body, nil
-}
-
 func (rq *request) notRun(re core.Reason, step, detail string) *core.Refusal {
 	return &core.Refusal{Outcome: core.NotRun, Reason: re, Step: step, Peer: string(rq.re.Self), Detail: detail}
 }
--- a/io/relay/request.go
+++ b/io/relay/request.go
@@ -33,6 +33,8 @@
 	pool     core.PoolID
 	parts    []place.Part
 	body     []byte
+	// holds is how many bytes of Relay.Memory it takes.
+	holds int64
 	// fingerprint tells that attempts of the caller are the same request.
 	fingerprint core.Fingerprint
 
--- a/io/stats/stats.go
+++ b/io/stats/stats.go
@@ -56,6 +56,8 @@
 	ColdDenied      = "ColdDenied"
 	// RegistrationsUnusable counts those that became unreadable.
 	RegistrationsUnusable = "RegistrationsUnusable"
+	// BytesHeld is how many bytes of bodies and answers are held.
+	BytesHeld = "BytesHeld"
 	// EndpointsDisplaced counts endpoints whose address another registered with.
 	EndpointsDisplaced = "EndpointsDisplaced"
 	// ItemsFailed counts those of the store that brought a fault of this program about.
