--- a/cmd/almondrill/relay.go
+++ b/cmd/almondrill/relay.go
@@ -42,6 +42,9 @@
 	// heapPart is the part of the process's memory that the runtime may use; the
 	// rest is for buffers of the system and the program itself.
 	heapPart = 0.6
+	// collectAfter is how much the heap may grow, in % of what is in use, until what is not is
+	// collected: memory is dearer to routers than the processor's time.
+	collectAfter = 50
 	// logTimeout bounds the writing of the last lines.
 	logTimeout = 100 * time.Millisecond
 )
@@ -57,6 +60,7 @@
 	if err != nil {
 		return failure(err)
 	}
+	debug.SetGCPercent(collectAfter)
 	if se.MemoryMB > 0 {
 		debug.SetMemoryLimit(int64(heapPart * float64(se.MemoryMB) * (1 << 20)))
 	}
