--- a/core/lead/lead.go
+++ b/core/lead/lead.go
@@ -36,9 +36,9 @@
 	followerFor = 1500 * time.Millisecond
 	// mostKept bounds the followers that are remembered.
 	mostKept = 16
-	// rankGap is between the moments at which two routers that follow on each other ask by
-	// themselves.
-	rankGap = 100 * time.Millisecond
+	// rankGap is when the first router asks by itself; the one of the nth rank waits for the square
+	// of n times as long, so that those that ask grow with the root of the time alone.
+	rankGap = 10 * time.Millisecond
 )
 
 // Hash is what orders routers.
@@ -101,6 +101,9 @@
 	return before < Leaders
 }
 
-// Patience is how much longer than the first ones a router of that rank waits for a confirmation
-// before it asks the store by itself.
-func Patience(rank int) time.Duration { return time.Duration(max(0, rank-Leaders+1)) * rankGap }
+// Patience is how much longer than the first ones a router waits for a confirmation before it asks the
+// store by itself, where so many peers come before it.
+func Patience(rank int) time.Duration {
+	behind := time.Duration(max(0, rank-Leaders+1))
+	return behind * behind * rankGap
+}
--- a/core/lead/lead_test.go
+++ b/core/lead/lead_test.go
@@ -134,7 +134,7 @@
 		fl.run(5 * time.Second)
 		fl.calls = 0
 		fl.turned = func(*router) bool { return true }
-		const silence = 4500 * time.Millisecond
+		const silence = 8 * time.Second
 		fl.run(silence)
 		if fl.calls > 150 {
 			t.Errorf("%d routers: %d calls in a silence of %s", size, fl.calls, silence)
