--- a/core/swim/swim_test.go
+++ b/core/swim/swim_test.go
@@ -216,8 +216,17 @@
 		in    swim.Incarnation
 		alive bool
 	}{
-		{swim.Dead, 3, false}, {swim.Alive, 3, true}, {swim.Suspect, 3, true}, {swim.Alive, 3, true}, {swim.Dead, 3, false},
-		{swim.Alive, 3, false}, {swim.Suspect, 3, false}, {swim.Alive, 4, true}, {swim.Dead, 3, true}, {swim.Left, 4, false}, {9, 9, false},
+		{swim.Dead, 3, false},
+		{swim.Alive, 3, true},
+		{swim.Suspect, 3, true},
+		{swim.Alive, 3, true},
+		{swim.Dead, 3, false},
+		{swim.Alive, 3, false},
+		{swim.Suspect, 3, false},
+		{swim.Alive, 4, true},
+		{swim.Dead, 3, true},
+		{swim.Left, 4, false},
+		{9, 9, false},
 	} {
 		take(sp.state, sp.in)
 		if got := ta.Alive("a:1"); got != sp.alive {
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -224,6 +224,7 @@
 func (pr *Process) publish() {
 	pr.latency.Publish(pr.Stats)
 	pr.Stats.Read(stats.ConfigRevision, func() int64 { return int64(pr.inForce()) })
+	pr.Stats.Read(stats.StoreLed, func() int64 { return boolCount(pr.peers.Leads()) })
 	pr.Stats.Read(stats.BytesHeld, pr.relay.Memory.Held)
 	pr.Stats.Read(stats.ViewAgeMs, func() int64 { return pr.reader.Age().Milliseconds() })
 	pr.Stats.Read(stats.StoreEra, func() int64 { return int64(pr.mirror.AsOf().Era()) })
@@ -235,6 +236,14 @@
 	}
 }
 
+// boolCount is a condition as a counter.
+func boolCount(is bool) int64 {
+	if is {
+		return 1
+	}
+	return 0
+}
+
 // inForce is the version of the configuration in force, 0 if there is none.
 func (pr *Process) inForce() route.Version {
 	if ta := pr.relay.Table(); ta != nil {
--- a/io/feeds/feeds.go
+++ b/io/feeds/feeds.go
@@ -84,8 +84,8 @@
 	Mirror *mirror.Mirror
 	Rand   core.Rand
 	Log    *zap.Logger
-	// Leads tells whether this router is to ask the store, Patience how much longer than
-	// takeoverAfter it waits for a confirmation before it does all the same; nil if not at all.
+	// Leads tells whether this router is to ask the store. One that is not waits for a confirmation
+	// for takeoverAfter, and Patience where that is set, before it does all the same.
 	Leads    func() bool
 	Patience func() time.Duration
 	// DoubtFor is how long after the store's return a missing registration is
--- a/io/gossip/gossip.go
+++ b/io/gossip/gossip.go
@@ -252,9 +252,11 @@
 func (gr *Group) Announces() bool {
 	gr.mu.Lock()
 	defer gr.mu.Unlock()
-	return gr.rank(func(*member) bool { return true }) < announcers
+	return gr.rank(anyMember) < announcers
 }
 
+func anyMember(*member) bool { return true }
+
 // rank is how many live peers come before this router in the order of their addresses' hashes,
 // of those that count and are not leaving.
 func (gr *Group) rank(counts func(me *member) bool) int {
--- a/io/gossip/lead.go
+++ b/io/gossip/lead.go
@@ -67,5 +67,5 @@
 	if gr.alive.Silent(time.Now()) > silentFor {
 		return 0
 	}
-	return lead.Patience(gr.rank(func(*member) bool { return true }))
+	return lead.Patience(gr.rank(anyMember))
 }
--- a/io/stats/docs.go
+++ b/io/stats/docs.go
@@ -41,6 +41,7 @@
 	{EndpointsKnown, "registered endpoints, of pools that the configuration names, that are not draining"},
 	{LogLinesDropped, "log lines dropped because the reader of the output was slow"},
 	{RegistrationsUnusable, "registrations of endpoints that became unusable: fields missing or of another kind, an unknown state"},
+	{StoreLed, "1 in a router that asks the platform's store for changes on behalf of all; two do, more for some seconds while the store turns them away"},
 	{BytesHeld, "bytes that are held of bodies and answers, for callers and endpoints that are slow; at most a quarter of MemoryMB"},
 	{EndpointsDisplaced, "endpoints that were taken for gone as another registered with their address"},
 	{ItemsFailed, "items of the platform's store that brought a fault of this program about and were passed over; should stay 0"},
--- a/io/stats/stats.go
+++ b/io/stats/stats.go
@@ -56,6 +56,8 @@
 	ColdDenied      = "ColdDenied"
 	// RegistrationsUnusable counts those that became unreadable.
 	RegistrationsUnusable = "RegistrationsUnusable"
+	// StoreLed is 1 in a router that asks the platform's store on behalf of all.
+	StoreLed = "StoreLed"
 	// BytesHeld is how many bytes of bodies and answers are held.
 	BytesHeld = "BytesHeld"
 	// EndpointsDisplaced counts endpoints whose address another registered with.
