--- a/io/stats/docs.go
+++ b/io/stats/docs.go
@@ -37,7 +37,7 @@
 	{ContextsTaken, "contexts that this agent took in from leaving ones"},
 	{PointersHanded, "directory entries that this agent passed on when it left"},
 	{ViewAgeMs, "on a router without agents: time since the store last confirmed what is believed; above 2,500 unknown routes and keys are answered 503"},
-	{PeersLive, "peers heard within 3 s"},
+	{PeersLive, "peers that are alive, by probes and by what others tell of them"},
 	{EndpointsKnown, "registered endpoints, of pools that the configuration names, that are not draining"},
 	{LogLinesDropped, "log lines dropped because the reader of the output was slow"},
 	{RegistrationsUnusable, "registrations of endpoints that became unusable: fields missing or of another kind, an unknown state"},
