A router that has begun to follow the store goes on when it hears its first peer

Cause: a router without peers leads from its start; once it heard a peer within its first 1.2 s, it left following to those that newcomers know of, and where neither of the two was one, nobody asked the store for up to 1.3 s. The changes behind the first one were not learned before the store went back to its copy.

--- a/io/gossip/gossip.go
+++ b/io/gossip/gossip.go
@@ -55,7 +55,8 @@
 	// Those tell others in turn: 420 routers hear of it in three rounds of a tick.
 	newsTo = 64
 	// startGrace is how long a router leaves asking the store to those that newcomers know of,
-	// unless it is one of these: it knows few peers yet, and so do all others where all start.
+	// unless it is one of these or has begun to ask: it knows few peers yet, and so do all others
+	// where all start.
 	startGrace = 1200 * time.Millisecond
 	// announcers is how many routers are to be found through the store: enough for a newcomer
 	// to reach one, also after the loss of a zone or two, whatever the number of routers.
--- a/io/gossip/lead.go
+++ b/io/gossip/lead.go
@@ -48,7 +48,7 @@
 	defer gr.mu.Unlock()
 	now := time.Now()
 	starting := gr.began.IsZero() || now.Sub(gr.began) < startGrace
-	if starting && len(gr.members) > 0 && gr.announced.IsZero() {
+	if starting && len(gr.members) > 0 && gr.announced.IsZero() && followed > startGrace {
 		return false
 	}
 	return gr.leaders.Leads(now, gr.hash(), gr.wellBefore(), followed)
