conns: idle connections hold no read buffer

Each connection to an endpoint kept a read buffer of 4 KB, also while it was idle, and each request copied its body to write it after the head. A connection now takes the buffer from a pool for the time from Do to Put, and head and body are written with one vectored write.

--- a/io/conns/conns.go
+++ b/io/conns/conns.go
@@ -12,6 +12,7 @@
 //   - A request is written once. Sent reports whether the endpoint may have received it.
 //   - A connection is reused only if the response was read to its end, the request was written
 //     completely, and nothing else has arrived on the connection since.
+//   - A connection holds a read buffer from Do until Put; no buffer belongs to two connections.
 //
 // # Usage
 //
@@ -75,8 +76,9 @@
 	Addr   string
 	Reused bool
 
-	po          *Pool
-	raw         net.Conn
+	po  *Pool
+	raw net.Conn
+	// rd holds the read buffer; nil while the connection is idle. Responses read from it.
 	rd          *bufio.Reader
 	idleTimeout time.Duration
 	expires     time.Time
@@ -141,8 +143,8 @@
 	}
 	po.addOpen(addr, 1)
 	return &Conn{
-		Addr: addr, po: po, raw: raw, rd: bufio.NewReaderSize(raw, readBufferSize),
-		idleTimeout: defaultIdleTimeout, expires: time.Now().Add(defaultIdleTimeout - idleMargin),
+		Addr: addr, po: po, raw: raw, idleTimeout: defaultIdleTimeout,
+		expires: time.Now().Add(defaultIdleTimeout - idleMargin),
 	}, nil
 }
 
@@ -175,12 +177,13 @@
 
 // Put returns a connection to the pool after its response was read to the end. The connection is
 // closed instead if the response demands it, if there are unread bytes, or if the request has not
-// been written completely.
+// been written completely. The response's body must not be read again.
 func (po *Pool) Put(co *Conn, rs *http.Response) {
 	if rs.Close || co.rd.Buffered() > 0 || !co.writeFinished() {
 		co.Close()
 		return
 	}
+	co.releaseReader()
 	if timeout := keepAliveTimeout(rs); timeout > 0 {
 		co.idleTimeout = timeout
 	}
@@ -247,12 +250,30 @@
 	return 0
 }
 
+// readers are the read buffers of connections that are not in use.
+var readers = sync.Pool{New: func() any { return bufio.NewReaderSize(nil, readBufferSize) }}
+
+// acquireReader gives the connection an empty read buffer.
+func (co *Conn) acquireReader() {
+	co.rd = readers.Get().(*bufio.Reader)
+	co.rd.Reset(co.raw)
+}
+
+// releaseReader returns the read buffer for use by other connections. Only Put calls it, after the
+// end of the response: the buffer of a connection that is closed earlier may still be in use by the
+// response's body, and is left to the garbage collector.
+func (co *Conn) releaseReader() {
+	co.rd.Reset(nil)
+	readers.Put(co.rd)
+	co.rd = nil
+}
+
 // usable reports whether an idle connection is still open and has no unread bytes. If the
 // endpoint has closed it or sent a second response, a request sent on it would be lost or get the
 // wrong response.
 func (co *Conn) usable() bool {
 	sc, ok := co.raw.(syscall.Conn)
-	if !ok || co.rd.Buffered() > 0 {
+	if !ok {
 		return false
 	}
 	rc, err := sc.SyscallConn()
@@ -296,6 +317,7 @@
 	if err := co.write(head, body); err != nil {
 		return nil, err
 	}
+	co.acquireReader()
 	rq := &http.Request{Method: method}
 	for range maxStray {
 		rs, err := http.ReadResponse(co.rd, rq)
@@ -324,7 +346,8 @@
 	co.sent = true
 	co.written = nil
 	if len(body) <= maxSyncWrite {
-		count, err := co.raw.Write(append(head, body...))
+		bufs := net.Buffers{head, body}
+		count, err := bufs.WriteTo(co.raw)
 		co.sent = count > 0 || err == nil
 		if err != nil {
 			return fmt.Errorf("write to %s: %w", co.Addr, err)
--- a/io/conns/conns_test.go
+++ b/io/conns/conns_test.go
@@ -290,3 +290,44 @@
 		t.Errorf("TCP_USER_TIMEOUT is %d ms, want 1500: %v", got, err)
 	}
 }
+
+// Guards against idle connections that each keep a read buffer, and against a buffer that is reused
+// while the response of another connection is still read from it.
+func TestIdleConnectionHoldsNoReadBuffer(t *testing.T) {
+	finish := make(chan struct{})
+	addr := startServer(t, func(co net.Conn, rd *bufio.Reader) {
+		for {
+			id, ok := readRequest(rd)
+			if !ok {
+				return
+			}
+			whole := reply(id, strings.Repeat(id, 6000))
+			_, _ = io.WriteString(co, whole[:3000])
+			if id == "a" {
+				<-finish
+			}
+			_, _ = io.WriteString(co, whole[3000:])
+		}
+	})
+	po := &conns.Pool{}
+	bodies := make(chan string, 1)
+	go func() {
+		body, _, _ := send(get(t, po, addr), "a", nil)
+		bodies <- body
+	}()
+	for range 20 {
+		co := get(t, po, addr)
+		body, rs, err := send(co, "b", nil)
+		if err != nil || body != strings.Repeat("b", 6000) {
+			t.Fatalf("%d bytes, %v", len(body), err)
+		}
+		po.Put(co, rs)
+		if co.HoldsReadBuffer() {
+			t.Fatal("an idle connection holds a read buffer")
+		}
+	}
+	close(finish)
+	if body := <-bodies; body != strings.Repeat("a", 6000) {
+		t.Errorf("got %d bytes that are not the response to request a", len(body))
+	}
+}
