relay: release bodies that cannot be sent again; smaller buffers for streams

A request's body of up to 12 KB was kept until its response ended, also where no further attempt may send it: on routes that cannot be repeated, and on the last attempt. It is released once the endpoint has accepted the request. A body of up to 16 KB gets a buffer of its size instead of one that doubles. A stream's read buffer begins with 512 bytes instead of 8 KB and grows with what arrives at once; the read buffer of a connection to an endpoint has 1 KB instead of 4 KB.

--- a/io/conns/conns.go
+++ b/io/conns/conns.go
@@ -52,8 +52,9 @@
 	// idleMargin is how long before the endpoint's idle timeout a connection is closed, so that no
 	// request is sent while the endpoint is closing it.
 	idleMargin = 500 * time.Millisecond
-	// readBufferSize, in bytes, fits a response head and several events.
-	readBufferSize = 4 << 10
+	// readBufferSize, in bytes, fits most response heads and several events. Longer bodies are read
+	// past the buffer.
+	readBufferSize = 1 << 10
 	// maxStray is how many responses Do reads while it looks for the one to its request.
 	maxStray = 4
 	// maxSyncWrite is the largest body, in bytes, that is written synchronously, before the
@@ -84,6 +85,7 @@
 	expires     time.Time
 	sent        bool
 	written     chan error // receives the result of a background write, nil if there is none
+	writeErr    error      // the result of the last background write
 	closeOnce   sync.Once
 }
 
@@ -179,7 +181,7 @@
 // closed instead if the response demands it, if there are unread bytes, or if the request has not
 // been written completely. The response's body must not be read again.
 func (po *Pool) Put(co *Conn, rs *http.Response) {
-	if rs.Close || co.rd.Buffered() > 0 || !co.writeFinished() {
+	if rs.Close || co.rd.Buffered() > 0 || !co.Written() {
 		co.Close()
 		return
 	}
@@ -344,7 +346,7 @@
 // before it has read all of it.
 func (co *Conn) write(head, body []byte) error {
 	co.sent = true
-	co.written = nil
+	co.written, co.writeErr = nil, nil
 	if len(body) <= maxSyncWrite {
 		bufs := net.Buffers{head, body}
 		count, err := bufs.WriteTo(co.raw)
@@ -364,14 +366,15 @@
 	return nil
 }
 
-// writeFinished reports whether the last request was written completely.
-func (co *Conn) writeFinished() bool {
+// Written reports whether the last request was written completely. Until then, its body is in use.
+func (co *Conn) Written() bool {
 	if co.written == nil {
-		return true
+		return co.writeErr == nil
 	}
 	select {
-	case err := <-co.written:
-		return err == nil
+	case co.writeErr = <-co.written:
+		co.written = nil
+		return co.writeErr == nil
 	default:
 		return false
 	}
--- a/io/relay/attempt.go
+++ b/io/relay/attempt.go
@@ -136,7 +136,9 @@
 		return ex.handleFailure(ctx)
 	case rs.Header.Get("Content-Encoding") != "" || rs.Header.Get(di.Stamp) == "":
 		return ex.refusal(core.Unknown, core.ReasonCrossed, "read", errNoStamp), place.Failed
-	case ex.rq.route.Kind == route.Stream:
+	}
+	ex.releaseBody()
+	if ex.rq.route.Kind == route.Stream {
 		return ex.forwardStream(ctx)
 	}
 	return ex.forwardBuffered(ctx)
--- a/io/relay/memory.go
+++ b/io/relay/memory.go
@@ -32,9 +32,12 @@
 }
 
 const (
-	// initialBuffer is the initial buffer size, in bytes, whatever the Content-Length: memory is
-	// reserved only as data arrives.
+	// initialBuffer is the initial buffer size, in bytes, for a longer Content-Length or an unknown one:
+	// memory is reserved only as data arrives.
 	initialBuffer = 4 << 10
+	// maxExactBuffer is the Content-Length, in bytes, up to which the buffer has the right size from the
+	// start. Usual requests are shorter, and a buffer that grows leaves as much garbage as it holds.
+	maxExactBuffer = 16 << 10
 	// memoryRetryAfter is the retry delay for a caller if there was no memory for its body. Slow
 	// senders are cut off after some seconds, which frees memory.
 	memoryRetryAfter = time.Second
@@ -72,6 +75,9 @@
 // finds the end.
 func (rq *request) growBuffer(body []byte, length int64) ([]byte, bool) {
 	size := max(initialBuffer, 2*int64(cap(body)))
+	if length <= maxExactBuffer {
+		size = max(size, length+1)
+	}
 	if length >= int64(len(body)) {
 		size = min(size, length+1)
 	}
@@ -83,6 +89,22 @@
 	return append(make([]byte, 0, size), body...), true
 }
 
+// releaseBody releases the request's body if no other attempt may send it. The endpoint has accepted
+// the request: whatever happens to its response, the request may have run.
+//
+// Load pattern: hundreds of streams last for seconds after their bodies of some 10 KB were sent, and
+// the bodies would take more memory than the streams themselves.
+func (ex *exchange) releaseBody() {
+	rq := ex.rq
+	if len(rq.body) == 0 || rq.route.MayRepeat() && rq.sends < rq.route.MaxAttempts || !ex.co.Written() {
+		return
+	}
+	held := int64(cap(rq.body))
+	rq.re.Memory.held.Add(-held)
+	rq.heldBytes -= held
+	rq.body = nil
+}
+
 // releaseMemory releases the memory that the request has reserved.
 func (rq *request) releaseMemory() {
 	rq.re.Memory.held.Add(-rq.heldBytes)
--- a/io/relay/memory_test.go
+++ b/io/relay/memory_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"almondrill/core"
+	"almondrill/core/route"
 )
 
 // slowCaller opens a connection to the router and sends the text, without reading the response.
@@ -108,3 +109,35 @@
 	}
 	waitFor(t, "the memory is released", func() bool { return fl.re.Memory.Held() == 0 })
 }
+
+// Guards against streams that hold their requests' bodies for seconds although these cannot be sent
+// again, and against the loss of a body that another endpoint needs.
+func TestBodyIsReleasedOnceItCannotBeSentAgain(t *testing.T) {
+	for name, want := range map[string]struct {
+		ro   route.Route
+		held int64
+	}{"cannot be repeated": {stream, 0}, "can be resumed": {resumable, 10001}} {
+		goOn := make(chan struct{})
+		fl := newFleet(t, func(se *received, co net.Conn) bool {
+			writeEvents(se, co, 1, 2)
+			<-goOn
+			endChunks(co)
+			return true
+		}).configure(want.ro)
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			if _, body, err := fl.send("POST", "/r/x", strings.Repeat("b", 10000)); err != nil || body != eventText(1, 2) {
+				t.Errorf("%s: %q %v", name, body, err)
+			}
+		}()
+		waitFor(t, "the endpoint has the request", func() bool { return len(fl.requests()) == 1 })
+		waitFor(t, name, func() bool { return fl.re.Memory.Held() == want.held })
+		close(goOn)
+		<-done
+		waitFor(t, "the memory is released", func() bool { return fl.re.Memory.Held() == 0 })
+		if got := fl.requests()[0].body; got != strings.Repeat("b", 10000) {
+			t.Errorf("%s: the endpoint received %d bytes", name, len(got))
+		}
+	}
+}
--- a/io/relay/stream.go
+++ b/io/relay/stream.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"io"
+	"slices"
 	"sync"
 	"time"
 
@@ -13,6 +14,10 @@
 )
 
 const (
+	// minRead and readSize bound the size of a stream's read buffer, in bytes: it begins with a size
+	// that fits several events, since streams wait for the next one nearly all the time, and grows with
+	// an endpoint that sends more at once.
+	minRead  = 512
 	readSize = 8 << 10
 	// maxEventSize bounds an event, in bytes, which is buffered until it is complete.
 	maxEventSize = 1 << 20
@@ -29,20 +34,25 @@
 // forwardStream forwards complete events only. If the endpoint fails within an event, the stream can
 // then be resumed at another endpoint after the last complete one.
 func (ex *exchange) forwardStream(ctx context.Context) (*core.Refusal, place.Result) {
-	buffer := readBuffers.Get().(*[readSize]byte)
-	defer readBuffers.Put(buffer)
-	var pending []byte
+	pending := make([]byte, 0, minRead)
 	for {
-		count, err := ex.rs.Body.Read(buffer[:])
+		if len(pending) == cap(pending) {
+			pending = slices.Grow(pending, cap(pending))
+		}
+		count, err := ex.rs.Body.Read(pending[len(pending):cap(pending)])
+		filled := len(pending)+count == cap(pending)
 		if count > 0 {
 			ex.received()
-			pending = append(pending, buffer[:count]...)
+			pending = pending[:len(pending)+count]
 			end := bytes.LastIndex(pending, eventEnd) + len(eventEnd)
 			if end >= len(eventEnd) {
 				if werr := ex.rq.forwardEvents(ex, pending[:end]); werr != nil {
 					return ex.refusal(core.Unknown, core.ReasonCallerGone, "write", werr), place.Neutral
 				}
-				pending = append(pending[:0], pending[end:]...)
+				pending = pending[:copy(pending, pending[end:])]
+			}
+			if filled && cap(pending) < readSize {
+				pending = slices.Grow(pending, 2*cap(pending)-len(pending))
 			}
 		}
 		switch {
