relay: collect garbage earlier

The router's live heap is some 6 MB in a burst, and half of that could be garbage. At 25 %, a burst's peak is lower for a few per cent of processor time.

--- a/cmd/almondrill/relay.go
+++ b/cmd/almondrill/relay.go
@@ -43,8 +43,9 @@
 	// system's buffers and the program itself.
 	heapFraction = 0.6
 	// gcPercent is lower than Go's default of 100: routers are shorter of memory than of processor
-	// time, so the heap is collected earlier.
-	gcPercent = 50
+	// time, so the heap is collected earlier. A router's heap is a few megabytes, so that a collection
+	// is cheap; below 25 its processor time rises faster than its memory falls.
+	gcPercent = 25
 	// logTimeout bounds the time to write the last log lines at exit.
 	logTimeout = 100 * time.Millisecond
 )
