place: halve the memory of the cache models

Each part in a cache model was a list element with a value of its own, a map entry, and a slice in the index. The list is now kept in one slice per endpoint, and the index has a slice only for parts that several endpoints have.

--- a/core/place/cache.go
+++ b/core/place/cache.go
@@ -1,7 +1,6 @@
 package place
 
 import (
-	"container/list"
 	"slices"
 
 	"almondrill/core"
@@ -9,18 +8,27 @@
 
 // cacheModel models the prompt cache of an endpoint: an LRU list of the parts sent to it, within
 // the memory of the engine. Engines evict in the same order.
+//
+// The list is kept in a slice, since the models of all endpoints have tens of thousands of parts: as
+// separate objects, they would take twice the memory.
 type cacheModel struct {
-	st     *state
-	order  *list.List // of *cachedPart, the most recently used first
-	byHash map[uint64]*list.Element
-	tokens core.Tokens
+	st *state
+	// parts are the parts of the list, linked by their positions, and unused ones. newest and oldest
+	// are the ends of the list, -1 if it is empty; unused is the first of the unused parts, linked by
+	// older.
+	parts                  []cachedPart
+	newest, oldest, unused int32
+	byHash                 map[uint64]int32
+	tokens                 core.Tokens
 	// index is the router's index, which contains the parts of this model.
 	index *partIndex
 }
 
+// cachedPart is a part in the list between an older and a newer one, -1 at the end.
 type cachedPart struct {
-	hash   uint64
-	tokens core.Tokens
+	hash         uint64
+	tokens       core.Tokens
+	older, newer int32
 }
 
 // partIndex maps each part to the endpoints whose cache models contain it, so that the holder of a
@@ -30,7 +38,9 @@
 // thousands of endpoints would grow for hours. Parts last sent minutes ago are no longer in an
 // engine's memory.
 type partIndex struct {
-	byPart map[uint64][]*state
+	// single has the parts with one endpoint, which are nearly all, shared has the others.
+	single map[uint64]*state
+	shared map[uint64][]*state
 	// entries counts the parts of all cache models, which evict in turn when there are too many.
 	entries   int
 	caches    []*cacheModel
@@ -43,32 +53,54 @@
 	cacheFraction = 0.7
 	// maxCachedParts bounds a cache model if the engine's memory is unknown.
 	maxCachedParts = 4096
-	// maxIndexEntries bounds the entries of all cache models, some 200 bytes each. At 60 requests
+	// maxIndexEntries bounds the entries of all cache models, some 100 bytes each. At 60 requests
 	// per second with three parts each, it covers six minutes.
 	maxIndexEntries = 65536
 )
 
-func newPartIndex() *partIndex { return &partIndex{byPart: map[uint64][]*state{}} }
+func newPartIndex() *partIndex {
+	return &partIndex{single: map[uint64]*state{}, shared: map[uint64][]*state{}}
+}
 
 // endpoints returns the endpoints to which a part was sent.
-func (pi *partIndex) endpoints(part uint64) []*state { return pi.byPart[part] }
+func (pi *partIndex) endpoints(part uint64) []*state {
+	if st := pi.single[part]; st != nil {
+		return []*state{st}
+	}
+	return pi.shared[part]
+}
 
 func (pi *partIndex) add(part uint64, st *state) {
-	pi.byPart[part] = append(pi.byPart[part], st)
 	pi.entries++
+	other := pi.single[part]
+	list := pi.shared[part]
+	switch {
+	case other != nil:
+		delete(pi.single, part)
+		pi.shared[part] = []*state{other, st}
+	case len(list) > 0:
+		pi.shared[part] = append(list, st)
+	default:
+		pi.single[part] = st
+	}
 }
 
 func (pi *partIndex) remove(part uint64, st *state) {
 	pi.entries--
-	rest := pi.byPart[part]
+	if pi.single[part] == st {
+		delete(pi.single, part)
+		return
+	}
+	rest := pi.shared[part]
 	at := slices.Index(rest, st)
 	rest[at] = rest[len(rest)-1]
 	rest[len(rest)-1] = nil
-	if rest = rest[:len(rest)-1]; len(rest) == 0 {
-		delete(pi.byPart, part)
+	if rest = rest[:len(rest)-1]; len(rest) == 1 {
+		delete(pi.shared, part)
+		pi.single[part] = rest[0]
 		return
 	}
-	pi.byPart[part] = rest
+	pi.shared[part] = rest
 }
 
 // evict goes round the cache models and evicts the least recently used part of each until the index
@@ -76,48 +108,101 @@
 func (pi *partIndex) evict() {
 	for pi.entries > maxIndexEntries {
 		pi.nextEvict = (pi.nextEvict + 1) % len(pi.caches)
-		if oldest := pi.caches[pi.nextEvict].order.Back(); oldest != nil {
-			pi.caches[pi.nextEvict].evict(oldest)
-		}
+		pi.caches[pi.nextEvict].evictOldest()
 	}
 }
 
 func newCacheModel(st *state, index *partIndex) *cacheModel {
-	cm := &cacheModel{st: st, order: list.New(), byHash: map[uint64]*list.Element{}, index: index}
+	cm := &cacheModel{st: st, newest: -1, oldest: -1, unused: -1, byHash: map[uint64]int32{}, index: index}
 	index.caches = append(index.caches, cm)
 	return cm
 }
 
-func (cm *cacheModel) has(hash uint64) bool { return cm.byHash[hash] != nil }
+func (cm *cacheModel) has(hash uint64) bool {
+	_, has := cm.byHash[hash]
+	return has
+}
+
+// count returns the number of parts.
+func (cm *cacheModel) count() int { return len(cm.byHash) }
 
 func (cm *cacheModel) add(parts []Part, prefixes []uint64, memory core.Tokens) {
 	for ix := len(parts) - 1; ix >= 0; ix-- {
-		if el := cm.byHash[prefixes[ix]]; el != nil {
-			cm.order.MoveToFront(el)
-			continue
+		at, has := cm.byHash[prefixes[ix]]
+		if has {
+			cm.unlink(at)
+		} else {
+			at = cm.newPart(prefixes[ix], parts[ix].Tokens)
 		}
-		cm.byHash[prefixes[ix]] = cm.order.PushFront(&cachedPart{prefixes[ix], parts[ix].Tokens})
-		cm.index.add(prefixes[ix], cm.st)
-		cm.tokens += parts[ix].Tokens
+		cm.linkNewest(at)
 	}
 	limit := core.Tokens(cacheFraction * float64(memory))
-	for cm.order.Len() > maxCachedParts || memory > 0 && cm.tokens > limit && cm.order.Len() > len(parts) {
-		cm.evict(cm.order.Back())
+	for cm.count() > maxCachedParts || memory > 0 && cm.tokens > limit && cm.count() > len(parts) {
+		cm.evictOldest()
 	}
 	cm.index.evict()
 }
 
-func (cm *cacheModel) evict(el *list.Element) {
-	evicted := cm.order.Remove(el).(*cachedPart)
+// newPart returns the position of a new part that is not linked yet.
+func (cm *cacheModel) newPart(hash uint64, tokens core.Tokens) int32 {
+	at := cm.unused
+	if at >= 0 {
+		cm.unused = cm.parts[at].older
+	} else {
+		at = int32(len(cm.parts))
+		cm.parts = append(cm.parts, cachedPart{})
+	}
+	cm.parts[at] = cachedPart{hash: hash, tokens: tokens}
+	cm.byHash[hash] = at
+	cm.index.add(hash, cm.st)
+	cm.tokens += tokens
+	return at
+}
+
+// linkNewest makes a part the newest of the list.
+func (cm *cacheModel) linkNewest(at int32) {
+	cm.parts[at].older, cm.parts[at].newer = cm.newest, -1
+	if cm.newest >= 0 {
+		cm.parts[cm.newest].newer = at
+	} else {
+		cm.oldest = at
+	}
+	cm.newest = at
+}
+
+// unlink takes a part out of the list.
+func (cm *cacheModel) unlink(at int32) {
+	older, newer := cm.parts[at].older, cm.parts[at].newer
+	if older >= 0 {
+		cm.parts[older].newer = newer
+	} else {
+		cm.oldest = newer
+	}
+	if newer >= 0 {
+		cm.parts[newer].older = older
+	} else {
+		cm.newest = older
+	}
+}
+
+// evictOldest evicts the least recently used part, if there is one.
+func (cm *cacheModel) evictOldest() {
+	at := cm.oldest
+	if at < 0 {
+		return
+	}
+	cm.unlink(at)
+	evicted := &cm.parts[at]
 	delete(cm.byHash, evicted.hash)
 	cm.tokens -= evicted.tokens
 	cm.index.remove(evicted.hash, cm.st)
+	evicted.older, cm.unused = cm.unused, at
 }
 
 // clear evicts all parts, since the endpoint is gone.
 func (cm *cacheModel) clear() {
-	for el := cm.order.Back(); el != nil; el = cm.order.Back() {
-		cm.evict(el)
+	for cm.count() > 0 {
+		cm.evictOldest()
 	}
 	cm.index.caches = slices.DeleteFunc(cm.index.caches, func(other *cacheModel) bool { return other == cm })
 }
--- a/core/place/cache_test.go
+++ b/core/place/cache_test.go
@@ -1,12 +1,24 @@
 package place_test
 
-import "testing"
+import (
+	"runtime"
+	"testing"
+)
+
+// heapSize returns the size of the live heap, in bytes.
+func heapSize() int64 {
+	runtime.GC()
+	var ms runtime.MemStats
+	runtime.ReadMemStats(&ms)
+	return int64(ms.HeapAlloc)
+}
 
 // Guards against a router that is killed for its memory: it has hundreds of endpoints and runs for
-// hours, and each request adds a chat to the cache models. They are bounded over all endpoints, but
-// must keep the latest chat.
+// hours, and each request adds a chat to the cache models. They are bounded over all endpoints, in
+// parts and in bytes, but must keep the latest chat.
 func TestPartIndexIsBounded(t *testing.T) {
-	const most = 65536
+	const most, mostBytes = 65536, 8 << 20
+	before := heapSize()
 	pl := newPlacer(1)
 	register(pl, 60)
 	rq := newRequest(nil)
@@ -18,6 +30,9 @@
 	if entries := pl.IndexEntries(); entries > most {
 		t.Errorf("%d parts are in the index, want at most %d", entries, most)
 	}
+	if size := heapSize() - before; size > mostBytes {
+		t.Errorf("the cache models take %d bytes, want at most %d", size, mostBytes)
+	}
 	last := serve(t, pl, begin, rq)
 	if last.UncachedTokens > rq.Parts[2].Tokens {
 		t.Errorf("%d tokens of the latest chat are expected to be prefilled, want only its new turn", last.UncachedTokens)
--- a/core/place/export_test.go
+++ b/core/place/export_test.go
@@ -71,7 +71,7 @@
 	defer pl.mu.Unlock()
 	count := 0
 	for _, st := range pl.byID {
-		count += st.cache.order.Len()
+		count += st.cache.count()
 	}
 	return count
 }
