place: first version of endpoint speed

Cause: engines that report a multiple of the usual time keep getting their share of calls, and whole answers there reach the callers' deadlines. Change: the dialect parses the fourth figure of the load header and the largest output; a slow engine costs more by its load and by the share of calls that would be late there, as learned from the router's own calls.

--- a/core/place/choice.go
+++ b/core/place/choice.go
@@ -31,6 +31,10 @@
 	ownHeldTokens core.Tokens
 	// cheapestBase is the endpoint with the least cost apart from the prompt.
 	cheapestBase candidate
+	// pace is how fast calls of the pool run, nil if unknown. fastest is the least slowness of the
+	// usable endpoints.
+	pace    *pace
+	fastest float64
 	// loadMsByCalls is a table of loadMs by the number of calls.
 	loadMsByCalls [loadTableSize]float64
 }
@@ -59,7 +63,7 @@
 	pl.reports.expire(now)
 	ch := &choice{now: now, rq: rq, prefixes: prefixHashes(rq.Parts), members: pl.eligibleMembers(rq)}
 	ch.pool, ch.routers = rq.Pool, routers
-	ch.typicalMs = pl.callDurations[rq.Pool].typicalMs()
+	ch.typicalMs, ch.pace = pl.callDurations[rq.Pool].typicalMs(), pl.paces[rq.Pool]
 	if len(ch.prefixes) > 0 {
 		ch.chatKey = chatKey(ch.prefixes)
 	}
@@ -152,7 +156,7 @@
 	weigh := func(st *state) {
 		if st != nil && ch.eligible(pl, st) && st.scratch.usable && !st.scratch.weighed {
 			st.scratch.weighed = true
-			best.consider(pl, st, pl.baseMs(st, ch)+ch.prefillMs(ch.prefillAndFetch(st)))
+			best.consider(pl, st, pl.costMs(st, ch))
 		}
 	}
 	for ix := range ch.homes.count {
@@ -194,6 +198,7 @@
 		tk.ChatKey = ch.chatKey
 	}
 	tk.request, tk.prefixes, tk.awayFromHome = rq, ch.prefixes, st != ch.firstHome
+	tk.recordSpeedAtChoice(ch, prefill, fetched)
 	if tk.Cold = st.isCold(ch.now, rq.ColdDuration); tk.Cold && rq.ColdRate > 0 {
 		st.cold.window.Reserve()
 		tk.reserved = true
--- a/core/place/cost.go
+++ b/core/place/cost.go
@@ -100,7 +100,7 @@
 	}
 	if !ch.rq.Engine {
 		slots := float64(max(1, st.Slots))
-		return cost + st.health.typicalMs(ch.typicalMs)*max(0, calls+1-slots)/slots + plainLoadMs*calls/slots + pl.Rand.Float64()
+		return cost + st.health.typicalMs(ch.typicalMs)*max(0, calls+1-slots)/slots + plainLoadMs*calls/slots + ch.slowPlainMs(st) + pl.Rand.Float64()
 	}
 	if st.Slots > 0 {
 		slots := float64(st.Slots)
@@ -109,6 +109,12 @@
 	return cost + float64(st.pendingPrefill)/prefillTokensPerMs + ch.loadMs(calls)
 }
 
+// costMs predicts the cost of the call at an engine.
+func (pl *Placer) costMs(st *state, ch *choice) float64 {
+	prefill, fetched := ch.prefillAndFetch(st)
+	return pl.baseMs(st, ch) + ch.prefillMs(prefill, fetched) + ch.slowMs(st, float64(prefill), float64(fetched))
+}
+
 // loadMs returns what an engine's calls and one more call cost each other, in ms.
 func (ch *choice) loadMs(calls float64) float64 {
 	beyond := max(0, (calls+1)/(ch.capMean+pressureFloor)-1)
--- a/core/place/export_test.go
+++ b/core/place/export_test.go
@@ -31,7 +31,7 @@
 	}
 	for _, st := range ch.members {
 		if ch.usableCount > 0 && st.scratch.usable {
-			cs.CostMs = min(cs.CostMs, pl.baseMs(st, ch)+ch.prefillMs(ch.prefillAndFetch(st)))
+			cs.CostMs = min(cs.CostMs, pl.costMs(st, ch))
 		}
 	}
 	return cs
--- a/core/place/place.go
+++ b/core/place/place.go
@@ -94,6 +94,12 @@
 	ColdRate     float64
 	// WarmOnly excludes endpoints that are cold and rate-limited.
 	WarmOnly bool
+	// GoalAt is when the answer should begin, GapGoal the target for the longest pause between its
+	// events, and Deadline when the whole answer has to be there. MaxOutput is the largest number of
+	// tokens that it may have. Each is zero if unknown.
+	GoalAt, Deadline time.Time
+	GapGoal          time.Duration
+	MaxOutput        core.Tokens
 }
 
 // Result is the outcome of a placed call, as far as it concerns the endpoint.
@@ -157,6 +163,8 @@
 	customerUses map[core.PoolID]*customerUse
 	// callDurations holds how long calls of each pool take.
 	callDurations map[core.PoolID]*callDuration
+	// paces holds how fast calls of each pool run at the usual speed.
+	paces map[core.PoolID]*pace
 }
 
 // Register adds or updates an endpoint. An incarnation that was seen draining stays so: only a
@@ -257,6 +265,7 @@
 		pl.surges = map[core.PoolID]*surge{}
 		pl.customerUses = map[core.PoolID]*customerUse{}
 		pl.callDurations = map[core.PoolID]*callDuration{}
+		pl.paces = map[core.PoolID]*pace{}
 	}
 }
 
--- a/core/place/pool_stats.go
+++ b/core/place/pool_stats.go
@@ -104,6 +104,7 @@
 			st.updateFastPath(ch.now, settled, ch.rq.ColdDuration)
 			sc.looksDead = st.missing || st.health.looksDead(ch.now, st.ownCalls)
 			sc.settled = settled && st.canTransfer(ch.now)
+			sc.slowness, sc.slownessAhead = st.speed.current(ch.now), st.speed.ahead(ch.now)
 			failureRates += st.failureRate(ch.now)
 		}
 		ch.scoreHome(st)
@@ -232,6 +233,7 @@
 	if len(ch.prefixes) > 0 {
 		ch.homes.insert(st)
 	}
+	ch.noteSpeed(st)
 	st.scratch.minBaseMs = ch.minBaseMs(st)
 	if ch.cheapestBase.st == nil || st.scratch.minBaseMs <= ch.cheapestBase.cost {
 		ch.cheapestBase.consider(pl, st, pl.baseMs(st, ch))
--- /dev/null
+++ b/core/place/speed.go
@@ -0,0 +1,219 @@
+package place
+
+import (
+	"math"
+	"time"
+)
+
+// Load pattern: engines run several times slower than usual, a few of them for half a second at a
+// time because of their neighbours, and a part of a pool for many seconds. Calls last longer at a
+// slow engine while its homes keep sending it chats, so that it has three times the calls of the
+// others, and their answers reach the callers' deadlines. If all calls left a slow engine at once,
+// the reads and copies of their prompts would cost more than the short periods do. Therefore a slow
+// engine costs more only by the calls that would be late there, and by its load as far as it has
+// been slow for a time comparable to a call.
+
+const (
+	// usualTime is the time that an endpoint reports at its usual speed.
+	usualTime = 100
+	// maxSlowness bounds the factor of an endpoint, so that it fits a byte in eighths.
+	maxSlowness = 31
+	// minSlowness is the factor from which on an endpoint counts as slow: smaller differences are
+	// below those between calls.
+	minSlowness = 1.125
+	// speedTTL is how long a figure is used. Most periods of half a second have ended by then.
+	speedTTL = 1500 * time.Millisecond
+	// slownessTime is the time constant of the lasting factor. It is about the duration of a call,
+	// so that half a second of slowness counts for little, and a lasting one in full after 2 s.
+	slownessTime = time.Second
+	// heldGrowth is how long after a figure the endpoint counts as slow for the lasting factor.
+	// Without a further figure, the period may have ended.
+	heldGrowth = 300 * time.Millisecond
+	// slownessMemory is how long after the last figure the lasting factor is kept: an endpoint that
+	// gets no calls reports nothing, and is still slow when it is tried again.
+	slownessMemory = 10 * time.Second
+)
+
+// speed is how much slower than usual an endpoint works, as it reported.
+type speed struct {
+	// factor is the latest reported one, 0 if there is none; at is when the endpoint reported it.
+	factor float64
+	at     time.Time
+	// lasting follows factor with the time constant slownessTime.
+	lasting float64
+	// slowAt is when the endpoint was last slow, as far as it reported.
+	slowAt time.Time
+	// excess is the integral of the factor above 1, in ms, over the time before at.
+	excess float64
+}
+
+// update records a reported factor unless a later one is known. It returns whether it was recorded.
+func (sp *speed) update(at time.Time, factor float64) bool {
+	if !at.After(sp.at) {
+		return false
+	}
+	factor = min(maxSlowness, max(1, factor))
+	if since := at.Sub(sp.at); sp.factor == 0 || since > slownessMemory {
+		sp.lasting = 1
+	} else {
+		sp.excess = sp.excessUntil(at)
+		sp.lasting = sp.lastingAfter(sp.held(since, factor))
+	}
+	sp.factor, sp.at = factor, at
+	if factor >= minSlowness {
+		sp.slowAt = at
+	}
+	return true
+}
+
+// held returns for how long after the last figure the endpoint had at least its factor, as the
+// figure that follows after since shows.
+func (sp *speed) held(since time.Duration, next float64) time.Duration {
+	if since <= speedTTL && (next >= sp.factor || sp.factor < minSlowness) {
+		return since
+	}
+	return min(since, heldGrowth)
+}
+
+// lastingAfter returns the lasting factor after the endpoint has had the last figure for a time.
+func (sp *speed) lastingAfter(held time.Duration) float64 {
+	return sp.factor + (sp.lasting-sp.factor)*math.Exp(-float64(held)/float64(slownessTime))
+}
+
+// excessUntil returns the integral of the factor above 1, in ms, until now.
+func (sp *speed) excessUntil(now time.Time) float64 {
+	held := max(0, min(now.Sub(sp.at), speedTTL))
+	return sp.excess + max(0, sp.factor-1)*ms(held)
+}
+
+// current returns the factor to assume now.
+func (sp *speed) current(now time.Time) float64 {
+	if sp.factor < minSlowness || now.Sub(sp.at) > speedTTL {
+		return 1
+	}
+	return sp.factor
+}
+
+// ahead returns the factor to expect over the duration of a call.
+func (sp *speed) ahead(now time.Time) float64 {
+	current := sp.current(now)
+	if current == 1 {
+		return 1
+	}
+	return max(1, min(current, sp.lastingAfter(min(now.Sub(sp.at), heldGrowth))))
+}
+
+func ms(du time.Duration) float64 { return float64(du) / float64(time.Millisecond) }
+
+// RecordSpeed records how much time work takes at the endpoint, in percent of the usual, as it
+// reported in its response.
+func (tk *Ticket) RecordSpeed(now time.Time, percent int) {
+	if percent <= 0 {
+		return
+	}
+	tk.pl.mu.Lock()
+	defer tk.pl.mu.Unlock()
+	tk.st.updateSpeed(now, float64(percent)/usualTime)
+	tk.pacer.slow = tk.pacer.slow || tk.st.speed.current(now) > 1
+}
+
+func (st *state) updateSpeed(at time.Time, factor float64) {
+	if st.speed.update(at, factor) {
+		st.markChanged()
+	}
+}
+
+// Costs of slow endpoints, in ms.
+const (
+	// lateMs is the cost of an answer that begins late or pauses for too long, missedMs that of one
+	// that reaches its deadline. A late answer is worth a third of one in time, one that is cut off
+	// nothing. Both are in the range of failureMs: a call that is sure to be late is worth the
+	// prefill of its prompt elsewhere.
+	lateMs   = 500.0
+	missedMs = 700.0
+	// hopelessShare is the probability of missing the deadline at the fastest engine from which on
+	// a request goes to the fastest.
+	hopelessShare = 0.5
+)
+
+// slowMs returns the additional cost of a call at an engine that is slower than usual, given the
+// tokens that it would prefill and fetch. It is never negative, so that bounds of the cost without it
+// remain valid.
+func (ch *choice) slowMs(st *state, prefill, fetched float64) float64 {
+	sc := &st.scratch
+	if sc.slowness <= 1 {
+		return 0
+	}
+	calls := float64(st.ownCalls + sc.peerCalls)
+	cost := ch.loadMs(calls*sc.slownessAhead) - ch.loadMs(calls)
+	if st.Slots > 0 {
+		slots := float64(st.Slots)
+		wait := queueWeight * st.health.typicalMs(ch.typicalMs) / slots
+		cost += wait * (sc.slownessAhead*max(0, calls+1-slots) - max(0, calls+1-slots))
+	}
+	return cost + ch.lateness(sc.slowness, sc.slownessAhead, promptMs(st, prefill, fetched, ch.rq.FetchTokensPerMs))
+}
+
+// promptMs returns how long the prompt takes before the first token at an engine at its usual speed.
+func promptMs(st *state, prefill, fetched, fetchRate float64) float64 {
+	took := (float64(st.pendingPrefill) + prefill) / prefillTokensPerMs
+	if fetched > 0 {
+		took += fetched / fetchRate
+	}
+	return took
+}
+
+// lateness returns the cost of the calls that would be late only because the engine is slow: now by
+// the factor, and over the duration of the call by ahead.
+func (ch *choice) lateness(factor, ahead, promptMs float64) float64 {
+	pa, rq := ch.pace, ch.rq
+	if pa == nil {
+		return 0
+	}
+	var cost float64
+	if !rq.GoalAt.IsZero() {
+		if left := ms(rq.GoalAt.Sub(ch.now)); left > 0 {
+			cost += lateMs * (pa.first.above(left/factor-promptMs) - pa.first.above(left-promptMs))
+		}
+	}
+	if rq.GapGoal > 0 {
+		goal := ms(rq.GapGoal)
+		cost += lateMs * (pa.gap.above(goal/ahead) - pa.gap.above(goal))
+	}
+	return cost + missedMs*ch.missed(ahead)
+}
+
+// missed returns the probability that the call misses its deadline because the engine is slow. If it
+// would probably do so at every engine, it is lower the faster the engine is.
+func (ch *choice) missed(ahead float64) float64 {
+	left := ms(ch.rq.Deadline.Sub(ch.now))
+	if ch.rq.Deadline.IsZero() || left <= 0 {
+		return 0
+	}
+	tokens := ch.outputTokens()
+	if ch.pace.whole.above(left/ch.fastest/tokens) > hopelessShare {
+		return 1 - ch.fastest/ahead
+	}
+	return ch.pace.whole.above(left/ahead/tokens) - ch.pace.whole.above(left/tokens)
+}
+
+// outputTokens returns the number by which the duration of the answer is scaled.
+func (ch *choice) outputTokens() float64 { return float64(max(1, ch.rq.MaxOutput)) }
+
+// slowPlainMs returns the additional cost of a call at a plain endpoint that is slower than usual.
+func (ch *choice) slowPlainMs(st *state) float64 {
+	slower := st.scratch.slowness - 1
+	if slower <= 0 {
+		return 0
+	}
+	calls, slots := float64(st.ownCalls+st.scratch.peerCalls), float64(max(1, st.Slots))
+	typical := min(st.health.typicalMs(ch.typicalMs), ch.typicalMs)
+	return slower * (typical*(1+max(0, calls+1-slots)/slots) + plainLoadMs*calls/slots)
+}
+
+// noteSpeed keeps the least factor of the usable engines.
+func (ch *choice) noteSpeed(st *state) {
+	if ch.fastest == 0 || st.scratch.slownessAhead < ch.fastest {
+		ch.fastest = st.scratch.slownessAhead
+	}
+}
--- a/core/place/state.go
+++ b/core/place/state.go
@@ -40,6 +40,8 @@
 	// load is the number of calls that the endpoint last reported, adjusted by own calls begun and
 	// ended since.
 	load gauge.Count
+	// speed is how much slower than usual the endpoint works, as it reported.
+	speed speed
 	Endpoint
 
 	// hash is that of the ID and incarnation. It names the endpoint to peers, so that their reports
@@ -61,6 +63,9 @@
 	looksDead, settled, usable bool
 	// minBaseMs is a lower bound of baseMs.
 	minBaseMs float64
+	// slowness is the factor by which the endpoint is slower than usual, 1 or more; slownessAhead is
+	// the one to expect over the duration of a call.
+	slowness, slownessAhead float64
 	// weighed is set once the cost of the endpoint is computed.
 	weighed bool
 }
@@ -88,7 +93,7 @@
 func (st *state) updateFastPath(now time.Time, settled bool, coldFor time.Duration) {
 	st.fastPath = settled && !st.isCold(now, coldFor) && st.ownCalls == 0 && !st.missing && st.pendingPrefill == 0 &&
 		st.health.clean(now) && st.load.Expired(now) && !now.Before(st.fullUntil) && !now.Before(st.backoffUntil) &&
-		!now.Before(st.unreachableUntil)
+		!now.Before(st.unreachableUntil) && st.speed.current(now) == 1
 }
 
 // failureRate returns the endpoint's failure rate, or 0 if it gets no calls.
--- a/core/place/ticket.go
+++ b/core/place/ticket.go
@@ -41,6 +41,10 @@
 	// endpoint reported in its response, this one included; -1 if it reported none.
 	Hash          uint64
 	ReportedCalls int
+	// Slowness is the factor by which the endpoint was assumed to be slower than usual, and
+	// ExpectedFirst the expected time until the first token; 0 if none is known.
+	Slowness      float64
+	ExpectedFirst time.Duration
 
 	pl      *Placer
 	st      *state
@@ -57,6 +61,7 @@
 	// use counts the call for its customer.
 	use      *customerUse
 	customer core.CustomerID
+	pacer    pacer
 }
 
 // BeforeSend must be called immediately before the call is sent. It returns "", or the reason why
@@ -104,6 +109,7 @@
 	if st.cold.unreachable {
 		st.cold.unreachable, st.cold.since = false, now
 	}
+	tk.pacer.activity(now, st.speed.current(now))
 	tk.prefillDone()
 }
 
@@ -140,6 +146,7 @@
 		cd := tk.pl.callDurationOf(st.Pool)
 		st.health.recordDuration(took, cd.typicalMs())
 		cd.record(took)
+		tk.recordPace(now)
 	case Failed:
 		st.health.recordFailure(now)
 	case Rejected:
--- a/io/relay/attempt.go
+++ b/io/relay/attempt.go
@@ -83,15 +83,22 @@
 	}
 	ex.received()
 	ex.handleNotice()
-	if calls, reported := ex.rq.re.Dialect.Calls(ex.rs.Header); reported {
-		ex.tk.RecordLoad(time.Now(), calls)
-		if counts := ex.rq.re.Counts; counts != nil {
-			counts.ReportInFlight(ex.tk.Hash, calls)
-		}
+	if lo, reported := ex.rq.re.Dialect.Load(ex.rs.Header); reported {
+		ex.recordLoad(lo)
 	}
 	return ex.handleHead(ctx)
 }
 
+// recordLoad records what the endpoint reported of its load.
+func (ex *exchange) recordLoad(lo Load) {
+	now, calls := time.Now(), lo.Running+lo.Waiting
+	ex.tk.RecordLoad(now, calls)
+	ex.tk.RecordSpeed(now, lo.TimePercent)
+	if counts := ex.rq.re.Counts; counts != nil {
+		counts.ReportInFlight(ex.tk.Hash, calls)
+	}
+}
+
 // isOwn reports whether a response belongs to this request.
 func (ex *exchange) isOwn(hd http.Header) bool {
 	echoed := hd.Get(ex.rq.re.Dialect.RequestID)
--- a/io/relay/counts_test.go
+++ b/io/relay/counts_test.go
@@ -10,6 +10,7 @@
 	"almondrill/core/place"
 	"almondrill/core/route"
 	"almondrill/io/fakes/local"
+	"almondrill/io/relay"
 )
 
 // fakeCounts returns the same count for each endpoint, and records what is reported to it.
@@ -58,7 +59,7 @@
 	t.Helper()
 	fl := newFleet(t, respond(http.StatusOK, "x"), respond(http.StatusOK, "x"))
 	fl.re.Placer.RouterCount = func() int { return 2 }
-	fl.re.Dialect.Calls = func(http.Header) (int, bool) { return 5, true }
+	fl.re.Dialect.Load = func(http.Header) (relay.Load, bool) { return relay.Load{Running: 5}, true }
 	fl.re.Counts = fc
 	for range 6 { // occupy some slots
 		if _, rf := fl.re.Placer.Pick(time.Now(), &place.Request{Pool: "pool", Engine: true}); rf != nil {
--- a/io/relay/harness_test.go
+++ b/io/relay/harness_test.go
@@ -33,7 +33,8 @@
 	NotRun: "X-Not-Run", Stamp: "X-Stamp", Rank: "X-Rank", MaxRank: 9, Resume: "Last-Event-Id", Fetch: "X-Fetch",
 	RouterOnly: []string{"X-Key", "X-Customer", "X-Expect", "X-Rank", "X-Fetch", "X-Secret"},
 	Prompt:     func(http.Header) []place.Part { return nil },
-	Calls:      func(http.Header) (int, bool) { return 0, false },
+	Output:     func(http.Header) core.Tokens { return 0 },
+	Load:       func(http.Header) (relay.Load, bool) { return relay.Load{}, false },
 	Notice:     notice,
 }
 
--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -71,13 +71,22 @@
 	RouterOnly []string
 	// Prompt extracts the parts of a request's prompt.
 	Prompt func(hd http.Header) []place.Part
-	// Calls extracts the endpoint's number of calls in flight from its response; false if the
-	// response does not report it.
-	Calls func(hd http.Header) (int, bool)
+	// Output extracts the largest number of tokens that a request's answer may have; 0 if unknown.
+	Output func(hd http.Header) core.Tokens
+	// Load extracts the endpoint's load from its response; false if the response does not report it.
+	Load func(hd http.Header) (Load, bool)
 	// Notice extracts the endpoint's notice from the header of a response with that status.
 	Notice func(status int, hd http.Header) Notice
 }
 
+// Load is what an endpoint reports of its load in the header of a response.
+type Load struct {
+	// Running and Waiting are its calls in flight. Slots is how many it runs at once; 0 if unknown.
+	Running, Waiting, Slots int
+	// TimePercent is how long work takes there, in percent of the usual; 0 if unknown.
+	TimePercent int
+}
+
 // Notice is what an endpoint announces about itself in the header of a response. The zero value
 // announces nothing.
 type Notice struct {
--- a/io/relay/request.go
+++ b/io/relay/request.go
@@ -187,7 +187,10 @@
 
 // placementRequest returns the criteria for choosing an endpoint.
 func (rq *request) placementRequest() *place.Request {
-	pr := &place.Request{Pool: rq.pool, Parts: rq.promptParts, Tried: rq.tried}
+	pr := &place.Request{Pool: rq.pool, Parts: rq.promptParts, Tried: rq.tried, Deadline: rq.deadline, GapGoal: rq.route.GapGoal}
+	if rq.route.FirstByteGoal > 0 {
+		pr.GoalAt = rq.began.Add(rq.route.FirstByteGoal)
+	}
 	if rq.customer != nil {
 		pr.Customer = rq.customer.ID
 	}
@@ -196,6 +199,9 @@
 	if po := rq.table.Pool(rq.pool); po != nil {
 		pr.MaxConns = po.MaxConns
 		pr.Engine = po.Engine
+		if po.Engine {
+			pr.MaxOutput = rq.re.Dialect.Output(rq.hr.Header)
+		}
 		pr.EngineMemory = po.CacheTokens
 		pr.FetchTokensPerMs = po.FetchTokensPerMs
 		pr.ColdDuration, pr.ColdRate = po.ColdDuration, po.ColdRate
@@ -289,7 +295,8 @@
 	if tk := rq.ticket; tk != nil {
 		fields = append(fields, zap.String("Endpoint", string(tk.Endpoint.ID)), zap.Float64("CostMs", math.Round(tk.CostMs)),
 			zap.Int("Calls", tk.OwnCalls), zap.Int("Others", tk.PeerCalls), zap.Int("Said", tk.ReportedCalls), zap.Float64("Mean", math.Round(10*tk.MeanCalls)/10),
-			zap.Int("Usable", tk.Usable), zap.Int("Full", tk.Full), zap.Int("BackingOff", tk.BackingOff), zap.Int("ColdFull", tk.ColdFull), zap.Int("Of", tk.PoolSize), zap.Bool("Cold", tk.Cold))
+			zap.Int("Usable", tk.Usable), zap.Int("Full", tk.Full), zap.Int("BackingOff", tk.BackingOff), zap.Int("ColdFull", tk.ColdFull), zap.Int("Of", tk.PoolSize), zap.Bool("Cold", tk.Cold),
+			zap.Float64("Speed", math.Round(100*tk.Slowness)/100), zap.Duration("ExpectedFirst", tk.ExpectedFirst))
 		if tk.PromptTokens > 0 {
 			fields = append(fields, zap.String("Chat", strconv.FormatUint(tk.ChatKey, 16)), zap.Bool("Home", tk.AtHome), zap.Int64("Prompt", int64(tk.PromptTokens)),
 				zap.Int64("Uncached", int64(tk.UncachedTokens)), zap.Int64("Fetched", int64(tk.FetchTokens)), zap.String("FetchFrom", tk.FetchFrom))
