gossip: forward the speed of slow endpoints under key 21

Cause: a router without calls at a slow endpoint does not know its speed. Change: load reports carry the figures since the last report to that peer, 4 bytes each, at most 16.

--- /dev/null
+++ b/core/place/speed_report.go
@@ -0,0 +1,66 @@
+package place
+
+import (
+	"slices"
+	"time"
+)
+
+// Routers forward the latest figures of slow endpoints to each other, so that one that has no calls
+// at an endpoint knows its speed. An entry has the two bytes of the endpoint's short hash, its factor
+// in eighths, and the age of the figure in units of speedAgeUnit.
+
+const (
+	speedEntrySize = 4
+	// maxSpeedEntries bounds the entries in a message, and with them its size.
+	maxSpeedEntries = 16
+	factorSteps     = 8
+	speedAgeUnit    = 20 * time.Millisecond
+	// recoveredWindow is how long it is forwarded that an endpoint is back at its usual speed: some
+	// reports to each of a dozen peers.
+	recoveredWindow = 2 * time.Second
+)
+
+// Speeds encodes the figures after since of endpoints that are slower than usual or were until
+// recently, the newest first.
+func (pl *Placer) Speeds(now, since time.Time) []byte {
+	pl.mu.Lock()
+	defer pl.mu.Unlock()
+	var slow []*state
+	for _, st := range pl.byID {
+		if now.Sub(st.speed.slowAt) <= recoveredWindow && now.Sub(st.speed.at) <= speedTTL && st.speed.at.After(since) {
+			slow = append(slow, st)
+		}
+	}
+	slices.SortFunc(slow, func(a, b *state) int {
+		if byAge := b.speed.at.Compare(a.speed.at); byAge != 0 {
+			return byAge
+		}
+		return compareID(a, b.ID)
+	})
+	var packed []byte
+	for _, st := range slow[:min(len(slow), maxSpeedEntries)] {
+		hash := shortHash(st.hash)
+		// The age is rounded up: rounded down, a figure would become newer each time that routers
+		// forward it to each other, and never expire.
+		age := max(0, now.Sub(st.speed.at)+speedAgeUnit-1) / speedAgeUnit
+		packed = append(packed, byte(hash>>8), byte(hash), byte(st.speed.factor*factorSteps+0.5), byte(age))
+	}
+	return packed
+}
+
+// ApplySpeeds records the figures that a peer forwarded. transit is the minimum transit delay of the
+// message. Figures that are too old, and those of endpoints whose short hashes are equal, are
+// ignored.
+func (pl *Placer) ApplySpeeds(now time.Time, transit time.Duration, packed []byte) {
+	pl.mu.Lock()
+	defer pl.mu.Unlock()
+	packed = packed[:min(len(packed), maxSpeedEntries*speedEntrySize)]
+	for ; len(packed) >= speedEntrySize; packed = packed[speedEntrySize:] {
+		age := time.Duration(packed[3])*speedAgeUnit + transit
+		named := pl.byShortHash[uint16(packed[0])<<8|uint16(packed[1])]
+		if age > speedTTL || len(named) != 1 {
+			continue
+		}
+		named[0].updateSpeed(now.Add(-age), float64(packed[2])/factorSteps)
+	}
+}
--- a/io/gossip/fuzz_test.go
+++ b/io/gossip/fuzz_test.go
@@ -17,6 +17,7 @@
 func FuzzHear(f *testing.F) {
 	for _, body := range []any{
 		map[int]any{1: 7, 2: []byte{1, 2, 3}, 5: []string{"127.0.0.1:1"}, 6: []any{[]any{1, 2, 3}}, 7: []byte{1, 2, 3, 4, 5, 6}},
+		map[int]any{21: []byte{1, 2, 255, 0, 3}},
 		map[int]any{10: []any{1, 7, 3, 9}},
 		map[int]any{10: []any{4, 7, 0, 0}},
 		map[int]any{10: []any{5, 7, 0, 0}},
--- a/io/gossip/gossip.go
+++ b/io/gossip/gossip.go
@@ -127,6 +127,8 @@
 	Incarnation swim.Incarnation `cbor:"17,keyasint,omitempty"`
 	// Watchers are the elected watchers of the store, see packWatchers.
 	Watchers []byte `cbor:"18,keyasint,omitempty"`
+	// Speeds are the figures of endpoints that are slower than usual, see place.Placer.Speeds.
+	Speeds []byte `cbor:"21,keyasint,omitempty"`
 }
 
 // Feed reports how current this router's mirror of the store is.
@@ -352,6 +354,7 @@
 	gr.Placer.ApplyLoadReport(now, from, ms.Calls)
 	gr.Placer.ApplyMoves(ms.Moves)
 	gr.Placer.ApplyReadings(now, minTransitDelay, ms.Readings)
+	gr.Placer.ApplySpeeds(now, minTransitDelay, ms.Speeds)
 }
 
 // recordSender records what a message says of its sender and of others. It returns false if the
--- a/io/gossip/send.go
+++ b/io/gossip/send.go
@@ -28,6 +28,7 @@
 	}
 	for _, ta := range gr.due(now, maxPeers, interval) {
 		ms.Moves, ms.Rumors = gr.Placer.Moves(now, ta.lastSent), nil
+		ms.Speeds = gr.Placer.Speeds(now, ta.lastSent)
 		gr.addRumors(ms)
 		data, err := cbor.Marshal(ms)
 		if err != nil {
@@ -113,7 +114,7 @@
 		return
 	}
 	ms := gr.message(now)
-	ms.From, ms.Readings = gr.Self, gr.Placer.Readings(now)
+	ms.From, ms.Readings, ms.Speeds = gr.Self, gr.Placer.Readings(now), gr.Placer.Speeds(now, time.Time{})
 	ms.LivePeers, ms.Config = uint16(min(math.MaxUint16, gr.Live())), gr.configInForce()
 	for _, addr := range gr.randomAlive(maxPeers) {
 		if packed := packAddr(addr); packed != nil {
