--- a/core/place/pace.go
+++ b/core/place/pace.go
@@ -34,9 +34,11 @@
 	// spreadWindow is the number of samples after which all weights are halved, so that the
 	// distribution follows the load within a few hundred calls.
 	spreadWindow = 512
-	// minSpreadSamples is the number of samples below which nothing is known: fewer say little
-	// about the slowest tenth.
+	// minSpreadSamples is the number of samples below which they say little about the slowest
+	// tenth: one of hundreds of routers has that many only after many seconds. Until then the mean
+	// of at least minMeanSamples is used, as that of an exponential distribution.
 	minSpreadSamples = 20
+	minMeanSamples   = 3
 )
 
 // spread is the distribution of the latest samples of a quantity, in buckets of equal ratio.
@@ -47,6 +49,8 @@
 	sum     float32
 	current bool
 	count   int
+	// total is the sum of the first minSpreadSamples samples.
+	total float64
 }
 
 // position returns the bucket of a value and the value's position within it.
@@ -67,18 +71,23 @@
 			sp.weights[ix] /= 2
 		}
 	}
+	if sp.count <= minSpreadSamples {
+		sp.total += value
+	}
 	bucket, _ := position(value)
 	sp.weights[bucket]++
 	sp.current = false
 }
 
-// above returns the share of samples above the value, 0 if too few are known.
+// above returns the probability of a value above the given one, 0 if too few samples are known.
 func (sp *spread) above(value float64) float64 {
-	if sp.count < minSpreadSamples {
+	switch {
+	case sp.count < minMeanSamples:
 		return 0
-	}
-	if value <= 0 {
+	case value <= 0:
 		return 1
+	case sp.count < minSpreadSamples:
+		return math.Exp(-value * float64(sp.count) / sp.total)
 	}
 	if !sp.current {
 		sp.sumUp()
