place: fade the factor of a slow engine once its figure expired

Cause: an engine with many calls gets no further ones, its figure expires, and all routers send it calls at once. Change: the load of an engine counts with the lasting factor, which fades over seconds.

--- a/core/place/speed.go
+++ b/core/place/speed.go
@@ -29,6 +29,10 @@
 	// heldGrowth is how long after a figure the endpoint counts as slow for the lasting factor.
 	// Without a further figure, the period may have ended.
 	heldGrowth = 300 * time.Millisecond
+	// slownessFade is the time constant with which the lasting factor fades once its figure has
+	// expired. An engine with many calls gets no further ones and reports nothing; if it counted as
+	// usual at once, all routers would send it calls at the same time.
+	slownessFade = 2 * time.Second
 	// slownessMemory is how long after the last figure the lasting factor is kept: an endpoint that
 	// gets no calls reports nothing, and is still slow when it is tried again.
 	slownessMemory = 10 * time.Second
@@ -94,13 +98,21 @@
 	return sp.factor
 }
 
-// ahead returns the factor to expect over the duration of a call.
+// ahead returns the factor to expect over the duration of a call. Once the figure has expired, the
+// factor fades.
 func (sp *speed) ahead(now time.Time) float64 {
-	current := sp.current(now)
-	if current == 1 {
+	if sp.factor < minSlowness {
 		return 1
 	}
-	return max(1, min(current, sp.lastingAfter(min(now.Sub(sp.at), heldGrowth))))
+	since := now.Sub(sp.at)
+	factor := max(1, min(sp.factor, sp.lastingAfter(min(since, heldGrowth))))
+	if since > speedTTL {
+		factor = 1 + (factor-1)*math.Exp(-float64(since-speedTTL)/float64(slownessFade))
+		if factor < minSlowness {
+			return 1
+		}
+	}
+	return factor
 }
 
 func ms(du time.Duration) float64 { return float64(du) / float64(time.Millisecond) }
@@ -141,7 +153,7 @@
 // remain valid.
 func (ch *choice) slowMs(st *state, prefill, fetched float64) float64 {
 	sc := &st.scratch
-	if sc.slowness <= 1 {
+	if sc.slownessAhead <= 1 && sc.slowness <= 1 {
 		return 0
 	}
 	calls := float64(st.ownCalls + sc.peerCalls)
--- a/core/place/speed_sim_test.go
+++ b/core/place/speed_sim_test.go
@@ -197,7 +197,7 @@
 	if un.step-ca.arrived > int(ca.kind.goal/stepTime) {
 		un.late++
 		if un.dbg != nil {
-			un.dbg[fmt.Sprint("late f", en.factor, " at choice ", ca.tk.Slowness, " fetch ", ca.fetchUntil > 0, " home ", ca.tk.AtHome)]++
+			un.dbg[fmt.Sprint("late t", (ca.arrived/100), " f", en.factor, " at choice ", ca.tk.Slowness, " fetch ", ca.fetchUntil > 0, " home ", ca.tk.AtHome)]++
 		}
 	}
 	ca.tk.RecordActivity(un.now())
--- a/core/place/state.go
+++ b/core/place/state.go
@@ -93,7 +93,7 @@
 func (st *state) updateFastPath(now time.Time, settled bool, coldFor time.Duration) {
 	st.fastPath = settled && !st.isCold(now, coldFor) && st.ownCalls == 0 && !st.missing && st.pendingPrefill == 0 &&
 		st.health.clean(now) && st.load.Expired(now) && !now.Before(st.fullUntil) && !now.Before(st.backoffUntil) &&
-		!now.Before(st.unreachableUntil) && st.speed.current(now) == 1
+		!now.Before(st.unreachableUntil) && st.speed.current(now) == 1 && st.speed.ahead(now) == 1
 }
 
 // failureRate returns the endpoint's failure rate, or 0 if it gets no calls.
