--- a/core/place/pace.go
+++ b/core/place/pace.go
@@ -14,6 +14,37 @@
 	// between events, both in ms. whole is the duration of the call in ms per token of output that
 	// the request allows.
 	first, gap, whole spread
+	// slope is by how much first grows with the factor of the engine's speed, relative to first: the
+	// parts of it outside of the engine do not grow. slopeCount counts the calls that it was learned
+	// from.
+	slope      float64
+	slopeCount int
+}
+
+const (
+	// slopeWeight is the weight of one call in the slope, and slopePrior the number of calls as
+	// which the assumption counts that first grows in proportion.
+	slopeWeight = 0.05
+	slopePrior  = 5
+	maxSlope    = 4
+)
+
+// firstFactor returns the factor of the time until the first token, given that of the engine.
+func (pa *pace) firstFactor(factor float64) float64 {
+	slope := (pa.slope*float64(pa.slopeCount) + slopePrior) / float64(pa.slopeCount+slopePrior)
+	return 1 + slope*(factor-1)
+}
+
+// recordSlope learns from a call whose first token took that long at an engine that was slower than
+// usual, and whose prompt was expected to take promptMs.
+func (pa *pace) recordSlope(firstMs, promptMs, factor float64) {
+	usual := pa.first.median()
+	if factor < minSlowness || usual <= 0 {
+		return
+	}
+	slope := ((firstMs-promptMs*factor)/usual - 1) / (factor - 1)
+	pa.slopeCount++
+	pa.slope += max(slopeWeight, 1/float64(pa.slopeCount)) * (min(maxSlope, max(0, slope)) - pa.slope)
 }
 
 func (pl *Placer) paceOf(pool core.PoolID) *pace {
@@ -138,8 +169,12 @@
 		return
 	}
 	pa := tk.pl.paceOf(tk.st.Pool)
+	first := ms(pc.firstAt.Sub(tk.Started))
+	if tk.Slowness > 1 {
+		pa.recordSlope(first, pc.promptMs, tk.Slowness)
+	}
 	if !pc.slow {
-		pa.first.add(max(0, ms(pc.firstAt.Sub(tk.Started))-pc.promptMs))
+		pa.first.add(max(0, first-pc.promptMs))
 		if pc.longest > 0 {
 			pa.gap.add(ms(pc.longest))
 		}
@@ -155,7 +190,7 @@
 	tk.pacer.excess = tk.st.speed.excessUntil(ch.now)
 	tk.pacer.promptMs = promptMs(tk.st, float64(prefill), float64(fetched), ch.rq.FetchTokensPerMs)
 	if ch.rq.Engine && ch.pace != nil && ch.pace.first.count >= minSpreadSamples {
-		first := (ch.pace.first.median() + tk.pacer.promptMs) * sc.slowness
+		first := ch.pace.first.median()*ch.pace.firstFactor(sc.slowness) + tk.pacer.promptMs*sc.slowness
 		tk.ExpectedFirst = time.Duration(first * float64(time.Millisecond))
 	}
 }
--- a/core/place/speed.go
+++ b/core/place/speed.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 )
 
@@ -23,19 +24,18 @@
 	minSlowness = 1.125
 	// speedTTL is how long a figure is used. Most periods of half a second have ended by then.
 	speedTTL = 1500 * time.Millisecond
-	// slownessTime is the time constant of the lasting factor. It is about the duration of a call,
-	// so that half a second of slowness counts for little, and a lasting one in full after 2 s.
-	slownessTime = time.Second
-	// heldGrowth is how long after a figure the endpoint counts as slow for the lasting factor.
-	// Without a further figure, the period may have ended.
-	heldGrowth = 300 * time.Millisecond
+	// slownessStep is the resolution of the window over which a factor lasts, slownessSteps the
+	// number of steps in it: twice the duration of a short period. What lasts longer will probably
+	// last for the duration of a call.
+	slownessStep  = 300 * time.Millisecond
+	slownessSteps = 4
 	// slownessFade is the time constant with which the lasting factor fades once its figure has
 	// expired. An engine with many calls gets no further ones and reports nothing; if it counted as
 	// usual at once, all routers would send it calls at the same time.
 	slownessFade = 2 * time.Second
-	// slownessMemory is how long after the last figure the lasting factor is kept: an endpoint that
-	// gets no calls reports nothing, and is still slow when it is tried again.
-	slownessMemory = 10 * time.Second
+	// slownessMemory is how long after the last figure the window is kept: an endpoint that gets no
+	// calls reports nothing, and is still slow when it is tried again.
+	slownessMemory = 5 * time.Second
 )
 
 // speed is how much slower than usual an endpoint works, as it reported.
@@ -43,8 +43,9 @@
 	// factor is the latest reported one, 0 if there is none; at is when the endpoint reported it.
 	factor float64
 	at     time.Time
-	// lasting follows factor with the time constant slownessTime.
-	lasting float64
+	// least holds the least factor of each of the latest steps up to at, and step is the last one.
+	least [slownessSteps]float64
+	step  int64
 	// slowAt is when the endpoint was last slow, as far as it reported.
 	slowAt time.Time
 	// excess is the integral of the factor above 1, in ms, over the time before at.
@@ -57,12 +58,8 @@
 		return false
 	}
 	factor = min(maxSlowness, max(1, factor))
-	if since := at.Sub(sp.at); sp.factor == 0 || since > slownessMemory {
-		sp.lasting = 1
-	} else {
-		sp.excess = sp.excessUntil(at)
-		sp.lasting = sp.lastingAfter(sp.held(since, factor))
-	}
+	sp.excess = sp.excessUntil(at)
+	sp.roll(at, factor)
 	sp.factor, sp.at = factor, at
 	if factor >= minSlowness {
 		sp.slowAt = at
@@ -70,19 +67,29 @@
 	return true
 }
 
-// held returns for how long after the last figure the endpoint had at least its factor, as the
-// figure that follows after since shows.
-func (sp *speed) held(since time.Duration, next float64) time.Duration {
-	if since <= speedTTL && (next >= sp.factor || sp.factor < minSlowness) {
-		return since
-	}
-	return min(since, heldGrowth)
+// roll moves the window to the step of a new factor. In steps without a figure the endpoint has the
+// lesser of the factors before and after.
+func (sp *speed) roll(at time.Time, factor float64) {
+	step := at.UnixNano() / int64(slownessStep)
+	between := min(sp.factor, factor)
+	since := at.Sub(sp.at)
+	if sp.factor == 0 || since > slownessMemory || since > speedTTL && between < minSlowness {
+		between = 1
+	}
+	for range min(slownessSteps, step-sp.step) {
+		copy(sp.least[:], sp.least[1:])
+		sp.least[slownessSteps-1] = between
+	}
+	last := &sp.least[slownessSteps-1]
+	if step > sp.step && between == 1 {
+		*last = factor
+	}
+	*last = min(*last, factor)
+	sp.step = step
 }
 
-// lastingAfter returns the lasting factor after the endpoint has had the last figure for a time.
-func (sp *speed) lastingAfter(held time.Duration) float64 {
-	return sp.factor + (sp.lasting-sp.factor)*math.Exp(-float64(held)/float64(slownessTime))
-}
+// lasting returns the least factor within the window.
+func (sp *speed) lasting() float64 { return max(1, slices.Min(sp.least[:])) }
 
 // excessUntil returns the integral of the factor above 1, in ms, until now.
 func (sp *speed) excessUntil(now time.Time) float64 {
@@ -105,7 +112,7 @@
 		return 1
 	}
 	since := now.Sub(sp.at)
-	factor := max(1, min(sp.factor, sp.lastingAfter(min(since, heldGrowth))))
+	factor := min(sp.factor, sp.lasting())
 	if since > speedTTL {
 		factor = 1 + (factor-1)*math.Exp(-float64(since-speedTTL)/float64(slownessFade))
 		if factor < minSlowness {
@@ -185,7 +192,7 @@
 	var cost float64
 	if !rq.GoalAt.IsZero() {
 		if left := ms(rq.GoalAt.Sub(ch.now)); left > 0 {
-			cost += lateMs * (pa.first.above(left/factor-promptMs) - pa.first.above(left-promptMs))
+			cost += lateMs * (pa.first.above((left-promptMs*factor)/pa.firstFactor(factor)) - pa.first.above(left-promptMs))
 		}
 	}
 	if rq.GapGoal > 0 {
--- a/core/place/speed_sim_test.go
+++ b/core/place/speed_sim_test.go
@@ -257,7 +257,7 @@
 }
 
 func TestSimSlow(t *testing.T) {
-	for _, routers := range []int{12,103,420} {
+	for _, routers := range []int{12, 103, 420} {
 		for _, told := range []bool{false, true} {
 			un := newUneven(routers, told)
 			un.play(600)
@@ -287,3 +287,31 @@
 		}
 	}
 }
+
+// noise slows 0.15 of the engines by 2.5 for 0.6 s at a time.
+func noise(engine, step int) float64 {
+	const steps = 60
+	ra := newRand(uint64(engine)<<32 | uint64(step/steps))
+	if ra.Float64() < 0.15 {
+		return 2.5
+	}
+	return 1
+}
+
+func TestSimNoise(t *testing.T) {
+	for _, routers := range []int{12, 103, 420} {
+		for _, ca := range []struct{ noisy, told bool }{{false, false}, {true, false}, {true, true}} {
+			for _, rate := range []float64{1, 1.7} {
+				un := newUneven(routers, ca.told)
+				if ca.noisy {
+					un.factorOf = noise
+				}
+				un.rate = func(int) float64 { return rate }
+				un.play(600)
+				un.reset()
+				un.play(1000)
+				t.Log(routers, ca, rate, un)
+			}
+		}
+	}
+}
