--- a/core/place/speed.go
+++ b/core/place/speed.go
@@ -28,7 +28,7 @@
 	// number of steps in it: twice the duration of a short period. What lasts longer will probably
 	// last for the duration of a call.
 	slownessStep  = 300 * time.Millisecond
-	slownessSteps = 4
+	slownessSteps = 5
 	// slownessFade is the time constant with which the lasting factor fades once its figure has
 	// expired. An engine with many calls gets no further ones and reports nothing; if it counted as
 	// usual at once, all routers would send it calls at the same time.
@@ -150,6 +150,10 @@
 	// prefill of its prompt elsewhere.
 	lateMs   = 500.0
 	missedMs = 700.0
+	// slowLoadWeight weighs the load of a slow engine beyond that of its calls at the usual speed.
+	// With the full weight, chats leave that would be in time; without, a slow engine has three times
+	// the calls of the others, and new ones wait behind them.
+	slowLoadWeight = 0.5
 	// hopelessShare is the probability of missing the deadline at the fastest engine from which on
 	// a request goes to the fastest.
 	hopelessShare = 0.5
@@ -164,10 +168,10 @@
 		return 0
 	}
 	calls := float64(st.ownCalls + sc.peerCalls)
-	cost := ch.loadMs(calls*sc.slownessAhead) - ch.loadMs(calls)
+	cost := slowLoadWeight * (ch.loadMs(calls*sc.slownessAhead) - ch.loadMs(calls))
 	if st.Slots > 0 {
 		slots := float64(st.Slots)
-		wait := queueWeight * st.health.typicalMs(ch.typicalMs) / slots
+		wait := queueWeight * ch.typicalMs / slots
 		cost += wait * (sc.slownessAhead*max(0, calls+1-slots) - max(0, calls+1-slots))
 	}
 	return cost + ch.lateness(sc.slowness, sc.slownessAhead, promptMs(st, prefill, fetched, ch.rq.FetchTokensPerMs))
