--- a/core/place/cost.go
+++ b/core/place/cost.go
@@ -112,7 +112,7 @@
 // costMs predicts the cost of the call at an engine.
 func (pl *Placer) costMs(st *state, ch *choice) float64 {
 	prefill, fetched := ch.prefillAndFetch(st)
-	return pl.baseMs(st, ch) + ch.prefillMs(prefill, fetched) + ch.slowMs(st, float64(prefill), float64(fetched))
+	return pl.baseMs(st, ch) + ch.prefillMs(prefill, fetched) + ch.slowMs(st, float64(prefill), float64(fetched)) + ch.awayMs(st)
 }
 
 // loadMs returns what an engine's calls and one more call cost each other, in ms.
--- a/core/place/speed.go
+++ b/core/place/speed.go
@@ -46,8 +46,9 @@
 	// least holds the least factor of each of the latest steps up to at, and step is the last one.
 	least [slownessSteps]float64
 	step  int64
-	// slowAt is when the endpoint was last slow, as far as it reported.
-	slowAt time.Time
+	// slowAt is when the endpoint was last slow, as far as it reported, and slowSince since when.
+	// lastedAt is when it last had been slow for the whole window.
+	slowAt, slowSince, lastedAt time.Time
 	// excess is the integral of the factor above 1, in ms, over the time before at.
 	excess float64
 }
@@ -60,10 +61,16 @@
 	factor = min(maxSlowness, max(1, factor))
 	sp.excess = sp.excessUntil(at)
 	sp.roll(at, factor)
-	sp.factor, sp.at = factor, at
 	if factor >= minSlowness {
+		if sp.factor < minSlowness || at.Sub(sp.at) > slownessMemory {
+			sp.slowSince = at
+		}
 		sp.slowAt = at
 	}
+	sp.factor, sp.at = factor, at
+	if sp.lasting() >= minSlowness {
+		sp.lastedAt = at
+	}
 	return true
 }
 
@@ -154,11 +161,18 @@
 	// With the full weight, chats leave that would be in time; without, a slow engine has three times
 	// the calls of the others, and new ones wait behind them.
 	slowLoadWeight = 0.5
+	// returnMs is the cost of a chat that stays away from a home that has recovered: more than the
+	// part of a context that its home is assumed to lack. It applies for returnWindow after the
+	// recovery, as most chats return within it. After that the home has other chats.
+	returnMs = 20.0
 	// hopelessShare is the probability of missing the deadline at the fastest engine from which on
 	// a request goes to the fastest.
 	hopelessShare = 0.5
 )
 
+// returnWindow is how long after its home has recovered a chat is drawn back to it.
+const returnWindow = 10 * time.Second
+
 // slowMs returns the additional cost of a call at an engine that is slower than usual, given the
 // tokens that it would prefill and fetch. It is never negative, so that bounds of the cost without it
 // remain valid.
@@ -177,6 +191,15 @@
 	return cost + ch.lateness(sc.slowness, sc.slownessAhead, promptMs(st, prefill, fetched, ch.rq.FetchTokensPerMs))
 }
 
+// awayMs returns the cost of staying away from the chat's home that was slow and has recovered.
+func (ch *choice) awayMs(st *state) float64 {
+	home := ch.firstHome
+	if home == nil || home == st || home.scratch.slownessAhead > 1 || ch.now.Sub(home.speed.lastedAt) > returnWindow {
+		return 0
+	}
+	return returnMs
+}
+
 // promptMs returns how long the prompt takes before the first token at an engine at its usual speed.
 func promptMs(st *state, prefill, fetched, fetchRate float64) float64 {
 	took := (float64(st.pendingPrefill) + prefill) / prefillTokensPerMs
--- a/core/place/speed_report.go
+++ b/core/place/speed_report.go
@@ -1,8 +1,11 @@
 package place
 
 import (
+	"cmp"
 	"slices"
 	"time"
+
+	"almondrill/core"
 )
 
 // Routers forward the latest figures of slow endpoints to each other, so that one that has no calls
@@ -64,3 +67,27 @@
 		named[0].updateSpeed(now.Add(-age), float64(packed[2])/factorSteps)
 	}
 }
+
+// SlowEndpoint is an endpoint that the router assumes to be slower than usual, for operators.
+type SlowEndpoint struct {
+	ID core.EndpointID
+	// Slowness is the factor that it reported, Ahead the one assumed over the duration of a call.
+	Slowness, Ahead float64
+	// Since is when it was first reported to be slow, At the time of the latest figure.
+	Since, At time.Time
+}
+
+// SlowEndpoints returns the endpoints that are assumed to be slower than usual, by their IDs.
+func (pl *Placer) SlowEndpoints(now time.Time) []SlowEndpoint {
+	pl.mu.Lock()
+	defer pl.mu.Unlock()
+	var slow []SlowEndpoint
+	for _, st := range pl.byID {
+		current, ahead := st.speed.current(now), st.speed.ahead(now)
+		if current > 1 || ahead > 1 {
+			slow = append(slow, SlowEndpoint{st.ID, current, ahead, st.speed.slowSince, st.speed.at})
+		}
+	}
+	slices.SortFunc(slow, func(a, b SlowEndpoint) int { return cmp.Compare(a.ID, b.ID) })
+	return slow
+}
