place: learn the duration of answers by route and by the calls at the engine

Cause: answers of routes differ tenfold in duration per allowed token if their maximum is not what they use, and calls take longer at an engine with more of them. Change: durations are kept per route, with that of the pool as long as a route has too few, and scaled by a line over the number of calls.

--- a/core/place/pace.go
+++ b/core/place/pace.go
@@ -11,9 +11,12 @@
 // observed.
 type pace struct {
 	// first is the time until the first token without that of the prompt, gap the longest pause
-	// between events, both in ms. whole is the duration of the call in ms per token of output that
-	// the request allows.
-	first, gap, whole spread
+	// between events, both in ms.
+	first, gap spread
+	// byRoute holds the duration of answers: those of a route are of similar length. all is that of
+	// all routes, for routes of which too few are known.
+	byRoute map[string]*answers
+	all     answers
 	// slope is by how much first grows with the factor of the engine's speed, relative to first: the
 	// parts of it outside of the engine do not grow. slopeCount counts the calls that it was learned
 	// from.
@@ -180,7 +183,9 @@
 		}
 	}
 	factor := 1 + (tk.st.speed.excessUntil(now)-pc.excess)/took
-	pa.whole.add(took / factor / float64(max(1, tk.request.MaxOutput)))
+	calls, perToken := float64(tk.OwnCalls+tk.PeerCalls), took/factor/float64(max(1, tk.request.MaxOutput))
+	pa.answersOf(tk.request.Route).add(calls, perToken)
+	pa.all.add(calls, perToken)
 }
 
 // recordSpeedAtChoice keeps what the choice assumed of the engine's speed.
--- a/core/place/place.go
+++ b/core/place/place.go
@@ -94,6 +94,8 @@
 	ColdRate     float64
 	// WarmOnly excludes endpoints that are cold and rate-limited.
 	WarmOnly bool
+	// Route names the route. Answers of a route are expected to be of similar length.
+	Route string
 	// GoalAt is when the answer should begin, GapGoal the target for the longest pause between its
 	// events, and Deadline when the whole answer has to be there. MaxOutput is the largest number of
 	// tokens that it may have. Each is zero if unknown.
--- a/core/place/speed.go
+++ b/core/place/speed.go
@@ -188,7 +188,7 @@
 		wait := queueWeight * ch.typicalMs / slots
 		cost += wait * (sc.slownessAhead*max(0, calls+1-slots) - max(0, calls+1-slots))
 	}
-	return cost + ch.lateness(sc.slowness, sc.slownessAhead, promptMs(st, prefill, fetched, ch.rq.FetchTokensPerMs))
+	return cost + ch.lateness(st, promptMs(st, prefill, fetched, ch.rq.FetchTokensPerMs))
 }
 
 // awayMs returns the cost of staying away from the chat's home that was slow and has recovered.
@@ -210,9 +210,10 @@
 }
 
 // lateness returns the cost of the calls that would be late only because the engine is slow: now by
-// the factor, and over the duration of the call by ahead.
-func (ch *choice) lateness(factor, ahead, promptMs float64) float64 {
+// its factor, and over the duration of the call by the lasting one.
+func (ch *choice) lateness(st *state, promptMs float64) float64 {
 	pa, rq := ch.pace, ch.rq
+	factor, ahead := st.scratch.slowness, st.scratch.slownessAhead
 	if pa == nil {
 		return 0
 	}
@@ -226,26 +227,24 @@
 		goal := ms(rq.GapGoal)
 		cost += lateMs * (pa.gap.above(goal/ahead) - pa.gap.above(goal))
 	}
-	return cost + missedMs*ch.missed(ahead)
+	return cost + missedMs*ch.missed(st)
 }
 
 // missed returns the probability that the call misses its deadline because the engine is slow. If it
 // would probably do so at every engine, it is lower the faster the engine is.
-func (ch *choice) missed(ahead float64) float64 {
-	left := ms(ch.rq.Deadline.Sub(ch.now))
+func (ch *choice) missed(st *state) float64 {
+	left, an := ms(ch.rq.Deadline.Sub(ch.now)), ch.pace.knownAnswers(ch.rq.Route)
 	if ch.rq.Deadline.IsZero() || left <= 0 {
 		return 0
 	}
-	tokens := ch.outputTokens()
-	if ch.pace.whole.above(left/ch.fastest/tokens) > hopelessShare {
+	calls, ahead := float64(st.ownCalls+st.scratch.peerCalls), st.scratch.slownessAhead
+	left /= float64(max(1, ch.rq.MaxOutput))
+	if an.above(ch.meanCalls, left/ch.fastest) > hopelessShare {
 		return 1 - ch.fastest/ahead
 	}
-	return ch.pace.whole.above(left/ahead/tokens) - ch.pace.whole.above(left/tokens)
+	return an.above(calls, left/ahead) - an.above(calls, left)
 }
 
-// outputTokens returns the number by which the duration of the answer is scaled.
-func (ch *choice) outputTokens() float64 { return float64(max(1, ch.rq.MaxOutput)) }
-
 // slowPlainMs returns the additional cost of a call at a plain endpoint that is slower than usual.
 func (ch *choice) slowPlainMs(st *state) float64 {
 	slower := st.scratch.slowness - 1
--- a/core/place/speed_sim_test.go
+++ b/core/place/speed_sim_test.go
@@ -107,6 +107,7 @@
 	if !un.unlimited {
 		rq.GoalAt, rq.Deadline, rq.GapGoal, rq.MaxOutput = un.now().Add(kd.goal), un.now().Add(kd.deadline), 400*time.Millisecond, kd.output
 	}
+	rq.Route = fmt.Sprint(number)
 	un.all++
 	if endpoint, uncertain := pl.NeedsCount(un.now(), rq); uncertain {
 		if calls, known := un.counts.AddCall(un.now(), endpoint); known {
--- a/io/relay/request.go
+++ b/io/relay/request.go
@@ -187,7 +187,7 @@
 
 // placementRequest returns the criteria for choosing an endpoint.
 func (rq *request) placementRequest() *place.Request {
-	pr := &place.Request{Pool: rq.pool, Parts: rq.promptParts, Tried: rq.tried, Deadline: rq.deadline, GapGoal: rq.route.GapGoal}
+	pr := &place.Request{Pool: rq.pool, Parts: rq.promptParts, Tried: rq.tried, Route: rq.route.Name, Deadline: rq.deadline, GapGoal: rq.route.GapGoal}
 	if rq.route.FirstByteGoal > 0 {
 		pr.GoalAt = rq.began.Add(rq.route.FirstByteGoal)
 	}
