--- a/core/place/place.go
+++ b/core/place/place.go
@@ -14,6 +14,9 @@
 // call elsewhere is a move; the endpoint may fetch the cached context from a holder instead of
 // prefilling it again.
 //
+// An endpoint that reports that it works slower than usual costs more by its load and by the calls
+// that would be late there, as learned from the router's own calls.
+//
 // # Invariants
 //
 //   - An endpoint that is draining, has announced its shutdown, was removed, or whose zone is
