--- a/core/place/place.go
+++ b/core/place/place.go
@@ -14,6 +14,9 @@
 // call elsewhere is a move; the endpoint may fetch the cached context from a holder instead of
 // prefilling it again.
 //
+// An endpoint that reports that it works slower than usual costs more by its load and by the calls
+// that would be late there, as learned from the router's own calls.
+//
 // # Invariants
 //
 //   - An endpoint that is draining, has announced its shutdown, was removed, or whose zone is
@@ -94,6 +97,14 @@
 	ColdRate     float64
 	// WarmOnly excludes endpoints that are cold and rate-limited.
 	WarmOnly bool
+	// Route names the route. Answers of a route are expected to be of similar length.
+	Route string
+	// GoalAt is when the answer should begin, GapGoal the target for the longest pause between its
+	// events, and Deadline when the whole answer has to be there. MaxOutput is the largest number of
+	// tokens that it may have. Each is zero if unknown.
+	GoalAt, Deadline time.Time
+	GapGoal          time.Duration
+	MaxOutput        core.Tokens
 }
 
 // Result is the outcome of a placed call, as far as it concerns the endpoint.
@@ -157,6 +168,8 @@
 	customerUses map[core.PoolID]*customerUse
 	// callDurations holds how long calls of each pool take.
 	callDurations map[core.PoolID]*callDuration
+	// paces holds how fast calls of each pool run at the usual speed.
+	paces map[core.PoolID]*pace
 }
 
 // Register adds or updates an endpoint. An incarnation that was seen draining stays so: only a
@@ -257,6 +270,7 @@
 		pl.surges = map[core.PoolID]*surge{}
 		pl.customerUses = map[core.PoolID]*customerUse{}
 		pl.callDurations = map[core.PoolID]*callDuration{}
+		pl.paces = map[core.PoolID]*pace{}
 	}
 }
 
