core/flows: start-time fair queueing tags taken out of core/admit

The waiting requests of a router are to be ordered by the same tags as an agent's. core/admit uses the package; its tests are unchanged and pass, also with -race.

--- a/core/admit/account.go
+++ b/core/admit/account.go
@@ -1,15 +1,17 @@
 package admit
 
-import "almondrill/core"
+import (
+	"almondrill/core"
+	"almondrill/core/flows"
+)
 
 // account is the fair-queueing state of one customer. It is active while the customer has a ticket
 // that is waiting, queued or running.
 type account struct {
-	weight       float64
+	flow         flows.Account
 	ticketCount  int
 	runningCount int
 	queuedWork   core.Work
-	finishTag    float64 // virtual time at which the customer's last ticket ends
 }
 
 // slotAllowed reports whether the customer may take a free slot. Headroom is the fraction of the
@@ -19,7 +21,7 @@
 	if free > int(ga.limits.Headroom*float64(ga.limits.Slots)) {
 		return true
 	}
-	return float64(ac.runningCount)*ga.activeWeight < float64(ga.limits.Slots)*ac.weight
+	return float64(ac.runningCount)*ga.activeWeight < float64(ga.limits.Slots)*ac.flow.Weight
 }
 
 // addToAccount charges the ticket's work to its customer and sets its start tag.
@@ -33,12 +35,11 @@
 		ga.accounts[ti.Customer] = ac
 	}
 	if ac.ticketCount == 0 {
-		ac.weight = ti.Weight
-		ga.activeWeight += ac.weight
+		ac.flow.Weight = ti.Weight
+		ga.activeWeight += ac.flow.Weight
 	}
 	ac.ticketCount++
-	ti.startTag = max(ga.queue.virtualTime, ac.finishTag)
-	ac.finishTag = ti.startTag + float64(ti.Work)/ac.weight
+	ti.startTag = ga.queue.virtualTime.Charge(&ac.flow, float64(ti.Work))
 	ti.account = ac
 }
 
@@ -47,11 +48,11 @@
 func (ga *Gate) removeFromAccount(ti *Ticket) {
 	ac := ti.account
 	if !ti.started {
-		ac.finishTag -= float64(ti.Work) / ac.weight
+		ga.queue.virtualTime.Credit(&ac.flow, float64(ti.Work))
 	}
 	ac.ticketCount--
 	if ac.ticketCount > 0 {
 		return
 	}
-	ga.activeWeight = max(0, ga.activeWeight-ac.weight)
+	ga.activeWeight = max(0, ga.activeWeight-ac.flow.Weight)
 }
--- a/core/admit/gate.go
+++ b/core/admit/gate.go
@@ -191,9 +191,7 @@
 	ti.started = true
 	ti.account.runningCount++
 	ga.running++
-	// Virtual time advances even when the queue is empty. Otherwise a customer's use of an idle
-	// endpoint would be charged to it once calls queue up, for as long as the endpoint exists.
-	ga.queue.virtualTime = max(ga.queue.virtualTime, ti.startTag)
+	ga.queue.virtualTime.Start(ti.startTag)
 }
 
 func (ga *Gate) enqueue(ti *Ticket) {
--- a/core/admit/queue.go
+++ b/core/admit/queue.go
@@ -5,14 +5,14 @@
 	"time"
 
 	"almondrill/core"
+	"almondrill/core/flows"
 )
 
 // queue holds waiting tickets by priority, and within a priority in order of their start tags. The
 // gate bounds it to some dozens of tickets, for which sorted slices are the fastest.
 type queue struct {
-	classes [core.PriorityCount][]*Ticket
-	// virtualTime is the highest start tag of all tickets started so far.
-	virtualTime float64
+	classes     [core.PriorityCount][]*Ticket
+	virtualTime flows.Time
 	work        core.Work
 	lastSeq     uint64
 	count       int
@@ -121,8 +121,8 @@
 	if victim == nil || victim.account == ti.account {
 		return nil
 	}
-	own := float64(ti.account.queuedWork+ti.Work) / ti.account.weight
-	if float64(victim.account.queuedWork)/victim.account.weight <= own {
+	own := float64(ti.account.queuedWork+ti.Work) / ti.account.flow.Weight
+	if float64(victim.account.queuedWork)/victim.account.flow.Weight <= own {
 		return nil
 	}
 	return victim
@@ -133,7 +133,7 @@
 	var found *Ticket
 	var largest float64
 	for _, ti := range class {
-		backlog := float64(ti.account.queuedWork) / ti.account.weight
+		backlog := float64(ti.account.queuedWork) / ti.account.flow.Weight
 		if backlog >= largest {
 			found, largest = ti, backlog
 		}
--- a/core/admit/stats.go
+++ b/core/admit/stats.go
@@ -109,7 +109,7 @@
 		Alternatives: ga.Loads.LessLoaded(ga.load, maxAlternatives, ga.Rand),
 		RetryAfter:   ga.retryAfter(),
 	}
-	if float64(ti.account.queuedWork)*ga.activeWeight > float64(ga.queue.work)*ti.account.weight {
+	if float64(ti.account.queuedWork)*ga.activeWeight > float64(ga.queue.work)*ti.account.flow.Weight {
 		re.Reason = core.ReasonShareExceeded
 		re.Detail = "the queue is full and the customer is over its share of it"
 	}
