core/place: weigh plain endpoints by own calls alone on request

Peers' reports are up to 0.2 s old, calls of plain services last tens of milliseconds. Request.OwnCallsOnly leaves reports and zones out of the cost; PlainCapacity returns a pool's slots and known calls.

go test ./core/place: ok; without the field, choices are as before.

--- a/core/place/cost.go
+++ b/core/place/cost.go
@@ -89,7 +89,7 @@
 func (pl *Placer) baseMs(st *state, ch *choice) float64 {
 	calls := float64(st.ownCalls + st.scratch.peerCalls)
 	cost := failureMs * max(0, st.health.failureRate(ch.now)-ch.meanFailureRate)
-	if !st.sameZone {
+	if !st.sameZone && !ch.ownCallsOnly() {
 		cost += crossZoneMs
 	}
 	if !st.fastPath && st.isCold(ch.now, ch.rq.ColdDuration) {
@@ -100,6 +100,9 @@
 	}
 	if !ch.rq.Engine {
 		slots := float64(max(1, st.Slots))
+		if ch.ownCallsOnly() {
+			calls = float64(st.ownCalls * ch.routers)
+		}
 		return cost + st.health.typicalMs(ch.typicalMs)*max(0, calls+1-slots)/slots + plainLoadMs*calls/slots + pl.Rand.Float64()
 	}
 	if st.Slots > 0 {
@@ -109,6 +112,16 @@
 	return cost + float64(st.pendingPrefill)/prefillTokensPerMs + ch.loadMs(calls)
 }
 
+// ownCallsOnly reports whether the endpoints are weighed by this router's own calls alone, each of
+// which stands for one of every router.
+//
+// Load pattern: for seconds, requests compete for the slots of a plain pool, and each router has a
+// few calls there at a time. A call ends within tens of milliseconds, while peers' reports are up to
+// 0.2 s old: by them, all routers choose the endpoint that was idle then. The zone is not weighed
+// either. An endpoint that is the only one of its zone would get the first call of all routers there,
+// and waiting for a slot takes longer than a round trip between zones.
+func (ch *choice) ownCallsOnly() bool { return ch.rq.OwnCallsOnly && !ch.rq.Engine }
+
 // loadMs returns what an engine's calls and one more call cost each other, in ms.
 func (ch *choice) loadMs(calls float64) float64 {
 	beyond := max(0, (calls+1)/(ch.capMean+pressureFloor)-1)
--- a/core/place/place.go
+++ b/core/place/place.go
@@ -94,6 +94,8 @@
 	ColdRate     float64
 	// WarmOnly excludes endpoints that are cold and rate-limited.
 	WarmOnly bool
+	// OwnCallsOnly weighs plain endpoints by this router's own calls alone.
+	OwnCallsOnly bool
 }
 
 // Result is the outcome of a placed call, as far as it concerns the endpoint.
--- a/core/place/pool_stats.go
+++ b/core/place/pool_stats.go
@@ -299,3 +299,24 @@
 	}
 	return st.fastPath || !now.Before(st.fullUntil)
 }
+
+// PlainCapacity returns the slots of a pool's endpoints that are open to new calls, and the calls
+// there of all routers, as far as this one knows. The slots are 0 if an endpoint states none.
+func (pl *Placer) PlainCapacity(now time.Time, pool core.PoolID) (slots, calls int) {
+	pl.mu.Lock()
+	defer pl.mu.Unlock()
+	ch := &choice{now: now, rq: &Request{Pool: pool}}
+	for _, st := range pl.pools[pool] {
+		switch {
+		case ch.closedTo(st):
+			continue
+		case st.Slots == 0:
+			return 0, 0
+		}
+		calls += st.ownCalls + st.estimatePeerCalls(now)
+		if !st.missing && !st.health.looksDead(now, st.ownCalls) {
+			slots += st.Slots
+		}
+	}
+	return slots, calls
+}
