io/gossip: report demand for pools and spread their levels

Key 19 carries a router's report to the pool's owner, key 20 the newest levels. Both travel in messages that builds without these keys drop as late replies to count queries, or in load reports.

--- a/io/gossip/gossip.go
+++ b/io/gossip/gossip.go
@@ -35,6 +35,7 @@
 	"go.uber.org/zap"
 
 	"almondrill/core"
+	"almondrill/core/demand"
 	"almondrill/core/elect"
 	"almondrill/core/mirror"
 	"almondrill/core/place"
@@ -127,6 +128,10 @@
 	Incarnation swim.Incarnation `cbor:"17,keyasint,omitempty"`
 	// Watchers are the elected watchers of the store, see packWatchers.
 	Watchers []byte `cbor:"18,keyasint,omitempty"`
+	// Report is the sender's demand for a pool, in messages to the pool's owner. Levels are the
+	// newest levels of pools.
+	Report *demand.Report `cbor:"19,keyasint,omitempty"`
+	Levels []demand.Level `cbor:"20,keyasint,omitempty"`
 }
 
 // Feed reports how current this router's mirror of the store is.
@@ -163,9 +168,12 @@
 	Reach func(ctx context.Context, endpoint uint64) (reached, known bool)
 	// AskTimeout bounds the wait for the owner of an endpoint's count; queryTimeout if it is 0.
 	AskTimeout time.Duration
+	// Demand is this router's demand for pools; nil if it takes no part in dividing their capacity.
+	Demand Demand
 
 	responses  responseCache
 	counts     counts
+	demand     exchange
 	settled    atomic.Bool
 	mu         sync.Mutex // guards all below
 	members    map[string]*member
@@ -297,6 +305,7 @@
 			gr.probePeers(pc, now)
 			gr.dropForgotten()
 			gr.updateSettled(now)
+			gr.exchangeDemand(now)
 			gr.broadcast(pc, now, false)
 			gr.exchangePeers(pc, now)
 			gr.fetchUpdates(ctx)
@@ -327,7 +336,10 @@
 		gr.Log.Warn("Dropped an invalid message from a peer.", zap.String("Addr", from.String()), zap.Error(err))
 		return
 	}
+	gr.applyLevels(now, ms.Levels)
 	switch {
+	case ms.Report != nil:
+		gr.handleReport(now, from.String(), ms.Report)
 	case ms.Probe != nil:
 		gr.handleProbe(now, from, &ms)
 	case ms.Count != nil:
--- a/io/gossip/send.go
+++ b/io/gossip/send.go
@@ -20,7 +20,8 @@
 	if ms.Leaving = leaving; leaving {
 		gr.announceLeave()
 	}
-	budget := maxCallsBytesPerSecond*tickInterval.Seconds() - float64(gr.counts.sentBytes.Swap(0))
+	budget := maxCallsBytesPerSecond * tickInterval.Seconds()
+	budget -= gr.demand.repay(budget) + float64(gr.counts.sentBytes.Swap(0))
 	interval, maxPeers := minSendInterval, math.MaxInt
 	if ms.AsOf > gr.broadcastRev {
 		gr.broadcastRev = ms.AsOf
@@ -29,7 +30,7 @@
 	for _, ta := range gr.due(now, maxPeers, interval) {
 		ms.Moves, ms.Rumors = gr.Placer.Moves(now, ta.lastSent), nil
 		gr.addRumors(ms)
-		data, err := cbor.Marshal(ms)
+		data, err := encodeReport(ms)
 		if err != nil {
 			gr.Log.Error("Encoding a message failed.", zap.Error(err))
 			return
@@ -42,6 +43,17 @@
 	}
 }
 
+// encodeReport encodes a load report. If it is too large for a datagram, levels are left out: other
+// routers forward them too.
+func encodeReport(ms *message) ([]byte, error) {
+	data, err := cbor.Marshal(ms)
+	for err == nil && len(data) > maxDatagram && len(ms.Levels) > 0 {
+		ms.Levels = ms.Levels[:len(ms.Levels)/2]
+		data, err = cbor.Marshal(ms)
+	}
+	return data, err
+}
+
 // announceLeave lets the peers that get the next messages tell all others that this router shuts
 // down.
 func (gr *Group) announceLeave() {
@@ -54,7 +66,7 @@
 func (gr *Group) message(now time.Time) *message {
 	ms := &message{
 		AsOf: gr.Mirror.AsOf(), AgeMs: uint32(min(maxAgeMs, max(0, gr.Feed.Age().Milliseconds()))),
-		Failing: gr.Feed.Failing(), Calls: gr.Placer.LoadReport(),
+		Failing: gr.Feed.Failing(), Calls: gr.Placer.LoadReport(), Levels: gr.demand.toForward(now),
 	}
 	gr.mu.Lock()
 	defer gr.mu.Unlock()
@@ -113,7 +125,7 @@
 		return
 	}
 	ms := gr.message(now)
-	ms.From, ms.Readings = gr.Self, gr.Placer.Readings(now)
+	ms.From, ms.Readings, ms.Levels = gr.Self, gr.Placer.Readings(now), nil
 	ms.LivePeers, ms.Config = uint16(min(math.MaxUint16, gr.Live())), gr.configInForce()
 	for _, addr := range gr.randomAlive(maxPeers) {
 		if packed := packAddr(addr); packed != nil {
