io/relay: requests of plain pools wait for their turn at the router

Requests of customers on routes with a first-byte goal pass a waitq.Queue before an endpoint is chosen. Adds counters, log fields, /debug/waiting and the command waiting.

--- a/cmd/almondrill/main.go
+++ b/cmd/almondrill/main.go
@@ -30,6 +30,7 @@
 	cd.Register(&checkCommand{}, "operators")
 	cd.Register(&explainCommand{}, "operators")
 	cd.Register(&quarantineCommand{}, "operators")
+	cd.Register(&waitingCommand{}, "operators")
 	cd.Register(&planCommand{}, "operators")
 	cd.Register(&applyCommand{}, "operators")
 	cd.Register(&rollbackCommand{}, "operators")
--- a/cmd/almondrill/quarantine.go
+++ b/cmd/almondrill/quarantine.go
@@ -16,8 +16,8 @@
 	"almondrill/io/deny"
 )
 
-// quarantineTimeout bounds a call to the router.
-const quarantineTimeout = 5 * time.Second
+// adminTimeout bounds a call to the router.
+const adminTimeout = 5 * time.Second
 
 type quarantineCommand struct {
 	router string
@@ -45,16 +45,16 @@
 	if qc.router == "" || fs.NArg() > 0 {
 		return usageError(fs, "-router is needed, and no arguments")
 	}
-	ctx, cancel := context.WithTimeout(ctx, quarantineTimeout)
+	ctx, cancel := context.WithTimeout(ctx, adminTimeout)
 	defer cancel()
 	if qc.lift != "" {
-		if _, err := qc.call(ctx, http.MethodDelete, deny.Path+"/"+qc.lift); err != nil {
+		if _, err := callAdmin(ctx, qc.router, http.MethodDelete, deny.Path+"/"+qc.lift); err != nil {
 			return fail(err)
 		}
 		fmt.Println("lifted", qc.lift)
 		return subcommands.ExitSuccess
 	}
-	data, err := qc.call(ctx, http.MethodGet, deny.Path)
+	data, err := callAdmin(ctx, qc.router, http.MethodGet, deny.Path)
 	if err != nil {
 		return fail(err)
 	}
@@ -70,10 +70,11 @@
 	return subcommands.ExitSuccess
 }
 
-// call sends a request to the router's administration address and returns the body of the response.
-func (qc *quarantineCommand) call(ctx context.Context, method, path string) ([]byte, error) {
-	failed := oops.In("ask the router").With("peer", qc.router)
-	rq, err := http.NewRequestWithContext(ctx, method, "http://"+qc.router+path, nil)
+// callAdmin sends a request to the router's administration address and returns the body of the
+// response.
+func callAdmin(ctx context.Context, router, method, path string) ([]byte, error) {
+	failed := oops.In("ask the router").With("peer", router)
+	rq, err := http.NewRequestWithContext(ctx, method, "http://"+router+path, nil)
 	if err != nil {
 		return nil, failed.Wrap(err)
 	}
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -190,7 +190,9 @@
 		Dialect: pr.Platform.Dialect(), Self: se.Name, Placer: pr.placer, Counts: pr.peers, Grants: pr.peers, Crashes: pr.crashes, Budget: pr.budget, Conns: pr.pool,
 		Stats: pr.Stats, Latency: &pr.latency, Rand: pr.rand, Log: pr.Logs.Part("relay"),
 		ViewAge: pr.reader.Age, ShuttingDown: pr.shuttingDown.Load,
+		Routers: func() int { return 1 + pr.peers.Live() }, LevelOwner: pr.peers.DemandOwner,
 	}
+	pr.peers.Demand = pr.relay
 	pr.relay.Memory.Limit = int64(bufferShare * float64(se.MemoryMB) * (1 << 20))
 	pr.view = &view{pr: pr, log: pr.Logs.Part("view"), evacuations: newEvacuations()}
 	pr.mirror.Changed, pr.mirror.Restored = pr.view.applyItem, pr.reader.NoteRestore
--- a/io/entry/serve.go
+++ b/io/entry/serve.go
@@ -16,6 +16,7 @@
 	"almondrill/io/deny"
 	"almondrill/io/gossip"
 	"almondrill/io/logs"
+	"almondrill/io/relay"
 )
 
 const (
@@ -28,6 +29,9 @@
 	// stopMargin is the time between closing the connections that are still in use and the end of
 	// DrainTimeout; it is for cleanup and the last log lines.
 	stopMargin = 400 * time.Millisecond
+	// waitShare is the fraction of the stop timeout after which requests that wait at the router are
+	// refused. The rest is for those that were sent before.
+	waitShare = 0.5
 )
 
 // serve listens and serves until a signal or the end of ctx.
@@ -43,13 +47,19 @@
 		kratos.Context(ctx),
 		kratos.Server(servers...),
 		kratos.Signal(syscall.SIGTERM, syscall.SIGINT, syscall.SIGQUIT),
-		kratos.StopTimeout(pr.Settings.DrainTimeout-pr.Settings.DrainDelay-stopMargin),
+		kratos.StopTimeout(pr.stopTimeout()),
 		kratos.BeforeStop(pr.beforeStop),
 	)
 	pr.app.Store(app)
 	return app.Run()
 }
 
+// stopTimeout is the time between closing the callers' address and closing the connections that are
+// still in use.
+func (pr *Process) stopTimeout() time.Duration {
+	return pr.Settings.DrainTimeout - pr.Settings.DrainDelay - stopMargin
+}
+
 // Stop shuts down gracefully, as a signal does; Run returns once it is done. It does nothing
 // before the process serves.
 func (pr *Process) Stop() error {
@@ -70,6 +80,7 @@
 	admin.HandleFunc("/healthz", func(wr http.ResponseWriter, _ *http.Request) { _, _ = wr.Write([]byte("ok\n")) })
 	admin.HandleFunc("/readyz", pr.readyz)
 	admin.Handle("/debug/vars", pr.Stats.Handler())
+	admin.Handle(relay.WaitingPath, pr.relay.WaitingHandler())
 	admin.Handle(deny.Path, pr.crashes.Handler())
 	admin.Handle(deny.Path+"/", pr.crashes.Handler())
 	var servers []transport.Server
@@ -135,5 +146,6 @@
 	pr.shuttingDown.Store(true)
 	pr.log.Info("Leaving.", zap.Duration("Delay", pr.Settings.DrainDelay), zap.Int64("InProgress", pr.Stats.Value("InProgress")))
 	time.Sleep(pr.Settings.DrainDelay)
+	time.AfterFunc(time.Duration(waitShare*float64(pr.stopTimeout())), pr.relay.CloseQueues)
 	return nil
 }
--- a/io/relay/attempt.go
+++ b/io/relay/attempt.go
@@ -31,6 +31,8 @@
 	stopInterrupt func() bool
 	// connRefused is set if the connection was refused: nothing listens at the address.
 	connRefused bool
+	// answered is when the response was read completely, zero before.
+	answered time.Time
 }
 
 // attempt sends the request to the ticket's endpoint and forwards the response. It returns nil if
@@ -41,7 +43,12 @@
 	rf, result := ex.run(ctx, header)
 	ex.reportOutcome(began, rf)
 	rq.reservedTicket = ex.stall.stop()
-	ex.tk.Done(time.Now(), result)
+	ended := time.Now()
+	if ex.answered.IsZero() {
+		ex.answered = ended
+	}
+	rq.turn.recordRun(rf, ex.answered.Sub(began))
+	ex.tk.Done(ended, result)
 	if counts := rq.re.Counts; counts != nil && result == place.Unreachable {
 		counts.ReportDown(ex.tk.Hash)
 	}
@@ -243,6 +250,7 @@
 // returnConn returns the connection to the pool, unless it is being interrupted: that would
 // interrupt the next request on it, too.
 func (ex *exchange) returnConn() {
+	ex.answered = time.Now()
 	if ex.stall.stop() != nil || !ex.stopInterrupt() {
 		return
 	}
--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -15,6 +15,7 @@
 //   - A success is forwarded only if it carries the endpoint's stamp. If a response ends early, the
 //     caller's connection is closed, so that the caller does not take it for complete.
 //   - When the caller disconnects, the endpoint's connection is closed at once.
+//   - A request that is admitted by its pool's queue releases its place exactly once.
 //
 // # Usage
 //
@@ -37,6 +38,7 @@
 	"go.uber.org/zap"
 
 	"almondrill/core"
+	"almondrill/core/demand"
 	"almondrill/core/place"
 	"almondrill/core/retry"
 	"almondrill/core/route"
@@ -111,8 +113,16 @@
 	ViewAge func() time.Duration
 	// ShuttingDown reports whether the process is about to stop.
 	ShuttingDown func() bool
+	// Routers returns the number of live routers, including this one; nil if this is the only one.
+	Routers func() int
+	// LevelOwner returns the address of the router that owns a pool's level, for operators; may be
+	// nil.
+	LevelOwner func(pool demand.PoolHash) string
+	// EngineSpeeds returns the engines that are not at their usual speed, for operators; may be nil.
+	EngineSpeeds func(now time.Time) []EngineSpeed
 
-	table atomic.Pointer[route.Table]
+	table  atomic.Pointer[route.Table]
+	queues queues
 }
 
 const (
@@ -345,15 +355,20 @@
 		hd.Set(di.Customer, string(rq.customer.ID))
 	}
 	if rq.route.Sticky {
-		rank := rq.route.Rank
-		if rq.customer != nil && rq.customer.HasRank {
-			rank = rq.customer.Rank
-		}
-		hd.Set(di.Rank, strconv.Itoa(min(max(0, rank), di.MaxRank)))
+		hd.Set(di.Rank, strconv.Itoa(min(rq.rank(), di.MaxRank)))
 	}
 	return hd
 }
 
+// rank returns the request's rank: the customer's, if it has one, or else the route's.
+func (rq *request) rank() int {
+	rank := rq.route.Rank
+	if rq.customer != nil && rq.customer.HasRank {
+		rank = rq.customer.Rank
+	}
+	return max(0, rank)
+}
+
 // dropConnection removes the hop-by-hop headers, including those that Connection names.
 func dropConnection(hd http.Header) {
 	for _, field := range hd["Connection"] {
--- a/io/relay/request.go
+++ b/io/relay/request.go
@@ -66,6 +66,10 @@
 	reservedTicket *place.Ticket
 	// lastSend is read by logRunning.
 	lastSend atomic.Pointer[sendRecord]
+	// turn is the request's use of its pool's queue, nil if it does not pass one.
+	turn *turn
+	// exactRetry is set if the refusal's RetryAfter is a reserved time, which jitter would spoil.
+	exactRetry bool
 }
 
 // failureResponse is an endpoint's response that reports a failure.
@@ -81,6 +85,11 @@
 
 // serve makes attempts until one succeeds or no other is allowed.
 func (rq *request) serve(ctx context.Context) {
+	defer rq.endTurn()
+	if rf := rq.awaitTurn(ctx); rf != nil {
+		rq.finishFailed(rf)
+		return
+	}
 	rq.re.Budget.RecordFirst(rq.began, rq.pool)
 	defer rq.releaseReserved()
 	header := rq.forwardedHeader()
@@ -200,6 +209,9 @@
 		pr.FetchTokensPerMs = po.FetchTokensPerMs
 		pr.ColdDuration, pr.ColdRate = po.ColdDuration, po.ColdRate
 	}
+	if rq.turn != nil {
+		_, pr.OwnCallsOnly = rq.turn.pq.levelAge(time.Now())
+	}
 	return pr
 }
 
@@ -295,6 +307,7 @@
 				zap.Int64("Uncached", int64(tk.UncachedTokens)), zap.Int64("Fetched", int64(tk.FetchTokens)), zap.String("FetchFrom", tk.FetchFrom))
 		}
 	}
+	fields = append(fields, rq.turn.logFields()...)
 	return append(fields, zap.Duration("Age", rq.re.ViewAge()))
 }
 
--- a/io/relay/response.go
+++ b/io/relay/response.go
@@ -73,7 +73,9 @@
 	rq.re.Log.Warn("Refused.", rq.refusalFields(rf)...)
 	hd := rq.wr.Header()
 	if status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests {
-		hd.Set("Retry-After", rq.retryAfter(rf))
+		if after := rq.retryAfter(rf); after != "" {
+			hd.Set("Retry-After", after)
+		}
 	}
 	hd.Set("Content-Type", "application/json")
 	body, _ := json.Marshal(struct {
@@ -85,8 +87,15 @@
 }
 
 // retryAfter returns the Retry-After value in seconds, with jitter, so that callers that were
-// refused at the same time do not retry at the same time.
+// refused at the same time do not retry at the same time. A reserved time has no jitter; where none
+// could be reserved before the caller's deadline, it returns "".
 func (rq *request) retryAfter(rf *core.Refusal) string {
+	if rq.exactRetry {
+		if rf.RetryAfter == 0 {
+			return ""
+		}
+		return strconv.FormatFloat(rf.RetryAfter.Seconds(), 'f', 3, 64)
+	}
 	const maxSpread = 1.4
 	minSpread := 0.6
 	if rf.Reason == core.ReasonQuarantined || rf.Reason == core.ReasonBackoff {
--- /dev/null
+++ b/io/relay/wait.go
@@ -0,0 +1,336 @@
+package relay
+
+import (
+	"cmp"
+	"context"
+	"math"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"almondrill/core"
+	"almondrill/core/demand"
+	"almondrill/core/retry"
+	"almondrill/core/waitq"
+	"almondrill/io/stats"
+)
+
+// Load pattern: for seconds, the requests for a plain pool exceed its slots, often because one
+// customer sends many times its usual load. In an endpoint's queue they are served first come, first
+// served, and cannot be reordered, withdrawn or refused any more. Therefore they wait at the router,
+// which sends as many as the endpoints have slots for, in the order of waitq.Queue.
+
+const (
+	// networkTime is assumed from the endpoint through this router to the caller. Callers expect the
+	// first byte within 100 ms or more, of which it is a few hundredths.
+	networkTime = 5 * time.Millisecond
+	// minTick is the least time between two timer ticks of a queue: a tenth of the shortest calls.
+	minTick = time.Millisecond
+	// capacityTTL is how long a pool's slots and calls are used: a fraction of a call's time, so that
+	// a pool of thousands of endpoints is not summed up for each request.
+	capacityTTL = 10 * time.Millisecond
+	// maxCustomerNames bounds the customers of a pool whose names are kept for operators.
+	maxCustomerNames = 1024
+)
+
+// queues holds the queues of the plain pools.
+type queues struct {
+	mu     sync.Mutex // guards all below
+	byPool map[core.PoolID]*poolQueue
+	byHash map[demand.PoolHash]*poolQueue
+	// closed is closed once no request may wait any longer; nil until it is needed.
+	closed chan struct{}
+}
+
+// poolQueue is the queue of a pool, with the timer that advances it.
+type poolQueue struct {
+	re    *Relay
+	pool  core.PoolID
+	queue waitq.Queue
+	// levelAt is when the last level was applied, in ns of the Unix epoch.
+	levelAt atomic.Int64
+
+	mu    sync.Mutex // guards timer
+	timer *time.Timer
+
+	capacityMu   sync.Mutex // guards all below; nothing is locked while it is held, except Placer
+	slots, calls int
+	capacityAt   time.Time
+
+	namesMu sync.Mutex // guards names
+	names   map[demand.CustomerHash]core.CustomerID
+}
+
+// turn is a request's use of its pool's queue.
+type turn struct {
+	pq *poolQueue
+	// admitted is set while the request has a place, which Done has to release. The place is kept
+	// for all attempts of the request.
+	admitted bool
+	// waited is how long it waited, ahead how many were ahead of it on arrival.
+	waited time.Duration
+	ahead  int
+	// levelAge is the age of the level in force on arrival, -1 if there was none.
+	levelAge time.Duration
+	// ran is set once an endpoint may have run the request, took is how long that took there.
+	ran  bool
+	took time.Duration
+}
+
+// queueOf returns the queue that the request has to pass, nil if there is none: only requests of
+// customers, on routes with a goal, to plain endpoints with known slots are queued.
+func (rq *request) queueOf() *poolQueue {
+	po := rq.table.Pool(rq.pool)
+	if po == nil || po.Engine || rq.customer == nil || rq.route.FirstByteGoal <= 0 {
+		return nil
+	}
+	pq := rq.re.poolQueue(rq.pool)
+	if slots, _ := pq.capacity(); slots == 0 {
+		return nil
+	}
+	return pq
+}
+
+// poolQueue returns the pool's queue, and creates it for its first request.
+func (re *Relay) poolQueue(pool core.PoolID) *poolQueue {
+	qs := &re.queues
+	qs.mu.Lock()
+	defer qs.mu.Unlock()
+	if pq := qs.byPool[pool]; pq != nil {
+		return pq
+	}
+	if qs.byPool == nil {
+		qs.byPool, qs.byHash = map[core.PoolID]*poolQueue{}, map[demand.PoolHash]*poolQueue{}
+	}
+	pq := &poolQueue{re: re, pool: pool, names: map[demand.CustomerHash]core.CustomerID{}}
+	pq.queue = waitq.Queue{
+		Pool: demand.HashPool(pool), Network: networkTime, Returns: &retry.Returns{}, Routers: re.liveRouters,
+		Slots:     func() int { slots, _ := pq.capacity(); return slots },
+		PoolCalls: func() int { _, calls := pq.capacity(); return calls },
+	}
+	qs.byPool[pool], qs.byHash[pq.queue.Pool] = pq, pq
+	return pq
+}
+
+func (re *Relay) liveRouters() int {
+	if re.Routers == nil {
+		return 1
+	}
+	return max(1, re.Routers())
+}
+
+// allQueues returns all queues, ordered by pool.
+func (re *Relay) allQueues() []*poolQueue {
+	re.queues.mu.Lock()
+	defer re.queues.mu.Unlock()
+	all := make([]*poolQueue, 0, len(re.queues.byPool))
+	for _, pq := range re.queues.byPool {
+		all = append(all, pq)
+	}
+	slices.SortFunc(all, func(a, b *poolQueue) int { return cmp.Compare(a.pool, b.pool) })
+	return all
+}
+
+// closedQueues returns a channel that is closed once no request may wait any longer.
+func (re *Relay) closedQueues() <-chan struct{} {
+	qs := &re.queues
+	qs.mu.Lock()
+	defer qs.mu.Unlock()
+	if qs.closed == nil {
+		qs.closed = make(chan struct{})
+	}
+	return qs.closed
+}
+
+// CloseQueues refuses the requests that wait, and from now on those that would have to wait. It is
+// called while the process shuts down, so that none is cut off when the process ends.
+func (re *Relay) CloseQueues() {
+	closed := re.closedQueues()
+	qs := &re.queues
+	qs.mu.Lock()
+	defer qs.mu.Unlock()
+	select {
+	case <-closed:
+	default:
+		close(qs.closed)
+	}
+}
+
+// Reports implements gossip.Demand.
+func (re *Relay) Reports(now time.Time) []demand.Report {
+	var all []demand.Report
+	for _, pq := range re.allQueues() {
+		if rt, competing := pq.queue.Report(now); competing {
+			all = append(all, rt)
+		}
+	}
+	return all
+}
+
+// ApplyLevel implements gossip.Demand. A level of a pool that had no request here is dropped: the
+// owner publishes another one within a fraction of a second.
+func (re *Relay) ApplyLevel(now time.Time, le demand.Level) {
+	re.queues.mu.Lock()
+	pq := re.queues.byHash[le.Pool]
+	re.queues.mu.Unlock()
+	if pq == nil {
+		return
+	}
+	pq.queue.SetLevel(now, le)
+	pq.levelAt.Store(now.UnixNano())
+	pq.advance()
+}
+
+// capacity returns the pool's slots and the calls that all routers have there.
+func (pq *poolQueue) capacity() (slots, calls int) {
+	pq.capacityMu.Lock()
+	defer pq.capacityMu.Unlock()
+	if now := time.Now(); now.Sub(pq.capacityAt) >= capacityTTL {
+		pq.slots, pq.calls = pq.re.Placer.PlainCapacity(now, pq.pool)
+		pq.capacityAt = now
+	}
+	return pq.slots, pq.calls
+}
+
+// levelAge returns the age of the level in force, false if there is none.
+func (pq *poolQueue) levelAge(now time.Time) (time.Duration, bool) {
+	age := time.Duration(now.UnixNano() - pq.levelAt.Load())
+	return age, age < demand.LevelTTL
+}
+
+// advance starts and refuses waiting requests, and sets the timer for the next ones.
+func (pq *poolQueue) advance() {
+	pq.mu.Lock()
+	defer pq.mu.Unlock()
+	now := time.Now()
+	pq.queue.Tick(now)
+	next, waiting := pq.queue.NextTick(now)
+	switch {
+	case !waiting && pq.timer != nil:
+		pq.timer.Stop()
+	case !waiting:
+	case pq.timer == nil:
+		pq.timer = time.AfterFunc(max(minTick, next.Sub(now)), pq.advance)
+	default:
+		pq.timer.Reset(max(minTick, next.Sub(now)))
+	}
+}
+
+// recordName keeps the customer's name for operators.
+func (pq *poolQueue) recordName(hash demand.CustomerHash, id core.CustomerID) {
+	pq.namesMu.Lock()
+	defer pq.namesMu.Unlock()
+	if len(pq.names) < maxCustomerNames {
+		pq.names[hash] = id
+	}
+}
+
+// awaitTurn passes the request through its pool's queue. It returns nil once the request may be
+// sent.
+func (rq *request) awaitTurn(ctx context.Context) *core.Refusal {
+	pq := rq.queueOf()
+	if pq == nil {
+		return nil
+	}
+	now := time.Now()
+	customer := demand.HashCustomer(rq.customer.ID)
+	pq.recordName(customer, rq.customer.ID)
+	rq.turn = &turn{pq: pq, levelAge: -1}
+	if age, inForce := pq.levelAge(now); inForce {
+		rq.turn.levelAge = age
+	}
+	de := pq.queue.Offer(now, waitq.Request{
+		Customer: customer, Rank: uint8(min(rq.rank(), math.MaxUint8)), Weight: 1,
+		Arrived: rq.began, GoalAt: rq.began.Add(rq.route.FirstByteGoal), Deadline: rq.deadline,
+	})
+	if wa := de.Wait; wa != nil {
+		if rf := rq.await(ctx, wa); rf != nil {
+			return rf
+		}
+		de = wa.Decision
+	}
+	if de.Admitted {
+		rq.turn.admitted = true
+		return nil
+	}
+	return rq.refusedTurn(&de)
+}
+
+// await waits until the request is admitted or refused. It returns a refusal if the wait ends
+// before.
+func (rq *request) await(ctx context.Context, wa *waitq.Waiter) *core.Refusal {
+	pq, began := rq.turn.pq, time.Now()
+	rq.turn.ahead = wa.Ahead
+	rq.re.Stats.Add(stats.RequestsWaiting, 1)
+	pq.advance()
+	var rf *core.Refusal
+	select {
+	case <-wa.Ready():
+	case <-ctx.Done():
+	case <-rq.re.closedQueues():
+		rf = rq.notRun(core.ReasonDraining, "wait", "the router is shutting down")
+	}
+	switch {
+	case rq.hr.Context().Err() != nil:
+		rf = rq.notRun(core.ReasonCallerGone, "wait", errCallerGone.Error())
+	case ctx.Err() != nil:
+		rf = rq.notRun(core.ReasonDeadline, "wait", "the deadline passed while the request waited for its turn")
+	}
+	rq.turn.waited = time.Since(began)
+	rq.re.Stats.Add(stats.RequestsWaiting, -1)
+	if rf != nil {
+		pq.queue.Cancel(time.Now(), wa)
+		pq.advance()
+	} else if wa.Decision.Admitted {
+		rq.re.Stats.Add(stats.AdmittedAfterWait, 1)
+	}
+	return rf
+}
+
+// refusedTurn returns the refusal of a request that the queue has refused.
+func (rq *request) refusedTurn(de *waitq.Decision) *core.Refusal {
+	detail := "the requests ahead for the pool take longer than the request can wait"
+	if de.Refused == core.ReasonShareExceeded {
+		detail = "the customer is over its share of the pool"
+		rq.re.Stats.Add(stats.RefusedByShare, 1)
+	} else {
+		rq.re.Stats.Add(stats.RefusedForTime, 1)
+	}
+	rf := rq.notRun(de.Refused, "wait", detail)
+	rf.Basis, rf.RetryAfter = de.Basis, de.RetryAfter
+	rq.exactRetry = true
+	return rf
+}
+
+// endTurn releases the request's place. It runs whenever the request ends, also by a panic.
+func (rq *request) endTurn() {
+	tu := rq.turn
+	if tu == nil || !tu.admitted {
+		return
+	}
+	tu.admitted = false
+	tu.pq.queue.Done(time.Now(), tu.took, tu.ran)
+	tu.pq.advance()
+}
+
+// recordRun records how long an attempt that may have run took at its endpoint.
+func (tu *turn) recordRun(rf *core.Refusal, took time.Duration) {
+	if tu != nil && (rf == nil || rf.Outcome != core.NotRun) {
+		tu.ran, tu.took = true, took
+	}
+}
+
+// logFields returns the fields about the queue, if the request waited or capacity was short.
+func (tu *turn) logFields() []zap.Field {
+	if tu == nil || tu.waited == 0 && tu.levelAge < 0 {
+		return nil
+	}
+	fields := []zap.Field{zap.Duration("Waited", tu.waited), zap.Int("Ahead", tu.ahead)}
+	if tu.levelAge >= 0 {
+		fields = append(fields, zap.Duration("LevelAge", tu.levelAge))
+	}
+	return fields
+}
--- a/io/stats/stats.go
+++ b/io/stats/stats.go
@@ -75,6 +75,14 @@
 	// shutdown, or asked for no requests for a time.
 	LeavingNotices = "LeavingNotices"
 	BackoffNotices = "BackoffNotices"
+	// RequestsWaiting is the number of requests that wait at the router for their turn.
+	// AdmittedAfterWait counts those that were sent after a wait, RefusedByShare and RefusedForTime
+	// those refused because their customer is over its share, or because they could not be sent in
+	// time.
+	RequestsWaiting   = "RequestsWaiting"
+	AdmittedAfterWait = "AdmittedAfterWait"
+	RefusedByShare    = "RefusedByShare"
+	RefusedForTime    = "RefusedForTime"
 )
 
 // Set holds the counters of one process.
