io/gossip: publish a pool's first level at once

The first level waited for the end of a report interval, up to 200 ms in which routers send all they are asked for.

--- a/io/gossip/demand.go
+++ b/io/gossip/demand.go
@@ -35,6 +35,9 @@
 	// forwardAge is the age up to which a level is forwarded. A router that receives it then drops
 	// it soon after the others do, though it does not know the level's age.
 	forwardAge = demand.LevelTTL / 2
+	// restartedClock is the age of the held level from which an earlier one replaces it: its owner is
+	// another one, whose clock is behind. Copies of the held level's predecessors are gone by then.
+	restartedClock = 2 * demand.LevelTTL
 	// demandBytesPerSecond bounds what reports and direct levels take of maxCallsBytesPerSecond, and
 	// demandBurst what they take at once, so that load reports continue. A report of 24 customers
 	// takes 300 bytes, five times a second.
@@ -80,13 +83,17 @@
 // exchangeDemand reports this router's demand to the pools' owners, and publishes the levels of the
 // pools that it owns.
 func (gr *Group) exchangeDemand(now time.Time) {
-	if gr.Demand == nil || !gr.demand.due(now, demand.Interval(1+gr.Live())) {
+	if gr.Demand == nil {
 		return
 	}
-	for _, re := range gr.Demand.Reports(now) {
-		gr.reportDemand(now, &re)
+	routers := 1 + gr.Live()
+	interval := demand.Interval(routers)
+	if gr.demand.due(now, interval) {
+		for _, re := range gr.Demand.Reports(now) {
+			gr.reportDemand(now, &re)
+		}
 	}
-	for _, le := range gr.demand.ownLevels(now, 1+gr.Live()) {
+	for _, le := range gr.demand.ownLevels(now, routers, interval) {
 		gr.applyLevel(now, le)
 		gr.publish(now, le)
 	}
@@ -129,18 +136,24 @@
 	ex.owner.Apply(now, from, *re)
 }
 
-// ownLevels returns the levels that this router publishes. Each is later than all known ones of its
-// pool, even if the clock of the previous owner was ahead of this one's.
-func (ex *exchange) ownLevels(now time.Time, liveRouters int) []demand.Level {
+// ownLevels returns the levels that this router publishes now: those of pools that had none for an
+// interval. The first level of a pool does not wait for the end of an interval, since until then each
+// router sends as much as it is asked for. Each level is later than all known ones of its pool, even
+// if the clock of the previous owner was ahead of this one's.
+func (ex *exchange) ownLevels(now time.Time, liveRouters int, interval time.Duration) []demand.Level {
 	ex.mu.Lock()
 	defer ex.mu.Unlock()
 	var all []demand.Level
 	for _, pool := range ex.owner.Pools(now) {
+		held, known := ex.levels[pool]
+		if known && now.Sub(held.at) < interval-tickInterval/2 {
+			continue
+		}
 		le, published := ex.owner.Level(now, pool, liveRouters)
 		if !published {
 			continue
 		}
-		if held, known := ex.levels[pool]; known {
+		if known {
 			le.AtMs = max(le.AtMs, held.AtMs+1)
 		}
 		all = append(all, le)
@@ -266,7 +279,7 @@
 	ex.mu.Lock()
 	defer ex.mu.Unlock()
 	held, known := ex.levels[le.Pool]
-	if known && le.AtMs <= held.AtMs {
+	if known && (le.AtMs == held.AtMs || le.AtMs < held.AtMs && now.Sub(held.at) < restartedClock) {
 		return false
 	}
 	if !known && len(ex.levels) >= maxLevels {
