--- a/io/relay/wait.go
+++ b/io/relay/wait.go
@@ -171,12 +171,13 @@
 }
 
 // ApplyLevel implements gossip.Demand. A level of a pool that had no request here is dropped: the
-// owner publishes another one within a fraction of a second.
+// owner publishes another one within a fraction of a second. A level that names no places or no call
+// time is invalid.
 func (re *Relay) ApplyLevel(now time.Time, le demand.Level) {
 	re.queues.mu.Lock()
 	pq := re.queues.byHash[le.Pool]
 	re.queues.mu.Unlock()
-	if pq == nil {
+	if pq == nil || le.Places == 0 || le.CallMs == 0 {
 		return
 	}
 	pq.queue.SetLevel(now, le)
