core/demand, core/waitq, core/retry: fair sharing of an overloaded plain pool

Cause: endpoints serve first come, first served, so one customer's surge makes all others late. Change: the pool's owner computes places, capacity and customers' shares from the routers' reports; each router keeps its part, orders what waits and refuses at once what cannot be in time; refused requests are told times of their own to return.

--- a/core/demand/demand.go
+++ b/core/demand/demand.go
@@ -1,4 +1,33 @@
-// Package demand computes how the capacity of an overloaded pool is divided.
+// Package demand computes how the capacity of an overloaded pool is divided among routers and
+// customers.
+//
+// # Concepts
+//
+// Each router reports its demand for a pool to the pool's owner: what it was offered by which
+// customers, how many of its calls run, and how many ended. The Owner sums the reports of the last
+// few intervals and publishes a Level, by which each router limits itself: the number of places,
+// which are calls at the endpoints, running or queued there, and the fraction that is admitted of
+// each customer that is over its fair share.
+//
+// Capacity, in calls per second, is the rate of ended calls scaled to all slots. It is allocated by
+// rank first and within a rank by weighted max-min fair shares: no customer gets more than it
+// offers, and what it leaves goes to the others in proportion to their weights.
+//
+// # Invariants
+//
+//   - Lower ranks together get a tenth of the capacity if they ask for it, whatever the demand of
+//     higher ones.
+//   - A customer within its fair share is not listed in a level.
+//   - Places never exceed MaxPerSlot calls per slot, and are at least 1.
+//   - An owner allocates only the part of the capacity that its reporters stand for: k of n places
+//     if k of n live routers report. Two owners together therefore allocate at most the whole.
+//   - Without reports of two intervals there is no level.
+//
+// # Usage
+//
+//	ow := &demand.Owner{RoundTrip: rtt}
+//	ow.Apply(now, from, report)
+//	le, ok := ow.Level(now, pool, liveRouters) // once per Interval
 package demand
 
 import (
@@ -25,15 +54,16 @@
 
 // Report is one router's demand for a pool since its last report.
 type Report struct {
-	_                struct{} `cbor:",toarray"`
-	Pool             PoolHash
+	_    struct{} `cbor:",toarray"`
+	Pool PoolHash
+	// Running is the mean number of calls at the endpoints, Waiting how many requests wait now.
 	Running, Waiting uint16
 	// OfferedPer10s and EndedPer10s are rates, in calls per 10 s.
 	OfferedPer10s, EndedPer10s uint32
 	// Slots is the sum of the slots of the pool's live endpoints that the router knows.
 	Slots uint16
 	// CallMs is the mean endpoint time of calls that did not queue there, GoalMs the smallest
-	// first-byte goal of the pool's requests.
+	// first-byte goal of the pool's requests. 0 is unknown.
 	CallMs, GoalMs uint16
 	// Customers lists the largest MaxReportCustomers by offered rate.
 	Customers []Customer
@@ -57,7 +87,8 @@
 	Places uint16
 	// OfferedPer10s is the rate of all routers, after cutting customers over their share.
 	OfferedPer10s uint32
-	CallMs        uint16
+	// CallMs is how long a call holds its place, including its time in the endpoint's queue.
+	CallMs uint16
 	// Over lists customers over their fair share, at most MaxOver.
 	Over []Share
 }
@@ -75,31 +106,18 @@
 	// one datagram.
 	MaxReportCustomers = 24
 	MaxOver            = 16
-	// LevelTTL is how long a level stays in force.
+	// LevelTTL is how long a level stays in force. Several levels in a row can be lost before it
+	// expires.
 	LevelTTL = 1500 * time.Millisecond
+	// MaxPerSlot is how many calls per slot are admitted at most, whatever a level says.
+	MaxPerSlot = 4
+
+	minInterval       = 200 * time.Millisecond
+	intervalPerRouter = 1200 * time.Microsecond
 )
 
-// Interval returns the time between two reports of a router.
+// Interval returns the time between two reports of a router. With many routers it grows with their
+// number, so that the owner receives at most some 800 reports per second.
 func Interval(routers int) time.Duration {
-	return max(200*time.Millisecond, time.Duration(routers)*1200*time.Microsecond)
-}
-
-// Owner computes the levels of the pools that this router owns. Set the exported fields before use.
-type Owner struct {
-	// RoundTrip is the network time between the end of a call and the start of the next one.
-	RoundTrip time.Duration
-	// Weight returns a customer's declared weight; nil or a result of 0 counts as 1.
-	Weight func(CustomerHash) float64
+	return max(minInterval, time.Duration(routers)*intervalPerRouter)
 }
-
-// Apply records a router's report.
-func (ow *Owner) Apply(now time.Time, from string, re Report) {}
-
-// Level returns the level to publish for a pool, given the number of live routers including this
-// one. It returns false while reports are too few or capacity is not short.
-func (ow *Owner) Level(now time.Time, pool PoolHash, liveRouters int) (Level, bool) {
-	return Level{}, false
-}
-
-// Pools lists the pools with reports that have not expired.
-func (ow *Owner) Pools(now time.Time) []PoolHash { return nil }
--- a/core/waitq/waitq.go
+++ b/core/waitq/waitq.go
@@ -1,11 +1,42 @@
-// Package waitq holds one router's waiting requests for one pool.
+// Package waitq holds one router's waiting requests for one pool, where the pool's capacity is
+// short.
+//
+// # Concepts
+//
+// A Queue limits the calls that this router has at the endpoints to its own places: its part of the
+// places of the pool's Level, by its part of the offered requests. Below one place, starts are
+// spaced in time instead. What does not get a place waits at the router, where it can be reordered
+// and refused, which is not possible in an endpoint's queue.
+//
+// Waiting requests are ordered by rank, then by the start tag of their customer (see core/flows),
+// then by the time until their goal. A request that is not expected to start in time is refused on
+// arrival: a refusal at that time costs its caller nothing. A waiting request that falls behind is
+// refused as soon as that is known, if it has waited only briefly. Otherwise it keeps its turn until
+// its goal has passed, and is then served after those of its rank that can still be in time.
+//
+// # Invariants
+//
+//   - Without a level each request is admitted at once.
+//   - Each router admits at least one call at a time.
+//   - A refused request has never been admitted, so it did not run.
+//   - While a lower rank waits, it gets at least a tenth of the starts.
+//   - A level is in force for demand.LevelTTL. After that a router limits itself by its own part of
+//     the pool for at most fallbackTime, and only while the pool is busy.
+//
+// # Usage
+//
+//	de := qu.Offer(now, rq)
+//	if de.Wait != nil { <-de.Wait.Ready(); de = de.Wait.Decision } // or qu.Cancel
+//	if de.Admitted { defer func() { qu.Done(now, took, ok); qu.Tick(now) }() }
 package waitq
 
 import (
+	"sync"
 	"time"
 
 	"almondrill/core"
 	"almondrill/core/demand"
+	"almondrill/core/flows"
 	"almondrill/core/retry"
 )
 
@@ -17,6 +48,10 @@
 	Weight float64
 	// GoalAt is when the first byte is due at the caller. A zero GoalAt or Deadline is none.
 	Arrived, GoalAt, Deadline time.Time
+	// Route identifies the request's route, and Budget is how long its caller said it will wait. They
+	// are optional, and serve to recognize retries; see isRetry.
+	Route  uint64
+	Budget time.Duration
 }
 
 // Decision is the outcome of Offer, or later of a Waiter. If neither Admitted nor Refused is set,
@@ -28,7 +63,7 @@
 	// delay after which the caller should come back, 0 if a retry could not be served in time.
 	Refused    core.Reason
 	RetryAfter time.Duration
-	// Basis holds the facts behind the decision, for logs.
+	// Basis holds the facts behind the decision, for logs. It is empty while no limit is in force.
 	Basis string
 }
 
@@ -40,7 +75,13 @@
 	// Ahead is the number of requests ahead when it arrived.
 	Ahead int
 
-	ready chan struct{}
+	customer *customer
+	tag      float64
+	seq      uint64
+	// late says that it cannot be in time and is served after those that can, arrivedLate that this
+	// was so on arrival.
+	late, arrivedLate bool
+	ready             chan struct{}
 }
 
 // Ready is closed once the waiter is admitted or refused.
@@ -54,81 +95,56 @@
 	// including this one.
 	Slots, Routers func() int
 	// PoolCalls, if set, returns the calls that all routers have at the pool's endpoints, as far as
-	// this router knows from its peers.
+	// this router knows from its peers. Otherwise this router's calls are taken as typical.
 	PoolCalls func() int
 	// Network is the time from the endpoint through this router to the caller.
 	Network time.Duration
-	// Returns computes when refused requests are told to come back.
+	// Returns computes when refused requests are told to come back. Each Queue has its own.
 	Returns *retry.Returns
-}
-
-// Offer decides about a request on its arrival. An admitted request must end with Done.
-func (qu *Queue) Offer(now time.Time, rq Request) Decision { return Decision{Admitted: true} }
-
-// Done records the end of a call; took is its time at the endpoint. ok says that the endpoint ran
-// it, whatever it answered. Call Tick afterwards.
-func (qu *Queue) Done(now time.Time, took time.Duration, ok bool) {}
-
-// Cancel withdraws a waiter whose caller disconnected. A place that it was given in the meantime is
-// free again; do not call Done for it.
-func (qu *Queue) Cancel(now time.Time, wa *Waiter) {}
-
-// Tick returns the waiters to start or refuse now; each has its Decision, and its Ready is closed.
-func (qu *Queue) Tick(now time.Time) []*Waiter { return nil }
-
-// NextTick returns when Tick should be called next if no call ends before. It returns false if
-// nothing waits.
-func (qu *Queue) NextTick(now time.Time) (time.Time, bool) { return time.Time{}, false }
 
-// SetLevel applies a level unless it is older than the one in force. Call Tick afterwards.
-func (qu *Queue) SetLevel(now time.Time, le demand.Level) {}
-
-// Report returns the report to send to the pool's owner. It returns false if there is nothing to
-// report. Call it once per demand.Interval.
-func (qu *Queue) Report(now time.Time) (demand.Report, bool) { return demand.Report{}, false }
-
-// Snapshot is the state of a Queue for operators.
-type Snapshot struct {
-	Running, Waiting int
-	// Places is the number of calls that this router may have at the pool's endpoints, 0 if it is
-	// not limited. It is below 1 where starts are spaced.
-	Places float64
-	// Limited is how Places was found: "level", "fallback", or empty.
-	Limited string
-	// Level is the last level and LevelAge its age; LevelInForce says that it is still used.
-	Level        demand.Level
-	LevelAge     time.Duration
-	LevelInForce bool
-	// CallTime is the expected time of a call at its endpoint.
-	CallTime time.Duration
-	// Customers has what happened in the last RecentSpan by rank and customer.
-	Customers []CustomerSnapshot
-	// Totals counts since the start.
-	Totals Counts
+	mu        sync.Mutex // guards all below
+	running   int
+	waiting   int
+	lastSeq   uint64
+	classes   []*class // by rank, the most urgent first
+	customers map[customerRank]*customer
+	// overtaken counts the starts of requests that went before waiting ones of lower ranks, or
+	// before late ones, since one of these last started.
+	overtaken int
+	kept      rate // offered requests, weighted by the admitted fraction of their customers
+	usage     heldTime
+	tokens    float64
+	tokensAt  time.Time
+	le        levelState
+	me        measured
+	budgets   map[budgetKey]*budget
+	totals    Counts
 }
 
-// CustomerSnapshot is the state of one customer at one rank.
-type CustomerSnapshot struct {
-	Customer demand.CustomerHash
-	Rank     uint8
-	// Waiting is the number of requests that wait now.
-	Waiting int
-	// Admit is the fraction that is admitted by the level in force.
-	Admit float64
-	// Recent counts the last RecentSpan.
-	Recent Counts
+type customerRank struct {
+	id   demand.CustomerHash
+	rank uint8
 }
 
-// Counts counts decisions.
-type Counts struct {
-	// AdmittedAtOnce and AdmittedAfterWait are admitted requests, RefusedByShare and RefusedForTime
-	// those refused as core.ReasonShareExceeded and core.ReasonQueueFull.
-	AdmittedAtOnce, AdmittedAfterWait, RefusedByShare, RefusedForTime int
-	Cancelled                                                         int
+// customer is the state of one customer at one rank.
+type customer struct {
+	customerRank
+	flow    flows.Account
+	offered rate
+	waiting int
+	// admit is the admitted fraction by the level in force, credit what has accumulated of it.
+	admit, credit float64
+	// reported counts the requests offered since the last report.
+	reported int
+	recent   recentCounts
 }
 
-// RecentSpan is the time that CustomerSnapshot.Recent covers.
-const RecentSpan = 10 * time.Second
-
-// Snapshot returns the state for operators.
-func (qu *Queue) Snapshot(now time.Time) Snapshot { return Snapshot{} }
+// class holds the waiting requests of one rank, those in time first.
+type class struct {
+	rank    uint8
+	time    flows.Time
+	waiters []*Waiter
+	// offered is the rate of requests that can be in time, without those beyond shares; within is
+	// the part of it that may exceed the places.
+	offered, within rate
+}
