io/relay, io/gossip: calls in progress by customer; bytes for demand stay bounded

Operators see the places in use by rank and customer. Repaying half of a tick's bytes was less than demand may take, so that a router could send 3,650 bytes per second instead of 3,300; it is three quarters now.

go test ./io/relay ./cmd/almondrill: ok; go test -race -count=3 of the demand tests of io/gossip: ok.

--- a/cmd/almondrill/script_test.go
+++ b/cmd/almondrill/script_test.go
@@ -41,10 +41,10 @@
 	}
 	_ = json.NewEncoder(wr).Encode(&relay.Waiting{
 		Pools: []relay.WaitingPool{{
-			Pool: "ledger", Owner: "10.1.0.40:8203", Running: 2, Waiting: 5, Places: 2.5, Limited: "level",
+			Pool: "ledger", Owner: "10.1.0.40:8203", Running: 3, Waiting: 5, Places: 2.5, Limited: "level",
 			Level: &relay.WaitingLevel{Places: 30, OfferedPer10s: 9000, CallMs: 32, AgeMs: 140, InForce: true},
 			Customers: []relay.WaitingCustomer{{
-				Customer: "herb", Rank: 2, Waiting: 5, Admit: 0.25,
+				Customer: "herb", Rank: 2, Running: 3, Waiting: 5, Admit: 0.25,
 				Recent: waitq.Counts{AdmittedAtOnce: 11, AdmittedAfterWait: 12, RefusedByShare: 13, RefusedForTime: 14},
 			}},
 		}},
--- a/cmd/almondrill/waiting.go
+++ b/cmd/almondrill/waiting.go
@@ -97,11 +97,11 @@
 	tw := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
 	fmt.Fprintf(tw, "pool %s: %d in progress, %d waiting, %s\n  level: %s; owner %s\n", wp.Pool, wp.Running, wp.Waiting, limit, level, wp.Owner)
 	if len(wp.Customers) > 0 {
-		fmt.Fprintln(tw, "  RANK\tCUSTOMER\tWAITING\tSENT AT ONCE\tAFTER WAIT\tREFUSED SHARE\tREFUSED TIME\tADMITTED")
+		fmt.Fprintln(tw, "  RANK\tCUSTOMER\tIN PROGRESS\tWAITING\tSENT AT ONCE\tAFTER WAIT\tREFUSED SHARE\tREFUSED TIME\tADMITTED")
 	}
 	for _, cu := range wp.Customers {
 		re := &cu.Recent
-		fmt.Fprintf(tw, "  %d\t%s\t%d\t%d\t%d\t%d\t%d\t%.2f\n", cu.Rank, cu.Customer, cu.Waiting,
+		fmt.Fprintf(tw, "  %d\t%s\t%d\t%d\t%d\t%d\t%d\t%d\t%.2f\n", cu.Rank, cu.Customer, cu.Running, cu.Waiting,
 			re.AdmittedAtOnce, re.AdmittedAfterWait, re.RefusedByShare, re.RefusedForTime, cu.Admit)
 	}
 	return tw.Flush() // writes to a tabwriter fail only here
--- a/io/gossip/demand.go
+++ b/io/gossip/demand.go
@@ -42,9 +42,10 @@
 	// demandBurst what they take at once, so that load reports continue. A report of 24 customers
 	// takes 300 bytes, five times a second.
 	demandBytesPerSecond = 2000
-	demandBurst          = 2000
-	// debtShare is the part of a tick's bytes for load reports that repays what demand has taken.
-	debtShare = 0.5
+	demandBurst          = 1000
+	// debtShare is the part of a tick's bytes for load reports that repays what demand has taken. It
+	// must be more than demandBytesPerSecond is of maxCallsBytesPerSecond.
+	debtShare = 0.75
 	// roundTrip is assumed between the end of a call and the start of the next: there and back
 	// between two zones.
 	roundTrip = 3 * time.Millisecond
--- a/io/relay/wait.go
+++ b/io/relay/wait.go
@@ -60,13 +60,22 @@
 	slots, calls int
 	capacityAt   time.Time
 
-	namesMu sync.Mutex // guards names
-	names   map[demand.CustomerHash]core.CustomerID
+	customersMu sync.Mutex // guards all below
+	names       map[demand.CustomerHash]core.CustomerID
+	// running counts the places in use.
+	running map[customerRank]int
+}
+
+// customerRank is a customer at one rank.
+type customerRank struct {
+	customer demand.CustomerHash
+	rank     uint8
 }
 
 // turn is a request's use of its pool's queue.
 type turn struct {
-	pq *poolQueue
+	pq  *poolQueue
+	who customerRank
 	// admitted is set while the request has a place, which Done has to release. The place is kept
 	// for all attempts of the request.
 	admitted bool
@@ -105,7 +114,7 @@
 	if qs.byPool == nil {
 		qs.byPool, qs.byHash = map[core.PoolID]*poolQueue{}, map[demand.PoolHash]*poolQueue{}
 	}
-	pq := &poolQueue{re: re, pool: pool, names: map[demand.CustomerHash]core.CustomerID{}}
+	pq := &poolQueue{re: re, pool: pool, names: map[demand.CustomerHash]core.CustomerID{}, running: map[customerRank]int{}}
 	pq.queue = waitq.Queue{
 		Pool: demand.HashPool(pool), Network: networkTime, Returns: &retry.Returns{}, Routers: re.liveRouters,
 		Slots:     func() int { slots, _ := pq.capacity(); return slots },
@@ -222,13 +231,22 @@
 
 // recordName keeps the customer's name for operators.
 func (pq *poolQueue) recordName(hash demand.CustomerHash, id core.CustomerID) {
-	pq.namesMu.Lock()
-	defer pq.namesMu.Unlock()
+	pq.customersMu.Lock()
+	defer pq.customersMu.Unlock()
 	if len(pq.names) < maxCustomerNames {
 		pq.names[hash] = id
 	}
 }
 
+// addRunning changes the number of places that a customer uses.
+func (pq *poolQueue) addRunning(who customerRank, by int) {
+	pq.customersMu.Lock()
+	defer pq.customersMu.Unlock()
+	if pq.running[who] += by; pq.running[who] == 0 {
+		delete(pq.running, who)
+	}
+}
+
 // awaitTurn passes the request through its pool's queue. It returns nil once the request may be
 // sent.
 func (rq *request) awaitTurn(ctx context.Context) *core.Refusal {
@@ -237,14 +255,14 @@
 		return nil
 	}
 	now := time.Now()
-	customer := demand.HashCustomer(rq.customer.ID)
-	pq.recordName(customer, rq.customer.ID)
-	rq.turn = &turn{pq: pq, levelAge: -1}
+	who := customerRank{demand.HashCustomer(rq.customer.ID), uint8(min(rq.rank(), math.MaxUint8))}
+	pq.recordName(who.customer, rq.customer.ID)
+	rq.turn = &turn{pq: pq, who: who, levelAge: -1}
 	if age, inForce := pq.levelAge(now); inForce {
 		rq.turn.levelAge = age
 	}
 	de := pq.queue.Offer(now, waitq.Request{
-		Customer: customer, Rank: uint8(min(rq.rank(), math.MaxUint8)), Weight: 1,
+		Customer: who.customer, Rank: who.rank, Weight: 1,
 		Arrived: rq.began, GoalAt: rq.began.Add(rq.route.FirstByteGoal), Deadline: rq.deadline,
 	})
 	if wa := de.Wait; wa != nil {
@@ -255,6 +273,7 @@
 	}
 	if de.Admitted {
 		rq.turn.admitted = true
+		pq.addRunning(who, 1)
 		return nil
 	}
 	return rq.refusedTurn(&de)
@@ -313,6 +332,7 @@
 		return
 	}
 	tu.admitted = false
+	tu.pq.addRunning(tu.who, -1)
 	tu.pq.queue.Done(time.Now(), tu.took, tu.ran)
 	tu.pq.advance()
 }
--- a/io/relay/wait_test.go
+++ b/io/relay/wait_test.go
@@ -125,8 +125,8 @@
 	qf.re.Log = zap.New(logged)
 	qf.limit(50)
 	sent, _ := qf.fill()
-	if wp := qf.waitingPool(); wp.Waiting != 1 || wp.Level == nil || !wp.Level.InForce || len(wp.Customers) != 1 || wp.Customers[0].Customer != "herb" {
-		t.Errorf("operators see %+v, want one waiting request of herb and a level", wp)
+	if wp := qf.waitingPool(); wp.Waiting != 1 || wp.Level == nil || !wp.Level.InForce || len(wp.Customers) != 1 || wp.Customers[0].Customer != "herb" || wp.Customers[0].Running != sent-1 {
+		t.Errorf("operators see %+v, want one waiting and %d running requests of herb, and a level", wp, sent-1)
 	}
 	close(qf.release)
 	for range sent {
--- a/io/relay/waiting.go
+++ b/io/relay/waiting.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"encoding/json"
+	"maps"
 	"net/http"
 	"slices"
 	"strconv"
@@ -55,6 +56,7 @@
 	// Customer is its id, or the hash of it if no request of it has passed this router.
 	Customer string
 	Rank     int
+	Running  int
 	Waiting  int
 	// Admit is the fraction of its requests that the level admits.
 	Admit  float64
@@ -98,7 +100,7 @@
 	sn := pq.queue.Snapshot(now)
 	wp := WaitingPool{
 		Pool: pq.pool, Running: sn.Running, Waiting: sn.Waiting, Places: sn.Places, Limited: sn.Limited,
-		CallMs: float64(sn.CallTime) / float64(time.Millisecond), Customers: []WaitingCustomer{}, Totals: sn.Totals,
+		CallMs: float64(sn.CallTime) / float64(time.Millisecond), Totals: sn.Totals,
 	}
 	if pq.re.LevelOwner != nil {
 		wp.Owner = pq.re.LevelOwner(pq.queue.Pool)
@@ -109,20 +111,35 @@
 			AgeMs: sn.LevelAge.Milliseconds(), InForce: sn.LevelInForce,
 		}
 	}
-	for _, cu := range sn.Customers {
-		wp.Customers = append(wp.Customers, WaitingCustomer{
-			Customer: pq.nameOf(cu.Customer), Rank: int(cu.Rank), Waiting: cu.Waiting, Admit: cu.Admit, Recent: cu.Recent,
+	wp.Customers = pq.customers(sn.Customers)
+	return wp
+}
+
+// customers returns the customers for operators, by rank and name. The queue may have forgotten some
+// whose calls still run.
+func (pq *poolQueue) customers(queued []waitq.CustomerSnapshot) []WaitingCustomer {
+	pq.customersMu.Lock()
+	defer pq.customersMu.Unlock()
+	running := maps.Clone(pq.running)
+	all := []WaitingCustomer{}
+	for _, cu := range queued {
+		who := customerRank{cu.Customer, cu.Rank}
+		all = append(all, WaitingCustomer{
+			Customer: pq.nameOf(cu.Customer), Rank: int(cu.Rank), Running: running[who], Waiting: cu.Waiting, Admit: cu.Admit, Recent: cu.Recent,
 		})
+		delete(running, who)
 	}
-	slices.SortFunc(wp.Customers, func(a, b WaitingCustomer) int {
+	for who, count := range running {
+		all = append(all, WaitingCustomer{Customer: pq.nameOf(who.customer), Rank: int(who.rank), Running: count, Admit: 1})
+	}
+	slices.SortFunc(all, func(a, b WaitingCustomer) int {
 		return cmp.Or(cmp.Compare(a.Rank, b.Rank), cmp.Compare(a.Customer, b.Customer))
 	})
-	return wp
+	return all
 }
 
+// nameOf returns a customer's name; the lock is held.
 func (pq *poolQueue) nameOf(hash demand.CustomerHash) string {
-	pq.namesMu.Lock()
-	defer pq.namesMu.Unlock()
 	if id, known := pq.names[hash]; known {
 		return string(id)
 	}
