core/demand, core/waitq: more places, and fractions that leave room

Cause: requests were refused while slots were free, because fractions were computed from demand that is some hundred milliseconds old, and because routers' places do not add up. Change: admitted fractions exceed shares by 1.4, customers over their share are listed also if they are not cut, and places allow for two calls per router.

--- a/core/demand/demand.go
+++ b/core/demand/demand.go
@@ -93,7 +93,8 @@
 	Over []Share
 }
 
-// Share is the part of a customer's requests at one rank that is admitted, in 1/255.
+// Share is the part of a customer's requests at one rank that is admitted, in 1/255. It may be 255
+// for one that is only a little over its fair share: it then yields to others, but is not cut.
 type Share struct {
 	_     struct{} `cbor:",toarray"`
 	ID    CustomerHash
--- a/core/demand/owner.go
+++ b/core/demand/owner.go
@@ -39,7 +39,7 @@
 	// queueFraction is the part of the time left by the goal after the call itself that calls may
 	// spend in endpoints' queues, on average. The rest covers waiting at the router and calls that
 	// take longer than the mean.
-	queueFraction = 0.5
+	queueFraction = 0.6
 )
 
 // Owner computes the levels of the pools that this router owns. Set the exported fields before use.
@@ -243,16 +243,18 @@
 }
 
 // places returns how many calls are useful at the endpoints: one per slot; those that cover the
-// network's delay between the end of a call and the start of the next one; one per router, because
-// routers' places do not divide evenly among the endpoints; and two standard deviations of the
-// calls in progress, because routers choose endpoints without knowing each other's latest choices.
-// While fewer run, routers may use the free places in bursts, each of them at a different time.
+// network's delay between the end of a call and the start of the next one; two per router, because
+// routers' places do not divide evenly among the endpoints, and some routers have no request while
+// others have several; and two standard deviations of the calls in progress, because routers choose
+// endpoints without knowing each other's latest choices. While fewer run, routers may use the free
+// places in bursts, each of them at a different time. In no case do calls spend more than
+// queueFraction of what the goal leaves in endpoints' queues, on average.
 func (ow *Owner) places(su *sums, capacity float64, routers int, part float64) float64 {
 	roundTrip := ow.RoundTrip
 	if roundTrip == 0 {
 		roundTrip = defaultRoundTrip
 	}
-	places := su.slots + capacity*roundTrip.Seconds() + min(float64(routers), su.slots) + 2*math.Sqrt(su.slots)
+	places := su.slots + capacity*roundTrip.Seconds() + 2*min(float64(routers), su.slots) + 2*math.Sqrt(su.slots)
 	places += max(0, places-su.running/part)
 	if su.goal > 0 {
 		call := su.slots / capacity
--- a/core/demand/shares.go
+++ b/core/demand/shares.go
@@ -63,6 +63,15 @@
 	return 1
 }
 
+// allowance is by how much admitted fractions exceed shares. Fractions are computed from demand that
+// is some hundred milliseconds old and from an estimate of the capacity; the routers' queues refuse
+// what is too much, while what a fraction refuses too much leaves slots free.
+const allowance = 1.4
+
+// listedBelow is the part of its demand below which a customer's share must be for it to be listed. A
+// smaller difference is less than the noise of the estimates.
+const listedBelow = 0.98
+
 // overShare lists the customers that offer more than their share, those with the largest excess
 // first.
 func overShare(demands, shares map[customerRank]float64) []Share {
@@ -72,9 +81,8 @@
 	}
 	var all []excess
 	for cr, demand := range demands {
-		admit := uint8(fullAdmit * min(1, shares[cr]/max(demand, 1e-9)))
-		// One 255th is less than the noise of the estimates.
-		if admit < fullAdmit-1 {
+		admit := uint8(fullAdmit * min(1, allowance*shares[cr]/max(demand, 1e-9)))
+		if shares[cr] < listedBelow*demand {
 			all = append(all, excess{Share{ID: cr.id, Rank: cr.rank, Admit: admit}, demand - shares[cr]})
 		}
 	}
--- a/core/waitq/level.go
+++ b/core/waitq/level.go
@@ -104,7 +104,7 @@
 	kept := 0.0
 	for cr, cu := range qu.customers {
 		was := cu.admit
-		cu.admit = admitOf(over, cr)
+		cu.admit, cu.over = admitOf(over, cr)
 		if was >= 1 && cu.admit < 1 {
 			cu.credit = 1
 		}
@@ -113,13 +113,14 @@
 	qu.kept = rate{perSecond: kept, updated: now}
 }
 
-func admitOf(over []demand.Share, cr customerRank) float64 {
+// admitOf returns the admitted fraction of a customer, and whether it is over its share.
+func admitOf(over []demand.Share, cr customerRank) (admit float64, listed bool) {
 	for _, sh := range over {
 		if sh.ID == cr.id && sh.Rank == cr.rank {
-			return float64(sh.Admit) / math.MaxUint8
+			return float64(sh.Admit) / math.MaxUint8, true
 		}
 	}
-	return 1
+	return 1, false
 }
 
 // Level returns the level to forward to peers. It returns false if there is none or it is not new
@@ -205,4 +206,4 @@
 	return running < li.whole+1 && qu.tokens >= 1
 }
 
-func (qu *Queue) withinShare(wa *Waiter) bool { return wa.customer.admit >= 1 && !wa.late }
+func (qu *Queue) withinShare(wa *Waiter) bool { return !wa.customer.over && !wa.late }
--- a/core/waitq/offer.go
+++ b/core/waitq/offer.go
@@ -158,7 +158,7 @@
 
 // refusalReason is the reason of refusing a request that cannot be in time.
 func refusalReason(cu *customer) core.Reason {
-	if cu.admit < 1 {
+	if cu.over {
 		return core.ReasonShareExceeded
 	}
 	return core.ReasonQueueFull
--- a/core/waitq/report.go
+++ b/core/waitq/report.go
@@ -80,7 +80,7 @@
 		}
 		cu = &customer{customerRank: key, admit: 1}
 		if qu.le.applied {
-			cu.admit = admitOf(qu.le.Over, key)
+			cu.admit, cu.over = admitOf(qu.le.Over, key)
 			cu.credit = 1
 		}
 		qu.customers[key] = cu
--- a/core/waitq/waitq.go
+++ b/core/waitq/waitq.go
@@ -134,6 +134,8 @@
 	waiting int
 	// admit is the admitted fraction by the level in force, credit what has accumulated of it.
 	admit, credit float64
+	// over says that the customer is over its share by the level in force.
+	over bool
 	// reported counts the requests offered since the last report.
 	reported int
 	recent   recentCounts
