core/demand, core/waitq: steady with many routers, earlier first level

Cause: with 420 routers the estimates were averaged over 2.5 s and the limit oscillated; until the first level all requests were sent at once, for 0.7 s; retries that a customer's fraction admitted were refused afterwards as late. Change: averages over one second, bounded probing, customers over their share yield from 0.85 of the capacity on; Queue.ReportDue for a first report before the interval ends, and a level as soon as all routers report more calls than slots; late requests are not part of the demand.

--- a/core/demand/demand.go
+++ b/core/demand/demand.go
@@ -21,7 +21,7 @@
 //   - Places never exceed MaxPerSlot calls per slot, and are at least 1.
 //   - An owner allocates only the part of the capacity that its reporters stand for: k of n places
 //     if k of n live routers report. Two owners together therefore allocate at most the whole.
-//   - Without reports of two intervals there is no level.
+//   - Without reports of two intervals, or of all live routers, there is no level.
 //
 // # Usage
 //
--- a/core/demand/owner.go
+++ b/core/demand/owner.go
@@ -11,12 +11,15 @@
 // computes for all how many calls are useful at the endpoints and what each customer may offer.
 
 const (
-	// reportsKept is over how many reports of a router its demand is averaged. Requests arrive in
-	// bursts; the mean of one interval alone varies by a third.
+	// reportsKept is over how many reports of a router its demand is averaged at most, and averageTime
+	// over how long if that is less. Requests arrive in bursts; the mean of one interval of 200 ms
+	// alone varies by a third. With many routers and longer intervals, their sum varies less.
 	reportsKept = 5
+	averageTime = time.Second
 	// expiryIntervals is after how many intervals without a report a router's demand is dropped.
 	expiryIntervals = 3
-	// settleIntervals is how long a new owner collects reports before it publishes.
+	// settleIntervals is how long an owner collects reports before it publishes, unless the shortage
+	// is evident.
 	settleIntervals = 2
 	// shortUse is the part of the slots in use above which a level is published, and calmTime how
 	// long the use must be below it before publishing ends.
@@ -30,12 +33,14 @@
 	saturatedUse = 1.5
 	// defaultRoundTrip is used where Owner.RoundTrip is not set.
 	defaultRoundTrip = 2 * time.Millisecond
-	// probeCapacity is the factor by which the estimate of the capacity grows per capacityTime while
-	// demand is refused although not all slots are busy: what is not offered cannot be measured.
+	// probeCapacity is the factor by which the estimate of the capacity grows per capacityTime, and up
+	// to which it exceeds what is measured, while demand is refused although not all slots are busy:
+	// what is not offered cannot be measured.
 	probeCapacity = 1.25
-	// probePlaces is the factor by which routers may exceed the rate of ended calls while places are
-	// free. Without it, free places would stay free where starts are spaced.
-	probePlaces = 1.5
+	// probeTime is for how long a time's worth of calls routers may exceed the rate of ended calls
+	// within an interval while places are free. Without it, free places would stay free where starts
+	// are spaced. The excess in calls is about that of places over slots, whatever the interval.
+	probeTime = 100 * time.Millisecond
 	// queueFraction is the part of the time left by the goal after the call itself that calls may
 	// spend in endpoints' queues, on average. The rest covers waiting at the router and calls that
 	// take longer than the mean.
@@ -124,8 +129,8 @@
 		delete(ow.pools, id)
 		return Level{}, false
 	}
-	su := po.sum()
-	if su.slots == 0 || now.Sub(po.first) < settleIntervals*interval {
+	su := po.sum(interval)
+	if su.slots == 0 || now.Sub(po.first) < settleIntervals*interval && !po.evident(&su, liveRouters) {
 		return Level{}, false
 	}
 	// Routers that do not report are assumed to have the same demand as those that do.
@@ -138,17 +143,24 @@
 		return Level{}, false
 	}
 	places := ow.places(&su, capacity, liveRouters, part)
-	shares := ow.allocate(su.customers, capacity*part-su.unlisted)
+	shares := ow.allocate(su.customers, yieldLoad*capacity*part-su.unlisted)
+	probe := 1 + probeTime.Seconds()/interval.Seconds()
 	le := Level{
 		Pool: id, AtMs: uint64(now.UnixMilli()),
 		Places: clamp16(math.Max(1, places*part)),
-		CallMs: clamp16(math.Max(1, 1000*max(places/probePlaces, su.running/part)/capacity)),
+		CallMs: clamp16(math.Max(1, 1000*max(places/probe, su.runningNow/part)/capacity)),
 	}
 	le.Over = overShare(su.customers, shares)
 	le.OfferedPer10s = clamp32(10 * (su.offered - cut(su.customers, le.Over)))
 	return le, true
 }
 
+// evident reports whether all routers have reported, and together more calls than slots. The owner
+// then need not wait: until the first level, all calls are sent at once, and most are late.
+func (po *pool) evident(su *sums, liveRouters int) bool {
+	return len(po.reporters) >= liveRouters && su.running > su.slots
+}
+
 // expire drops the reports of routers that were not heard from for expiryIntervals.
 func (po *pool) expire(now time.Time, interval time.Duration) {
 	for from, rp := range po.reporters {
@@ -161,6 +173,7 @@
 // sums is the demand of all reporters. Rates are in calls per second.
 type sums struct {
 	running, offered, ended float64
+	runningNow              float64 // by the latest reports alone
 	slots                   float64
 	call, goal              time.Duration
 	customers               map[customerRank]float64
@@ -174,13 +187,15 @@
 }
 
 // sum adds up the reporters' means over their latest reports.
-func (po *pool) sum() sums {
+func (po *pool) sum(interval time.Duration) sums {
 	su := sums{customers: map[customerRank]float64{}}
+	most := max(1, int(averageTime/interval))
 	var callSum, callWeight float64
 	for _, rp := range po.reporters {
-		count := float64(len(rp.reports))
-		for ix := range rp.reports {
-			re := &rp.reports[ix]
+		latest := rp.reports[max(0, len(rp.reports)-most):]
+		count := float64(len(latest))
+		for ix := range latest {
+			re := &latest[ix]
 			su.running += float64(re.Running) / count
 			su.offered += float64(re.OfferedPer10s) / 10 / count
 			su.ended += float64(re.EndedPer10s) / 10 / count
@@ -192,6 +207,7 @@
 			}
 		}
 		re := &rp.reports[len(rp.reports)-1]
+		su.runningNow += float64(re.Running)
 		su.slots = max(su.slots, float64(re.Slots))
 		if re.CallMs > 0 {
 			weight := 1 + float64(re.EndedPer10s)
@@ -230,7 +246,7 @@
 		}
 		target = max(nominal, measured)
 		if su.offered/part > po.capacity {
-			target = max(target, probeCapacity*po.capacity)
+			target = max(target, min(probeCapacity*po.capacity, probeCapacity*max(nominal, measured)))
 		}
 	}
 	if po.capacity == 0 {
--- a/core/demand/shares.go
+++ b/core/demand/shares.go
@@ -63,14 +63,18 @@
 	return 1
 }
 
-// allowance is by how much admitted fractions exceed shares. Fractions are computed from demand that
-// is some hundred milliseconds old and from an estimate of the capacity; the routers' queues refuse
-// what is too much, while what a fraction refuses too much leaves slots free.
-const allowance = 1.4
-
-// listedBelow is the part of its demand below which a customer's share must be for it to be listed. A
-// smaller difference is less than the noise of the estimates.
-const listedBelow = 0.98
+const (
+	// yieldLoad is the part of the capacity that is divided into shares. A customer over its share
+	// yields to others from that load on, before queues have formed.
+	yieldLoad = 0.85
+	// allowance is by how much admitted fractions exceed shares. Fractions are computed from demand
+	// that is some hundred milliseconds old and from an estimate of the capacity. The routers' queues
+	// refuse what is too much, while what a fraction refuses too much leaves slots free.
+	allowance = 1.4 / yieldLoad
+	// listedBelow is the part of its demand below which a customer's share must be for it to be
+	// listed. A smaller difference is less than the noise of the estimates.
+	listedBelow = 0.98
+)
 
 // overShare lists the customers that offer more than their share, those with the largest excess
 // first.
--- a/core/waitq/offer.go
+++ b/core/waitq/offer.go
@@ -43,43 +43,71 @@
 	vi := qu.look()
 	qu.mu.Lock()
 	defer qu.mu.Unlock()
-	cu := qu.recordOffered(now, &rq)
+	wa := &Waiter{Request: rq}
+	wa.arrivedLate = qu.isRetry(now, wa) || !rq.GoalAt.IsZero() && !rq.GoalAt.After(now.Add(qu.Network))
+	wa.late = wa.arrivedLate
+	qu.recordOffered(now, wa)
 	li := qu.limit(now, &vi)
-	wa := &Waiter{Request: rq, customer: cu}
-	again := qu.isRetry(now, wa)
-	if !li.limited() {
+	switch {
+	case !li.limited():
 		qu.charge(wa)
 		qu.start(now, wa, &li)
 		return Decision{Admitted: true}
+	case wa.late:
+		return qu.offerLate(now, wa, &li, &vi)
 	}
-	free := qu.free(wa, &li)
-	if !cu.takeShare() && !(free && qu.waiting == 0 && qu.spare(&li, &vi, spareUse)) {
-		return qu.refuse(now, wa, core.ReasonShareExceeded, &li, 0)
+	return qu.offerInTime(now, wa, &li, &vi)
+}
+
+// offerInTime decides about a request whose goal has not passed.
+func (qu *Queue) offerInTime(now time.Time, wa *Waiter, li *limit, vi *view) Decision {
+	cu, free := wa.customer, qu.free(wa, li)
+	if !cu.takeShare() && !(free && qu.waiting == 0 && qu.spare(li, vi, spareUse)) {
+		return qu.refuse(now, wa, core.ReasonShareExceeded, li, 0)
 	}
-	rest := qu.callTime(&li) + qu.Network
-	wa.late = again || !inTime(now, wa, 0, rest)
-	wa.arrivedLate = wa.late
-	if !wa.late {
-		qu.class(rq.Rank).offered.add(now, 1)
-		if li.overdraft && qu.withinShare(wa) {
-			qu.class(rq.Rank).within.add(now, 1)
-		}
+	overdraft := li.overdraft && qu.withinShare(wa)
+	cl := qu.class(wa.Request.Rank)
+	cl.offered.add(now, 1)
+	if overdraft {
+		cl.within.add(now, 1)
 	}
 	qu.charge(wa)
-	cl := qu.class(rq.Rank)
-	ahead := qu.aheadOf(cl, wa)
-	if free && (ahead == 0 || li.overdraft && qu.withinShare(wa)) && (!wa.late || qu.spare(&li, &vi, lateUse)) {
-		qu.start(now, wa, &li)
-		return Decision{Admitted: true, Basis: qu.basis(now, wa, &li, 0)}
+	wa.Ahead = qu.aheadOf(cl, wa)
+	if free && (wa.Ahead == 0 || overdraft) {
+		qu.start(now, wa, li)
+		return Decision{Admitted: true, Basis: qu.basis(now, wa, li, 0)}
 	}
-	wa.Ahead = ahead
-	wait := qu.expectedWait(now, wa, ahead, &li)
-	if qu.waiting >= maxWaiting || !inTime(now, wa, wait, time.Duration((1+marginFraction)*float64(rest))) {
+	wait := qu.expectedWait(now, wa, wa.Ahead, li)
+	rest := time.Duration((1 + marginFraction) * float64(qu.callTime(li)+qu.Network))
+	if qu.waiting >= maxWaiting || !inTime(now, wa, wait, rest) {
 		cl.time.Credit(&cu.flow, 1)
-		return qu.refuse(now, wa, refusalReason(cu), &li, wait)
+		return qu.refuse(now, wa, refusalReason(cu), li, wait)
+	}
+	return qu.wait(now, wa, li, wait)
+}
+
+// offerLate decides about a request whose goal has passed. It takes a place that is probably not
+// needed by others, and waits for one no longer than a refusal costs its caller nothing.
+func (qu *Queue) offerLate(now time.Time, wa *Waiter, li *limit, vi *view) Decision {
+	qu.charge(wa)
+	cl := qu.class(wa.Request.Rank)
+	wa.Ahead = qu.aheadOf(cl, wa)
+	if wa.Ahead == 0 && qu.free(wa, li) && qu.spare(li, vi, lateUse) {
+		qu.start(now, wa, li)
+		return Decision{Admitted: true, Basis: qu.basis(now, wa, li, 0)}
 	}
+	wait := qu.expectedWait(now, wa, wa.Ahead, li)
+	if qu.waiting >= maxWaiting || wait > qu.freeTime(wa) {
+		cl.time.Credit(&wa.customer.flow, 1)
+		return qu.refuse(now, wa, refusalReason(wa.customer), li, wait)
+	}
+	return qu.wait(now, wa, li, wait)
+}
+
+// wait lets the request wait.
+func (qu *Queue) wait(now time.Time, wa *Waiter, li *limit, wait time.Duration) Decision {
 	wa.ready = make(chan struct{})
-	wa.Decision.Basis = qu.basis(now, wa, &li, wait)
+	wa.Decision.Basis = qu.basis(now, wa, li, wait)
 	qu.lastSeq++
 	wa.seq = qu.lastSeq
 	qu.insert(wa)
--- a/core/waitq/report.go
+++ b/core/waitq/report.go
@@ -19,6 +19,9 @@
 	levelCalls = 4
 	// reportTail is how long a router goes on reporting after the use fell below half of the slots.
 	reportTail = time.Second
+	// leastOffered is how many requests a report before the end of an interval covers at least. Fewer
+	// say nothing about the rate, because requests arrive in bursts.
+	leastOffered = 6
 	// forgetAfter is after how long without requests a customer's state is dropped.
 	forgetAfter = 2 * RecentSpan
 	// calmWeight is the weight of one call in the mean time of calls that did not queue.
@@ -70,22 +73,16 @@
 	use                float64 // smoothed own calls
 }
 
-// recordOffered counts an arriving request, and returns its customer's state.
-func (qu *Queue) recordOffered(now time.Time, rq *Request) *customer {
-	key := customerRank{rq.Customer, rq.Rank}
-	cu := qu.customers[key]
-	if cu == nil {
-		if qu.customers == nil {
-			qu.customers = map[customerRank]*customer{}
-		}
-		cu = &customer{customerRank: key, admit: 1}
-		if qu.le.applied {
-			cu.admit, cu.over = admitOf(qu.le.Over, key)
-			cu.credit = 1
-		}
-		qu.customers[key] = cu
-	}
+// recordOffered sets an arriving request's customer and counts the request. Late ones are not part of
+// the demand: they take only what others leave.
+func (qu *Queue) recordOffered(now time.Time, wa *Waiter) {
+	rq := &wa.Request
+	cu := qu.customerOf(customerRank{rq.Customer, rq.Rank})
 	cu.flow.Weight = cmp.Or(max(0, rq.Weight), 1)
+	wa.customer = cu
+	if wa.late {
+		return
+	}
 	cu.offered.add(now, 1)
 	cu.reported++
 	qu.kept.add(now, cu.admit)
@@ -93,6 +90,22 @@
 	if goal := rq.GoalAt.Sub(rq.Arrived); !rq.GoalAt.IsZero() && goal > 0 && (qu.me.goal == 0 || goal < qu.me.goal) {
 		qu.me.goal = goal
 	}
+}
+
+func (qu *Queue) customerOf(key customerRank) *customer {
+	cu := qu.customers[key]
+	if cu != nil {
+		return cu
+	}
+	if qu.customers == nil {
+		qu.customers = map[customerRank]*customer{}
+	}
+	cu = &customer{customerRank: key, admit: 1}
+	if qu.le.applied {
+		cu.admit, cu.over = admitOf(qu.le.Over, key)
+		cu.credit = 1
+	}
+	qu.customers[key] = cu
 	return cu
 }
 
@@ -135,6 +148,20 @@
 	return max(int(qu.me.use*float64(vi.routers)), qu.running)
 }
 
+// ReportDue reports whether Report should be called at once instead of at the end of the interval: the
+// pool's use has just passed half of its slots. It returns true once. In the time until the owner
+// knows, calls pile up at the endpoints, and all that arrive then are late.
+func (qu *Queue) ReportDue(now time.Time) bool {
+	vi := qu.look()
+	qu.mu.Lock()
+	defer qu.mu.Unlock()
+	if vi.slots == 0 || !now.After(qu.me.reportUntil) || 2*qu.poolUse(&vi) <= vi.slots || qu.me.offered < leastOffered {
+		return false
+	}
+	qu.me.reportUntil = now.Add(reportTail)
+	return true
+}
+
 // Report returns the report to send to the pool's owner. It returns false if there is nothing to
 // report. Call it once per demand.Interval.
 func (qu *Queue) Report(now time.Time) (demand.Report, bool) {
--- a/core/waitq/tick.go
+++ b/core/waitq/tick.go
@@ -182,11 +182,16 @@
 // held reports whether the request has waited for so long that a refusal costs its caller as much as
 // no answer.
 func (qu *Queue) held(now time.Time, wa *Waiter) bool {
+	return now.Sub(wa.Request.Arrived) > qu.freeTime(wa)
+}
+
+// freeTime is for how long after its arrival a refusal of the request costs its caller nothing.
+func (qu *Queue) freeTime(wa *Waiter) time.Duration {
 	goal := wa.Request.GoalAt.Sub(wa.Request.Arrived)
 	if goal <= 0 {
 		goal = qu.smallestGoal()
 	}
-	return now.Sub(wa.Request.Arrived) > time.Duration(freeRefusal*float64(goal))-qu.Network-tickInterval
+	return time.Duration(freeRefusal*float64(goal)) - qu.Network - tickInterval
 }
 
 // moveBehind places a waiter after those of its rank that can be in time, if it has waited for long
