--- a/core/demand/demand.go
+++ b/core/demand/demand.go
@@ -91,6 +91,9 @@
 	CallMs uint16
 	// Over lists customers over their fair share, at most MaxOver.
 	Over []Share
+	// More says that more customers are over their share than Over lists: those not listed cannot be
+	// taken to be within theirs.
+	More bool
 }
 
 // Share is the part of a customer's requests at one rank that is admitted, in 1/255. It may be 255
--- a/core/demand/owner.go
+++ b/core/demand/owner.go
@@ -150,7 +150,7 @@
 		Places: clamp16(math.Max(1, places*part)),
 		CallMs: clamp16(math.Max(1, 1000*max(places/probe, su.runningNow/part)/capacity)),
 	}
-	le.Over = overShare(su.customers, shares)
+	le.Over, le.More = overShare(su.customers, shares)
 	le.OfferedPer10s = clamp32(10 * (su.offered - cut(su.customers, le.Over)))
 	return le, true
 }
--- a/core/demand/shares.go
+++ b/core/demand/shares.go
@@ -77,8 +77,8 @@
 )
 
 // overShare lists the customers that offer more than their share, those with the largest excess
-// first.
-func overShare(demands, shares map[customerRank]float64) []Share {
+// first, and says whether there are more than MaxOver.
+func overShare(demands, shares map[customerRank]float64) (over []Share, more bool) {
 	type excess struct {
 		Share
 		amount float64
@@ -93,11 +93,11 @@
 	slices.SortFunc(all, func(one, two excess) int {
 		return cmp.Or(cmp.Compare(two.amount, one.amount), cmp.Compare(one.ID, two.ID), cmp.Compare(one.Rank, two.Rank))
 	})
-	over := make([]Share, 0, MaxOver)
+	over = make([]Share, 0, MaxOver)
 	for _, ex := range all[:min(len(all), MaxOver)] {
 		over = append(over, ex.Share)
 	}
-	return over
+	return over, len(all) > MaxOver
 }
 
 // cut returns the rate that the level refuses.
--- a/core/waitq/level.go
+++ b/core/waitq/level.go
@@ -13,7 +13,8 @@
 	// a time most of each burst would be refused while slots are free.
 	burst = 8
 	// overdraftFactor is by how much customers within their share may exceed the router's places,
-	// beside one call and up to burst. Those over their share then start less.
+	// beside one call, within the router's part of the cap and at least up to burst. Customers over
+	// their share then start less.
 	overdraftFactor = 1.5
 	// minPartOfEqual is the least part of an equal division of the places that a router has, so that
 	// one that was idle can start.
@@ -46,6 +47,8 @@
 	kind string // empty without a limit
 	// places is this router's number of places, whole the part used without pacing.
 	places, whole float64
+	// most is the number of own calls up to which customers within their share may overdraw.
+	most float64
 	// pool is the number of places of all routers.
 	pool float64
 	// held is how long a call holds its place.
@@ -155,7 +158,9 @@
 	}
 	li.held = time.Duration(qu.le.CallMs) * time.Millisecond
 	li.whole = math.Floor(li.places)
-	li.overdraft = li.kind == byFallback || len(qu.le.Over) < demand.MaxOver
+	ownCap := demand.MaxPerSlot * float64(vi.slots) * li.places / li.pool
+	li.most = max(burst, min(overdraftFactor*li.places+1, ownCap))
+	li.overdraft = li.kind == byLevel && !qu.le.More
 	qu.refill(now, &li)
 	return li
 }
@@ -191,16 +196,15 @@
 // free reports whether a request may start now. One of a customer within its share may overdraw.
 func (qu *Queue) free(wa *Waiter, li *limit) bool {
 	running := float64(qu.running)
-	if !li.limited() || running < li.whole {
+	overdraft := li.overdraft && qu.withinShare(wa)
+	switch {
+	case !li.limited() || running < li.whole:
 		return true
-	}
-	if li.whole == 0 {
-		if li.overdraft && qu.withinShare(wa) {
-			return running < 2*burst && qu.tokens > -burst
-		}
+	case li.whole == 0 && overdraft:
+		return running < 2*burst && qu.tokens > -burst
+	case li.whole == 0:
 		return running < burst && qu.tokens >= 1
-	}
-	if li.overdraft && qu.withinShare(wa) && running < max(overdraftFactor*li.places+1, burst) {
+	case overdraft && running < li.most:
 		return true
 	}
 	return running < li.whole+1 && qu.tokens >= 1
--- a/core/waitq/offer.go
+++ b/core/waitq/offer.go
@@ -73,11 +73,16 @@
 	}
 	qu.charge(wa)
 	wa.Ahead = qu.aheadOf(cl, wa)
-	if free && (wa.Ahead == 0 || overdraft) {
+	lower := qu.lowerWaiting(cl)
+	turn := lower == 0 && qu.overtaken >= overtakenMax
+	if free && (wa.Ahead == 0 || overdraft || turn) {
+		if turn {
+			qu.overtaken = -1 // start counts this one
+		}
 		qu.start(now, wa, li)
 		return Decision{Admitted: true, Basis: qu.basis(now, wa, li, 0)}
 	}
-	wait := qu.expectedWait(now, wa, wa.Ahead, li)
+	wait := qu.expectedWait(now, wa, wa.Ahead, lower, li)
 	rest := time.Duration((1 + marginFraction) * float64(qu.callTime(li)+qu.Network))
 	if qu.waiting >= maxWaiting || !inTime(now, wa, wait, rest) {
 		cl.time.Credit(&cu.flow, 1)
@@ -86,6 +91,23 @@
 	return qu.wait(now, wa, li, wait)
 }
 
+// lowerWaiting returns how many requests wait for the starts that are left to lower ranks, -1 if the
+// class is the highest one.
+func (qu *Queue) lowerWaiting(cl *class) int {
+	count := -1
+	for _, other := range qu.classes {
+		switch {
+		case count >= 0:
+			count += len(other.waiters)
+		case other == cl:
+			return -1
+		default:
+			count = 0
+		}
+	}
+	return count
+}
+
 // offerLate decides about a request whose goal has passed. It takes a place that is probably not
 // needed by others, and waits for one no longer than a refusal costs its caller nothing.
 func (qu *Queue) offerLate(now time.Time, wa *Waiter, li *limit, vi *view) Decision {
@@ -96,7 +118,7 @@
 		qu.start(now, wa, li)
 		return Decision{Admitted: true, Basis: qu.basis(now, wa, li, 0)}
 	}
-	wait := qu.expectedWait(now, wa, wa.Ahead, li)
+	wait := qu.expectedWait(now, wa, wa.Ahead, -1, li)
 	if qu.waiting >= maxWaiting || wait > qu.freeTime(wa) {
 		cl.time.Credit(&wa.customer.flow, 1)
 		return qu.refuse(now, wa, refusalReason(wa.customer), li, wait)
@@ -150,6 +172,7 @@
 	if li.limited() && float64(qu.running) >= li.whole {
 		qu.tokens--
 	}
+	qu.overtaken = min(qu.overtaken+1, overtakenMax)
 	qu.usage.update(now, qu.running)
 	qu.running++
 	if wa.ready == nil {
@@ -253,24 +276,28 @@
 }
 
 // expectedWait predicts when a request starts that has so many requests ahead. Those of higher ranks
-// that arrive in the meantime go before it, but a tenth of the starts is left to lower ranks. Before
-// a late one go all of its rank that can be in time.
-func (qu *Queue) expectedWait(now time.Time, wa *Waiter, ahead int, li *limit) time.Duration {
+// that arrive in the meantime go before it, but a tenth of the starts is left to lower ranks: of these
+// it has lower ahead, -1 if it is not of a lower rank. Before a late one go all that can be in time.
+func (qu *Queue) expectedWait(now time.Time, wa *Waiter, ahead, lower int, li *limit) time.Duration {
 	rate := min(li.startRate(), li.places/qu.callTime(li).Seconds())
 	var before float64
 	for _, cl := range qu.classes {
-		if cl.rank < wa.Request.Rank || wa.late && cl.rank == wa.Request.Rank {
+		switch {
+		case cl.rank < wa.Request.Rank || wa.late && cl.rank == wa.Request.Rank:
 			before += cl.offered.at(now)
-		} else if cl.rank == wa.Request.Rank && !qu.withinShare(wa) {
+		case cl.rank == wa.Request.Rank && !qu.withinShare(wa):
 			before += cl.within.at(now)
 		}
 	}
+	left := rate - before
 	if wa.late {
-		rate = max(lateRate*rate-before, 1e-3)
-	} else {
-		rate = max(rate-before, rate/(overtakenMax+1), 1e-3)
+		left = lateRate*rate - before
+	}
+	seconds := float64(ahead+1) / max(left, 1e-3)
+	if lower >= 0 {
+		seconds = min(seconds, float64((lower+1)*(overtakenMax+1)-qu.overtaken)/max(rate, 1e-3))
 	}
-	return time.Duration(min(float64(ahead+1)/rate, maxWait.Seconds()*2) * float64(time.Second))
+	return time.Duration(min(seconds, 2*maxWait.Seconds()) * float64(time.Second))
 }
 
 // due is when the request must be done: its goal, or its deadline if it is late or has no goal.
--- a/core/waitq/tick.go
+++ b/core/waitq/tick.go
@@ -107,13 +107,10 @@
 			overtaken = older(overtaken, last)
 		}
 	}
-	if overtaken == nil {
+	if overtaken == nil || qu.overtaken < overtakenMax {
 		return first
 	}
-	if qu.overtaken++; qu.overtaken <= overtakenMax {
-		return first
-	}
-	qu.overtaken = 0
+	qu.overtaken = -1 // start counts this one
 	return overtaken
 }
 
@@ -148,13 +145,20 @@
 func (qu *Queue) review(now time.Time, li *limit, decided []*Waiter) []*Waiter {
 	ahead := 0
 	rest := qu.callTime(li) + qu.Network
-	for _, cl := range qu.classes {
+	for ix, cl := range qu.classes {
+		lower := -1
+		if ix > 0 {
+			lower = max(0, ahead-qu.classes[0].inTimeCount())
+		}
 		var behind []*Waiter
 		for _, wa := range cl.waiters {
-			if qu.keeps(now, wa, ahead, rest, li) {
-				ahead++
-			} else {
+			if !qu.keeps(now, wa, ahead, lower, rest, li) {
 				behind = append(behind, wa)
+				continue
+			}
+			ahead++
+			if ix > 0 {
+				lower++
 			}
 		}
 		for _, wa := range behind {
@@ -165,7 +169,7 @@
 }
 
 // keeps reports whether a waiter keeps its turn.
-func (qu *Queue) keeps(now time.Time, wa *Waiter, ahead int, rest time.Duration, li *limit) bool {
+func (qu *Queue) keeps(now time.Time, wa *Waiter, ahead, lower int, rest time.Duration, li *limit) bool {
 	switch {
 	case wa.arrivedLate:
 		return !qu.held(now, wa)
@@ -176,7 +180,7 @@
 	}
 	// Half of the expected wait: the prediction must be clearly wrong to withdraw what was promised
 	// on arrival.
-	return inTime(now, wa, qu.expectedWait(now, wa, ahead, li)/2, rest)
+	return inTime(now, wa, qu.expectedWait(now, wa, ahead, lower, li)/2, rest)
 }
 
 // held reports whether the request has waited for so long that a refusal costs its caller as much as
--- a/core/waitq/waitq.go
+++ b/core/waitq/waitq.go
@@ -108,8 +108,8 @@
 	lastSeq   uint64
 	classes   []*class // by rank, the most urgent first
 	customers map[customerRank]*customer
-	// overtaken counts the starts of requests that went before waiting ones of lower ranks, or
-	// before late ones, since one of these last started.
+	// overtaken counts the starts, up to overtakenMax, since the last one of a request that others had
+	// overtaken: one of a lower rank, or one whose goal passed while it waited.
 	overtaken int
 	kept      rate // offered requests, weighted by the admitted fraction of their customers
 	usage     heldTime
