--- a/core/demand/demand.go
+++ b/core/demand/demand.go
@@ -21,7 +21,7 @@
 //   - Places never exceed MaxPerSlot calls per slot, and are at least 1.
 //   - An owner allocates only the part of the capacity that its reporters stand for: k of n places
 //     if k of n live routers report. Two owners together therefore allocate at most the whole.
-//   - Without reports of two intervals there is no level.
+//   - Without reports of two intervals, or of all live routers, there is no level.
 //
 // # Usage
 //
@@ -91,9 +91,13 @@
 	CallMs uint16
 	// Over lists customers over their fair share, at most MaxOver.
 	Over []Share
+	// More says that more customers are over their share than Over lists: those not listed cannot be
+	// taken to be within theirs.
+	More bool
 }
 
-// Share is the part of a customer's requests at one rank that is admitted, in 1/255.
+// Share is the part of a customer's requests at one rank that is admitted, in 1/255. It may be 255
+// for one that is only a little over its fair share: it then yields to others, but is not cut.
 type Share struct {
 	_     struct{} `cbor:",toarray"`
 	ID    CustomerHash
--- a/core/demand/shares.go
+++ b/core/demand/shares.go
@@ -63,29 +63,41 @@
 	return 1
 }
 
+const (
+	// yieldLoad is the part of the capacity that is divided into shares. A customer over its share
+	// yields to others from that load on, before queues have formed.
+	yieldLoad = 0.85
+	// allowance is by how much admitted fractions exceed shares. Fractions are computed from demand
+	// that is some hundred milliseconds old and from an estimate of the capacity. The routers' queues
+	// refuse what is too much, while what a fraction refuses too much leaves slots free.
+	allowance = 1.4 / yieldLoad
+	// listedBelow is the part of its demand below which a customer's share must be for it to be
+	// listed. A smaller difference is less than the noise of the estimates.
+	listedBelow = 0.98
+)
+
 // overShare lists the customers that offer more than their share, those with the largest excess
-// first.
-func overShare(demands, shares map[customerRank]float64) []Share {
+// first, and says whether there are more than MaxOver.
+func overShare(demands, shares map[customerRank]float64) (over []Share, more bool) {
 	type excess struct {
 		Share
 		amount float64
 	}
 	var all []excess
 	for cr, demand := range demands {
-		admit := uint8(fullAdmit * min(1, shares[cr]/max(demand, 1e-9)))
-		// One 255th is less than the noise of the estimates.
-		if admit < fullAdmit-1 {
+		admit := uint8(fullAdmit * min(1, allowance*shares[cr]/max(demand, 1e-9)))
+		if shares[cr] < listedBelow*demand {
 			all = append(all, excess{Share{ID: cr.id, Rank: cr.rank, Admit: admit}, demand - shares[cr]})
 		}
 	}
 	slices.SortFunc(all, func(one, two excess) int {
 		return cmp.Or(cmp.Compare(two.amount, one.amount), cmp.Compare(one.ID, two.ID), cmp.Compare(one.Rank, two.Rank))
 	})
-	over := make([]Share, 0, MaxOver)
+	over = make([]Share, 0, MaxOver)
 	for _, ex := range all[:min(len(all), MaxOver)] {
 		over = append(over, ex.Share)
 	}
-	return over
+	return over, len(all) > MaxOver
 }
 
 // cut returns the rate that the level refuses.
--- a/core/waitq/offer.go
+++ b/core/waitq/offer.go
@@ -43,43 +43,93 @@
 	vi := qu.look()
 	qu.mu.Lock()
 	defer qu.mu.Unlock()
-	cu := qu.recordOffered(now, &rq)
+	wa := &Waiter{Request: rq}
+	wa.arrivedLate = qu.isRetry(now, wa) || !rq.GoalAt.IsZero() && !rq.GoalAt.After(now.Add(qu.Network))
+	wa.late = wa.arrivedLate
+	qu.recordOffered(now, wa)
 	li := qu.limit(now, &vi)
-	wa := &Waiter{Request: rq, customer: cu}
-	again := qu.isRetry(now, wa)
-	if !li.limited() {
+	switch {
+	case !li.limited():
 		qu.charge(wa)
 		qu.start(now, wa, &li)
 		return Decision{Admitted: true}
+	case wa.late:
+		return qu.offerLate(now, wa, &li, &vi)
 	}
-	free := qu.free(wa, &li)
-	if !cu.takeShare() && !(free && qu.waiting == 0 && qu.spare(&li, &vi, spareUse)) {
-		return qu.refuse(now, wa, core.ReasonShareExceeded, &li, 0)
+	return qu.offerInTime(now, wa, &li, &vi)
+}
+
+// offerInTime decides about a request whose goal has not passed.
+func (qu *Queue) offerInTime(now time.Time, wa *Waiter, li *limit, vi *view) Decision {
+	cu, free := wa.customer, qu.free(wa, li)
+	if !cu.takeShare() && !(free && qu.waiting == 0 && qu.spare(li, vi, spareUse)) {
+		return qu.refuse(now, wa, core.ReasonShareExceeded, li, 0)
 	}
-	rest := qu.callTime(&li) + qu.Network
-	wa.late = again || !inTime(now, wa, 0, rest)
-	wa.arrivedLate = wa.late
-	if !wa.late {
-		qu.class(rq.Rank).offered.add(now, 1)
-		if li.overdraft && qu.withinShare(wa) {
-			qu.class(rq.Rank).within.add(now, 1)
-		}
+	overdraft := li.overdraft && qu.withinShare(wa)
+	cl := qu.class(wa.Request.Rank)
+	cl.offered.add(now, 1)
+	if overdraft {
+		cl.within.add(now, 1)
 	}
 	qu.charge(wa)
-	cl := qu.class(rq.Rank)
-	ahead := qu.aheadOf(cl, wa)
-	if free && (ahead == 0 || li.overdraft && qu.withinShare(wa)) && (!wa.late || qu.spare(&li, &vi, lateUse)) {
-		qu.start(now, wa, &li)
-		return Decision{Admitted: true, Basis: qu.basis(now, wa, &li, 0)}
+	wa.Ahead = qu.aheadOf(cl, wa)
+	lower := qu.lowerWaiting(cl)
+	turn := lower == 0 && qu.overtaken >= overtakenMax
+	if free && (wa.Ahead == 0 || overdraft || turn) {
+		if turn {
+			qu.overtaken = -1 // start counts this one
+		}
+		qu.start(now, wa, li)
+		return Decision{Admitted: true, Basis: qu.basis(now, wa, li, 0)}
 	}
-	wa.Ahead = ahead
-	wait := qu.expectedWait(now, wa, ahead, &li)
-	if qu.waiting >= maxWaiting || !inTime(now, wa, wait, time.Duration((1+marginFraction)*float64(rest))) {
+	wait := qu.expectedWait(now, wa, wa.Ahead, lower, li)
+	rest := time.Duration((1 + marginFraction) * float64(qu.callTime(li)+qu.Network))
+	if qu.waiting >= maxWaiting || !inTime(now, wa, wait, rest) {
 		cl.time.Credit(&cu.flow, 1)
-		return qu.refuse(now, wa, refusalReason(cu), &li, wait)
+		return qu.refuse(now, wa, refusalReason(cu), li, wait)
+	}
+	return qu.wait(now, wa, li, wait)
+}
+
+// lowerWaiting returns how many requests wait for the starts that are left to lower ranks, -1 if the
+// class is the highest one.
+func (qu *Queue) lowerWaiting(cl *class) int {
+	count := -1
+	for _, other := range qu.classes {
+		switch {
+		case count >= 0:
+			count += len(other.waiters)
+		case other == cl:
+			return -1
+		default:
+			count = 0
+		}
+	}
+	return count
+}
+
+// offerLate decides about a request whose goal has passed. It takes a place that is probably not
+// needed by others, and waits for one no longer than a refusal costs its caller nothing.
+func (qu *Queue) offerLate(now time.Time, wa *Waiter, li *limit, vi *view) Decision {
+	qu.charge(wa)
+	cl := qu.class(wa.Request.Rank)
+	wa.Ahead = qu.aheadOf(cl, wa)
+	if wa.Ahead == 0 && qu.free(wa, li) && qu.spare(li, vi, lateUse) {
+		qu.start(now, wa, li)
+		return Decision{Admitted: true, Basis: qu.basis(now, wa, li, 0)}
 	}
+	wait := qu.expectedWait(now, wa, wa.Ahead, -1, li)
+	if qu.waiting >= maxWaiting || wait > qu.freeTime(wa) {
+		cl.time.Credit(&wa.customer.flow, 1)
+		return qu.refuse(now, wa, refusalReason(wa.customer), li, wait)
+	}
+	return qu.wait(now, wa, li, wait)
+}
+
+// wait lets the request wait.
+func (qu *Queue) wait(now time.Time, wa *Waiter, li *limit, wait time.Duration) Decision {
 	wa.ready = make(chan struct{})
-	wa.Decision.Basis = qu.basis(now, wa, &li, wait)
+	wa.Decision.Basis = qu.basis(now, wa, li, wait)
 	qu.lastSeq++
 	wa.seq = qu.lastSeq
 	qu.insert(wa)
@@ -122,6 +172,7 @@
 	if li.limited() && float64(qu.running) >= li.whole {
 		qu.tokens--
 	}
+	qu.overtaken = min(qu.overtaken+1, overtakenMax)
 	qu.usage.update(now, qu.running)
 	qu.running++
 	if wa.ready == nil {
@@ -158,7 +209,7 @@
 
 // refusalReason is the reason of refusing a request that cannot be in time.
 func refusalReason(cu *customer) core.Reason {
-	if cu.admit < 1 {
+	if cu.over {
 		return core.ReasonShareExceeded
 	}
 	return core.ReasonQueueFull
@@ -225,24 +276,28 @@
 }
 
 // expectedWait predicts when a request starts that has so many requests ahead. Those of higher ranks
-// that arrive in the meantime go before it, but a tenth of the starts is left to lower ranks. Before
-// a late one go all of its rank that can be in time.
-func (qu *Queue) expectedWait(now time.Time, wa *Waiter, ahead int, li *limit) time.Duration {
+// that arrive in the meantime go before it, but a tenth of the starts is left to lower ranks: of these
+// it has lower ahead, -1 if it is not of a lower rank. Before a late one go all that can be in time.
+func (qu *Queue) expectedWait(now time.Time, wa *Waiter, ahead, lower int, li *limit) time.Duration {
 	rate := min(li.startRate(), li.places/qu.callTime(li).Seconds())
 	var before float64
 	for _, cl := range qu.classes {
-		if cl.rank < wa.Request.Rank || wa.late && cl.rank == wa.Request.Rank {
+		switch {
+		case cl.rank < wa.Request.Rank || wa.late && cl.rank == wa.Request.Rank:
 			before += cl.offered.at(now)
-		} else if cl.rank == wa.Request.Rank && !qu.withinShare(wa) {
+		case cl.rank == wa.Request.Rank && !qu.withinShare(wa):
 			before += cl.within.at(now)
 		}
 	}
+	left := rate - before
 	if wa.late {
-		rate = max(lateRate*rate-before, 1e-3)
-	} else {
-		rate = max(rate-before, rate/(overtakenMax+1), 1e-3)
+		left = lateRate*rate - before
+	}
+	seconds := float64(ahead+1) / max(left, 1e-3)
+	if lower >= 0 {
+		seconds = min(seconds, float64((lower+1)*(overtakenMax+1)-qu.overtaken)/max(rate, 1e-3))
 	}
-	return time.Duration(min(float64(ahead+1)/rate, maxWait.Seconds()*2) * float64(time.Second))
+	return time.Duration(min(seconds, 2*maxWait.Seconds()) * float64(time.Second))
 }
 
 // due is when the request must be done: its goal, or its deadline if it is late or has no goal.
--- a/core/waitq/waitq.go
+++ b/core/waitq/waitq.go
@@ -108,8 +108,8 @@
 	lastSeq   uint64
 	classes   []*class // by rank, the most urgent first
 	customers map[customerRank]*customer
-	// overtaken counts the starts of requests that went before waiting ones of lower ranks, or
-	// before late ones, since one of these last started.
+	// overtaken counts the starts, up to overtakenMax, since the last one of a request that others had
+	// overtaken: one of a lower rank, or one whose goal passed while it waited.
 	overtaken int
 	kept      rate // offered requests, weighted by the admitted fraction of their customers
 	usage     heldTime
@@ -134,6 +134,8 @@
 	waiting int
 	// admit is the admitted fraction by the level in force, credit what has accumulated of it.
 	admit, credit float64
+	// over says that the customer is over its share by the level in force.
+	over bool
 	// reported counts the requests offered since the last report.
 	reported int
 	recent   recentCounts
