io/gossip: report competition for a pool at the next tick

The first report of a pool waited for the end of its interval, up to 200 ms in which calls pile up at the endpoints.

go test -race of the new tests in io/relay (10 runs) and io/gossip: ok.

--- a/io/gossip/demand.go
+++ b/io/gossip/demand.go
@@ -56,6 +56,9 @@
 	// Reports returns a report for each pool for which requests compete. It is called once per
 	// demand.Interval.
 	Reports(now time.Time) []demand.Report
+	// EarlyReports returns the reports that must not wait for the end of the interval, because
+	// requests have begun to compete for a pool. It is called on each tick in between.
+	EarlyReports(now time.Time) []demand.Report
 	// ApplyLevel applies a pool's newest level.
 	ApplyLevel(now time.Time, le demand.Level)
 }
@@ -89,10 +92,12 @@
 	}
 	routers := 1 + gr.Live()
 	interval := demand.Interval(routers)
+	reports := gr.Demand.EarlyReports
 	if gr.demand.due(now, interval) {
-		for _, re := range gr.Demand.Reports(now) {
-			gr.reportDemand(now, &re)
-		}
+		reports = gr.Demand.Reports
+	}
+	for _, re := range reports(now) {
+		gr.reportDemand(now, &re)
 	}
 	for _, le := range gr.demand.ownLevels(now, routers, interval) {
 		gr.applyLevel(now, le)
--- a/io/gossip/demand_test.go
+++ b/io/gossip/demand_test.go
@@ -36,6 +36,8 @@
 	return []demand.Report{re}
 }
 
+func (de *fakeDemand) EarlyReports(time.Time) []demand.Report { return nil }
+
 func (de *fakeDemand) ApplyLevel(_ time.Time, le demand.Level) {
 	de.mu.Lock()
 	defer de.mu.Unlock()
--- a/io/gossip/fuzz_test.go
+++ b/io/gossip/fuzz_test.go
@@ -26,7 +26,7 @@
 		map[int]any{15: []any{1, nil, []byte{127, 0, 0, 3, 1, 2}}, 16: []any{[]any{[]byte{127, 0, 0, 3, 1, 2}, 3, 7}}, 17: 9},
 		map[int]any{15: []any{3, []byte{127, 0, 0, 1, 0, 1}, nil}, 16: []any{[]any{[]byte{127, 0, 0, 1, 0, 1}, 9, 1 << 31}}},
 		map[int]any{10: []any{2, 0, 0, 0}, 19: []any{7, 1, 2, 300, 200, 24, 30, 150, []any{[]any{9, 2, 300}}}},
-		map[int]any{10: []any{2, 0, 0, 0}, 20: []any{[]any{7, 1 << 40, 30, 9000, 30, []any{[]any{9, 2, 100}}}, []any{7, 0, 0, 0, 0, nil}}},
+		map[int]any{10: []any{2, 0, 0, 0}, 20: []any{[]any{7, 1 << 40, 30, 9000, 30, []any{[]any{9, 2, 100}}, true}, []any{7, 0, 0, 0, 0, nil, false}}},
 	} {
 		data, err := cbor.Marshal(body)
 		if err != nil {
--- a/io/relay/wait.go
+++ b/io/relay/wait.go
@@ -179,6 +179,20 @@
 	return all
 }
 
+// EarlyReports implements gossip.Demand.
+func (re *Relay) EarlyReports(now time.Time) []demand.Report {
+	var all []demand.Report
+	for _, pq := range re.allQueues() {
+		if !pq.queue.ReportDue(now) {
+			continue
+		}
+		if rt, competing := pq.queue.Report(now); competing {
+			all = append(all, rt)
+		}
+	}
+	return all
+}
+
 // ApplyLevel implements gossip.Demand. A level of a pool that had no request here is dropped: the
 // owner publishes another one within a fraction of a second. A level that names no places or no call
 // time is invalid.
--- a/io/relay/wait_test.go
+++ b/io/relay/wait_test.go
@@ -239,6 +239,26 @@
 	}
 }
 
+// Guards against a pool whose owner learns only at the end of an interval that its slots are being
+// taken, and against routers that report so again at each tick.
+func TestCompetitionIsReportedAtOnce(t *testing.T) {
+	qf := newQueueFleet(t)
+	for range 20 {
+		qf.sendAsync(context.Background())
+	}
+	qf.eventually("all requests are sent", func() bool { return len(qf.requests()) == 20 })
+	time.Sleep(20 * time.Millisecond) // the pool's calls are counted every 10 ms
+	now := time.Now()
+	reports := qf.re.EarlyReports(now)
+	if len(reports) != 1 || reports[0].Pool != demand.HashPool("pool") || reports[0].Slots != 8 {
+		t.Errorf("reported %+v, want one report of the pool with its 8 slots", reports)
+	}
+	if again := qf.re.EarlyReports(now.Add(10 * time.Millisecond)); len(again) > 0 {
+		t.Errorf("reported again: %+v", again)
+	}
+	close(qf.release)
+}
+
 // Guards against places that are released twice or never: each kind of ending of one or two
 // attempts, some of which abort the response by a panic, must release exactly one.
 func TestPlaceIsReleasedOnce(t *testing.T) {
