--- a/io/relay/wait_test.go
+++ b/io/relay/wait_test.go
@@ -15,6 +15,7 @@
 	"go.uber.org/zap/zaptest/observer"
 
 	"almondrill/core/demand"
+	"almondrill/core/place"
 	"almondrill/core/route"
 	"almondrill/io/relay"
 	"almondrill/io/stats"
@@ -259,6 +260,33 @@
 	close(qf.release)
 }
 
+// Guards against choices that ignore peers' reports while no level is in force, and against those
+// that go by them while one is: a peer reported that it has calls at the first endpoint.
+func TestChoiceByOwnCallsOnlyUnderLevel(t *testing.T) {
+	fl := newFleet(t, respond(http.StatusOK, "first"), respond(http.StatusOK, "second")).
+		configure(route.Route{Kind: route.Idempotent, FirstByteGoal: time.Second})
+	hash := place.EndpointHash("e0", 0)
+	fl.re.Placer.ApplyLoadReport(time.Now(), "peer", []byte{byte(hash >> 56), byte(hash >> 48), 6})
+	served := func() map[string]int {
+		by := map[string]int{}
+		for range 20 {
+			_, body, err := fl.send("GET", "/r/x", "")
+			if err != nil {
+				t.Fatal(err)
+			}
+			by[body]++
+		}
+		return by
+	}
+	if by := served(); by["second"] != 20 {
+		t.Errorf("without a level, requests were served by %v, want all by the second endpoint", by)
+	}
+	fl.re.ApplyLevel(time.Now(), demand.Level{Pool: demand.HashPool("pool"), AtMs: 1, Places: 16, CallMs: 30})
+	if by := served(); by["first"] < 3 || by["second"] < 3 {
+		t.Errorf("under a level, requests were served by %v, want both endpoints", by)
+	}
+}
+
 // Guards against places that are released twice or never: each kind of ending of one or two
 // attempts, some of which abort the response by a panic, must release exactly one.
 func TestPlaceIsReleasedOnce(t *testing.T) {
