--- a/core/waitq/level.go
+++ b/core/waitq/level.go
@@ -49,6 +49,8 @@
 	places, whole float64
 	// most is the number of own calls up to which customers within their share may overdraw.
 	most float64
+	// cap is this router's part of the calls that are admitted at most.
+	cap float64
 	// pool is the number of places of all routers.
 	pool float64
 	// held is how long a call holds its place.
@@ -158,8 +160,8 @@
 	}
 	li.held = time.Duration(qu.le.CallMs) * time.Millisecond
 	li.whole = math.Floor(li.places)
-	ownCap := demand.MaxPerSlot * float64(vi.slots) * li.places / li.pool
-	li.most = max(burst, min(overdraftFactor*li.places+1, ownCap))
+	li.cap = demand.MaxPerSlot * float64(vi.slots) * li.places / li.pool
+	li.most = max(burst, min(overdraftFactor*li.places+1, li.cap))
 	li.overdraft = li.kind == byLevel && !qu.le.More
 	qu.refill(now, &li)
 	return li
@@ -207,7 +209,7 @@
 	case overdraft && running < li.most:
 		return true
 	}
-	return running < li.whole+1 && qu.tokens >= 1
+	return running < min(li.whole+1, li.cap) && qu.tokens >= 1
 }
 
 func (qu *Queue) withinShare(wa *Waiter) bool { return !wa.customer.over && !wa.late }
