core/demand, core/waitq: forget reports before a pause; facts of decisions as fields

Cause: reports from before a calm time were averaged with new ones, and an owner that was asked only for pools with recent reports never forgot them. A level without offered requests gave each router all places. Change: reports older than 3 s are dropped; Decision has Ahead, Waited and LevelAge for logs.

--- a/core/demand/owner.go
+++ b/core/demand/owner.go
@@ -16,6 +16,9 @@
 	// alone varies by a third. With many routers and longer intervals, their sum varies less.
 	reportsKept = 5
 	averageTime = time.Second
+	// pauseTime is after how long without reports the earlier ones are forgotten: they are not part of
+	// the present demand. Routers report only while the pool is busy.
+	pauseTime = 3 * time.Second
 	// expiryIntervals is after how many intervals without a report a router's demand is dropped.
 	expiryIntervals = 3
 	// settleIntervals is how long an owner collects reports before it publishes, unless the shortage
@@ -84,13 +87,13 @@
 		ow.pools = map[PoolHash]*pool{}
 	}
 	po := ow.pools[re.Pool]
-	if po == nil {
+	if po == nil || now.Sub(po.last) > pauseTime {
 		po = &pool{reporters: map[string]*reporter{}, first: now}
 		ow.pools[re.Pool] = po
 	}
 	po.last = now
 	rp := po.reporters[from]
-	if rp == nil {
+	if rp == nil || now.Sub(rp.at) > pauseTime {
 		rp = &reporter{}
 		po.reporters[from] = rp
 	}
@@ -107,7 +110,7 @@
 	defer ow.mu.Unlock()
 	var all []PoolHash
 	for id, po := range ow.pools {
-		if now.Sub(po.last) <= LevelTTL {
+		if now.Sub(po.last) <= pauseTime {
 			all = append(all, id)
 		}
 	}
--- a/core/demand/owner_test.go
+++ b/core/demand/owner_test.go
@@ -179,3 +179,33 @@
 		t.Errorf("fractions %v, want those of weights 3 and 1", admit)
 	}
 }
+
+// Routers report only while a pool is busy. Reports from before a calm time must not be averaged with
+// those of the next busy one, nor be the reason to publish at once.
+func TestReportsBeforeAPauseAreForgotten(t *testing.T) {
+	po := busy(12, 24, 30*time.Millisecond, 150*time.Millisecond)
+	ow := &demand.Owner{}
+	interval := demand.Interval(po.routers)
+	for count := range 5 {
+		for ro := range 12 {
+			po.report(ow, begin.Add(time.Duration(count)*interval), ro)
+		}
+	}
+	later := begin.Add(time.Minute)
+	po.offered /= 2
+	for ro := range 6 {
+		po.report(ow, later, ro)
+	}
+	if le, ok := ow.Level(later, 1, 12); ok {
+		t.Errorf("level at the first reports after a minute: %+v", le)
+	}
+	for count := range 2 {
+		for ro := range 12 {
+			po.report(ow, later.Add(time.Duration(count+1)*interval), ro)
+		}
+	}
+	le, ok := ow.Level(later.Add(2*interval), 1, 12)
+	if !ok || math.Abs(float64(le.OfferedPer10s)/10-po.offered) > 30 {
+		t.Errorf("level %+v (%t), want an offered rate of %g", le, ok, po.offered)
+	}
+}
--- a/core/waitq/level.go
+++ b/core/waitq/level.go
@@ -170,7 +170,7 @@
 // limitByLevel divides the level's places by the routers' parts of the offered requests.
 func (qu *Queue) limitByLevel(now time.Time, vi *view) limit {
 	pool := float64(qu.le.Places)
-	part := 1.0
+	part := 1 / float64(vi.routers)
 	if qu.le.OfferedPer10s > 0 {
 		part = min(1, 10*qu.kept.at(now)/float64(qu.le.OfferedPer10s))
 	}
--- a/core/waitq/offer.go
+++ b/core/waitq/offer.go
@@ -51,8 +51,7 @@
 	switch {
 	case !li.limited():
 		qu.charge(wa)
-		qu.start(now, wa, &li)
-		return Decision{Admitted: true}
+		return qu.admit(now, wa, &li)
 	case wa.late:
 		return qu.offerLate(now, wa, &li, &vi)
 	}
@@ -77,10 +76,9 @@
 	turn := lower == 0 && qu.overtaken >= overtakenMax
 	if free && (wa.Ahead == 0 || overdraft || turn) {
 		if turn {
-			qu.overtaken = -1 // start counts this one
+			qu.overtaken = -1 // admit counts this one
 		}
-		qu.start(now, wa, li)
-		return Decision{Admitted: true, Basis: qu.basis(now, wa, li, 0)}
+		return qu.admit(now, wa, li)
 	}
 	wait := qu.expectedWait(now, wa, wa.Ahead, lower, li)
 	rest := time.Duration((1 + marginFraction) * float64(qu.callTime(li)+qu.Network))
@@ -115,8 +113,7 @@
 	cl := qu.class(wa.Request.Rank)
 	wa.Ahead = qu.aheadOf(cl, wa)
 	if wa.Ahead == 0 && qu.free(wa, li) && qu.spare(li, vi, lateUse) {
-		qu.start(now, wa, li)
-		return Decision{Admitted: true, Basis: qu.basis(now, wa, li, 0)}
+		return qu.admit(now, wa, li)
 	}
 	wait := qu.expectedWait(now, wa, wa.Ahead, -1, li)
 	if qu.waiting >= maxWaiting || wait > qu.freeTime(wa) {
@@ -129,11 +126,24 @@
 // wait lets the request wait.
 func (qu *Queue) wait(now time.Time, wa *Waiter, li *limit, wait time.Duration) Decision {
 	wa.ready = make(chan struct{})
-	wa.Decision.Basis = qu.basis(now, wa, li, wait)
 	qu.lastSeq++
 	wa.seq = qu.lastSeq
 	qu.insert(wa)
-	return Decision{Wait: wa, Basis: wa.Decision.Basis}
+	de := qu.decision(now, wa, li, wait)
+	de.Wait = wa
+	return de
+}
+
+// decision returns the facts of a decision, without its outcome.
+func (qu *Queue) decision(now time.Time, wa *Waiter, li *limit, wait time.Duration) Decision {
+	if !li.limited() {
+		return Decision{}
+	}
+	de := Decision{Basis: qu.basis(now, wa, li, wait), Ahead: wa.Ahead, LevelAge: now.Sub(qu.le.at)}
+	if wa.ready != nil {
+		de.Waited = now.Sub(wa.Request.Arrived)
+	}
+	return de
 }
 
 // takeShare counts a request against the customer's admitted fraction, and reports whether it is
@@ -165,8 +175,10 @@
 	wa.tag = qu.class(wa.Request.Rank).time.Charge(&wa.customer.flow, 1)
 }
 
-// start gives the request a place.
-func (qu *Queue) start(now time.Time, wa *Waiter, li *limit) {
+// admit gives the request a place.
+func (qu *Queue) admit(now time.Time, wa *Waiter, li *limit) Decision {
+	de := qu.decision(now, wa, li, 0)
+	de.Admitted = true
 	cl := qu.class(wa.Request.Rank)
 	cl.time.Start(wa.tag)
 	if li.limited() && float64(qu.running) >= li.whole {
@@ -180,6 +192,7 @@
 	} else {
 		qu.count(now, wa.customer, func(co *Counts) { co.AdmittedAfterWait++ })
 	}
+	return de
 }
 
 // refuse returns the refusal of a request.
@@ -189,7 +202,8 @@
 	} else {
 		qu.count(now, wa.customer, func(co *Counts) { co.RefusedForTime++ })
 	}
-	de := Decision{Refused: reason, Basis: qu.basis(now, wa, li, wait)}
+	de := qu.decision(now, wa, li, wait)
+	de.Refused = reason
 	if qu.Returns != nil {
 		cu := wa.customer
 		de.RetryAfter, _ = qu.Returns.Reserve(now, retry.Refused{
--- a/core/waitq/tick.go
+++ b/core/waitq/tick.go
@@ -78,8 +78,7 @@
 			break
 		}
 		qu.remove(wa)
-		wa.Decision.Admitted = true
-		qu.start(now, wa, &li)
+		wa.Decision = qu.admit(now, wa, &li)
 		decided = append(decided, wa)
 	}
 	if li.limited() {
@@ -110,7 +109,7 @@
 	if overtaken == nil || qu.overtaken < overtakenMax {
 		return first
 	}
-	qu.overtaken = -1 // start counts this one
+	qu.overtaken = -1 // admit counts this one
 	return overtaken
 }
 
@@ -210,8 +209,7 @@
 		}
 	}
 	qu.class(wa.Request.Rank).time.Credit(&wa.customer.flow, 1)
-	de := qu.refuse(now, wa, refusalReason(wa.customer), li, 0)
-	wa.Decision.Refused, wa.Decision.RetryAfter, wa.Decision.Basis = de.Refused, de.RetryAfter, de.Basis
+	wa.Decision = qu.refuse(now, wa, refusalReason(wa.customer), li, 0)
 	return append(decided, wa)
 }
 
--- a/core/waitq/waitq.go
+++ b/core/waitq/waitq.go
@@ -65,6 +65,10 @@
 	RetryAfter time.Duration
 	// Basis holds the facts behind the decision, for logs. It is empty while no limit is in force.
 	Basis string
+	// Ahead is the number of requests that were ahead on arrival, Waited how long the request waited,
+	// and LevelAge the age of the level, 0 without a limit.
+	Ahead            int
+	Waited, LevelAge time.Duration
 }
 
 // Waiter is a request that waits at the router.
