io/relay: log the facts that the queue decided on

LevelAge and Ahead were those on arrival; they are now those of the decision, also when the router limits itself without a current level.

--- a/io/relay/request.go
+++ b/io/relay/request.go
@@ -209,9 +209,7 @@
 		pr.FetchTokensPerMs = po.FetchTokensPerMs
 		pr.ColdDuration, pr.ColdRate = po.ColdDuration, po.ColdRate
 	}
-	if rq.turn != nil {
-		_, pr.OwnCallsOnly = rq.turn.pq.levelAge(time.Now())
-	}
+	pr.OwnCallsOnly = rq.turn != nil && rq.turn.pq.levelInForce(time.Now())
 	return pr
 }
 
--- a/io/relay/wait.go
+++ b/io/relay/wait.go
@@ -79,11 +79,13 @@
 	// admitted is set while the request has a place, which Done has to release. The place is kept
 	// for all attempts of the request.
 	admitted bool
-	// waited is how long it waited, ahead how many were ahead of it on arrival.
-	waited time.Duration
-	ahead  int
-	// levelAge is the age of the level in force on arrival, -1 if there was none.
+	// limited is set if capacity was short when the request was decided on. ahead is then how many
+	// were ahead of it on arrival, levelAge the age of the level that it was decided by.
+	limited  bool
+	ahead    int
 	levelAge time.Duration
+	// waited is how long it waited.
+	waited time.Duration
 	// ran is set once an endpoint may have run the request, took is how long that took there.
 	ran  bool
 	took time.Duration
@@ -219,10 +221,9 @@
 	return pq.slots, pq.calls
 }
 
-// levelAge returns the age of the level in force, false if there is none.
-func (pq *poolQueue) levelAge(now time.Time) (time.Duration, bool) {
-	age := time.Duration(now.UnixNano() - pq.levelAt.Load())
-	return age, age < demand.LevelTTL
+// levelInForce reports whether a level was applied recently enough to be in force.
+func (pq *poolQueue) levelInForce(now time.Time) bool {
+	return time.Duration(now.UnixNano()-pq.levelAt.Load()) < demand.LevelTTL
 }
 
 // advance starts and refuses waiting requests, and sets the timer for the next ones.
@@ -271,19 +272,18 @@
 	now := time.Now()
 	who := customerRank{demand.HashCustomer(rq.customer.ID), uint8(min(rq.rank(), math.MaxUint8))}
 	pq.recordName(who.customer, rq.customer.ID)
-	rq.turn = &turn{pq: pq, who: who, levelAge: -1}
-	if age, inForce := pq.levelAge(now); inForce {
-		rq.turn.levelAge = age
-	}
+	rq.turn = &turn{pq: pq, who: who}
 	de := pq.queue.Offer(now, waitq.Request{
 		Customer: who.customer, Rank: who.rank, Weight: 1,
 		Arrived: rq.began, GoalAt: rq.began.Add(rq.route.FirstByteGoal), Deadline: rq.deadline,
 	})
+	rq.turn.record(&de)
 	if wa := de.Wait; wa != nil {
 		if rf := rq.await(ctx, wa); rf != nil {
 			return rf
 		}
 		de = wa.Decision
+		rq.turn.record(&de)
 	}
 	if de.Admitted {
 		rq.turn.admitted = true
@@ -297,7 +297,6 @@
 // before.
 func (rq *request) await(ctx context.Context, wa *waitq.Waiter) *core.Refusal {
 	pq, began := rq.turn.pq, time.Now()
-	rq.turn.ahead = wa.Ahead
 	rq.re.Stats.Add(stats.RequestsWaiting, 1)
 	pq.advance()
 	var rf *core.Refusal
@@ -358,14 +357,17 @@
 	}
 }
 
-// logFields returns the fields about the queue, if the request waited or capacity was short.
+// record keeps the facts of a decision for the log. Without a limit there are none.
+func (tu *turn) record(de *waitq.Decision) {
+	if de.Basis != "" {
+		tu.limited, tu.ahead, tu.levelAge = true, de.Ahead, de.LevelAge
+	}
+}
+
+// logFields returns the fields about the queue, if capacity was short.
 func (tu *turn) logFields() []zap.Field {
-	if tu == nil || tu.waited == 0 && tu.levelAge < 0 {
+	if tu == nil || !tu.limited {
 		return nil
 	}
-	fields := []zap.Field{zap.Duration("Waited", tu.waited), zap.Int("Ahead", tu.ahead)}
-	if tu.levelAge >= 0 {
-		fields = append(fields, zap.Duration("LevelAge", tu.levelAge))
-	}
-	return fields
+	return []zap.Field{zap.Duration("Waited", tu.waited), zap.Int("Ahead", tu.ahead), zap.Duration("LevelAge", tu.levelAge)}
 }
