--- a/io/relay/wait.go
+++ b/io/relay/wait.go
@@ -56,11 +56,11 @@
 	mu    sync.Mutex // guards timer
 	timer *time.Timer
 
-	capacityMu   sync.Mutex // guards all below; nothing is locked while it is held, except Placer
+	capacityMu   sync.Mutex // guards slots, calls and capacityAt
 	slots, calls int
 	capacityAt   time.Time
 
-	customersMu sync.Mutex // guards all below
+	customersMu sync.Mutex // guards names and running
 	names       map[demand.CustomerHash]core.CustomerID
 	// running counts the places in use.
 	running map[customerRank]int
