--- a/core/place/place.go
+++ b/core/place/place.go
@@ -105,6 +105,8 @@
 	GoalAt, Deadline time.Time
 	GapGoal          time.Duration
 	MaxOutput        core.Tokens
+	// OwnCallsOnly weighs plain endpoints by this router's own calls alone.
+	OwnCallsOnly bool
 }
 
 // Result is the outcome of a placed call, as far as it concerns the endpoint.
