place, relay: first version of engines' memory as capacity

Cause: an engine's memory is full before its slots are where several calls with long prompts meet, and the engine then preempts running streams. Change: a call's prompt and expected response are counted at its engine; an engine without memory for a call is not picked while another has it, otherwise the call is refused with MemoryFull. core/outlen learns the lengths of streams. Measured: go test ./core/place ./io/relay ./io/stats passes; no load test yet.

--- a/core/place/choice.go
+++ b/core/place/choice.go
@@ -33,6 +33,11 @@
 	cheapestBase candidate
 	// loadMsByCalls is a table of loadMs by the number of calls.
 	loadMsByCalls [loadTableSize]float64
+	// memory is what the call needs of an engine's memory. noRoomCount counts the endpoints that are
+	// excluded only because they lack it; mostFree is the most that one of them has.
+	memory      memoryNeed
+	noRoomCount int
+	mostFree    core.Tokens
 }
 
 // candidate is the cheapest endpoint so far. Each router breaks ties at random.
@@ -60,6 +65,7 @@
 	ch := &choice{now: now, rq: rq, prefixes: prefixHashes(rq.Parts), members: pl.eligibleMembers(rq)}
 	ch.pool, ch.routers = rq.Pool, routers
 	ch.typicalMs = pl.callDurations[rq.Pool].typicalMs()
+	ch.memory = pl.memoryNeed(now, rq)
 	if len(ch.prefixes) > 0 {
 		ch.chatKey = chatKey(ch.prefixes)
 	}
@@ -202,6 +208,7 @@
 	}
 	tk.use, tk.customer = pl.customerUseOf(rq.Pool), rq.Customer
 	tk.use.add(rq.Customer, 1)
+	tk.holdMemory(ch.now)
 	st.markChanged()
 	st.ownCalls++
 	st.load.Add(ch.now, 1)
--- /dev/null
+++ b/core/place/memory.go
@@ -0,0 +1,240 @@
+package place
+
+import (
+	"fmt"
+	"math"
+	"net/http"
+	"time"
+
+	"almondrill/core"
+)
+
+// Load pattern: a load of more than twice the usual one fills the slots of all engines for seconds,
+// and a part of the requests has long prompts. Where several of these meet on one engine, its
+// memory is full before its slots are: the engine preempts running streams, and prefills their
+// prompts again. An engine therefore gets a call only if it has memory for the prompt and the
+// expected response, as long as another engine has that memory.
+
+const (
+	// memoryMargin is the fraction of an engine's memory that is not filled. It covers responses
+	// that become longer than expected and calls that peers placed since their last report.
+	memoryMargin = 0.04
+	// memoryMeanSpan is the time over which the mean memory of a call is averaged. A router among
+	// hundreds has ten calls in progress, so that the current ones alone are too few.
+	memoryMeanSpan = 5 * time.Second
+	// memoryRetryAfter is the retry delay if no engine has memory: half of the time that a long
+	// response takes, in which some calls of each engine end.
+	memoryRetryAfter = 500 * time.Millisecond
+)
+
+// engineMemory is what this router's calls in progress hold of an engine's memory.
+type engineMemory struct {
+	// tokens counts parts that several calls share once.
+	tokens core.Tokens
+	parts  map[uint64]heldPart // by the hash of the prefix
+}
+
+// heldPart is a prompt part that calls in progress hold.
+type heldPart struct {
+	tokens core.Tokens
+	calls  int
+}
+
+// poolMemory holds the memory of this router's calls of a pool, and their mean over time.
+type poolMemory struct {
+	tokens core.Tokens
+	calls  int
+	// tokenTime and callTime are integrals of tokens and calls over seconds, up to at. Older
+	// seconds count less.
+	tokenTime, callTime float64
+	at                  time.Time
+}
+
+func (pl *Placer) poolMemoryOf(pool core.PoolID) *poolMemory {
+	pm := pl.memories[pool]
+	if pm == nil {
+		pm = &poolMemory{}
+		pl.memories[pool] = pm
+	}
+	return pm
+}
+
+// change adds calls and tokens after the integrals were brought up to now.
+func (pm *poolMemory) change(now time.Time, calls int, tokens core.Tokens) {
+	pm.advance(now)
+	pm.calls += calls
+	pm.tokens += tokens
+}
+
+func (pm *poolMemory) advance(now time.Time) {
+	past := now.Sub(pm.at).Seconds()
+	if pm.at.IsZero() || past <= 0 {
+		pm.at = now
+		return
+	}
+	keep := math.Exp(-past / memoryMeanSpan.Seconds())
+	pm.tokenTime = keep*pm.tokenTime + past*float64(pm.tokens)
+	pm.callTime = keep*pm.callTime + past*float64(pm.calls)
+	pm.at = now
+}
+
+// meanTokens returns the mean memory of a call in progress. Calls count by the time that they take,
+// as they do in the counts of peers' calls that the mean is multiplied with.
+func (pm *poolMemory) meanTokens(now time.Time) float64 {
+	pm.advance(now)
+	if pm.callTime > 0 {
+		return pm.tokenTime / pm.callTime
+	}
+	return float64(pm.tokens) / float64(max(1, pm.calls))
+}
+
+// memoryNeed is what a call takes of an engine's memory, apart from what it shares.
+type memoryNeed struct {
+	// limit is the memory of an engine that may be filled, 0 if memory is not considered.
+	limit core.Tokens
+	// prompt and output are the tokens of the call, meanTokens that of the pool's calls.
+	prompt, output core.Tokens
+	meanTokens     float64
+}
+
+// considersMemory reports whether the request says what it takes of an engine's memory.
+func (rq *Request) considersMemory() bool {
+	return rq.Engine && rq.EngineMemory > 0 && rq.ExpectedOutput > 0
+}
+
+func (pl *Placer) memoryNeed(now time.Time, rq *Request) memoryNeed {
+	if !rq.considersMemory() {
+		return memoryNeed{}
+	}
+	return memoryNeed{
+		limit:  core.Tokens((1 - memoryMargin) * float64(rq.EngineMemory)),
+		prompt: promptTokens(rq.Parts), output: rq.ExpectedOutput,
+		meanTokens: pl.poolMemoryOf(rq.Pool).meanTokens(now),
+	}
+}
+
+// tooLarge reports whether the call fits no engine, even an empty one.
+func (mn *memoryNeed) tooLarge(rq *Request) bool {
+	return mn.limit > 0 && mn.prompt+mn.output > rq.EngineMemory
+}
+
+// freeMemory returns how much of the endpoint's memory may still be filled.
+func (ch *choice) freeMemory(st *state) core.Tokens {
+	return ch.memory.limit - st.memory.tokens - core.Tokens(ch.memory.meanTokens*float64(st.scratch.peerCalls))
+}
+
+// hasRoom reports whether the endpoint has memory for the call. An endpoint without calls has room
+// for each call that is not too large.
+func (ch *choice) hasRoom(st *state) bool {
+	mn := &ch.memory
+	if mn.limit == 0 || st.ownCalls+st.scratch.peerCalls == 0 {
+		return true
+	}
+	free := ch.freeMemory(st)
+	if mn.prompt+mn.output <= free {
+		return true
+	}
+	shared := st.memory.sharedTokens(ch.rq.Parts, ch.prefixes)
+	return mn.prompt+mn.output-shared <= free
+}
+
+// sharedTokens returns how much of the prompt calls in progress hold already.
+func (em *engineMemory) sharedTokens(parts []Part, prefixes []uint64) core.Tokens {
+	var shared core.Tokens
+	for ix, pa := range parts {
+		if em.parts[prefixes[ix]].calls == 0 {
+			break
+		}
+		shared += pa.Tokens
+	}
+	return shared
+}
+
+// hold adds a call's prompt and response, and returns by how much the memory in use grew.
+func (em *engineMemory) hold(parts []Part, prefixes []uint64, output core.Tokens) core.Tokens {
+	if em.parts == nil {
+		em.parts = map[uint64]heldPart{}
+	}
+	grown := output
+	for ix, pa := range parts {
+		held := em.parts[prefixes[ix]]
+		if held.calls == 0 {
+			grown += pa.Tokens
+			held.tokens = pa.Tokens
+		}
+		held.calls++
+		em.parts[prefixes[ix]] = held
+	}
+	em.tokens += grown
+	return grown
+}
+
+// release undoes hold, and returns by how much the memory in use shrank.
+func (em *engineMemory) release(prefixes []uint64, output core.Tokens) core.Tokens {
+	shrunk := output
+	for _, prefix := range prefixes {
+		held := em.parts[prefix]
+		if held.calls--; held.calls > 0 {
+			em.parts[prefix] = held
+			continue
+		}
+		shrunk += held.tokens
+		delete(em.parts, prefix)
+	}
+	em.tokens -= shrunk
+	return shrunk
+}
+
+// holdMemory counts the memory of a call that was placed.
+func (tk *Ticket) holdMemory(now time.Time) {
+	rq := tk.request
+	if !rq.considersMemory() {
+		return
+	}
+	tk.heldOutput = rq.ExpectedOutput
+	tk.pl.poolMemoryOf(rq.Pool).change(now, 1, tk.st.memory.hold(rq.Parts, tk.prefixes, tk.heldOutput))
+}
+
+// releaseMemory ends what holdMemory began.
+func (tk *Ticket) releaseMemory(now time.Time) {
+	if tk.heldOutput == 0 {
+		return
+	}
+	tk.pl.poolMemoryOf(tk.request.Pool).change(now, -1, -tk.st.memory.release(tk.prefixes, tk.heldOutput))
+	tk.heldOutput = 0
+}
+
+// RecordOutput records how many tokens of the response have arrived. A response that becomes longer
+// than expected holds more memory.
+func (tk *Ticket) RecordOutput(now time.Time, tokens core.Tokens) {
+	tk.pl.mu.Lock()
+	defer tk.pl.mu.Unlock()
+	if tk.heldOutput == 0 || tokens <= tk.heldOutput {
+		return
+	}
+	more := tokens - tk.heldOutput
+	tk.heldOutput = tokens
+	tk.st.memory.tokens += more
+	tk.pl.poolMemoryOf(tk.request.Pool).change(now, 0, more)
+}
+
+// refuseForMemory completes the refusal of a call that only lacks memory.
+func (ch *choice) refuseForMemory(re *core.Refusal) {
+	need := ch.memory.prompt + ch.memory.output
+	if ch.memory.tooLarge(ch.rq) {
+		re.Reason, re.Status, re.RetryAfter = core.ReasonTooLarge, http.StatusRequestEntityTooLarge, 0
+		re.Detail = "the request needs more memory than an engine has"
+		re.Basis = fmt.Sprintf("needs %d tokens, engines have %d", need, ch.rq.EngineMemory)
+		return
+	}
+	re.Reason, re.RetryAfter = core.ReasonMemoryFull, memoryRetryAfter
+	re.Detail = "no engine of the pool has memory for the request"
+	re.Basis = fmt.Sprintf("needs %d tokens, at most %d free of %d; %d of %d endpoints lack memory, %d full; a call has %.0f",
+		need, ch.mostFree, ch.rq.EngineMemory, ch.noRoomCount, ch.openCount, ch.fullCount, ch.memory.meanTokens)
+}
+
+// addNoRoom counts an endpoint that lacks memory for the call.
+func (ch *choice) addNoRoom(st *state) {
+	ch.noRoomCount++
+	ch.mostFree = max(ch.mostFree, ch.freeMemory(st))
+}
--- a/core/place/place.go
+++ b/core/place/place.go
@@ -88,6 +88,9 @@
 	// FetchTokensPerMs is how many cached tokens one engine of the pool fetches from another per
 	// millisecond, or 0 if engines cannot fetch.
 	FetchTokensPerMs float64
+	// ExpectedOutput is how many tokens the response is expected to have. If it and EngineMemory are
+	// set, an engine without memory for the call is not picked.
+	ExpectedOutput core.Tokens
 	// ColdDuration is how long an endpoint of the pool is cold after its start, and ColdRate how
 	// many requests per second it tolerates meanwhile. Both are 0 if the pool declares none.
 	ColdDuration time.Duration
@@ -157,6 +160,8 @@
 	customerUses map[core.PoolID]*customerUse
 	// callDurations holds how long calls of each pool take.
 	callDurations map[core.PoolID]*callDuration
+	// memories holds the memory of this router's calls in progress.
+	memories map[core.PoolID]*poolMemory
 }
 
 // Register adds or updates an endpoint. An incarnation that was seen draining stays so: only a
@@ -257,6 +262,7 @@
 		pl.surges = map[core.PoolID]*surge{}
 		pl.customerUses = map[core.PoolID]*customerUse{}
 		pl.callDurations = map[core.PoolID]*callDuration{}
+		pl.memories = map[core.PoolID]*poolMemory{}
 	}
 }
 
--- a/core/place/pool_stats.go
+++ b/core/place/pool_stats.go
@@ -77,6 +77,9 @@
 			re.Basis += fmt.Sprintf(", %d of them cold and at their rate limit", ch.coldFullCount)
 		}
 	}
+	if ch.noRoomCount > 0 {
+		ch.refuseForMemory(re)
+	}
 	return re
 }
 
@@ -204,9 +207,13 @@
 			ch.fullCount++ // healthy endpoints have capacity in a moment
 			continue
 		}
+		if !ch.hasRoom(st) {
+			ch.addNoRoom(st)
+			continue
+		}
 		ch.addUsable(pl, st)
 	}
-	if ch.usableCount > 0 || deadCount == 0 || ch.rq.HealthyOnly {
+	if ch.usableCount > 0 || deadCount == 0 || ch.noRoomCount > 0 || ch.rq.HealthyOnly {
 		return
 	}
 	for _, st := range ch.members {
--- a/core/place/state.go
+++ b/core/place/state.go
@@ -47,6 +47,7 @@
 	hash    uint64
 	addedAt time.Time
 	cache   *cacheModel
+	memory  engineMemory
 	scratch scratch
 }
 
--- a/core/place/ticket.go
+++ b/core/place/ticket.go
@@ -57,6 +57,8 @@
 	// use counts the call for its customer.
 	use      *customerUse
 	customer core.CustomerID
+	// heldOutput is the memory counted for the response, 0 if none is counted for the call.
+	heldOutput core.Tokens
 }
 
 // BeforeSend must be called immediately before the call is sent. It returns "", or the reason why
@@ -128,6 +130,7 @@
 		tk.reserved = false
 	}
 	tk.use.add(tk.customer, -1)
+	tk.releaseMemory(now)
 	st.ownCalls--
 	st.load.Add(now, -1)
 	if st.ownCalls == 0 {
--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -37,6 +37,7 @@
 	"go.uber.org/zap"
 
 	"almondrill/core"
+	"almondrill/core/outlen"
 	"almondrill/core/place"
 	"almondrill/core/retry"
 	"almondrill/core/route"
@@ -71,6 +72,10 @@
 	RouterOnly []string
 	// Prompt extracts the parts of a request's prompt.
 	Prompt func(hd http.Header) []place.Part
+	// OutputLimit extracts the largest number of tokens that the response may have, and OutputHint
+	// the number that the caller expects; 0 if the header does not state it. Either may be nil.
+	OutputLimit func(hd http.Header) core.Tokens
+	OutputHint  func(hd http.Header) core.Tokens
 	// Calls extracts the endpoint's number of calls in flight from its response; false if the
 	// response does not report it.
 	Calls func(hd http.Header) (int, bool)
@@ -102,7 +107,9 @@
 	Budget  *retry.Window
 	Conns   *conns.Pool
 	// Memory bounds the buffers of request and response bodies.
-	Memory  Memory
+	Memory Memory
+	// Output estimates the lengths of streams.
+	Output  outlen.Estimator
 	Stats   *stats.Set
 	Latency *stats.Latencies
 	Rand    core.Rand
--- a/io/relay/request.go
+++ b/io/relay/request.go
@@ -59,7 +59,9 @@
 	lastEvent  string
 	lastWrite  time.Time
 	longestGap time.Duration
-	ticket     *place.Ticket
+	// output is the expected length of the stream, and what was seen of it.
+	output output
+	ticket *place.Ticket
 	// notice is that of the last response.
 	notice Notice
 	// reservedTicket is the ticket reserved for the next attempt, nil if there is none.
@@ -198,6 +200,7 @@
 		pr.Engine = po.Engine
 		pr.EngineMemory = po.CacheTokens
 		pr.FetchTokensPerMs = po.FetchTokensPerMs
+		pr.ExpectedOutput = rq.expectedOutput(po)
 		pr.ColdDuration, pr.ColdRate = po.ColdDuration, po.ColdRate
 	}
 	return pr
@@ -226,6 +229,7 @@
 	if rq.lastEvent != "" {
 		rq.re.Latency.Record(stats.GapMs, rq.longestGap)
 	}
+	rq.recordOutput()
 	rq.re.Log.Info("Served.", rq.logFields(zap.Int("Status", rq.status), zap.Duration("Took", now.Sub(rq.began)),
 		zap.Duration("First", rq.firstWrite.Sub(rq.began)))...)
 }
@@ -283,6 +287,7 @@
 	if rq.sends > 0 {
 		fields = append(fields, zap.Int("Sends", rq.sends), zap.Bool("Asked", rq.countAsked))
 	}
+	fields = append(fields, rq.output.fields()...)
 	if rq.notice != (Notice{}) {
 		fields = append(fields, zap.Bool("EndpointLeaves", rq.notice.Draining), zap.Int64("BackoffMs", rq.notice.Backoff.Milliseconds()))
 	}
--- a/io/relay/stream.go
+++ b/io/relay/stream.go
@@ -81,6 +81,7 @@
 		rq.longestGap = max(rq.longestGap, now.Sub(rq.lastWrite))
 	}
 	rq.lastWrite = now
+	rq.countEvents(events)
 	if _, err := rq.wr.Write(events); err != nil {
 		return err
 	}
--- a/io/stats/stats.go
+++ b/io/stats/stats.go
@@ -75,6 +75,9 @@
 	// shutdown, or asked for no requests for a time.
 	LeavingNotices = "LeavingNotices"
 	BackoffNotices = "BackoffNotices"
+	// OutputErrorP50 and OutputErrorP90 are quantiles of the error of expected stream lengths.
+	OutputErrorP50 = "OutputErrorP50"
+	OutputErrorP90 = "OutputErrorP90"
 )
 
 // Set holds the counters of one process.
