place: refuse requests that are larger than an engine's memory

Cause: an endpoint without calls took every request, also one that does not fit its memory. Requests without a stated length are not considered: the memory that they need is unknown. Measured: go test ./platform ./core/place ./io/relay passes.

--- a/core/place/memory.go
+++ b/core/place/memory.go
@@ -124,11 +124,14 @@
 }
 
 // hasRoom reports whether the endpoint has memory for the call. An endpoint without calls has room
-// for each call that is not too large.
+// for each call that is not too large for any.
 func (ch *choice) hasRoom(st *state) bool {
 	mn := &ch.memory
-	if mn.limit == 0 || st.ownCalls+st.scratch.peerCalls == 0 {
+	switch {
+	case mn.limit == 0:
 		return true
+	case st.ownCalls+st.scratch.peerCalls == 0:
+		return !mn.tooLarge(ch.rq)
 	}
 	free := ch.freeMemory(st)
 	if mn.prompt+mn.output <= free {
--- a/io/relay/output.go
+++ b/io/relay/output.go
@@ -21,7 +21,7 @@
 }
 
 // expectedOutput returns the expected length of the response in tokens. It is 0 if the pool's engines
-// declare no memory that it would have to fit, or if the caller states neither a prompt nor a length,
+// declare no memory that it would have to fit, or if the caller states neither a hint nor a maximum,
 // so that the memory that the request needs is unknown.
 func (rq *request) expectedOutput(po *route.Pool) core.Tokens {
 	if !po.Engine || po.CacheTokens <= 0 {
@@ -35,7 +35,7 @@
 		if di := &rq.re.Dialect; di.OutputHint != nil {
 			ou.request.Hint = di.OutputHint(rq.hr.Header)
 		}
-		if len(rq.promptParts) == 0 && ou.request.Max == 0 && ou.request.Hint == 0 {
+		if ou.request.Max == 0 && ou.request.Hint == 0 {
 			return 0
 		}
 		ou.expected = rq.re.Output.Expect(rq.route.Name, ou.request)
