place, relay: requests wait for memory of an engine

Cause: a request that no engine had memory for was refused although calls end, and free memory, within some ten milliseconds. Change: it waits at its router for at most a quarter of its first-byte goal, in order of arrival; after half of that time it reserves an engine. Callers that disconnect are dropped.

--- a/core/outlen/outlen.go
+++ b/core/outlen/outlen.go
@@ -14,7 +14,8 @@
 //
 // # Invariants
 //
-//   - An estimate is at least one token, and at most the maximum that the caller stated.
+//   - An estimate is a number of whole events, at least one, and at most the maximum that the caller
+//     stated.
 //   - The state is bounded: maxRoutes routes and pools, maxErrors errors.
 //
 // # Usage
@@ -129,10 +130,11 @@
 	// The ratios are in events; before any are known, a hint or maximum is taken for the length.
 	le.perHint.estimate(size*float64(rq.Hint), 1/size, initialHintError, &sum, &weights)
 	le.perMax.estimate(size*float64(rq.Max), 1/size, initialMaxError, &sum, &weights)
-	if weights == 0 {
-		return 1
+	events := 1.0 // a response has at least one
+	if weights > 0 {
+		events = max(events, math.Round(sum/weights/size))
 	}
-	expected := max(1, core.Tokens(math.Round(sum/weights)))
+	expected := max(1, core.Tokens(math.Round(events*size)))
 	if rq.Max > 0 {
 		expected = min(expected, rq.Max)
 	}
--- a/core/place/choice.go
+++ b/core/place/choice.go
@@ -34,10 +34,13 @@
 	// loadMsByCalls is a table of loadMs by the number of calls.
 	loadMsByCalls [loadTableSize]float64
 	// memory is what the call needs of an engine's memory. noRoomCount counts the endpoints that are
-	// excluded only because they lack it; mostFree is the most that one of them has.
-	memory      memoryNeed
-	noRoomCount int
-	mostFree    core.Tokens
+	// excluded only because they lack it, leastNeed is the least that the call needs at one of them.
+	// freest is the one that has the most, freestTokens.
+	memory       memoryNeed
+	noRoomCount  int
+	leastNeed    core.Tokens
+	freest       *state
+	freestTokens core.Tokens
 }
 
 // candidate is the cheapest endpoint so far. Each router breaks ties at random.
--- a/core/place/memory.go
+++ b/core/place/memory.go
@@ -22,9 +22,6 @@
 	// memoryMeanSpan is the time over which the mean memory of a call is averaged. A router among
 	// hundreds has ten calls in progress, so that the current ones alone are too few.
 	memoryMeanSpan = 5 * time.Second
-	// memoryRetryAfter is the retry delay if no engine has memory: half of the time that a long
-	// response takes, in which some calls of each engine end.
-	memoryRetryAfter = 500 * time.Millisecond
 )
 
 // engineMemory is what this router's calls in progress hold of an engine's memory.
@@ -40,59 +37,75 @@
 	calls  int
 }
 
-// poolMemory holds the memory of this router's calls of a pool, and their mean over time.
-type poolMemory struct {
+// memoryUse is the memory that this router's calls in progress hold in a pool, and its course over
+// time.
+type memoryUse struct {
 	tokens core.Tokens
 	calls  int
-	// tokenTime and callTime are integrals of tokens and calls over seconds, up to at. Older
-	// seconds count less.
-	tokenTime, callTime float64
-	at                  time.Time
+	// tokenTime and callTime are integrals of tokens and calls over seconds, freed is the sum of the
+	// tokens of ended calls, span the seconds covered, all up to at. Older seconds count less.
+	tokenTime, callTime, freed, span float64
+	at                               time.Time
 }
 
-func (pl *Placer) poolMemoryOf(pool core.PoolID) *poolMemory {
-	pm := pl.memories[pool]
-	if pm == nil {
-		pm = &poolMemory{}
-		pl.memories[pool] = pm
+func (pl *Placer) poolMemoryOf(pool core.PoolID) *memoryUse {
+	us := pl.memories[pool]
+	if us == nil {
+		us = &memoryUse{}
+		pl.memories[pool] = us
 	}
-	return pm
+	return us
 }
 
 // change adds calls and tokens after the integrals were brought up to now.
-func (pm *poolMemory) change(now time.Time, calls int, tokens core.Tokens) {
-	pm.advance(now)
-	pm.calls += calls
-	pm.tokens += tokens
+func (us *memoryUse) change(now time.Time, calls int, tokens core.Tokens) {
+	us.advance(now)
+	us.calls += calls
+	us.tokens += tokens
+	if calls < 0 {
+		us.freed -= float64(tokens)
+	}
 }
 
-func (pm *poolMemory) advance(now time.Time) {
-	past := now.Sub(pm.at).Seconds()
-	if pm.at.IsZero() || past <= 0 {
-		pm.at = now
+func (us *memoryUse) advance(now time.Time) {
+	past := now.Sub(us.at).Seconds()
+	if us.at.IsZero() || past <= 0 {
+		us.at = now
 		return
 	}
 	keep := math.Exp(-past / memoryMeanSpan.Seconds())
-	pm.tokenTime = keep*pm.tokenTime + past*float64(pm.tokens)
-	pm.callTime = keep*pm.callTime + past*float64(pm.calls)
-	pm.at = now
+	us.tokenTime = keep*us.tokenTime + past*float64(us.tokens)
+	us.callTime = keep*us.callTime + past*float64(us.calls)
+	us.freed *= keep
+	us.span = keep*us.span + past
+	us.at = now
+}
+
+// freedPerSecond returns how much memory ended calls of this router have freed per second, 0 if it
+// is not known yet.
+func (us *memoryUse) freedPerSecond(now time.Time) float64 {
+	us.advance(now)
+	if us.span <= 0 {
+		return 0
+	}
+	return us.freed / us.span
 }
 
 // meanTokens returns the mean memory of a call in progress. Calls count by the time that they take,
 // as they do in the counts of peers' calls that the mean is multiplied with.
-func (pm *poolMemory) meanTokens(now time.Time) float64 {
-	pm.advance(now)
-	if pm.callTime > 0 {
-		return pm.tokenTime / pm.callTime
+func (us *memoryUse) meanTokens(now time.Time) float64 {
+	us.advance(now)
+	if us.callTime > 0 {
+		return us.tokenTime / us.callTime
 	}
-	return float64(pm.tokens) / float64(max(1, pm.calls))
+	return float64(us.tokens) / float64(max(1, us.calls))
 }
 
 // memoryNeed is what a call takes of an engine's memory, apart from what it shares.
 type memoryNeed struct {
 	// limit is the memory of an engine that may be filled, 0 if memory is not considered.
 	limit core.Tokens
-	// prompt and output are the tokens of the call, meanTokens that of the pool's calls.
+	// prompt and output are the tokens of the call, meanTokens is the mean of the pool's calls.
 	prompt, output core.Tokens
 	meanTokens     float64
 }
@@ -118,9 +131,14 @@
 	return mn.limit > 0 && mn.prompt+mn.output > rq.EngineMemory
 }
 
-// freeMemory returns how much of the endpoint's memory may still be filled.
-func (ch *choice) freeMemory(st *state) core.Tokens {
-	return ch.memory.limit - st.memory.tokens - core.Tokens(ch.memory.meanTokens*float64(st.scratch.peerCalls))
+// freeMemory returns how much of the endpoint's memory may still be filled, given the calls of
+// peers. It is negative if a request that waits has reserved the endpoint and lacks memory.
+func (ch *choice) freeMemory(st *state, peerCalls int) core.Tokens {
+	free := ch.memory.limit - st.memory.tokens - core.Tokens(ch.memory.meanTokens*float64(peerCalls))
+	if st.reservedBy != nil {
+		free -= st.reservedBy.need
+	}
+	return free
 }
 
 // hasRoom reports whether the endpoint has memory for the call. An endpoint without calls has room
@@ -133,12 +151,11 @@
 	case st.ownCalls+st.scratch.peerCalls == 0:
 		return !mn.tooLarge(ch.rq)
 	}
-	free := ch.freeMemory(st)
-	if mn.prompt+mn.output <= free {
+	need, free := mn.prompt+mn.output, ch.freeMemory(st, st.scratch.peerCalls)
+	if need <= free {
 		return true
 	}
-	shared := st.memory.sharedTokens(ch.rq.Parts, ch.prefixes)
-	return mn.prompt+mn.output-shared <= free
+	return need-st.memory.sharedTokens(ch.rq.Parts, ch.prefixes) <= free
 }
 
 // sharedTokens returns how much of the prompt calls in progress hold already.
@@ -222,7 +239,7 @@
 }
 
 // refuseForMemory completes the refusal of a call that only lacks memory.
-func (ch *choice) refuseForMemory(re *core.Refusal) {
+func (ch *choice) refuseForMemory(pl *Placer, re *core.Refusal) {
 	need := ch.memory.prompt + ch.memory.output
 	if ch.memory.tooLarge(ch.rq) {
 		re.Reason, re.Status, re.RetryAfter = core.ReasonTooLarge, http.StatusRequestEntityTooLarge, 0
@@ -230,14 +247,28 @@
 		re.Basis = fmt.Sprintf("needs %d tokens, engines have %d", need, ch.rq.EngineMemory)
 		return
 	}
-	re.Reason, re.RetryAfter = core.ReasonMemoryFull, memoryRetryAfter
+	re.Reason, re.RetryAfter = core.ReasonMemoryFull, pl.surgeRetryAfter(ch.now, ch.pool)
 	re.Detail = "no engine of the pool has memory for the request"
 	re.Basis = fmt.Sprintf("needs %d tokens, at most %d free of %d; %d of %d endpoints lack memory, %d full; a call has %.0f",
-		need, ch.mostFree, ch.rq.EngineMemory, ch.noRoomCount, ch.openCount, ch.fullCount, ch.memory.meanTokens)
+		need, ch.freestTokens, ch.rq.EngineMemory, ch.noRoomCount, ch.openCount, ch.fullCount, ch.memory.meanTokens)
 }
 
-// addNoRoom counts an endpoint that lacks memory for the call.
-func (ch *choice) addNoRoom(st *state) {
+// addIfRoom marks an endpoint as usable if it has memory for the call, and otherwise counts it as
+// one that has not.
+func (ch *choice) addIfRoom(pl *Placer, st *state) {
+	if ch.hasRoom(st) {
+		ch.addUsable(pl, st)
+		return
+	}
 	ch.noRoomCount++
-	ch.mostFree = max(ch.mostFree, ch.freeMemory(st))
+	need := ch.memory.prompt + ch.memory.output - st.memory.sharedTokens(ch.rq.Parts, ch.prefixes)
+	if ch.noRoomCount == 1 || need < ch.leastNeed {
+		ch.leastNeed = need
+	}
+	if st.reservedBy != nil {
+		return
+	}
+	if free := ch.freeMemory(st, st.scratch.peerCalls); ch.freest == nil || free > ch.freestTokens {
+		ch.freest, ch.freestTokens = st, free
+	}
 }
--- a/core/place/place.go
+++ b/core/place/place.go
@@ -161,7 +161,11 @@
 	// callDurations holds how long calls of each pool take.
 	callDurations map[core.PoolID]*callDuration
 	// memories holds the memory of this router's calls in progress.
-	memories map[core.PoolID]*poolMemory
+	memories map[core.PoolID]*memoryUse
+	// memoryWaits holds the requests that wait for memory, memoryRouters is the number of routers
+	// when the last of them came.
+	memoryWaits   map[core.PoolID]*memoryWaits
+	memoryRouters int
 }
 
 // Register adds or updates an endpoint. An incarnation that was seen draining stays so: only a
@@ -262,7 +266,8 @@
 		pl.surges = map[core.PoolID]*surge{}
 		pl.customerUses = map[core.PoolID]*customerUse{}
 		pl.callDurations = map[core.PoolID]*callDuration{}
-		pl.memories = map[core.PoolID]*poolMemory{}
+		pl.memories = map[core.PoolID]*memoryUse{}
+		pl.memoryWaits = map[core.PoolID]*memoryWaits{}
 	}
 }
 
@@ -308,6 +313,7 @@
 	routers := max(1, pl.RouterCount()) // before locking: the function may call the Placer
 	pl.mu.Lock()
 	defer pl.mu.Unlock()
+	pl.serveWaits(now, rq.Pool)
 	ch := pl.newChoice(now, rq, routers)
 	if ch.usableCount == 0 {
 		return nil, pl.refusal(ch)
--- a/core/place/pool_stats.go
+++ b/core/place/pool_stats.go
@@ -78,7 +78,7 @@
 		}
 	}
 	if ch.noRoomCount > 0 {
-		ch.refuseForMemory(re)
+		ch.refuseForMemory(pl, re)
 	}
 	return re
 }
@@ -207,18 +207,14 @@
 			ch.fullCount++ // healthy endpoints have capacity in a moment
 			continue
 		}
-		if !ch.hasRoom(st) {
-			ch.addNoRoom(st)
-			continue
-		}
-		ch.addUsable(pl, st)
+		ch.addIfRoom(pl, st)
 	}
 	if ch.usableCount > 0 || deadCount == 0 || ch.noRoomCount > 0 || ch.rq.HealthyOnly {
 		return
 	}
 	for _, st := range ch.members {
 		if !ch.closedTo(st) && !ch.now.Before(st.backoffUntil) && st.scratch.looksDead && !tried(ch.rq, st.ID) && li.hasCapacity(ch.now, st) && ch.withinColdLimit(pl, st) {
-			ch.addUsable(pl, st)
+			ch.addIfRoom(pl, st)
 		}
 	}
 }
--- a/core/place/state.go
+++ b/core/place/state.go
@@ -48,7 +48,9 @@
 	addedAt time.Time
 	cache   *cacheModel
 	memory  engineMemory
-	scratch scratch
+	// reservedBy is the waiting request that has reserved the endpoint's memory, nil if none has.
+	reservedBy *MemoryWait
+	scratch    scratch
 }
 
 // scratch holds what one choice computes for an endpoint.
--- a/core/place/ticket.go
+++ b/core/place/ticket.go
@@ -136,6 +136,7 @@
 	if st.ownCalls == 0 {
 		st.health.silentSince = time.Time{}
 	}
+	defer tk.pl.serveWaits(now, st.Pool)
 	switch re {
 	case Served:
 		st.health.recordSuccess(now)
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -227,6 +227,7 @@
 	pr.Stats.SetFunc(stats.ConfigRevision, func() int64 { return int64(pr.configVersion()) })
 	pr.Stats.SetFunc(stats.StoreLed, func() int64 { return boolCount(pr.peers.IsWatcher()) })
 	pr.Stats.SetFunc(stats.BytesHeld, pr.relay.Memory.Held)
+	pr.Stats.SetFunc(stats.MemoryWaiting, func() int64 { return int64(pr.placer.MemoryWaits()) })
 	pr.Stats.SetFunc(stats.OutputErrorP50, func() int64 { return pr.relay.Output.ErrorPercent(0.5) })
 	pr.Stats.SetFunc(stats.OutputErrorP90, func() int64 { return pr.relay.Output.ErrorPercent(0.9) })
 	pr.Stats.SetFunc(stats.ViewAgeMs, func() int64 { return pr.reader.Age().Milliseconds() })
--- a/io/relay/request.go
+++ b/io/relay/request.go
@@ -61,7 +61,9 @@
 	longestGap time.Duration
 	// output is the expected length of the stream, and what was seen of it.
 	output output
-	ticket *place.Ticket
+	// memoryWait is the request's wait for memory of an engine, nil if it did not wait.
+	memoryWait *memoryWait
+	ticket     *place.Ticket
 	// notice is that of the last response.
 	notice Notice
 	// reservedTicket is the ticket reserved for the next attempt, nil if there is none.
@@ -131,6 +133,9 @@
 	pr := rq.placementRequest()
 	rq.refreshCount(ctx, pr)
 	tk, rf := rq.pick(ctx, pr)
+	if rf != nil && rf.Reason == core.ReasonMemoryFull {
+		tk, rf = rq.awaitMemory(ctx, pr, rf)
+	}
 	if rf != nil {
 		return rf
 	}
@@ -287,7 +292,7 @@
 	if rq.sends > 0 {
 		fields = append(fields, zap.Int("Sends", rq.sends), zap.Bool("Asked", rq.countAsked))
 	}
-	fields = append(fields, rq.output.fields()...)
+	fields = append(append(fields, rq.output.fields()...), rq.memoryWait.fields()...)
 	if rq.notice != (Notice{}) {
 		fields = append(fields, zap.Bool("EndpointLeaves", rq.notice.Draining), zap.Int64("BackoffMs", rq.notice.Backoff.Milliseconds()))
 	}
--- a/io/stats/docs.go
+++ b/io/stats/docs.go
@@ -53,6 +53,8 @@
 	{BackoffNotices, "responses of endpoints that refused a request and asked this router to send none for a time"},
 	{OutputErrorP50, "median error of the expected lengths of streams, in percent of the length seen, over the last 512 streams"},
 	{OutputErrorP90, "90th percentile of the error of the expected lengths of streams, in percent of the length seen"},
+	{MemoryWaiting, "requests that wait for memory of an engine, at most a quarter of their first-byte goal"},
+	{MemoryWaited, "requests that were sent to an engine after they had waited for its memory"},
 	{ZonesEvacuated, "zones under evacuation; their endpoints get no new requests"},
 	{ColdDenied, "times that a chosen cold endpoint had used up its limit in requests a second, so that another was chosen"},
 	{LogLinesSampled, "log lines left out because too many with the same message were logged in a second"},
--- a/io/stats/stats.go
+++ b/io/stats/stats.go
@@ -78,6 +78,10 @@
 	// OutputErrorP50 and OutputErrorP90 are quantiles of the error of expected stream lengths.
 	OutputErrorP50 = "OutputErrorP50"
 	OutputErrorP90 = "OutputErrorP90"
+	// MemoryWaiting is the number of requests that wait for memory of an engine, MemoryWaited counts
+	// those that got it.
+	MemoryWaiting = "MemoryWaiting"
+	MemoryWaited  = "MemoryWaited"
 )
 
 // Set holds the counters of one process.
