--- a/core/place/load_report.go
+++ b/core/place/load_report.go
@@ -3,6 +3,8 @@
 import (
 	"container/list"
 	"time"
+
+	"almondrill/core"
 )
 
 // loadReport is a peer's latest report: its calls in progress by the short hashes of the endpoints.
@@ -20,6 +22,9 @@
 type endpointCalls struct {
 	endpoint uint16
 	calls    int
+	// tokens is the memory of the calls, if tokensKnown is set.
+	tokens      core.Tokens
+	tokensKnown bool
 }
 
 // loadReports holds the peers' latest reports and their sums. The sums are maintained, because a
@@ -29,8 +34,11 @@
 	// byExpiry lists the reports, the next to expire first.
 	byExpiry *list.List
 	sums     map[uint16]int
-	// onChange is called for each change of a sum.
-	onChange func(endpoint uint16, by int)
+	// memory holds the sums of the memory of the calls whose memory is reported.
+	memory map[uint16]peerMemory
+	// onChange is called for each change of a sum, onMemoryChange for each of a sum of memory.
+	onChange       func(endpoint uint16, by int)
+	onMemoryChange func(endpoint uint16, by peerMemory)
 }
 
 const (
@@ -64,23 +72,29 @@
 	var packed []byte
 	for _, st := range pl.byID {
 		if st.ownCalls > 0 && len(packed) < maxReportEntries*reportEntrySize {
-			hash := shortHash(st.hash)
-			packed = append(packed, byte(hash>>8), byte(hash), byte(min(maxEntryCalls, st.ownCalls)))
+			packed = appendCalls(packed, st)
 		}
 	}
 	return packed
 }
 
+// appendCalls adds an entry to a report.
+func appendCalls(packed []byte, st *state) []byte {
+	hash := shortHash(st.hash)
+	return append(packed, byte(hash>>8), byte(hash), byte(min(maxEntryCalls, st.ownCalls)))
+}
+
 // ApplyLoadReport replaces the calls reported by a peer.
 func (pl *Placer) ApplyLoadReport(now time.Time, from string, packed []byte) {
+	pl.ApplyLoadReportWithMemory(now, from, packed, nil)
+}
+
+func decodeCalls(packed []byte) []endpointCalls {
 	calls := make([]endpointCalls, 0, len(packed)/reportEntrySize)
 	for ; len(packed) >= reportEntrySize; packed = packed[reportEntrySize:] {
-		calls = append(calls, endpointCalls{uint16(packed[0])<<8 | uint16(packed[1]), int(packed[2])})
+		calls = append(calls, endpointCalls{endpoint: uint16(packed[0])<<8 | uint16(packed[1]), calls: int(packed[2])})
 	}
-	pl.mu.Lock()
-	defer pl.mu.Unlock()
-	pl.initMaps()
-	pl.reports.apply(now, from, calls)
+	return calls
 }
 
 // apply replaces a peer's report.
@@ -124,7 +138,19 @@
 			delete(lr.sums, ec.endpoint)
 		}
 		lr.onChange(ec.endpoint, sign*ec.calls)
+		if ec.tokensKnown {
+			lr.addMemory(ec.endpoint, peerMemory{core.Tokens(sign) * ec.tokens, sign * ec.calls})
+		}
+	}
+}
+
+func (lr *loadReports) addMemory(endpoint uint16, by peerMemory) {
+	sum := lr.memory[endpoint]
+	sum.tokens, sum.calls = sum.tokens+by.tokens, sum.calls+by.calls
+	if lr.memory[endpoint] = sum; sum == (peerMemory{}) {
+		delete(lr.memory, endpoint)
 	}
+	lr.onMemoryChange(endpoint, by)
 }
 
 // expire removes the expired reports from the sums. Their time of receipt is kept for longer, so
--- a/core/place/memory_mix_test.go
+++ b/core/place/memory_mix_test.go
@@ -320,7 +320,8 @@
 		for from, pl := range mi.routers {
 			for to, other := range mi.routers {
 				if from != to && (tick+3*from+7*to)%every == 0 {
-					other.ApplyLoadReport(mi.now, fmt.Sprint("router", from), pl.LoadReport())
+					calls, memory := pl.LoadReportWithMemory()
+					other.ApplyLoadReportWithMemory(mi.now, fmt.Sprint("router", from), calls, memory)
 					other.ApplyReadings(mi.now, 0, pl.Readings(mi.now))
 				}
 			}
--- a/core/place/memory_test.go
+++ b/core/place/memory_test.go
@@ -210,3 +210,38 @@
 		}
 	}
 }
+
+// Guards against engines that look empty although peers' calls with long prompts fill them, and
+// against reports of builds that do not send memory.
+func TestLoadReportsContainMemory(t *testing.T) {
+	peer, pl := newPlacer(2), newPlacer(2)
+	register(peer, 1)
+	register(pl, 1)
+	for id := range uint64(2) {
+		pick(t, peer, begin, memoryRequest(id+1, 40000, 100000))
+	}
+	fits := func(tokens core.Tokens) bool {
+		tk, rf := pl.Pick(begin, memoryRequest(9, tokens, 100000))
+		if rf == nil {
+			tk.Done(begin, place.Neutral)
+		}
+		return rf == nil
+	}
+	calls, memory := peer.LoadReportWithMemory()
+	pl.ApplyLoadReportWithMemory(begin, "peer", calls, memory)
+	if !fits(15000) || fits(25000) {
+		t.Errorf("with 80000 of 100000 tokens in use by a peer: 15000 fit %v, 25000 fit %v", fits(15000), fits(25000))
+	}
+	pl.ApplyLoadReportWithMemory(begin, "peer", calls, append(memory, 1)) // does not match the calls
+	if !fits(25000) {
+		t.Error("a report without memory excludes a call, though the mean of the known calls is small")
+	}
+	pl.ApplyLoadReportWithMemory(begin, "peer", calls, memory)
+	pl.ApplyLoadReportWithMemory(begin, "peer", nil, nil)
+	if !fits(90000) {
+		t.Error("memory of calls that have ended is still counted")
+	}
+	if calls, memory := newPlacer(1).LoadReportWithMemory(); calls != nil || memory != nil {
+		t.Errorf("a router without calls reports %v, %v", calls, memory)
+	}
+}
--- a/core/place/place.go
+++ b/core/place/place.go
@@ -262,7 +262,7 @@
 		pl.evacuations = map[core.Zone]*evacuation{}
 		pl.backoffs = map[core.EndpointID]time.Time{}
 		pl.partIndex = newPartIndex()
-		pl.reports = loadReports{byPeer: map[string]*list.Element{}, byExpiry: list.New(), sums: map[uint16]int{}, onChange: pl.addPeerCalls}
+		pl.reports = loadReports{byPeer: map[string]*list.Element{}, byExpiry: list.New(), sums: map[uint16]int{}, memory: map[uint16]peerMemory{}, onChange: pl.addPeerCalls, onMemoryChange: pl.addPeerMemory}
 		pl.surges = map[core.PoolID]*surge{}
 		pl.customerUses = map[core.PoolID]*customerUse{}
 		pl.callDurations = map[core.PoolID]*callDuration{}
--- a/core/place/state.go
+++ b/core/place/state.go
@@ -48,6 +48,8 @@
 	addedAt time.Time
 	cache   *cacheModel
 	memory  engineMemory
+	// peerMemory is the memory of peers' calls, as reported.
+	peerMemory peerMemory
 	// reservedBy is the waiting request that has reserved the endpoint's memory, nil if none has.
 	reservedBy *MemoryWait
 	scratch    scratch
@@ -79,7 +81,7 @@
 
 func (pl *Placer) newState(now time.Time, ep *Endpoint) *state {
 	name, hash := decl.HashName(string(ep.ID)), EndpointHash(ep.ID, ep.Incarnation)
-	st := &state{idHash: name, hash: hash, addedAt: now, peerCalls: pl.reports.sums[shortHash(hash)], sameZone: ep.Zone == pl.Zone, backoffUntil: pl.backoffs[ep.ID]}
+	st := &state{idHash: name, hash: hash, addedAt: now, peerCalls: pl.reports.sums[shortHash(hash)], peerMemory: pl.reports.memory[shortHash(hash)], sameZone: ep.Zone == pl.Zone, backoffUntil: pl.backoffs[ep.ID]}
 	st.cache = newCacheModel(st, pl.partIndex)
 	return st
 }
--- a/io/gossip/gossip.go
+++ b/io/gossip/gossip.go
@@ -99,6 +99,8 @@
 	AsOf core.Version `cbor:"1,keyasint,omitempty"`
 	// Calls are the sender's calls in progress, see place.Placer.LoadReport.
 	Calls []byte `cbor:"2,keyasint,omitempty"`
+	// Memory is the memory that these calls hold, see place.Placer.LoadReportWithMemory.
+	Memory []byte `cbor:"22,keyasint,omitempty"`
 	// AgeMs is the time since the store confirmed AsOf. Failing is set if the sender's calls to the
 	// store fail.
 	AgeMs   uint32 `cbor:"8,keyasint,omitempty"`
@@ -349,7 +351,7 @@
 	if ms.AsOf <= gr.Mirror.AsOf() {
 		gr.Feed.Confirm(now.Sub(confirmed))
 	}
-	gr.Placer.ApplyLoadReport(now, from, ms.Calls)
+	gr.Placer.ApplyLoadReportWithMemory(now, from, ms.Calls, ms.Memory)
 	gr.Placer.ApplyMoves(ms.Moves)
 	gr.Placer.ApplyReadings(now, minTransitDelay, ms.Readings)
 }
--- a/io/gossip/send.go
+++ b/io/gossip/send.go
@@ -54,8 +54,9 @@
 func (gr *Group) message(now time.Time) *message {
 	ms := &message{
 		AsOf: gr.Mirror.AsOf(), AgeMs: uint32(min(maxAgeMs, max(0, gr.Feed.Age().Milliseconds()))),
-		Failing: gr.Feed.Failing(), Calls: gr.Placer.LoadReport(),
+		Failing: gr.Feed.Failing(),
 	}
+	ms.Calls, ms.Memory = gr.Placer.LoadReportWithMemory()
 	gr.mu.Lock()
 	defer gr.mu.Unlock()
 	ms.Watchers = packWatchers(now, gr.electedWatchers(now))
