--- a/core/outlen/outlen.go
+++ b/core/outlen/outlen.go
@@ -76,7 +76,7 @@
 	rate := max(learningRate, 1/float64(ra.count))
 	if ra.count > 1 && ra.mean > 0 {
 		deviation := (value - ra.mean) / ra.mean
-		ra.squaredError += max(learningRate, 1/float64(ra.count)) * (deviation*deviation - ra.squaredError)
+		ra.squaredError += rate * (deviation*deviation - ra.squaredError)
 	}
 	ra.mean += rate * (value - ra.mean)
 }
