--- a/core/demand/owner.go
+++ b/core/demand/owner.go
@@ -146,14 +146,14 @@
 		return Level{}, false
 	}
 	places := ow.places(&su, capacity, liveRouters, part)
-	shares := ow.allocate(su.customers, yieldLoad*capacity*part-su.unlisted)
 	probe := 1 + probeTime.Seconds()/interval.Seconds()
 	le := Level{
 		Pool: id, AtMs: uint64(now.UnixMilli()),
 		Places: clamp16(math.Max(1, places*part)),
 		CallMs: clamp16(math.Max(1, 1000*max(places/probe, su.runningNow/part)/capacity)),
 	}
-	le.Over, le.More = overShare(su.customers, shares)
+	shares := ow.allocate(su.customers, capacity*part-su.unlisted)
+	le.Over, le.More = overShare(su.customers, ow.allocate(su.customers, yieldLoad*capacity*part-su.unlisted), shares)
 	le.OfferedPer10s = clamp32(10 * (su.offered - cut(su.customers, le.Over)))
 	return le, true
 }
--- a/core/demand/shares.go
+++ b/core/demand/shares.go
@@ -64,21 +64,22 @@
 }
 
 const (
-	// yieldLoad is the part of the capacity that is divided into shares. A customer over its share
-	// yields to others from that load on, before queues have formed.
+	// yieldLoad is the part of the capacity beyond whose fair shares a customer is listed. It yields to
+	// others from that load on, before queues have formed.
 	yieldLoad = 0.85
-	// allowance is by how much admitted fractions exceed shares. Fractions are computed from demand
-	// that is some hundred milliseconds old and from an estimate of the capacity. The routers' queues
-	// refuse what is too much, while what a fraction refuses too much leaves slots free.
-	allowance = 1.4 / yieldLoad
+	// allowance is by how much admitted fractions exceed shares of the whole capacity. Fractions are
+	// computed from demand that is some hundred milliseconds old and from an estimate of the capacity.
+	// The routers' queues refuse what is too much, while what a fraction refuses too much leaves slots
+	// free.
+	allowance = 1.4
 	// listedBelow is the part of its demand below which a customer's share must be for it to be
 	// listed. A smaller difference is less than the noise of the estimates.
 	listedBelow = 0.98
 )
 
-// overShare lists the customers that offer more than their share, those with the largest excess
-// first, and says whether there are more than MaxOver.
-func overShare(demands, shares map[customerRank]float64) (over []Share, more bool) {
+// overShare lists the customers that offer more than they yield from on, those with the largest excess
+// first, with the fractions that their shares allow. It says whether there are more than MaxOver.
+func overShare(demands, yieldFrom, shares map[customerRank]float64) (over []Share, more bool) {
 	type excess struct {
 		Share
 		amount float64
@@ -86,8 +87,8 @@
 	var all []excess
 	for cr, demand := range demands {
 		admit := uint8(fullAdmit * min(1, allowance*shares[cr]/max(demand, 1e-9)))
-		if shares[cr] < listedBelow*demand {
-			all = append(all, excess{Share{ID: cr.id, Rank: cr.rank, Admit: admit}, demand - shares[cr]})
+		if yieldFrom[cr] < listedBelow*demand {
+			all = append(all, excess{Share{ID: cr.id, Rank: cr.rank, Admit: admit}, demand - yieldFrom[cr]})
 		}
 	}
 	slices.SortFunc(all, func(one, two excess) int {
