core/demand, core/waitq: surges are known after one report; onset without refusals while slots are free

Changes: OfferedPer10s is averaged as the routers' own rates are; a large customer's demand that grows by far is that of the latest reports; no margin within the share; fallback within the cap.

--- a/core/demand/demand.go
+++ b/core/demand/demand.go
@@ -58,7 +58,8 @@
 	Pool PoolHash
 	// Running is the mean number of calls at the endpoints, Waiting how many requests wait now.
 	Running, Waiting uint16
-	// OfferedPer10s and EndedPer10s are rates, in calls per 10 s.
+	// OfferedPer10s and EndedPer10s are rates, in calls per 10 s. OfferedPer10s is averaged with a time
+	// constant of a second, as the rate is by which the router computes its part of the places.
 	OfferedPer10s, EndedPer10s uint32
 	// Slots is the sum of the slots of the pool's live endpoints that the router knows.
 	Slots uint16
--- a/core/demand/owner.go
+++ b/core/demand/owner.go
@@ -19,6 +19,10 @@
 	// pauseTime is after how long without reports the earlier ones are forgotten: they are not part of
 	// the present demand. Routers report only while the pool is busy.
 	pauseTime = 3 * time.Second
+	// surgeFactor is from which growth on a customer's demand is that of the latest reports alone, if it
+	// is more than surgePart of all. Small customers' demand varies by more than that without a surge.
+	surgeFactor = 1.3
+	surgePart   = 0.2
 	// expiryIntervals is after how many intervals without a report a router's demand is dropped.
 	expiryIntervals = 3
 	// settleIntervals is how long an owner collects reports before it publishes, unless the shortage
@@ -152,9 +156,9 @@
 		Places: clamp16(math.Max(1, places*part)),
 		CallMs: clamp16(math.Max(1, 1000*max(places/probe, su.runningNow/part)/capacity)),
 	}
-	shares := ow.allocate(su.customers, capacity*part-su.unlisted)
-	le.Over, le.More = overShare(su.customers, ow.allocate(su.customers, yieldLoad*capacity*part-su.unlisted), shares)
-	le.OfferedPer10s = clamp32(10 * (su.offered - cut(su.customers, le.Over)))
+	shares := ow.allocate(su.customers, capacity*part-su.unlisted())
+	le.Over, le.More = overShare(su.customers, ow.allocate(su.customers, yieldLoad*capacity*part-su.unlisted()), shares)
+	le.OfferedPer10s = clamp32(10 * su.offered * (1 - cut(su.customers, le.Over)/max(su.listed, su.offered, 1e-9)))
 	return le, true
 }
 
@@ -180,10 +184,12 @@
 	slots                   float64
 	call, goal              time.Duration
 	customers               map[customerRank]float64
-	// unlisted is offered by customers that their routers did not list. These are the smallest ones.
-	unlisted float64
+	// listed is what the customers offer that their routers listed. The others are the smallest ones.
+	listed float64
 }
 
+func (su *sums) unlisted() float64 { return max(0, su.offered-su.listed) }
+
 type customerRank struct {
 	id   CustomerHash
 	rank uint8
@@ -193,6 +199,7 @@
 func (po *pool) sum(interval time.Duration) sums {
 	su := sums{customers: map[customerRank]float64{}}
 	most := max(1, int(averageTime/interval))
+	now := map[customerRank]float64{}
 	var callSum, callWeight float64
 	for _, rp := range po.reporters {
 		latest := rp.reports[max(0, len(rp.reports)-most):]
@@ -200,17 +207,19 @@
 		for ix := range latest {
 			re := &latest[ix]
 			su.running += float64(re.Running) / count
-			su.offered += float64(re.OfferedPer10s) / 10 / count
 			su.ended += float64(re.EndedPer10s) / 10 / count
-			su.unlisted += float64(re.OfferedPer10s) / 10 / count
 			for _, cu := range re.Customers {
 				offered := float64(cu.OfferedPer10s) / 10 / count
 				su.customers[customerRank{cu.ID, cu.Rank}] += offered
-				su.unlisted -= offered
+				su.listed += offered
 			}
 		}
 		re := &rp.reports[len(rp.reports)-1]
+		for _, cu := range re.Customers {
+			now[customerRank{cu.ID, cu.Rank}] += float64(cu.OfferedPer10s) / 10
+		}
 		su.runningNow += float64(re.Running)
+		su.offered += float64(re.OfferedPer10s) / 10
 		su.slots = max(su.slots, float64(re.Slots))
 		if re.CallMs > 0 {
 			weight := 1 + float64(re.EndedPer10s)
@@ -221,13 +230,24 @@
 			su.goal = goal
 		}
 	}
-	su.unlisted = max(0, su.unlisted)
+	su.raise(now)
 	if callWeight > 0 {
 		su.call = time.Duration(callSum / callWeight * float64(time.Millisecond))
 	}
 	return su
 }
 
+// raise replaces the mean demand of large customers by that of the latest reports if it has grown by
+// far. Otherwise a surge is known only after a second, in which it makes all others late.
+func (su *sums) raise(now map[customerRank]float64) {
+	for cr, latest := range now {
+		if mean := su.customers[cr]; latest > surgeFactor*mean && latest > surgePart*su.listed {
+			su.customers[cr] = latest
+			su.listed += latest - mean
+		}
+	}
+}
+
 // updateCapacity returns the smoothed capacity of the pool in calls per second. The measured value
 // is the rate of ended calls, scaled to all slots if fewer are in use. It is a lower bound unless
 // more calls than slots are in progress: some wait at one endpoint while slots are free at another.
--- a/core/waitq/level.go
+++ b/core/waitq/level.go
@@ -16,6 +16,8 @@
 	// beside one call, within the router's part of the cap and at least up to burst. Customers over
 	// their share then start less.
 	overdraftFactor = 1.5
+	// maxOverCap bounds what a router admits beyond its places in any case.
+	maxOverCap = 2
 	// minPartOfEqual is the least part of an equal division of the places that a router has, so that
 	// one that was idle can start.
 	minPartOfEqual = 0.1
@@ -146,7 +148,8 @@
 	case age <= demand.LevelTTL:
 		li = qu.limitByLevel(now, vi)
 	case age <= fallbackTime && qu.poolUse(vi) >= vi.slots:
-		li = limit{kind: byFallback, pool: float64(qu.le.Places), places: fallbackFactor * float64(qu.le.Places) / float64(vi.routers)}
+		places := min(fallbackFactor*float64(qu.le.Places), float64(demand.MaxPerSlot*vi.slots))
+		li = limit{kind: byFallback, pool: float64(qu.le.Places), places: places / float64(vi.routers)}
 	}
 	if age > demand.LevelTTL && qu.le.applied {
 		qu.le.applied = false
@@ -160,7 +163,8 @@
 	}
 	li.held = time.Duration(qu.le.CallMs) * time.Millisecond
 	li.whole = math.Floor(li.places)
-	li.cap = demand.MaxPerSlot * float64(vi.slots) * li.places / li.pool
+	// The level of an owner that knows only some of the routers has a part of the places.
+	li.cap = li.places * min(maxOverCap, demand.MaxPerSlot*float64(vi.slots)/li.pool)
 	li.most = max(burst, min(overdraftFactor*li.places+1, li.cap))
 	li.overdraft = li.kind == byLevel && !qu.le.More
 	qu.refill(now, &li)
--- a/core/waitq/offer.go
+++ b/core/waitq/offer.go
@@ -19,7 +19,8 @@
 	// overtakenMax is how many starts may go before waiting requests of lower ranks or late ones.
 	overtakenMax = 9
 	// marginFraction is how much longer than the mean a call is assumed to take when an arriving
-	// request is promised to be in time: calls vary.
+	// request is promised to be in time: calls vary. It does not apply to customers within their
+	// share: their requests go before others, which are to be refused first.
 	marginFraction = 0.3
 	// freeRefusal is the part of a goal within which a refusal costs the caller nothing.
 	freeRefusal = 1.0 / 8
@@ -81,7 +82,10 @@
 		return qu.admit(now, wa, li)
 	}
 	wait := qu.expectedWait(now, wa, wa.Ahead, lower, li)
-	rest := time.Duration((1 + marginFraction) * float64(qu.callTime(li)+qu.Network))
+	rest := qu.callTime(li) + qu.Network
+	if !overdraft {
+		rest += time.Duration(marginFraction * float64(rest))
+	}
 	if qu.waiting >= maxWaiting || !inTime(now, wa, wait, rest) {
 		cl.time.Credit(&cu.flow, 1)
 		return qu.refuse(now, wa, refusalReason(cu), li, wait)
--- a/core/waitq/report.go
+++ b/core/waitq/report.go
@@ -60,6 +60,7 @@
 type measured struct {
 	reportedAt     time.Time
 	offered, ended int
+	rate           rate          // of all requests, as kept is of those that are not cut
 	goal           time.Duration // the smallest since the report before the last
 	lastGoal       time.Duration
 	// carry is what rounding the mean of running calls left over.
@@ -87,6 +88,7 @@
 	cu.reported++
 	qu.kept.add(now, cu.admit)
 	qu.me.offered++
+	qu.me.rate.add(now, 1)
 	if goal := rq.GoalAt.Sub(rq.Arrived); !rq.GoalAt.IsZero() && goal > 0 && (qu.me.goal == 0 || goal < qu.me.goal) {
 		qu.me.goal = goal
 	}
@@ -206,7 +208,7 @@
 	goal := qu.smallestGoal()
 	re := demand.Report{
 		Pool: qu.Pool, Running: clamp16(running), Waiting: clamp16(float64(qu.waiting)),
-		OfferedPer10s: uint32(math.Round(float64(qu.me.offered) * per10s)),
+		OfferedPer10s: uint32(math.Round(10 * qu.me.rate.at(now))),
 		EndedPer10s:   uint32(math.Round(float64(qu.me.ended) * per10s)),
 		Slots:         clamp16(float64(vi.slots)),
 		CallMs:        clamp16(float64(qu.me.calm.Milliseconds())), GoalMs: clamp16(float64(goal.Milliseconds())),
