--- a/io/relay/request.go
+++ b/io/relay/request.go
@@ -26,8 +26,6 @@
 	began   time.Time
 	// deadline is the earlier of the caller's and the route's.
 	deadline time.Time
-	// budget is how long the caller said that it will wait, 0 if it did not.
-	budget time.Duration
 
 	table       *route.Table
 	route       *route.Route
