--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -151,6 +151,10 @@
 	noConfigRetryAfter = 500 * time.Millisecond
 )
 
+// maxBudgetMs bounds how long callers say that they will wait, to a day, so that a sum with a time does
+// not overflow.
+const maxBudgetMs = 86_400_000
+
 // SetTable replaces the configuration.
 func (re *Relay) SetTable(ta *route.Table) { re.table.Store(ta) }
 
@@ -270,7 +274,8 @@
 		rf.Status = http.StatusBadRequest
 		return rf
 	}
-	if deadline := rq.began.Add(time.Duration(ms) * time.Millisecond); deadline.Before(rq.deadline) {
+	rq.budget = time.Duration(min(ms, maxBudgetMs)) * time.Millisecond
+	if deadline := rq.began.Add(rq.budget); deadline.Before(rq.deadline) {
 		rq.deadline = deadline
 	}
 	return nil
--- a/io/relay/request.go
+++ b/io/relay/request.go
@@ -26,6 +26,8 @@
 	began   time.Time
 	// deadline is the earlier of the caller's and the route's.
 	deadline time.Time
+	// budget is how long the caller said that it will wait, 0 if it did not.
+	budget time.Duration
 
 	table       *route.Table
 	route       *route.Route
--- a/io/relay/wait.go
+++ b/io/relay/wait.go
@@ -12,6 +12,7 @@
 	"go.uber.org/zap"
 
 	"almondrill/core"
+	"almondrill/core/decl"
 	"almondrill/core/demand"
 	"almondrill/core/retry"
 	"almondrill/core/waitq"
@@ -275,6 +276,7 @@
 	rq.turn = &turn{pq: pq, who: who}
 	de := pq.queue.Offer(now, waitq.Request{
 		Customer: who.customer, Rank: who.rank, Weight: 1,
+		Route: decl.HashName(rq.route.Name), Budget: rq.budget,
 		Arrived: rq.began, GoalAt: rq.began.Add(rq.route.FirstByteGoal), Deadline: rq.deadline,
 	})
 	rq.turn.record(&de)
