core/waitq: budgets that vary recognize no retries

The longest budget became the usual one with a part of 1, so that in fleets whose callers' budgets vary most first attempts counted as retries for some 90 requests and were refused first. The part now counts from 0.

--- a/core/waitq/budget.go
+++ b/core/waitq/budget.go
@@ -12,9 +12,11 @@
 
 const (
 	// budgetTolerance is by how much budgets of first attempts may differ from the usual one.
-	budgetTolerance = 0.02
+	budgetTolerance = 0.01
 	// usualPart is which part of a route's requests must have the usual budget. Otherwise its callers
-	// choose budgets of all lengths, from which nothing follows.
+	// choose budgets of all lengths, from which nothing follows. The part counts from 0 whenever a
+	// longer budget becomes the usual one: taken as 1, it made most first attempts count as retries
+	// where budgets vary.
 	usualPart = 0.25
 	// budgetWeight is the weight of one request in that part.
 	budgetWeight = 1.0 / 64
@@ -53,7 +55,7 @@
 	tolerance := time.Duration(budgetTolerance * float64(bu.usual))
 	switch {
 	case rq.Budget > bu.usual+tolerance || now.Sub(bu.seen) > budgetTTL:
-		*bu = budget{usual: rq.Budget, part: 1, seen: now}
+		*bu = budget{usual: rq.Budget, seen: now}
 	case rq.Budget >= bu.usual-tolerance:
 		bu.part += (1 - bu.part) * budgetWeight
 		bu.seen = now
--- a/core/waitq/queue_test.go
+++ b/core/waitq/queue_test.go
@@ -222,3 +222,27 @@
 		t.Errorf("a new request was refused: %s", de.Basis)
 	}
 }
+
+// Guards against first attempts that count as retries because their callers' budgets vary by more
+// than the goal: in an overload they would be refused first.
+func TestVaryingBudgetsAreNoRetries(t *testing.T) {
+	qu := newQueue(1)
+	now := epoch
+	offer := func(budget time.Duration) waitq.Decision {
+		rq := offerAt(now, 1, 0)
+		rq.Route, rq.Budget = 1, budget
+		return qu.Offer(now, rq)
+	}
+	for ix := range 40 {
+		now = now.Add(10 * time.Millisecond)
+		offer(2000*time.Millisecond + time.Duration(ix*37%500)*time.Millisecond)
+		qu.Done(now, 5*time.Millisecond, true)
+	}
+	qu.SetLevel(now, levelOf(now, 48, demand.Share{ID: 1, Admit: 255}))
+	for range 4 {
+		offer(2500 * time.Millisecond)
+	}
+	if de := offer(2 * time.Second); !de.Admitted && de.Wait == nil {
+		t.Errorf("a first attempt was refused as a retry: %s", de.Basis)
+	}
+}
