--- a/core/place/pool_stats.go
+++ b/core/place/pool_stats.go
@@ -77,6 +77,9 @@
 			re.Basis += fmt.Sprintf(", %d of them cold and at their rate limit", ch.coldFullCount)
 		}
 	}
+	if ch.noRoomCount > 0 {
+		ch.refuseForMemory(pl, re)
+	}
 	return re
 }
 
@@ -205,14 +208,14 @@
 			ch.fullCount++ // healthy endpoints have capacity in a moment
 			continue
 		}
-		ch.addUsable(pl, st)
+		ch.addIfRoom(pl, st)
 	}
-	if ch.usableCount > 0 || deadCount == 0 || ch.rq.HealthyOnly {
+	if ch.usableCount > 0 || deadCount == 0 || ch.noRoomCount > 0 || ch.rq.HealthyOnly {
 		return
 	}
 	for _, st := range ch.members {
 		if !ch.closedTo(st) && !ch.now.Before(st.backoffUntil) && st.scratch.looksDead && !tried(ch.rq, st.ID) && li.hasCapacity(ch.now, st) && ch.withinColdLimit(pl, st) {
-			ch.addUsable(pl, st)
+			ch.addIfRoom(pl, st)
 		}
 	}
 }
@@ -301,3 +304,24 @@
 	}
 	return st.fastPath || !now.Before(st.fullUntil)
 }
+
+// PlainCapacity returns the slots of a pool's endpoints that are open to new calls, and the calls
+// there of all routers, as far as this one knows. The slots are 0 if an endpoint states none.
+func (pl *Placer) PlainCapacity(now time.Time, pool core.PoolID) (slots, calls int) {
+	pl.mu.Lock()
+	defer pl.mu.Unlock()
+	ch := &choice{now: now, rq: &Request{Pool: pool}}
+	for _, st := range pl.pools[pool] {
+		switch {
+		case ch.closedTo(st):
+			continue
+		case st.Slots == 0:
+			return 0, 0
+		}
+		calls += st.ownCalls + st.estimatePeerCalls(now)
+		if !st.missing && !st.health.looksDead(now, st.ownCalls) {
+			slots += st.Slots
+		}
+	}
+	return slots, calls
+}
--- a/core/place/ticket.go
+++ b/core/place/ticket.go
@@ -62,6 +62,8 @@
 	use      *customerUse
 	customer core.CustomerID
 	pacer    pacer
+	// heldOutput is the memory counted for the response, 0 if none is counted for the call.
+	heldOutput core.Tokens
 }
 
 // BeforeSend must be called immediately before the call is sent. It returns "", or the reason why
@@ -134,11 +136,13 @@
 		tk.reserved = false
 	}
 	tk.use.add(tk.customer, -1)
+	tk.releaseMemory(now)
 	st.ownCalls--
 	st.load.Add(now, -1)
 	if st.ownCalls == 0 {
 		st.health.silentSince = time.Time{}
 	}
+	defer tk.pl.serveWaits(now, st.Pool)
 	switch re {
 	case Served:
 		st.health.recordSuccess(now)
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -24,6 +24,7 @@
 import (
 	"context"
 	"fmt"
+	"math"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -190,7 +191,10 @@
 		Dialect: pr.Platform.Dialect(), Self: se.Name, Placer: pr.placer, Counts: pr.peers, Grants: pr.peers, Crashes: pr.crashes, Budget: pr.budget, Conns: pr.pool,
 		Stats: pr.Stats, Latency: &pr.latency, Rand: pr.rand, Log: pr.Logs.Part("relay"),
 		ViewAge: pr.reader.Age, ShuttingDown: pr.shuttingDown.Load,
+		Routers: func() int { return 1 + pr.peers.Live() }, LevelOwner: pr.peers.DemandOwner,
 	}
+	pr.peers.Demand = pr.relay
+	pr.relay.EngineSpeeds = pr.engineSpeeds
 	pr.relay.Memory.Limit = int64(bufferShare * float64(se.MemoryMB) * (1 << 20))
 	pr.view = &view{pr: pr, log: pr.Logs.Part("view"), evacuations: newEvacuations()}
 	pr.mirror.Changed, pr.mirror.Restored = pr.view.applyItem, pr.reader.NoteRestore
@@ -205,6 +209,17 @@
 	return known && pr.pool.Connect(ctx, addr) == nil, known
 }
 
+// engineSpeeds returns the endpoints that are slower than usual, for operators.
+func (pr *Process) engineSpeeds(now time.Time) []relay.EngineSpeed {
+	var all []relay.EngineSpeed
+	for _, slow := range pr.placer.SlowEndpoints(now) {
+		all = append(all, relay.EngineSpeed{
+			Engine: slow.ID, Time: int(math.Round(100 * max(slow.Slowness, slow.Ahead))), SinceMs: now.Sub(slow.Since).Milliseconds(),
+		})
+	}
+	return all
+}
+
 // addSeeds adds the peers that the settings name as seeds. Their peer port is that of this router.
 func (pr *Process) addSeeds() {
 	_, port, err := net.SplitHostPort(pr.Settings.PeersAddr)
@@ -227,6 +242,9 @@
 	pr.Stats.SetFunc(stats.ConfigRevision, func() int64 { return int64(pr.configVersion()) })
 	pr.Stats.SetFunc(stats.StoreLed, func() int64 { return boolCount(pr.peers.IsWatcher()) })
 	pr.Stats.SetFunc(stats.BytesHeld, pr.relay.Memory.Held)
+	pr.Stats.SetFunc(stats.MemoryWaiting, func() int64 { return int64(pr.placer.MemoryWaits()) })
+	pr.Stats.SetFunc(stats.OutputErrorP50, func() int64 { return pr.relay.Output.ErrorPercent(0.5) })
+	pr.Stats.SetFunc(stats.OutputErrorP90, func() int64 { return pr.relay.Output.ErrorPercent(0.9) })
 	pr.Stats.SetFunc(stats.ViewAgeMs, func() int64 { return pr.reader.Age().Milliseconds() })
 	pr.Stats.SetFunc(stats.StoreEra, func() int64 { return int64(pr.mirror.AsOf().Era()) })
 	pr.Stats.SetFunc(stats.PeersLive, func() int64 { return int64(pr.peers.Live()) })
--- a/io/gossip/gossip.go
+++ b/io/gossip/gossip.go
@@ -35,6 +35,7 @@
 	"go.uber.org/zap"
 
 	"almondrill/core"
+	"almondrill/core/demand"
 	"almondrill/core/elect"
 	"almondrill/core/mirror"
 	"almondrill/core/place"
@@ -99,6 +100,8 @@
 	AsOf core.Version `cbor:"1,keyasint,omitempty"`
 	// Calls are the sender's calls in progress, see place.Placer.LoadReport.
 	Calls []byte `cbor:"2,keyasint,omitempty"`
+	// Memory is the memory that these calls hold, see place.Placer.LoadReportWithMemory.
+	Memory []byte `cbor:"22,keyasint,omitempty"`
 	// AgeMs is the time since the store confirmed AsOf. Failing is set if the sender's calls to the
 	// store fail.
 	AgeMs   uint32 `cbor:"8,keyasint,omitempty"`
@@ -129,6 +132,10 @@
 	Watchers []byte `cbor:"18,keyasint,omitempty"`
 	// Speeds are the figures of endpoints that are slower than usual, see place.Placer.Speeds.
 	Speeds []byte `cbor:"21,keyasint,omitempty"`
+	// Report is the sender's demand for a pool, in messages to the pool's owner. Levels are the
+	// newest levels of pools.
+	Report *demand.Report `cbor:"19,keyasint,omitempty"`
+	Levels []demand.Level `cbor:"20,keyasint,omitempty"`
 }
 
 // Feed reports how current this router's mirror of the store is.
@@ -165,9 +172,12 @@
 	Reach func(ctx context.Context, endpoint uint64) (reached, known bool)
 	// AskTimeout bounds the wait for the owner of an endpoint's count; queryTimeout if it is 0.
 	AskTimeout time.Duration
+	// Demand is this router's demand for pools; nil if it takes no part in dividing their capacity.
+	Demand Demand
 
 	responses  responseCache
 	counts     counts
+	demand     exchange
 	settled    atomic.Bool
 	mu         sync.Mutex // guards all below
 	members    map[string]*member
@@ -299,6 +309,7 @@
 			gr.probePeers(pc, now)
 			gr.dropForgotten()
 			gr.updateSettled(now)
+			gr.exchangeDemand(now)
 			gr.broadcast(pc, now, false)
 			gr.exchangePeers(pc, now)
 			gr.fetchUpdates(ctx)
@@ -329,7 +340,10 @@
 		gr.Log.Warn("Dropped an invalid message from a peer.", zap.String("Addr", from.String()), zap.Error(err))
 		return
 	}
+	gr.applyLevels(now, ms.Levels)
 	switch {
+	case ms.Report != nil:
+		gr.handleReport(now, from.String(), ms.Report)
 	case ms.Probe != nil:
 		gr.handleProbe(now, from, &ms)
 	case ms.Count != nil:
@@ -351,7 +365,7 @@
 	if ms.AsOf <= gr.Mirror.AsOf() {
 		gr.Feed.Confirm(now.Sub(confirmed))
 	}
-	gr.Placer.ApplyLoadReport(now, from, ms.Calls)
+	gr.Placer.ApplyLoadReportWithMemory(now, from, ms.Calls, ms.Memory)
 	gr.Placer.ApplyMoves(ms.Moves)
 	gr.Placer.ApplyReadings(now, minTransitDelay, ms.Readings)
 	gr.Placer.ApplySpeeds(now, minTransitDelay, ms.Speeds)
--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -15,6 +15,7 @@
 //   - A success is forwarded only if it carries the endpoint's stamp. If a response ends early, the
 //     caller's connection is closed, so that the caller does not take it for complete.
 //   - When the caller disconnects, the endpoint's connection is closed at once.
+//   - A request that is admitted by its pool's queue releases its place exactly once.
 //
 // # Usage
 //
@@ -37,6 +38,8 @@
 	"go.uber.org/zap"
 
 	"almondrill/core"
+	"almondrill/core/demand"
+	"almondrill/core/outlen"
 	"almondrill/core/place"
 	"almondrill/core/retry"
 	"almondrill/core/route"
@@ -71,8 +74,10 @@
 	RouterOnly []string
 	// Prompt extracts the parts of a request's prompt.
 	Prompt func(hd http.Header) []place.Part
-	// Output extracts the largest number of tokens that a request's answer may have; 0 if unknown.
-	Output func(hd http.Header) core.Tokens
+	// OutputLimit extracts the largest number of tokens that the response may have, and OutputHint
+	// the number that the caller expects; 0 if the header does not state it. Either may be nil.
+	OutputLimit func(hd http.Header) core.Tokens
+	OutputHint  func(hd http.Header) core.Tokens
 	// Load extracts the endpoint's load from its response; false if the response does not report it.
 	Load func(hd http.Header) (Load, bool)
 	// Notice extracts the endpoint's notice from the header of a response with that status.
@@ -111,7 +116,9 @@
 	Budget  *retry.Window
 	Conns   *conns.Pool
 	// Memory bounds the buffers of request and response bodies.
-	Memory  Memory
+	Memory Memory
+	// Output estimates the lengths of streams.
+	Output  outlen.Estimator
 	Stats   *stats.Set
 	Latency *stats.Latencies
 	Rand    core.Rand
@@ -120,8 +127,16 @@
 	ViewAge func() time.Duration
 	// ShuttingDown reports whether the process is about to stop.
 	ShuttingDown func() bool
+	// Routers returns the number of live routers, including this one; nil if this is the only one.
+	Routers func() int
+	// LevelOwner returns the address of the router that owns a pool's level, for operators; may be
+	// nil.
+	LevelOwner func(pool demand.PoolHash) string
+	// EngineSpeeds returns the engines that are not at their usual speed, for operators; may be nil.
+	EngineSpeeds func(now time.Time) []EngineSpeed
 
-	table atomic.Pointer[route.Table]
+	table  atomic.Pointer[route.Table]
+	queues queues
 }
 
 const (
@@ -136,6 +151,10 @@
 	noConfigRetryAfter = 500 * time.Millisecond
 )
 
+// maxBudgetMs bounds how long callers say that they will wait, to a day, so that a sum with a time does
+// not overflow.
+const maxBudgetMs = 86_400_000
+
 // SetTable replaces the configuration.
 func (re *Relay) SetTable(ta *route.Table) { re.table.Store(ta) }
 
@@ -255,7 +274,8 @@
 		rf.Status = http.StatusBadRequest
 		return rf
 	}
-	if deadline := rq.began.Add(time.Duration(ms) * time.Millisecond); deadline.Before(rq.deadline) {
+	rq.budget = time.Duration(min(ms, maxBudgetMs)) * time.Millisecond
+	if deadline := rq.began.Add(rq.budget); deadline.Before(rq.deadline) {
 		rq.deadline = deadline
 	}
 	return nil
@@ -354,15 +374,20 @@
 		hd.Set(di.Customer, string(rq.customer.ID))
 	}
 	if rq.route.Sticky {
-		rank := rq.route.Rank
-		if rq.customer != nil && rq.customer.HasRank {
-			rank = rq.customer.Rank
-		}
-		hd.Set(di.Rank, strconv.Itoa(min(max(0, rank), di.MaxRank)))
+		hd.Set(di.Rank, strconv.Itoa(min(rq.rank(), di.MaxRank)))
 	}
 	return hd
 }
 
+// rank returns the request's rank: the customer's, if it has one, or else the route's.
+func (rq *request) rank() int {
+	rank := rq.route.Rank
+	if rq.customer != nil && rq.customer.HasRank {
+		rank = rq.customer.Rank
+	}
+	return max(0, rank)
+}
+
 // dropConnection removes the hop-by-hop headers, including those that Connection names.
 func dropConnection(hd http.Header) {
 	for _, field := range hd["Connection"] {
--- a/io/relay/request.go
+++ b/io/relay/request.go
@@ -26,6 +26,8 @@
 	began   time.Time
 	// deadline is the earlier of the caller's and the route's.
 	deadline time.Time
+	// budget is how long the caller said that it will wait, 0 if it did not.
+	budget time.Duration
 
 	table       *route.Table
 	route       *route.Route
@@ -59,6 +61,10 @@
 	lastEvent  string
 	lastWrite  time.Time
 	longestGap time.Duration
+	// output is the expected length of the stream, and what was seen of it.
+	output output
+	// memoryWait is the request's wait for memory of an engine, nil if it did not wait.
+	memoryWait *memoryWait
 	ticket     *place.Ticket
 	// notice is that of the last response.
 	notice Notice
@@ -66,6 +72,10 @@
 	reservedTicket *place.Ticket
 	// lastSend is read by logRunning.
 	lastSend atomic.Pointer[sendRecord]
+	// turn is the request's use of its pool's queue, nil if it does not pass one.
+	turn *turn
+	// exactRetry is set if the refusal's RetryAfter is a reserved time, which jitter would spoil.
+	exactRetry bool
 }
 
 // failureResponse is an endpoint's response that reports a failure.
@@ -81,6 +91,11 @@
 
 // serve makes attempts until one succeeds or no other is allowed.
 func (rq *request) serve(ctx context.Context) {
+	defer rq.endTurn()
+	if rf := rq.awaitTurn(ctx); rf != nil {
+		rq.finishFailed(rf)
+		return
+	}
 	rq.re.Budget.RecordFirst(rq.began, rq.pool)
 	defer rq.releaseReserved()
 	header := rq.forwardedHeader()
@@ -129,6 +144,9 @@
 	pr := rq.placementRequest()
 	rq.refreshCount(ctx, pr)
 	tk, rf := rq.pick(ctx, pr)
+	if rf != nil && rf.Reason == core.ReasonMemoryFull {
+		tk, rf = rq.awaitMemory(ctx, pr, rf)
+	}
 	if rf != nil {
 		return rf
 	}
@@ -199,13 +217,15 @@
 	if po := rq.table.Pool(rq.pool); po != nil {
 		pr.MaxConns = po.MaxConns
 		pr.Engine = po.Engine
-		if po.Engine {
-			pr.MaxOutput = rq.re.Dialect.Output(rq.hr.Header)
+		if limit := rq.re.Dialect.OutputLimit; po.Engine && limit != nil {
+			pr.MaxOutput = limit(rq.hr.Header)
 		}
 		pr.EngineMemory = po.CacheTokens
 		pr.FetchTokensPerMs = po.FetchTokensPerMs
+		pr.ExpectedOutput = rq.expectedOutput(po)
 		pr.ColdDuration, pr.ColdRate = po.ColdDuration, po.ColdRate
 	}
+	pr.OwnCallsOnly = rq.turn != nil && rq.turn.pq.levelInForce(time.Now())
 	return pr
 }
 
@@ -232,6 +252,7 @@
 	if rq.lastEvent != "" {
 		rq.re.Latency.Record(stats.GapMs, rq.longestGap)
 	}
+	rq.recordOutput()
 	// Most of these lines are left out by sampling: their fields are not worth collecting.
 	if line := rq.re.Log.Check(zap.InfoLevel, "Served."); line != nil {
 		line.Write(rq.logFields(zap.Int("Status", rq.status), zap.Duration("Took", now.Sub(rq.began)),
@@ -296,6 +317,7 @@
 	if rq.sends > 0 {
 		fields = append(fields, zap.Int("Sends", rq.sends), zap.Bool("Asked", rq.countAsked))
 	}
+	fields = append(append(fields, rq.output.fields()...), rq.memoryWait.fields()...)
 	if rq.notice != (Notice{}) {
 		fields = append(fields, zap.Bool("EndpointLeaves", rq.notice.Draining), zap.Int64("BackoffMs", rq.notice.Backoff.Milliseconds()))
 	}
@@ -309,6 +331,7 @@
 				zap.Int64("Uncached", int64(tk.UncachedTokens)), zap.Int64("Fetched", int64(tk.FetchTokens)), zap.String("FetchFrom", tk.FetchFrom))
 		}
 	}
+	fields = append(fields, rq.turn.logFields()...)
 	return append(fields, zap.Duration("Age", rq.re.ViewAge()))
 }
 
--- a/io/stats/stats.go
+++ b/io/stats/stats.go
@@ -75,6 +75,21 @@
 	// shutdown, or asked for no requests for a time.
 	LeavingNotices = "LeavingNotices"
 	BackoffNotices = "BackoffNotices"
+	// RequestsWaiting is the number of requests that wait at the router for their turn.
+	// AdmittedAfterWait counts those that were sent after a wait, RefusedByShare and RefusedForTime
+	// those refused because their customer is over its share, or because they could not be sent in
+	// time.
+	RequestsWaiting   = "RequestsWaiting"
+	AdmittedAfterWait = "AdmittedAfterWait"
+	RefusedByShare    = "RefusedByShare"
+	RefusedForTime    = "RefusedForTime"
+	// OutputErrorP50 and OutputErrorP90 are quantiles of the error of expected stream lengths.
+	OutputErrorP50 = "OutputErrorP50"
+	OutputErrorP90 = "OutputErrorP90"
+	// MemoryWaiting is the number of requests that wait for memory of an engine, MemoryWaited counts
+	// those that got it.
+	MemoryWaiting = "MemoryWaiting"
+	MemoryWaited  = "MemoryWaited"
 )
 
 // Set holds the counters of one process.
