relay, waitq, demand, retry, gossip: faults found in review

- A late request that waits starts when the limit ends, instead of at its deadline.
- A refusal at a low rate reserves 5 s at most of a customer's return times, not minutes.
- A place is released once the response is read, not when a slow caller has read it.
- The age of a level does not depend on the time of day; a report without levels is shortened for its peer only; all pools get their turn of the bytes; a fraction does not round to 0.

--- a/core/demand/shares.go
+++ b/core/demand/shares.go
@@ -86,7 +86,7 @@
 	}
 	var all []excess
 	for cr, demand := range demands {
-		admit := uint8(fullAdmit * min(1, allowance*shares[cr]/max(demand, 1e-9)))
+		admit := max(1, uint8(fullAdmit*min(1, allowance*shares[cr]/max(demand, 1e-9)))) // 0 would starve the customer
 		if yieldFrom[cr] < listedBelow*demand {
 			all = append(all, excess{Share{ID: cr.id, Rank: cr.rank, Admit: admit}, demand - yieldFrom[cr]})
 		}
--- a/core/retry/returns.go
+++ b/core/retry/returns.go
@@ -62,7 +62,7 @@
 		return latest.Sub(now), false
 	}
 	rt.forget(now)
-	rt.next[rf.Customer] = at.Add(time.Duration(float64(time.Second) / rf.PerSecond))
+	rt.next[rf.Customer] = at.Add(time.Duration(min(float64(maxReturn), float64(time.Second)/rf.PerSecond)))
 	return at.Sub(now), true
 }
 
--- a/core/retry/returns_test.go
+++ b/core/retry/returns_test.go
@@ -92,3 +92,15 @@
 		t.Errorf("told to return after %s (%t) although there is no time left", delay, ok)
 	}
 }
+
+// Guards against callers that are told the latest possible time for minutes, because one refusal at a
+// low rate reserved a time far ahead.
+func TestLowRateDoesNotDelayLaterReturns(t *testing.T) {
+	begin := time.Unix(1_700_000_000, 0)
+	var rt retry.Returns
+	rt.Reserve(begin, retry.Refused{Customer: 1, PerSecond: 0.004})
+	later := begin.Add(10 * time.Second)
+	if delay, ok := rt.Reserve(later, retry.Refused{Customer: 1, PerSecond: 100}); !ok || delay != 250*time.Millisecond {
+		t.Errorf("told to return after %s (%t), want 250 ms", delay, ok)
+	}
+}
--- a/core/route/route.go
+++ b/core/route/route.go
@@ -251,6 +251,16 @@
 // Pool returns the pool with that id, nil if there is none.
 func (ta *Table) Pool(id core.PoolID) *Pool { return ta.pools[id] }
 
+// Pools returns all pools, ordered by id.
+func (ta *Table) Pools() []*Pool {
+	all := make([]*Pool, 0, len(ta.pools))
+	for _, po := range ta.pools {
+		all = append(all, po)
+	}
+	slices.SortFunc(all, func(a, b *Pool) int { return strings.Compare(string(a.ID), string(b.ID)) })
+	return all
+}
+
 // CustomerByKey returns the customer that owns the key, nil if there is none.
 func (ta *Table) CustomerByKey(key string) *Customer {
 	id, known := ta.keys[key]
--- a/core/waitq/queue_test.go
+++ b/core/waitq/queue_test.go
@@ -246,3 +246,54 @@
 		t.Errorf("a first attempt was refused as a retry: %s", de.Basis)
 	}
 }
+
+// Guards against first attempts that count as retries because a part of the callers have a budget that
+// is shorter by more than the goal.
+func TestShorterBudgetIsNoRetry(t *testing.T) {
+	qu := newQueue(1)
+	now := epoch
+	offer := func(budget time.Duration) waitq.Decision {
+		rq := offerAt(now, 1, 0)
+		rq.Route, rq.Budget = 1, budget
+		return qu.Offer(now, rq)
+	}
+	for ix := range 200 {
+		now = now.Add(10 * time.Millisecond)
+		offer([]time.Duration{2500 * time.Millisecond, time.Second}[ix%2])
+		qu.Done(now, 5*time.Millisecond, true)
+	}
+	qu.SetLevel(now, levelOf(now, 48, demand.Share{ID: 1, Admit: 255}))
+	for range 4 {
+		offer(2500 * time.Millisecond)
+	}
+	if de := offer(time.Second); !de.Admitted && de.Wait == nil {
+		t.Errorf("a first attempt was refused as a retry: %s", de.Basis)
+	}
+}
+
+// Guards against a request whose goal has passed that waits until its deadline although the limit has
+// ended.
+func TestLateRequestStartsWhenTheLimitEnds(t *testing.T) {
+	calls := 24
+	qu := newQueue(1)
+	qu.PoolCalls = func() int { return calls }
+	qu.SetLevel(epoch, levelOf(epoch, 24))
+	now := epoch.Add(2 * time.Second) // the level has expired, the fallback applies
+	for range 40 {
+		qu.Offer(now, waitq.Request{Customer: 7, Arrived: now, GoalAt: now.Add(time.Second), Deadline: now.Add(4500 * time.Millisecond)})
+	}
+	wa := qu.Offer(now, waitq.Request{Customer: 7, Arrived: now.Add(-1500 * time.Millisecond), GoalAt: now.Add(-500 * time.Millisecond), Deadline: now.Add(3 * time.Second)}).Wait
+	if wa == nil {
+		t.Fatal("the late request does not wait")
+	}
+	for range 20 {
+		qu.Done(now.Add(5*time.Millisecond), 30*time.Millisecond, true)
+	}
+	calls = 0
+	qu.Tick(now.Add(10 * time.Millisecond))
+	select {
+	case <-wa.Ready():
+	default:
+		t.Error("the request waits although nothing is limited")
+	}
+}
--- a/core/waitq/tick.go
+++ b/core/waitq/tick.go
@@ -132,7 +132,7 @@
 // firstOf returns the first waiter of a class that may start.
 func (qu *Queue) firstOf(cl *class, li *limit, vi *view) *Waiter {
 	for _, wa := range cl.waiters {
-		if qu.free(wa, li) && (!wa.arrivedLate || qu.spare(li, vi, lateUse)) {
+		if qu.free(wa, li) && (!wa.arrivedLate || !li.limited() || qu.spare(li, vi, lateUse)) {
 			return wa
 		}
 	}
--- a/io/gossip/demand.go
+++ b/io/gossip/demand.go
@@ -96,7 +96,11 @@
 	if gr.demand.due(now, interval) {
 		reports = gr.Demand.Reports
 	}
-	for _, re := range reports(now) {
+	due := reports(now)
+	for ix := range due {
+		// The bytes may not suffice for all: each pool's turn comes.
+		re := due[(ix+gr.ticks)%len(due)]
+		re.Customers = re.Customers[:min(len(re.Customers), demand.MaxReportCustomers/len(due))]
 		gr.reportDemand(now, &re)
 	}
 	for _, le := range gr.demand.ownLevels(now, routers, interval) {
--- a/io/gossip/send.go
+++ b/io/gossip/send.go
@@ -51,9 +51,10 @@
 // routers forward them too.
 func encodeReport(ms *message) ([]byte, error) {
 	data, err := cbor.Marshal(ms)
-	for err == nil && len(data) > maxDatagram && len(ms.Levels) > 0 {
-		ms.Levels = ms.Levels[:len(ms.Levels)/2]
-		data, err = cbor.Marshal(ms)
+	shorter := *ms
+	for err == nil && len(data) > maxDatagram && len(shorter.Levels) > 0 {
+		shorter.Levels = shorter.Levels[:len(shorter.Levels)/2]
+		data, err = cbor.Marshal(&shorter)
 	}
 	return data, err
 }
--- a/io/relay/attempt.go
+++ b/io/relay/attempt.go
@@ -31,6 +31,8 @@
 	stopInterrupt func() bool
 	// connRefused is set if the connection was refused: nothing listens at the address.
 	connRefused bool
+	// began is when the attempt began.
+	began time.Time
 	// answered is when the response was read completely, zero before.
 	answered time.Time
 }
@@ -38,8 +40,8 @@
 // attempt sends the request to the ticket's endpoint and forwards the response. It returns nil if
 // the response was forwarded completely.
 func (rq *request) attempt(ctx context.Context, header http.Header) *core.Refusal {
-	ex := &exchange{rq: rq, tk: rq.ticket}
 	began := time.Now()
+	ex := &exchange{rq: rq, tk: rq.ticket, began: began}
 	rf, result := ex.run(ctx, header)
 	ex.reportOutcome(began, rf)
 	rq.reservedTicket = ex.stall.stop()
@@ -200,6 +202,9 @@
 		return ex.forwardUnbuffered(ctx, body, place.Served)
 	}
 	ex.returnConn()
+	// The endpoint is free now; a caller that reads slowly must not keep the place.
+	ex.rq.turn.recordRun(nil, ex.answered.Sub(ex.began))
+	ex.rq.endTurn()
 	ex.rq.writeHead(ex.rs.StatusCode, ex.rs.Header, int64(len(body)))
 	if _, err = ex.rq.wr.Write(body); err != nil {
 		return ex.refusal(core.Unknown, core.ReasonCallerGone, "write", err), place.Served
--- a/io/relay/wait.go
+++ b/io/relay/wait.go
@@ -51,8 +51,8 @@
 	re    *Relay
 	pool  core.PoolID
 	queue waitq.Queue
-	// levelAt is when the last level was applied, in ns of the Unix epoch.
-	levelAt atomic.Int64
+	// levelAt is when the last level was applied; nil before.
+	levelAt atomic.Pointer[time.Time]
 
 	mu    sync.Mutex // guards timer
 	timer *time.Timer
@@ -173,6 +173,7 @@
 
 // Reports implements gossip.Demand.
 func (re *Relay) Reports(now time.Time) []demand.Report {
+	re.createQueues()
 	var all []demand.Report
 	for _, pq := range re.allQueues() {
 		if rt, competing := pq.queue.Report(now); competing {
@@ -196,10 +197,24 @@
 	return all
 }
 
-// ApplyLevel implements gossip.Demand. A level of a pool that had no request here is dropped: the
-// owner publishes another one within a fraction of a second. A level that names no places or no call
-// time is invalid.
+// createQueues creates the queues of all plain pools, also of those that had no request here. The
+// owner assumes that a router which does not report has the demand of those that do; idle routers
+// therefore report that they have none.
+func (re *Relay) createQueues() {
+	ta := re.table.Load()
+	if ta == nil {
+		return
+	}
+	for _, po := range ta.Pools() {
+		if !po.Engine && ta.KeyRequired {
+			re.poolQueue(po.ID)
+		}
+	}
+}
+
+// ApplyLevel implements gossip.Demand. A level that names no places or no call time is invalid.
 func (re *Relay) ApplyLevel(now time.Time, le demand.Level) {
+	re.createQueues()
 	re.queues.mu.Lock()
 	pq := re.queues.byHash[le.Pool]
 	re.queues.mu.Unlock()
@@ -207,7 +222,7 @@
 		return
 	}
 	pq.queue.SetLevel(now, le)
-	pq.levelAt.Store(now.UnixNano())
+	pq.levelAt.Store(&now)
 	pq.advance()
 }
 
@@ -224,7 +239,8 @@
 
 // levelInForce reports whether a level was applied recently enough to be in force.
 func (pq *poolQueue) levelInForce(now time.Time) bool {
-	return time.Duration(now.UnixNano()-pq.levelAt.Load()) < demand.LevelTTL
+	at := pq.levelAt.Load()
+	return at != nil && now.Sub(*at) < demand.LevelTTL
 }
 
 // advance starts and refuses waiting requests, and sets the timer for the next ones.
--- a/io/relay/wait_test.go
+++ b/io/relay/wait_test.go
@@ -320,3 +320,15 @@
 		})
 	}
 }
+
+// Guards against a pool's owner that counts idle routers as busy ones, and gives away only a part of the
+// places: a router without requests for the pool must report that it has no demand.
+func TestIdleRouterReportsNoDemand(t *testing.T) {
+	qf := newQueueFleet(t)
+	now := time.Now()
+	qf.re.ApplyLevel(now, demand.Level{Pool: demand.HashPool("pool"), AtMs: 1, Places: 8, CallMs: 30, OfferedPer10s: 1000})
+	reports := qf.re.Reports(now.Add(200 * time.Millisecond))
+	if len(reports) != 1 || reports[0].Pool != demand.HashPool("pool") || reports[0].OfferedPer10s != 0 || reports[0].Running != 0 {
+		t.Errorf("reported %+v, want one report without demand", reports)
+	}
+}
