place, outlen, gossip, conns: faults found in review

- A response's wrong maximum halves the size of an event at most; before, one set it.
- Messages that are too large for a datagram go without memory and speeds; peers dropped them as cut.
- A reservation ends with its endpoint.
A call's speed factor is 1 at least, calls without stated lengths count with the pool's mean of memory, and read buffers fit 2 KB of trailers or chunk lines.

--- a/core/outlen/event.go
+++ b/core/outlen/event.go
@@ -17,6 +17,8 @@
 	// sizeDrift is by how much each response raises the figure, so that a change of the engines'
 	// event size is followed within some hundred responses.
 	sizeDrift = 1.0005
+	// sizeStep bounds how much one response lowers the size: a caller may state a wrong maximum.
+	sizeStep = 1.0 / 2
 	// unknownSize is the number of tokens of an event if callers state neither maximum nor hint.
 	unknownSize = 1.0
 )
@@ -47,9 +49,15 @@
 		return
 	}
 	size := float64(rq.Max) / float64(events)
-	if si.fromMax == 0 || size < si.fromMax*sizeDrift {
+	switch {
+	case size < unknownSize: // the response is longer than its stated maximum
+		return
+	case si.fromMax == 0:
 		si.fromMax = size
 		return
+	case size < si.fromMax*sizeDrift:
+		si.fromMax += (size - si.fromMax) * sizeStep
+		return
 	}
 	si.fromMax *= sizeDrift
 }
--- a/core/outlen/outlen_test.go
+++ b/core/outlen/outlen_test.go
@@ -65,3 +65,18 @@
 		t.Errorf("a response without events is taken for %d tokens", got)
 	}
 }
+
+// Guards against a single response with a wrong maximum that makes all lengths of a pool appear much
+// shorter than they are, so that engines' memory is overfilled.
+func TestWrongMaximumHasLittleEffect(t *testing.T) {
+	var es outlen.Estimator
+	right := outlen.Request{Pool: "pool", Max: 288}
+	for range 100 {
+		es.Record("route", right, es.Expect("route", right), 24)
+	}
+	before := es.Expect("route", right)
+	es.Record("route", outlen.Request{Pool: "pool", Max: 8}, 8, 24)
+	if after := es.Expect("route", right); after < before/2 {
+		t.Errorf("%d tokens are expected after one response with a wrong maximum, %d before", after, before)
+	}
+}
--- a/core/place/load_report.go
+++ b/core/place/load_report.go
@@ -138,7 +138,7 @@
 			delete(lr.sums, ec.endpoint)
 		}
 		lr.onChange(ec.endpoint, sign*ec.calls)
-		if ec.tokensKnown {
+		if ec.tokensKnown && ec.tokens > 0 { // calls that state no length hold memory too
 			lr.addMemory(ec.endpoint, peerMemory{core.Tokens(sign) * ec.tokens, sign * ec.calls})
 		}
 	}
--- a/core/place/memory.go
+++ b/core/place/memory.go
@@ -123,7 +123,7 @@
 
 // tooLarge reports whether the call fits no engine, even an empty one.
 func (mn *memoryNeed) tooLarge() bool {
-	return mn.limit > 0 && mn.prompt+mn.output > mn.limit
+	return mn.limit > 0 && (mn.prompt > mn.limit || mn.output > mn.limit-mn.prompt)
 }
 
 // freeMemory returns how much of the endpoint's memory may still be filled, given the calls of
--- a/core/place/memwait.go
+++ b/core/place/memwait.go
@@ -151,6 +151,9 @@
 	choices := 0
 	var rest []*MemoryWait
 	for _, wa := range mw.list {
+		if wa.at != nil && (wa.at.removed || wa.at.Draining || wa.at.evacuated != nil) {
+			pl.endReservation(wa)
+		}
 		reserves := wa.at == nil && now.Sub(wa.Since) >= time.Duration(reserveAfter*float64(wa.Until.Sub(wa.Since)))
 		mayFit := wa.need <= mostFree || wa.at != nil || reserves
 		if mayFit && choices < maxWaitChoices && now.Sub(wa.tried) >= memoryCheckInterval {
--- a/core/place/pace.go
+++ b/core/place/pace.go
@@ -182,7 +182,8 @@
 			pa.gap.add(ms(pc.longest))
 		}
 	}
-	factor := 1 + (tk.st.speed.excessUntil(now)-pc.excess)/took
+	// A figure of a peer may correct what was assumed when the call began.
+	factor := max(1, 1+(tk.st.speed.excessUntil(now)-pc.excess)/took)
 	calls, perToken := float64(tk.OwnCalls+tk.PeerCalls), took/factor/float64(max(1, tk.request.MaxOutput))
 	pa.answersOf(tk.request.Route).add(calls, perToken)
 	pa.all.add(calls, perToken)
--- a/io/conns/conns.go
+++ b/io/conns/conns.go
@@ -54,7 +54,7 @@
 	idleMargin = 500 * time.Millisecond
 	// readBufferSize, in bytes, fits most response heads and several events. Longer bodies are read
 	// past the buffer.
-	readBufferSize = 1 << 10
+	readBufferSize = 2 << 10
 	// maxStray is how many responses Do reads while it looks for the one to its request.
 	maxStray = 4
 	// maxSyncWrite is the largest body, in bytes, that is written synchronously, before the
--- a/io/gossip/send.go
+++ b/io/gossip/send.go
@@ -47,18 +47,34 @@
 	}
 }
 
-// encodeReport encodes a load report. If it is too large for a datagram, levels are left out: other
-// routers forward them too.
+// encodeReport encodes a load report. If it is too large for a datagram, memory, speeds and levels are
+// left out: peers assume the mean of calls, and other routers forward the rest too.
 func encodeReport(ms *message) ([]byte, error) {
 	data, err := cbor.Marshal(ms)
 	shorter := *ms
-	for err == nil && len(data) > maxDatagram && len(shorter.Levels) > 0 {
-		shorter.Levels = shorter.Levels[:len(shorter.Levels)/2]
+	for err == nil && len(data) > maxDatagram && shorter.shorten() {
 		data, err = cbor.Marshal(&shorter)
 	}
 	return data, err
 }
 
+// shorten leaves out what a message can do without, and returns false if nothing of it is left.
+func (ms *message) shorten() bool {
+	switch {
+	case ms.Memory != nil:
+		ms.Memory = nil // a part of it would not fit Calls
+	case ms.Speeds != nil:
+		ms.Speeds = nil
+	case len(ms.Levels) > 0:
+		ms.Levels = ms.Levels[:len(ms.Levels)/2]
+	case len(ms.Readings) > 0:
+		ms.Readings = ms.Readings[:len(ms.Readings)/2]
+	default:
+		return false
+	}
+	return true
+}
+
 // announceLeave lets the peers that get the next messages tell all others that this router shuts
 // down.
 func (gr *Group) announceLeave() {
@@ -125,7 +141,7 @@
 }
 
 // sendPeerExchange sends a peer exchange that names at most maxPeers peers. If it is too large for a
-// datagram, readings are left out.
+// datagram, memory, speeds and readings are left out.
 func (gr *Group) sendPeerExchange(pc net.PacketConn, now time.Time, maxPeers int, to []string) {
 	if len(to) == 0 {
 		return
@@ -138,11 +154,7 @@
 			ms.Peers = append(ms.Peers, packed)
 		}
 	}
-	data, err := cbor.Marshal(ms)
-	for err == nil && len(data) > maxDatagram && len(ms.Readings) > 0 {
-		ms.Readings = ms.Readings[:len(ms.Readings)/2]
-		data, err = cbor.Marshal(ms)
-	}
+	data, err := encodeReport(ms)
 	if err != nil {
 		gr.Log.Error("Encoding a message failed.", zap.Error(err))
 		return
