--- a/core/place/speed.go
+++ b/core/place/speed.go
@@ -152,9 +152,9 @@
 // Costs of slow endpoints, in ms.
 const (
 	// lateMs is the cost of an answer that begins late or pauses for too long, missedMs that of one
-	// that reaches its deadline. A late answer is worth a third of one in time, one that is cut off
-	// nothing. Both are in the range of failureMs: a call that is sure to be late is worth the
-	// prefill of its prompt elsewhere.
+	// that reaches its deadline. A late answer still serves its caller, one that is cut off does not.
+	// Both are in the range of failureMs: a call that is sure to be late is worth the prefill of its
+	// prompt elsewhere.
 	lateMs   = 500.0
 	missedMs = 700.0
 	// slowLoadWeight weighs the load of a slow engine beyond that of its calls at the usual speed.
