io/rpc: create the server once

Start and Stop may run at once if a process is stopped while it starts; each created a server, and the race detector found it in TestStartWithoutKVRefusesRequests.

--- a/io/rpc/server.go
+++ b/io/rpc/server.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"slices"
+	"sync"
 	"time"
 
 	"google.golang.org/grpc"
@@ -36,14 +37,14 @@
 	// Register, if set, registers other services on the same gRPC server.
 	Register func(sr grpc.ServiceRegistrar)
 
-	grpc *grpc.Server
+	initOnce sync.Once
+	grpc     *grpc.Server
 }
 
-// Init creates the gRPC server. Start calls it if necessary.
-func (se *Server) Init() {
-	if se.grpc != nil {
-		return
-	}
+// Init creates the gRPC server. Start and Stop, which may run concurrently, call it if necessary.
+func (se *Server) Init() { se.initOnce.Do(se.create) }
+
+func (se *Server) create() {
 	se.grpc = grpc.NewServer(
 		grpc.MaxRecvMsgSize(maxMessage),
 		grpc.ReadBufferSize(bufferSize),
