--- a/core/demand/owner.go
+++ b/core/demand/owner.go
@@ -44,8 +44,8 @@
 	// to which it exceeds what is measured, while demand is refused although not all slots are busy:
 	// what is not offered cannot be measured.
 	probeCapacity = 1.25
-	// probeTime is for how long a time's worth of calls routers may exceed the rate of ended calls
-	// within an interval while places are free. Without it, free places would stay free where starts
+	// probeTime is the time whose calls routers may start in each interval beyond the rate of ended
+	// calls, while places are free. Without it, free places would stay free where starts
 	// are spaced. The excess in calls is about that of places over slots, whatever the interval.
 	probeTime = 100 * time.Millisecond
 	// queueFraction is the part of the time left by the goal after the call itself that calls may
--- a/core/retry/returns.go
+++ b/core/retry/returns.go
@@ -7,13 +7,13 @@
 	"almondrill/core/demand"
 )
 
-// Load pattern: an overloaded pool refuses hundreds of requests within a second. If all are told the
+// Load pattern: an overloaded pool refuses hundreds of requests within a second. If all get the
 // same delay, they return together, however the delay is jittered, and most are refused again.
-// Therefore each is told a time of its own, at the rate at which its customer is expected to be
+// Therefore each gets a time of its own, at the rate at which its customer is expected to be
 // admitted.
 
 const (
-	// minReturn is the shortest delay that a refused request is told. Demand is measured in
+	// minReturn is the shortest delay that a refused request gets. Demand is measured in
 	// intervals of about this length; an earlier return meets the same figures.
 	minReturn = 250 * time.Millisecond
 	// maxReturn bounds the delay for requests without a deadline.
@@ -22,7 +22,7 @@
 	returnsKept = 64
 )
 
-// Returns decides when refused requests are told to come back. The first refused request of a
+// Returns decides when refused requests should return. The first refused request of a
 // customer gets the first reservation. It may be used concurrently.
 type Returns struct {
 	mu   sync.Mutex // guards next
@@ -40,7 +40,7 @@
 	Deadline time.Time
 }
 
-// Reserve returns the delay after which the request is told to come back. If reservations extend
+// Reserve returns the delay after which the request should return. If reservations extend
 // beyond the last time at which the request could still be served, it returns that time without a
 // reservation, and false. The delay is then 0 if there is no such time after the shortest delay.
 func (rt *Returns) Reserve(now time.Time, rf Refused) (time.Duration, bool) {
--- a/core/waitq/waitq.go
+++ b/core/waitq/waitq.go
@@ -103,7 +103,7 @@
 	PoolCalls func() int
 	// Network is the time from the endpoint through this router to the caller.
 	Network time.Duration
-	// Returns computes when refused requests are told to come back. Each Queue has its own.
+	// Returns computes when refused requests should return. Each Queue has its own.
 	Returns *retry.Returns
 
 	mu        sync.Mutex // guards all below
