watch, gossip: routers that start together fetch the rest of the listing from peers

The cause is the store's link, which all listings share: their bytes grow with routers times endpoints. A peer sends all contents to four others at once and refuses more, as its own link may be slow. Deployments whose listing has one page are not affected. TestFewPeersAreSentAllContentsAtOnce fails without the limit. Tests of watch, gossip, entry and platform pass.

--- a/core/platform.go
+++ b/core/platform.go
@@ -133,8 +133,9 @@
 	// List returns all items and the version up to which the list is complete; later changes may be
 	// missing. onItems is called whenever a part of the response arrives, with the items completed by
 	// it, if any; it may be called from any goroutine. With stale, parts of the list may be some
-	// seconds old, at a fraction of the cost for the store.
-	List(ctx context.Context, stale bool, onItems func(items []Item)) ([]Item, Version, error)
+	// seconds old, at a fraction of the cost for the store. beforeNext is called before each page but
+	// the first; List ends with the error that it returns.
+	List(ctx context.Context, stale bool, onItems func(items []Item), beforeNext func() error) ([]Item, Version, error)
 	// Changes waits until something changes after that version, at most for wait. It returns the
 	// changes and the version up to which they are complete. After ErrCompacted the changes are no
 	// longer available, and the caller has to call List again.
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -179,6 +179,7 @@
 	pr.peers.Placer, pr.peers.InForce = pr.placer, pr.configVersion
 	pr.budget = &retry.Window{Ratio: se.RetryRatio, Slack: se.RetrySlack, Span: se.RetrySpan, Routers: pr.peers.Routers}
 	pr.reader = &watch.Reader{Feed: pr.Platform, Mirror: pr.mirror, Rand: pr.rand, Log: pr.Logs.Part("feeds")}
+	pr.reader.Routers = pr.peers.Routers
 	pr.reader.Init()
 	pr.reader.IsWatcher, pr.reader.TakeoverDelay, pr.reader.GracePeriod = pr.peers.IsWatcher, pr.peers.TakeoverDelay, se.ReturnDelay+propagationMargin
 	pr.peers.Feed = pr.reader
--- a/io/entry/view_test.go
+++ b/io/entry/view_test.go
@@ -22,7 +22,7 @@
 // draining if their value says so.
 type faulty struct{ addr string }
 
-func (faulty) List(context.Context, bool, func([]core.Item)) ([]core.Item, core.Version, error) {
+func (faulty) List(context.Context, bool, func([]core.Item), func() error) ([]core.Item, core.Version, error) {
 	return nil, 0, nil
 }
 
--- a/io/gossip/fetch.go
+++ b/io/gossip/fetch.go
@@ -83,6 +83,13 @@
 	packed map[fetchRequest][]byte
 }
 
+// maxWholeResponses bounds how many peers without any contents are served at once. On a link of
+// 10 Mbit/s, four responses of 150 KB take half of fetchTimeout; with more, none would end in time.
+const maxWholeResponses = 4
+
+// errBusyPeer: the peer serves as many others as it can; another may have the contents as well.
+var errBusyPeer = errors.New("peer is busy")
+
 // maxResponses bounds the cached responses; peers that lag are rarely at many different revisions.
 const maxResponses = 16
 
@@ -123,6 +130,13 @@
 			http.Error(wr, err.Error(), http.StatusBadRequest)
 			return
 		}
+		if fr.After == 0 {
+			defer gr.wholeResponses.Add(-1)
+			if gr.wholeResponses.Add(1) > maxWholeResponses {
+				http.Error(wr, errBusyPeer.Error(), http.StatusServiceUnavailable)
+				return
+			}
+		}
 		data, err := gr.responses.get(fr, gr.Mirror)
 		if err != nil {
 			gr.Log.Error("Packing changes for a peer failed.", zap.Stringer("After", fr.After), zap.Error(err))
@@ -162,6 +176,9 @@
 		gr.mu.Lock()
 		gr.fetching = false
 		gr.mu.Unlock()
+		if errors.Is(err, errBusyPeer) {
+			return
+		}
 		if err != nil {
 			gr.Log.Warn("Fetching changes from a peer failed.", zap.String("Addr", addr), zap.Error(err))
 			return
@@ -268,6 +285,9 @@
 		return nil, 0, err
 	}
 	defer rs.Body.Close()
+	if rs.StatusCode == http.StatusServiceUnavailable {
+		return nil, 0, errBusyPeer
+	}
 	if rs.StatusCode != http.StatusOK {
 		return nil, 0, fmt.Errorf("peer responded with status %s", rs.Status)
 	}
--- a/io/gossip/fetch_test.go
+++ b/io/gossip/fetch_test.go
@@ -5,9 +5,15 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/http/httptest"
+	"sync"
+	"sync/atomic"
 	"testing"
 
+	"go.uber.org/zap"
+
 	"almondrill/core"
+	"almondrill/core/mirror"
 	"almondrill/io/gossip"
 )
 
@@ -69,3 +75,50 @@
 		t.Errorf("%d bytes, packed against a version that was never there", size)
 	}
 }
+
+// Guards against a fleet that starts at once and whose routers all fetch the contents of the store from
+// the first that has them: its link could serve none of them in time.
+func TestFewPeersAreSentAllContentsAtOnce(t *testing.T) {
+	const served, asked = 4, 6
+	mi := &mirror.Mirror{}
+	mi.Apply([]core.Item{{Key: "a", Rev: 1}}, 1)
+	handler := (&gossip.Group{Mirror: mi, Log: zap.NewNop()}).Handler()
+	slow := make(chan struct{})
+	writing := make(chan struct{}, asked)
+	var group sync.WaitGroup
+	ask := func(after string) *slowWriter {
+		wr := &slowWriter{ResponseRecorder: httptest.NewRecorder(), writing: writing, released: slow}
+		group.Go(func() {
+			handler.ServeHTTP(wr, httptest.NewRequest(http.MethodGet, gossip.ItemsPath+"?After="+after, nil))
+		})
+		<-writing
+		return wr
+	}
+	busy := 0
+	for range asked {
+		if wr := ask("0"); wr.status.Load() == http.StatusServiceUnavailable {
+			busy++
+		}
+	}
+	if changes := ask("1"); busy != asked-served || changes.status.Load() == http.StatusServiceUnavailable {
+		t.Errorf("%d of %d peers were refused, want %d; a peer that asked for changes got status %d", busy, asked, asked-served, changes.status.Load())
+	}
+	close(slow)
+	group.Wait()
+}
+
+// slowWriter is a peer's response that is not read until released is closed.
+type slowWriter struct {
+	*httptest.ResponseRecorder
+	writing  chan<- struct{}
+	released <-chan struct{}
+	status   atomic.Int64
+}
+
+func (sw *slowWriter) WriteHeader(status int) { sw.status.Store(int64(status)) }
+
+func (sw *slowWriter) Write(data []byte) (int, error) {
+	sw.writing <- struct{}{}
+	<-sw.released
+	return len(data), nil
+}
--- a/io/gossip/gossip.go
+++ b/io/gossip/gossip.go
@@ -175,14 +175,15 @@
 	// Demand is this router's demand for pools; nil if it takes no part in dividing their capacity.
 	Demand Demand
 
-	responses  responseCache
-	counts     counts
-	demand     exchange
-	settled    atomic.Bool
-	mu         sync.Mutex // guards all below
-	members    map[string]*member
-	membership swim.Table
-	watchers   elect.Table
+	wholeResponses atomic.Int32 // peers that are being sent all contents
+	responses      responseCache
+	counts         counts
+	demand         exchange
+	settled        atomic.Bool
+	mu             sync.Mutex // guards all below
+	members        map[string]*member
+	membership     swim.Table
+	watchers       elect.Table
 	// started is the first tick of Run, lastAdded when a member was last added, announced when the
 	// own address was first found in the store.
 	started, lastAdded, announced time.Time
--- a/io/watch/fakestore_test.go
+++ b/io/watch/fakestore_test.go
@@ -1,6 +1,7 @@
 package watch_test
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"sync"
@@ -29,20 +30,29 @@
 	// calls counts all calls, also those without a response.
 	calls int
 	woken chan struct{}
-	// pages is how many pages a listing has; each occupies the link to the store for 0.1 s.
-	pages int
-	link  link
+	// pages is how many pages a listing has; each occupies the link to the store for pageTime, 0.1 s if
+	// that is 0.
+	pages    int
+	pageTime time.Duration
+	link     link
 }
 
 // link carries one page at a time. It uses a channel rather than a mutex, as virtual time does not
 // advance while a goroutine waits for a mutex.
 type link struct{ busy chan struct{} }
 
-func (li *link) transfer(ctx context.Context, duration time.Duration) error {
-	select {
-	case li.busy <- struct{}{}:
-	case <-ctx.Done():
-		return ctx.Err()
+// transfer sends one page. While others occupy the link, waiting is called every 0.1 s: on a real link,
+// all receive a part of their pages by then.
+func (li *link) transfer(ctx context.Context, duration time.Duration, waiting func([]core.Item)) error {
+	for free := false; !free; {
+		select {
+		case li.busy <- struct{}{}:
+			free = true
+		case <-time.After(100 * time.Millisecond):
+			waiting(nil)
+		case <-ctx.Done():
+			return ctx.Err()
+		}
 	}
 	defer func() { <-li.busy }()
 	select {
@@ -96,12 +106,17 @@
 	return nil
 }
 
-func (st *store) List(ctx context.Context, _ bool, received func([]core.Item)) ([]core.Item, core.Version, error) {
+func (st *store) List(ctx context.Context, _ bool, received func([]core.Item), next func() error) ([]core.Item, core.Version, error) {
 	if err := st.injectFault(ctx); err != nil {
 		return nil, 0, err
 	}
-	for range st.pages {
-		if err := st.link.transfer(ctx, 100*time.Millisecond); err != nil {
+	for number := range st.pages {
+		if number > 0 {
+			if err := next(); err != nil {
+				return nil, 0, err
+			}
+		}
+		if err := st.link.transfer(ctx, cmp.Or(st.pageTime, 100*time.Millisecond), received); err != nil {
 			return nil, 0, err
 		}
 		received(nil)
--- a/io/watch/reader.go
+++ b/io/watch/reader.go
@@ -88,6 +88,9 @@
 	// TakeoverDelay if that is set, before it calls the store as well.
 	IsWatcher     func() bool
 	TakeoverDelay func() time.Duration
+	// Routers returns an estimate of the number of routers, including this one; nil stands for 1. Where
+	// there are others, the first listing waits before its second page, see awaitPeers.
+	Routers func() int
 	// GracePeriod is how long after an outage of the store a missing registration is not yet taken
 	// for deleted.
 	GracePeriod time.Duration
@@ -100,6 +103,7 @@
 	restoreSeen     atomic.Int64  // when a restore from a backup was last noticed
 	restoredVersion atomic.Uint64 // the version of the listing that showed it
 	lastPage        atomic.Int64  // when a page of a listing last arrived
+	partial         atomic.Bool   // the first listing has pages left, and there are peers that may have them
 	storeRev        atomic.Uint64 // the store's revision in its last response
 	started         time.Time
 }
@@ -159,10 +163,11 @@
 	return at > 0 && rd.now()-at < int64(failureWindow)
 }
 
-// Unresponsive reports whether this router's own calls fail, or a listing has received nothing for
-// so long that another attempt is started.
+// Unresponsive reports whether the contents should be fetched from a peer: this router's own calls
+// fail, a listing has received nothing for so long that another attempt is started, or the first
+// listing has more than one page.
 func (rd *Reader) Unresponsive() bool {
-	return rd.Failing() || rd.now()-rd.lastPage.Load() > int64(firstHedgeDelay)
+	return rd.Failing() || rd.partial.Load() || rd.now()-rd.lastPage.Load() > int64(firstHedgeDelay)
 }
 
 // Uncertain reports whether missing registrations may come back: the store is unavailable, or was
@@ -332,6 +337,7 @@
 func (rd *Reader) list(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	defer rd.partial.Store(false)
 	idleTimer := time.AfterFunc(listIdleTimeout, cancel)
 	defer idleTimer.Stop()
 	before := rd.Mirror.AsOf()
@@ -342,10 +348,15 @@
 	startAttempt := func() {
 		started++
 		go func() {
+			pg := &pacer{rd: rd, before: before, first: stale}
 			items, asOf, err := rd.Feed.List(ctx, stale, func(page []core.Item) {
 				storeMax(&rd.lastPage, rd.now())
 				idleTimer.Reset(listIdleTimeout)
 				rd.Mirror.Preview(page)
+			}, func() error {
+				err := pg.awaitPeers(ctx)
+				idleTimer.Reset(listIdleTimeout)
+				return err
 			})
 			results <- listResult{items, asOf, err}
 		}()
@@ -357,6 +368,9 @@
 		select {
 		case re := <-results:
 			ended++
+			if errors.Is(re.err, errPeerProvided) {
+				return nil
+			}
 			if re.err == nil {
 				rd.storeRev.Store(uint64(re.asOf))
 				rd.Mirror.Replace(re.items, re.asOf)
--- a/io/watch/reader_test.go
+++ b/io/watch/reader_test.go
@@ -38,8 +38,8 @@
 // pagedStore is a store whose listing arrives in two pages, the second one second after the first.
 type pagedStore struct{ *store }
 
-func (pa *pagedStore) List(ctx context.Context, stale bool, received func([]core.Item)) ([]core.Item, core.Version, error) {
-	all, rev, err := pa.store.List(ctx, stale, received)
+func (pa *pagedStore) List(ctx context.Context, stale bool, received func([]core.Item), next func() error) ([]core.Item, core.Version, error) {
+	all, rev, err := pa.store.List(ctx, stale, received, next)
 	if err != nil {
 		return nil, 0, err
 	}
@@ -338,6 +338,59 @@
 	}
 }
 
+// Guards against hundreds of routers that start at once and list thousands of registrations over the
+// store's link, 2 ms for each of seven pages: those of 420 routers take 5.9 s, and until then routers
+// lack endpoints. Routers without their second page must accept the contents from a peer, and
+// complete within a second of the last first page. Each knows ten others by then, so that one of ten
+// takes itself for a watcher.
+func TestFleetCompletesFromPeers(t *testing.T) {
+	for _, routers := range []int{300, 420} {
+		synctest.Test(t, func(t *testing.T) {
+			st := newStore()
+			st.woken, st.link.busy = make(chan struct{}), make(chan struct{}, 1)
+			st.set("a", false)
+			st.pages, st.pageTime = 7, 2*time.Millisecond
+			ctx, cancel := context.WithCancel(t.Context())
+			var group sync.WaitGroup
+			mirrors := make([]*mirror.Mirror, routers)
+			for ix := range mirrors {
+				mirrors[ix] = &mirror.Mirror{}
+			}
+			began := time.Now()
+			for ix, mi := range mirrors {
+				ra := clock.NewRand(uint64(ix) + 1)
+				rd := &watch.Reader{
+					Feed: st, Mirror: mi, Rand: ra, Log: zap.NewNop(), IsWatcher: func() bool { return ix%10 == 0 }, Routers: func() int { return routers },
+				}
+				rd.Init()
+				group.Go(func() { _ = rd.Run(ctx) })
+				group.Go(func() { fetchFromPeers(rd, mi, mirrors, ra) })
+			}
+			for slices.ContainsFunc(mirrors, func(mi *mirror.Mirror) bool { return mi.AsOf() == 0 }) {
+				time.Sleep(10 * time.Millisecond)
+			}
+			if took, most := time.Since(began), time.Duration(routers)*st.pageTime+time.Second; took > most {
+				t.Errorf("%d routers complete after %s, want %s at most", routers, took, most)
+			}
+			cancel()
+			group.Wait()
+		})
+	}
+}
+
+// fetchFromPeers applies the contents of one of ten random peers that has them, as soon as the router
+// may. It looks for one every 0.1 s, as often as routers exchange messages.
+func fetchFromPeers(rd *watch.Reader, mi *mirror.Mirror, peers []*mirror.Mirror, ra core.Rand) {
+	for mi.AsOf() == 0 {
+		time.Sleep(100 * time.Millisecond)
+		for range 10 {
+			if all, asOf, _ := peers[ra.Uint64()%uint64(len(peers))].Since(0); asOf > 0 && rd.Unresponsive() {
+				mi.Apply(all, asOf)
+			}
+		}
+	}
+}
+
 // Guards against listing a store without a pause while it keeps losing its history.
 func TestRelistingIsRateLimited(t *testing.T) {
 	st := newStore()
@@ -359,8 +412,8 @@
 	exactListings atomic.Int64
 }
 
-func (sf *staleStore) List(ctx context.Context, stale bool, received func([]core.Item)) ([]core.Item, core.Version, error) {
-	all, rev, err := sf.store.List(ctx, stale, received)
+func (sf *staleStore) List(ctx context.Context, stale bool, received func([]core.Item), next func() error) ([]core.Item, core.Version, error) {
+	all, rev, err := sf.store.List(ctx, stale, received, next)
 	if err != nil || !stale {
 		sf.exactListings.Add(1)
 		return all, rev, err
