waitq: first attempts with a shorter budget are no retries

Where some of a customer's callers wait for less time than the others, their first attempts were refused first in an overload. Cause: every budget shorter than the longest one by more than the goal counted as a retry's.

TestBudgetsSeenDuringRefusalsAreRetries guards the other side.

--- a/core/waitq/level.go
+++ b/core/waitq/level.go
@@ -158,6 +158,7 @@
 	if !li.limited() {
 		return li
 	}
+	qu.refusedAt = now
 	if vi.slots > 0 {
 		li.places = min(li.places, float64(demand.MaxPerSlot*vi.slots))
 	}
--- a/core/waitq/offer.go
+++ b/core/waitq/offer.go
@@ -45,7 +45,7 @@
 	qu.mu.Lock()
 	defer qu.mu.Unlock()
 	wa := &Waiter{Request: rq}
-	wa.arrivedLate = qu.isRetry(now, wa) || !rq.GoalAt.IsZero() && !rq.GoalAt.After(now.Add(qu.Network))
+	wa.arrivedLate = qu.isRetry(now, wa, &vi) || !rq.GoalAt.IsZero() && !rq.GoalAt.After(now.Add(qu.Network))
 	wa.late = wa.arrivedLate
 	qu.recordOffered(now, wa)
 	li := qu.limit(now, &vi)
--- a/core/waitq/queue_test.go
+++ b/core/waitq/queue_test.go
@@ -271,6 +271,30 @@
 	}
 }
 
+// Guards against retries that count as first attempts because enough of them were seen while requests
+// were refused.
+func TestBudgetsSeenDuringRefusalsAreRetries(t *testing.T) {
+	qu := newQueue(1)
+	now := epoch
+	offer := func(budget time.Duration) waitq.Decision {
+		rq := offerAt(now, 1, 0)
+		rq.Route, rq.Budget = 1, budget
+		return qu.Offer(now, rq)
+	}
+	for ix := range 200 {
+		now = now.Add(10 * time.Millisecond)
+		offer([]time.Duration{2500 * time.Millisecond, time.Second}[ix%2])
+		qu.Done(now, 5*time.Millisecond, ix%20 > 0) // endpoints refuse some
+	}
+	qu.SetLevel(now, levelOf(now, 48, demand.Share{ID: 1, Admit: 255}))
+	for range 4 {
+		offer(2500 * time.Millisecond)
+	}
+	if de := offer(time.Second); de.Admitted || de.Wait != nil {
+		t.Errorf("a retry was served like a first attempt: %s", de.Basis)
+	}
+}
+
 // Guards against a request whose goal has passed that waits until its deadline although the limit has
 // ended.
 func TestLateRequestStartsWhenTheLimitEnds(t *testing.T) {
--- a/core/waitq/tick.go
+++ b/core/waitq/tick.go
@@ -19,6 +19,8 @@
 	if ok {
 		qu.me.ended++
 		qu.recordTook(now, took, qu.poolUse(&vi) < vi.slots/2)
+	} else {
+		qu.refusedAt = now
 	}
 }
 
--- a/core/waitq/waitq.go
+++ b/core/waitq/waitq.go
@@ -122,6 +122,8 @@
 	le        levelState
 	me        measured
 	budgets   map[budgetKey]*budget
+	// refusedAt is when a limit was last in force or an endpoint did not run a call.
+	refusedAt time.Time
 	totals    Counts
 }
 
