waitq, demand: limit a surge before the first level has arrived

Causes: until the first level arrived, all was sent at once; the first levels then admitted more than the capacity, since routers' own rates had grown since their reports; and each router began with a full bucket of starts.

While peers' counts show at least as many calls as slots, and no level is in force, a router now limits customers that surge by its own observation. Routers with less than one place start less while more calls than slots are in progress, and a first bucket is reduced by the router's recent requests. No message changes.

--- a/core/demand/owner.go
+++ b/core/demand/owner.go
@@ -237,8 +237,8 @@
 	return su
 }
 
-// raise replaces the mean demand of large customers by that of the latest reports if it has grown by
-// far. Otherwise a surge is known only after a second, in which it makes all others late.
+// raise replaces the mean demand of large customers, and that of all, by that of the latest reports if it
+// has grown by far. Otherwise a surge is known only after a second, in which it makes all others late.
 func (su *sums) raise(now map[customerRank]float64) {
 	for cr, latest := range now {
 		if mean := su.customers[cr]; latest > surgeFactor*mean && latest > surgePart*su.listed {
@@ -246,6 +246,11 @@
 			su.listed += latest - mean
 		}
 	}
+	// OfferedPer10s is averaged over a second. While demand grows, routers' parts of it would add up to
+	// more than the places.
+	if su.listed > surgeFactor*su.offered {
+		su.offered = su.listed
+	}
 }
 
 // updateCapacity returns the smoothed capacity of the pool in calls per second. The measured value
@@ -294,7 +299,7 @@
 		roundTrip = defaultRoundTrip
 	}
 	places := su.slots + capacity*roundTrip.Seconds() + 2*min(float64(routers), su.slots) + 2*math.Sqrt(su.slots)
-	places += max(0, places-su.running/part)
+	places += max(0, places-max(su.running, su.runningNow)/part)
 	if su.goal > 0 {
 		call := su.slots / capacity
 		left := max(0, su.goal.Seconds()-call-roundTrip.Seconds())
--- a/core/demand/owner_test.go
+++ b/core/demand/owner_test.go
@@ -209,3 +209,19 @@
 		t.Errorf("level %+v (%t), want an offered rate of %g", le, ok, po.offered)
 	}
 }
+
+// Guards against parts of the places that add up to more than all while demand grows: routers' own
+// rates have grown since their reports, which average over a second.
+func TestGrowingDemandCountsAsOffered(t *testing.T) {
+	po := busy(12, 24, 30*time.Millisecond, 150*time.Millisecond)
+	listed := 2 * po.offered
+	po.customers = map[demand.Customer]float64{{ID: 1}: listed}
+	le, ok := po.levelAfter(5, 12)
+	if !ok || len(le.Over) != 1 {
+		t.Fatalf("level %+v", le)
+	}
+	want := 10 * listed * float64(le.Over[0].Admit) / 255
+	if got := float64(le.OfferedPer10s); math.Abs(got-want) > 0.02*want {
+		t.Errorf("%.0f offered per 10 s after cutting, want %.0f", got, want)
+	}
+}
--- a/core/demand/shares.go
+++ b/core/demand/shares.go
@@ -6,9 +6,9 @@
 	"slices"
 )
 
-// lowerFraction is the part of the capacity that lower ranks get whatever higher ones ask for.
+// LowerFraction is the part of the capacity that lower ranks get whatever higher ones ask for.
 // Without it a customer of a low rank would get nothing for as long as the overload lasts.
-const lowerFraction = 0.1
+const LowerFraction = 0.1
 
 // fullAdmit is the Admit of a customer all of whose requests are admitted.
 const fullAdmit = 255
@@ -28,7 +28,7 @@
 	left := max(0, capacity)
 	for _, rank := range slices.Sorted(maps.Keys(byRank)) {
 		lower -= rankDemand[rank]
-		given := min(rankDemand[rank], left-min(lowerFraction*left, max(0, lower)))
+		given := min(rankDemand[rank], left-min(LowerFraction*left, max(0, lower)))
 		ow.maxMin(byRank[rank], demands, given, shares)
 		left -= given
 	}
--- a/core/waitq/level.go
+++ b/core/waitq/level.go
@@ -63,8 +63,9 @@
 }
 
 const (
-	byLevel    = "level"
-	byFallback = "fallback"
+	byLevel       = "level"
+	byFallback    = "fallback"
+	byProvisional = "provisional"
 )
 
 func (li *limit) limited() bool { return li.kind != "" }
@@ -138,13 +139,20 @@
 	return qu.le.Level, qu.le.known && now.Sub(qu.le.at) <= forwardTime
 }
 
+// levelAge returns the age of the last level, 0 if there was none.
+func (qu *Queue) levelAge(now time.Time) time.Duration {
+	if !qu.le.known {
+		return 0
+	}
+	return now.Sub(qu.le.at)
+}
+
 // limit returns what applies now, and accumulates tokens accordingly.
 func (qu *Queue) limit(now time.Time, vi *view) limit {
 	age := now.Sub(qu.le.at)
-	li := limit{}
+	var li limit
 	switch {
 	case !qu.le.known:
-		return li
 	case age <= demand.LevelTTL:
 		li = qu.limitByLevel(now, vi)
 	case age <= fallbackTime && qu.poolUse(vi) >= vi.slots:
@@ -155,6 +163,9 @@
 		qu.le.applied = false
 		qu.applyShares(now, nil)
 	}
+	if !li.limited() {
+		li = qu.provisional(now, vi)
+	}
 	if !li.limited() {
 		return li
 	}
@@ -162,13 +173,19 @@
 	if vi.slots > 0 {
 		li.places = min(li.places, float64(demand.MaxPerSlot*vi.slots))
 	}
-	li.held = time.Duration(qu.le.CallMs) * time.Millisecond
+	if li.held == 0 {
+		li.held = time.Duration(qu.le.CallMs) * time.Millisecond
+	}
 	li.whole = math.Floor(li.places)
 	// The level of an owner that knows only some of the routers has a part of the places.
 	li.cap = li.places * min(maxOverCap, demand.MaxPerSlot*float64(vi.slots)/li.pool)
 	li.most = max(burst, min(overdraftFactor*li.places+1, li.cap))
 	li.overdraft = li.kind == byLevel && !qu.le.More
-	qu.refill(now, &li)
+	if li.kind == byProvisional {
+		li.most = max(2*burst, demand.MaxPerSlot*li.places)
+		li.overdraft = true
+	}
+	qu.refill(now, &li, vi)
 	return li
 }
 
@@ -183,13 +200,18 @@
 }
 
 // refill accumulates tokens for starts beyond the whole places, at the rate of the fractional part.
-func (qu *Queue) refill(now time.Time, li *limit) {
+func (qu *Queue) refill(now time.Time, li *limit, vi *view) {
 	depth := 1.0
 	if li.whole == 0 {
 		depth = burst
 	}
-	gained := (li.places - li.whole) / li.held.Seconds() * now.Sub(qu.tokensAt).Seconds()
-	if qu.tokensAt.IsZero() {
+	gained := li.startScale(vi) * (li.places - li.whole) / li.held.Seconds() * now.Sub(qu.tokensAt).Seconds()
+	switch {
+	case !qu.tokensAt.IsZero():
+	case li.whole == 0:
+		// As if the limit had been in force before.
+		gained = max(0, depth-startsTime.Seconds()*qu.me.rate.at(now))
+	default:
 		gained = depth
 	}
 	least := -1.0
@@ -207,6 +229,8 @@
 	switch {
 	case !li.limited() || running < li.whole:
 		return true
+	case li.kind == byProvisional && overdraft:
+		return running < li.most
 	case li.whole == 0 && overdraft:
 		return running < 2*burst && qu.tokens > -burst
 	case li.whole == 0:
--- a/core/waitq/offer.go
+++ b/core/waitq/offer.go
@@ -143,7 +143,7 @@
 	if !li.limited() {
 		return Decision{}
 	}
-	de := Decision{Basis: qu.basis(now, wa, li, wait), Ahead: wa.Ahead, LevelAge: now.Sub(qu.le.at)}
+	de := Decision{Basis: qu.basis(now, wa, li, wait), Ahead: wa.Ahead, LevelAge: qu.levelAge(now)}
 	if wa.ready != nil {
 		de.Waited = now.Sub(wa.Request.Arrived)
 	}
@@ -343,5 +343,5 @@
 	}
 	return fmt.Sprintf("%s: %d running of %.2f own places, %d waiting, %d ahead, expected wait %s, call %s, time to goal %s, admitted fraction %.2f, level age %s",
 		li.kind, qu.running, li.places, qu.waiting, wa.Ahead, wait.Round(time.Millisecond), qu.callTime(li).Round(time.Millisecond),
-		left.Round(time.Millisecond), wa.customer.admit, now.Sub(qu.le.at).Round(time.Millisecond))
+		left.Round(time.Millisecond), wa.customer.admit, qu.levelAge(now).Round(time.Millisecond))
 }
--- a/core/waitq/snapshot.go
+++ b/core/waitq/snapshot.go
@@ -68,7 +68,7 @@
 	// Places is the number of calls that this router may have at the pool's endpoints, 0 if it is
 	// not limited. It is below 1 where starts are spaced.
 	Places float64
-	// Limited is how Places was found: "level", "fallback", or empty.
+	// Limited is how Places was found: "level", "fallback", "provisional", or empty.
 	Limited string
 	// Level is the last level and LevelAge its age; LevelInForce says that it is still used.
 	Level        demand.Level
--- a/core/waitq/waitq.go
+++ b/core/waitq/waitq.go
@@ -16,7 +16,8 @@
 //
 // # Invariants
 //
-//   - Without a level each request is admitted at once.
+//   - While fewer calls than slots are in progress and there is no level, each request is admitted
+//     at once.
 //   - Each router admits at least one call at a time.
 //   - A refused request has never been admitted, so it did not run.
 //   - While a lower rank waits, it gets at least a tenth of the starts.
@@ -124,6 +125,7 @@
 	budgets   map[budgetKey]*budget
 	// refusedAt is when a limit was last in force or an endpoint did not run a call.
 	refusedAt time.Time
+	short     shortage
 	totals    Counts
 }
 
