place: avoid plain endpoints where far more calls queue than elsewhere

With some endpoints 2.5 times slower for 0.6 s, calls queued there while slots were free at others: with hundreds of routers each has too few calls at an endpoint to notice. While a level is in force, an endpoint that has, by peers' counts, more than 3 calls per slot and twice the pool's mean now counts as having further calls of this router. The model of core/waitq uses the same function. No message changes.

--- a/core/place/cost.go
+++ b/core/place/cost.go
@@ -101,7 +101,7 @@
 	if !ch.rq.Engine {
 		slots := float64(max(1, st.Slots))
 		if ch.ownCallsOnly() {
-			calls = float64(st.ownCalls * ch.routers)
+			calls = (float64(st.ownCalls) + Congestion(calls, ch.meanCalls, slots)) * float64(ch.routers)
 		}
 		return cost + st.health.typicalMs(ch.typicalMs)*max(0, calls+1-slots)/slots + plainLoadMs*calls/slots + ch.slowPlainMs(st) + pl.Rand.Float64()
 	}
@@ -123,7 +123,8 @@
 //
 // Load pattern: for seconds, requests compete for the slots of a plain pool, and each router has a
 // few calls there at a time. A call ends within tens of milliseconds, while peers' reports are up to
-// 0.2 s old: by them, all routers choose the endpoint that was idle then. The zone is not weighed
+// 0.2 s old: by them, all routers choose the endpoint that was idle then. The exception is an endpoint
+// where far more calls queue than elsewhere: it is avoided, see Congestion. The zone is not weighed
 // either. An endpoint that is the only one of its zone would get the first call of all routers there,
 // and waiting for a slot takes longer than a round trip between zones.
 func (ch *choice) ownCallsOnly() bool { return ch.rq.OwnCallsOnly && !ch.rq.Engine }
--- a/core/place/plain_test.go
+++ b/core/place/plain_test.go
@@ -53,3 +53,36 @@
 		t.Errorf("calls went to %v, want none to the endpoints that the peer filled", at)
 	}
 }
+
+// Guards against calls to an endpoint that became slow: where each router has few calls, it does not
+// notice that calls queue there.
+func TestOwnCallsOnlyAvoidsCongestedEndpoint(t *testing.T) {
+	for calls, want := range map[int]int{12: 2, 20: 0} {
+		pl, peer := newPlacer(100), newPlacer(100)
+		for ix := range 4 {
+			ep := endpoint(ix)
+			ep.Slots = 6
+			pl.Register(begin, ep)
+			peer.Register(begin, ep)
+		}
+		for range calls {
+			if _, rf := peer.Pick(begin, &place.Request{Pool: pool, Tried: []core.EndpointID{"e00", "e01", "e02"}}); rf != nil {
+				t.Fatal(rf)
+			}
+		}
+		pl.ApplyLoadReport(begin, "peer", peer.LoadReport())
+		got := 0
+		for range 8 {
+			tk, rf := pl.Pick(begin, &place.Request{Pool: pool, OwnCallsOnly: true})
+			if rf != nil {
+				t.Fatal(rf)
+			}
+			if tk.Endpoint.ID == "e03" {
+				got++
+			}
+		}
+		if got != want {
+			t.Errorf("%d of 8 calls went to an endpoint with %d others' calls in 6 slots, want %d", got, calls, want)
+		}
+	}
+}
--- a/core/waitq/model_test.go
+++ b/core/waitq/model_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"almondrill/core/demand"
+	"almondrill/core/place"
 	"almondrill/core/retry"
 	"almondrill/core/waitq"
 )
@@ -58,8 +59,9 @@
 	results   [customers]result
 	levels    int
 	published time.Duration
-	poolCalls int // as known to all routers, up to 200 ms old
-	mostCalls int // at the endpoints, once levels are in force
+	poolCalls int   // as known to all routers, up to 200 ms old
+	epCalls   []int // the same, by endpoint
+	mostCalls int   // at the endpoints, once levels are in force
 }
 
 type router struct {
@@ -165,7 +167,12 @@
 		fl.owners = append(fl.owners, &demand.Owner{RoundTrip: 2 * toEndpoint})
 		fl.every(interval, interval, func() { fl.publish(id) })
 	}
-	fl.every(0, 200*time.Millisecond, func() { fl.poolCalls = fl.callsAtEndpoints() })
+	fl.every(0, 200*time.Millisecond, func() {
+		fl.poolCalls, fl.epCalls = fl.callsAtEndpoints(), fl.epCalls[:0]
+		for _, ep := range fl.eps {
+			fl.epCalls = append(fl.epCalls, ep.running+len(ep.queue))
+		}
+	})
 	for cu := range customers {
 		fl.arrivals(cu)
 	}
@@ -328,11 +335,17 @@
 	})
 }
 
-// send chooses the endpoint by the router's own calls and their recent times there.
+// send chooses the endpoint by the router's own calls and their recent times there, and as the product
+// does while a level is in force, by where far more calls queue than elsewhere.
 func (fl *fleet) send(rq *request) {
 	best, least := 0, math.MaxFloat64
 	for ix := range fl.endpoints {
-		if cost := (float64(rq.calls[ix]) + 1) * (rq.took[ix] + work.Seconds()) * (1 + 0.01*fl.rnd.Float64()); cost < least {
+		calls := float64(rq.calls[ix])
+		if _, limited := rq.qu.Level(fl.clock()); limited && !fl.direct {
+			calls += place.Congestion(float64(fl.epCalls[ix]), float64(fl.poolCalls)/float64(fl.endpoints), slots)
+		}
+		cost := (calls + 1) * (rq.took[ix] + work.Seconds()) * (1 + 0.01*fl.rnd.Float64())
+		if cost < least {
 			best, least = ix, cost
 		}
 	}
