place: routers learn engines' speeds from the pauses of streams

Where engines report no TIME, routers did not notice that some of them had become several times slower: these kept their share of the calls, and their answers began late or reached the callers' deadlines.

Each router now adds up the pauses between the events of its running streams at each engine, and compares the time per event with the pool's usual one at that number of calls. Time in which a router writes to a slow caller does not count. If most engines of a pool are slow, none is. It is enabled for engine pools on routes with a GapGoal until an endpoint reports TIME.

A slow engine has slots / factor in its pool's limit on calls, on routes with a GapGoal. This holds for reported factors, too, and is the one change for pools with TIME.

Log lines have SpeedLearned; almondrill waiting and /debug/waiting mark learned factors.

--- a/cmd/almondrill/script_test.go
+++ b/cmd/almondrill/script_test.go
@@ -48,6 +48,6 @@
 				Recent: waitq.Counts{AdmittedAtOnce: 11, AdmittedAfterWait: 12, RefusedByShare: 13, RefusedForTime: 14},
 			}},
 		}},
-		Engines: []relay.EngineSpeed{{Engine: "i-4", Time: 400, SinceMs: 3210}},
+		Engines: []relay.EngineSpeed{{Engine: "i-4", Time: 400, SinceMs: 3210}, {Engine: "i-5", Time: 250, SinceMs: 1000, Learned: true}},
 	})
 }
--- a/cmd/almondrill/waiting.go
+++ b/cmd/almondrill/waiting.go
@@ -74,7 +74,11 @@
 	}
 	for _, en := range all.Engines {
 		since := (time.Duration(en.SinceMs) * time.Millisecond).Round(100 * time.Millisecond)
-		if _, err := fmt.Fprintf(out, "engine %s: %d%% of the usual time, for %s\n", en.Engine, en.Time, since); err != nil {
+		source := ""
+		if en.Learned {
+			source = ", learned from streams"
+		}
+		if _, err := fmt.Fprintf(out, "engine %s: %d%% of the usual time, for %s%s\n", en.Engine, en.Time, since, source); err != nil {
 			return err
 		}
 	}
--- a/core/place/answer.go
+++ b/core/place/answer.go
@@ -51,12 +51,15 @@
 // growth is the line, fitted by least squares, of a duration over the number of calls at the engine.
 type growth struct{ weight, calls, took, squares, products float64 }
 
-func (gr *growth) add(calls, took float64) {
-	gr.weight = growthDecay*gr.weight + 1
-	gr.calls = growthDecay*gr.calls + calls
-	gr.took = growthDecay*gr.took + took
-	gr.squares = growthDecay*gr.squares + calls*calls
-	gr.products = growthDecay*gr.products + calls*took
+func (gr *growth) add(calls, took float64) { gr.addDecayed(growthDecay, calls, took) }
+
+// addDecayed is add with another weight of past samples.
+func (gr *growth) addDecayed(decay, calls, took float64) {
+	gr.weight = decay*gr.weight + 1
+	gr.calls = decay*gr.calls + calls
+	gr.took = decay*gr.took + took
+	gr.squares = decay*gr.squares + calls*calls
+	gr.products = decay*gr.products + calls*took
 }
 
 // factor returns the duration at an engine with that many calls, relative to that at the mean.
--- a/core/place/export_test.go
+++ b/core/place/export_test.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"time"
+	"unsafe"
 
 	"almondrill/core"
 )
@@ -51,6 +52,29 @@
 	return cs
 }
 
+// ChoiceWithoutSpeeds returns the endpoint that Pick would choose if all were at their usual speed.
+func (pl *Placer) ChoiceWithoutSpeeds(now time.Time, rq *Request) core.EndpointID {
+	pl.mu.Lock()
+	defer pl.mu.Unlock()
+	speeds := map[*state]speed{}
+	for _, st := range pl.byID {
+		speeds[st], st.speed = st.speed, speed{}
+		st.markChanged()
+	}
+	defer func() {
+		for st, known := range speeds {
+			st.speed = known
+			st.markChanged()
+		}
+	}()
+	ch := pl.newChoice(now, rq, max(1, pl.RouterCount()))
+	if ch.usableCount == 0 {
+		return ""
+	}
+	st, _ := pl.cheapest(ch)
+	return st.ID
+}
+
 // PeerCalls returns how many calls of other routers at an endpoint were reported, and false if the
 // endpoint is unknown.
 func (pl *Placer) PeerCalls(now time.Time, id core.EndpointID) (int, bool) {
@@ -75,3 +99,6 @@
 	}
 	return count
 }
+
+// What is observed of an endpoint's pauses takes at most 100 bytes.
+var _ [100 - unsafe.Sizeof(pauses{})]byte
--- a/core/place/pace.go
+++ b/core/place/pace.go
@@ -22,6 +22,8 @@
 	// from.
 	slope      float64
 	slopeCount int
+	// pauses is what the factors of engines that do not report their speed are learned from.
+	pauses usualPauses
 }
 
 const (
@@ -148,6 +150,8 @@
 	// firstAt and lastAt are when data first and last arrived, longest is the longest pause.
 	firstAt, lastAt time.Time
 	longest         time.Duration
+	// eventAt is when an event last arrived from which the next pause counts, zero if none.
+	eventAt time.Time
 	// slow is set if the engine was slow during the call.
 	slow bool
 }
@@ -192,7 +196,7 @@
 // recordSpeedAtChoice keeps what the choice assumed of the engine's speed.
 func (tk *Ticket) recordSpeedAtChoice(ch *choice, prefill, fetched core.Tokens) {
 	sc := &tk.st.scratch
-	tk.Slowness = sc.slowness
+	tk.Slowness, tk.SlownessLearned = sc.slowness, sc.slowness > 1 && tk.st.speed.learned
 	tk.pacer.excess = tk.st.speed.excessUntil(ch.now)
 	tk.pacer.promptMs = promptMs(tk.st, float64(prefill), float64(fetched), ch.rq.FetchTokensPerMs)
 	if ch.rq.Engine && ch.pace != nil && ch.pace.first.count >= minSpreadSamples {
--- a/core/place/place.go
+++ b/core/place/place.go
@@ -15,7 +15,8 @@
 // prefilling it again.
 //
 // An endpoint that reports that it works slower than usual costs more by its load and by the calls
-// that would be late there, as learned from the router's own calls.
+// that would be late there, as learned from the router's own calls. If engines do not report their
+// speed, it is learned from the pauses between the events of streams.
 //
 // # Invariants
 //
@@ -35,6 +36,7 @@
 //	pl.Register(now, place.Endpoint{...})
 //	tk, rf := pl.Pick(now, &place.Request{Pool: pool, Parts: parts})
 //	tk.RecordActivity(now)
+//	tk.RecordEvents(waitingSince, now, events)
 //	tk.Done(now, place.Served)
 package place
 
--- a/core/place/pool_stats.go
+++ b/core/place/pool_stats.go
@@ -96,8 +96,8 @@
 // with. It and collectUsable are the only scans of the pool in each choice, so they do nothing per
 // endpoint that needs a search.
 func (ch *choice) survey(pl *Placer) {
-	var calls, liveCalls, live, slots, evacuatedCalls int
-	var failureRates float64
+	var calls, liveCalls, live, slots, evacuatedCalls, learnedSlow int
+	var failureRates, slotsLost float64
 	slotsKnown := true
 	settledBefore, startedBefore := ch.now.Add(-settleTime), pl.firstRegistered.Add(startupWindow)
 	for _, st := range ch.members {
@@ -129,6 +129,10 @@
 			live++
 			liveCalls += st.ownCalls + sc.peerCalls
 			slots += st.Slots
+			slotsLost += st.slotsLost()
+		}
+		if st.speed.learned && (sc.slowness > 1 || sc.slownessAhead > 1) {
+			learnedSlow++
 		}
 		slotsKnown = slotsKnown && st.Slots > 0 // without slots the endpoint's capacity is unknown
 	}
@@ -143,6 +147,12 @@
 	meanWithEvacuated := (ch.meanCalls*float64(ch.openCount) + float64(evacuatedCalls)) / float64(ch.openCount+ch.evacuatedCount)
 	ch.capMean = max(meanWithEvacuated, minCapMeanFraction*ch.meanCalls)
 	ch.meanFailureRate = failureRates / float64(ch.openCount)
+	if 2*learnedSlow > ch.openCount {
+		slotsLost = ch.relateSpeeds()
+	}
+	if ch.rq.Engine && ch.rq.GapGoal > 0 {
+		slots -= int(slotsLost)
+	}
 	if slotsKnown {
 		ch.limitPoolCalls(slots, pl.customerUses[ch.rq.Pool])
 	}
--- a/core/place/speed.go
+++ b/core/place/speed.go
@@ -29,6 +29,9 @@
 	// last for the duration of a call.
 	slownessStep  = 300 * time.Millisecond
 	slownessSteps = 5
+	// learnedSteps is the number of steps for which a learned factor has to last before it applies
+	// to a first token: it is known late, when a short period is nearly over.
+	learnedSteps = 2
 	// slownessFade is the time constant with which the lasting factor fades once its figure has
 	// expired. An engine with many calls gets no further ones and reports nothing; if it counted as
 	// usual at once, all routers would send it calls at the same time.
@@ -38,7 +41,7 @@
 	slownessMemory = 5 * time.Second
 )
 
-// speed is how much slower than usual an endpoint works, as it reported.
+// speed is how much slower than usual an endpoint works, as it reported or as routers learned.
 type speed struct {
 	// factor is the latest reported one, 0 if there is none; at is when the endpoint reported it.
 	factor float64
@@ -51,6 +54,8 @@
 	slowAt, slowSince, lastedAt time.Time
 	// excess is the integral of the factor above 1, in ms, over the time before at.
 	excess float64
+	// learned is set if the latest factor was learned from streams, not reported.
+	learned bool
 }
 
 // update records a reported factor unless a later one is known. It returns whether it was recorded.
@@ -109,6 +114,9 @@
 	if sp.factor < minSlowness || now.Sub(sp.at) > speedTTL {
 		return 1
 	}
+	if sp.learned {
+		return max(1, slices.Min(sp.least[slownessSteps-learnedSteps:]))
+	}
 	return sp.factor
 }
 
@@ -139,12 +147,14 @@
 	}
 	tk.pl.mu.Lock()
 	defer tk.pl.mu.Unlock()
-	tk.st.updateSpeed(now, float64(percent)/usualTime)
+	tk.pl.markReported(now, tk.st)
+	tk.st.updateSpeed(now, float64(percent)/usualTime, false)
 	tk.pacer.slow = tk.pacer.slow || tk.st.speed.current(now) > 1
 }
 
-func (st *state) updateSpeed(at time.Time, factor float64) {
+func (st *state) updateSpeed(at time.Time, factor float64, learned bool) {
 	if st.speed.update(at, factor) {
+		st.speed.learned = learned
 		st.markChanged()
 	}
 }
--- a/core/place/speed_test.go
+++ b/core/place/speed_test.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"slices"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -10,18 +12,12 @@
 	"almondrill/core/place"
 )
 
-// playSlow simulates a third of the engines four times slower, with 1.7 times the usual load after a
-// a second.
-func playSlow(routers int, told bool) *uneven {
-	un := newUneven(routers, told)
-	un.play(400)
+// playSlow simulates a third of the engines four times slower after the given steps, with 1.7 times
+// the usual load from two seconds later.
+func playSlow(un *uneven, steps int) {
+	un.play(steps)
 	from := un.step
-	un.factorOf = func(engine, _ int) float64 {
-		if engine%3 == 0 {
-			return 4
-		}
-		return 1
-	}
+	un.factorOf = third(from, from+1000)
 	un.rate = func(step int) float64 {
 		if at := step - from; at >= 200 && at < 800 {
 			return 1.7
@@ -29,7 +25,18 @@
 		return 1
 	}
 	un.measure(1000)
-	return un
+}
+
+// checkFewerLate checks that knowing the engines' speed avoids two thirds of the late calls.
+func checkFewerLate(t *testing.T, without, with *uneven) {
+	t.Helper()
+	t.Logf("speed unknown: %s; known: %s", without, with)
+	if with.queuedOut > 0 {
+		t.Errorf("%d calls waited in an engine's queue until their deadline, want 0", with.queuedOut)
+	}
+	if late := with.late + with.missed; 3*late > without.late+without.missed {
+		t.Errorf("%d calls are late, want at most a third of %d", late, without.late+without.missed)
+	}
 }
 
 // Load pattern: a third of the engines become four times slower, and the load rises. If they keep
@@ -38,14 +45,10 @@
 	for _, routers := range []int{12, 103, 420} {
 		t.Run(fmt.Sprint(routers), func(t *testing.T) {
 			t.Parallel()
-			without, with := playSlow(routers, false), playSlow(routers, true)
-			t.Logf("speed unknown: %s; known: %s", without, with)
-			if with.queuedOut > 0 {
-				t.Errorf("%d calls waited in an engine's queue until their deadline, want 0", with.queuedOut)
-			}
-			if late := with.late + with.missed; 3*late > without.late+without.missed {
-				t.Errorf("%d calls are late, want at most a third of %d", late, without.late+without.missed)
-			}
+			without, with := newUneven(routers, false), newUneven(routers, true)
+			playSlow(without, 400)
+			playSlow(with, 400)
+			checkFewerLate(t, without, with)
 		})
 	}
 }
@@ -63,23 +66,35 @@
 // prompts would be copied twice, which costs more than the short delay.
 func TestShortNoiseMovesNoChats(t *testing.T) {
 	t.Parallel()
-	moved := func(routers int, seeds uint64, factorOf func(engine, step int) float64) int {
-		sum := 0
+	moved := func(routers int, learns bool, seeds uint64, factorOf func(engine, step int) float64) int {
+		var sum atomic.Int64
+		var all sync.WaitGroup
 		for seed := range seeds {
-			un := newUneven(routers, true)
-			un.ra, un.factorOf = newRand(50+seed), factorOf
-			un.play(200)
-			un.measure(1000)
-			sum += un.moved
+			all.Go(func() {
+				un := newUneven(routers, !learns)
+				un.ra, un.factorOf = newRand(50+seed), factorOf
+				if learns {
+					un.learns = true
+					un.play(400) // until the usual pauses are known
+				}
+				un.play(200)
+				un.measure(1000)
+				sum.Add(int64(un.moved))
+			})
 		}
-		return sum
+		all.Wait()
+		return int(sum.Load())
 	}
-	// One run with 12 routers moves some hundred calls, which differ by chance by a third.
-	for routers, seeds := range map[int]uint64{12: 3, 103: 1} {
-		calm, noisy := moved(routers, seeds, func(int, int) float64 { return 1 }), moved(routers, seeds, noise)
-		t.Logf("%d routers: %d calls moved, with noise %d", routers, calm, noisy)
+	// One run with 12 or 25 routers moves some hundred calls, which differ by chance by a third.
+	for _, ca := range []struct {
+		routers int
+		learns  bool // not reported
+		seeds   uint64
+	}{{12, false, 3}, {103, false, 1}, {25, true, 16}} {
+		calm, noisy := moved(ca.routers, ca.learns, ca.seeds, func(int, int) float64 { return 1 }), moved(ca.routers, ca.learns, ca.seeds, noise)
+		t.Logf("%d routers, learned %t: %d calls moved, with noise %d", ca.routers, ca.learns, calm, noisy)
 		if float64(noisy) > 1.2*float64(calm) {
-			t.Errorf("%d routers: %d calls moved, want at most 1.2 times the %d without noise", routers, noisy, calm)
+			t.Errorf("%d routers, learned %t: %d calls moved, want at most 1.2 times the %d without noise", ca.routers, ca.learns, noisy, calm)
 		}
 	}
 }
--- a/core/place/state.go
+++ b/core/place/state.go
@@ -40,8 +40,10 @@
 	// load is the number of calls that the endpoint last reported, adjusted by own calls begun and
 	// ended since.
 	load gauge.Count
-	// speed is how much slower than usual the endpoint works, as it reported.
-	speed speed
+	// speed is how much slower than usual the endpoint works, as it reported or as routers learned
+	// from their streams there. pauses is what this router observes of them.
+	speed  speed
+	pauses pauses
 	Endpoint
 
 	// hash is that of the ID and incarnation. It names the endpoint to peers, so that their reports
--- a/core/place/ticket.go
+++ b/core/place/ticket.go
@@ -45,6 +45,8 @@
 	// ExpectedFirst the expected time until the first token; 0 if none is known.
 	Slowness      float64
 	ExpectedFirst time.Duration
+	// SlownessLearned is set if the factor was learned from routers' streams, not reported.
+	SlownessLearned bool
 
 	pl      *Placer
 	st      *state
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -215,6 +215,7 @@
 	for _, slow := range pr.placer.SlowEndpoints(now) {
 		all = append(all, relay.EngineSpeed{
 			Engine: slow.ID, Time: int(math.Round(100 * max(slow.Slowness, slow.Ahead))), SinceMs: now.Sub(slow.Since).Milliseconds(),
+			Learned: slow.Learned,
 		})
 	}
 	return all
--- a/io/relay/attempt.go
+++ b/io/relay/attempt.go
@@ -131,10 +131,12 @@
 	return conns.FormatHead(hr.Method, hr.RequestURI, hr.Host, header, len(ex.rq.body))
 }
 
-// received records that the endpoint has sent something.
-func (ex *exchange) received() {
-	ex.tk.RecordActivity(time.Now())
+// received records that the endpoint has sent something, and returns when.
+func (ex *exchange) received() time.Time {
+	now := time.Now()
+	ex.tk.RecordActivity(now)
 	ex.stall.reset()
+	return now
 }
 
 // handleHead handles the response according to its status and header.
--- a/io/relay/request.go
+++ b/io/relay/request.go
@@ -325,7 +325,7 @@
 		fields = append(fields, zap.String("Endpoint", string(tk.Endpoint.ID)), zap.Float64("CostMs", math.Round(tk.CostMs)),
 			zap.Int("Calls", tk.OwnCalls), zap.Int("Others", tk.PeerCalls), zap.Int("Said", tk.ReportedCalls), zap.Float64("Mean", math.Round(10*tk.MeanCalls)/10),
 			zap.Int("Usable", tk.Usable), zap.Int("Full", tk.Full), zap.Int("BackingOff", tk.BackingOff), zap.Int("ColdFull", tk.ColdFull), zap.Int("Of", tk.PoolSize), zap.Bool("Cold", tk.Cold),
-			zap.Float64("Speed", math.Round(100*tk.Slowness)/100), zap.Duration("ExpectedFirst", tk.ExpectedFirst))
+			zap.Float64("Speed", math.Round(100*tk.Slowness)/100), zap.Bool("SpeedLearned", tk.SlownessLearned), zap.Duration("ExpectedFirst", tk.ExpectedFirst))
 		if tk.PromptTokens > 0 {
 			fields = append(fields, zap.String("Chat", strconv.FormatUint(tk.ChatKey, 16)), zap.Bool("Home", tk.AtHome), zap.Int64("Prompt", int64(tk.PromptTokens)),
 				zap.Int64("Uncached", int64(tk.UncachedTokens)), zap.Int64("Fetched", int64(tk.FetchTokens)), zap.String("FetchFrom", tk.FetchFrom))
--- a/io/relay/stream.go
+++ b/io/relay/stream.go
@@ -39,13 +39,16 @@
 		if len(pending) == cap(pending) {
 			pending = slices.Grow(pending, cap(pending))
 		}
+		waitingSince := time.Now()
 		count, err := ex.rs.Body.Read(pending[len(pending):cap(pending)])
 		filled := len(pending)+count == cap(pending)
 		if count > 0 {
-			ex.received()
+			arrived := ex.received()
 			pending = pending[:len(pending)+count]
 			end := bytes.LastIndex(pending, eventEnd) + len(eventEnd)
 			if end >= len(eventEnd) {
+				// Before the events are written: a caller that reads slowly must not make the endpoint look slow.
+				ex.tk.RecordEvents(waitingSince, arrived, bytes.Count(pending[:end], eventEnd))
 				if werr := ex.rq.forwardEvents(ex, pending[:end]); werr != nil {
 					return ex.refusal(core.Unknown, core.ReasonCallerGone, "write", werr), place.Neutral
 				}
--- a/io/relay/waiting.go
+++ b/io/relay/waiting.go
@@ -70,6 +70,9 @@
 	Time int
 	// SinceMs is how many milliseconds ago the router learned of it.
 	SinceMs int64
+	// Learned is set if routers learned the time from their streams at the engine, which does not
+	// report it.
+	Learned bool `json:",omitempty"`
 }
 
 // WaitingHandler serves what waits at this router, as JSON.
