--- a/core/place/place.go
+++ b/core/place/place.go
@@ -110,6 +110,11 @@
 	MaxOutput        core.Tokens
 	// OwnCallsOnly weighs plain endpoints by this router's own calls alone.
 	OwnCallsOnly bool
+	// MigrateFrom is the engine on which the request runs already, if its stream is to continue on
+	// another one. An engine that is slow, cold or lacks a free slot is then not picked, and memory is
+	// required for the prompt, the Produced tokens and what is expected to follow.
+	MigrateFrom core.EndpointID
+	Produced    core.Tokens
 }
 
 // Result is the outcome of a placed call, as far as it concerns the endpoint.
