core/migr: decide which running streams leave an engine; core/place: targets and expected remainders

What callers saw: a stream that began before its engine became four times slower ran there until its deadline, and its caller got nothing, although other engines had free slots.

Cause: the engine was chosen once, when the request came. Nothing looked at running streams again.

Change: a Planner lists a router's streams and returns those that would miss their deadline or pause too long where they are and not elsewhere, or outlast the service of an engine that shuts down. It keeps the limits of concurrent copies and of repeated moves. Placer.Pick with MigrateFrom picks an engine that is warm, of usual speed, and has a free slot and memory; a copied prompt is not counted as read, and enters the cache model when the call is sent. The time since which an engine is known to drain is kept, also after its registration is removed. Nothing calls the Planner yet, and requests without MigrateFrom are placed as before.

--- a/core/migr/migr.go
+++ b/core/migr/migr.go
@@ -10,6 +10,18 @@
 // lose most by staying first. It is the router that carries a stream that decides, so that at most
 // one router decides for each run. The target of a migration is picked and counted by core/place.
 //
+// A run leaves a slow engine only if it would miss its deadline there, or pause for longer than its
+// goal, and neither at an engine of the usual speed. It leaves an engine that shuts down only if it
+// is expected to last for longer than the engine serves.
+//
+// # Invariants
+//
+//   - One router has at most two migrations from an engine at a time, two to an engine and four in
+//     total.
+//   - A run is migrated at most twice. After a failed attempt it stays for two seconds, and is not
+//     sent to the same target again.
+//   - A run that ends within a second where it is, or whose deadline is within half a second, stays.
+//
 // # Usage
 //
 //	pl := &migr.Planner{Source: placer.MigrationSource, DrainTime: 3 * time.Second}
@@ -24,6 +36,8 @@
 package migr
 
 import (
+	"cmp"
+	"slices"
 	"sync"
 	"time"
 
@@ -79,25 +93,88 @@
 	// additional time that all of them serve.
 	DrainTime time.Duration
 
-	mu   sync.Mutex // guards the fields below
-	runs map[uint64]Run
+	mu sync.Mutex // guards the fields below
+	// runs are the listed streams, moves the migrations that have begun, by the ID of the stream.
+	runs   map[uint64]*listedRun
+	moves  map[uint64]*move
+	counts map[Reason]*Counts
+}
+
+// listedRun is a listed stream with its history.
+type listedRun struct {
+	Run
+	// slowSince is since when each call of Due found that the stream should leave a slow engine.
+	slowSince time.Time
+	// moved is how often the stream was migrated. It is not migrated before notBefore, and never to
+	// the failed targets.
+	moved     int
+	notBefore time.Time
+	failed    []core.EndpointID
+}
+
+// move is a migration that has begun.
+type move struct {
+	run    Run
+	reason Reason
+	target core.EndpointID // "" before Reserve
+	since  time.Time
+}
+
+const (
+	// maxMovesFrom and maxMovesTo bound the concurrent migrations of one router from an engine and
+	// to one, maxMoves those of one router. A copy takes bandwidth of the engines, and the peers of
+	// the router have as many.
+	maxMovesFrom, maxMovesTo, maxMoves = 2, 2, 4
+	// maxMovesPerRun is how often a stream is migrated: each time, it pauses.
+	maxMovesPerRun = 2
+	// failedPause is how long a stream is not migrated after a failed attempt, noTargetPause after
+	// no target was found. Nothing was copied then, and a target may be free within the time in which
+	// some calls end.
+	failedPause, noTargetPause = 2 * time.Second, 500 * time.Millisecond
+	// confirmTime is for how long a stream must have lost by staying at a slow engine before it is
+	// migrated, so that one wrong figure moves nothing.
+	confirmTime = 150 * time.Millisecond
+)
+
+func (pl *Planner) init() {
+	if pl.runs == nil {
+		pl.runs, pl.moves, pl.counts = map[uint64]*listedRun{}, map[uint64]*move{}, map[Reason]*Counts{}
+	}
+}
+
+func (pl *Planner) countsOf(re Reason) *Counts {
+	co := pl.counts[re]
+	if co == nil {
+		co = &Counts{}
+		pl.counts[re] = co
+	}
+	return co
 }
 
 // Add lists a stream that has begun.
-func (pl *Planner) Add(now time.Time, run Run) {
+func (pl *Planner) Add(_ time.Time, run Run) {
 	pl.mu.Lock()
 	defer pl.mu.Unlock()
-	if pl.runs == nil {
-		pl.runs = map[uint64]Run{}
-	}
-	pl.runs[run.ID] = run
+	pl.init()
+	pl.runs[run.ID] = &listedRun{Run: run}
 }
 
-// Update replaces what is known of a listed stream.
-func (pl *Planner) Update(now time.Time, run Run) {}
+// Update replaces what is known of a listed stream. Streams that are not listed are ignored.
+func (pl *Planner) Update(_ time.Time, run Run) {
+	pl.mu.Lock()
+	defer pl.mu.Unlock()
+	lr := pl.runs[run.ID]
+	if lr == nil {
+		return
+	}
+	if lr.Endpoint != run.Endpoint {
+		lr.slowSince = time.Time{}
+	}
+	lr.Run = run
+}
 
 // Remove removes a stream that has ended. A migration of it counts until Done.
-func (pl *Planner) Remove(now time.Time, id uint64) {
+func (pl *Planner) Remove(_ time.Time, id uint64) {
 	pl.mu.Lock()
 	defer pl.mu.Unlock()
 	delete(pl.runs, id)
@@ -105,19 +182,130 @@
 
 // Due returns the streams to migrate now, most urgent first. Each counts as begun until Done is
 // called.
-func (pl *Planner) Due(now time.Time) []Plan { return nil }
+func (pl *Planner) Due(now time.Time) []Plan {
+	pl.mu.Lock()
+	defer pl.mu.Unlock()
+	from := map[core.EndpointID]int{}
+	for _, mo := range pl.moves {
+		from[mo.run.Endpoint]++
+	}
+	var plans []Plan
+	for _, ca := range pl.candidates(now) {
+		if len(pl.moves) >= maxMoves {
+			break
+		}
+		run := ca.lr.Run
+		if from[run.Endpoint] >= maxMovesFrom {
+			continue
+		}
+		from[run.Endpoint]++
+		pl.moves[run.ID] = &move{run: run, reason: ca.reason, since: now}
+		pl.countsOf(ca.reason).Begun++
+		plans = append(plans, Plan{Run: run, Reason: ca.reason, Basis: ca.basis(now)})
+	}
+	return plans
+}
+
+// candidates returns the streams that should be migrated, most urgent first, whatever the limits.
+func (pl *Planner) candidates(now time.Time) []candidate {
+	sources := map[core.EndpointID]Source{}
+	var list []candidate
+	for id, lr := range pl.runs {
+		if pl.moves[id] != nil || lr.moved >= maxMovesPerRun {
+			continue
+		}
+		src, known := sources[lr.Endpoint]
+		if !known {
+			src = pl.Source(now, lr.Endpoint)
+			sources[lr.Endpoint] = src
+		}
+		ca, due := assess(now, lr, src, pl.DrainTime)
+		if !due || ca.reason != Slow {
+			lr.slowSince = time.Time{}
+		} else if lr.slowSince.IsZero() {
+			lr.slowSince = now
+		}
+		if due && !now.Before(lr.notBefore) && (ca.reason != Slow || now.Sub(lr.slowSince) >= confirmTime) {
+			list = append(list, ca)
+		}
+	}
+	slices.SortFunc(list, compareUrgency)
+	return list
+}
 
 // Excluded returns the engines that must not be the target of a stream's migration: its own, those
 // to which it could not be migrated, and those that receive as many copies as they may.
-func (pl *Planner) Excluded(now time.Time, id uint64) []core.EndpointID { return nil }
+func (pl *Planner) Excluded(_ time.Time, id uint64) []core.EndpointID {
+	pl.mu.Lock()
+	defer pl.mu.Unlock()
+	return pl.excluded(id)
+}
+
+func (pl *Planner) excluded(id uint64) []core.EndpointID {
+	var list []core.EndpointID
+	if mo := pl.moves[id]; mo != nil {
+		list = append(list, mo.run.Endpoint)
+	}
+	if lr := pl.runs[id]; lr != nil {
+		list = append(list, lr.failed...)
+	}
+	to := map[core.EndpointID]int{}
+	for other, mo := range pl.moves {
+		if other == id || mo.target == "" {
+			continue
+		}
+		if to[mo.target]++; to[mo.target] == maxMovesTo {
+			list = append(list, mo.target)
+		}
+	}
+	return list
+}
 
 // Reserve records the target of a migration that has begun, before the copy. It returns false if the
-// engine is one of those excluded.
-func (pl *Planner) Reserve(now time.Time, id uint64, target core.EndpointID) bool { return true }
+// engine is one of those excluded, or if no migration of the stream has begun.
+func (pl *Planner) Reserve(_ time.Time, id uint64, target core.EndpointID) bool {
+	pl.mu.Lock()
+	defer pl.mu.Unlock()
+	mo := pl.moves[id]
+	if mo == nil || slices.Contains(pl.excluded(id), target) {
+		return false
+	}
+	mo.target = target
+	return true
+}
 
 // Done records how a migration ended. The target is "" if there was none, in which case the
 // migration does not count as an attempt. A stream that was migrated is listed at its target.
-func (pl *Planner) Done(now time.Time, id uint64, target core.EndpointID, ok bool) {}
+func (pl *Planner) Done(now time.Time, id uint64, target core.EndpointID, ok bool) {
+	pl.mu.Lock()
+	defer pl.mu.Unlock()
+	mo := pl.moves[id]
+	if mo == nil {
+		return
+	}
+	delete(pl.moves, id)
+	if target == "" {
+		target = mo.target
+	}
+	co, lr := pl.countsOf(mo.reason), pl.runs[id]
+	if lr == nil {
+		lr = &listedRun{} // the stream has ended
+	}
+	lr.slowSince = time.Time{}
+	switch {
+	case ok:
+		co.Done++
+		lr.moved++
+		lr.Endpoint, lr.EventGap = target, 0
+	case target == "":
+		co.NoTarget++
+		lr.notBefore = now.Add(noTargetPause)
+	default:
+		co.Failed++
+		lr.notBefore = now.Add(failedPause)
+		lr.failed = append(lr.failed, target)
+	}
+}
 
 // Counts are numbers of migrations since the start.
 type Counts struct {
@@ -125,12 +313,35 @@
 	Begun, Done, Failed, NoTarget uint64
 }
 
+// Move is a migration in progress, for operators.
+type Move struct {
+	ID     uint64
+	Reason Reason
+	// Target is "" until it is reserved.
+	Source, Target core.EndpointID
+	Since          time.Time
+}
+
 // Snapshot is the state of a Planner, for operators.
 type Snapshot struct {
 	// Runs is the number of streams listed, Running the number of migrations in progress.
 	Runs, Running int
-	ByReason      map[Reason]Counts
+	// Moves lists the migrations in progress by the IDs of their streams.
+	Moves    []Move
+	ByReason map[Reason]Counts
 }
 
 // Snapshot returns the current state.
-func (pl *Planner) Snapshot(now time.Time) Snapshot { return Snapshot{} }
+func (pl *Planner) Snapshot(_ time.Time) Snapshot {
+	pl.mu.Lock()
+	defer pl.mu.Unlock()
+	sn := Snapshot{Runs: len(pl.runs), Running: len(pl.moves), ByReason: map[Reason]Counts{}}
+	for id, mo := range pl.moves {
+		sn.Moves = append(sn.Moves, Move{ID: id, Reason: mo.reason, Source: mo.run.Endpoint, Target: mo.target, Since: mo.since})
+	}
+	slices.SortFunc(sn.Moves, func(a, b Move) int { return cmp.Compare(a.ID, b.ID) })
+	for re, co := range pl.counts {
+		sn.ByReason[re] = *co
+	}
+	return sn
+}
--- a/core/place/choice.go
+++ b/core/place/choice.go
@@ -78,7 +78,7 @@
 	}
 	ch.survey(pl)
 	ch.collectUsable(pl)
-	if ch.usableCount > 0 && rq.Engine && rq.FetchTokensPerMs > 0 {
+	if ch.usableCount > 0 && rq.Engine && rq.FetchTokensPerMs > 0 && rq.MigrateFrom == "" {
 		ch.findHolder(pl)
 	}
 	return ch
@@ -118,6 +118,9 @@
 // prefillAndFetch returns how many of the prompt's tokens the endpoint would prefill, and how many
 // it would fetch from the holder.
 func (ch *choice) prefillAndFetch(st *state) (prefill, fetched core.Tokens) {
+	if ch.rq.MigrateFrom != "" {
+		return 0, 0 // the copy contains the whole prompt
+	}
 	uncached := st.uncached(ch.rq.Parts, ch.prefixes, ch.assumedCached(st))
 	if ch.holder == nil || ch.holder == st {
 		return uncached, 0
@@ -158,7 +161,7 @@
 // no more than the shared prefix cached, so that each is weighed only if it can be cheaper. The
 // result equals that of weighing all, which takes milliseconds for thousands of endpoints.
 func (pl *Placer) cheapest(ch *choice) (*state, float64) {
-	if !ch.rq.Engine {
+	if !ch.rq.Engine || ch.rq.MigrateFrom != "" {
 		return ch.cheapestBase.st, ch.cheapestBase.cost
 	}
 	var best candidate
@@ -211,9 +214,12 @@
 	if tk.Cold = st.isCold(ch.now, rq.ColdDuration); tk.Cold && rq.ColdRate > 0 {
 		st.cold.window.Reserve()
 		tk.reserved = true
-	} else {
+	}
+	// A grant may be refused, and a copy may fail.
+	if tk.unrecorded = tk.reserved || rq.MigrateFrom != ""; !tk.unrecorded {
 		tk.recordSent(ch.now)
 	}
+	tk.progress.startLost = st.speed.lostUntil(ch.now)
 	tk.use, tk.customer = pl.customerUseOf(rq.Pool), rq.Customer
 	tk.use.add(rq.Customer, 1)
 	tk.holdMemory(ch.now)
--- a/core/place/memory.go
+++ b/core/place/memory.go
@@ -107,16 +107,19 @@
 
 // considersMemory reports whether the request says what it takes of an engine's memory.
 func (rq *Request) considersMemory() bool {
-	return rq.Engine && rq.EngineMemory > 0 && rq.ExpectedOutput > 0
+	return rq.Engine && rq.EngineMemory > 0 && rq.output() > 0
 }
 
+// output returns how many tokens the response is expected to have in all, 0 if unknown.
+func (rq *Request) output() core.Tokens { return max(rq.ExpectedOutput, rq.Produced) }
+
 func (pl *Placer) memoryNeed(now time.Time, rq *Request) memoryNeed {
 	if !rq.considersMemory() {
 		return memoryNeed{}
 	}
 	return memoryNeed{
 		limit:  rq.EngineMemory,
-		prompt: promptTokens(rq.Parts), output: rq.ExpectedOutput,
+		prompt: promptTokens(rq.Parts), output: rq.output(),
 		meanTokens: pl.poolMemoryOf(rq.Pool).meanTokens(now),
 	}
 }
@@ -150,6 +153,9 @@
 	if need <= free {
 		return true
 	}
+	if ch.rq.MigrateFrom != "" {
+		return false // the copy shares nothing
+	}
 	return need-st.memory.sharedTokens(ch.rq.Parts, ch.prefixes) <= free
 }
 
@@ -206,7 +212,7 @@
 	if !rq.considersMemory() {
 		return
 	}
-	tk.heldOutput = rq.ExpectedOutput
+	tk.heldOutput = rq.output()
 	tk.pl.poolMemoryOf(rq.Pool).change(now, 1, tk.st.memory.hold(rq.Parts, tk.prefixes, tk.heldOutput))
 }
 
--- a/core/place/place.go
+++ b/core/place/place.go
@@ -168,6 +168,8 @@
 	incarnations incarnations
 	// backoffs maps endpoints to the time until which they accept no requests.
 	backoffs map[core.EndpointID]time.Time
+	// departed holds the removed endpoints that still run calls of this router.
+	departed map[core.EndpointID]*state
 	reports  loadReports
 	// moves are this router's placements away from a chat's home; movedChats are those of peers.
 	moves      []move
@@ -210,6 +212,7 @@
 		pl.remove(st)
 		st = nil
 	}
+	delete(pl.departed, ep.ID)
 	if st == nil {
 		st = pl.newState(now, &ep)
 		pl.byID[ep.ID] = st
@@ -221,6 +224,7 @@
 	st.sameZone, st.evacuated = ep.Zone == pl.Zone, pl.evacuations[ep.Zone]
 	ep.Draining = ep.Draining || st.Draining || drained
 	st.Endpoint = ep
+	st.noteDraining(now)
 	st.missing = false
 	pl.addToPool(st)
 	return true
@@ -271,6 +275,9 @@
 	pl.byShortHash[shortHash(st.hash)] = slices.DeleteFunc(pl.byShortHash[shortHash(st.hash)], func(other *state) bool { return other == st })
 	st.cache.clear()
 	st.removed = true
+	if st.ownCalls > 0 {
+		pl.departed[st.ID] = st
+	}
 }
 
 func (pl *Placer) initMaps() {
@@ -281,6 +288,7 @@
 		pl.byShortHash = map[uint16][]*state{}
 		pl.evacuations = map[core.Zone]*evacuation{}
 		pl.backoffs = map[core.EndpointID]time.Time{}
+		pl.departed = map[core.EndpointID]*state{}
 		pl.partIndex = newPartIndex()
 		pl.reports = loadReports{byPeer: map[string]*list.Element{}, byExpiry: list.New(), sums: map[uint16]int{}, memory: map[uint16]peerMemory{}, onChange: pl.addPeerCalls, onMemoryChange: pl.addPeerMemory}
 		pl.surges = map[core.PoolID]*surge{}
--- a/core/place/pool_stats.go
+++ b/core/place/pool_stats.go
@@ -171,7 +171,8 @@
 // collectUsable finds the endpoints that may be picked: those with capacity or, if none of these
 // looks alive, those with capacity that look dead.
 func (ch *choice) collectUsable(pl *Placer) {
-	if ch.poolSlots > 0 && float64(ch.poolCalls) >= ch.maxPoolCalls {
+	// A run that migrates is one of the calls already.
+	if ch.poolSlots > 0 && float64(ch.poolCalls) >= ch.maxPoolCalls && ch.rq.MigrateFrom == "" {
 		ch.fullCount = ch.openCount
 		return
 	}
@@ -182,7 +183,7 @@
 	// If most endpoints fail, the cause is probably not in the endpoints.
 	skipFailing := ch.failAllCount > 0 && failAllRatio*float64(ch.failAllCount) <= float64(ch.openCount)
 	li := ch.limits(pl)
-	retried := len(ch.rq.Tried) > 0
+	retried := len(ch.rq.Tried) > 0 || ch.rq.MigrateFrom != ""
 	for _, st := range ch.members {
 		st.scratch.usable, st.scratch.weighed = false, false
 		if ch.closedTo(st) || retried && tried(ch.rq, st.ID) {
@@ -191,7 +192,7 @@
 		if ch.backsOff(st) {
 			continue
 		}
-		if !li.hasCapacity(ch.now, st) {
+		if !li.hasCapacity(ch.now, st) || !ch.takesMigration(st) {
 			ch.fullCount++
 			continue
 		}
@@ -210,7 +211,7 @@
 		}
 		ch.addIfRoom(pl, st)
 	}
-	if ch.usableCount > 0 || deadCount == 0 || ch.noRoomCount > 0 || ch.rq.HealthyOnly {
+	if ch.usableCount > 0 || deadCount == 0 || ch.noRoomCount > 0 || ch.rq.HealthyOnly || ch.rq.MigrateFrom != "" {
 		return
 	}
 	for _, st := range ch.members {
@@ -244,6 +245,9 @@
 }
 
 func tried(rq *Request, id core.EndpointID) bool {
+	if rq.MigrateFrom == id {
+		return true
+	}
 	for _, other := range rq.Tried {
 		if other == id {
 			return true
--- a/core/place/shutdown.go
+++ b/core/place/shutdown.go
@@ -24,30 +24,39 @@
 		// incarnation.
 		tk.pl.rememberBackoff(now, st.ID, now.Add(laterIncarnationHold))
 	}
-	tk.pl.closeIncarnation(st)
+	tk.pl.closeIncarnation(now, st)
 	return true
 }
 
 // ApplyShutdown records a peer's report that an endpoint has announced its shutdown. It returns the
 // endpoint's ID, and false if that was known or the endpoint is unknown.
-func (pl *Placer) ApplyShutdown(endpoint uint64) (core.EndpointID, bool) {
+func (pl *Placer) ApplyShutdown(now time.Time, endpoint uint64) (core.EndpointID, bool) {
 	pl.mu.Lock()
 	defer pl.mu.Unlock()
 	st := pl.byHash[endpoint]
 	if st == nil || st.Draining {
 		return "", false
 	}
-	pl.closeIncarnation(st)
+	pl.closeIncarnation(now, st)
 	return st.ID, true
 }
 
 // closeIncarnation permanently closes this incarnation of an endpoint to new calls, even if it was
 // removed and has registered again since the call was placed.
-func (pl *Placer) closeIncarnation(st *state) {
+func (pl *Placer) closeIncarnation(now time.Time, st *state) {
 	st.Draining = true
+	st.noteDraining(now)
 	pl.incarnations.markDraining(&st.Endpoint)
 	if current := pl.byID[st.ID]; current != nil && current.Incarnation == st.Incarnation {
 		current.markChanged()
 		current.Draining = true
+		current.noteDraining(now)
+	}
+}
+
+// noteDraining keeps when a draining endpoint was first known to be so.
+func (st *state) noteDraining(now time.Time) {
+	if st.Draining && st.drainingSince.IsZero() {
+		st.drainingSince = now
 	}
 }
--- a/core/place/speed.go
+++ b/core/place/speed.go
@@ -49,8 +49,9 @@
 	// slowAt is when the endpoint was last slow, as far as it reported, and slowSince since when.
 	// lastedAt is when it last had been slow for the whole window.
 	slowAt, slowSince, lastedAt time.Time
-	// excess is the integral of the factor above 1, in ms, over the time before at.
-	excess float64
+	// excess is the integral of the factor above 1, in ms, over the time before at, lost that of the
+	// part of the time that calls lose by the factor.
+	excess, lost float64
 }
 
 // update records a reported factor unless a later one is known. It returns whether it was recorded.
@@ -59,7 +60,7 @@
 		return false
 	}
 	factor = min(maxSlowness, max(1, factor))
-	sp.excess = sp.excessUntil(at)
+	sp.excess, sp.lost = sp.excessUntil(at), sp.lostUntil(at)
 	sp.roll(at, factor)
 	if factor >= minSlowness {
 		if sp.factor < minSlowness || at.Sub(sp.at) > slownessMemory {
@@ -104,6 +105,15 @@
 	return sp.excess + max(0, sp.factor-1)*ms(held)
 }
 
+// lostUntil returns how much time calls have lost by the factor until now, in ms: three quarters of
+// the time at a factor of 4.
+func (sp *speed) lostUntil(now time.Time) float64 {
+	if sp.factor <= 1 {
+		return sp.lost
+	}
+	return sp.lost + (1-1/sp.factor)*ms(max(0, min(now.Sub(sp.at), speedTTL)))
+}
+
 // current returns the factor to assume now.
 func (sp *speed) current(now time.Time) float64 {
 	if sp.factor < minSlowness || now.Sub(sp.at) > speedTTL {
--- a/core/place/state.go
+++ b/core/place/state.go
@@ -22,6 +22,8 @@
 	// sameZone is set if the endpoint is in the router's zone, removed once the endpoint was
 	// removed or a later incarnation of it registered.
 	sameZone, removed bool
+	// drainingSince is when it became known that the endpoint is draining, zero if it is not.
+	drainingSince time.Time
 	// evacuated is the evacuation of the endpoint's zone, nil if there is none.
 	evacuated *evacuation
 	// fastPath is set by a choice that finds nothing about the endpoint except calls reported by
--- a/core/place/ticket.go
+++ b/core/place/ticket.go
@@ -55,8 +55,7 @@
 	request      *Request
 	prefixes     []uint64
 	awayFromHome bool
-	// reserved is set while the call holds a reservation within the limit of a cold endpoint. Its
-	// prompt is added to the cache model only when the call is sent.
+	// reserved is set while the call holds a reservation within the limit of a cold endpoint.
 	reserved bool
 	// use counts the call for its customer.
 	use      *customerUse
@@ -64,6 +63,9 @@
 	pacer    pacer
 	// heldOutput is the memory counted for the response, 0 if none is counted for the call.
 	heldOutput core.Tokens
+	progress   progress
+	// unrecorded is set until the prompt is added to the cache model.
+	unrecorded bool
 }
 
 // BeforeSend must be called immediately before the call is sent. It returns "", or the reason why
@@ -86,6 +88,9 @@
 	if tk.reserved {
 		st.cold.window.MarkSent(now)
 		tk.reserved = false
+	}
+	if tk.unrecorded {
+		tk.unrecorded = false
 		tk.recordSent(now)
 	}
 	return ""
@@ -112,6 +117,7 @@
 		st.cold.unreachable, st.cold.since = false, now
 	}
 	tk.pacer.activity(now, st.speed.current(now))
+	tk.progress.activity(now, st.speed.lostUntil(now))
 	tk.prefillDone()
 }
 
@@ -141,11 +147,15 @@
 	st.load.Add(now, -1)
 	if st.ownCalls == 0 {
 		st.health.silentSince = time.Time{}
+		tk.pl.forgetDeparted(st)
 	}
 	defer tk.pl.serveWaits(now, st.Pool)
 	switch re {
 	case Served:
 		st.health.recordSuccess(now)
+		if tk.request.MigrateFrom != "" {
+			break // only a part of the response was produced here
+		}
 		took := float64(now.Sub(tk.Started)) / float64(time.Millisecond)
 		cd := tk.pl.callDurationOf(st.Pool)
 		st.health.recordDuration(took, cd.typicalMs())
@@ -163,6 +173,6 @@
 		st.health.recordOutcome(now, 1)
 		st.health.markDown(now)
 	case Replaced:
-		tk.pl.closeIncarnation(st)
+		tk.pl.closeIncarnation(now, st)
 	}
 }
--- a/io/gossip/counts.go
+++ b/io/gossip/counts.go
@@ -234,7 +234,7 @@
 
 // handleDraining handles a peer's message that an endpoint has announced its shutdown.
 func (gr *Group) handleDraining(endpoint uint64, from string) {
-	if id, changed := gr.Placer.ApplyShutdown(endpoint); changed {
+	if id, changed := gr.Placer.ApplyShutdown(time.Now(), endpoint); changed {
 		gr.Log.Info("A peer reported that an endpoint is draining.", zap.String("Endpoint", string(id)), zap.String("From", from))
 	}
 }
