io/relay: running streams migrate between engines

A stream on an engine that becomes four times slower, or that shuts down, ran there until its caller's deadline cut it: a stream could leave an engine only by being executed again, which most routes forbid.

Where a pool with Engine declares Moves, a router lists its streams with a migr.Planner, and executes what is due: it reserves a target, has the source copy the run's memory, stops it with the last copy, and sends the request on with the name of the copy and the last event. Until the source has answered that it stopped, or has closed the stream, the request is sent nowhere. A target that provably did not run it is replaced by the source, if that stopped and keeps the memory. A stream that may not be repeated is only sent on from a copy. Repeated events are dropped, and a gap ends the migration. A migration runs in a goroutine of its own; the planner is asked every 50 ms by one. The bodies of such streams are kept while bodies take at most half of the memory for them.

Wire names are fields of relay.Dialect. Deployments without Moves create no planner and send what they sent.

--- a/cmd/almondrill/script_test.go
+++ b/cmd/almondrill/script_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/rogpeppe/go-internal/testscript"
 
+	"almondrill/core/migr"
 	"almondrill/core/waitq"
 	"almondrill/io/relay"
 )
@@ -49,5 +50,8 @@
 			}},
 		}},
 		Engines: []relay.EngineSpeed{{Engine: "i-4", Time: 400, SinceMs: 3210}},
+		Migrations: &relay.Migrations{
+			Streams: 41, Running: 2, ByReason: map[migr.Reason]migr.Counts{migr.Slow: {Begun: 9, Done: 5, Failed: 1, NoTarget: 1}},
+		},
 	})
 }
--- a/cmd/almondrill/waiting.go
+++ b/cmd/almondrill/waiting.go
@@ -6,8 +6,10 @@
 	"flag"
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
 	"os"
+	"slices"
 	"text/tabwriter"
 	"time"
 
@@ -30,7 +32,8 @@
   Shows, for each plain pool, the calls in progress through one router, the requests that
   wait there, those refused in the last 10 s by rank and customer, and the level by which
   the pool's capacity is divided. For each engine that is not at its usual speed, it shows
-  the speed that the router assumes. ADDR is the AdminAddr of a router of the relay command.
+  the speed that the router assumes. Where engines copy running streams, it shows how many
+  streams migrate and have migrated. ADDR is the AdminAddr of a router of the relay command.
   Exits with 0 on success, 1 otherwise.
 `
 }
@@ -78,10 +81,30 @@
 			return err
 		}
 	}
+	if err := printMigrations(out, all.Migrations); err != nil {
+		return err
+	}
 	_, err := fmt.Fprintf(out, "%d pools, %d engines not at their usual speed\n", len(all.Pools), len(all.Engines))
 	return err
 }
 
+// printMigrations prints the migrations of running streams, if engines can copy them.
+func printMigrations(out io.Writer, mg *relay.Migrations) error {
+	if mg == nil {
+		return nil
+	}
+	if _, err := fmt.Fprintf(out, "streams: %d can migrate, %d migrate now\n", mg.Streams, mg.Running); err != nil {
+		return err
+	}
+	for _, re := range slices.Sorted(maps.Keys(mg.ByReason)) {
+		co := mg.ByReason[re]
+		if _, err := fmt.Fprintf(out, "  %s: %d planned, %d migrated, %d failed, %d without a target\n", re, co.Begun, co.Done, co.Failed, co.NoTarget); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 func printPool(out io.Writer, wp *relay.WaitingPool) error {
 	limit := "not limited"
 	if wp.Limited != "" {
--- a/core/route/route.go
+++ b/core/route/route.go
@@ -120,6 +120,10 @@
 	// requests per second that it tolerates while cold. 0 means not declared.
 	ColdDuration time.Duration
 	ColdRate     float64
+	// Moves is set if the pool's engines can copy the memory of a running stream to one another.
+	// HandleTTL is how long an engine keeps a copy that is not used.
+	Moves     bool
+	HandleTTL time.Duration
 }
 
 // Customer is a customer whose API keys the operator has configured.
--- a/io/conf/relay.go
+++ b/io/conf/relay.go
@@ -20,18 +20,19 @@
 	KVAddr      string                    `yaml:"KVAddr" doc:"Address of the platform's store." need:"yes"`
 	Seeds       []string                  `yaml:"Seeds" doc:"Addresses of other routers, to find them while the store is away. Only the host is used."`
 
-	CapFactor    float64       `yaml:"CapFactor" doc:"No engine is given calls beyond this multiple of its pool's mean. Default 2."`
-	ColdOverrun  float64       `yaml:"ColdOverrun" doc:"A cold endpoint gets at most this multiple of the rate that its pool declares, plus ColdSlack, in any second. Default 1."`
-	ColdSlack    float64       `yaml:"ColdSlack" doc:"Requests a second that a cold endpoint gets beyond that. Default 0."`
-	EvacuateMs   int           `yaml:"EvacuateMs" doc:"Milliseconds after its acceptance at which a zone's evacuation has to be obeyed; chats leave the zone one after the other until 1.5 s before. 0 means at once."`
-	RetryRatio   float64       `yaml:"RetryRatio" doc:"Further attempts of all routers together, as a part of requests. Default 0.1."`
-	RetrySlack   float64       `yaml:"RetrySlack" doc:"Further attempts of all routers together that are free, per RetrySpan. Default 10."`
-	RetrySpan    time.Duration `yaml:"RetrySpan" doc:"The span over which further attempts are bounded. Default 10s."`
-	DrainDelay   time.Duration `yaml:"DrainDelay" doc:"Time between saying that it leaves and closing the callers' address. Default 3s."`
-	DrainTimeout time.Duration `yaml:"DrainTimeout" doc:"Time from the order to stop to the end; work still in progress is cut then. Default 10m."`
-	ReturnDelay  time.Duration `yaml:"ReturnDelay" doc:"How long after an outage of the store registrations that lapsed in it may be missing. Default 2s."`
-	MemoryMB     int           `yaml:"MemoryMB" doc:"Memory of the process in megabytes; 0 means no bound."`
-	LogLevel     string        `yaml:"LogLevel" doc:"debug, info, warn or error. Default info."`
+	CapFactor       float64       `yaml:"CapFactor" doc:"No engine is given calls beyond this multiple of its pool's mean. Default 2."`
+	ColdOverrun     float64       `yaml:"ColdOverrun" doc:"A cold endpoint gets at most this multiple of the rate that its pool declares, plus ColdSlack, in any second. Default 1."`
+	ColdSlack       float64       `yaml:"ColdSlack" doc:"Requests a second that a cold endpoint gets beyond that. Default 0."`
+	EvacuateMs      int           `yaml:"EvacuateMs" doc:"Milliseconds after its acceptance at which a zone's evacuation has to be obeyed; chats leave the zone one after the other until 1.5 s before. 0 means at once."`
+	RetryRatio      float64       `yaml:"RetryRatio" doc:"Further attempts of all routers together, as a part of requests. Default 0.1."`
+	RetrySlack      float64       `yaml:"RetrySlack" doc:"Further attempts of all routers together that are free, per RetrySpan. Default 10."`
+	RetrySpan       time.Duration `yaml:"RetrySpan" doc:"The span over which further attempts are bounded. Default 10s."`
+	DrainDelay      time.Duration `yaml:"DrainDelay" doc:"Time between saying that it leaves and closing the callers' address. Default 3s."`
+	DrainTimeout    time.Duration `yaml:"DrainTimeout" doc:"Time from the order to stop to the end; work still in progress is cut then. Default 10m."`
+	EngineDrainTime time.Duration `yaml:"EngineDrainTime" doc:"How long engines serve at least after they announced their shutdown, without the 1.5 s that all of them add. Default 3s."`
+	ReturnDelay     time.Duration `yaml:"ReturnDelay" doc:"How long after an outage of the store registrations that lapsed in it may be missing. Default 2s."`
+	MemoryMB        int           `yaml:"MemoryMB" doc:"Memory of the process in megabytes; 0 means no bound."`
+	LogLevel        string        `yaml:"LogLevel" doc:"debug, info, warn or error. Default info."`
 }
 
 // Defaults sets the settings that were left out to their defaults.
@@ -43,6 +44,7 @@
 	defaultTo(&se.RetrySpan, 10*time.Second)
 	defaultTo(&se.DrainDelay, 3*time.Second)
 	defaultTo(&se.DrainTimeout, 10*time.Minute)
+	defaultTo(&se.EngineDrainTime, 3*time.Second)
 	defaultTo(&se.ReturnDelay, 2*time.Second)
 	defaultTo(&se.LogLevel, "info")
 }
@@ -71,7 +73,7 @@
 		"CapFactor": se.CapFactor, "ColdOverrun": se.ColdOverrun, "ColdSlack": se.ColdSlack, "EvacuateMs": float64(se.EvacuateMs),
 		"RetryRatio": se.RetryRatio, "RetrySlack": se.RetrySlack,
 		"RetrySpan": float64(se.RetrySpan), "DrainDelay": float64(se.DrainDelay),
-		"DrainTimeout": float64(se.DrainTimeout), "ReturnDelay": float64(se.ReturnDelay), "MemoryMB": float64(se.MemoryMB),
+		"DrainTimeout": float64(se.DrainTimeout), "ReturnDelay": float64(se.ReturnDelay), "EngineDrainTime": float64(se.EngineDrainTime), "MemoryMB": float64(se.MemoryMB),
 	} {
 		if value < 0 {
 			ch.addProblem(ch.keyLines[key], "%s must not be negative", key)
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -35,6 +35,7 @@
 	"go.uber.org/zap"
 
 	"almondrill/core"
+	"almondrill/core/migr"
 	"almondrill/core/mirror"
 	"almondrill/core/place"
 	"almondrill/core/retry"
@@ -140,7 +141,7 @@
 	control, cancel := context.WithCancel(ctx)
 	defer cancel()
 	for _, loop := range []func(context.Context) error{
-		pr.reader.Run, pr.peers.Run, pr.view.settle, pr.crashes.Run, pr.closeIdleConns, pr.watchSettings, pr.announce,
+		pr.reader.Run, pr.peers.Run, pr.view.settle, pr.crashes.Run, pr.closeIdleConns, pr.watchSettings, pr.announce, pr.relay.RunMigrations,
 	} {
 		go func() {
 			if err := loop(control); err != nil && control.Err() == nil {
@@ -195,6 +196,9 @@
 	}
 	pr.peers.Demand = pr.relay
 	pr.relay.EngineSpeeds = pr.engineSpeeds
+	pr.relay.NewPlanner = func() relay.Planner {
+		return &migr.Planner{Source: pr.placer.MigrationSource, DrainTime: se.EngineDrainTime}
+	}
 	pr.relay.Memory.Limit = int64(bufferShare * float64(se.MemoryMB) * (1 << 20))
 	pr.view = &view{pr: pr, log: pr.Logs.Part("view"), evacuations: newEvacuations()}
 	pr.mirror.Changed, pr.mirror.Restored = pr.view.applyItem, pr.reader.NoteRestore
--- a/io/relay/attempt.go
+++ b/io/relay/attempt.go
@@ -29,6 +29,9 @@
 	// request's deadline and reports false if it has already fired.
 	stall         stallTimer
 	stopInterrupt func() bool
+	// handedOver is set if the endpoint has answered that it stopped the stream, which continues from a
+	// copy.
+	handedOver bool
 	// connRefused is set if the connection was refused: nothing listens at the address.
 	connRefused bool
 	// began is when the attempt began.
@@ -68,11 +71,14 @@
 		ex.returnUnusedConn()
 		return ex.refusal(core.NotRun, core.ReasonCallerGone, "send", errCallerGone), place.Neutral
 	}
-	if reason := ex.tk.BeforeSend(time.Now()); reason != "" {
+	if reason := ex.beforeSend(); reason != "" {
 		ex.returnUnusedConn()
 		return ex.refusal(core.NotRun, reason, "send", errNoLongerOpen), place.Neutral
 	}
 	ex.rq.sends++
+	if ex.rq.continuation != nil {
+		ex.rq.continuedSends++
+	}
 	ex.rq.lastSend.Store(&sendRecord{ex.tk.Endpoint, time.Now(), ex.rq.sends})
 	if ex.rq.sends == 1 {
 		ex.rq.re.Latency.Record(stats.SentMs, time.Since(ex.rq.began))
@@ -98,6 +104,14 @@
 	return ex.handleHead(ctx)
 }
 
+// beforeSend returns the reason why the request must not be sent, "" if it may.
+func (ex *exchange) beforeSend() core.Reason {
+	if co := ex.rq.continuation; co != nil && co.atSource {
+		return "" // it is no new request there
+	}
+	return ex.tk.BeforeSend(time.Now())
+}
+
 // recordLoad records what the endpoint reported of its load.
 func (ex *exchange) recordLoad(lo Load) {
 	now, calls := time.Now(), lo.Running+lo.Waiting
@@ -121,9 +135,15 @@
 	header.Set(di.Deadline, strconv.FormatInt(left, 10))
 	header.Set(di.Expect, string(ex.tk.Endpoint.ID))
 	header.Del(di.Fetch)
-	if ex.tk.FetchFrom != "" {
+	if ex.tk.FetchFrom != "" && ex.rq.continuation == nil {
 		header.Set(di.Fetch, ex.tk.FetchFrom)
 	}
+	if di.Copies != nil {
+		header.Del(di.Copies.From)
+		if co := ex.rq.continuation; co != nil {
+			header.Set(di.Copies.From, co.from())
+		}
+	}
 	if ex.rq.lastEvent != "" {
 		header.Set(di.Resume, ex.rq.lastEvent)
 	}
@@ -147,7 +167,7 @@
 		return ex.refusal(core.NotRun, core.ReasonWrongPool, "send", errAddressReused), place.Replaced
 	case refused:
 		ex.drainBody(ctx)
-		return ex.refusal(core.NotRun, core.ReasonQueueFull, "send", errors.New(rs.Status)), place.Rejected
+		return ex.refusal(core.NotRun, core.ReasonQueueFull, "send", errors.New(rs.Status)), ex.rejected()
 	case rs.StatusCode >= http.StatusMultipleChoices:
 		return ex.handleFailure(ctx)
 	case rs.Header.Get("Content-Encoding") != "" || rs.Header.Get(di.Stamp) == "":
@@ -160,6 +180,15 @@
 	return ex.forwardBuffered(ctx)
 }
 
+// rejected returns the result of an endpoint that refused the request. One that refuses a copy is not
+// full.
+func (ex *exchange) rejected() place.Result {
+	if ex.rq.continuation != nil {
+		return place.Neutral
+	}
+	return place.Rejected
+}
+
 var (
 	errAddressReused = errors.New("another endpoint has the address")
 	errNoLongerOpen  = errors.New("the endpoint was closed to new requests after it was chosen")
--- a/io/relay/crash.go
+++ b/io/relay/crash.go
@@ -48,6 +48,7 @@
 	}
 	en := core.EndpointRef{ID: ex.tk.Endpoint.ID, Addr: ex.tk.Endpoint.Addr, Hash: ex.tk.Hash}
 	switch {
+	case ex.handedOver:
 	case rf == nil:
 		if ex.rq.status < http.StatusMultipleChoices {
 			cd.Succeeded(ex.rq.fingerprint)
--- a/io/relay/memory.go
+++ b/io/relay/memory.go
@@ -96,7 +96,7 @@
 // the bodies would take more memory than the streams themselves.
 func (ex *exchange) releaseBody() {
 	rq := ex.rq
-	if len(rq.body) == 0 || rq.route.MayRepeat() && rq.sends < rq.route.MaxAttempts || !ex.co.Written() {
+	if len(rq.body) == 0 || rq.route.MayRepeat() && rq.attempts() < rq.route.MaxAttempts || !ex.co.Written() || rq.stream.keepsBody() {
 		return
 	}
 	held := int64(cap(rq.body))
--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -15,6 +15,8 @@
 //   - A success is forwarded only if it carries the endpoint's stamp. If a response ends early, the
 //     caller's connection is closed, so that the caller does not take it for complete.
 //   - When the caller disconnects, the endpoint's connection is closed at once.
+//   - A stream continues at another engine only after the first one has answered that it stopped, or
+//     has closed the stream. One that may not be repeated then only continues from a copy of its memory.
 //   - A request that is admitted by its pool's queue releases its place exactly once.
 //
 // # Usage
@@ -82,6 +84,40 @@
 	Load func(hd http.Header) (Load, bool)
 	// Notice extracts the endpoint's notice from the header of a response with that status.
 	Notice func(status int, hd http.Header) Notice
+	// Copies defines how running streams are copied between engines; nil if engines cannot do so.
+	Copies *CopyDialect
+}
+
+// CopyDialect defines the requests that copy a running stream's memory from one engine to another,
+// and those that continue the stream from the copy.
+type CopyDialect struct {
+	// Path is the path of the request for a copy. HandlePath is the path, without the handle, at which
+	// an unused copy is freed.
+	Path, HandlePath string
+	// From is the header that names the copy, by the source's address and the handle, in the request
+	// that continues the stream.
+	From string
+	// Format encodes the body of the request for a copy, Parse decodes that of the response.
+	Format func(cr CopyRequest) []byte
+	Parse  func(body []byte) (Copy, error)
+}
+
+// CopyRequest asks an engine to copy the memory of a running stream.
+type CopyRequest struct {
+	// RequestID identifies the stream, To is the address of the engine to copy to.
+	RequestID, To string
+	// Last is set to stop the stream before the copy.
+	Last bool
+}
+
+// Handle names a copy of a stream's memory at the engine that has made it.
+type Handle string
+
+// Copy is the result of a CopyRequest.
+type Copy struct {
+	Handle Handle
+	// Events is how many events the stream had.
+	Events uint64
 }
 
 // Load is what an endpoint reports of its load in the header of a response.
@@ -134,9 +170,13 @@
 	LevelOwner func(pool demand.PoolHash) string
 	// EngineSpeeds returns the engines that are not at their usual speed, for operators; may be nil.
 	EngineSpeeds func(now time.Time) []EngineSpeed
+	// NewPlanner creates the planner of migrations, once a configuration has a pool whose engines copy
+	// running streams; nil if streams do not migrate.
+	NewPlanner func() Planner
 
-	table  atomic.Pointer[route.Table]
-	queues queues
+	table      atomic.Pointer[route.Table]
+	queues     queues
+	migrations migrations
 }
 
 const (
@@ -156,7 +196,10 @@
 const maxBudgetMs = 86_400_000
 
 // SetTable replaces the configuration.
-func (re *Relay) SetTable(ta *route.Table) { re.table.Store(ta) }
+func (re *Relay) SetTable(ta *route.Table) {
+	re.preparePlanner(ta)
+	re.table.Store(ta)
+}
 
 // Table returns the current configuration, nil if there is none yet.
 func (re *Relay) Table() *route.Table { return re.table.Load() }
--- a/io/relay/request.go
+++ b/io/relay/request.go
@@ -44,6 +44,8 @@
 	tried []core.EndpointID
 	// sends counts how often the request was sent to an endpoint.
 	sends int
+	// continuedSends counts those of them that continued a run from a copy of its memory.
+	continuedSends int
 	// countAsked is set if an endpoint's calls in flight were requested before the choice, and
 	// known.
 	countAsked bool
@@ -70,6 +72,10 @@
 	notice Notice
 	// reservedTicket is the ticket reserved for the next attempt, nil if there is none.
 	reservedTicket *place.Ticket
+	// stream is the request's stream, nil if it may not migrate. taken is a continuation that has been
+	// taken over from a migration, continuation the one that is sent; nil if there is none.
+	stream              *runningStream
+	taken, continuation *continuation
 	// lastSend is read by logRunning.
 	lastSend atomic.Pointer[sendRecord]
 	// turn is the request's use of its pool's queue, nil if it does not pass one.
@@ -98,6 +104,9 @@
 	}
 	rq.re.Budget.RecordFirst(rq.began, rq.pool)
 	defer rq.releaseReserved()
+	defer rq.releaseContinuation()
+	rq.stream = rq.newRunningStream()
+	defer rq.stream.end()
 	header := rq.forwardedHeader()
 	for dials := 0; ; dials++ {
 		rf := rq.checkQuarantine(ctx)
@@ -113,6 +122,10 @@
 			rq.finishServed()
 			return
 		}
+		if rq.nextContinuation(rf) {
+			dials--
+			continue
+		}
 		rq.tried = append(rq.tried, rq.ticket.Endpoint.ID)
 		if rf.Outcome != core.NotRun {
 			rq.mayHaveRunRefusal = rf
@@ -137,6 +150,10 @@
 // chooseEndpoint sets the ticket of the next attempt. Attempts after the first send are charged to
 // the retry budget.
 func (rq *request) chooseEndpoint(ctx context.Context) *core.Refusal {
+	if rq.continuation != nil {
+		rq.ticket = rq.continuation.ticket
+		return nil
+	}
 	if rq.reservedTicket != nil {
 		rq.ticket, rq.reservedTicket = rq.reservedTicket, nil
 		return nil
@@ -234,10 +251,10 @@
 	if ctx.Err() != nil || rq.hr.Context().Err() != nil || rq.connClosed() || dials+1 >= maxDials {
 		return false
 	}
-	if rq.sends >= rq.route.MaxAttempts {
+	if rq.attempts() >= rq.route.MaxAttempts {
 		return false
 	}
-	if rf.Outcome == core.NotRun {
+	if rf.Outcome == core.NotRun && !rq.headSent {
 		return true
 	}
 	return rq.route.MayRepeat() && (!rq.headSent || rq.lastEvent != "")
--- a/io/relay/stall.go
+++ b/io/relay/stall.go
@@ -45,7 +45,7 @@
 // other may be tried.
 func (ex *exchange) stallTimeout() time.Duration {
 	rq := ex.rq
-	if !rq.route.MayRepeat() || rq.sends >= rq.route.MaxAttempts {
+	if !rq.route.MayRepeat() || rq.attempts() >= rq.route.MaxAttempts {
 		return 0
 	}
 	if rq.route.Kind == route.Stream {
@@ -90,6 +90,10 @@
 	if st.stopped || st.reservedTicket != nil {
 		return
 	}
+	if st.ex.rq.stream.stopping() {
+		st.timer.Reset(reserveRetryInterval) // the stream pauses because the router has stopped it
+		return
+	}
 	if st.reservedTicket = st.ex.rq.reserve(st.ex.tk); st.reservedTicket == nil {
 		st.timer.Reset(reserveRetryInterval)
 		return
--- a/io/relay/stream.go
+++ b/io/relay/stream.go
@@ -35,6 +35,8 @@
 // then be resumed at another endpoint after the last complete one.
 func (ex *exchange) forwardStream(ctx context.Context) (*core.Refusal, place.Result) {
 	pending := make([]byte, 0, minRead)
+	ex.rq.stream.attach(ex)
+	defer ex.rq.stream.detach()
 	for {
 		if len(pending) == cap(pending) {
 			pending = slices.Grow(pending, cap(pending))
@@ -47,7 +49,7 @@
 			end := bytes.LastIndex(pending, eventEnd) + len(eventEnd)
 			if end >= len(eventEnd) {
 				if werr := ex.rq.forwardEvents(ex, pending[:end]); werr != nil {
-					return ex.refusal(core.Unknown, core.ReasonCallerGone, "write", werr), place.Neutral
+					return ex.forwardFailed(werr)
 				}
 				pending = pending[:copy(pending, pending[end:])]
 			}
@@ -63,23 +65,51 @@
 		case errors.Is(err, io.EOF):
 			return ex.finishStream(pending)
 		}
+		return ex.streamFailed(ctx, err)
+	}
+}
+
+// streamFailed returns the refusal for a stream whose read failed. It may continue from a copy.
+func (ex *exchange) streamFailed(ctx context.Context, err error) (*core.Refusal, place.Result) {
+	co := ex.rq.stream.takeOver(ctx, err)
+	if co == nil {
 		return ex.classifyError(ctx, "read", err)
 	}
+	ex.rq.taken, ex.handedOver = co, co.sourceKeeps || co.atSource
+	rf := ex.refusal(core.Unknown, core.ReasonCutShort, "read", err)
+	if ex.handedOver {
+		return rf, place.Neutral
+	}
+	return rf, place.Failed
+}
+
+// forwardFailed returns the refusal for events that could not be forwarded.
+func (ex *exchange) forwardFailed(err error) (*core.Refusal, place.Result) {
+	if errors.Is(err, errEventGap) {
+		return ex.refusal(core.Unknown, core.ReasonEndpointError, "read", err), place.Failed
+	}
+	return ex.refusal(core.Unknown, core.ReasonCallerGone, "write", err), place.Neutral
 }
 
 // finishStream forwards the rest of a stream that has ended without an error.
 func (ex *exchange) finishStream(rest []byte) (*core.Refusal, place.Result) {
 	if len(rest) > 0 || !ex.rq.headSent {
 		if err := ex.rq.forwardEvents(ex, rest); err != nil {
-			return ex.refusal(core.Unknown, core.ReasonCallerGone, "write", err), place.Neutral
+			return ex.forwardFailed(err)
 		}
 	}
+	ex.rq.stream.detach() // a migration must not interrupt the connection's next request
 	ex.returnConn()
+	ex.rq.continuation.accept()
 	return nil, place.Served
 }
 
 // forwardEvents writes complete events to the caller and flushes them.
 func (rq *request) forwardEvents(ex *exchange, events []byte) error {
+	events, err := rq.stream.sequence(events, rq.continuation != nil)
+	if len(events) == 0 && rq.headSent {
+		return err
+	}
 	if !rq.headSent {
 		rq.writeHead(ex.rs.StatusCode, ex.rs.Header, -1)
 	}
@@ -92,10 +122,15 @@
 	}
 	rq.lastWrite = now
 	rq.countEvents(events)
-	if _, err := rq.wr.Write(events); err != nil {
-		return err
+	if _, werr := rq.wr.Write(events); werr != nil {
+		return werr
+	}
+	if werr := rq.control.Flush(); werr != nil {
+		return werr
 	}
-	return rq.control.Flush()
+	rq.continuation.accept()
+	rq.stream.record(now)
+	return err
 }
 
 // lastID returns the id of the last event that has one, "" if none has.
--- a/io/relay/waiting.go
+++ b/io/relay/waiting.go
@@ -13,6 +13,7 @@
 
 	"almondrill/core"
 	"almondrill/core/demand"
+	"almondrill/core/migr"
 	"almondrill/core/waitq"
 )
 
@@ -24,6 +25,16 @@
 	Pools []WaitingPool
 	// Engines are those that are not at their usual speed.
 	Engines []EngineSpeed
+	// Migrations are those of running streams, nil if none can migrate.
+	Migrations *Migrations `json:",omitempty"`
+}
+
+// Migrations is the state of the migrations of running streams at this router.
+type Migrations struct {
+	// Streams can migrate, Running do now.
+	Streams, Running int
+	// ByReason counts since the start.
+	ByReason map[migr.Reason]migr.Counts
 }
 
 // WaitingPool is the state of a plain pool at this router.
@@ -92,6 +103,10 @@
 	if re.EngineSpeeds != nil {
 		out.Engines = append(out.Engines, re.EngineSpeeds(now)...)
 	}
+	if planner := re.migrations.currentPlanner(); planner != nil {
+		sn := planner.Snapshot(now)
+		out.Migrations = &Migrations{Streams: sn.Runs, Running: sn.Running, ByReason: sn.ByReason}
+	}
 	return out
 }
 
--- a/io/stats/docs.go
+++ b/io/stats/docs.go
@@ -59,6 +59,9 @@
 	{OutputErrorP90, "90th percentile of the error of the expected lengths of streams, in percent of the length seen"},
 	{MemoryWaiting, "requests that wait for memory of an engine, at most a quarter of their first-byte goal"},
 	{MemoryWaited, "requests that were sent to an engine after they had waited for its memory"},
+	{MigrationsBegun, "migrations of running streams to other engines that began with a copy, by reason: the engine is Slow, or Draining"},
+	{MigrationsDone, "migrations after which the stream continued at another engine, by reason"},
+	{MigrationsFailed, "migrations after which the stream did not continue at another engine, by reason; the lines \"A stream did not migrate.\" say why"},
 	{ZonesEvacuated, "zones under evacuation; their endpoints get no new requests"},
 	{ColdDenied, "times that a chosen cold endpoint had used up its limit in requests a second, so that another was chosen"},
 	{LogLinesSampled, "log lines left out because too many with the same message were logged in a second"},
@@ -127,7 +130,7 @@
 func Markdown() string {
 	var out strings.Builder
 	out.WriteString("# Counters, and what to do\n\nGenerated from the definitions by `go test ./io/stats -update`; a test fails if it is stale.\n\n" +
-		"Each process serves its counters at `/debug/vars` of its AdminAddr, under\n`Almondrill`. `Refusals` and `Retries` have one counter for each reason.\n\n" +
+		"Each process serves its counters at `/debug/vars` of its AdminAddr, under\n`Almondrill`. `Refusals` and `Retries` have one counter for each reason,\nand so have the counters of migrations.\n\n" +
 		"## Reasons\n\n| reason | means | do |\n|---|---|---|\n")
 	for _, ad := range reasons {
 		fmt.Fprintf(&out, "| %s | %s | %s |\n", ad.reason, ad.meaning, ad.action)
--- a/io/stats/stats.go
+++ b/io/stats/stats.go
@@ -18,6 +18,7 @@
 	"net/http"
 
 	"almondrill/core"
+	"almondrill/core/migr"
 )
 
 // Names of the counters, but for those of reasons; docs.go explains them.
@@ -92,12 +93,20 @@
 	MemoryWaited  = "MemoryWaited"
 )
 
+// Names of the counters of migrations, which have one counter for each reason.
+const (
+	MigrationsBegun  = "MigrationsBegun"
+	MigrationsDone   = "MigrationsDone"
+	MigrationsFailed = "MigrationsFailed"
+)
+
 // Set holds the counters of one process.
 type Set struct {
-	all       *expvar.Map
-	refusals  *expvar.Map
-	retries   *expvar.Map
-	latencies *Latencies
+	all        *expvar.Map
+	refusals   *expvar.Map
+	retries    *expvar.Map
+	migrations map[string]*expvar.Map
+	latencies  *Latencies
 }
 
 // New returns a Set with every counter at 0.
@@ -110,6 +119,14 @@
 		st.refusals.Add(string(re), 0)
 		st.retries.Add(string(re), 0)
 	}
+	st.migrations = map[string]*expvar.Map{}
+	for _, name := range []string{MigrationsBegun, MigrationsDone, MigrationsFailed} {
+		by := new(expvar.Map).Init()
+		by.Add(string(migr.Slow), 0)
+		by.Add(string(migr.Draining), 0)
+		st.migrations[name] = by
+		st.all.Set(name, by)
+	}
 	st.all.Set("Refusals", st.refusals)
 	st.all.Set("Retries", st.retries)
 	return st
@@ -129,6 +146,17 @@
 // CountRetry counts a retry by the reason why the attempt before it failed.
 func (st *Set) CountRetry(re core.Reason) { st.retries.Add(string(re), 1) }
 
+// CountMigration counts a migration of a running stream by its reason.
+func (st *Set) CountMigration(name string, re migr.Reason) { st.migrations[name].Add(string(re), 1) }
+
+// Migrations returns the number of migrations for a reason.
+func (st *Set) Migrations(name string, re migr.Reason) int64 {
+	if va, ok := st.migrations[name].Get(string(re)).(*expvar.Int); ok {
+		return va.Value()
+	}
+	return 0
+}
+
 // CountOutcome counts a request by its outcome.
 func (st *Set) CountOutcome(ou core.Outcome) { st.all.Add("Answers"+ou.String(), 1) }
 
