--- a/io/relay/migration.go
+++ b/io/relay/migration.go
@@ -18,8 +18,8 @@
 	copyTimeout = time.Second
 	// closeTimeout is how long after its answer a source that has stopped may take to close the stream.
 	closeTimeout = 500 * time.Millisecond
-	// maxTargets bounds how many targets are considered for a migration: those chosen first may
-	// receive as many copies as they may.
+	// maxTargets bounds how many targets are picked for a migration. The first ones may have reached
+	// their limit of copies since the planner listed the excluded engines.
 	maxTargets = 3
 )
 
