--- a/core/place/place.go
+++ b/core/place/place.go
@@ -112,6 +112,11 @@
 	MaxOutput        core.Tokens
 	// OwnCallsOnly weighs plain endpoints by this router's own calls alone.
 	OwnCallsOnly bool
+	// MigrateFrom is the engine on which the request runs already, if its stream is to continue on
+	// another one. An engine that is slow, cold or lacks a free slot is then not picked, and memory is
+	// required for the prompt, the Produced tokens and what is expected to follow.
+	MigrateFrom core.EndpointID
+	Produced    core.Tokens
 }
 
 // Result is the outcome of a placed call, as far as it concerns the endpoint.
@@ -165,6 +170,8 @@
 	incarnations incarnations
 	// backoffs maps endpoints to the time until which they accept no requests.
 	backoffs map[core.EndpointID]time.Time
+	// departed holds the removed endpoints that still run calls of this router.
+	departed map[core.EndpointID]*state
 	reports  loadReports
 	// moves are this router's placements away from a chat's home; movedChats are those of peers.
 	moves      []move
@@ -218,6 +225,7 @@
 	st.sameZone, st.evacuated = ep.Zone == pl.Zone, pl.evacuations[ep.Zone]
 	ep.Draining = ep.Draining || st.Draining || drained
 	st.Endpoint = ep
+	st.noteDraining(now)
 	st.missing = false
 	pl.addToPool(st)
 	return true
@@ -268,6 +276,9 @@
 	pl.byShortHash[shortHash(st.hash)] = slices.DeleteFunc(pl.byShortHash[shortHash(st.hash)], func(other *state) bool { return other == st })
 	st.cache.clear()
 	st.removed = true
+	if st.ownCalls > 0 {
+		pl.departed[st.ID] = st
+	}
 }
 
 func (pl *Placer) initMaps() {
@@ -278,6 +289,7 @@
 		pl.byShortHash = map[uint16][]*state{}
 		pl.evacuations = map[core.Zone]*evacuation{}
 		pl.backoffs = map[core.EndpointID]time.Time{}
+		pl.departed = map[core.EndpointID]*state{}
 		pl.partIndex = newPartIndex()
 		pl.reports = loadReports{byPeer: map[string]*list.Element{}, byExpiry: list.New(), sums: map[uint16]int{}, memory: map[uint16]peerMemory{}, onChange: pl.addPeerCalls, onMemoryChange: pl.addPeerMemory}
 		pl.surges = map[core.PoolID]*surge{}
