core/place: MigrationSource leaves the drain mark of a removed endpoint unset

Cause: for an endpoint whose registration was removed while calls run there, MigrationSource set Draining. If the same incarnation registered again and then announced its shutdown in a response to such a call, RecordShutdown took the announcement for a known one: the registered endpoint stayed open to new calls, and peers were not notified.

Change: MigrationSource records only since when the endpoint counts as draining.

Result: TestMigrationSourceLeavesAnnouncementsUnknown failed before (the announcement counted as known, and the next Pick got the endpoint) and passes.

--- a/core/place/migration.go
+++ b/core/place/migration.go
@@ -41,8 +41,10 @@
 		if st = pl.departed[id]; st == nil {
 			return migr.Source{Slowness: 1}
 		}
-		st.Draining = true
-		st.noteDraining(now)
+		// Draining stays as it is: RecordShutdown must still close the endpoint if it registered again.
+		if st.drainingSince.IsZero() {
+			st.drainingSince = now
+		}
 	}
 	return migr.Source{Slowness: st.speed.ahead(now), DrainingSince: st.drainingSince}
 }
--- a/core/place/migration_test.go
+++ b/core/place/migration_test.go
@@ -159,6 +159,25 @@
 	}
 }
 
+// Guards against an endpoint that gets calls after it has announced its shutdown: a look at it while its
+// registration was gone must not make the announcement look like one that is known.
+func TestMigrationSourceLeavesAnnouncementsUnknown(t *testing.T) {
+	pl := newPlacer(1)
+	register(pl, 1)
+	tk := pick(t, pl, begin, newRequest(chat(1, 1)))
+	pl.Remove("e00")
+	if src := pl.MigrationSource(begin, "e00"); !src.DrainingSince.Equal(begin) {
+		t.Fatalf("draining since %v, want %v", src.DrainingSince, begin)
+	}
+	register(pl, 1)
+	if !tk.RecordShutdown(begin) {
+		t.Error("the announcement counts as known")
+	}
+	if _, rf := pl.Pick(begin, newRequest(chat(1, 2))); rf == nil {
+		t.Error("the endpoint gets a call after it announced its shutdown")
+	}
+}
+
 // playEvents streams that many events of 12 tokens, one each gap, and returns the time of the last.
 func playEvents(tk *place.Ticket, from time.Time, events int, gap time.Duration) time.Time {
 	for range events {
