core/place: migrations without a target do not lengthen the retry delay

Cause: a migration that found no target was refused like a new request of a full pool, and began or prolonged the pool's surge. The first new request that was refused later, up to seconds after the first migration without a target, got a retry delay as long as that time, although the pool had had capacity.

Change: a refused migration gets the shortest retry delay and leaves the surge as it is. Refusals of other requests are unchanged.

--- a/core/place/memory.go
+++ b/core/place/memory.go
@@ -248,7 +248,7 @@
 		re.Basis = fmt.Sprintf("needs %d tokens, engines have %d", need, ch.rq.EngineMemory)
 		return
 	}
-	re.Reason, re.RetryAfter = core.ReasonMemoryFull, pl.surgeRetryAfter(ch.now, ch.pool)
+	re.Reason, re.RetryAfter = core.ReasonMemoryFull, ch.fullRetryAfter(pl)
 	re.Detail = "no engine of the pool has memory for the request"
 	re.Basis = fmt.Sprintf("needs %d tokens, at most %d free of %d; %d of %d endpoints lack memory, %d full; a call has %.0f",
 		need, ch.freestTokens, ch.rq.EngineMemory, ch.noRoomCount, ch.openCount, ch.fullCount, ch.memory.meanTokens)
--- a/core/place/migration.go
+++ b/core/place/migration.go
@@ -24,6 +24,15 @@
 		(st.Slots == 0 || st.ownCalls+sc.peerCalls < st.Slots)
 }
 
+// fullRetryAfter returns the retry delay for a pool that is full for the request. A migration without
+// a target is no sign of a surge: the pool may have capacity for all other requests.
+func (ch *choice) fullRetryAfter(pl *Placer) time.Duration {
+	if ch.rq.MigrateFrom != "" {
+		return minFullRetryAfter
+	}
+	return pl.surgeRetryAfter(ch.now, ch.pool)
+}
+
 // forgetDeparted forgets a removed endpoint that runs no call of this router.
 func (pl *Placer) forgetDeparted(st *state) {
 	if pl.departed[st.ID] == st {
--- a/core/place/migration_test.go
+++ b/core/place/migration_test.go
@@ -74,6 +74,52 @@
 	}
 }
 
+// Guards against callers who are sent away for too long because migrations found no target: a pool without
+// a target is full only for them.
+func TestRefusedMigrationsAreNoSurge(t *testing.T) {
+	for _, reason := range []core.Reason{core.ReasonLoadCap, core.ReasonMemoryFull} {
+		t.Run(string(reason), func(t *testing.T) {
+			pl, now := newPlacer(1), begin
+			ep := endpoint(0)
+			ep.Slots = 2
+			pl.Register(begin, ep)
+			var running *place.Ticket
+			if reason == core.ReasonMemoryFull {
+				running = pick(t, pl, now, memoryRequest(2, 391_000, 400_000))
+			}
+			for range 30 {
+				if running != nil {
+					running.RecordActivity(now)
+				} else {
+					ep.ColdUntil = now.Add(time.Second)
+					pl.Register(now, ep)
+				}
+				rq := migration()
+				rq.MigrateFrom = "e09"
+				if _, rf := pl.Pick(now, rq); rf == nil || rf.Reason != reason {
+					t.Fatalf("refusal %v, want %s", rf, reason)
+				}
+				now = now.Add(100 * time.Millisecond)
+			}
+			if rf := fill(t, pl, now); rf.RetryAfter > 400*time.Millisecond {
+				t.Errorf("retry after %v, want that of a pool that was never full, 400 ms", rf.RetryAfter)
+			}
+		})
+	}
+}
+
+// fill places calls until one is refused, and returns the refusal.
+func fill(t *testing.T, pl *place.Placer, now time.Time) *core.Refusal {
+	t.Helper()
+	for range 100 {
+		if _, rf := pl.Pick(now, newRequest(chat(1, 1))); rf != nil {
+			return rf
+		}
+	}
+	t.Fatal("no call is refused")
+	return nil
+}
+
 // Guards against targets that are overfilled during a copy: the call counts from the choice on, with
 // its prompt and what it has produced, but its prompt delays no other as one that is read does.
 func TestMigrationCountsAtItsTarget(t *testing.T) {
