core/migr: property test reaches the limit of two moves; bounds of one second and half a second

It did not check that a stream stays away from targets where it failed.

Change: the property test ends migrations at their reserved targets, checks targets of failed attempts, removes streams less often, and fails if too few streams move twice for the limit to be reached. The table has rows on both sides of 1 s and of 0.5 s. The simulation names its target.

--- a/core/migr/migr_test.go
+++ b/core/migr/migr_test.go
@@ -59,7 +59,8 @@
 		{"slow, without deadline", 4, 0, 9000, 0, 0, 0, ""},
 		{"slow, too late at the target", 4, 0, 4000, 4050, 0, 0, ""},
 		{"slow, too late by the copy", 4, 0, 4000, 4350, 0, 0, ""},
-		{"slow, ends within a second", 4, 0, 240, 800, 0, 0, ""},
+		{"slow, ends within a second", 4, 0, 249, 900, 0, 0, ""},
+		{"slow, ends after a second", 4, 0, 251, 900, 0, 0, migr.Slow},
 		{"slow, pauses", 4, 0, 1000, 0, 200, 150, migr.Slow},
 		{"slow, pauses little", 4, 0, 1000, 0, 300, 150, ""},
 		{"slow, pauses anywhere", 4, 0, 1000, 0, 100, 300, ""},
@@ -69,8 +70,10 @@
 		{"draining, lasts longer", 1, 1, 4600, 0, 0, 0, migr.Draining},
 		{"draining, deadline before its end", 1, 1, 9000, 4400, 0, 0, ""},
 		{"draining and slow", 4, 1, 2000, 0, 0, 0, migr.Draining},
-		{"drained, ends within a second", 1, 9000, 900, 0, 0, 0, ""},
-		{"drained, deadline near", 1, 9000, 2000, 450, 0, 0, ""},
+		{"drained, ends within a second", 1, 9000, 990, 0, 0, 0, ""},
+		{"drained, ends after a second", 1, 9000, 1010, 0, 0, 0, migr.Draining},
+		{"drained, deadline near", 1, 9000, 2000, 490, 0, 0, ""},
+		{"drained, deadline less near", 1, 9000, 2000, 510, 0, 0, migr.Draining},
 		{"drained", 1, 9000, 2000, 2500, 0, 0, migr.Draining},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
@@ -199,38 +202,52 @@
 // Guards against copies that take the bandwidth of engines from the streams there: the limits hold
 // whatever the order of calls.
 func TestLimitsHoldForAnyOrderOfCalls(t *testing.T) {
+	again := 0 // streams that moved for the second time
 	for seed := range uint64(200) {
 		ra, sources, now := rand.New(rand.NewPCG(seed, 1)), map[core.EndpointID]migr.Source{}, begin
 		pl := newPlanner(sources)
-		moved, failedAt := map[uint64]int{}, map[uint64]time.Time{}
-		for range 300 {
+		listed, moved, failedAt, failedTo := map[uint64]bool{}, map[uint64]int{}, map[uint64]time.Time{}, map[uint64][]core.EndpointID{}
+		for range 600 {
 			now = now.Add(millis(ra.IntN(200)))
-			id, engine := ra.Uint64()%20, core.EndpointID(fmt.Sprint("e", ra.IntN(4)))
+			id, engine := ra.Uint64()%12, core.EndpointID(fmt.Sprint("e", ra.IntN(6)))
 			moves := pl.Snapshot(now).Moves
 			at := slices.IndexFunc(moves, func(mo migr.Move) bool { return mo.ID == id })
-			switch ra.IntN(7) {
+			switch ra.IntN(8) {
 			case 0:
-				if at < 0 {
-					pl.Add(now, migr.Run{ID: id, Endpoint: engine, Left: 8 * time.Second, Deadline: now.Add(10 * time.Second)})
+				if at < 0 && ra.IntN(3) == 0 {
+					pl.Add(now, migr.Run{ID: id, Endpoint: engine, Left: 8 * time.Second, Deadline: now.Add(20 * time.Second)})
+					listed[id] = true
 					delete(moved, id)
 					delete(failedAt, id)
+					delete(failedTo, id)
 				}
 			case 1:
-				pl.Remove(now, id)
+				if ra.IntN(8) == 0 {
+					pl.Remove(now, id)
+					delete(listed, id)
+				}
 			case 2:
 				sources[engine] = migr.Source{Slowness: 1 + 6*ra.Float64()}
 			case 3:
 				sources[engine] = migr.Source{Slowness: 1, DrainingSince: now.Add(-time.Hour)}
-			case 4:
-				pl.Reserve(now, id, engine)
-			case 5:
-				ok := ra.IntN(2) == 0
-				if pl.Done(now, id, "", ok); at >= 0 && ok {
-					moved[id]++
-				} else if at >= 0 && moves[at].Target != "" {
-					failedAt[id] = now
+			case 4, 5:
+				if pl.Reserve(now, id, engine) && listed[id] && slices.Contains(failedTo[id], engine) {
+					t.Fatalf("seed %d: stream %d goes to %s again, where it failed", seed, id, engine)
 				}
 			case 6:
+				if at < 0 {
+					pl.Done(now, id, engine, true) // no migration of it has begun
+					continue
+				}
+				target := moves[at].Target
+				ok := target != "" && ra.IntN(2) == 0
+				if pl.Done(now, id, target, ok); ok {
+					moved[id]++
+					again += moved[id] / 2
+				} else if target != "" {
+					failedAt[id], failedTo[id] = now, append(failedTo[id], target)
+				}
+			case 7:
 				for _, plan := range pl.Due(now) {
 					id := plan.Run.ID
 					twice := slices.ContainsFunc(moves, func(mo migr.Move) bool { return mo.ID == id })
@@ -250,4 +267,7 @@
 			}
 		}
 	}
+	if again < 20 {
+		t.Errorf("%d streams moved twice, too few to reach the limit", again)
+	}
 }
--- a/core/migr/sim_test.go
+++ b/core/migr/sim_test.go
@@ -29,7 +29,7 @@
 	case sr.endedAt > 0 || sr.movesAt > 0 && now >= sr.movesAt+copyMs && now < sr.movesAt+copyMs+stoppedMs:
 		return
 	case sr.movesAt > 0 && now >= sr.movesAt+copyMs:
-		pl.Done(at(now), sr.ID, "", true)
+		pl.Done(at(now), sr.ID, "target", true)
 		sr.Endpoint = "target"
 		sr.work -= stepMs
 	default:
