core/place: test that calls of peers fill the slots of a migration's target

Cause: takesMigration counts peers' calls as slots in use, and no test failed when it counted this router's calls alone.

Change: TestTargetsOfMigrations has a row with a peer's call in the only slot.

Result: the row fails with the router's own calls alone, and passes.

--- a/core/place/migration_test.go
+++ b/core/place/migration_test.go
@@ -50,6 +50,14 @@
 			with(pl, func(ep *place.Endpoint) { ep.Slots = 1 })
 			busy(t, pl, 1, newRequest(chat(1, 1)))
 		},
+		"without a slot by a peer's call": func(t *testing.T, pl *place.Placer) {
+			peer := newPlacer(1)
+			for _, one := range []*place.Placer{pl, peer} {
+				with(one, func(ep *place.Endpoint) { ep.Slots = 1 })
+			}
+			busy(t, peer, 1, newRequest(chat(1, 1)))
+			pl.ApplyLoadReport(now, "peer", peer.LoadReport())
+		},
 		"with a slot in a full pool": func(t *testing.T, pl *place.Placer) {
 			with(pl, func(ep *place.Endpoint) { ep.Slots = 2 })
 			busy(t, pl, 1, newRequest(chat(1, 1)))
