core/place: routers spread their migrations over the targets

Cause: a migration got the usable engine with the least load, with ties broken at random. Routers that leave one engine at once know the same loads, and have no homes that spread their requests as new ones do. If one engine had two calls less than the others, all picked it: 25 routers with 2 copies each sent all 50 to an engine that had 15 calls where the others had 20, so that it had 65 of 64 slots, above the load cap of twice the mean.

Change: a migration gets the cheaper of two usable engines picked at random. Other requests are placed as before.

--- a/core/place/choice.go
+++ b/core/place/choice.go
@@ -161,7 +161,10 @@
 // no more than the shared prefix cached, so that each is weighed only if it can be cheaper. The
 // result equals that of weighing all, which takes milliseconds for thousands of endpoints.
 func (pl *Placer) cheapest(ch *choice) (*state, float64) {
-	if !ch.rq.Engine || ch.rq.MigrateFrom != "" {
+	if ch.rq.MigrateFrom != "" {
+		return pl.cheaperOfTwo(ch)
+	}
+	if !ch.rq.Engine {
 		return ch.cheapestBase.st, ch.cheapestBase.cost
 	}
 	var best candidate
--- a/core/place/migration.go
+++ b/core/place/migration.go
@@ -33,6 +33,31 @@
 	return pl.surgeRetryAfter(ch.now, ch.pool)
 }
 
+// cheaperOfTwo returns the cheaper of two usable endpoints picked at random, and its cost in ms. There
+// must be a usable one. Routers that leave the same engine know the same loads, and have no home that
+// spreads their requests: all would pick the one endpoint with the least load.
+func (pl *Placer) cheaperOfTwo(ch *choice) (*state, float64) {
+	var picked [2]*state
+	count := uint64(0)
+	for _, st := range ch.members {
+		if !st.scratch.usable {
+			continue
+		}
+		if count++; count <= 2 {
+			picked[count-1] = st
+		} else if at := pl.Rand.Uint64() % count; at < 2 {
+			picked[at] = st
+		}
+	}
+	var best candidate
+	for _, st := range picked {
+		if st != nil {
+			best.consider(pl, st, pl.baseMs(st, ch))
+		}
+	}
+	return best.st, best.cost
+}
+
 // forgetDeparted forgets a removed endpoint that runs no call of this router.
 func (pl *Placer) forgetDeparted(st *state) {
 	if pl.departed[st.ID] == st {
--- a/core/place/migration_test.go
+++ b/core/place/migration_test.go
@@ -128,6 +128,55 @@
 	return nil
 }
 
+// Guards against an engine that all routers of a fleet pick as a target at once, because it has a few calls
+// less than the others: its load would exceed the load cap and its slots, and all copies would share its
+// link.
+func TestRoutersSpreadMigrations(t *testing.T) {
+	const routers, engines, meanCalls, fewer = 25, 46, 20, 5
+	registerAll := func(pl *place.Placer, slots int) {
+		for ix := range engines {
+			ep := endpoint(ix)
+			ep.Slots = slots
+			pl.Register(begin, ep)
+		}
+	}
+	peer := newPlacer(routers)
+	peer.CapFactor = 1000
+	registerAll(peer, 0)
+	for ix := range engines {
+		rq := &place.Request{Pool: pool, Engine: true}
+		for other := range engines {
+			if other != ix {
+				rq.Tried = append(rq.Tried, endpoint(other).ID)
+			}
+		}
+		count := meanCalls
+		if ix == 1 {
+			count -= fewer
+		}
+		for range count {
+			pick(t, peer, begin, rq)
+		}
+	}
+	calls := map[core.EndpointID]int{"e01": -fewer}
+	for seed := range uint64(routers) {
+		pl := newPlacer(routers)
+		pl.Rand = newRand(seed)
+		registerAll(pl, 64)
+		pl.ApplyLoadReport(begin, "peer", peer.LoadReport())
+		for range 2 { // copies of one router from an engine
+			rq := newRequest(nil)
+			rq.MigrateFrom = "e00"
+			calls[pick(t, pl, begin, rq).Endpoint.ID]++
+		}
+	}
+	for id, more := range calls {
+		if meanCalls+more > 2*meanCalls {
+			t.Errorf("%s has %d calls, more than twice the pool's mean of %d", id, meanCalls+more, meanCalls)
+		}
+	}
+}
+
 // Guards against targets that are overfilled during a copy: the call counts from the choice on, with
 // its prompt and what it has produced, but its prompt delays no other as one that is read does.
 func TestMigrationCountsAtItsTarget(t *testing.T) {
