core/migr, core/place: doc comments state units, unknown values and ignored calls

Cause: comments left open what 0 means for Left and Slowness, which factor is the usual one, what Update must contain after a migration, what Produced counts, and that memory is required for the larger of Produced and ExpectedOutput, not for both. Unexported methods had no comments, and the fields "here" and "there" did not name what they are.

Change: comments; the fields are atSource and atTarget. No behaviour changes.

--- a/core/migr/assess.go
+++ b/core/migr/assess.go
@@ -50,8 +50,8 @@
 	// loss is the part of the answer, as time at the usual speed, that the caller does not get if
 	// the stream stays, or gets with pauses that are too long.
 	loss time.Duration
-	// here and there are the expected times until the end at the source and at a target.
-	here, there time.Duration
+	// atSource and atTarget are the expected times until the end if the stream stays and if it moves.
+	atSource, atTarget time.Duration
 }
 
 // compareUrgency orders candidates, the most urgent first.
@@ -65,27 +65,27 @@
 	if src.Slowness >= minSlowness {
 		factor = src.Slowness
 	}
-	ca := candidate{lr: lr, source: src, class: lost, here: scale(lr.Left, factor), there: lr.Left + lr.moveTime()}
+	ca := candidate{lr: lr, source: src, class: lost, atSource: scale(lr.Left, factor), atTarget: lr.Left + lr.moveTime()}
 	toDeadline := lr.toDeadline(now)
-	if ca.here < minLeft || toDeadline < minToDeadline {
+	if ca.atSource < minLeft || toDeadline < minToDeadline {
 		return ca, false
 	}
 	if !src.DrainingSince.IsZero() {
 		serves := max(0, src.DrainingSince.Add(drainTime+drainGrace).Sub(now))
-		if ca.here > serves && toDeadline > serves {
+		if ca.atSource > serves && toDeadline > serves {
 			ca.reason, ca.loss = Draining, lr.Left-scale(serves, 1/factor)
-			if ca.there > toDeadline {
+			if ca.atTarget > toDeadline {
 				ca.class = lateAnyway
 			}
 			return ca, true
 		}
 	}
-	if factor == 1 || ca.there > toDeadline {
+	if factor == 1 || ca.atTarget > toDeadline {
 		return ca, false
 	}
 	ca.reason = Slow
 	switch {
-	case ca.here > toDeadline:
+	case ca.atSource > toDeadline:
 		ca.loss = lr.Left - scale(toDeadline, 1/factor)
 	case lr.pausesTooLong(factor):
 		ca.class, ca.loss = paused, lr.Left
@@ -107,6 +107,7 @@
 	return restartTime + time.Duration(ru.Memory)*copyTimePerToken
 }
 
+// toDeadline returns the time until the deadline, negative after it, noDeadline if there is none.
 func (ru *Run) toDeadline(now time.Time) time.Duration {
 	if ru.Deadline.IsZero() {
 		return noDeadline
@@ -114,7 +115,7 @@
 	return ru.Deadline.Sub(now)
 }
 
-// scale multiplies a duration, which stays within the range of the type.
+// scale multiplies a duration by a factor. Products beyond the range of the type become noDeadline.
 func scale(du time.Duration, factor float64) time.Duration {
 	product := float64(du) * factor
 	if product >= float64(noDeadline) {
@@ -123,9 +124,9 @@
 	return time.Duration(product)
 }
 
-// basis returns the figures of the decision.
+// basis returns the figures of the decision as one line for logs.
 func (ca *candidate) basis(now time.Time) string {
-	text := fmt.Sprintf("factor %.2f; left %d ms here, %d ms elsewhere", ca.source.Slowness, ca.here.Milliseconds(), ca.there.Milliseconds())
+	text := fmt.Sprintf("factor %.2f; left %d ms here, %d ms elsewhere", ca.source.Slowness, ca.atSource.Milliseconds(), ca.atTarget.Milliseconds())
 	if toDeadline := ca.lr.toDeadline(now); toDeadline != noDeadline {
 		text += fmt.Sprintf(", %d ms to the deadline", toDeadline.Milliseconds())
 	}
--- a/core/migr/migr.go
+++ b/core/migr/migr.go
@@ -60,7 +60,8 @@
 	// Endpoint is where the stream runs, Memory the tokens of its prompt and output so far.
 	Endpoint core.EndpointID
 	Memory   core.Tokens
-	// Left is the expected time until the end of the stream at the usual speed.
+	// Left is the expected time until the end of the stream at the usual speed, 0 if unknown: the
+	// stream is then not migrated.
 	Left time.Duration
 	// Deadline is when the whole answer has to be there, zero if unknown.
 	Deadline time.Time
@@ -71,7 +72,8 @@
 
 // Source is what is known about the engine that a run is on.
 type Source struct {
-	// Slowness is the factor by which the engine has been slower than usual for some time.
+	// Slowness is the factor by which the engine has been slower than usual for some time: 1 is the
+	// usual speed, 0 unknown. Factors below 1.25 count as the usual speed.
 	Slowness float64
 	// DrainingSince is when its shutdown became known, zero if it is not shutting down.
 	DrainingSince time.Time
@@ -136,12 +138,14 @@
 	confirmTime = 150 * time.Millisecond
 )
 
+// init makes the maps of a Planner that has not been used. The lock must be held.
 func (pl *Planner) init() {
 	if pl.runs == nil {
 		pl.runs, pl.moves, pl.counts = map[uint64]*listedRun{}, map[uint64]*move{}, map[Reason]*Counts{}
 	}
 }
 
+// countsOf returns the counts of migrations for a reason. The lock must be held.
 func (pl *Planner) countsOf(re Reason) *Counts {
 	co := pl.counts[re]
 	if co == nil {
@@ -151,7 +155,7 @@
 	return co
 }
 
-// Add lists a stream that has begun.
+// Add lists a stream that has begun. A stream with the ID of a listed one replaces it and its history.
 func (pl *Planner) Add(_ time.Time, run Run) {
 	pl.mu.Lock()
 	defer pl.mu.Unlock()
@@ -159,7 +163,8 @@
 	pl.runs[run.ID] = &listedRun{Run: run}
 }
 
-// Update replaces what is known of a listed stream. Streams that are not listed are ignored.
+// Update replaces what is known of a listed stream, also where it runs: after Done with ok, the run
+// must have the target as its Endpoint. Streams that are not listed are ignored.
 func (pl *Planner) Update(_ time.Time, run Run) {
 	pl.mu.Lock()
 	defer pl.mu.Unlock()
@@ -241,6 +246,7 @@
 	return pl.excluded(id)
 }
 
+// excluded is Excluded for callers that hold the lock.
 func (pl *Planner) excluded(id uint64) []core.EndpointID {
 	var list []core.EndpointID
 	if mo := pl.moves[id]; mo != nil {
@@ -275,7 +281,9 @@
 }
 
 // Done records how a migration ended. The target is "" if there was none, in which case the
-// migration does not count as an attempt. A stream that was migrated is listed at its target.
+// migration does not count as an attempt unless Reserve has recorded one. A stream that was migrated
+// is listed at its target, which must be given or reserved. Calls for a stream without a migration are
+// ignored.
 func (pl *Planner) Done(now time.Time, id uint64, target core.EndpointID, ok bool) {
 	pl.mu.Lock()
 	defer pl.mu.Unlock()
--- a/core/place/memory.go
+++ b/core/place/memory.go
@@ -225,7 +225,8 @@
 	tk.heldOutput = 0
 }
 
-// RecordOutput records how many tokens of the response have arrived. A response that becomes longer
+// RecordOutput records how many tokens of the response have arrived, including those that were
+// produced before a migration. A response that becomes longer
 // than expected holds more memory.
 func (tk *Ticket) RecordOutput(now time.Time, tokens core.Tokens) {
 	tk.pl.mu.Lock()
--- a/core/place/migration.go
+++ b/core/place/migration.go
@@ -9,9 +9,9 @@
 )
 
 // Load pattern: engines work several times slower for many seconds, or shut down, while streams run
-// there. A stream whose run is copied continues on an engine that is sure to be better: at the usual
-// speed, warm, and with a free slot and memory from the first moment of the copy. Where none is, the
-// stream stays, as moving it would delay others.
+// there. A stream whose run is copied continues only on an engine that is warm, at the usual speed, and
+// has a free slot and memory from the first moment of the copy. Where none is, the stream stays, as
+// moving it would delay others.
 
 // takesMigration reports whether a stream may continue at the endpoint. Other requests may be sent
 // to each endpoint.
@@ -58,7 +58,7 @@
 	return best.st, best.cost
 }
 
-// forgetDeparted forgets a removed endpoint that runs no call of this router.
+// forgetDeparted drops the state of a removed endpoint once its last call of this router has ended.
 func (pl *Placer) forgetDeparted(st *state) {
 	if pl.departed[st.ID] == st {
 		delete(pl.departed, st.ID)
--- a/core/place/place.go
+++ b/core/place/place.go
@@ -112,7 +112,8 @@
 	OwnCallsOnly bool
 	// MigrateFrom is the engine on which the request runs already, if its stream is to continue on
 	// another one. An engine that is slow, cold or lacks a free slot is then not picked, and memory is
-	// required for the prompt, the Produced tokens and what is expected to follow.
+	// required for the prompt and the larger of Produced and ExpectedOutput. Produced is how many tokens
+	// of the response engines have produced before this call.
 	MigrateFrom core.EndpointID
 	Produced    core.Tokens
 }
