--- a/core/place/memory.go
+++ b/core/place/memory.go
@@ -225,7 +225,8 @@
 	tk.heldOutput = 0
 }
 
-// RecordOutput records how many tokens of the response have arrived. A response that becomes longer
+// RecordOutput records how many tokens of the response have arrived, including those that were
+// produced before a migration. A response that becomes longer
 // than expected holds more memory.
 func (tk *Ticket) RecordOutput(now time.Time, tokens core.Tokens) {
 	tk.pl.mu.Lock()
@@ -248,7 +249,7 @@
 		re.Basis = fmt.Sprintf("needs %d tokens, engines have %d", need, ch.rq.EngineMemory)
 		return
 	}
-	re.Reason, re.RetryAfter = core.ReasonMemoryFull, pl.surgeRetryAfter(ch.now, ch.pool)
+	re.Reason, re.RetryAfter = core.ReasonMemoryFull, ch.fullRetryAfter(pl)
 	re.Detail = "no engine of the pool has memory for the request"
 	re.Basis = fmt.Sprintf("needs %d tokens, at most %d free of %d; %d of %d endpoints lack memory, %d full; a call has %.0f",
 		need, ch.freestTokens, ch.rq.EngineMemory, ch.noRoomCount, ch.openCount, ch.fullCount, ch.memory.meanTokens)
--- a/core/place/migration.go
+++ b/core/place/migration.go
@@ -9,9 +9,9 @@
 )
 
 // Load pattern: engines work several times slower for many seconds, or shut down, while streams run
-// there. A stream whose run is copied continues on an engine that is sure to be better: at the usual
-// speed, warm, and with a free slot and memory from the first moment of the copy. Where none is, the
-// stream stays, as moving it would delay others.
+// there. A stream whose run is copied continues only on an engine that is warm, at the usual speed, and
+// has a free slot and memory from the first moment of the copy. Where none is, the stream stays, as
+// moving it would delay others.
 
 // takesMigration reports whether a stream may continue at the endpoint. Other requests may be sent
 // to each endpoint.
@@ -24,7 +24,41 @@
 		(st.Slots == 0 || st.ownCalls+sc.peerCalls < st.Slots)
 }
 
-// forgetDeparted forgets a removed endpoint that runs no call of this router.
+// fullRetryAfter returns the retry delay for a pool that is full for the request. A migration without
+// a target is no sign of a surge: the pool may have capacity for all other requests.
+func (ch *choice) fullRetryAfter(pl *Placer) time.Duration {
+	if ch.rq.MigrateFrom != "" {
+		return minFullRetryAfter
+	}
+	return pl.surgeRetryAfter(ch.now, ch.pool)
+}
+
+// cheaperOfTwo returns the cheaper of two usable endpoints picked at random, and its cost in ms. There
+// must be a usable one. Routers that leave the same engine know the same loads, and have no home that
+// spreads their requests: all would pick the one endpoint with the least load.
+func (pl *Placer) cheaperOfTwo(ch *choice) (*state, float64) {
+	var picked [2]*state
+	count := uint64(0)
+	for _, st := range ch.members {
+		if !st.scratch.usable {
+			continue
+		}
+		if count++; count <= 2 {
+			picked[count-1] = st
+		} else if at := pl.Rand.Uint64() % count; at < 2 {
+			picked[at] = st
+		}
+	}
+	var best candidate
+	for _, st := range picked {
+		if st != nil {
+			best.consider(pl, st, pl.baseMs(st, ch))
+		}
+	}
+	return best.st, best.cost
+}
+
+// forgetDeparted drops the state of a removed endpoint once its last call of this router has ended.
 func (pl *Placer) forgetDeparted(st *state) {
 	if pl.departed[st.ID] == st {
 		delete(pl.departed, st.ID)
@@ -41,8 +75,10 @@
 		if st = pl.departed[id]; st == nil {
 			return migr.Source{Slowness: 1}
 		}
-		st.Draining = true
-		st.noteDraining(now)
+		// Draining stays as it is: RecordShutdown must still close the endpoint if it registered again.
+		if st.drainingSince.IsZero() {
+			st.drainingSince = now
+		}
 	}
 	return migr.Source{Slowness: st.speed.ahead(now), DrainingSince: st.drainingSince}
 }
--- a/core/place/migration_test.go
+++ b/core/place/migration_test.go
@@ -50,6 +50,14 @@
 			with(pl, func(ep *place.Endpoint) { ep.Slots = 1 })
 			busy(t, pl, 1, newRequest(chat(1, 1)))
 		},
+		"without a slot by a peer's call": func(t *testing.T, pl *place.Placer) {
+			peer := newPlacer(1)
+			for _, one := range []*place.Placer{pl, peer} {
+				with(one, func(ep *place.Endpoint) { ep.Slots = 1 })
+			}
+			busy(t, peer, 1, newRequest(chat(1, 1)))
+			pl.ApplyLoadReport(now, "peer", peer.LoadReport())
+		},
 		"with a slot in a full pool": func(t *testing.T, pl *place.Placer) {
 			with(pl, func(ep *place.Endpoint) { ep.Slots = 2 })
 			busy(t, pl, 1, newRequest(chat(1, 1)))
@@ -74,6 +82,101 @@
 	}
 }
 
+// Guards against callers who are sent away for too long because migrations found no target: a pool without
+// a target is full only for them.
+func TestRefusedMigrationsAreNoSurge(t *testing.T) {
+	for _, reason := range []core.Reason{core.ReasonLoadCap, core.ReasonMemoryFull} {
+		t.Run(string(reason), func(t *testing.T) {
+			pl, now := newPlacer(1), begin
+			ep := endpoint(0)
+			ep.Slots = 2
+			pl.Register(begin, ep)
+			var running *place.Ticket
+			if reason == core.ReasonMemoryFull {
+				running = pick(t, pl, now, memoryRequest(2, 391_000, 400_000))
+			}
+			for range 30 {
+				if running != nil {
+					running.RecordActivity(now)
+				} else {
+					ep.ColdUntil = now.Add(time.Second)
+					pl.Register(now, ep)
+				}
+				rq := migration()
+				rq.MigrateFrom = "e09"
+				if _, rf := pl.Pick(now, rq); rf == nil || rf.Reason != reason {
+					t.Fatalf("refusal %v, want %s", rf, reason)
+				}
+				now = now.Add(100 * time.Millisecond)
+			}
+			if rf := fill(t, pl, now); rf.RetryAfter > 400*time.Millisecond {
+				t.Errorf("retry after %v, want that of a pool that was never full, 400 ms", rf.RetryAfter)
+			}
+		})
+	}
+}
+
+// fill places calls until one is refused, and returns the refusal.
+func fill(t *testing.T, pl *place.Placer, now time.Time) *core.Refusal {
+	t.Helper()
+	for range 100 {
+		if _, rf := pl.Pick(now, newRequest(chat(1, 1))); rf != nil {
+			return rf
+		}
+	}
+	t.Fatal("no call is refused")
+	return nil
+}
+
+// Guards against an engine that all routers of a fleet pick as a target at once, because it has a few calls
+// less than the others: its load would exceed the load cap and its slots, and all copies would share its
+// link.
+func TestRoutersSpreadMigrations(t *testing.T) {
+	const routers, engines, meanCalls, fewer = 25, 46, 20, 5
+	registerAll := func(pl *place.Placer, slots int) {
+		for ix := range engines {
+			ep := endpoint(ix)
+			ep.Slots = slots
+			pl.Register(begin, ep)
+		}
+	}
+	peer := newPlacer(routers)
+	peer.CapFactor = 1000
+	registerAll(peer, 0)
+	for ix := range engines {
+		rq := &place.Request{Pool: pool, Engine: true}
+		for other := range engines {
+			if other != ix {
+				rq.Tried = append(rq.Tried, endpoint(other).ID)
+			}
+		}
+		count := meanCalls
+		if ix == 1 {
+			count -= fewer
+		}
+		for range count {
+			pick(t, peer, begin, rq)
+		}
+	}
+	calls := map[core.EndpointID]int{"e01": -fewer}
+	for seed := range uint64(routers) {
+		pl := newPlacer(routers)
+		pl.Rand = newRand(seed)
+		registerAll(pl, 64)
+		pl.ApplyLoadReport(begin, "peer", peer.LoadReport())
+		for range 2 { // copies of one router from an engine
+			rq := newRequest(nil)
+			rq.MigrateFrom = "e00"
+			calls[pick(t, pl, begin, rq).Endpoint.ID]++
+		}
+	}
+	for id, more := range calls {
+		if meanCalls+more > 2*meanCalls {
+			t.Errorf("%s has %d calls, more than twice the pool's mean of %d", id, meanCalls+more, meanCalls)
+		}
+	}
+}
+
 // Guards against targets that are overfilled during a copy: the call counts from the choice on, with
 // its prompt and what it has produced, but its prompt delays no other as one that is read does.
 func TestMigrationCountsAtItsTarget(t *testing.T) {
@@ -159,6 +262,25 @@
 	}
 }
 
+// Guards against an endpoint that gets calls after it has announced its shutdown: a look at it while its
+// registration was gone must not make the announcement look like one that is known.
+func TestMigrationSourceLeavesAnnouncementsUnknown(t *testing.T) {
+	pl := newPlacer(1)
+	register(pl, 1)
+	tk := pick(t, pl, begin, newRequest(chat(1, 1)))
+	pl.Remove("e00")
+	if src := pl.MigrationSource(begin, "e00"); !src.DrainingSince.Equal(begin) {
+		t.Fatalf("draining since %v, want %v", src.DrainingSince, begin)
+	}
+	register(pl, 1)
+	if !tk.RecordShutdown(begin) {
+		t.Error("the announcement counts as known")
+	}
+	if _, rf := pl.Pick(begin, newRequest(chat(1, 2))); rf == nil {
+		t.Error("the endpoint gets a call after it announced its shutdown")
+	}
+}
+
 // playEvents streams that many events of 12 tokens, one each gap, and returns the time of the last.
 func playEvents(tk *place.Ticket, from time.Time, events int, gap time.Duration) time.Time {
 	for range events {
