migr: a stream stays after three failed migrations

A stream on a slow engine whose targets all failed was stopped and restarted at its source every two seconds until its deadline, and paused each time. It now stays after three failures.

--- a/core/migr/migr.go
+++ b/core/migr/migr.go
@@ -19,7 +19,7 @@
 //   - One router has at most two migrations from an engine at a time, two to an engine and four in
 //     total.
 //   - A run is migrated at most twice. After a failed attempt it stays for two seconds, and is not
-//     sent to the same target again.
+//     sent to the same target again. After three it stays for good.
 //   - A run that ends within a second where it is, or whose deadline is within half a second, stays.
 //
 // # Usage
@@ -127,8 +127,9 @@
 	// to one, maxMoves those of one router. A copy takes bandwidth of the engines, and the peers of
 	// the router have as many.
 	maxMovesFrom, maxMovesTo, maxMoves = 2, 2, 4
-	// maxMovesPerRun is how often a stream is migrated: each time, it pauses.
-	maxMovesPerRun = 2
+	// maxMovesPerRun is how often a stream is migrated, and maxFailuresPerRun after how many failed
+	// attempts it stays: each time, it may pause.
+	maxMovesPerRun, maxFailuresPerRun = 2, 3
 	// failedPause is how long a stream is not migrated after a failed attempt, noTargetPause after
 	// no target was found. Nothing was copied then, and a target may be free within the time in which
 	// some calls end.
@@ -216,7 +217,7 @@
 	sources := map[core.EndpointID]Source{}
 	var list []candidate
 	for id, lr := range pl.runs {
-		if pl.moves[id] != nil || lr.moved >= maxMovesPerRun {
+		if pl.moves[id] != nil || lr.moved >= maxMovesPerRun || len(lr.failed) >= maxFailuresPerRun {
 			continue
 		}
 		src, known := sources[lr.Endpoint]
--- a/core/migr/migr_test.go
+++ b/core/migr/migr_test.go
@@ -148,6 +148,22 @@
 	}
 }
 
+// Guards against a stream that is stopped and restarted every two seconds because no target takes it.
+func TestStreamStaysAfterFailures(t *testing.T) {
+	pl := newPlanner(map[core.EndpointID]migr.Source{"a": {Slowness: 4}})
+	pl.Add(begin, migr.Run{ID: 1, Endpoint: "a", Left: 50 * time.Second, Deadline: at(90_000)})
+	attempts := 0
+	for ms := 0; ms < 20_000; ms += 50 {
+		for range pl.Due(at(ms)) {
+			attempts++
+			pl.Done(at(ms), 1, core.EndpointID(rune('b'+attempts)), false)
+		}
+	}
+	if attempts != 3 {
+		t.Errorf("%d failed attempts in 20 s, want 3", attempts)
+	}
+}
+
 // Guards against an engine that receives the copies of many streams at once: its own streams would
 // wait for them.
 func TestCopiesToOneEngine(t *testing.T) {
