io/relay: close the connection of a copy request after its response

Cause: copy requests have the id of their stream. If an engine sends the response to the first copy twice, the duplicate was read as the response to the last copy: the router took the stream for stopped and sent it on after 500 ms, although the source had answered 409 and was still running it. Change: the connection is closed instead of being returned to the pool. Result: the case "first copy: answered twice" of TestMigration continued at the target before the change, and stays at the source with it.

--- a/io/relay/continuation.go
+++ b/io/relay/continuation.go
@@ -131,7 +131,9 @@
 	}
 }
 
-// callEngine sends a request of the router itself to an engine and reads the response.
+// callEngine sends a request of the router itself to an engine and reads the response. The connection
+// is not used again: the stream's requests have the same id, so that a duplicate of this response
+// would be taken for the response to the next of them.
 func (re *Relay) callEngine(addr, method, path, requestID string, body []byte) (status int, data []byte, err error) {
 	ctx, cancel := context.WithTimeout(context.Background(), copyTimeout)
 	defer cancel()
@@ -139,6 +141,7 @@
 	if err != nil {
 		return 0, nil, err
 	}
+	defer co.Close()
 	deadline, _ := ctx.Deadline()
 	co.SetDeadline(deadline)
 	hd := http.Header{"Content-Type": {"application/json"}}
@@ -149,15 +152,8 @@
 	}
 	rs, err := co.Do(conns.FormatHead(method, path, addr, hd, len(body)), body, method, isOwn)
 	if err != nil {
-		co.Close()
 		return 0, nil, err
 	}
 	data, err = io.ReadAll(io.LimitReader(rs.Body, maxCopyResponse))
-	if err != nil || len(data) == maxCopyResponse {
-		co.Close()
-		return rs.StatusCode, data, err
-	}
-	co.SetDeadline(time.Time{})
-	re.Conns.Put(co, rs)
-	return rs.StatusCode, data, nil
+	return rs.StatusCode, data, err
 }
--- a/io/relay/engines_test.go
+++ b/io/relay/engines_test.go
@@ -44,15 +44,20 @@
 type faults struct {
 	// first and last are the replies to the copy requests; zero stands for copied.
 	first, last reply
-	// noHandle omits the handle of a refused last copy.
-	noHandle bool
+	// noHandle omits the handle of a refused last copy, and lostHandle that of one for which the stream
+	// was stopped.
+	noHandle, lostHandle bool
+	// answersTwice sends the answer to the first copy twice, and that to the last one later.
+	answersTwice bool
+	// extra is what the source sends during the first copy, in addition to the events.
+	extra string
 	// crash cuts the stream after the first copy, staysOpen keeps it open after the stop. cutAt is the
 	// event at which the source cuts it, 0 if none.
 	crash, staysOpen bool
 	cutAt            int
 	// targetRefuses and allRefuse refuse handles. After an event of the continued stream, cutTarget cuts
-	// it, and hangTarget sends nothing more.
-	targetRefuses, allRefuse, cutTarget, hangTarget bool
+	// it, and hangTarget sends nothing more. silentTarget sends no event at all.
+	targetRefuses, allRefuse, cutTarget, hangTarget, silentTarget bool
 	// repeats and skips are how many events the target repeats and omits.
 	repeats, skips int
 }
@@ -70,6 +75,8 @@
 	violations         []string
 	stop               chan struct{}
 	produced           int
+	// sendExtra is set while the extra text is to be sent.
+	sendExtra bool
 	// source is the engine that runs the stream first.
 	source int
 	// unused are the handles that are neither used nor freed; made counts all.
@@ -119,6 +126,9 @@
 	if cr.Last {
 		how = en.last
 	}
+	if en.answersTwice && cr.Last {
+		time.Sleep(answerDelay)
+	}
 	switch {
 	case en.crash && cr.Last:
 		return false
@@ -154,7 +164,18 @@
 		status = int(how)
 	}
 	body, _ := json.Marshal(relay.Copy{Handle: en.handle(), Events: uint64(en.produced)})
-	_, _ = io.WriteString(co, formatResponse(se, status, string(body)))
+	if en.lostHandle && cr.Last {
+		body = nil
+	}
+	if !cr.Last {
+		en.awaitExtra()
+	}
+	answer := formatResponse(se, status, string(body))
+	_, _ = io.WriteString(co, answer)
+	if en.answersTwice && !cr.Last {
+		time.Sleep(answerDelay)
+		_, _ = io.WriteString(co, answer)
+	}
 	if en.crash && !cr.Last {
 		en.halt()
 		return false
@@ -162,6 +183,25 @@
 	return true
 }
 
+// answerDelay is the time between two answers to a copy request. The router sends the next request
+// meanwhile.
+const answerDelay = 10 * time.Millisecond
+
+// awaitExtra waits until the source has sent the extra text and the router has read it; the lock is
+// held.
+func (en *engines) awaitExtra() {
+	if en.extra == "" {
+		return
+	}
+	en.sendExtra = true
+	for sent := false; !sent; {
+		sent = !en.sendExtra
+		en.mu.Unlock()
+		time.Sleep(answerDelay)
+		en.mu.Lock()
+	}
+}
+
 func (en *engines) handle() relay.Handle { return relay.Handle(fmt.Sprint("h", en.made)) }
 
 func (en *engines) running() bool {
@@ -246,9 +286,17 @@
 		if en.cutAt == id && se.request.Header.Get(copies.From) == "" {
 			return false
 		}
+		if en.silentTarget && se.request.Header.Get(copies.From) != "" {
+			<-se.closed
+			return false
+		}
 		writeChunk(co, eventText(id, id))
 		en.mu.Lock()
 		en.produced = id
+		if en.sendExtra {
+			writeChunk(co, en.extra)
+			en.sendExtra = false
+		}
 		en.mu.Unlock()
 		select {
 		case <-time.After(en.pause):
--- a/io/relay/migrate_test.go
+++ b/io/relay/migrate_test.go
@@ -73,6 +73,7 @@
 		"target hangs later, resumable":  {faults: faults{hangTarget: true}, route: movingResumable, executions: 2, continued: atTarget, done: []bool{true}},
 		"deadline passes later":          {route: short, total: 1000, cut: true, continued: atTarget, done: []bool{true}},
 		"configuration changes":          {before: reconfigure, continued: atTarget, done: []bool{true}},
+		"first copy: answered twice":     {faults: faults{answersTwice: true, last: 409, noHandle: true}, total: 300, done: []bool{false}},
 		"target repeats events":          {faults: faults{repeats: 2}, continued: atTarget, done: []bool{true}},
 		"target omits an event":          {faults: faults{skips: 1}, cut: true, continued: atTarget, done: []bool{false}},
 		"target omits, resumable":        {faults: faults{skips: 1}, route: movingResumable, executions: 2, continued: atTarget, done: []bool{false}},
