io/relay: abandon a target that sends nothing after a migration

Cause: until the first event of the continued stream, the stall timer still took the pause for that of the stopped source. A target that accepted the request and then sent nothing kept a stream that may be resumed until its deadline. Change: stopping reports false once the request has taken the migration over. Result: the case "target sends nothing, resumable" of TestMigration ended at its deadline of 6 s with one execution before the change; the stream is resumed and complete with it.

--- a/io/relay/migration.go
+++ b/io/relay/migration.go
@@ -182,10 +182,12 @@
 	}
 }
 
+// stopping reports whether the stream was asked to stop and its end is awaited. Once the request has
+// taken over, it is sent on, and a pause is the next endpoint's.
 func (mi *migration) stopping() bool {
 	mi.mu.Lock()
 	defer mi.mu.Unlock()
-	return mi.phase == stopping || mi.phase == stopped || mi.phase == stoppedAtSource
+	return mi.owner == claimOpen && (mi.phase == stopping || mi.phase == stopped || mi.phase == stoppedAtSource)
 }
 
 // stopped reports whether the source has answered that the stream stopped.
