io/relay: continue a stream whose source answers 503 without a handle

Cause: an engine answers 503 to the last copy after it has stopped the stream. If the body of that response is lost, the migration counted as failed, its copy was freed, and the stream was cut. Change: such a response is handled as no answer. The stream stays while it yields events, and continues from the first copy once the source has closed it. Result: the case "last copy: handle lost" of TestMigration was cut before the change, and continues at the target with it.

--- a/io/relay/migrate_test.go
+++ b/io/relay/migrate_test.go
@@ -75,6 +75,7 @@
 		"configuration changes":           {before: reconfigure, continued: atTarget, done: []bool{true}},
 		"first copy: answered twice":      {faults: faults{answersTwice: true, last: 409, noHandle: true}, total: 300, done: []bool{false}},
 		"target sends nothing, resumable": {faults: faults{silentTarget: true}, route: movingResumable, executions: 2, continued: atTarget, done: []bool{false}},
+		"last copy: handle lost":          {faults: faults{last: 503, lostHandle: true}, continued: atTarget, done: []bool{true}},
 		"target repeats events":           {faults: faults{repeats: 2}, continued: atTarget, done: []bool{true}},
 		"target omits an event":           {faults: faults{skips: 1}, cut: true, continued: atTarget, done: []bool{false}},
 		"target omits, resumable":         {faults: faults{skips: 1}, route: movingResumable, executions: 2, continued: atTarget, done: []bool{false}},
--- a/io/relay/migration.go
+++ b/io/relay/migration.go
@@ -153,7 +153,7 @@
 		mi.setPhase(stopped, "")
 	case status == http.StatusServiceUnavailable && last.Handle != "":
 		mi.setPhase(stoppedAtSource, "last copy: the target has no room or cannot be reached")
-	case status == http.StatusConflict || status == http.StatusServiceUnavailable:
+	case status == http.StatusConflict:
 		mi.setPhase(failed, fmt.Sprintf("last copy: status %d of %s", status, mi.source.ID))
 	case err != nil:
 		mi.setPhase(unanswered, "last copy: "+err.Error())
