io/relay: no cut of a stream with an unnumbered event during its first copy

Cause: an event without a number, also a comment, excludes a stream from migrations. If it came during the first copy, the source was stopped all the same, and the stream was cut. Change: comments are ignored. Any other such event ends the migration before the source is stopped. An excluded stream is not attached to later exchanges either. With it, the stream with a comment migrates and the other one stays; both are complete.

--- a/io/relay/migrate_test.go
+++ b/io/relay/migrate_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"io"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -73,9 +74,9 @@
 		"target hangs later, resumable":   {faults: faults{hangTarget: true}, route: movingResumable, executions: 2, continued: atTarget, done: []bool{true}},
 		"deadline passes later":           {route: short, total: 1000, cut: true, continued: atTarget, done: []bool{true}},
 		"configuration changes":           {before: reconfigure, continued: atTarget, done: []bool{true}},
-		"first copy: answered twice":      {faults: faults{answersTwice: true, last: 409, noHandle: true}, total: 300, done: []bool{false}},
 		"target sends nothing, resumable": {faults: faults{silentTarget: true}, route: movingResumable, executions: 2, continued: atTarget, done: []bool{false}},
 		"last copy: handle lost":          {faults: faults{last: 503, lostHandle: true}, continued: atTarget, done: []bool{true}},
+		"first copy: answered twice":      {faults: faults{answersTwice: true, last: 409, noHandle: true}, total: 300, done: []bool{false}},
 		"target repeats events":           {faults: faults{repeats: 2}, continued: atTarget, done: []bool{true}},
 		"target omits an event":           {faults: faults{skips: 1}, cut: true, continued: atTarget, done: []bool{false}},
 		"target omits, resumable":         {faults: faults{skips: 1}, route: movingResumable, executions: 2, continued: atTarget, done: []bool{false}},
@@ -227,3 +228,26 @@
 		})
 	}
 }
+
+// A comment does not prevent a migration. After an event without a number, the stream cannot continue
+// elsewhere without a duplicate: it must not be stopped.
+func TestUnnumberedEventDuringMigration(t *testing.T) {
+	for extra, done := range map[string]bool{": waiting\n\n": true, "data: x\n\n": false} {
+		t.Run(extra, func(t *testing.T) {
+			t.Parallel()
+			en, pl := newEngines(t, 2, 60, moving, faults{extra: extra})
+			rs, rd := en.fl.openStream(t.Context())
+			defer rs.Body.Close()
+			first, _ := rd.ReadString('\n')
+			pl.arm()
+			rest, err := io.ReadAll(rd)
+			if got := strings.Replace(first+string(rest), extra, "", 1); err != nil || got != eventText(1, 60) {
+				t.Errorf("%q, %v", got, err)
+			}
+			en.checkEnd(t, pl, 1, 1)
+			if !slices.Equal(pl.results(), []bool{done}) {
+				t.Errorf("migrations ended with %v, want %t", pl.results(), done)
+			}
+		})
+	}
+}
--- a/io/relay/runstream.go
+++ b/io/relay/runstream.go
@@ -91,7 +91,7 @@
 // attach makes ex the exchange that is being forwarded. A response without framing is not used: its
 // end cannot be distinguished from one that was cut.
 func (ru *runningStream) attach(ex *exchange) {
-	if ru == nil || len(ex.rs.TransferEncoding) == 0 && ex.rs.ContentLength < 0 {
+	if ru == nil || ru.fixed || len(ex.rs.TransferEncoding) == 0 && ex.rs.ContentLength < 0 {
 		return
 	}
 	placement := *ru.rq.placementRequest()
@@ -203,14 +203,26 @@
 			continue
 		case continued && numbered:
 			return kept, errEventGap
-		default:
+		case !isComment(event):
 			ru.fixed = true
+			ru.detach() // the stream must not be stopped any more
 		}
 		kept = append(kept, event...)
 	}
 	return kept, nil
 }
 
+// isComment reports whether an event consists of comments, which engines send to show that they are
+// alive.
+func isComment(event []byte) bool {
+	for line := range bytes.Lines(event) {
+		if line[0] != ':' && line[0] != '\n' {
+			return false
+		}
+	}
+	return true
+}
+
 // record updates the planner's figures of the stream after events were forwarded. now is when they
 // arrived.
 func (ru *runningStream) record(now time.Time) {
