--- a/io/relay/migrate_test.go
+++ b/io/relay/migrate_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"io"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -49,34 +50,37 @@
 		continued  at
 		done       []bool
 	}{
-		"no failure":                     {continued: atTarget, done: []bool{true}},
-		"first copy: no such run":        {faults: faults{first: 404}, done: []bool{false}},
-		"first copy: call in progress":   {faults: faults{first: 409}, done: []bool{false}},
-		"first copy: no room":            {faults: faults{first: 503}, done: []bool{false}},
-		"first copy: not answered":       {faults: faults{first: noAnswer}, total: 300, done: []bool{false}},
-		"ends before it is stopped":      {faults: faults{first: lateAnswer}, done: []bool{false}},
-		"ends while it is stopped":       {faults: faults{last: lateAnswer}, done: []bool{false}},
-		"last copy: no room":             {faults: faults{last: 503}, continued: atSource, done: []bool{false}},
-		"last copy: refused":             {faults: faults{last: 409, noHandle: true}, done: []bool{false}},
-		"last copy: lost":                {faults: faults{last: noAnswer}, total: 500, done: []bool{false}},
-		"last copy: answer lost":         {faults: faults{last: lostAnswer}, continued: atTarget, done: []bool{true}},
-		"last copy: lost, later a crash": {faults: faults{last: noAnswer, cutAt: 190}, total: 300, continued: atTarget, done: []bool{true}},
-		"source crashes":                 {faults: faults{crash: true}, continued: atTarget, done: []bool{true}},
-		"source keeps its stream open":   {faults: faults{staysOpen: true}, continued: atTarget, done: []bool{true}},
-		"target refuses":                 {faults: faults{targetRefuses: true}, continued: atSource, done: []bool{false}},
-		"target cannot be reached":       {count: 1, before: dead, continued: atSource, done: []bool{false}},
-		"all refuse":                     {faults: faults{allRefuse: true}, cut: true, done: []bool{false}},
-		"all refuse, resumable":          {faults: faults{allRefuse: true}, route: movingResumable, executions: 2, done: []bool{false}},
-		"crash, target refuses":          {faults: faults{crash: true, targetRefuses: true}, cut: true, done: []bool{false}},
-		"target fails later":             {faults: faults{cutTarget: true}, cut: true, continued: atTarget, done: []bool{true}},
-		"target fails later, resumable":  {faults: faults{cutTarget: true}, route: movingResumable, executions: 2, continued: atTarget, done: []bool{true}},
-		"target hangs later, resumable":  {faults: faults{hangTarget: true}, route: movingResumable, executions: 2, continued: atTarget, done: []bool{true}},
-		"deadline passes later":          {route: short, total: 1000, cut: true, continued: atTarget, done: []bool{true}},
-		"configuration changes":          {before: reconfigure, continued: atTarget, done: []bool{true}},
-		"target repeats events":          {faults: faults{repeats: 2}, continued: atTarget, done: []bool{true}},
-		"target omits an event":          {faults: faults{skips: 1}, cut: true, continued: atTarget, done: []bool{false}},
-		"target omits, resumable":        {faults: faults{skips: 1}, route: movingResumable, executions: 2, continued: atTarget, done: []bool{false}},
-		"no other engine":                {count: 1},
+		"no failure":                      {continued: atTarget, done: []bool{true}},
+		"first copy: no such run":         {faults: faults{first: 404}, done: []bool{false}},
+		"first copy: call in progress":    {faults: faults{first: 409}, done: []bool{false}},
+		"first copy: no room":             {faults: faults{first: 503}, done: []bool{false}},
+		"first copy: not answered":        {faults: faults{first: noAnswer}, total: 300, done: []bool{false}},
+		"ends before it is stopped":       {faults: faults{first: lateAnswer}, done: []bool{false}},
+		"ends while it is stopped":        {faults: faults{last: lateAnswer}, done: []bool{false}},
+		"last copy: no room":              {faults: faults{last: 503}, continued: atSource, done: []bool{false}},
+		"last copy: refused":              {faults: faults{last: 409, noHandle: true}, done: []bool{false}},
+		"last copy: lost":                 {faults: faults{last: noAnswer}, total: 500, done: []bool{false}},
+		"last copy: answer lost":          {faults: faults{last: lostAnswer}, continued: atTarget, done: []bool{true}},
+		"last copy: lost, later a crash":  {faults: faults{last: noAnswer, cutAt: 190}, total: 300, continued: atTarget, done: []bool{true}},
+		"source crashes":                  {faults: faults{crash: true}, continued: atTarget, done: []bool{true}},
+		"source keeps its stream open":    {faults: faults{staysOpen: true}, continued: atTarget, done: []bool{true}},
+		"target refuses":                  {faults: faults{targetRefuses: true}, continued: atSource, done: []bool{false}},
+		"target cannot be reached":        {count: 1, before: dead, continued: atSource, done: []bool{false}},
+		"all refuse":                      {faults: faults{allRefuse: true}, cut: true, done: []bool{false}},
+		"all refuse, resumable":           {faults: faults{allRefuse: true}, route: movingResumable, executions: 2, done: []bool{false}},
+		"crash, target refuses":           {faults: faults{crash: true, targetRefuses: true}, cut: true, done: []bool{false}},
+		"target fails later":              {faults: faults{cutTarget: true}, cut: true, continued: atTarget, done: []bool{true}},
+		"target fails later, resumable":   {faults: faults{cutTarget: true}, route: movingResumable, executions: 2, continued: atTarget, done: []bool{true}},
+		"target hangs later, resumable":   {faults: faults{hangTarget: true}, route: movingResumable, executions: 2, continued: atTarget, done: []bool{true}},
+		"deadline passes later":           {route: short, total: 1000, cut: true, continued: atTarget, done: []bool{true}},
+		"configuration changes":           {before: reconfigure, continued: atTarget, done: []bool{true}},
+		"target sends nothing, resumable": {faults: faults{silentTarget: true}, route: movingResumable, executions: 2, continued: atTarget, done: []bool{false}},
+		"last copy: handle lost":          {faults: faults{last: 503, lostHandle: true}, continued: atTarget, done: []bool{true}},
+		"first copy: answered twice":      {faults: faults{answersTwice: true, last: 409, noHandle: true}, total: 300, done: []bool{false}},
+		"target repeats events":           {faults: faults{repeats: 2}, continued: atTarget, done: []bool{true}},
+		"target omits an event":           {faults: faults{skips: 1}, cut: true, continued: atTarget, done: []bool{false}},
+		"target omits, resumable":         {faults: faults{skips: 1}, route: movingResumable, executions: 2, continued: atTarget, done: []bool{false}},
+		"no other engine":                 {count: 1},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
@@ -224,3 +228,26 @@
 		})
 	}
 }
+
+// A comment does not prevent a migration. After an event without a number, the stream cannot continue
+// elsewhere without a duplicate: it must not be stopped.
+func TestUnnumberedEventDuringMigration(t *testing.T) {
+	for extra, done := range map[string]bool{": waiting\n\n": true, "data: x\n\n": false} {
+		t.Run(extra, func(t *testing.T) {
+			t.Parallel()
+			en, pl := newEngines(t, 2, 60, moving, faults{extra: extra})
+			rs, rd := en.fl.openStream(t.Context())
+			defer rs.Body.Close()
+			first, _ := rd.ReadString('\n')
+			pl.arm()
+			rest, err := io.ReadAll(rd)
+			if got := strings.Replace(first+string(rest), extra, "", 1); err != nil || got != eventText(1, 60) {
+				t.Errorf("%q, %v", got, err)
+			}
+			en.checkEnd(t, pl, 1, 1)
+			if !slices.Equal(pl.results(), []bool{done}) {
+				t.Errorf("migrations ended with %v, want %t", pl.results(), done)
+			}
+		})
+	}
+}
