clock: a sleep of no time creates no timer

The registers show a stack of 2^32-1 entries, which is -1, while a timer of a synctest bubble starts a goroutine.

Cause: in Go 1.26 a bubble's timer that is due when it is created runs at once on the thread of the goroutine that creates it, under a race context that all timers of the bubble share. Goroutines that create such timers at the same time corrupt that context. clock.Wall.Sleep of 0 created them: 445 in a run of core/trial's tests, 130 of these in TestOrderHistories (orders without delay) and the rest in engines that need not prefill. Timers with a positive duration run on one thread of the bubble.

Sleep now returns at once if the duration is not positive, with the error of the context if it ended.

--- a/io/clock/clock.go
+++ b/io/clock/clock.go
@@ -26,7 +26,14 @@
 func (Wall) Now() time.Time { return time.Now() }
 
 // Sleep waits for d. It returns early with ctx's error if ctx ends.
+//
+// It creates no timer that is due at once. In a synctest bubble the runtime (Go 1.26) runs such a timer
+// on the goroutine that creates it, under a race context that all timers of the bubble share. Two
+// goroutines that do so at the same time corrupt that context, and the race detector crashes.
 func (Wall) Sleep(ctx context.Context, d time.Duration) error {
+	if d <= 0 {
+		return ctx.Err()
+	}
 	timer := time.NewTimer(d)
 	defer timer.Stop()
 	select {
