entry: announce a router at once where few peers are known

Trace of a failed run: the routers start at 57.574, the store fails at 58.567, and the routers announce themselves in the store at 58.576, one second after their start. Until 03.275 no router knows another. vm-2 counts three crashes and quarantines the request at 00.588; its notices reach nobody, its writes to the store fail, and it is killed at 02.282, 0.13 s after the store has returned. No process knows of the quarantine any more.

A router waited for a second to learn which announced peers are alive, as only 8 routers announce themselves. Where it knows fewer than 8 others after its first view of the store, it announces itself whatever it learns, so it need not wait. Larger fleets announce as before.

--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -281,19 +281,37 @@
 	return pr.placer.Serving(func(id core.PoolID) bool { return ta.Pool(id) != nil })
 }
 
-// announceCheckInterval is how often a router checks whether it should announce itself in the
-// store. It is long enough to learn of the peers that are announced already.
-const announceCheckInterval = time.Second
+const (
+	// announceCheckInterval is how often a router checks whether it should announce itself in the
+	// store. It is long enough to learn which of the peers that are announced already are alive.
+	announceCheckInterval = time.Second
+	// firstViewInterval is how often a router that has just started checks whether it has read the
+	// store, and with it the addresses of announced peers.
+	firstViewInterval = 20 * time.Millisecond
+)
 
-// announce announces this router in the store once the peer group decides that it should.
+// announce announces this router in the store once the peer group decides that it should. Where few
+// peers are known after the first view of the store, it does so at once.
+//
+// Failure: three routers start and the store fails before they announce themselves a second later.
+// Until it returns they do not know each other, and a request that one of them quarantines reaches
+// endpoints through the others.
 func (pr *Process) announce(ctx context.Context) error {
-	tick := time.NewTicker(announceCheckInterval)
+	tick, firstView := time.NewTicker(announceCheckInterval), time.NewTicker(firstViewInterval)
 	defer tick.Stop()
-	for waiting := true; waiting; waiting = !pr.peers.ShouldAnnounce() {
+	defer firstView.Stop()
+	for announced := false; !announced; {
 		select {
 		case <-ctx.Done():
 			return nil
 		case <-tick.C:
+			announced = pr.peers.ShouldAnnounce()
+		case <-firstView.C:
+			if pr.mirror.AsOf() == 0 {
+				continue
+			}
+			firstView.Stop()
+			announced = pr.peers.FewKnown()
 		}
 	}
 	pr.Platform.Announce(ctx, pr.Settings.Name, pr.Settings.PeersAddr, pr.log)
--- a/io/gossip/gossip.go
+++ b/io/gossip/gossip.go
@@ -270,6 +270,14 @@
 	return gr.rank(anyMember) < maxAnnouncers
 }
 
+// FewKnown reports whether so few peers are known that this router is one of those that announce
+// themselves, whichever of the peers are alive.
+func (gr *Group) FewKnown() bool {
+	gr.mu.Lock()
+	defer gr.mu.Unlock()
+	return len(gr.members) < maxAnnouncers
+}
+
 func anyMember(*member) bool { return true }
 
 // rank counts the live peers that are not leaving, that include accepts, and whose address hash is
