entry: a fleet that starts at once does not announce every router

Cause: at the first view of the store nobody is announced yet, so that every router knew fewer than 8 others and announced itself. Change: the first check is made 0.3 s after the start, when peers have named each other.

--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -288,8 +288,11 @@
 	// store. It is long enough to learn which of the peers that are announced already are alive.
 	announceCheckInterval = time.Second
 	// firstViewInterval is how often a router that has just started checks whether it has read the
-	// store, and with it the addresses of announced peers.
+	// store, and with it the addresses of announced peers. It does so from minFirstView on: in a large
+	// fleet that starts at once nobody is announced yet, but peers have named each other by then, and
+	// only some need to write to the store.
 	firstViewInterval = 20 * time.Millisecond
+	minFirstView      = 300 * time.Millisecond
 )
 
 // announce announces this router in the store once the peer group decides that it should. Where few
@@ -302,6 +305,7 @@
 	tick, firstView := time.NewTicker(announceCheckInterval), time.NewTicker(firstViewInterval)
 	defer tick.Stop()
 	defer firstView.Stop()
+	started := time.Now()
 	for announced := false; !announced; {
 		select {
 		case <-ctx.Done():
@@ -309,7 +313,7 @@
 		case <-tick.C:
 			announced = pr.peers.ShouldAnnounce()
 		case <-firstView.C:
-			if pr.mirror.AsOf() == 0 {
+			if pr.mirror.AsOf() == 0 || time.Since(started) < minFirstView {
 				continue
 			}
 			firstView.Stop()
