relay: record pauses of streams whose events arrive in parts

An event that arrived in two reads lost its pause: the time since which the router waited was set at each read, so that the first part of the event looked like a slow caller, and the pause was discarded. An engine that writes its events in parts never became known as slow.

The time is now set after events were written to the caller.

--- a/io/relay/learned_test.go
+++ b/io/relay/learned_test.go
@@ -31,11 +31,18 @@
 
 // streamWhen streams an event each time that next returns, for a second.
 func streamWhen(next func()) script {
+	return streamParts(func(co net.Conn, event string) {
+		next()
+		writeChunk(co, event)
+	})
+}
+
+// streamParts streams events for a second, each as write sends it.
+func streamParts(write func(co net.Conn, event string)) script {
 	return func(se *received, co net.Conn) bool {
 		writeEvents(se, co, 1, 1)
 		for began, id := time.Now(), 2; time.Since(began) < time.Second; id++ {
-			next()
-			writeChunk(co, fmt.Sprintf("id: %d\ndata: token %d\n\n", id, id))
+			write(co, fmt.Sprintf("id: %d\ndata: token %d\n\n", id, id))
 		}
 		endChunks(co)
 		return true
@@ -52,7 +59,12 @@
 	if reading > 0 {
 		first = func() { <-wrote }
 	}
-	fl := newFleet(t, streamWhen(first), streamWhen(usual), streamWhen(usual))
+	return slowAmong(t, reading, wrote, streamWhen(first), streamWhen(usual), streamWhen(usual))
+}
+
+// slowAmong streams from engines with these scripts and returns those that seem slow.
+func slowAmong(t *testing.T, reading time.Duration, wrote chan struct{}, scripts ...script) []place.SlowEndpoint {
+	fl := newFleet(t, scripts...)
 	ro := stream
 	ro.GapGoal = time.Second
 	fl.configurePool(ro, route.Pool{ID: "pool", Engine: true})
@@ -79,3 +91,22 @@
 		t.Errorf("slow engines whose callers read slowly: %+v, want none", slow)
 	}
 }
+
+// Guards against pauses that are lost because an engine sends an event in parts: the router then reads
+// again while it waits for the engine.
+func TestPausesWithinEventsAreLearned(t *testing.T) {
+	t.Parallel()
+	inParts := func(pause time.Duration) script {
+		return streamParts(func(co net.Conn, event string) {
+			time.Sleep(pause / 2)
+			writeChunk(co, event[:4])
+			time.Sleep(pause / 2)
+			writeChunk(co, event[4:])
+		})
+	}
+	usual := inParts(20 * time.Millisecond)
+	slow := slowAmong(t, 0, make(chan struct{}, 1000), inParts(140*time.Millisecond), usual, usual)
+	if len(slow) != 1 || slow[0].ID != "e0" || !slow[0].Learned {
+		t.Errorf("slow engines: %+v, want e0, learned", slow)
+	}
+}
--- a/io/relay/stream.go
+++ b/io/relay/stream.go
@@ -35,11 +35,12 @@
 // then be resumed at another endpoint after the last complete one.
 func (ex *exchange) forwardStream(ctx context.Context) (*core.Refusal, place.Result) {
 	pending := make([]byte, 0, minRead)
+	// Not set at each read: an event may arrive in parts.
+	waitingSince := time.Now()
 	for {
 		if len(pending) == cap(pending) {
 			pending = slices.Grow(pending, cap(pending))
 		}
-		waitingSince := time.Now()
 		count, err := ex.rs.Body.Read(pending[len(pending):cap(pending)])
 		filled := len(pending)+count == cap(pending)
 		if count > 0 {
@@ -53,6 +54,7 @@
 					return ex.refusal(core.Unknown, core.ReasonCallerGone, "write", werr), place.Neutral
 				}
 				pending = pending[:copy(pending, pending[end:])]
+				waitingSince = time.Now()
 			}
 			if filled && cap(pending) < readSize {
 				pending = slices.Grow(pending, 2*cap(pending)-len(pending))
