place: learn pauses after the clock was set back

Figures are timed by the wall clock. If it was set back while one was incomplete, the engine's pauses were added to that one until the clock had reached its begin again, and nothing was learned of the engine for so long. Such a figure is now discarded, like one that is too old.

pausesMin is removed: a pause has at least one event, so it had no effect.

--- a/core/place/learned.go
+++ b/core/place/learned.go
@@ -13,10 +13,9 @@
 // other engines of the pool, at the same number of calls.
 
 const (
-	// pausesMin and pausesSpan are the least number of pauses in a figure, and the least time that
-	// they cover: several steps of an engine at its usual speed. A figure that is not complete
-	// after pausesMax is discarded, since it is from different streams.
-	pausesMin  = 1
+	// pausesSpan is the least time that the pauses of a figure cover: several steps of an engine at
+	// its usual speed. A figure that is not complete after pausesMax is discarded, since it is from
+	// different streams.
 	pausesSpan = 200 * time.Millisecond
 	pausesMax  = 2 * time.Second
 	// confirmWindow is how long after a figure the next one confirms it. An engine counts as slow by
@@ -101,12 +100,13 @@
 	if up.reported || st.removed {
 		return
 	}
-	if pu.events == 0 || now.UnixNano()-pu.since > int64(pausesMax) {
+	// The clock may be set back.
+	if age := now.UnixNano() - pu.since; pu.events == 0 || age < 0 || age > int64(pausesMax) {
 		pu.since, pu.tookMs, pu.events = now.Add(-took).UnixNano(), 0, 0
 	}
 	pu.tookMs += float32(ms(took))
 	pu.events += int32(events)
-	if pu.events < pausesMin || now.UnixNano()-pu.since < int64(pausesSpan) {
+	if now.UnixNano()-pu.since < int64(pausesSpan) {
 		return
 	}
 	calls := float64(st.ownCalls + st.estimatePeerCalls(now))
--- a/core/place/learned_test.go
+++ b/core/place/learned_test.go
@@ -164,6 +164,36 @@
 	}
 }
 
+// Guards against a router that learns nothing until its clock has reached the time again from which it
+// was set back.
+func TestPausesAreLearnedAfterAClockIsSetBack(t *testing.T) {
+	pl := newPlacer(1)
+	register(pl, 4)
+	stream := func(from time.Time, slow time.Duration) {
+		var tks []*place.Ticket
+		for range 60 {
+			tk, _ := pl.Pick(from, &place.Request{Pool: pool, Engine: true, GapGoal: time.Second})
+			tks = append(tks, tk)
+		}
+		for at := time.Duration(0); at < 2*time.Second; at += 35 * time.Millisecond {
+			for _, tk := range tks {
+				pause := 35 * time.Millisecond
+				if tk.Endpoint.ID == endpoint(0).ID {
+					pause = slow
+				}
+				if at%pause == 0 {
+					tk.RecordEvents(from.Add(at-pause), from.Add(at), 1)
+				}
+			}
+		}
+	}
+	stream(begin, 35*time.Millisecond)
+	stream(begin.Add(-time.Hour), 140*time.Millisecond)
+	if slow := pl.SlowEndpoints(begin.Add(2*time.Second - time.Hour)); len(slow) != 1 || slow[0].ID != endpoint(0).ID {
+		t.Errorf("slow engines: %+v, want the first", slow)
+	}
+}
+
 // Guards against a pool that is full at the speed of its engines and accepts more than these can
 // finish, and against fewer slots for pools without goals.
 func TestSlowEnginesHaveFewerSlots(t *testing.T) {
