waitq: no burst when a limit begins again

A router with less than one place may start a burst if it started none for long enough. Only the very first limit of a process counted the starts before it; at each later one, the tokens that had gathered since the last overload were used at once, at each of hundreds of routers.

A limit that was not in force for startsTime now begins like the first one.

TestTokensDoNotGatherBetweenOverloads: 9 requests were admitted in the first 0.3 s of the second overload, 1 in that of the first; now 1 in both.

--- a/core/waitq/level.go
+++ b/core/waitq/level.go
@@ -205,20 +205,20 @@
 	if li.whole == 0 {
 		depth = burst
 	}
-	gained := li.startScale(vi) * (li.places - li.whole) / li.held.Seconds() * now.Sub(qu.tokensAt).Seconds()
-	switch {
-	case !qu.tokensAt.IsZero():
-	case li.whole == 0:
+	most := depth
+	if li.whole == 0 && now.Sub(qu.tokensAt) > startsTime {
 		// As if the limit had been in force before.
-		gained = max(0, depth-startsTime.Seconds()*qu.me.rate.at(now))
-	default:
-		gained = depth
+		most = max(0, depth-startsTime.Seconds()*qu.me.rate.at(now))
+	}
+	gained := li.startScale(vi) * (li.places - li.whole) / li.held.Seconds() * now.Sub(qu.tokensAt).Seconds()
+	if qu.tokensAt.IsZero() {
+		gained = most
 	}
 	least := -1.0
 	if li.whole == 0 {
 		least = -burst
 	}
-	qu.tokens = min(depth, max(least, qu.tokens)+max(0, gained))
+	qu.tokens = min(most, max(least, qu.tokens)+max(0, gained))
 	qu.tokensAt = now
 }
 
--- a/core/waitq/provisional.go
+++ b/core/waitq/provisional.go
@@ -34,7 +34,8 @@
 	// at others.
 	fullExponent = 2
 	leastScale   = 0.5
-	// startsTime is for how long before its begin starts count against the burst of a first limit.
+	// startsTime is for how long before its begin starts count against the burst of a limit, and after
+	// how long without one a limit begins anew.
 	startsTime = 3 * time.Second
 )
 
--- a/core/waitq/provisional_test.go
+++ b/core/waitq/provisional_test.go
@@ -83,3 +83,36 @@
 		t.Errorf("%d of %d urgent and %d of %d other requests admitted", admitted[0], sent[0], admitted[1], sent[1])
 	}
 }
+
+// Guards against a burst of starts at every router when a limit begins again: the tokens that gathered
+// between two overloads would be used at once, by hundreds of routers.
+func TestTokensDoNotGatherBetweenOverloads(t *testing.T) {
+	const routers, customer = 100, 1
+	calls := 0
+	qu := newQueue(routers)
+	qu.PoolCalls = func() int { return calls }
+	now := epoch
+	// offer lets a surging customer send 30 requests per second and returns how many are admitted.
+	offer := func(span time.Duration) (admitted int) {
+		for until := now.Add(span); now.Before(until); {
+			now = now.Add(33 * time.Millisecond)
+			if de := qu.Offer(now, offerAt(now, demand.CustomerHash(customer), 0)); de.Admitted {
+				admitted++
+				qu.Done(now, 30*time.Millisecond, true)
+			}
+			qu.Tick(now)
+		}
+		return admitted
+	}
+	surge := func() int {
+		calls = 0
+		offer(2 * time.Second)
+		calls = 36
+		return offer(300 * time.Millisecond)
+	}
+	first := surge()
+	now = now.Add(time.Hour)
+	if second := surge(); second > first {
+		t.Errorf("%d requests admitted at the begin of the second overload, want at most the %d of the first", second, first)
+	}
+}
