waitq: find surging customers less often among many customers

Before the first level, each decision sorted all customers by what they offer: 0.42 ms per request with 1,000 customers and 2.7 ms with 5,000, under the queue's lock and during a surge. They are now compared again after 50 ms, or once there were an eighth as many decisions as customers, so that nothing changes with up to eight customers.

--- a/core/waitq/provisional.go
+++ b/core/waitq/provisional.go
@@ -34,13 +34,22 @@
 	// at others.
 	fullExponent = 2
 	leastScale   = 0.5
+	// Who surges is found again after surgeInterval, or once there were as many decisions as a
+	// surgeCalls-th of the customers: finding it takes 0.4 ms with 1,000 customers.
+	surgeInterval = 50 * time.Millisecond
+	surgeCalls    = 8
 	// startsTime is for how long before its begin starts count against the burst of a limit, and after
 	// how long without one a limit begins anew.
 	startsTime = 3 * time.Second
 )
 
 // shortage is when the pool was seen to be full: from the first time of this overload to the last.
-type shortage struct{ from, seen time.Time }
+type shortage struct {
+	from, seen time.Time
+	// markedAt is when surging customers were last marked, decisions the number of decisions since.
+	markedAt  time.Time
+	decisions int
+}
 
 // full reports whether peers' counts say that all of the pool's slots are in use.
 func (vi *view) full() bool { return vi.slots > 0 && vi.calls >= vi.slots }
@@ -61,7 +70,11 @@
 		return limit{}
 	}
 	places := float64(vi.slots) / float64(vi.routers)
-	qu.markSurging(now, surgeLoad*places/call.Seconds())
+	qu.short.decisions++
+	if surgeCalls*qu.short.decisions >= len(qu.customers) || now.Sub(qu.short.markedAt) >= surgeInterval {
+		qu.short.markedAt, qu.short.decisions = now, 0
+		qu.markSurging(now, surgeLoad*places/call.Seconds())
+	}
 	return limit{kind: byProvisional, pool: float64(vi.slots), places: places, held: call}
 }
 
--- a/core/waitq/provisional_test.go
+++ b/core/waitq/provisional_test.go
@@ -1,6 +1,7 @@
 package waitq_test
 
 import (
+	"runtime"
 	"testing"
 	"time"
 
@@ -116,3 +117,32 @@
 		t.Errorf("%d requests admitted at the begin of the second overload, want at most the %d of the first", second, first)
 	}
 }
+
+// Guards against requests that each compare all customers before the first level: with thousands of
+// them, that takes longer than the requests themselves. The memory that it takes is counted.
+func TestProvisionalLimitAmongManyCustomers(t *testing.T) {
+	const customers, requests, mostBytes = 2000, 1000, 4096
+	calls := 0
+	qu := newQueue(100)
+	qu.PoolCalls = func() int { return calls }
+	now := epoch
+	offer := func(cu int) {
+		now = now.Add(100 * time.Microsecond)
+		if de := qu.Offer(now, offerAt(now, demand.CustomerHash(cu), 0)); de.Admitted {
+			qu.Done(now, 30*time.Millisecond, true)
+		}
+	}
+	for cu := range customers {
+		offer(cu)
+	}
+	calls = 36
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	for cu := range requests {
+		offer(cu)
+	}
+	runtime.ReadMemStats(&after)
+	if each := (after.TotalAlloc - before.TotalAlloc) / requests; each > mostBytes {
+		t.Errorf("%d bytes allocated per request, want at most %d", each, mostBytes)
+	}
+}
