place: run independent simulations of tests in parallel

Seeds, sizes and variants that are independent now run at once; what they check and their seeds are the same, and so are all figures that they log.

--- a/core/place/cold_test.go
+++ b/core/place/cold_test.go
@@ -115,6 +115,7 @@
 // third of the pool is cold at once, much of the traffic is about one chat, and calls that wait for
 // their connections are sent together.
 func TestColdEndpointsStayWithinTheirBound(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(rt *rapid.T) {
 		routers := rapid.SampledFrom([]int{1, 2, 5, 26, 103}).Draw(rt, "routers")
 		rate := rapid.SampledFrom([]float64{1, 2, 3, 6, 18, 20}).Draw(rt, "rate")
@@ -145,6 +146,7 @@
 // Guards against exceeding the bound when routers ask different owners: in a network partition,
 // when owners change, and when all routers have just started and get no grants.
 func TestColdBoundHoldsWhenRoutersDisagreeOnOwners(t *testing.T) {
+	t.Parallel()
 	for _, rate := range []float64{1, 2, 3, 6, 18} {
 		for name, change := range map[string]func(cf *coldFleet, step int){
 			"network partition": func(cf *coldFleet, step int) {
--- a/core/place/counts_test.go
+++ b/core/place/counts_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"sync"
 	"testing"
 	"time"
 
@@ -44,19 +45,27 @@
 // free slots. Asked before the choice, the router that owns the engine's count reports how many
 // calls it has.
 func TestPopularHomesAreNotOverrun(t *testing.T) {
+	t.Parallel()
 	const (
 		many, rarely = 50, 80 // each receives the others' reports every 0.8 s
 		few, often   = 12, 20
 		seeds        = 3
 	)
 	var all, byReports, asked, amongFew, refused int
+	var byPeers, byCounts, byFew [seeds]*surge
+	var runs sync.WaitGroup
 	for seed := range uint64(seeds) {
-		byPeers, byCounts := crowd(seed, many, rarely, nil), crowd(seed, many, rarely, &gauge.Table{})
-		all += byPeers.all
-		byReports += byPeers.late
-		asked += byCounts.late
-		refused += byCounts.lost - byPeers.lost
-		amongFew += crowd(seed, few, often, nil).late
+		runs.Go(func() { byPeers[seed] = crowd(seed, many, rarely, nil) })
+		runs.Go(func() { byCounts[seed] = crowd(seed, many, rarely, &gauge.Table{}) })
+		runs.Go(func() { byFew[seed] = crowd(seed, few, often, nil) })
+	}
+	runs.Wait()
+	for seed := range seeds {
+		all += byPeers[seed].all
+		byReports += byPeers[seed].late
+		asked += byCounts[seed].late
+		refused += byCounts[seed].lost - byPeers[seed].lost
+		amongFew += byFew[seed].late
 	}
 	t.Logf("late of %d: %d by load reports, %d by counts; %d among few routers", all, byReports, asked, amongFew)
 	// The numbers of late callers are random: two deviations of their difference are allowed.
--- a/core/place/customer_use_test.go
+++ b/core/place/customer_use_test.go
@@ -14,6 +14,7 @@
 // three calls by chance. Mistaken for one that floods the pool, it is refused while others get the
 // last slots.
 func TestSmallSamplesMakeNoCustomerHeavy(t *testing.T) {
+	t.Parallel()
 	const (
 		routers, customers = 400, 40
 		engines, slots     = 100, 16
--- a/core/place/learned_test.go
+++ b/core/place/learned_test.go
@@ -28,13 +28,13 @@
 // Load pattern: as in TestSlowEnginesGetFewerCalls, but the engines do not report their speed. If
 // nothing is learned from the pauses of running streams, they keep getting their share of the calls.
 func TestUnreportedSlowEnginesGetFewerCalls(t *testing.T) {
+	t.Parallel()
 	for routers, chunked := range map[int]bool{12: true, 103: true, 420: false} {
 		t.Run(fmt.Sprint(routers), func(t *testing.T) {
 			t.Parallel()
 			without, with := newLearning(routers, false), newLearning(routers, true)
 			without.chunked, with.chunked = chunked, chunked
-			playSlow(without, 1500)
-			playSlow(with, 1500)
+			bothAtOnce(func() { playSlow(without, 1500) }, func() { playSlow(with, 1500) })
 			checkFewerLate(t, without, with)
 		})
 	}
@@ -60,6 +60,7 @@
 // that counts as slow long after it has recovered: if all is well, if reports are lost, if half of the
 // routers are of builds that send no such factors, and at a router that has just started.
 func TestSlownessIsKnownWithinASecond(t *testing.T) {
+	t.Parallel()
 	for name, ca := range map[string]struct {
 		soon float64
 		lost func(un *uneven, from, to int) bool
@@ -91,6 +92,7 @@
 // Guards against factors that are not the engine's: of callers that read slowly, of calls that triple
 // at one engine, of a higher load, and of a pool that is slower as a whole.
 func TestNoEngineIsSlow(t *testing.T) {
+	t.Parallel()
 	for name, set := range map[string]func(un *uneven){
 		"usual speed":        func(*uneven) {},
 		"slow callers":       func(un *uneven) { un.writing = 300 * time.Millisecond },
--- a/core/place/many_routers_test.go
+++ b/core/place/many_routers_test.go
@@ -1,6 +1,7 @@
 package place_test
 
 import (
+	"fmt"
 	"testing"
 
 	"almondrill/core/gauge"
@@ -38,6 +39,7 @@
 // assumes short waits until it knows better, calls queue at full engines while others have free
 // slots: at a load of 0.7, 0.08 of the callers are late with 25 routers, and 0.01 with 4.
 func TestManyRoutersLearnQueueTimes(t *testing.T) {
+	t.Parallel()
 	for _, ca := range []struct {
 		routers, reportSteps int
 		load                 float64
@@ -47,10 +49,13 @@
 		{25, 80, 0.9, 0.7},
 		{100, 900, 0.9, 0.7},
 	} {
-		got := playLoad(ca.routers, ca.reportSteps, ca.load)
-		t.Logf("%d routers, load %.1f: in time %.3f, late %.3f, lost %.3f", ca.routers, ca.load, got.inTime, got.late, got.lost)
-		if got.inTime < ca.inTime {
-			t.Errorf("%d routers, load %.1f: %.3f of the callers were served in time, want at least %.2f", ca.routers, ca.load, got.inTime, ca.inTime)
-		}
+		t.Run(fmt.Sprintf("%d routers, load %.1f", ca.routers, ca.load), func(t *testing.T) {
+			t.Parallel()
+			got := playLoad(ca.routers, ca.reportSteps, ca.load)
+			t.Logf("in time %.3f, late %.3f, lost %.3f", got.inTime, got.late, got.lost)
+			if got.inTime < ca.inTime {
+				t.Errorf("%.3f of the callers were served in time, want at least %.2f", got.inTime, ca.inTime)
+			}
+		})
 	}
 }
--- a/core/place/memory_test.go
+++ b/core/place/memory_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"sync"
 	"testing"
 	"time"
 
@@ -190,13 +191,22 @@
 // have prompts of some 12,000 tokens. Guards against engines that preempt streams for lack of
 // memory, and against memory that is kept at the expense of one kind of requests.
 func TestMixFitsMemory(t *testing.T) {
+	t.Parallel()
 	const span = 6 * time.Second
-	without := playMix(1, 12, 52, false, span)
+	sizes := [...]struct{ routers, engines int }{{12, 52}, {48, 26}}
+	var without *mix
+	var with [len(sizes)]*mix
+	var runs sync.WaitGroup
+	runs.Go(func() { without = playMix(1, 12, 52, false, span) })
+	for ix, size := range sizes {
+		runs.Go(func() { with[ix] = playMix(1, size.routers, size.engines, true, span) })
+	}
+	runs.Wait()
 	if without.preempted == 0 || without.blocked == 0 {
 		t.Errorf("without memory as capacity %d streams are preempted, and engines lack memory in %d ticks: the load shows nothing", without.preempted, without.blocked)
 	}
-	for _, size := range []struct{ routers, engines int }{{12, 52}, {48, 26}} {
-		mi := playMix(1, size.routers, size.engines, true, span)
+	for ix, size := range sizes {
+		mi := with[ix]
 		long, short, brief := mi.shareInTime("long"), mi.shareInTime("short"), mi.shareInTime("brief")
 		t.Logf("%d routers: preempted %d (%d without), lack of memory in %d ticks (%d), placed after a wait %d, refused %v, in time: long %.3f (%.3f), short %.3f (%.3f), brief %.3f (%.3f), error of lengths %d and %d %%",
 			size.routers, mi.preempted, without.preempted, mi.blocked, without.blocked, mi.placedWait, mi.refused,
--- a/core/place/speed_test.go
+++ b/core/place/speed_test.go
@@ -27,6 +27,14 @@
 	un.measure(1000)
 }
 
+// bothAtOnce runs two independent simulations.
+func bothAtOnce(one, two func()) {
+	var other sync.WaitGroup
+	other.Go(two)
+	one()
+	other.Wait()
+}
+
 // checkFewerLate checks that knowing the engines' speed avoids two thirds of the late calls.
 func checkFewerLate(t *testing.T, without, with *uneven) {
 	t.Helper()
@@ -42,12 +50,12 @@
 // Load pattern: a third of the engines become four times slower, and the load rises. If they keep
 // getting their share of the calls, answers there begin late or reach their deadlines.
 func TestSlowEnginesGetFewerCalls(t *testing.T) {
+	t.Parallel()
 	for _, routers := range []int{12, 103, 420} {
 		t.Run(fmt.Sprint(routers), func(t *testing.T) {
 			t.Parallel()
 			without, with := newUneven(routers, false), newUneven(routers, true)
-			playSlow(without, 400)
-			playSlow(with, 400)
+			bothAtOnce(func() { playSlow(without, 400) }, func() { playSlow(with, 400) })
 			checkFewerLate(t, without, with)
 		})
 	}
