place: one limit of a slowed pool for requests with and without a gap goal

Slow engines counted as fewer slots only for requests with a gap goal. Of a pool that serves both kinds, those without one kept using all slots, so that the pool had more calls than the lower limit and nearly all others were refused. The lower limit now applies to all requests of a pool that had one with a gap goal in the last 10 s; other pools are as before.

--- a/core/place/learned_test.go
+++ b/core/place/learned_test.go
@@ -225,6 +225,31 @@
 	}
 }
 
+// Guards against requests without a gap goal that keep a slowed pool so full that all others are
+// refused.
+func TestSlowPoolIsSharedWithRequestsWithoutGapGoal(t *testing.T) {
+	pl := newPlacer(1)
+	register(pl, 4)
+	slowFor(pl, begin, 2*time.Second, 0, 240)
+	now := slowFor(pl, begin, 2*time.Second, 1, 240)
+	var running []*place.Ticket
+	admitted := map[time.Duration]int{}
+	for ix := range 4000 {
+		rq := &place.Request{Pool: pool, Engine: true, GapGoal: time.Duration(ix%2) * time.Second}
+		if tk, rf := pl.Pick(now, rq); rf == nil {
+			running = append(running, tk)
+			admitted[rq.GapGoal]++
+		}
+		if ix > 300 && newRand(uint64(ix)).IntN(4) == 0 {
+			running[0].Done(now, place.Served)
+			running = running[1:]
+		}
+	}
+	if with, without := admitted[time.Second], admitted[0]; 4*with < 3*without {
+		t.Errorf("%d requests with a gap goal were admitted and %d without, want about as many", with, without)
+	}
+}
+
 // BenchmarkEvents measures what an event takes among engines of which many are observed.
 func BenchmarkEvents(b *testing.B) {
 	pl := newPlacer(1)
--- a/core/place/pace.go
+++ b/core/place/pace.go
@@ -22,6 +22,8 @@
 	// from.
 	slope      float64
 	slopeCount int
+	// gapGoalAt is when a request with a gap goal was last placed or refused.
+	gapGoalAt time.Time
 	// pauses is what the factors of engines that do not report their speed are learned from.
 	pauses usualPauses
 }
--- a/core/place/pool_stats.go
+++ b/core/place/pool_stats.go
@@ -150,7 +150,7 @@
 	if 2*learnedSlow > ch.openCount {
 		slotsLost = ch.relateSpeeds()
 	}
-	if ch.rq.Engine && ch.rq.GapGoal > 0 {
+	if ch.hasGapGoals(pl) {
 		slots -= int(slotsLost)
 	}
 	if slotsKnown {
--- a/core/place/surge.go
+++ b/core/place/surge.go
@@ -15,6 +15,8 @@
 	// poolSlotFactor is how many calls an engine pool is given, as a multiple of its slots. The
 	// excess of a tenth gets slots within a tenth of a call's duration.
 	poolSlotFactor = 1.1
+	// gapGoalWindow is for how long after a request with a gap goal slow engines count as fewer slots.
+	gapGoalWindow = 10 * time.Second
 	// surgeGap is how long without a refusal ends a surge.
 	surgeGap = time.Second
 	// maxFullRetryAfter bounds the retry delay for a full pool: few callers wait for longer.
@@ -41,6 +43,20 @@
 	ch.poolSlots, ch.maxPoolCalls = slots, factor*float64(slots)
 }
 
+// hasGapGoals reports whether the pool has served requests with a gap goal recently. Its limit is then
+// the same for all requests: with a higher one, those without a gap goal would keep the pool so full
+// that all others are refused.
+func (ch *choice) hasGapGoals(pl *Placer) bool {
+	if !ch.rq.Engine {
+		return false
+	}
+	if ch.rq.GapGoal > 0 {
+		pl.paceOf(ch.rq.Pool).gapGoalAt = ch.now
+		return true
+	}
+	return ch.pace != nil && !ch.pace.gapGoalAt.IsZero() && ch.now.Sub(ch.pace.gapGoalAt) <= gapGoalWindow
+}
+
 // surgeRetryAfter returns the retry delay for a pool that is full now. The end of a surge is
 // unknown; one that has lasted for a time lasts, at the median, about as long again. Callers who
 // retry sooner meet the same surge.
