--- a/core/place/learned_test.go
+++ b/core/place/learned_test.go
@@ -28,13 +28,13 @@
 // Load pattern: as in TestSlowEnginesGetFewerCalls, but the engines do not report their speed. If
 // nothing is learned from the pauses of running streams, they keep getting their share of the calls.
 func TestUnreportedSlowEnginesGetFewerCalls(t *testing.T) {
+	t.Parallel()
 	for routers, chunked := range map[int]bool{12: true, 103: true, 420: false} {
 		t.Run(fmt.Sprint(routers), func(t *testing.T) {
 			t.Parallel()
 			without, with := newLearning(routers, false), newLearning(routers, true)
 			without.chunked, with.chunked = chunked, chunked
-			playSlow(without, 1500)
-			playSlow(with, 1500)
+			bothAtOnce(func() { playSlow(without, 1500) }, func() { playSlow(with, 1500) })
 			checkFewerLate(t, without, with)
 		})
 	}
@@ -60,6 +60,7 @@
 // that counts as slow long after it has recovered: if all is well, if reports are lost, if half of the
 // routers are of builds that send no such factors, and at a router that has just started.
 func TestSlownessIsKnownWithinASecond(t *testing.T) {
+	t.Parallel()
 	for name, ca := range map[string]struct {
 		soon float64
 		lost func(un *uneven, from, to int) bool
@@ -91,6 +92,7 @@
 // Guards against factors that are not the engine's: of callers that read slowly, of calls that triple
 // at one engine, of a higher load, and of a pool that is slower as a whole.
 func TestNoEngineIsSlow(t *testing.T) {
+	t.Parallel()
 	for name, set := range map[string]func(un *uneven){
 		"usual speed":        func(*uneven) {},
 		"slow callers":       func(un *uneven) { un.writing = 300 * time.Millisecond },
@@ -105,6 +107,13 @@
 			set(un)
 			un.compare = true
 			un.measure(400)
+			others := 0
+			for _, en := range un.engines[1:] {
+				others += len(en.calls)
+			}
+			if calls, mean := len(un.engines[0].calls), others/(simEngines-1); un.extra && calls < 3*mean {
+				t.Errorf("the first engine has %d calls, want three times the mean of %d", calls, mean)
+			}
 			t.Logf("%d of %d choices differ from those without factors, %d refused", un.differ, un.all, un.refused)
 			if 100*un.differ >= un.all || un.refused > 0 {
 				t.Error("want less than 1%, and no refusal")
@@ -164,6 +173,36 @@
 	}
 }
 
+// Guards against a router that learns nothing until its clock has reached the time again from which it
+// was set back.
+func TestPausesAreLearnedAfterAClockIsSetBack(t *testing.T) {
+	pl := newPlacer(1)
+	register(pl, 4)
+	stream := func(from time.Time, slow time.Duration) {
+		var tks []*place.Ticket
+		for range 60 {
+			tk, _ := pl.Pick(from, &place.Request{Pool: pool, Engine: true, GapGoal: time.Second})
+			tks = append(tks, tk)
+		}
+		for at := time.Duration(0); at < 2*time.Second; at += 35 * time.Millisecond {
+			for _, tk := range tks {
+				pause := 35 * time.Millisecond
+				if tk.Endpoint.ID == endpoint(0).ID {
+					pause = slow
+				}
+				if at%pause == 0 {
+					tk.RecordEvents(from.Add(at-pause), from.Add(at), 1)
+				}
+			}
+		}
+	}
+	stream(begin, 35*time.Millisecond)
+	stream(begin.Add(-time.Hour), 140*time.Millisecond)
+	if slow := pl.SlowEndpoints(begin.Add(2*time.Second - time.Hour)); len(slow) != 1 || slow[0].ID != endpoint(0).ID {
+		t.Errorf("slow engines: %+v, want the first", slow)
+	}
+}
+
 // Guards against a pool that is full at the speed of its engines and accepts more than these can
 // finish, and against fewer slots for pools without goals.
 func TestSlowEnginesHaveFewerSlots(t *testing.T) {
@@ -186,6 +225,31 @@
 	}
 }
 
+// Guards against requests without a gap goal that keep a slowed pool so full that all others are
+// refused.
+func TestSlowPoolIsSharedWithRequestsWithoutGapGoal(t *testing.T) {
+	pl := newPlacer(1)
+	register(pl, 4)
+	slowFor(pl, begin, 2*time.Second, 0, 240)
+	now := slowFor(pl, begin, 2*time.Second, 1, 240)
+	var running []*place.Ticket
+	admitted := map[time.Duration]int{}
+	for ix := range 4000 {
+		rq := &place.Request{Pool: pool, Engine: true, GapGoal: time.Duration(ix%2) * time.Second}
+		if tk, rf := pl.Pick(now, rq); rf == nil {
+			running = append(running, tk)
+			admitted[rq.GapGoal]++
+		}
+		if ix > 300 && newRand(uint64(ix)).IntN(4) == 0 {
+			running[0].Done(now, place.Served)
+			running = running[1:]
+		}
+	}
+	if with, without := admitted[time.Second], admitted[0]; 4*with < 3*without {
+		t.Errorf("%d requests with a gap goal were admitted and %d without, want about as many", with, without)
+	}
+}
+
 // BenchmarkEvents measures what an event takes among engines of which many are observed.
 func BenchmarkEvents(b *testing.B) {
 	pl := newPlacer(1)
--- a/core/waitq/provisional_test.go
+++ b/core/waitq/provisional_test.go
@@ -1,6 +1,7 @@
 package waitq_test
 
 import (
+	"runtime"
 	"testing"
 	"time"
 
@@ -83,3 +84,65 @@
 		t.Errorf("%d of %d urgent and %d of %d other requests admitted", admitted[0], sent[0], admitted[1], sent[1])
 	}
 }
+
+// Guards against a burst of starts at every router when a limit begins again: the tokens that gathered
+// between two overloads would be used at once, by hundreds of routers.
+func TestTokensDoNotGatherBetweenOverloads(t *testing.T) {
+	const routers, customer = 100, 1
+	calls := 0
+	qu := newQueue(routers)
+	qu.PoolCalls = func() int { return calls }
+	now := epoch
+	// offer lets a surging customer send 30 requests per second and returns how many are admitted.
+	offer := func(span time.Duration) (admitted int) {
+		for until := now.Add(span); now.Before(until); {
+			now = now.Add(33 * time.Millisecond)
+			if de := qu.Offer(now, offerAt(now, demand.CustomerHash(customer), 0)); de.Admitted {
+				admitted++
+				qu.Done(now, 30*time.Millisecond, true)
+			}
+			qu.Tick(now)
+		}
+		return admitted
+	}
+	surge := func() int {
+		calls = 0
+		offer(2 * time.Second)
+		calls = 36
+		return offer(300 * time.Millisecond)
+	}
+	first := surge()
+	now = now.Add(time.Hour)
+	if second := surge(); second > first {
+		t.Errorf("%d requests admitted at the begin of the second overload, want at most the %d of the first", second, first)
+	}
+}
+
+// Guards against requests that each compare all customers before the first level: with thousands of
+// them, that takes longer than the requests themselves. The memory that it takes is counted.
+func TestProvisionalLimitAmongManyCustomers(t *testing.T) {
+	const customers, requests, mostBytes = 2000, 1000, 4096
+	calls := 0
+	qu := newQueue(100)
+	qu.PoolCalls = func() int { return calls }
+	now := epoch
+	offer := func(cu int) {
+		now = now.Add(100 * time.Microsecond)
+		if de := qu.Offer(now, offerAt(now, demand.CustomerHash(cu), 0)); de.Admitted {
+			qu.Done(now, 30*time.Millisecond, true)
+		}
+	}
+	for cu := range customers {
+		offer(cu)
+	}
+	calls = 36
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	for cu := range requests {
+		offer(cu)
+	}
+	runtime.ReadMemStats(&after)
+	if each := (after.TotalAlloc - before.TotalAlloc) / requests; each > mostBytes {
+		t.Errorf("%d bytes allocated per request, want at most %d", each, mostBytes)
+	}
+}
--- a/io/relay/stream.go
+++ b/io/relay/stream.go
@@ -37,11 +37,12 @@
 	pending := make([]byte, 0, minRead)
 	ex.rq.stream.attach(ex)
 	defer ex.rq.stream.detach()
+	// Not set at each read: an event may arrive in parts.
+	waitingSince := time.Now()
 	for {
 		if len(pending) == cap(pending) {
 			pending = slices.Grow(pending, cap(pending))
 		}
-		waitingSince := time.Now()
 		count, err := ex.rs.Body.Read(pending[len(pending):cap(pending)])
 		filled := len(pending)+count == cap(pending)
 		if count > 0 {
@@ -55,6 +56,7 @@
 					return ex.forwardFailed(werr)
 				}
 				pending = pending[:copy(pending, pending[end:])]
+				waitingSince = time.Now()
 			}
 			if filled && cap(pending) < readSize {
 				pending = slices.Grow(pending, 2*cap(pending)-len(pending))
