io/relay: tests of migrations that end without a send, and of reads that fail

Cause: five deviations from the code passed its tests: a stream sent on although its source had neither stopped nor closed it, one that may not be repeated retried after its head, a target's call that is not released by a quarantine, a source that counts as crashed after it stopped on demand, and one that is removed and does not get its stream back. Change: three cases of TestMigration, TestQuarantineDuringMigration, and disconnects of the caller at any time of a migration.

--- a/io/relay/engines_test.go
+++ b/io/relay/engines_test.go
@@ -49,8 +49,10 @@
 	noHandle, lostHandle bool
 	// answersTwice sends the answer to the first copy twice, and that to the last one later.
 	answersTwice bool
-	// extra is what the source sends during the first copy, in addition to the events.
-	extra string
+	// extra is what the source sends during the first copy, in addition to the events. With garbles, it
+	// is not sent as a chunk.
+	extra   string
+	garbles bool
 	// crash cuts the stream after the first copy, staysOpen keeps it open after the stop. cutAt is the
 	// event at which the source cuts it, 0 if none.
 	crash, staysOpen bool
@@ -293,10 +295,13 @@
 		writeChunk(co, eventText(id, id))
 		en.mu.Lock()
 		en.produced = id
-		if en.sendExtra {
+		switch {
+		case en.sendExtra && en.garbles:
+			_, _ = io.WriteString(co, en.extra)
+		case en.sendExtra:
 			writeChunk(co, en.extra)
-			en.sendExtra = false
 		}
+		en.sendExtra = false
 		en.mu.Unlock()
 		select {
 		case <-time.After(en.pause):
--- a/io/relay/migrate_test.go
+++ b/io/relay/migrate_test.go
@@ -3,12 +3,14 @@
 import (
 	"cmp"
 	"context"
+	"fmt"
 	"io"
 	"slices"
 	"strings"
 	"testing"
 	"time"
 
+	"almondrill/core"
 	"almondrill/core/migr"
 	"almondrill/core/place"
 	"almondrill/core/route"
@@ -36,6 +38,9 @@
 		en.fl.re.Placer.Register(time.Now(), place.Endpoint{ID: "dead", Addr: "127.0.0.1:9", Pool: "pool", Zone: "a", Slots: 8})
 	}
 	reconfigure := func(en *engines) { en.fl.configurePool(movingResumable, route.Pool{ID: "pool", Engine: true}) }
+	removeSource := func(en *engines) { en.fl.re.Placer.Remove(core.EndpointID(fmt.Sprint("e", en.source))) }
+	twice := moving
+	twice.MaxAttempts = 2
 	short := moving
 	short.Timeout = time.Second
 	for name, ca := range map[string]struct {
@@ -80,7 +85,11 @@
 		"target repeats events":           {faults: faults{repeats: 2}, continued: atTarget, done: []bool{true}},
 		"target omits an event":           {faults: faults{skips: 1}, cut: true, continued: atTarget, done: []bool{false}},
 		"target omits, resumable":         {faults: faults{skips: 1}, route: movingResumable, executions: 2, continued: atTarget, done: []bool{false}},
-		"no other engine":                 {count: 1},
+		// The read fails though the source has neither stopped nor closed the stream.
+		"source breaks the framing":          {faults: faults{extra: "no chunk\r\n", garbles: true}, cut: true, done: []bool{false}},
+		"all refuse, two attempts":           {faults: faults{allRefuse: true}, route: twice, cut: true, done: []bool{false}},
+		"last copy: no room, source removed": {faults: faults{last: 503}, before: removeSource, continued: atSource, done: []bool{false}},
+		"no other engine":                    {count: 1},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
@@ -251,3 +260,51 @@
 		})
 	}
 }
+
+// A caller may disconnect at any time of a migration: no call, copy or run may be left over then.
+func TestCallerDisconnectsAtAnyTime(t *testing.T) {
+	for name, fa := range map[string]faults{
+		"no failure": {}, "no room": {last: 503}, "target refuses": {targetRefuses: true}, "all refuse": {allRefuse: true},
+		"answer lost": {last: lostAnswer}, "stays open": {staysOpen: true}, "target is silent": {silentTarget: true}, "target hangs": {hangTarget: true},
+	} {
+		for after := time.Duration(0); after < 2*planTime; after += planTime / 10 {
+			t.Run(name+" "+after.String(), func(t *testing.T) {
+				t.Parallel()
+				en, pl := newEngines(t, 2, 400, moving, fa)
+				ctx, cancel := context.WithCancel(t.Context())
+				rs, rd := en.fl.openStream(ctx)
+				_, _ = rd.ReadString('\n')
+				pl.arm()
+				time.Sleep(after)
+				cancel()
+				_ = rs.Body.Close()
+				waitFor(t, "all calls are released", func() bool { return len(en.fl.re.Placer.LoadReport()) == 0 })
+				en.checkEnd(t, pl, 1, int(en.fl.re.Stats.Migrations(stats.MigrationsBegun, migr.Slow)))
+			})
+		}
+	}
+}
+
+// planTime is how long the router takes at most to begin a migration that is due.
+const planTime = 50 * time.Millisecond
+
+// A request may be quarantined between the stop and the next send: what was taken over from the
+// migration must be released. That the source stopped on demand is no crash.
+func TestQuarantineDuringMigration(t *testing.T) {
+	en, pl := newEngines(t, 2, 60, moving, faults{})
+	cd := &fakeCrashDetector{allowed: 1}
+	en.fl.re.Crashes = cd
+	rs, rd := en.fl.openStream(t.Context())
+	defer rs.Body.Close()
+	_, _ = rd.ReadString('\n')
+	pl.arm()
+	if rest, err := io.ReadAll(rd); err == nil {
+		t.Errorf("got %q, want a cut", rest)
+	}
+	en.checkEnd(t, pl, 1, 1)
+	cd.mu.Lock()
+	defer cd.mu.Unlock()
+	if len(cd.interrupted) != 0 {
+		t.Errorf("%v counted as crashed", cd.interrupted)
+	}
+}
