io/relay: free a copy whose send was not answered

Cause: if the caller disconnected while the send that continues its stream was unanswered, the copy was not freed, as the endpoint might have used it. An endpoint that refused it kept its memory and slot until the handle expired. Change: a copy that did not continue the stream is always freed. One that was used has no memory of its own any more, so that this has no effect.

--- a/io/relay/continuation.go
+++ b/io/relay/continuation.go
@@ -55,16 +55,14 @@
 // cancel releases what is held for a send that is not made.
 func (co *continuation) cancel(detail string) {
 	co.ticket.Done(time.Now(), place.Neutral)
-	co.fail(core.NotRun, detail)
+	co.fail(detail)
 }
 
-// fail records that the stream does not continue from the copy. The copy is freed unless the endpoint
-// may have used it.
-func (co *continuation) fail(ou core.Outcome, detail string) {
+// fail records that the stream does not continue from the copy, and frees it. An endpoint that did not
+// answer may have used it; then freeing it has no effect.
+func (co *continuation) fail(detail string) {
 	mi := co.migration
-	if ou == core.NotRun {
-		go mi.re.freeHandle(mi.requestID, mi.source, co.handle)
-	}
+	go mi.re.freeHandle(mi.requestID, mi.source, co.handle)
 	mi.finish(false, "Refused", detail)
 }
 
@@ -86,7 +84,7 @@
 		rq.continuation = sent
 		return true
 	}
-	sent.fail(rf.Outcome, rf.Detail)
+	sent.fail(rf.Detail)
 	return false
 }
 
