io/relay: a gap in the first events of a target fails the migration

Cause: if the target's first events, read at once, had a gap after a valid one, the migration counted as done before the error was returned. Change: events that leave a gap do not count as continued. Result: the case "target omits a later event" of TestMigration ended with a migration done before the change, and with a failed one after it. The stream is cut in both.

--- a/io/relay/engines_test.go
+++ b/io/relay/engines_test.go
@@ -60,6 +60,8 @@
 	// targetRefuses and allRefuse refuse handles. After an event of the continued stream, cutTarget cuts
 	// it, and hangTarget sends nothing more. silentTarget sends no event at all.
 	targetRefuses, allRefuse, cutTarget, hangTarget, silentTarget bool
+	// gap omits the second event of the continued stream, and sends the third together with the first.
+	gap bool
 	// repeats and skips are how many events the target repeats and omits.
 	repeats, skips int
 }
@@ -292,7 +294,11 @@
 			<-se.closed
 			return false
 		}
-		writeChunk(co, eventText(id, id))
+		text := eventText(id, id)
+		if en.gap && se.request.Header.Get(copies.From) != "" {
+			text += eventText(id+2, id+2)
+		}
+		writeChunk(co, text)
 		en.mu.Lock()
 		en.produced = id
 		switch {
--- a/io/relay/migrate_test.go
+++ b/io/relay/migrate_test.go
@@ -84,6 +84,7 @@
 		"first copy: answered twice":      {faults: faults{answersTwice: true, last: 409, noHandle: true}, total: 300, done: []bool{false}},
 		"target repeats events":           {faults: faults{repeats: 2}, continued: atTarget, done: []bool{true}},
 		"target omits an event":           {faults: faults{skips: 1}, cut: true, continued: atTarget, done: []bool{false}},
+		"target omits a later event":      {faults: faults{gap: true}, cut: true, continued: atTarget, done: []bool{false}},
 		"target omits, resumable":         {faults: faults{skips: 1}, route: movingResumable, executions: 2, continued: atTarget, done: []bool{false}},
 		// The read fails though the source has neither stopped nor closed the stream.
 		"source breaks the framing":          {faults: faults{extra: "no chunk\r\n", garbles: true}, cut: true, done: []bool{false}},
--- a/io/relay/stream.go
+++ b/io/relay/stream.go
@@ -128,9 +128,12 @@
 	if werr := rq.control.Flush(); werr != nil {
 		return werr
 	}
+	if err != nil {
+		return err
+	}
 	rq.continuation.accept()
 	rq.stream.record(now)
-	return err
+	return nil
 }
 
 // lastID returns the id of the last event that has one, "" if none has.
