--- a/io/relay/engines_test.go
+++ b/io/relay/engines_test.go
@@ -49,8 +49,10 @@
 	noHandle, lostHandle bool
 	// answersTwice sends the answer to the first copy twice, and that to the last one later.
 	answersTwice bool
-	// extra is what the source sends during the first copy, in addition to the events.
-	extra string
+	// extra is what the source sends during the first copy, in addition to the events. With garbles, it
+	// is not sent as a chunk.
+	extra   string
+	garbles bool
 	// crash cuts the stream after the first copy, staysOpen keeps it open after the stop. cutAt is the
 	// event at which the source cuts it, 0 if none.
 	crash, staysOpen bool
@@ -58,6 +60,8 @@
 	// targetRefuses and allRefuse refuse handles. After an event of the continued stream, cutTarget cuts
 	// it, and hangTarget sends nothing more. silentTarget sends no event at all.
 	targetRefuses, allRefuse, cutTarget, hangTarget, silentTarget bool
+	// gap omits the second event of the continued stream, and sends the third together with the first.
+	gap bool
 	// repeats and skips are how many events the target repeats and omits.
 	repeats, skips int
 }
@@ -291,13 +295,20 @@
 			<-se.closed
 			return false
 		}
-		writeChunk(co, eventText(id, id))
+		text := eventText(id, id)
+		if en.gap && se.request.Header.Get(copies.From) != "" {
+			text += eventText(id+2, id+2)
+		}
+		writeChunk(co, text)
 		en.mu.Lock()
 		en.produced = id
-		if en.sendExtra {
+		switch {
+		case en.sendExtra && en.garbles:
+			_, _ = io.WriteString(co, en.extra)
+		case en.sendExtra:
 			writeChunk(co, en.extra)
-			en.sendExtra = false
 		}
+		en.sendExtra = false
 		en.mu.Unlock()
 		select {
 		case <-time.After(en.pause):
