relay: a stopped stream returns to its source also without retry budget

If the target of a migration refused the stream, its return to the source needed a further unit of the retry budget. With the budget spent, a stream that may not be repeated was cut although its source kept the memory. The return is now counted without asking.

--- a/core/place/learned_test.go
+++ b/core/place/learned_test.go
@@ -32,14 +32,25 @@
 	for routers, chunked := range map[int]bool{12: true, 103: true, 420: false} {
 		t.Run(fmt.Sprint(routers), func(t *testing.T) {
 			t.Parallel()
-			without, with := newLearning(routers, false), newLearning(routers, true)
-			without.chunked, with.chunked = chunked, chunked
-			bothAtOnce(func() { playSlow(without, 1500) }, func() { playSlow(with, 1500) })
-			checkFewerLate(t, without, with)
+			checkUnreported(t, routers, chunked)
 		})
 	}
 }
 
+// The same for hundreds of routers where prompts are read in chunks that delay streams.
+func TestUnreportedSlowEnginesOfManyRouters(t *testing.T) {
+	t.Parallel()
+	checkUnreported(t, 420, true)
+}
+
+func checkUnreported(t *testing.T, routers int, chunked bool) {
+	t.Helper()
+	without, with := newLearning(routers, false), newLearning(routers, true)
+	without.chunked, with.chunked = chunked, chunked
+	bothAtOnce(func() { playSlow(without, 1500) }, func() { playSlow(with, 1500) })
+	checkFewerLate(t, without, with)
+}
+
 // known returns which fraction of the slow third of the engines the routers with odd numbers count
 // as slow, and how many others.
 func (un *uneven) known() (fraction float64, others int) {
--- a/core/retry/window.go
+++ b/core/retry/window.go
@@ -65,6 +65,14 @@
 	return true
 }
 
+// RecordExtra counts a further attempt that is made whether or not the bound allows it.
+func (wi *Window) RecordExtra(now time.Time, po core.PoolID) {
+	wi.mu.Lock()
+	defer wi.mu.Unlock()
+	co := wi.countsAt(now, po)
+	co.extra[co.step%(stepsPerSpan+1)]++
+}
+
 func (wi *Window) countsAt(now time.Time, po core.PoolID) *counts {
 	if wi.pools == nil {
 		wi.pools = map[core.PoolID]*counts{}
--- a/io/relay/continuation.go
+++ b/io/relay/continuation.go
@@ -78,7 +78,9 @@
 	if sent == nil || sent.accepted {
 		return false
 	}
-	if rf.Outcome == core.NotRun && sent.sourceKeeps && rq.re.Budget.TryExtra(time.Now(), rq.pool) {
+	if rf.Outcome == core.NotRun && sent.sourceKeeps {
+		// Also if the budget is spent: the stream was stopped and would be cut.
+		rq.re.Budget.RecordExtra(time.Now(), rq.pool)
 		sent.migration.detail = "target: " + rf.Detail
 		sent.returnToSource()
 		rq.continuation = sent
--- a/io/relay/migrate_test.go
+++ b/io/relay/migrate_test.go
@@ -39,6 +39,7 @@
 	}
 	reconfigure := func(en *engines) { en.fl.configurePool(movingResumable, route.Pool{ID: "pool", Engine: true}) }
 	removeSource := func(en *engines) { en.fl.re.Placer.Remove(core.EndpointID(fmt.Sprint("e", en.source))) }
+	spendBudget := func(en *engines) { en.fl.re.Budget.SetBound(0, 2.4) } // one further send, the migration's
 	twice := moving
 	twice.MaxAttempts = 2
 	short := moving
@@ -70,6 +71,7 @@
 		"source crashes":                  {faults: faults{crash: true}, continued: atTarget, done: []bool{true}},
 		"source keeps its stream open":    {faults: faults{staysOpen: true}, continued: atTarget, done: []bool{true}},
 		"target refuses":                  {faults: faults{targetRefuses: true}, continued: atSource, done: []bool{false}},
+		"target refuses, budget spent":    {faults: faults{targetRefuses: true}, before: spendBudget, continued: atSource, done: []bool{false}},
 		"target cannot be reached":        {count: 1, before: dead, continued: atSource, done: []bool{false}},
 		"all refuse":                      {faults: faults{allRefuse: true}, cut: true, done: []bool{false}},
 		"all refuse, resumable":           {faults: faults{allRefuse: true}, route: movingResumable, executions: 2, done: []bool{false}},
