relay: a spent retry budget is no failure of a migration's target

The retry budget was asked after the planner had reserved the target, which then counted as failed and was excluded for that stream though nothing was sent to it. The budget is now asked first, and the migration counts as one without a target, as docs/operate/overload.md says. TestNoMigration/budget fails before: a target was reserved.

--- a/io/relay/engines_test.go
+++ b/io/relay/engines_test.go
@@ -335,6 +335,8 @@
 	runs  map[uint64]migr.Run
 	armed bool
 	avoid map[core.EndpointID]bool
+	// reserved counts the targets that were reserved.
+	reserved int
 	// done lists the results of Done with a target.
 	done []bool
 }
@@ -370,6 +372,9 @@
 func (pl *planner) Reserve(_ time.Time, _ uint64, target core.EndpointID) bool {
 	pl.mu.Lock()
 	defer pl.mu.Unlock()
+	if !pl.avoid[target] {
+		pl.reserved++
+	}
 	return !pl.avoid[target]
 }
 
--- a/io/relay/migrate_test.go
+++ b/io/relay/migrate_test.go
@@ -237,6 +237,11 @@
 			if sends := len(en.fl.requests()); sends != 1 {
 				t.Errorf("%d requests reached engines, want 1", sends)
 			}
+			// A planner counts a target that was reserved and not used as failed.
+			if pl.mu.Lock(); pl.reserved > 0 {
+				t.Errorf("%d targets were reserved", pl.reserved)
+			}
+			pl.mu.Unlock()
 		})
 	}
 }
--- a/io/relay/migration.go
+++ b/io/relay/migration.go
@@ -104,12 +104,17 @@
 func (mi *migration) reserveTarget() bool {
 	re, pr := mi.re, &mi.placement
 	pr.Tried = append(append(pr.Tried, mi.source.ID), mi.planner.Excluded(time.Now(), mi.plan.Run.ID)...)
-	for range maxTargets {
+	for number := range maxTargets {
 		now := time.Now()
 		tk, rf := re.Placer.Pick(now, pr)
 		if rf != nil {
 			return false
 		}
+		// Before Reserve: a spent budget is no failure of the target.
+		if number == 0 && !re.Budget.TryExtra(now, pr.Pool) {
+			tk.Done(now, place.Neutral)
+			return false
+		}
 		if mi.planner.Reserve(now, mi.plan.Run.ID, tk.Endpoint.ID) {
 			mi.ticket = tk
 			break
@@ -117,14 +122,7 @@
 		tk.Done(now, place.Neutral)
 		pr.Tried = append(pr.Tried, tk.Endpoint.ID)
 	}
-	if mi.ticket == nil {
-		return false
-	}
-	if !re.Budget.TryExtra(time.Now(), pr.Pool) {
-		mi.ticket.Done(time.Now(), place.Neutral)
-		return false
-	}
-	return true
+	return mi.ticket != nil
 }
 
 // copyAndStop copies the stream's memory while the stream runs, then stops the stream and copies the
