relay: versions of software and callers' resumptions in logs

Callers saw streams that hold events from two software versions of one service (ORDER). The lines of 54 such streams explained three: no line said that a request resumes a stream, which attempt it names, or which version an endpoint runs, and the version was decoded and dropped.

Requests' lines and "Endpoint." have Software; "A caller resumes a stream." and the counter StreamsResumed record resumptions, with the attempt named in Resumes. No decision changes.

--- a/core/ids.go
+++ b/core/ids.go
@@ -11,6 +11,8 @@
 	CustomerID string
 	PoolID     string
 	EndpointID string
+	// SoftwareVersion is the version of an endpoint's software. Versions have no order.
+	SoftwareVersion string
 	// ChatID is the caller's name for a conversation, unique per customer.
 	ChatID string
 	// IdemKey is the caller's idempotency key, unique per customer.
--- a/core/place/place.go
+++ b/core/place/place.go
@@ -59,6 +59,7 @@
 	Addr        string
 	Pool        core.PoolID
 	Zone        core.Zone
+	Software    core.SoftwareVersion
 	// Slots is how many requests the endpoint runs concurrently.
 	Slots    int
 	Draining bool
--- a/io/entry/view.go
+++ b/io/entry/view.go
@@ -126,7 +126,7 @@
 	defer vi.mu.Unlock()
 	fields := []zap.Field{
 		zap.String("Endpoint", string(ep.ID)), zap.Uint64("Start", uint64(ep.Incarnation)), zap.String("Pool", string(ep.Pool)),
-		zap.String("Addr", ep.Addr), zap.Bool("Draining", ep.Draining), zap.Stringer("Rev", rev),
+		zap.String("Software", string(ep.Software)), zap.String("Addr", ep.Addr), zap.Bool("Draining", ep.Draining), zap.Stringer("Rev", rev),
 	}
 	if !vi.pr.placer.Register(time.Now(), ep) {
 		vi.log.Info("Ignored the registration of an earlier incarnation of an endpoint.", fields...)
--- a/io/relay/harness_test.go
+++ b/io/relay/harness_test.go
@@ -30,7 +30,7 @@
 // dialect uses its own header names, so that the tests do not depend on a platform's.
 var dialect = relay.Dialect{
 	RequestID: "X-Id", Deadline: "X-Wait", Key: "X-Key", Customer: "X-Customer", Expect: "X-Expect",
-	NotRun: "X-Not-Run", Stamp: "X-Stamp", Rank: "X-Rank", MaxRank: 9, Resume: "Last-Event-Id", Fetch: "X-Fetch",
+	NotRun: "X-Not-Run", Stamp: "X-Stamp", Rank: "X-Rank", MaxRank: 9, Resume: "Last-Event-Id", Resumes: "X-Resumes", Fetch: "X-Fetch",
 	RouterOnly: []string{"X-Key", "X-Customer", "X-Expect", "X-Rank", "X-Fetch", "X-Secret"},
 	Prompt:     func(http.Header) []place.Part { return nil },
 	Load:       func(http.Header) (relay.Load, bool) { return relay.Load{}, false },
--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -70,6 +70,9 @@
 	MaxRank int
 	// Resume holds the id of the last event that the caller has received.
 	Resume string
+	// Resumes, in a request with Resume, holds the id of the caller's attempt that brought the stream's
+	// first event.
+	Resumes string
 	// Fetch names the endpoint to fetch the request's cached context from.
 	Fetch string
 	// RouterOnly are headers that only a router may set. They are removed from callers' requests.
@@ -224,6 +227,7 @@
 		rq.refuse(rf)
 		return
 	}
+	rq.noteResumption()
 	ctx, cancel := context.WithDeadline(hr.Context(), rq.deadline)
 	defer cancel()
 	defer rq.watchLongRunning()()
--- a/io/relay/request.go
+++ b/io/relay/request.go
@@ -316,7 +316,7 @@
 }
 
 // maxLogFields is more than the number of fields of any line.
-const maxLogFields = 40
+const maxLogFields = 44
 
 // logFields returns the fields that identify the request and explain the choice of its endpoint.
 func (rq *request) logFields(more ...zap.Field) []zap.Field {
@@ -331,6 +331,9 @@
 	if rq.fingerprint != (core.Fingerprint{}) {
 		fields = append(fields, zap.Stringer("Fingerprint", rq.fingerprint))
 	}
+	if after := rq.resumedAfter(); after != "" {
+		fields = append(fields, zap.String("Resumes", rq.resumes()), zap.String("After", after))
+	}
 	if rq.sends > 0 {
 		fields = append(fields, zap.Int("Sends", rq.sends), zap.Bool("Asked", rq.countAsked))
 	}
@@ -339,7 +342,7 @@
 		fields = append(fields, zap.Bool("EndpointLeaves", rq.notice.Draining), zap.Int64("BackoffMs", rq.notice.Backoff.Milliseconds()))
 	}
 	if tk := rq.ticket; tk != nil {
-		fields = append(fields, zap.String("Endpoint", string(tk.Endpoint.ID)), zap.Float64("CostMs", math.Round(tk.CostMs)),
+		fields = append(fields, zap.String("Endpoint", string(tk.Endpoint.ID)), zap.String("Software", string(tk.Endpoint.Software)), zap.Float64("CostMs", math.Round(tk.CostMs)),
 			zap.Int("Calls", tk.OwnCalls), zap.Int("Others", tk.PeerCalls), zap.Int("Said", tk.ReportedCalls), zap.Float64("Mean", math.Round(10*tk.MeanCalls)/10),
 			zap.Int("Usable", tk.Usable), zap.Int("Full", tk.Full), zap.Int("BackingOff", tk.BackingOff), zap.Int("ColdFull", tk.ColdFull), zap.Int("Of", tk.PoolSize), zap.Bool("Cold", tk.Cold),
 			zap.Float64("Speed", math.Round(100*tk.Slowness)/100), zap.Bool("SpeedLearned", tk.SlownessLearned), zap.Duration("ExpectedFirst", tk.ExpectedFirst))
--- a/io/stats/stats.go
+++ b/io/stats/stats.go
@@ -91,6 +91,8 @@
 	// those that got it.
 	MemoryWaiting = "MemoryWaiting"
 	MemoryWaited  = "MemoryWaited"
+	// StreamsResumed counts requests that continue a stream of an earlier attempt of the caller.
+	StreamsResumed = "StreamsResumed"
 )
 
 // Names of the counters of migrations, which have one counter for each reason.
