place, relay: a router continues a stream at its software version only

Callers saw streams with events from two software versions of one service (ORDER); the record has a second attempt of a router from v1.2 to v1.

Cause: an attempt that continues a stream is placed as if it were new. The version of an endpoint was decoded and dropped, and Pick weighs all endpoints of the pool for a second attempt after a break, for the one reserved by a stall and for the target of a migration.

A call now carries the build (pool and software version) at which its stream began, once the first event is forwarded, and only endpoints of that build are usable. The load cap and the means stay those of the pool. A ticket reserved before the first event is dropped if its build differs, and BeforeSend stops a call whose endpoint registered another version since the choice. Where no endpoint of the build is left, the reason is VersionGone: the answer is cut at once, without Retry-After. Of endpoints that fail all calls, those of the build are compared with each other, or a stream would be refused for the sake of endpoints that it must not use.

Callers' own tries are not covered.

--- a/core/ids.go
+++ b/core/ids.go
@@ -27,6 +27,8 @@
 	Incarnation uint64
 	// Revision numbers accepted configurations, starting with 1; 0 means none.
 	Revision uint64
+	// Build identifies a software version of a pool's endpoints to all routers; 0 means unknown.
+	Build uint32
 	// Fence is the fencing number of a lease; a later holder has a higher one.
 	Fence uint64
 	// LeaseID identifies a lease granted by the KV; 0 means no lease.
--- a/core/outcome.go
+++ b/core/outcome.go
@@ -67,6 +67,7 @@
 	ReasonMemory        Reason = "Memory"        // the router is at its memory limit for bodies and answers
 	ReasonMemoryFull    Reason = "MemoryFull"    // no engine of the pool has memory for the request
 	ReasonBackoff       Reason = "Backoff"       // the endpoint asked for a pause in requests
+	ReasonVersionGone   Reason = "VersionGone"   // no endpoint of the stream's software version is left
 	ReasonReloading     Reason = "Reloading"     // the engine is loading another model or version
 	ReasonOldFence      Reason = "OldFence"      // the order came from a former holder of the lease
 	ReasonOrderBusy     Reason = "OrderBusy"     // another order is in progress at the endpoint
@@ -81,7 +82,7 @@
 	ReasonDeadline, ReasonCallerGone, ReasonKVDown, ReasonClaimLost, ReasonKeyReused, ReasonAnswerGone,
 	ReasonUnreachable, ReasonPeerLost, ReasonEndpointDown, ReasonEndpointError, ReasonCrashed,
 	ReasonCutShort, ReasonCrossed, ReasonStalled, ReasonRetryBudget, ReasonQuarantined,
-	ReasonEvacuated, ReasonNoHome, ReasonColdLimit, ReasonBackoff, ReasonMemory, ReasonMemoryFull, ReasonReloading, ReasonOldFence, ReasonOrderBusy, ReasonWeightsBusy,
+	ReasonEvacuated, ReasonNoHome, ReasonColdLimit, ReasonBackoff, ReasonMemory, ReasonMemoryFull, ReasonVersionGone, ReasonReloading, ReasonOldFence, ReasonOrderBusy, ReasonWeightsBusy,
 }
 
 // Refusal is the error of an attempt whose Outcome is not Whole.
--- a/core/place/choice.go
+++ b/core/place/choice.go
@@ -203,7 +203,7 @@
 		pl: pl, st: st, Endpoint: st.Endpoint, Started: ch.now, CostMs: cost,
 		OwnCalls: st.ownCalls, PeerCalls: st.scratch.peerCalls, MeanCalls: ch.meanCalls, Usable: ch.usableCount, Full: ch.fullCount, BackingOff: ch.backingOffCount, ColdFull: ch.coldFullCount, PoolSize: ch.openCount,
 		PromptTokens: promptTokens(rq.Parts), UncachedTokens: prefill, AtHome: ch.homes.count > 0 && st == ch.homes.list[0], prefill: prefill,
-		Hash: st.hash, ReportedCalls: -1,
+		Hash: st.hash, Build: st.build, ReportedCalls: -1,
 	}
 	if from := ch.fetchSource(st); from != nil {
 		tk.FetchFrom = from.Addr
--- a/core/place/place.go
+++ b/core/place/place.go
@@ -26,6 +26,8 @@
 //     incarnation applies to it.
 //   - Own calls are counted from Pick to Done, so that many requests that arrive between two
 //     messages of the peers do not all see the same free slots.
+//   - A stream continues only at an endpoint of the build at which it began, and a call is not sent to
+//     an endpoint whose build changed after the choice.
 //   - An endpoint that asked for no requests gets none for the time that it named.
 //   - An endpoint that failed is avoided only while others of its pool do better: if all look bad,
 //     the view itself is suspect and all stay in use.
@@ -119,6 +121,9 @@
 	// of the response engines have produced before this call.
 	MigrateFrom core.EndpointID
 	Produced    core.Tokens
+	// Build is the build at which the request's stream began, if endpoints have produced events of it
+	// already. Only endpoints of the same build are picked then.
+	Build core.Build
 }
 
 // Result is the outcome of a placed call, as far as it concerns the endpoint.
@@ -226,7 +231,7 @@
 	st.markChanged()
 	st.sameZone, st.evacuated = ep.Zone == pl.Zone, pl.evacuations[ep.Zone]
 	ep.Draining = ep.Draining || st.Draining || drained
-	st.Endpoint = ep
+	st.Endpoint, st.build = ep, BuildOf(ep.Pool, ep.Software)
 	st.noteDraining(now)
 	st.missing = false
 	pl.addToPool(st)
--- a/core/place/pool_stats.go
+++ b/core/place/pool_stats.go
@@ -80,6 +80,9 @@
 	if ch.noRoomCount > 0 {
 		ch.refuseForMemory(pl, re)
 	}
+	if ch.buildGone() {
+		ch.refuseForBuild(re)
+	}
 	return re
 }
 
@@ -190,13 +193,12 @@
 		ch.loadMsByCalls[calls] = ch.loadMs(float64(calls))
 	}
 	deadCount := 0
-	// If most endpoints fail, the cause is probably not in the endpoints.
-	skipFailing := ch.failAllCount > 0 && failAllRatio*float64(ch.failAllCount) <= float64(ch.openCount)
+	skipFailing := ch.skipsFailing()
 	li := ch.limits(pl)
 	retried := len(ch.rq.Tried) > 0 || ch.rq.MigrateFrom != ""
 	for _, st := range ch.members {
 		st.scratch.usable, st.scratch.weighed = false, false
-		if ch.closedTo(st) || retried && tried(ch.rq, st.ID) {
+		if ch.closedTo(st) || !ch.continuesAt(st) || retried && tried(ch.rq, st.ID) {
 			continue
 		}
 		if ch.backsOff(st) {
@@ -225,12 +227,25 @@
 		return
 	}
 	for _, st := range ch.members {
-		if !ch.closedTo(st) && !ch.now.Before(st.backoffUntil) && st.scratch.looksDead && !tried(ch.rq, st.ID) && li.hasCapacity(ch.now, st) && ch.withinColdLimit(pl, st) {
+		if !ch.closedTo(st) && ch.continuesAt(st) && !ch.now.Before(st.backoffUntil) && st.scratch.looksDead && !tried(ch.rq, st.ID) && li.hasCapacity(ch.now, st) && ch.withinColdLimit(pl, st) {
 			ch.addIfRoom(pl, st)
 		}
 	}
 }
 
+// skipsFailing reports whether endpoints that fail all calls are skipped. If most endpoints fail, the
+// cause is probably not in the endpoints.
+func (ch *choice) skipsFailing() bool {
+	if ch.failAllCount == 0 {
+		return false
+	}
+	open, failAll := ch.openCount, ch.failAllCount
+	if ch.rq.Build != 0 {
+		open, failAll = ch.countOfBuild()
+	}
+	return failAll > 0 && failAllRatio*float64(failAll) <= float64(open)
+}
+
 // withinColdLimit reports whether the endpoint is warm, or may get one more request although it is
 // cold.
 func (ch *choice) withinColdLimit(pl *Placer, st *state) bool {
--- a/core/place/state.go
+++ b/core/place/state.go
@@ -48,6 +48,7 @@
 	pauses pauses
 	Endpoint
 
+	build core.Build
 	// hash is that of the ID and incarnation. It names the endpoint to peers, so that their reports
 	// about an earlier incarnation are not applied to this one.
 	hash    uint64
--- a/core/place/ticket.go
+++ b/core/place/ticket.go
@@ -41,6 +41,8 @@
 	// endpoint reported in its response, this one included; -1 if it reported none.
 	Hash          uint64
 	ReportedCalls int
+	// Build is the endpoint's build at the choice.
+	Build core.Build
 	// Slowness is the factor by which the endpoint was assumed to be slower than usual, and
 	// ExpectedFirst the expected time until the first token; 0 if none is known.
 	Slowness      float64
@@ -72,7 +74,7 @@
 
 // BeforeSend must be called immediately before the call is sent. It returns "", or the reason why
 // the call must not be sent: after it was chosen, the endpoint was closed to new calls, asked for
-// none for a time, or became cold.
+// none for a time, became cold, or registered another build.
 func (tk *Ticket) BeforeSend(now time.Time) core.Reason {
 	tk.pl.mu.Lock()
 	defer tk.pl.mu.Unlock()
@@ -80,7 +82,7 @@
 	switch {
 	case st.evacuated.complete(now):
 		return core.ReasonEvacuated
-	case st.Draining || st.removed:
+	case st.Draining || st.removed || st.build != tk.Build:
 		return core.ReasonDraining
 	case now.Before(st.backoffUntil):
 		return core.ReasonBackoff
--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -17,6 +17,7 @@
 //   - When the caller disconnects, the endpoint's connection is closed at once.
 //   - A stream continues at another engine only after the first one has answered that it stopped, or
 //     has closed the stream. One that may not be repeated then only continues from a copy of its memory.
+//   - A stream continues only at the build at which it began.
 //   - A request that is admitted by its pool's queue releases its place exactly once.
 //
 // # Usage
--- a/io/relay/request.go
+++ b/io/relay/request.go
@@ -63,6 +63,9 @@
 	lastEvent  string
 	lastWrite  time.Time
 	longestGap time.Duration
+	// build is the core.Build at which the stream began, 0 before its first event. A stall timer may
+	// read it while events are forwarded.
+	build atomic.Uint32
 	// output is the expected length of the stream, and what was seen of it.
 	output output
 	// memoryWait is the request's wait for memory of an engine, nil if it did not wait.
@@ -154,6 +157,9 @@
 		rq.ticket = rq.continuation.ticket
 		return nil
 	}
+	if tk, build := rq.reservedTicket, rq.streamBuild(); tk != nil && build != 0 && tk.Build != build {
+		rq.releaseReserved() // reserved before the first event arrived
+	}
 	if rq.reservedTicket != nil {
 		rq.ticket, rq.reservedTicket = rq.reservedTicket, nil
 		return nil
@@ -222,7 +228,7 @@
 
 // placementRequest returns the criteria for choosing an endpoint.
 func (rq *request) placementRequest() *place.Request {
-	pr := &place.Request{Pool: rq.pool, Parts: rq.promptParts, Tried: rq.tried, Route: rq.route.Name, Deadline: rq.deadline, GapGoal: rq.route.GapGoal}
+	pr := &place.Request{Pool: rq.pool, Parts: rq.promptParts, Tried: rq.tried, Route: rq.route.Name, Deadline: rq.deadline, GapGoal: rq.route.GapGoal, Build: rq.streamBuild()}
 	if rq.route.FirstByteGoal > 0 {
 		pr.GoalAt = rq.began.Add(rq.route.FirstByteGoal)
 	}
--- a/io/relay/response.go
+++ b/io/relay/response.go
@@ -92,7 +92,7 @@
 
 // retryAfter returns the Retry-After value in seconds, with jitter, so that callers that were
 // refused at the same time do not retry at the same time. A reserved time has no jitter; where none
-// could be reserved before the caller's deadline, it returns "".
+// could be reserved before the caller's deadline, or a retry cannot succeed, it returns "".
 func (rq *request) retryAfter(rf *core.Refusal) string {
 	if rq.exactRetry {
 		if rf.RetryAfter == 0 {
@@ -100,6 +100,9 @@
 		}
 		return strconv.FormatFloat(rf.RetryAfter.Seconds(), 'f', 3, 64)
 	}
+	if rf.Reason == core.ReasonVersionGone {
+		return "" // the stream cannot be continued later either
+	}
 	const maxSpread = 1.4
 	minSpread := 0.6
 	if rf.Reason == core.ReasonQuarantined || rf.Reason == core.ReasonBackoff {
--- a/io/relay/resume.go
+++ b/io/relay/resume.go
@@ -3,6 +3,7 @@
 import (
 	"go.uber.org/zap"
 
+	"almondrill/core"
 	"almondrill/core/route"
 	"almondrill/io/stats"
 )
@@ -25,6 +26,9 @@
 	return rq.hr.Header.Get(rq.re.Dialect.Resumes)
 }
 
+// streamBuild returns the build at which the request's stream began, 0 before its first event.
+func (rq *request) streamBuild() core.Build { return core.Build(rq.build.Load()) }
+
 // noteResumption records a request that continues a stream.
 func (rq *request) noteResumption() {
 	after := rq.resumedAfter()
--- a/io/relay/runstream.go
+++ b/io/relay/runstream.go
@@ -97,7 +97,7 @@
 	placement := *ru.rq.placementRequest()
 	placement.Tried = slices.Clone(placement.Tried)
 	placement.HealthyOnly, placement.WarmOnly = true, true
-	placement.MigrateFrom = ex.tk.Endpoint.ID
+	placement.MigrateFrom, placement.Build = ex.tk.Endpoint.ID, ex.tk.Build
 	ru.mu.Lock()
 	defer ru.mu.Unlock()
 	ru.ex, ru.placement = ex, placement
--- a/io/stats/docs.go
+++ b/io/stats/docs.go
@@ -121,6 +121,7 @@
 	{core.ReasonMemory, "bodies of other requests and responses used up the memory for buffering; the caller was refused and told to retry after a second", "see BytesHeld: many callers send or read slowly; add routers, or give VMs more memory"},
 	{core.ReasonBackoff, "the endpoint asked for no requests for a time; if all endpoints of a pool did, the caller was refused and told when the first accepts requests again", "check the endpoint if this lasts: it refuses requests"},
 	{core.ReasonMemoryFull, "no engine of the pool has memory for the request's prompt and expected response; it waited for at most a quarter of its first-byte goal", "add engines, or check `OutputErrorP90`: if it is high, responses are expected to be longer than they are"},
+	{core.ReasonVersionGone, "no other endpoint of the software version that began the request's stream is left, so that it cannot continue; its caller has to send the request anew", "during a release, keep two endpoints of the old version until its streams have ended"},
 	{core.ReasonReloading, "the engine is loading another model or version; the router tried elsewhere", "nothing during a rollout of a version; rolling-versions.md"},
 	{core.ReasonOldFence, "an order from a previous holder of the lease was refused", "nothing: the fencing worked"},
 	{core.ReasonOrderBusy, "another order is in progress at the engine; this one is sent again", "nothing"},
