relay, gossip: callers' resumptions continue at the stream's software version

Cause: an attempt that continues a stream is placed as if it were new, and the build at which it began was known to nobody but the endpoint.

Routers now keep the builds that have served each pool (core/builds). While a pool has had one build for a minute, a resumed stream began there, and nothing is sent. Otherwise the build of each resumable stream is recorded before its first event goes out, here and at two peers by rendezvous hashing of the attempt's id, three in a fleet of up to 16 routers; streams in progress are shared once a second build registers. A resumption asks six peers, for 100 ms at most, goes to the stream's build and pool, or is refused as not run: VersionGone, without Retry-After, or VersionUnknown. A router that has just started or is cut off asks peers whether they have seen other builds.

It holds since nothing is guessed: a lost record costs a refusal, and no stream continues at a build that is not on record or the only one.

--- /dev/null
+++ b/core/builds/builds_test.go
@@ -0,0 +1,117 @@
+package builds_test
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"almondrill/core"
+	"almondrill/core/builds"
+)
+
+var begin = time.Unix(1_700_000_000, 0)
+
+// Guards against a stream of a build that has just left being taken for one of the only build left.
+func TestBuildCountsAfterItsLastEndpointLeft(t *testing.T) {
+	hi := &builds.History{}
+	hi.Register(begin, "e1", "pool", "v1")
+	hi.Register(begin, "e2", "pool", "v2")
+	hi.Register(begin, "e3", "other", "v1")
+	v1, v2 := builds.Of("pool", "v1"), builds.Of("pool", "v2")
+	if !hi.Others(begin, v1) || hi.Others(begin, builds.Of("other", "v1")) {
+		t.Error("the pool has two builds, the other pool has one")
+	}
+	left := begin.Add(time.Second)
+	hi.Remove(left, "e1")
+	if got := hi.Recent(left.Add(builds.Retention-1), "pool"); len(got) != 2 {
+		t.Errorf("%d builds before the end of the retention, want 2", len(got))
+	}
+	if got := hi.Recent(left.Add(builds.Retention), "pool"); len(got) != 1 || got[0] != v2 {
+		t.Errorf("%x afterwards, want %x", got, v2)
+	}
+	if got := hi.Recent(begin, "pool", "other"); len(got) != 3 {
+		t.Errorf("%d builds of two pools, want 3", len(got))
+	}
+}
+
+// Guards against an endpoint that restarts at another version and keeps its former build alive.
+func TestEndpointChangesItsBuild(t *testing.T) {
+	hi := &builds.History{}
+	hi.Register(begin, "e1", "pool", "v1")
+	hi.Register(begin.Add(time.Second), "e1", "pool", "v2")
+	if !hi.Others(begin.Add(time.Second), builds.Of("pool", "v2")) || hi.Others(begin.Add(time.Second+builds.Retention), builds.Of("pool", "v2")) {
+		t.Error("the former build counts for the retention")
+	}
+}
+
+// Guards against a history that is taken for complete right after the start.
+func TestHistoryOfANewRouterIsIncomplete(t *testing.T) {
+	hi := &builds.History{}
+	if hi.Complete(begin) {
+		t.Error("complete without an endpoint")
+	}
+	hi.Register(begin, "e1", "pool", "v1")
+	if hi.Complete(begin.Add(builds.Retention-1)) || !hi.Complete(begin.Add(builds.Retention)) {
+		t.Error("complete before the retention is over, or not afterwards")
+	}
+}
+
+// Guards against a memory that grows with the number of streams, and against records that outlive their
+// time.
+func TestOriginsAreBounded(t *testing.T) {
+	or := &builds.Origins{}
+	for stream := range core.StreamKey(builds.MaxOrigins + 1) {
+		or.Put(begin, stream, 7, time.Second)
+	}
+	if build, _ := or.Get(begin, 0); build != 0 {
+		t.Error("the oldest stream is kept beyond the bound")
+	}
+	if build, left := or.Get(begin, builds.MaxOrigins); build != 7 || left != time.Second {
+		t.Errorf("the newest stream has build %d for %s", build, left)
+	}
+	if build, _ := or.Get(begin.Add(time.Second), builds.MaxOrigins); build != 0 {
+		t.Error("a stream is kept beyond its time")
+	}
+}
+
+// Guards against streams in progress that no peer learns of once another build registers, and against
+// sending those that have ended.
+func TestUnsharedStreams(t *testing.T) {
+	or := &builds.Origins{}
+	for stream, build := range map[core.StreamKey]core.Build{1: 7, 2: 8, 3: 7} {
+		or.Put(begin, stream, build, time.Second)
+		or.Unshare(stream)
+	}
+	or.End(3)
+	ofSeven := func(build core.Build) bool { return build == 7 }
+	if got := or.Unshared(ofSeven); len(got) != 1 || got[0] != 1 {
+		t.Errorf("streams %d are to be shared, want 1", got)
+	}
+	if got := or.Unshared(ofSeven); len(got) != 0 {
+		t.Errorf("streams %d are to be shared twice", got)
+	}
+}
+
+// Guards against a stream that is found with a build other than the one recorded last, in any order of
+// records and times.
+func TestOriginsAgreeWithAMap(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		or, want := &builds.Origins{}, map[core.StreamKey]core.Build{}
+		until := map[core.StreamKey]time.Time{}
+		now := begin
+		for range rapid.IntRange(1, 200).Draw(rt, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 300).Draw(rt, "pause")) * time.Millisecond)
+			stream := core.StreamKey(rapid.IntRange(0, 20).Draw(rt, "stream"))
+			if rapid.Bool().Draw(rt, "put") {
+				ttl := time.Duration(rapid.IntRange(1, 3000).Draw(rt, "ttl")) * time.Millisecond
+				want[stream], until[stream] = core.Build(rapid.IntRange(1, 3).Draw(rt, "build")), now.Add(ttl)
+				or.Put(now, stream, want[stream], ttl)
+			}
+			got, _ := or.Get(now, stream)
+			if now.Before(until[stream]) && got != want[stream] || !now.Before(until[stream]) && got != 0 {
+				rt.Fatalf("stream %d has build %d, want %d", stream, got, want[stream])
+			}
+		}
+	})
+}
--- a/core/ids.go
+++ b/core/ids.go
@@ -29,6 +29,9 @@
 	Revision uint64
 	// Build identifies a software version of a pool's endpoints to all routers; 0 means unknown.
 	Build uint32
+	// StreamKey identifies a stream to all routers, by the hash of the id of the caller's attempt that
+	// brought its first event.
+	StreamKey uint64
 	// Fence is the fencing number of a lease; a later holder has a higher one.
 	Fence uint64
 	// LeaseID identifies a lease granted by the KV; 0 means no lease.
--- a/core/place/build.go
+++ b/core/place/build.go
@@ -4,19 +4,11 @@
 	"fmt"
 
 	"almondrill/core"
-	"almondrill/core/decl"
-	"almondrill/core/ring"
 )
 
 // Endpoints of several software versions may serve in one pool, and streams that one version began
 // cannot be continued by another. The versions have no order.
 
-// BuildOf returns the build of a pool's endpoints that run a version of their software.
-func BuildOf(pool core.PoolID, version core.SoftwareVersion) core.Build {
-	// 0 and the highest value mark an unknown build.
-	return 1 + core.Build(ring.Mix(decl.HashName(string(pool)), decl.HashName(string(version)))%(1<<32-2))
-}
-
 // continuesAt reports whether the request's stream, if it has begun, may continue at the endpoint.
 func (ch *choice) continuesAt(st *state) bool {
 	return ch.rq.Build == 0 || st.build == ch.rq.Build
--- a/core/place/place.go
+++ b/core/place/place.go
@@ -50,6 +50,7 @@
 	"time"
 
 	"almondrill/core"
+	"almondrill/core/builds"
 )
 
 // Endpoint is an endpoint as registered.
@@ -231,7 +232,7 @@
 	st.markChanged()
 	st.sameZone, st.evacuated = ep.Zone == pl.Zone, pl.evacuations[ep.Zone]
 	ep.Draining = ep.Draining || st.Draining || drained
-	st.Endpoint, st.build = ep, BuildOf(ep.Pool, ep.Software)
+	st.Endpoint, st.build = ep, builds.Of(ep.Pool, ep.Software)
 	st.noteDraining(now)
 	st.missing = false
 	pl.addToPool(st)
--- a/core/place/version_test.go
+++ b/core/place/version_test.go
@@ -4,6 +4,7 @@
 	"testing"
 
 	"almondrill/core"
+	"almondrill/core/builds"
 	"almondrill/core/place"
 )
 
@@ -19,7 +20,7 @@
 // resuming is a request whose stream began at the version.
 func resuming(version core.SoftwareVersion, parts []place.Part) *place.Request {
 	rq := newRequest(parts)
-	rq.Build = place.BuildOf(pool, version)
+	rq.Build = builds.Of(pool, version)
 	return rq
 }
 
--- a/core/platform.go
+++ b/core/platform.go
@@ -76,6 +76,21 @@
 	Grant(ctx context.Context, endpoint uint64, perSecond int) (granted bool, after time.Duration)
 }
 
+// StreamOrigins shares among routers at which builds streams began, so that each router that a caller
+// resumes a stream at can continue it there.
+type StreamOrigins interface {
+	// Begin records that a stream began at a build, for ttl. Peers learn of it while the build's pool has
+	// others, or at once if share is set.
+	Begin(stream StreamKey, build Build, ttl time.Duration, share bool)
+	// End records that a stream was forwarded completely.
+	End(stream StreamKey)
+	// Find returns the build at which a stream began, 0 if no router that answers knows.
+	Find(ctx context.Context, stream StreamKey) Build
+	// OthersSeen asks peers whether other builds than this one have served its pool recently. answered
+	// is false if no peer has answered.
+	OthersSeen(ctx context.Context, build Build) (seen, answered bool)
+}
+
 // VMState is a VM's state in the platform's list.
 type VMState uint8
 
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -35,6 +35,7 @@
 	"go.uber.org/zap"
 
 	"almondrill/core"
+	"almondrill/core/builds"
 	"almondrill/core/migr"
 	"almondrill/core/mirror"
 	"almondrill/core/place"
@@ -118,6 +119,7 @@
 	peers        *gossip.Group
 	crashes      *deny.Detector
 	view         *view
+	builds       builds.History
 	timeouts     callerTimeouts
 	shuttingDown atomic.Bool
 	app          atomic.Pointer[kratos.App]
@@ -177,7 +179,7 @@
 		Zone: se.Zone, Regions: se.Zones, Rand: pr.rand, CapFactor: se.CapFactor, RouterCount: pr.peers.Routers,
 		ColdLimits: place.ColdLimits{Overrun: se.ColdOverrun, Slack: se.ColdSlack},
 	}
-	pr.peers.Placer, pr.peers.InForce = pr.placer, pr.configVersion
+	pr.peers.Placer, pr.peers.InForce, pr.peers.Builds = pr.placer, pr.configVersion, &pr.builds
 	pr.budget = &retry.Window{Ratio: se.RetryRatio, Slack: se.RetrySlack, Span: se.RetrySpan, Routers: pr.peers.Routers}
 	pr.reader = &watch.Reader{Feed: pr.Platform, Mirror: pr.mirror, Rand: pr.rand, Log: pr.Logs.Part("feeds")}
 	pr.reader.Routers = pr.peers.Routers
@@ -190,7 +192,7 @@
 	}
 	pr.peers.Blamed, pr.peers.Reach = pr.crashes.ApplyNotice, pr.probe
 	pr.relay = &relay.Relay{
-		Dialect: pr.Platform.Dialect(), Self: se.Name, Placer: pr.placer, Counts: pr.peers, Grants: pr.peers, Crashes: pr.crashes, Budget: pr.budget, Conns: pr.pool,
+		Dialect: pr.Platform.Dialect(), Self: se.Name, Placer: pr.placer, Counts: pr.peers, Grants: pr.peers, Origins: pr.peers, Builds: &pr.builds, Crashes: pr.crashes, Budget: pr.budget, Conns: pr.pool,
 		Stats: pr.Stats, Latency: &pr.latency, Rand: pr.rand, Log: pr.Logs.Part("relay"),
 		ViewAge: pr.reader.Age, ShuttingDown: pr.shuttingDown.Load,
 		Routers: func() int { return 1 + pr.peers.Live() }, LevelOwner: pr.peers.DemandOwner,
--- a/io/entry/view.go
+++ b/io/entry/view.go
@@ -132,6 +132,7 @@
 		vi.log.Info("Ignored the registration of an earlier incarnation of an endpoint.", fields...)
 		return
 	}
+	vi.pr.builds.Register(time.Now(), ep.ID, ep.Pool, ep.Software)
 	delete(vi.missing, ep.ID)
 	delete(vi.unusable, ep.ID)
 	vi.suspectReappeared(ep)
@@ -287,6 +288,7 @@
 
 func (vi *view) remove(id core.EndpointID) {
 	vi.pr.placer.Remove(id)
+	vi.pr.builds.Remove(time.Now(), id)
 	if addr := vi.registered[id].addr; vi.byAddr[addr] == id {
 		delete(vi.byAddr, addr)
 	}
--- a/io/gossip/counts.go
+++ b/io/gossip/counts.go
@@ -12,6 +12,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"go.uber.org/zap"
 
+	"almondrill/core"
 	"almondrill/core/gauge"
 	"almondrill/core/place"
 	"almondrill/core/ring"
@@ -55,6 +56,11 @@
 	countDraining
 	// countReachable says that the owner can connect to the endpoint again.
 	countReachable
+	// countOrigin records the build Calls of the stream Endpoint for Ask ms. countOriginQuery asks for
+	// it, countOthersQuery whether the pool of the build Calls has others.
+	countOrigin
+	countOriginQuery
+	countOthersQuery
 )
 
 // countMessage queries or reports the calls of an endpoint, or a change of its state.
@@ -249,15 +255,20 @@
 
 // addPending registers a query, and returns its id and the channel for its reply.
 func (co *counts) addPending() (uint32, chan uint32) {
+	reply := make(chan uint32, 1)
+	return co.addPendingTo(reply), reply
+}
+
+// addPendingTo registers a query whose reply goes to a channel with room for it, and returns its id.
+func (co *counts) addPendingTo(reply chan uint32) uint32 {
 	co.mu.Lock()
 	defer co.mu.Unlock()
 	if co.pending == nil {
 		co.pending = map[uint32]chan uint32{}
 	}
 	co.lastQuery++
-	reply := make(chan uint32, 1)
 	co.pending[co.lastQuery] = reply
-	return co.lastQuery, reply
+	return co.lastQuery
 }
 
 func (co *counts) removePending(id uint32) {
@@ -288,6 +299,14 @@
 		gr.applyUnreachable(now, cm.Endpoint, from.String(), min(maxUnreachableTTL, time.Duration(cm.Calls)*time.Millisecond))
 	case countReachable:
 		gr.Placer.MarkReachable(cm.Endpoint)
+	case countOrigin:
+		gr.origins.Put(now, core.StreamKey(cm.Endpoint), core.Build(cm.Calls), time.Duration(min(maxAgeMs, cm.Ask))*time.Millisecond)
+	case countOriginQuery:
+		value := gr.handleOriginQuery(now, core.StreamKey(cm.Endpoint))
+		gr.sendCount(from, &countMessage{Kind: countReply, Endpoint: cm.Endpoint, Calls: value, Ask: cm.Ask})
+	case countOthersQuery:
+		value := gr.handleOthersQuery(now, core.Build(cm.Calls))
+		gr.sendCount(from, &countMessage{Kind: countReply, Endpoint: cm.Endpoint, Calls: value, Ask: cm.Ask})
 	case countDraining:
 		gr.handleDraining(cm.Endpoint, from.String())
 	case countGrantRequest:
@@ -307,21 +326,26 @@
 	}
 }
 
-func (gr *Group) sendCount(to net.Addr, cm *countMessage) { gr.sendOne(to, &message{Count: cm}) }
+// sendCount sends a message about an endpoint or a stream, and returns its size in bytes.
+func (gr *Group) sendCount(to net.Addr, cm *countMessage) int {
+	return gr.sendOne(to, &message{Count: cm})
+}
 
-// sendOne sends a message to one peer, at the expense of the byte budget of load reports.
-func (gr *Group) sendOne(to net.Addr, ms *message) {
+// sendOne sends a message to one peer, at the expense of the byte budget of load reports, and returns
+// its size in bytes.
+func (gr *Group) sendOne(to net.Addr, ms *message) int {
 	socket := gr.counts.socket.Load()
 	if socket == nil {
-		return // the process is starting or stopping
+		return 0 // the process is starting or stopping
 	}
 	data, err := cbor.Marshal(ms)
 	if err != nil {
 		gr.Log.Error("Encoding a message failed.", zap.Error(err))
-		return
+		return 0
 	}
 	gr.counts.sentBytes.Add(int64(len(data)))
 	if _, err = socket.WriteTo(data, to); err != nil {
 		gr.Log.Debug("Sending a message to a peer failed.", zap.String("Addr", to.String()), zap.Error(err))
 	}
+	return len(data)
 }
--- a/io/gossip/fuzz_test.go
+++ b/io/gossip/fuzz_test.go
@@ -6,6 +6,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"go.uber.org/zap"
 
+	"almondrill/core/builds"
 	"almondrill/core/mirror"
 	"almondrill/core/place"
 	"almondrill/io/clock"
@@ -40,7 +41,8 @@
 		fe := &fakeFeed{}
 		fe.Confirm(0)
 		gr := &gossip.Group{
-			Addr: "127.0.0.1:1", Mirror: &mirror.Mirror{}, Feed: fe, Rand: clock.NewRand(1), Log: zap.NewNop(),
+			Builds: &builds.History{},
+			Addr:   "127.0.0.1:1", Mirror: &mirror.Mirror{}, Feed: fe, Rand: clock.NewRand(1), Log: zap.NewNop(),
 			Placer: &place.Placer{Rand: clock.NewRand(1), RouterCount: func() int { return 1 }},
 		}
 		gr.HandleDatagram(data)
--- a/io/gossip/gossip.go
+++ b/io/gossip/gossip.go
@@ -35,6 +35,7 @@
 	"go.uber.org/zap"
 
 	"almondrill/core"
+	"almondrill/core/builds"
 	"almondrill/core/demand"
 	"almondrill/core/elect"
 	"almondrill/core/mirror"
@@ -172,18 +173,25 @@
 	Reach func(ctx context.Context, endpoint uint64) (reached, known bool)
 	// AskTimeout bounds the wait for the owner of an endpoint's count; queryTimeout if it is 0.
 	AskTimeout time.Duration
+	// Builds holds the builds that have served each pool.
+	Builds *builds.History
 	// Demand is this router's demand for pools; nil if it takes no part in dividing their capacity.
 	Demand Demand
 
 	wholeResponses atomic.Int32 // peers that are being sent all contents
 	responses      responseCache
 	counts         counts
-	demand         exchange
-	settled        atomic.Bool
-	mu             sync.Mutex // guards all below
-	members        map[string]*member
-	membership     swim.Table
-	watchers       elect.Table
+	origins        builds.Origins
+	// buildChanges is Builds.Changes when streams were last shared for it, toShare are those still to
+	// be shared. Only Run uses them.
+	buildChanges uint64
+	toShare      []core.StreamKey
+	demand       exchange
+	settled      atomic.Bool
+	mu           sync.Mutex // guards all below
+	members      map[string]*member
+	membership   swim.Table
+	watchers     elect.Table
 	// started is the first tick of Run, lastAdded when a member was last added, announced when the
 	// own address was first found in the store.
 	started, lastAdded, announced time.Time
@@ -321,6 +329,7 @@
 			gr.exchangeDemand(now)
 			gr.broadcast(pc, now, false)
 			gr.exchangePeers(pc, now)
+			gr.shareUnshared(now)
 			gr.fetchUpdates(ctx)
 		}
 	}
--- a/io/gossip/gossip_test.go
+++ b/io/gossip/gossip_test.go
@@ -13,6 +13,7 @@
 	"go.uber.org/zap"
 
 	"almondrill/core"
+	"almondrill/core/builds"
 	"almondrill/core/mirror"
 	"almondrill/core/place"
 	"almondrill/io/clock"
@@ -68,7 +69,8 @@
 	fe := &fakeFeed{}
 	fe.Confirm(0)
 	gr := &gossip.Group{
-		Self: core.VMID(fmt.Sprint("r", ix)), Mirror: &mirror.Mirror{}, Feed: fe, Rand: clock.NewRand(uint64(ix)), Log: zap.NewNop(),
+		Builds: &builds.History{},
+		Self:   core.VMID(fmt.Sprint("r", ix)), Mirror: &mirror.Mirror{}, Feed: fe, Rand: clock.NewRand(uint64(ix)), Log: zap.NewNop(),
 		Placer:     &place.Placer{Zone: "a", Rand: clock.NewRand(1), RouterCount: func() int { return 1 }},
 		AskTimeout: time.Second, // on a busy machine, a reply may take long
 	}
--- /dev/null
+++ b/io/gossip/origins.go
@@ -0,0 +1,174 @@
+package gossip
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"go.uber.org/zap"
+
+	"almondrill/core"
+	"almondrill/core/ring"
+)
+
+// The build at which a stream began is recorded at the router that forwards it and, while several
+// builds serve the pool, at some peers, its owners, by rendezvous hashing of the stream over the
+// routers that are alive. The records leave before the stream's first event does. A router that a
+// caller resumes the stream at asks the owners.
+//
+// A lost record costs a refused resumption; no stream continues at another build for it.
+
+const (
+	// A stream has originOwners owners, and originOwnersOfFew in a fleet of at most fewRouters, of which
+	// a fault may take most at once.
+	originOwners      = 2
+	originOwnersOfFew = 3
+	fewRouters        = 16
+	// originAsked is how many peers are asked for a stream: the owners, and those that were or will be
+	// owners where routers do not know the same peers.
+	originAsked = 6
+	// originTimeout bounds the wait for peers: some transit delays, and the scheduling delay on busy
+	// peers. Resumptions are rare, and the caller would have to send its request anew.
+	originTimeout = 100 * time.Millisecond
+	// maxSharedPerTick bounds the streams that are shared in a tick once another build registers.
+	maxSharedPerTick = 64
+)
+
+// Begin implements core.StreamOrigins.
+func (gr *Group) Begin(stream core.StreamKey, build core.Build, ttl time.Duration, share bool) {
+	gr.origins.Put(time.Now(), stream, build, ttl)
+	if !share {
+		gr.origins.Unshare(stream)
+		return
+	}
+	gr.shareOrigin(stream, build, ttl)
+}
+
+// End implements core.StreamOrigins.
+func (gr *Group) End(stream core.StreamKey) { gr.origins.End(stream) }
+
+// shareOrigin sends the build of a stream to its owners. In a large fleet the bytes count as those of
+// load reports, which come rarely there.
+func (gr *Group) shareOrigin(stream core.StreamKey, build core.Build, ttl time.Duration) {
+	count, all := originOwners, gr.counts.candidates.Load()
+	if all != nil && len(*all) <= fewRouters {
+		count = originOwnersOfFew
+	}
+	for _, to := range gr.originPeers(stream, count) {
+		cm := &countMessage{Kind: countOrigin, Endpoint: uint64(stream), Calls: uint32(build), Ask: uint32(min(maxAgeMs, ttl.Milliseconds()))}
+		sent := gr.sendCount(to.udpAddr, cm)
+		if count == originOwnersOfFew {
+			gr.counts.sentBytes.Add(-int64(sent))
+		}
+	}
+}
+
+// shareUnshared shares the streams in progress that began before another build of their pool
+// registered.
+func (gr *Group) shareUnshared(now time.Time) {
+	if changes := gr.Builds.Changes(); changes != gr.buildChanges {
+		gr.buildChanges = changes
+		others := func(build core.Build) bool { return gr.Builds.Others(now, build) }
+		gr.toShare = append(gr.toShare, gr.origins.Unshared(others)...)
+	}
+	count := min(maxSharedPerTick, len(gr.toShare))
+	for _, stream := range gr.toShare[:count] {
+		if build, left := gr.origins.Get(now, stream); build != 0 {
+			gr.shareOrigin(stream, build, left)
+		}
+	}
+	gr.toShare = gr.toShare[count:]
+}
+
+// originPeers returns the peers that come first for a stream, at most count.
+func (gr *Group) originPeers(stream core.StreamKey, count int) []candidate {
+	all := gr.counts.candidates.Load()
+	if all == nil {
+		return nil // the process has just started, and no peer is known
+	}
+	score := func(ca candidate) uint64 { return ring.Mix(ca.hash, uint64(stream)) }
+	best := make([]candidate, 0, count+1)
+	for _, ca := range *all {
+		if ca.udpAddr == nil || len(best) == count && score(ca) < score(best[count-1]) {
+			continue
+		}
+		at, _ := slices.BinarySearchFunc(best, ca, func(one, other candidate) int {
+			if score(one) > score(other) {
+				return -1
+			}
+			return 1
+		})
+		best = slices.Insert(best, at, ca)
+		best = best[:min(count, len(best))]
+	}
+	return best
+}
+
+// Find implements core.StreamOrigins.
+func (gr *Group) Find(ctx context.Context, stream core.StreamKey) core.Build {
+	if build, _ := gr.origins.Get(time.Now(), stream); build != 0 {
+		return build
+	}
+	value, _ := gr.askPeers(ctx, gr.originPeers(stream, originAsked), countMessage{Kind: countOriginQuery, Endpoint: uint64(stream)}, knownValue)
+	if !knownValue(value) {
+		return 0
+	}
+	return core.Build(value)
+}
+
+func knownValue(value uint32) bool { return value != unknownCalls }
+
+// OthersSeen implements core.StreamOrigins.
+func (gr *Group) OthersSeen(ctx context.Context, build core.Build) (seen, answered bool) {
+	const others = 1
+	value, answered := gr.askPeers(ctx, gr.originPeers(core.StreamKey(build), originAsked), countMessage{Kind: countOthersQuery, Calls: uint32(build)},
+		func(value uint32) bool { return value == others })
+	return answered && value == others, answered
+}
+
+// askPeers sends a query to peers and returns the first reply that decides, or else the last of those
+// that arrive in time; answered is false if there is none.
+func (gr *Group) askPeers(ctx context.Context, peers []candidate, cm countMessage, decides func(value uint32) bool) (value uint32, answered bool) {
+	ctx, cancel := context.WithTimeout(ctx, originTimeout)
+	defer cancel()
+	replies := make(chan uint32, len(peers))
+	for _, peer := range peers {
+		query := cm
+		id := gr.counts.addPendingTo(replies)
+		defer gr.counts.removePending(id)
+		query.Ask = id
+		gr.sendCount(peer.udpAddr, &query)
+	}
+	for range peers {
+		select {
+		case value = <-replies:
+			if answered = true; decides(value) {
+				return value, true
+			}
+		case <-ctx.Done():
+			gr.Log.Info("Peers did not answer in time at which build a stream began.", zap.Int("Asked", len(peers)))
+			return value, answered
+		}
+	}
+	return value, answered
+}
+
+// handleOriginQuery answers a query for the build of a stream.
+func (gr *Group) handleOriginQuery(now time.Time, stream core.StreamKey) uint32 {
+	if build, _ := gr.origins.Get(now, stream); build != 0 {
+		return uint32(build)
+	}
+	return unknownCalls
+}
+
+// handleOthersQuery answers whether other builds than this one have served its pool recently, as far as
+// this router has seen.
+func (gr *Group) handleOthersQuery(now time.Time, build core.Build) uint32 {
+	switch {
+	case gr.Builds.Others(now, build):
+		return 1
+	case gr.Builds.Complete(now):
+		return 0
+	}
+	return unknownCalls
+}
--- a/io/relay/harness_test.go
+++ b/io/relay/harness_test.go
@@ -192,15 +192,31 @@
 
 // configurePool is configure with a pool other than the default one.
 func (fl *fleet) configurePool(ro route.Route, po route.Pool) *fleet {
+	fl.t.Helper()
+	ro.Split = []route.PoolShare{{Pool: "pool", Weight: 1}}
+	return fl.configureRoute(ro, po)
+}
+
+// configureSplit is configure with a route that is split among pools.
+func (fl *fleet) configureSplit(ro route.Route, split []route.PoolShare) *fleet {
+	fl.t.Helper()
+	var pools []route.Pool
+	for _, sh := range split {
+		pools = append(pools, route.Pool{ID: sh.Pool})
+	}
+	ro.Split = split
+	return fl.configureRoute(ro, pools...)
+}
+
+func (fl *fleet) configureRoute(ro route.Route, pools ...route.Pool) *fleet {
 	fl.t.Helper()
 	ro.Name, ro.Host, ro.Prefix = "r", "127.0.0.1", "/r/"
 	if ro.Timeout == 0 {
 		ro.Timeout = 3 * time.Second
 	}
 	ro.MaxAttempts = max(1, ro.MaxAttempts)
-	ro.Split = []route.PoolShare{{Pool: "pool", Weight: 1}}
 	ta, err := route.Compile(&route.Document{
-		Version: 1, Routes: []route.Route{ro}, Pools: []route.Pool{po},
+		Version: 1, Routes: []route.Route{ro}, Pools: pools,
 		KeyRequired: true, Keys: map[string]core.CustomerID{"k": "herb"}, Limits: route.Limits{MaxBody: 1 << 20},
 	})
 	if err != nil {
--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -41,6 +41,7 @@
 	"go.uber.org/zap"
 
 	"almondrill/core"
+	"almondrill/core/builds"
 	"almondrill/core/demand"
 	"almondrill/core/outlen"
 	"almondrill/core/place"
@@ -150,6 +151,10 @@
 	Counts core.InFlightCounts
 	// Grants divides the rate limits of cold endpoints among routers; nil if this is the only one.
 	Grants core.RateLimiter
+	// Origins shares at which builds streams began, and Builds holds those that have served each pool;
+	// nil if endpoints run one version of their software.
+	Origins core.StreamOrigins
+	Builds  *builds.History
 	// Crashes learns how attempts end and quarantines requests that crash endpoints; nil if there
 	// is no crash detection.
 	Crashes core.CrashDetector
@@ -228,10 +233,13 @@
 		rq.refuse(rf)
 		return
 	}
-	rq.noteResumption()
 	ctx, cancel := context.WithDeadline(hr.Context(), rq.deadline)
 	defer cancel()
 	defer rq.watchLongRunning()()
+	if rf := rq.resume(ctx); rf != nil {
+		rq.finishFailed(rf)
+		return
+	}
 	rq.serve(ctx)
 }
 
--- a/io/relay/request.go
+++ b/io/relay/request.go
@@ -66,6 +66,8 @@
 	// build is the core.Build at which the stream began, 0 before its first event. A stall timer may
 	// read it while events are forwarded.
 	build atomic.Uint32
+	// originKey is the key under which the build is recorded, 0 if it is not.
+	originKey core.StreamKey
 	// output is the expected length of the stream, and what was seen of it.
 	output output
 	// memoryWait is the request's wait for memory of an engine, nil if it did not wait.
@@ -269,6 +271,9 @@
 // finishServed records a request whose response was forwarded completely.
 func (rq *request) finishServed() {
 	now := time.Now()
+	if rq.originKey != 0 {
+		rq.re.Origins.End(rq.originKey)
+	}
 	rq.re.Stats.CountOutcome(core.Whole)
 	rq.re.Latency.Record(stats.AnswerMs, now.Sub(rq.began))
 	rq.re.Latency.Record(stats.FirstMs, rq.firstWrite.Sub(rq.began))
--- a/io/relay/response.go
+++ b/io/relay/response.go
@@ -100,7 +100,7 @@
 		}
 		return strconv.FormatFloat(rf.RetryAfter.Seconds(), 'f', 3, 64)
 	}
-	if rf.Reason == core.ReasonVersionGone {
+	if rf.Reason == core.ReasonVersionGone || rf.Reason == core.ReasonVersionUnknown && rq.resumes() == "" {
 		return "" // the stream cannot be continued later either
 	}
 	const maxSpread = 1.4
--- a/io/relay/resume.go
+++ b/io/relay/resume.go
@@ -1,6 +1,12 @@
 package relay
 
 import (
+	"context"
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
 
 	"almondrill/core"
@@ -8,6 +14,21 @@
 	"almondrill/io/stats"
 )
 
+// A caller whose stream broke off may resume it at any router, which has to continue it at the build that
+// began it. Where the pool has had one build only, that is the one. Otherwise it is the one on record
+// here or at peers, and without a record the request is refused.
+
+// originTTLFactor is how long the build of a stream is kept, in multiples of the longest time that the
+// caller or the route allows: one for the attempt that began the stream, and one for those that resume it.
+const originTTLFactor = 2
+
+// Bases of the decision at which build a stream continues.
+const (
+	basisOneBuild = "OneBuild" // its pools have no other
+	basisRecord   = "Record"   // it is on record
+	basisNone     = "None"     // it is unknown
+)
+
 // resumedAfter returns the id of the event after which the caller continues a stream of one of its
 // earlier attempts; "" if the request is a new one.
 func (rq *request) resumedAfter() string {
@@ -29,13 +50,100 @@
 // streamBuild returns the build at which the request's stream began, 0 before its first event.
 func (rq *request) streamBuild() core.Build { return core.Build(rq.build.Load()) }
 
-// noteResumption records a request that continues a stream.
-func (rq *request) noteResumption() {
+// streamKey identifies the stream of a caller's attempt.
+func (rq *request) streamKey(attempt string) core.StreamKey {
+	customer := ""
+	if rq.customer != nil {
+		customer = string(rq.customer.ID)
+	}
+	return core.StreamKey(xxhash.Sum64String(customer + "\x00" + attempt))
+}
+
+// resume decides at which build a stream continues that the caller resumes. It refuses the request if
+// none can be the right one.
+func (rq *request) resume(ctx context.Context) *core.Refusal {
 	after := rq.resumedAfter()
 	if after == "" {
-		return
+		return nil
 	}
 	rq.re.Stats.Add(stats.StreamsResumed, 1)
+	build, basis := rq.findBuild(ctx)
 	rq.re.Log.Info("A caller resumes a stream.", zap.String("Request", rq.id), zap.String("Resumes", rq.resumes()),
-		zap.String("After", after), zap.String("Route", rq.route.Name), zap.String("Pool", string(rq.pool)), zap.Duration("Age", rq.re.ViewAge()))
+		zap.String("After", after), zap.String("Route", rq.route.Name), zap.String("Build", fmt.Sprintf("%08x", uint32(build))),
+		zap.String("Basis", basis), zap.Duration("Took", time.Since(rq.began)), zap.Duration("Age", rq.re.ViewAge()))
+	switch {
+	case basis == basisNone:
+		rf := rq.notRun(core.ReasonVersionUnknown, "resume", "no router knows the software version that began the stream")
+		if rq.resumes() == "" {
+			rf.Detail = "the request does not name the attempt that began the stream in " + rq.re.Dialect.Resumes
+		}
+		return rf
+	case build == 0:
+		return nil
+	}
+	pool := rq.re.Builds.PoolOf(build)
+	if !slices.Contains(rq.pools(), pool) {
+		return rq.notRun(core.ReasonVersionGone, "resume", "the route has no endpoint of the software version that began the stream")
+	}
+	rq.pool = pool
+	rq.build.Store(uint32(build))
+	return nil
+}
+
+// pools returns the pools of the request's route.
+func (rq *request) pools() []core.PoolID {
+	var all []core.PoolID
+	for _, sh := range rq.route.Split {
+		all = append(all, sh.Pool)
+	}
+	return all
+}
+
+// findBuild returns the build at which the caller's stream began, and the basis; 0 with basisOneBuild if
+// any build will do.
+func (rq *request) findBuild(ctx context.Context) (core.Build, string) {
+	re := rq.re
+	if re.Origins == nil {
+		return 0, basisOneBuild
+	}
+	now := time.Now()
+	recent := re.Builds.Recent(now, rq.pools()...)
+	fresh := re.ViewAge() <= staleAfter
+	if len(recent) == 0 {
+		return 0, basisOneBuild // there is no endpoint either
+	}
+	if len(recent) == 1 && fresh && re.Builds.Complete(now) {
+		return recent[0], basisOneBuild
+	}
+	if named := rq.resumes(); named != "" {
+		if build := re.Origins.Find(ctx, rq.streamKey(named)); build != 0 {
+			return build, basisRecord
+		}
+	}
+	if len(recent) > 1 {
+		return 0, basisNone
+	}
+	// A router that has just started, or is cut off, may have missed other builds.
+	if seen, answered := re.Origins.OthersSeen(ctx, recent[0]); seen || !answered && !fresh {
+		return 0, basisNone
+	}
+	return recent[0], basisOneBuild
+}
+
+// beginStream records the build at which a resumable stream begins, before its first event is forwarded.
+func (rq *request) beginStream(build core.Build) {
+	rq.build.Store(uint32(build))
+	if rq.re.Origins == nil || !rq.route.Resumable {
+		return
+	}
+	attempt := rq.id
+	if rq.resumedAfter() != "" {
+		attempt = rq.resumes()
+	}
+	if attempt == "" {
+		return // the caller cannot name the stream
+	}
+	rq.originKey = rq.streamKey(attempt)
+	share := len(rq.re.Builds.Recent(time.Now(), rq.pools()...)) > 1
+	rq.re.Origins.Begin(rq.originKey, build, originTTLFactor*max(rq.budget, rq.route.Timeout), share)
 }
--- a/io/relay/resume_test.go
+++ b/io/relay/resume_test.go
@@ -1,12 +1,24 @@
 package relay_test
 
 import (
+	"context"
+	"fmt"
+	"io"
 	"net"
+	"net/http"
+	"strings"
+	"sync"
 	"testing"
+	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
 	"go.uber.org/zap/zaptest/observer"
 
+	"almondrill/core"
+	"almondrill/core/builds"
+	"almondrill/core/place"
+	"almondrill/core/route"
 	"almondrill/io/stats"
 )
 
@@ -31,3 +43,167 @@
 		t.Errorf("%d resumptions counted, want 1", got)
 	}
 }
+
+// fakeOrigins is the record of one router without peers.
+type fakeOrigins struct {
+	builds.Origins
+	mu sync.Mutex // guards all below
+	// begun counts the calls of Begin, shared those with share set; found counts the calls of Find.
+	begun, shared, found int
+	ttl                  time.Duration
+	// othersSeen and answered are the result of OthersSeen.
+	othersSeen, answered bool
+}
+
+func (fo *fakeOrigins) Begin(stream core.StreamKey, build core.Build, ttl time.Duration, share bool) {
+	fo.mu.Lock()
+	defer fo.mu.Unlock()
+	fo.begun++
+	fo.ttl = ttl
+	if share {
+		fo.shared++
+	}
+	fo.Put(time.Now(), stream, build, ttl)
+}
+
+func (fo *fakeOrigins) Find(_ context.Context, stream core.StreamKey) core.Build {
+	fo.mu.Lock()
+	defer fo.mu.Unlock()
+	fo.found++
+	build, _ := fo.Get(time.Now(), stream)
+	return build
+}
+
+func (fo *fakeOrigins) OthersSeen(context.Context, core.Build) (seen, answered bool) {
+	return fo.othersSeen, fo.answered
+}
+
+// withOrigins gives the router a record of streams and a history of the builds of its endpoints, which
+// began that long ago.
+func (fl *fleet) withOrigins(age time.Duration, versions ...core.SoftwareVersion) *fakeOrigins {
+	fo := &fakeOrigins{}
+	fl.re.Origins, fl.re.Builds = fo, &builds.History{}
+	fl.setSoftware(versions...)
+	for ix, version := range versions {
+		fl.re.Builds.Register(time.Now().Add(-age), core.EndpointID(fmt.Sprint("e", ix)), "pool", version)
+	}
+	return fo
+}
+
+// Guards against a stream that nobody can resume because its router dies right after its first event: the
+// build is on record before the event goes out. A pool of one build shares nothing.
+func TestOriginIsRecordedBeforeTheFirstEvent(t *testing.T) {
+	for _, versions := range [][]core.SoftwareVersion{{"v1", "v1"}, {"v1", "v2"}} {
+		hold := make(chan struct{})
+		holding := func(se *received, co net.Conn) bool {
+			writeEvents(se, co, 1, 1)
+			<-hold
+			endChunks(co)
+			return true
+		}
+		fl := newFleet(t, holding, holding).configure(resumable)
+		fo := fl.withOrigins(0, versions...)
+		rs, rd := fl.openStream(t.Context())
+		if line, err := rd.ReadString('\n'); err != nil || line != "id: 1\n" {
+			t.Fatalf("%q, %v", line, err)
+		}
+		fo.mu.Lock()
+		shared := 0
+		if versions[0] != versions[1] {
+			shared = 1
+		}
+		if fo.begun != 1 || fo.shared != shared || fo.ttl != 2*resumableTimeout {
+			t.Errorf("%v: recorded %d times for %s, shared %d times", versions, fo.begun, fo.ttl, fo.shared)
+		}
+		fo.mu.Unlock()
+		close(hold)
+		_ = rs.Body.Close()
+	}
+}
+
+// resumableTimeout is the timeout of a route that states none in these tests.
+const resumableTimeout = 3 * time.Second
+
+// Guards against a caller's try that continues a migrated stream at another version.
+func TestMigratedStreamResumesAtItsVersion(t *testing.T) {
+	versions := []core.SoftwareVersion{"v1", "v2", "v1", "v2"}
+	route := movingResumable
+	route.MaxAttempts = 1
+	en, pl := newEngines(t, len(versions), 60, route, faults{cutTarget: true})
+	en.fl.withOrigins(0, versions...)
+	rs, rd := en.fl.openStream(t.Context())
+	first, _ := rd.ReadString('\n')
+	pl.arm()
+	rest, err := io.ReadAll(rd)
+	_ = rs.Body.Close()
+	events := strings.Count(first+string(rest), "data:")
+	if err == nil || events >= en.total {
+		t.Fatalf("%d events, %v, want a cut", events, err)
+	}
+	again, body, err := en.fl.send("POST", "/r/x", "hello", "X-Resumes", "id-1", "Last-Event-Id", fmt.Sprint(events))
+	if err != nil || again.StatusCode != http.StatusOK || body != eventText(events+1, en.total) {
+		t.Errorf("%q, %v", body, err)
+	}
+	sends := en.fl.requests()
+	if last := sends[len(sends)-1].endpoint; versions[last] != versions[en.source] {
+		t.Errorf("the stream began at %s and continued at %s", versions[en.source], versions[last])
+	}
+}
+
+// Guards against guesses where a router cannot know: it has just started or is cut off, sees one build,
+// and peers may have seen others. With a history of its own, it asks nobody.
+func TestOneBuildIsCheckedWithPeers(t *testing.T) {
+	for name, ca := range map[string]struct {
+		age, viewAge         time.Duration
+		othersSeen, answered bool
+		status, asked        int
+	}{
+		"its history is complete":                   {age: builds.Retention, status: 200},
+		"started, no peer":                          {status: 200, asked: 1},
+		"started, peers saw one build":              {answered: true, status: 200, asked: 1},
+		"started, a peer saw another build":         {answered: true, othersSeen: true, status: 503, asked: 1},
+		"cut off, no peer":                          {age: builds.Retention, viewAge: time.Minute, status: 503, asked: 1},
+		"cut off from the store, peers saw one":     {age: builds.Retention, viewAge: time.Minute, answered: true, status: 200, asked: 1},
+		"cut off from the store, a peer saw others": {age: builds.Retention, viewAge: time.Minute, answered: true, othersSeen: true, status: 503, asked: 1},
+	} {
+		fl := newFleet(t, breaksAfterThree).configure(resumable)
+		fo := fl.withOrigins(ca.age, "v1")
+		fo.othersSeen, fo.answered, fl.viewAge = ca.othersSeen, ca.answered, ca.viewAge
+		rs, body, err := fl.send("POST", "/r/x", "hello", "X-Resumes", "id-0", "Last-Event-Id", "3")
+		if err != nil || rs.StatusCode != ca.status || ca.status == 503 && !strings.Contains(body, string(core.ReasonVersionUnknown)) {
+			t.Errorf("%s: %d %q, %v", name, rs.StatusCode, body, err)
+		}
+		if fo.found != ca.asked {
+			t.Errorf("%s: the record was asked %d times, want %d", name, fo.found, ca.asked)
+		}
+	}
+}
+
+// Guards against a stream that is joined from two pools: a route that is split continues it in the pool
+// that began it, and refuses it where the route does not lead there any more.
+func TestResumptionStaysInItsPool(t *testing.T) {
+	fl := newFleet(t, breaksAfterThree, breaksAfterThree).configure(resumable)
+	fo := fl.withOrigins(0, "v1", "v1")
+	other := place.Endpoint{ID: "e1", Addr: fl.addrs[1], Pool: "other", Zone: "a", Slots: 8, Software: "v1"}
+	fl.re.Placer.Register(time.Now(), other)
+	fl.re.Builds.Register(time.Now(), other.ID, other.Pool, other.Software)
+	for pool, want := range map[core.PoolID]int{"pool": 0, "other": 1} {
+		fo.Put(time.Now(), core.StreamKey(xxhash.Sum64String("herb\x00from-"+string(pool))), builds.Of(pool, "v1"), time.Minute)
+		for _, split := range [][]route.PoolShare{{{Pool: "pool", Weight: 1}, {Pool: "other", Weight: 1}}, {{Pool: "pool", Weight: 1}}} {
+			fl.configureSplit(resumable, split)
+			for range 6 {
+				rs, body, err := fl.send("POST", "/r/x", "hello", "X-Resumes", "from-"+string(pool), "Last-Event-Id", "3")
+				if err != nil {
+					t.Fatal(err)
+				}
+				gone := len(split) == 1 && pool == "other"
+				if gone != strings.Contains(body, string(core.ReasonVersionGone)) || gone != (rs.StatusCode == 503) {
+					t.Errorf("from %s with %d pools: %d %q", pool, len(split), rs.StatusCode, body)
+				}
+				if sends := fl.requests(); !gone && sends[len(sends)-1].endpoint != want {
+					t.Errorf("from %s: continued at endpoint %d", pool, sends[len(sends)-1].endpoint)
+				}
+			}
+		}
+	}
+}
--- a/io/relay/stream.go
+++ b/io/relay/stream.go
@@ -116,7 +116,7 @@
 		return err
 	}
 	if !rq.headSent {
-		rq.build.Store(uint32(ex.tk.Build))
+		rq.beginStream(ex.tk.Build)
 		rq.writeHead(ex.rs.StatusCode, ex.rs.Header, -1)
 	}
 	if id := lastID(events); id != "" {
