--- a/core/place/pool_stats.go
+++ b/core/place/pool_stats.go
@@ -67,6 +67,9 @@
 	if ch.fullCount > 0 {
 		re.Reason = core.ReasonLoadCap
 		re.Detail = "all endpoints of the pool are at their limit"
+		if ch.rq.Build != 0 {
+			re.Detail = "all endpoints of the software version that began the stream are at their limit"
+		}
 		re.RetryAfter = ch.fullRetryAfter(pl)
 		re.Basis = fmt.Sprintf("%d calls, limit %.0f for this customer, %d slots; %d of %d endpoints full",
 			ch.poolCalls, ch.maxPoolCalls, ch.poolSlots, ch.fullCount, ch.openCount)
