--- a/core/builds/origins.go
+++ b/core/builds/origins.go
@@ -8,7 +8,7 @@
 	"almondrill/core"
 )
 
-// MaxOrigins bounds the streams of Origins, some 150 bytes each: at 60 new streams per second and
+// MaxOrigins bounds the streams of Origins, some 120 bytes each: at 60 new streams per second and
 // router, each recorded at three routers for 20 s, there are 3,600.
 const MaxOrigins = 16384
 
--- a/io/gossip/export_test.go
+++ b/io/gossip/export_test.go
@@ -1,9 +1,12 @@
 package gossip
 
 import (
+	"math"
 	"net"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
+
 	"almondrill/core"
 )
 
@@ -26,3 +29,9 @@
 func (gr *Group) HandleDatagram(data []byte) {
 	gr.handleDatagram(time.Now(), &net.UDPAddr{IP: net.IPv4(127, 0, 0, 2), Port: 1}, data)
 }
+
+// OriginSize returns the bytes of a message that records the build of a stream.
+func OriginSize() int {
+	data, _ := cbor.Marshal(&message{Count: &countMessage{Kind: countOrigin, Endpoint: math.MaxUint64, Calls: math.MaxUint32, Ask: 20_000}})
+	return len(data)
+}
--- a/io/gossip/origins_test.go
+++ b/io/gossip/origins_test.go
@@ -11,6 +11,7 @@
 	"almondrill/core"
 	"almondrill/core/builds"
 	"almondrill/io/fakes/local"
+	"almondrill/io/gossip"
 )
 
 const (
@@ -129,3 +130,13 @@
 		t.Error("answered though no peer is left")
 	}
 }
+
+// Guards against control traffic beyond the target's 5 KB/s for each router: at 420 routers and 25,000
+// streams a second, two owners each, no more than half of it records builds, even if every pool has
+// several.
+func TestOriginsFitTheControlBudget(t *testing.T) {
+	const routers, streams, owners, budget = 420.0, 25_000.0, 2.0, 5_000.0
+	if perSecond := streams / routers * owners * float64(gossip.OriginSize()); perSecond > budget/2 {
+		t.Errorf("%.0f bytes a second and router, %d each", perSecond, gossip.OriginSize())
+	}
+}
