--- a/core/trial/failure_test.go
+++ b/core/trial/failure_test.go
@@ -3,12 +3,15 @@
 import (
 	"context"
 	"fmt"
+	"strings"
 	"sync"
 	"testing"
 	"time"
 
 	"almondrill/core"
+	"almondrill/core/admit"
 	"almondrill/core/board"
+	"almondrill/core/loads"
 	"almondrill/io/fakes/inmem"
 	"almondrill/io/fakes/kvsrv"
 )
@@ -222,40 +225,59 @@
 func TestLoadCapHolds(t *testing.T) {
 	runHarness(t, 8, func(st *harness) {
 		stop, cancel := context.WithCancel(st.ctx)
-		worst := make(chan float64, 1)
+		worst := make(chan overCap, 1)
 		go func() { worst <- st.maxOverCap(stop) }()
 		st.runCallers(60, 20*time.Second)
 		cancel()
 		const oneCall = 30 + 25
-		if excess := <-worst; excess > 4*oneCall {
-			t.Errorf("an engine's load exceeded the cap by %.0f, more than four calls", excess)
+		if oc := <-worst; oc.excess > 4*oneCall {
+			t.Errorf("an engine's load exceeded the cap by %.0f, more than four calls: %s", oc.excess, oc.basis)
 		}
 		st.checkAudit("cap")
 	})
 }
 
+// overCap is an excess of a gate's load over the cap, and what the gate knew then.
+type overCap struct {
+	excess float64
+	basis  string
+}
+
 // maxOverCap returns the largest excess of a gate's load over the cap, which is the larger of FloorWork
 // and 1.25 times the true mean. It ignores moments when the mean falls: load that was within the cap
 // when it was admitted may exceed it when other engines finish first.
-func (st *harness) maxOverCap(ctx context.Context) float64 {
-	worst, last := 0.0, 0.0
+func (st *harness) maxOverCap(ctx context.Context) overCap {
+	worst, last := overCap{}, 0.0
 	for st.fl.Clock.Sleep(ctx, 5*time.Millisecond) == nil {
 		var sum, highest core.Work
+		var busiest *admit.Gate
 		live := st.fl.LiveAgents()
 		for _, me := range live {
-			load := me.Agent.Slots[0].Gate().Load()
+			gate := me.Agent.Slots[0].Gate()
+			load := gate.Load()
 			sum += load
-			highest = max(highest, load)
+			if busiest == nil || load > highest {
+				highest, busiest = load, gate
+			}
 		}
 		mean := float64(sum) / float64(len(live))
-		if mean >= last {
-			worst = max(worst, float64(highest)-max(500, 1.25*mean))
+		if excess := float64(highest) - max(500, 1.25*mean); mean >= last && excess > worst.excess {
+			worst = overCap{excess, fmt.Sprintf("load %d, mean %.0f, taken for %d from figures that are %s old", highest, mean, busiest.Loads.Mean(highest), ages(busiest.Loads))}
 		}
 		last = mean
 	}
 	return worst
 }
 
+// ages lists the ages of the peers' loads.
+func ages(ta *loads.Table) string {
+	var all []string
+	for _, en := range ta.Freshest(10) {
+		all = append(all, en.Age.Round(10*time.Millisecond).String())
+	}
+	return strings.Join(all, ", ")
+}
+
 // Agents join the pool and become the homes of existing chats. Returning chats must still find their
 // cached contexts, because the agents that hold them notify the new homes.
 func TestContextFoundAfterJoin(t *testing.T) {
