--- a/io/relay/version_test.go
+++ b/io/relay/version_test.go
@@ -98,15 +98,20 @@
 
 // Guards against a migration to an engine of another software version.
 func TestMigrationStaysAtItsVersion(t *testing.T) {
-	for name, versions := range map[string][]core.SoftwareVersion{
-		"next":                  {"v1", "v1", "v2", "v2"},
-		"second":                {"v1", "v2", "v1", "v2"},
-		"last":                  {"v1", "v2", "v2", "v1"},
-		"no engine of the same": {"v1", "v2", "v3", "v4"},
+	for name, ca := range map[string]struct {
+		faults
+		versions []core.SoftwareVersion
+	}{
+		"next":                  {versions: []core.SoftwareVersion{"v1", "v1", "v2", "v2"}},
+		"second":                {versions: []core.SoftwareVersion{"v1", "v2", "v1", "v2"}},
+		"last":                  {versions: []core.SoftwareVersion{"v1", "v2", "v2", "v1"}},
+		"no engine of the same": {versions: []core.SoftwareVersion{"v1", "v2", "v3", "v4"}},
+		"target refuses":        {versions: []core.SoftwareVersion{"v1", "v1", "v2", "v2"}, faults: faults{targetRefuses: true}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			en, pl := newEngines(t, len(versions), 60, moving, faults{})
+			versions := ca.versions
+			en, pl := newEngines(t, len(versions), 60, moving, ca.faults)
 			en.fl.setSoftware(versions...)
 			rs, rd := en.fl.openStream(t.Context())
 			defer rs.Body.Close()
