gossip: a stream is shared although another build registers while it begins

Found in review: a router that decides not to share a stream, just as another build of its pool registers, marks it after the streams in progress were shared, and nobody else could resume it: refused with VersionUnknown. It looks again after marking.

--- a/core/platform.go
+++ b/core/platform.go
@@ -79,8 +79,8 @@
 // StreamOrigins shares among routers at which builds streams began, so that each router that a caller
 // resumes a stream at can continue it there.
 type StreamOrigins interface {
-	// Begin records that a stream began at a build, for ttl. Peers learn of it while the build's pool has
-	// others, or at once if share is set.
+	// Begin records that a stream began at a build, for ttl. Peers learn of it at once if share is set,
+	// and otherwise once the build's pool has another one.
 	Begin(stream StreamKey, build Build, ttl time.Duration, share bool)
 	// End records that a stream was forwarded completely.
 	End(stream StreamKey)
--- a/io/gossip/origins.go
+++ b/io/gossip/origins.go
@@ -36,12 +36,15 @@
 
 // Begin implements core.StreamOrigins.
 func (gr *Group) Begin(stream core.StreamKey, build core.Build, ttl time.Duration, share bool) {
-	gr.origins.Put(time.Now(), stream, build, ttl)
+	now := time.Now()
+	gr.origins.Put(now, stream, build, ttl)
 	if !share {
 		gr.origins.Unshare(stream)
-		return
+		share = gr.Builds.Others(now, build) // another build may just have registered
+	}
+	if share {
+		gr.shareOrigin(stream, build, ttl)
 	}
-	gr.shareOrigin(stream, build, ttl)
 }
 
 // End implements core.StreamOrigins.
