agent: each peer is met once a round, so that loads are up to a second old

Cause: an agent drew the peer to exchange load digests with anew each 450 ms, from all members, itself included. In a pool of six one exchange in six was none, and figures were up to 2.9 s old, where the cap allows for a second. The gate extrapolates the mean over that age; in all nine traced runs it takes the mean for 179 to 236 above the truth, so that it is no matter of goroutines that pass the gate within one instant.

Each peer is now met once, in random order, before any comes again, and never the agent itself.

--- a/core/agent/agent.go
+++ b/core/agent/agent.go
@@ -91,7 +91,9 @@
 	// AllowSend, if set, reports whether a control message of the given size may be sent now.
 	AllowSend func(size core.Bytes) bool
 
-	tables    map[core.PoolID]*loads.Table
+	tables map[core.PoolID]*loads.Table
+	// rounds are the peers of each pool that are still to be met in the current round. Only Run uses it.
+	rounds    map[core.PoolID][]core.VMID
 	outbox    outbox
 	calls     callTracker
 	importing atomic.Int64 // number of contexts being imported
@@ -102,7 +104,7 @@
 
 // Init prepares the agent for Serve.
 func (ag *Agent) Init() {
-	ag.tables = map[core.PoolID]*loads.Table{}
+	ag.tables, ag.rounds = map[core.PoolID]*loads.Table{}, map[core.PoolID][]core.VMID{}
 	for _, sl := range ag.Slots {
 		ta := ag.tables[sl.Pool]
 		if ta == nil {
--- a/core/agent/control.go
+++ b/core/agent/control.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"almondrill/core"
@@ -9,7 +10,7 @@
 )
 
 const (
-	// exchangeInterval is the mean time between digest exchanges with a random peer of each pool.
+	// exchangeInterval is the mean time between digest exchanges with a peer of each pool.
 	exchangeInterval = 450 * time.Millisecond
 	// placementInterval is how long placements are batched before they are sent.
 	placementInterval = 250 * time.Millisecond
@@ -37,7 +38,7 @@
 	return time.Duration(float64(d) * (0.75 + ag.Rand.Float64()/2))
 }
 
-// exchange exchanges digests with one random peer per pool.
+// exchange exchanges digests with one peer per pool.
 func (ag *Agent) exchange(ctx context.Context) {
 	sn := ag.Board.Snapshot()
 	for id := range ag.tables {
@@ -45,8 +46,8 @@
 		if po == nil || len(po.Members) < 2 {
 			continue
 		}
-		to := po.Members[ag.Rand.Uint64()%uint64(len(po.Members))].VM
-		if to == ag.Self {
+		to := ag.nextPeer(id, po)
+		if to == "" {
 			continue
 		}
 		di := ag.Digest(MaxEntries)
@@ -62,6 +63,39 @@
 	}
 }
 
+// nextPeer returns the peer to exchange digests with, "" if there is none. Each member of the pool comes
+// once, in random order, before any comes again: drawn anew each time, some would not be met for
+// several times as long, and their figures would be as old.
+func (ag *Agent) nextPeer(id core.PoolID, po *board.Pool) core.VMID {
+	if len(ag.rounds[id]) == 0 {
+		ag.rounds[id] = ag.newRound(po)
+	}
+	for len(ag.rounds[id]) > 0 {
+		last := len(ag.rounds[id]) - 1
+		vm := ag.rounds[id][last]
+		ag.rounds[id] = ag.rounds[id][:last]
+		if slices.ContainsFunc(po.Members, func(me board.Member) bool { return me.VM == vm }) {
+			return vm
+		}
+	}
+	return ""
+}
+
+// newRound returns the other members of a pool in random order.
+func (ag *Agent) newRound(po *board.Pool) []core.VMID {
+	var round []core.VMID
+	for _, me := range po.Members {
+		if me.VM != ag.Self {
+			round = append(round, me.VM)
+		}
+	}
+	for ix := range round {
+		other := ix + int(ag.Rand.Uint64()%uint64(len(round)-ix))
+		round[ix], round[other] = round[other], round[ix]
+	}
+	return round
+}
+
 // DigestSize estimates the size of a digest on the wire, excluding transport headers.
 func DigestSize(di *core.Digest) core.Bytes {
 	return digestSize + entrySize*core.Bytes(len(di.Loads))
