--- a/io/relay/resume_test.go
+++ b/io/relay/resume_test.go
@@ -124,7 +124,7 @@
 // resumableTimeout is the timeout of a route that states none in these tests.
 const resumableTimeout = 3 * time.Second
 
-// Guards against a caller's try that continues a migrated stream at another version.
+// Guards against a caller's attempt that continues a migrated stream at another version.
 func TestMigratedStreamResumesAtItsVersion(t *testing.T) {
 	versions := []core.SoftwareVersion{"v1", "v2", "v1", "v2"}
 	route := movingResumable
