io/relay: log how an answer's end was marked, and what followed its last event

The lines of the incident show streams logged as Served that were short at their callers. They do not tell whether the endpoint gave its answer a length, chunks, or neither, nor whether it ended between events, so that they cannot separate the hypotheses. The fields Framing and Unfinished do.

--- a/io/relay/attempt.go
+++ b/io/relay/attempt.go
@@ -96,6 +96,7 @@
 	if err != nil {
 		return ex.classifyError(ctx, "send", err)
 	}
+	ex.rq.framing, ex.rq.unfinished = framingOf(ex.rs), 0
 	ex.received()
 	ex.handleNotice()
 	if lo, reported := ex.rq.re.Dialect.Load(ex.rs.Header); reported {
--- a/io/relay/request.go
+++ b/io/relay/request.go
@@ -83,6 +83,10 @@
 	taken, continuation *continuation
 	// lastSend is read by logRunning.
 	lastSend atomic.Pointer[sendRecord]
+	// framing tells how the end of the last answer is marked, and unfinished how many bytes followed its
+	// last whole event.
+	framing    framing
+	unfinished int
 	// turn is the request's use of its pool's queue, nil if it does not pass one.
 	turn *turn
 	// exactRetry is set if the refusal's RetryAfter is a reserved time, which jitter would spoil.
@@ -327,7 +331,7 @@
 }
 
 // maxLogFields is more than the number of fields of any line.
-const maxLogFields = 44
+const maxLogFields = 46
 
 // logFields returns the fields that identify the request and explain the choice of its endpoint.
 func (rq *request) logFields(more ...zap.Field) []zap.Field {
@@ -348,6 +352,9 @@
 	if rq.sends > 0 {
 		fields = append(fields, zap.Int("Sends", rq.sends), zap.Bool("Asked", rq.countAsked))
 	}
+	if rq.framing != "" {
+		fields = append(fields, zap.String("Framing", string(rq.framing)), zap.Int("Unfinished", rq.unfinished))
+	}
 	fields = append(append(fields, rq.output.fields()...), rq.memoryWait.fields()...)
 	if rq.notice != (Notice{}) {
 		fields = append(fields, zap.Bool("EndpointLeaves", rq.notice.Draining), zap.Int64("BackoffMs", rq.notice.Backoff.Milliseconds()))
--- a/io/relay/runstream.go
+++ b/io/relay/runstream.go
@@ -91,7 +91,7 @@
 // attach makes ex the exchange that is being forwarded. A response without framing is not used: its
 // end cannot be distinguished from one that was cut.
 func (ru *runningStream) attach(ex *exchange) {
-	if ru == nil || ru.fixed || len(ex.rs.TransferEncoding) == 0 && ex.rs.ContentLength < 0 {
+	if ru == nil || ru.fixed || framingOf(ex.rs) == byClose {
 		return
 	}
 	placement := *ru.rq.placementRequest()
--- a/io/relay/stream.go
+++ b/io/relay/stream.go
@@ -98,6 +98,7 @@
 
 // finishStream forwards the rest of a stream that has ended without an error.
 func (ex *exchange) finishStream(rest []byte) (*core.Refusal, place.Result) {
+	ex.rq.unfinished = len(rest)
 	if len(rest) > 0 || !ex.rq.headSent {
 		if err := ex.rq.forwardEvents(ex, rest); err != nil {
 			return ex.forwardFailed(err)
