io/relay: failing tests of answers that are cut or whose end nothing marks

The matrix of framing (length, chunks, neither, HTTP/1.0), end (close, reset), place (before the first event, between events, at each byte inside one) and handling (stream, resumed stream, buffered, long and failure answers, evidence of crashes).

--- /dev/null
+++ b/io/relay/framing_test.go
@@ -0,0 +1,290 @@
+package relay_test
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"almondrill/core/route"
+)
+
+// framing is how a scripted endpoint marks the end of its response.
+type framing string
+
+const (
+	byLength  framing = "length"
+	byChunks  framing = "chunks"
+	byClose   framing = "close"
+	byHTTP1_0 framing = "HTTP/1.0"
+)
+
+var framings = []framing{byLength, byChunks, byClose, byHTTP1_0}
+
+// marked reports whether something other than the end of the connection marks the end.
+func (fr framing) marked() bool { return fr == byLength || fr == byChunks }
+
+// write writes a response with the body. A cut one lacks what marks its end.
+func (fr framing) write(se *received, co net.Conn, status int, media, body string, cut bool) {
+	proto, field, length := "HTTP/1.1", "", len(body)
+	if cut {
+		length += 100
+	}
+	switch fr {
+	case byLength:
+		field = fmt.Sprintf("Content-Length: %d\r\n", length)
+	case byChunks:
+		field = "Transfer-Encoding: chunked\r\n"
+	case byHTTP1_0:
+		proto = "HTTP/1.0"
+	}
+	_, _ = fmt.Fprintf(co, "%s %d X\r\nX-Id: id-1\r\nX-Stamp: s%d\r\nContent-Type: %s\r\n%s\r\n", proto, status, se.endpoint, media, field)
+	switch {
+	case fr != byChunks:
+		_, _ = io.WriteString(co, body)
+	case body != "":
+		writeChunk(co, body)
+	}
+	if fr == byChunks && !cut {
+		endChunks(co)
+	}
+}
+
+const eventStream = "text/event-stream"
+
+// answer responds with the framing and then closes the connection, or resets it.
+func (fr framing) answer(status int, media, body string, cut, reset bool) script {
+	return func(se *received, co net.Conn) bool {
+		fr.write(se, co, status, media, body, cut)
+		if reset {
+			time.Sleep(20 * time.Millisecond) // a reset discards what has not been read
+			_ = co.(*net.TCPConn).SetLinger(0)
+		}
+		return false
+	}
+}
+
+// isMarked reports whether something other than the end of the connection marks the end of a response.
+func isMarked(rs *http.Response) bool { return rs.ContentLength >= 0 || len(rs.TransferEncoding) > 0 }
+
+// sendOld sends a caller's HTTP/1.0 request.
+func (fl *fleet) sendOld(path string) (*http.Response, string, error) {
+	fl.t.Helper()
+	co, err := net.Dial("tcp", strings.TrimPrefix(fl.front.URL, "http://"))
+	if err != nil {
+		fl.t.Fatal(err)
+	}
+	defer co.Close()
+	_ = co.SetDeadline(time.Now().Add(10 * time.Second))
+	_, _ = io.WriteString(co, "GET "+path+" HTTP/1.0\r\nHost: 127.0.0.1\r\nX-Key: k\r\nX-Id: id-1\r\n\r\n")
+	rs, err := http.ReadResponse(bufio.NewReader(co), nil)
+	if err != nil {
+		return nil, "", err
+	}
+	body, err := io.ReadAll(rs.Body)
+	return rs, string(body), err
+}
+
+// An engine breaks a stream off at any byte inside an event, with or without framing, by closing or
+// resetting the connection. The caller must not get it as complete, nor any part of the event.
+func TestStreamCutInsideEventIsNotComplete(t *testing.T) {
+	for _, lineEnd := range []string{"\n", "\r\n", "\r"} {
+		whole := strings.ReplaceAll(eventText(1, 2), "\n", lineEnd)
+		event := strings.ReplaceAll("id: 3\ndata: x\n", "\n", lineEnd)
+		for _, fr := range framings {
+			for at := 1; at <= len(event); at++ {
+				for _, reset := range []bool{false, true} {
+					if reset && at%5 != 0 {
+						continue
+					}
+					name := fmt.Sprintf("%q, %s, byte %d, reset %t", lineEnd, fr, at, reset)
+					fl := newFleet(t, fr.answer(http.StatusOK, eventStream, whole+event[:at], false, reset)).configure(stream)
+					rs, body, err := fl.send("POST", "/r/x", "")
+					if err == nil || body != whole {
+						t.Errorf("%s: got %q, error %v", name, body, err)
+					}
+					if rs == nil {
+						t.Fatalf("%s: no response: %v", name, err)
+					}
+				}
+			}
+		}
+	}
+}
+
+// A stream ends between events, after a comment, or with its last line end split. It is whole if its
+// framing says so, or if it has none and its connection is closed; otherwise it was broken off.
+func TestStreamThatEndsBetweenEventsIsWhole(t *testing.T) {
+	for _, body := range []string{
+		eventText(1, 2), strings.ReplaceAll(eventText(1, 2), "\n", "\r\n"), strings.ReplaceAll(eventText(1, 2), "\n", "\r"),
+		": hello\n" + eventText(1, 2) + ": still alive\n", eventText(1, 2) + ":", eventText(1, 2) + "\n\n",
+	} {
+		for _, fr := range framings {
+			for _, cut := range []bool{false, true} {
+				for _, reset := range []bool{false, true} {
+					name := fmt.Sprintf("%q, %s, cut %t, reset %t", body, fr, cut, reset)
+					fl := newFleet(t, fr.answer(http.StatusOK, eventStream, body, cut, reset)).configure(stream)
+					_, got, err := fl.send("POST", "/r/x", "")
+					wantWhole := !cut && !reset || fr.marked() && !cut || !fr.marked() && !reset
+					if wantWhole != (err == nil) || wantWhole && got != body {
+						t.Errorf("%s: got %q, error %v; want whole: %t", name, got, err, wantWhole)
+					}
+				}
+			}
+		}
+	}
+}
+
+// A stream without framing ends before its first event. Nothing says that it is whole: the caller must
+// be told that the request may have run.
+func TestUnframedStreamWithoutEventsIsNotComplete(t *testing.T) {
+	for _, start := range []string{"", ": hello\n", "id: 1\nda"} {
+		fl := newFleet(t, byClose.answer(http.StatusOK, eventStream, start, false, false)).configure(stream)
+		rs, _, err := fl.send("POST", "/r/x", "")
+		fl.expect(rs, err, http.StatusBadGateway, 1)
+	}
+}
+
+// A resumable stream breaks off inside an event. It must continue at another endpoint after the last whole
+// event, whatever the framings and line ends of both.
+func TestStreamCutInsideEventResumesElsewhere(t *testing.T) {
+	for _, lineEnd := range []string{"\n", "\r\n", "\r"} {
+		text := func(from, to int) string { return strings.ReplaceAll(eventText(from, to), "\n", lineEnd) }
+		for _, first := range framings {
+			for _, second := range framings {
+				script := func(se *received, co net.Conn) bool {
+					if last := se.request.Header.Get("Last-Event-Id"); last == "3" {
+						second.write(se, co, http.StatusOK, eventStream, text(4, 9), false)
+						return false
+					}
+					first.write(se, co, http.StatusOK, eventStream, text(1, 3)+"id: 4"+lineEnd+"da", false)
+					return false
+				}
+				fl := newFleet(t, script, script).configure(resumable)
+				rs, body, err := fl.send("POST", "/r/x", "hello")
+				fl.expect(rs, err, http.StatusOK, 2)
+				if body != text(1, 9) {
+					t.Errorf("%q, %s then %s: got %q", lineEnd, first, second, body)
+				}
+			}
+		}
+	}
+}
+
+// Where only the end of the connection ends an endpoint's response, nothing says that it is whole. The
+// caller must get it without a length or chunks, too, and the router must not take it for a success.
+func TestEndOfUnframedAnswerIsNotAsserted(t *testing.T) {
+	long := strings.Repeat("x", 3<<20)
+	for _, tc := range []struct {
+		name        string
+		ro          route.Route
+		status      int
+		media, body string
+	}{
+		{"buffered", route.Route{Kind: route.OnceOnly}, http.StatusOK, "text/plain", "short"},
+		{"empty", route.Route{Kind: route.OnceOnly}, http.StatusOK, "text/plain", ""},
+		{"long", route.Route{Kind: route.OnceOnly}, http.StatusOK, "text/plain", long},
+		{"failure", route.Route{Kind: route.OnceOnly}, http.StatusInternalServerError, "text/plain", "failed"},
+		{"long failure", route.Route{Kind: route.OnceOnly}, http.StatusInternalServerError, "text/plain", long},
+		{"failure of a stream", stream, http.StatusInternalServerError, "text/plain", "failed"},
+		{"stream", stream, http.StatusOK, eventStream, eventText(1, 3)},
+		{"plain on a stream route", stream, http.StatusOK, "application/json", `{"Done":true}`},
+	} {
+		for _, fr := range framings {
+			fl := newFleet(t, fr.answer(tc.status, tc.media, tc.body, false, false)).configure(tc.ro)
+			cd := &fakeCrashDetector{allowed: 9}
+			fl.re.Crashes = cd
+			rs, body, err := fl.send("GET", "/r/x", "")
+			if err != nil || rs.StatusCode != tc.status || body != tc.body {
+				t.Errorf("%s, %s: got %d bytes, want %d; error %v", tc.name, fr, len(body), len(tc.body), err)
+				continue
+			}
+			if isMarked(rs) != fr.marked() {
+				t.Errorf("%s, %s: the caller's response has a marked end: %t", tc.name, fr, isMarked(rs))
+			}
+			cd.mu.Lock()
+			if !fr.marked() && tc.media != eventStream && len(cd.succeeded) > 0 {
+				t.Errorf("%s, %s: reported as a success", tc.name, fr)
+			}
+			cd.mu.Unlock()
+		}
+	}
+}
+
+// A response that was begun is broken off. Where the caller's ends with its connection, the caller can
+// tell only by a reset.
+func TestCutAnswerIsResetWhereNothingMarksItsEnd(t *testing.T) {
+	cutStream := eventText(1, 3) + "id: 4\nda"
+	long := strings.Repeat("x", 3<<20)
+	for _, tc := range []struct {
+		name string
+		sc   script
+		ro   route.Route
+	}{
+		{"unframed stream", byClose.answer(http.StatusOK, eventStream, cutStream, false, false), stream},
+		{"unframed stream, reset", byClose.answer(http.StatusOK, eventStream, cutStream, false, true), stream},
+		{"chunked stream", byChunks.answer(http.StatusOK, eventStream, cutStream, true, false), stream},
+		{"long plain answer, reset", byClose.answer(http.StatusOK, "text/plain", long, false, true), route.Route{Kind: route.OnceOnly}},
+		{"long plain answer in chunks", byChunks.answer(http.StatusOK, "text/plain", long, true, false), route.Route{Kind: route.OnceOnly}},
+	} {
+		for _, old := range []bool{false, true} {
+			fl := newFleet(t, tc.sc).configure(tc.ro)
+			rs, body, err := fl.send("GET", "/r/x", "")
+			if old {
+				rs, body, err = fl.sendOld("/r/x")
+			}
+			if err == nil || rs != nil && !isMarked(rs) && !errors.Is(err, syscall.ECONNRESET) {
+				t.Errorf("%s, HTTP/1.0 caller %t: %d bytes, error %v", tc.name, old, len(body), err)
+			}
+		}
+	}
+}
+
+// A stream breaks off inside an event because its engine crashes. The crash detection must learn of the
+// interruption, and must not clear the request.
+func TestStreamCutInsideEventIsEvidence(t *testing.T) {
+	for _, fr := range framings {
+		fl := newFleet(t, fr.answer(http.StatusOK, eventStream, eventText(1, 3)+"id", false, false)).configure(stream)
+		cd := &fakeCrashDetector{allowed: 9}
+		fl.re.Crashes = cd
+		_, _, _ = fl.send("POST", "/r/x", "")
+		cd.mu.Lock()
+		if len(cd.succeeded) != 0 || len(cd.interrupted) != 1 {
+			t.Errorf("%s: %d succeeded, %d interrupted; want 0, 1", fr, len(cd.succeeded), len(cd.interrupted))
+		}
+		cd.mu.Unlock()
+	}
+}
+
+// Engines end lines by CR LF or CR. Events must reach the caller when they are produced, as with LF.
+func TestEventsOfAnyLineEndAreFlushedImmediately(t *testing.T) {
+	for _, lineEnd := range []string{"\n", "\r\n", "\r"} {
+		next := make(chan struct{})
+		fl := newFleet(t, func(se *received, co net.Conn) bool {
+			byChunks.write(se, co, http.StatusOK, eventStream, strings.ReplaceAll(eventText(1, 1), "\n", lineEnd), true)
+			<-next
+			writeChunk(co, strings.ReplaceAll(eventText(2, 2), "\n", lineEnd))
+			endChunks(co)
+			return true
+		}).configure(stream)
+		rq, _ := http.NewRequest("POST", fl.front.URL+"/r/x", nil)
+		rq.Header.Set("X-Key", "k")
+		rq.Header.Set("X-Id", "id-1")
+		time.AfterFunc(time.Second, func() { close(next) })
+		began := time.Now()
+		rs, err := http.DefaultTransport.RoundTrip(rq)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer rs.Body.Close()
+		if _, err = rs.Body.Read(make([]byte, 5)); err != nil || time.Since(began) > 800*time.Millisecond {
+			t.Errorf("%q: first event after %s, error %v", lineEnd, time.Since(began), err)
+		}
+	}
+}
