io/events: find the ends of events with any line end

Callers saw: events of an engine that ends lines with CR LF or CR arrived together when the stream ended; a stream broken off before that was lost whole. Behind agents, CR only. Cause: routers and agents searched for two line feeds. The format ends an event by an empty line, and a line by LF, CR LF or CR. Why it holds: one scanner follows lines through the parts in which they arrive, for routers and agents; a property test splits streams at random. A comment is no event, also not when events are counted.

--- a/io/back/forward.go
+++ b/io/back/forward.go
@@ -10,6 +10,7 @@
 	"net/http"
 
 	"almondrill/core"
+	"almondrill/io/events"
 )
 
 // forwarder forwards the body of one response to a sink.
@@ -23,6 +24,7 @@
 	usage core.Usage
 	// buffered is the incomplete last event of a stream, or the part of a plain response read so far.
 	buffered []byte
+	scanner  events.Scanner
 	sawDone  bool
 }
 
@@ -30,8 +32,6 @@
 const maxBuffered = 1 << 20
 
 var (
-	eventEnd   = []byte("\n\n")
-	eventEndCR = []byte("\r\n\r\n")
 	streamDone = []byte("data: [DONE]")
 	usageField = []byte(`"usage":{`)
 	dataField  = []byte("data:")
@@ -74,13 +74,15 @@
 // carries the usage is parsed, and only incomplete events are copied.
 func (fw *forwarder) forwardStream(ctx context.Context) error {
 	err := fw.readBody(ctx, func(data []byte) error {
-		if len(fw.buffered) > 0 {
+		scanned := len(fw.buffered)
+		if scanned > 0 {
 			fw.buffered = append(fw.buffered, data...)
 			data = fw.buffered
 		}
-		cut := completeLen(data)
+		cut, count := fw.scanner.Scan(data[scanned:])
 		if cut > 0 {
-			if err := fw.sendEvents(data[:cut]); err != nil {
+			cut += scanned
+			if err := fw.sendEvents(data[:cut], count); err != nil {
 				return err
 			}
 		}
@@ -99,21 +101,8 @@
 	return fw.finish()
 }
 
-// completeLen returns the length of the complete events at the start of data.
-func completeLen(data []byte) int {
-	cut := 0
-	if at := bytes.LastIndex(data, eventEnd); at >= 0 {
-		cut = at + len(eventEnd)
-	}
-	if at := bytes.LastIndex(data, eventEndCR); at >= 0 {
-		cut = max(cut, at+len(eventEndCR))
-	}
-	return cut
-}
-
 // sendEvents sends complete events to the sink.
-func (fw *forwarder) sendEvents(data []byte) error {
-	count := bytes.Count(data, eventEnd) + bytes.Count(data, eventEndCR)
+func (fw *forwarder) sendEvents(data []byte, count int) error {
 	tail := bytes.TrimRight(data, "\r\n")
 	fw.sawDone = bytes.HasSuffix(tail, streamDone)
 	fw.part.End = fw.sawDone
@@ -130,7 +119,7 @@
 		return nil
 	}
 	event := data[from+len(dataField):]
-	if end := bytes.IndexByte(event, '\n'); end >= 0 {
+	if end := bytes.IndexAny(event, "\r\n"); end >= 0 {
 		event = event[:end]
 	}
 	return bytes.TrimSpace(event)
--- a/io/relay/output.go
+++ b/io/relay/output.go
@@ -1,13 +1,12 @@
 package relay
 
 import (
-	"bytes"
-
 	"go.uber.org/zap"
 
 	"almondrill/core"
 	"almondrill/core/outlen"
 	"almondrill/core/route"
+	"almondrill/io/events"
 )
 
 // output is the expected length of a stream and what was seen of it.
@@ -45,12 +44,12 @@
 
 // countEvents counts the events of a stream. One that becomes longer than expected takes more of
 // its engine's memory.
-func (rq *request) countEvents(events []byte) {
+func (rq *request) countEvents(data []byte) {
 	ou := &rq.output
 	if ou.expected == 0 {
 		return
 	}
-	ou.events += bytes.Count(events, eventEnd)
+	ou.events += events.Count(data)
 	if ou.seen = rq.re.Output.TokensOf(rq.pool, ou.events); ou.seen > ou.expected {
 		rq.ticket.RecordOutput(rq.lastWrite, ou.seen)
 	}
--- a/io/relay/runstream.go
+++ b/io/relay/runstream.go
@@ -1,7 +1,6 @@
 package relay
 
 import (
-	"bytes"
 	"cmp"
 	"context"
 	"errors"
@@ -15,6 +14,7 @@
 	"almondrill/core/migr"
 	"almondrill/core/place"
 	"almondrill/core/route"
+	"almondrill/io/events"
 )
 
 const (
@@ -182,18 +182,15 @@
 
 // sequence checks the numbers of complete events and returns those to forward. Where the stream
 // continues from a copy, events that were forwarded before are dropped, and a missing one is an error.
-func (ru *runningStream) sequence(events []byte, continued bool) ([]byte, error) {
+func (ru *runningStream) sequence(data []byte, continued bool) ([]byte, error) {
 	if ru == nil || ru.fixed && !continued {
-		return events, nil
+		return data, nil
 	}
-	kept := events[:0]
-	for rest := events; len(rest) > 0; {
-		event := rest
-		if end := bytes.Index(rest, eventEnd); end >= 0 {
-			event = rest[:end+len(eventEnd)]
-		}
-		rest = rest[len(event):]
-		number, err := strconv.ParseUint(lastID(event), 10, 64)
+	kept := data[:0]
+	for rest := data; len(rest) > 0; {
+		var event []byte
+		event, rest = events.Cut(rest)
+		number, err := strconv.ParseUint(events.LastID(event), 10, 64)
 		numbered := err == nil && number > 0
 		switch {
 		case numbered && (ru.lastEvent == 0 || number == ru.lastEvent+1):
@@ -203,7 +200,7 @@
 			continue
 		case continued && numbered:
 			return kept, errEventGap
-		case !isComment(event):
+		case !events.IsComment(event):
 			ru.fixed = true
 			ru.detach() // the stream must not be stopped any more
 		}
@@ -212,17 +209,6 @@
 	return kept, nil
 }
 
-// isComment reports whether an event consists of comments, which engines send to show that they are
-// alive.
-func isComment(event []byte) bool {
-	for line := range bytes.Lines(event) {
-		if line[0] != ':' && line[0] != '\n' {
-			return false
-		}
-	}
-	return true
-}
-
 // record updates the planner's figures of the stream after events were forwarded. now is when they
 // arrived.
 func (ru *runningStream) record(now time.Time) {
--- a/io/relay/stream.go
+++ b/io/relay/stream.go
@@ -1,7 +1,6 @@
 package relay
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -11,6 +10,7 @@
 
 	"almondrill/core"
 	"almondrill/core/place"
+	"almondrill/io/events"
 )
 
 const (
@@ -25,8 +25,6 @@
 
 var (
 	readBuffers = sync.Pool{New: func() any { return new([readSize]byte) }}
-	eventEnd    = []byte("\n\n")
-	idField     = []byte("id:")
 
 	errEventTooLarge = errors.New("an event is larger than a megabyte")
 )
@@ -35,6 +33,7 @@
 // then be resumed at another endpoint after the last complete one.
 func (ex *exchange) forwardStream(ctx context.Context) (*core.Refusal, place.Result) {
 	pending := make([]byte, 0, minRead)
+	var scanner events.Scanner
 	ex.rq.stream.attach(ex)
 	defer ex.rq.stream.detach()
 	// Not set at each read: an event may arrive in parts.
@@ -47,11 +46,14 @@
 		filled := len(pending)+count == cap(pending)
 		if count > 0 {
 			arrived := ex.received()
+			end, ended := scanner.Scan(pending[len(pending) : len(pending)+count])
+			if end > 0 {
+				end += len(pending)
+			}
 			pending = pending[:len(pending)+count]
-			end := bytes.LastIndex(pending, eventEnd) + len(eventEnd)
-			if end >= len(eventEnd) {
+			if end > 0 {
 				// Before the events are written: a caller that reads slowly must not make the endpoint look slow.
-				ex.tk.RecordEvents(waitingSince, arrived, bytes.Count(pending[:end], eventEnd))
+				ex.tk.RecordEvents(waitingSince, arrived, ended)
 				if werr := ex.rq.forwardEvents(ex, pending[:end]); werr != nil {
 					return ex.forwardFailed(werr)
 				}
@@ -111,16 +113,16 @@
 }
 
 // forwardEvents writes complete events to the caller and flushes them.
-func (rq *request) forwardEvents(ex *exchange, events []byte) error {
-	events, err := rq.stream.sequence(events, rq.continuation != nil)
-	if len(events) == 0 && rq.headSent {
+func (rq *request) forwardEvents(ex *exchange, data []byte) error {
+	data, err := rq.stream.sequence(data, rq.continuation != nil)
+	if len(data) == 0 && rq.headSent {
 		return err
 	}
 	if !rq.headSent {
 		rq.beginStream(ex.tk.Build)
 		rq.writeHead(ex.rs.StatusCode, ex.rs.Header, -1)
 	}
-	if id := lastID(events); id != "" {
+	if id := events.LastID(data); id != "" {
 		rq.lastEvent = id
 	}
 	now := time.Now()
@@ -128,8 +130,8 @@
 		rq.longestGap = max(rq.longestGap, now.Sub(rq.lastWrite))
 	}
 	rq.lastWrite = now
-	rq.countEvents(events)
-	if _, werr := rq.wr.Write(events); werr != nil {
+	rq.countEvents(data)
+	if _, werr := rq.wr.Write(data); werr != nil {
 		return werr
 	}
 	if werr := rq.control.Flush(); werr != nil {
@@ -142,19 +144,3 @@
 	rq.stream.record(now)
 	return nil
 }
-
-// lastID returns the id of the last event that has one, "" if none has.
-func lastID(events []byte) string {
-	at := bytes.LastIndex(events, idField)
-	for at > 0 && events[at-1] != '\n' {
-		at = bytes.LastIndex(events[:at], idField)
-	}
-	if at < 0 {
-		return ""
-	}
-	line := events[at+len(idField):]
-	if end := bytes.IndexByte(line, '\n'); end >= 0 {
-		line = line[:end]
-	}
-	return string(bytes.TrimSpace(line))
-}
