io/relay: a stream that ends inside an event was broken off

Callers saw: 200 and a short body that was framed as complete (ORDER). Cause: the end of the endpoint's input was taken for the end of its stream. What followed the last whole event was forwarded and the caller's last chunk written; the attempt counted as served, cleared its request of suspicion, and was not resumed. Why it holds: the end of input decides only between events; inside one it is an early end like any other, whatever the framing, with its effects on retries, health, crashes and metrics. A stream without framing and without events is not whole either. A success on a stream's route that is no event stream has no events: it is handled as a plain answer.

--- a/io/relay/attempt.go
+++ b/io/relay/attempt.go
@@ -177,8 +177,11 @@
 		return ex.refusal(core.Unknown, core.ReasonCrossed, "read", errNoStamp), place.Failed
 	}
 	ex.releaseBody()
-	if ex.rq.route.Kind == route.Stream {
+	switch {
+	case isEventStream(rs) && ex.rq.route.Kind == route.Stream:
 		return ex.forwardStream(ctx)
+	case ex.rq.headSent:
+		return ex.refusal(core.Unknown, core.ReasonEndpointError, "read", errNoEventStream), place.Failed
 	}
 	return ex.forwardBuffered(ctx)
 }
@@ -196,6 +199,7 @@
 	errAddressReused = errors.New("another endpoint has the address")
 	errNoLongerOpen  = errors.New("the endpoint was closed to new requests after it was chosen")
 	errCallerGone    = errors.New("the caller's connection was closed before the request was sent")
+	errNoEventStream = errors.New("the answer that continues an event stream is none")
 	errNoStamp       = errors.New("the answer bears no stamp, or is encoded: it is not the endpoint's")
 )
 
--- a/io/relay/framing.go
+++ b/io/relay/framing.go
@@ -1,6 +1,9 @@
 package relay
 
-import "net/http"
+import (
+	"mime"
+	"net/http"
+)
 
 // framing is how the end of a response's body is marked. It is the value of a log field.
 type framing string
@@ -22,3 +25,9 @@
 	}
 	return byClose
 }
+
+// isEventStream reports whether a response is an event stream, or does not say what it is.
+func isEventStream(rs *http.Response) bool {
+	media, _, _ := mime.ParseMediaType(rs.Header.Get("Content-Type"))
+	return media == "" || media == "text/event-stream"
+}
--- a/io/relay/framing_test.go
+++ b/io/relay/framing_test.go
@@ -177,6 +177,24 @@
 	}
 }
 
+// A stream breaks off and what should continue it is no event stream. The caller must see that the stream is
+// cut, and must get nothing else.
+func TestStreamIsNotContinuedByAnotherAnswer(t *testing.T) {
+	script := func(se *received, co net.Conn) bool {
+		if se.request.Header.Get("Last-Event-Id") == "" {
+			byChunks.write(se, co, http.StatusOK, eventStream, eventText(1, 3), true)
+		} else {
+			byLength.write(se, co, http.StatusOK, "application/json", `{"Done":true}`, false)
+		}
+		return false
+	}
+	fl := newFleet(t, script, script).configure(resumable)
+	_, body, err := fl.send("POST", "/r/x", "hello")
+	if err == nil || body != eventText(1, 3) || fl.panics.Load() > 0 {
+		t.Errorf("got %q, error %v, %d panics", body, err, fl.panics.Load())
+	}
+}
+
 // Where only the end of the connection ends an endpoint's response, nothing says that it is whole. The
 // caller must get it without a length or chunks, too, and the router must not take it for a success.
 func TestEndOfUnframedAnswerIsNotAsserted(t *testing.T) {
--- a/io/relay/stream.go
+++ b/io/relay/stream.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"slices"
 	"sync"
@@ -26,7 +27,9 @@
 var (
 	readBuffers = sync.Pool{New: func() any { return new([readSize]byte) }}
 
-	errEventTooLarge = errors.New("an event is larger than a megabyte")
+	errEventTooLarge  = errors.New("an event is larger than a megabyte")
+	errCutInsideEvent = fmt.Errorf("the stream ended inside an event: %w", io.ErrUnexpectedEOF)
+	errNoEvents       = fmt.Errorf("the connection ended before the first event: %w", io.ErrUnexpectedEOF)
 )
 
 // forwardStream forwards complete events only. If the endpoint fails within an event, the stream can
@@ -70,7 +73,7 @@
 		case err == nil:
 			continue
 		case errors.Is(err, io.EOF):
-			return ex.finishStream(pending)
+			return ex.finishStream(ctx, &scanner, pending)
 		}
 		return ex.streamFailed(ctx, err)
 	}
@@ -98,9 +101,15 @@
 	return ex.refusal(core.Unknown, core.ReasonCallerGone, "write", err), place.Neutral
 }
 
-// finishStream forwards the rest of a stream that has ended without an error.
-func (ex *exchange) finishStream(rest []byte) (*core.Refusal, place.Result) {
+// finishStream ends a stream whose endpoint has sent its end. rest is what followed the last whole block.
+func (ex *exchange) finishStream(ctx context.Context, sc *events.Scanner, rest []byte) (*core.Refusal, place.Result) {
 	ex.rq.unfinished = len(rest)
+	switch {
+	case sc.Open():
+		return ex.streamFailed(ctx, errCutInsideEvent)
+	case ex.rq.framing == byClose && !ex.rq.headSent:
+		return ex.streamFailed(ctx, errNoEvents)
+	}
 	if len(rest) > 0 || !ex.rq.headSent {
 		if err := ex.rq.forwardEvents(ex, rest); err != nil {
 			return ex.forwardFailed(err)
