io/abort: reset the connection of a cut response that would end with it

Callers saw: an answer to an HTTP/1.0 request that was cut in the middle looked whole. Cause: routers cut an answer by closing the caller's connection. A caller detects that by the missing length or last chunk; where the answer has neither, the close is its end. Why it holds: a response without length and chunks is cut by a reset, at routers with and without agents.

--- a/io/front/front.go
+++ b/io/front/front.go
@@ -126,7 +126,7 @@
 		return
 	}
 	fr.countRefusal(re)
-	wt.abort(re)
+	wt.abort(rq, re)
 }
 
 // authenticate returns the current configuration, and the customer whose bearer key the request has.
--- a/io/front/response.go
+++ b/io/front/response.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 
 	"almondrill/core"
+	"almondrill/io/abort"
 )
 
 // writer is a core.Sink that writes the parts of a response to the caller.
@@ -54,10 +55,9 @@
 }
 
 // abort ends a response that was begun and cannot be completed.
-func (wt *writer) abort(re *core.Refusal) {
+func (wt *writer) abort(rq *http.Request, re *core.Refusal) {
 	if !wt.stream {
-		// The client sees that the connection ends before the body does.
-		panic(http.ErrAbortHandler)
+		abort.Response(wt.wr, rq)
 	}
 	text, _ := json.Marshal(newErrorBody(re))
 	_ = wt.control.SetWriteDeadline(time.Now().Add(wt.fr.WriteTimeout))
--- a/io/relay/request.go
+++ b/io/relay/request.go
@@ -13,6 +13,7 @@
 	"almondrill/core"
 	"almondrill/core/place"
 	"almondrill/core/route"
+	"almondrill/io/abort"
 	"almondrill/io/stats"
 )
 
@@ -316,18 +317,17 @@
 	rq.re.Stats.CountRefusal(core.ReasonCallerGone)
 	rq.re.Log.Info("The caller disconnected.", rq.logFields(zap.Duration("Took", time.Since(rq.began)))...)
 	if rq.headSent {
-		panic(http.ErrAbortHandler)
+		abort.Response(rq.wr, rq.hr)
 	}
 }
 
-// abortResponse ends a response of which the caller has only a part, by closing the caller's
-// connection.
+// abortResponse ends a response of which the caller has only a part.
 func (rq *request) abortResponse(rf *core.Refusal) {
 	rq.re.Stats.CountRefusal(rf.Reason)
 	rq.re.Stats.CountOutcome(rf.Outcome)
 	rq.re.Latency.Record(stats.FailedMs, time.Since(rq.began))
 	rq.re.Log.Warn("Cut an answer.", rq.refusalFields(rf)...)
-	panic(http.ErrAbortHandler)
+	abort.Response(rq.wr, rq.hr)
 }
 
 // maxLogFields is more than the number of fields of any line.
