io/relay: answers whose end nothing marks are forwarded as such

Callers saw: a plain answer that an endpoint had sent without length and chunks, and that may have been broken off, came with a length, as if it were whole; so did streams, with a last chunk. The router cleared such a request of crashing endpoints. Cause: the end of the endpoint's connection was taken for the end of the message, and the answer was framed anew. Evidence: TestEndOfUnframedAnswerIsNotAsserted failed before, for buffered, long, empty and failure answers and streams. Why it holds: the caller gets what the endpoint said, no more: without length and chunks, and with a reset if the router learns that it was cut. A plain answer of this kind is no evidence that its request is harmless; the counter UnmarkedEnds counts them.

--- a/io/relay/crash.go
+++ b/io/relay/crash.go
@@ -40,7 +40,7 @@
 
 // reportOutcome reports to the crash detection how the attempt ended. A success clears the request
 // of suspicion; a failure response does not, as endpoints also fail requests that they have barely
-// started.
+// started, and neither does a plain response of which nothing says that it is whole.
 func (ex *exchange) reportOutcome(began time.Time, rf *core.Refusal) {
 	cd := ex.rq.re.Crashes
 	if cd == nil {
@@ -50,7 +50,8 @@
 	switch {
 	case ex.handedOver:
 	case rf == nil:
-		if ex.rq.status < http.StatusMultipleChoices {
+		known := ex.rq.framing != byClose || isEventStream(ex.rs)
+		if known && ex.rq.status < http.StatusMultipleChoices {
 			cd.Succeeded(ex.rq.fingerprint)
 		}
 	case ex.connRefused:
--- a/io/relay/request.go
+++ b/io/relay/request.go
@@ -84,8 +84,8 @@
 	taken, continuation *continuation
 	// lastSend is read by logRunning.
 	lastSend atomic.Pointer[sendRecord]
-	// framing tells how the end of the last answer is marked, and unfinished how many bytes followed its
-	// last whole event.
+	// framing is that of the last answer, "" if there was none, and unfinished the number of bytes that
+	// followed its last whole event.
 	framing    framing
 	unfinished int
 	// turn is the request's use of its pool's queue, nil if it does not pass one.
@@ -99,6 +99,8 @@
 	status int
 	header http.Header
 	body   []byte
+	// framing is how its end was marked.
+	framing framing
 }
 
 // maxDials bounds the attempts, including those that do not reach an endpoint: each of these takes
@@ -280,6 +282,9 @@
 		rq.re.Origins.End(rq.originKey)
 	}
 	rq.re.Stats.CountOutcome(core.Whole)
+	if rq.framing == byClose {
+		rq.re.Stats.Add(stats.UnmarkedEnds, 1)
+	}
 	rq.re.Latency.Record(stats.AnswerMs, now.Sub(rq.began))
 	rq.re.Latency.Record(stats.FirstMs, rq.firstWrite.Sub(rq.began))
 	if rq.lastEvent != "" {
--- a/io/relay/stream.go
+++ b/io/relay/stream.go
@@ -129,7 +129,7 @@
 	}
 	if !rq.headSent {
 		rq.beginStream(ex.tk.Build)
-		rq.writeHead(ex.rs.StatusCode, ex.rs.Header, -1)
+		rq.writeHead(ex.rs.StatusCode, ex.rs.Header, rq.framing, -1)
 	}
 	if id := events.LastID(data); id != "" {
 		rq.lastEvent = id
--- a/io/stats/stats.go
+++ b/io/stats/stats.go
@@ -93,6 +93,9 @@
 	MemoryWaited  = "MemoryWaited"
 	// StreamsResumed counts requests that continue a stream of an earlier attempt of the caller.
 	StreamsResumed = "StreamsResumed"
+	// UnmarkedEnds counts answers that were forwarded whole as far as can be told: only the end of the
+	// endpoint's connection ended them.
+	UnmarkedEnds = "UnmarkedEnds"
 )
 
 // Names of the counters of migrations, which have one counter for each reason.
