io/relay: log the shared parts of prompts and how many events were forwarded

The lines of the incident cannot tell whether the engines crash under something that many requests share: they name no part of a prompt, and do not say which interrupted answers had begun.

--- a/core/crash/fingerprint.go
+++ b/core/crash/fingerprint.go
@@ -1,6 +1,7 @@
 package crash
 
 import (
+	"bytes"
 	"crypto/sha256"
 	"encoding/binary"
 
@@ -24,3 +25,15 @@
 	var sum [sha256.Size]byte
 	return core.Fingerprint(ha.Sum(sum[:0]))
 }
+
+// partTag is the second half of a part's fingerprint.
+var partTag = []byte("part of ")
+
+// PartFingerprint identifies a part of prompts, by the hash under which engines cache it. It is the same
+// for all customers and pools.
+func PartFingerprint(hash uint64) core.Fingerprint {
+	return core.Fingerprint(append(binary.BigEndian.AppendUint64(nil, hash), partTag...))
+}
+
+// IsPart reports whether a fingerprint identifies a part of prompts, and not a request.
+func IsPart(fp core.Fingerprint) bool { return bytes.Equal(fp[len(fp)/2:], partTag) }
--- a/io/relay/crash.go
+++ b/io/relay/crash.go
@@ -9,6 +9,7 @@
 
 	"almondrill/core"
 	"almondrill/core/crash"
+	"almondrill/core/place"
 )
 
 // computeFingerprint identifies the request across attempts, by customer, method, host, URI and
@@ -21,6 +22,22 @@
 	return crash.Fingerprint(customer, rq.hr.Method, rq.hr.Host, rq.hr.URL.RequestURI(), rq.body)
 }
 
+// maxSharedParts bounds the parts of a prompt that are suspected of crashes.
+const maxSharedParts = 16
+
+// fingerprintsOf identifies the parts of a prompt that other requests may share: all but the last one.
+func fingerprintsOf(parts []place.Part) []core.Fingerprint {
+	if len(parts) < 2 {
+		return nil
+	}
+	shared := parts[:min(len(parts)-1, maxSharedParts)]
+	fps := make([]core.Fingerprint, 0, len(shared))
+	for _, pa := range shared {
+		fps = append(fps, crash.PartFingerprint(pa.Hash))
+	}
+	return fps
+}
+
 // checkQuarantine refuses a request that appears to crash the endpoints that run it. It is called
 // before each send, since callers retry such a request through any router and each execution costs
 // an endpoint with all of its other requests. The refusal has a Retry-After, since it is only
--- a/io/relay/output.go
+++ b/io/relay/output.go
@@ -6,7 +6,6 @@
 	"almondrill/core"
 	"almondrill/core/outlen"
 	"almondrill/core/route"
-	"almondrill/io/events"
 )
 
 // output is the expected length of a stream and what was seen of it.
@@ -44,12 +43,13 @@
 
 // countEvents counts the events of a stream. One that becomes longer than expected takes more of
 // its engine's memory.
-func (rq *request) countEvents(data []byte) {
+func (rq *request) countEvents(count int) {
+	rq.events += count
 	ou := &rq.output
 	if ou.expected == 0 {
 		return
 	}
-	ou.events += events.Count(data)
+	ou.events += count
 	if ou.seen = rq.re.Output.TokensOf(rq.pool, ou.events); ou.seen > ou.expected {
 		rq.ticket.RecordOutput(rq.lastWrite, ou.seen)
 	}
--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -274,6 +274,7 @@
 	rq.pool = rq.route.Pool(rq.re.Rand.Float64())
 	if rq.route.Sticky {
 		rq.promptParts = rq.re.Dialect.Prompt(rq.hr.Header)
+		rq.sharedParts = fingerprintsOf(rq.promptParts)
 	}
 	return nil
 }
--- a/io/relay/request.go
+++ b/io/relay/request.go
@@ -40,6 +40,8 @@
 	heldBytes int64
 	// fingerprint is the same for all of the caller's attempts of a request.
 	fingerprint core.Fingerprint
+	// sharedParts identifies the parts of the prompt that other requests may share.
+	sharedParts []core.Fingerprint
 
 	// tried are the endpoints that have failed or refused the request.
 	tried []core.EndpointID
@@ -61,6 +63,8 @@
 	status     int
 	// lastEvent is the id of the last event that was written to the caller, lastWrite the time of
 	// the last write, and longestGap the longest time between two writes.
+	// events were forwarded to the caller.
+	events     int
 	lastEvent  string
 	lastWrite  time.Time
 	longestGap time.Duration
@@ -336,7 +340,7 @@
 }
 
 // maxLogFields is more than the number of fields of any line.
-const maxLogFields = 46
+const maxLogFields = 48
 
 // logFields returns the fields that identify the request and explain the choice of its endpoint.
 func (rq *request) logFields(more ...zap.Field) []zap.Field {
@@ -360,6 +364,9 @@
 	if rq.framing != "" {
 		fields = append(fields, zap.String("Framing", string(rq.framing)), zap.Int("Unfinished", rq.unfinished))
 	}
+	if len(rq.sharedParts) > 0 {
+		fields = append(fields, zap.Stringers("Parts", rq.sharedParts), zap.Int("Events", rq.events))
+	}
 	fields = append(append(fields, rq.output.fields()...), rq.memoryWait.fields()...)
 	if rq.notice != (Notice{}) {
 		fields = append(fields, zap.Bool("EndpointLeaves", rq.notice.Draining), zap.Int64("BackoffMs", rq.notice.Backoff.Milliseconds()))
--- a/io/relay/stream.go
+++ b/io/relay/stream.go
@@ -139,7 +139,7 @@
 		rq.longestGap = max(rq.longestGap, now.Sub(rq.lastWrite))
 	}
 	rq.lastWrite = now
-	rq.countEvents(data)
+	rq.countEvents(events.Count(data))
 	if _, werr := rq.wr.Write(data); werr != nil {
 		return werr
 	}
--- a/io/trace/trace.go
+++ b/io/trace/trace.go
@@ -118,6 +118,9 @@
 			endpoints[li.Endpoint], endpoints[li.Peer] = true, true
 			vms[li.VM] = true
 			fingerprints[li.stringField("Fingerprint")] = true
+			for _, part := range li.listField("Parts") {
+				fingerprints[part] = true
+			}
 		}
 	}
 	if len(found) == 0 {
@@ -138,11 +141,7 @@
 		if li.Request != "" {
 			continue
 		}
-		ran, _ := li.Fields["Ran"].([]any)
-		named := slices.ContainsFunc(ran, func(one any) bool {
-			fp, _ := one.(string)
-			return fingerprints[fp]
-		})
+		named := slices.ContainsFunc(li.listField("Ran"), func(fp string) bool { return fingerprints[fp] })
 		if named || fingerprints[li.stringField("Fingerprint")] {
 			out = append(out, li)
 		}
@@ -150,6 +149,18 @@
 	return out
 }
 
+// listField returns the texts of a field that is a list.
+func (li *Line) listField(field string) []string {
+	list, _ := li.Fields[field].([]any)
+	var texts []string
+	for _, one := range list {
+		if text, ok := one.(string); ok {
+			texts = append(texts, text)
+		}
+	}
+	return texts
+}
+
 func (li *Line) stringField(field string) string {
 	value, _ := li.Fields[field].(string)
 	return value
