core/crash: quarantine parts of prompts that crash engines

Cause: quarantine knows whole requests. These are all different and share one part of their prompts, so that no fingerprint ever stands at three crashes. Why it holds: a part is another identity in the same table: counted at the crashes under which no answer had begun, cleared by any answer that goes on under it anywhere, quarantined with the third crash, known to all routers and the store like a request. A sound part that is quarantined with the cause is tried first, by a request without the cause. A trial is claimed only once an endpoint has been found, and a quarantined request is refused before it waits for its turn.

--- a/core/crash.go
+++ b/core/crash.go
@@ -7,7 +7,8 @@
 )
 
 // Fingerprint identifies a request by its content: it is equal for all attempts at the same request
-// of a customer, whichever router or connection they arrive on. It does not reveal the content.
+// of a customer, whichever router or connection they arrive on. It does not reveal the content. Other
+// fingerprints identify parts of prompts, which requests share.
 type Fingerprint [16]byte
 
 // String returns the first half in hexadecimal, which is enough to find a request in logs.
@@ -70,13 +71,18 @@
 	DeleteQuarantine(ctx context.Context, qu Quarantine) error
 }
 
-// CrashTracker attributes crashes of endpoints to the requests that cause them.
+// CrashTracker attributes crashes of endpoints to what causes them: a request, or a part of prompts. A
+// request is given by its own fingerprint and those of the parts that it may share.
 type CrashTracker interface {
+	// Blocked reports whether the request may not be sent to an endpoint now, and after what time to ask
+	// again. A request that may be sent as a trial is not blocked.
+	Blocked(fps ...Fingerprint) (blocked bool, after time.Duration)
 	// Allowed reports whether the request may be sent to an endpoint now, and if not, after what
-	// time to ask again.
-	Allowed(ctx context.Context, fp Fingerprint) (allowed bool, after time.Duration)
-	// Succeeded records that an attempt succeeded.
-	Succeeded(fp Fingerprint)
+	// time to ask again. It claims a trial if the request needs one: a caller that is allowed sends it.
+	Allowed(ctx context.Context, fps ...Fingerprint) (allowed bool, after time.Duration)
+	// Succeeded records that these crash no endpoint: an attempt succeeded, or its answer went on under
+	// the parts.
+	Succeeded(fps ...Fingerprint)
 	// Crashed records that an endpoint, identified by its hash, crashed while it ran the request.
 	Crashed(endpoint uint64, fp Fingerprint)
 }
@@ -84,8 +90,9 @@
 // CrashDetector is a CrashTracker that detects by itself whether endpoints crashed.
 type CrashDetector interface {
 	CrashTracker
-	// Interrupted records that an attempt begun at the given time was interrupted or timed out.
-	Interrupted(en EndpointRef, began time.Time, fp Fingerprint)
+	// Interrupted records that an attempt begun at the given time was interrupted or timed out. Of the
+	// parts, only those are given under which no answer has begun.
+	Interrupted(en EndpointRef, began time.Time, request Fingerprint, parts ...Fingerprint)
 	// ConnRefused records that the endpoint refused a connection.
 	ConnRefused(en EndpointRef)
 }
--- a/core/crash/fleet_test.go
+++ b/core/crash/fleet_test.go
@@ -33,6 +33,11 @@
 	hot float64
 	// lossRate is the fraction of the messages that are lost.
 	lossRate float64
+	// inParts is set if the causes are parts of prompts, each in requests that are all different. Harmless
+	// requests have prompts too, then; share is the fraction of them that share the first part with the
+	// causes' requests.
+	inParts bool
+	share   float64
 }
 
 var patterns = []pattern{
@@ -44,6 +49,13 @@
 	{name: "outage", outage: 0.34},
 	{name: "outage, hot", outage: 0.34, hot: 0.5},
 	{name: "outage, one", causes: 1, copies: 1, interval: 500 * time.Millisecond, crashAfter: 100 * time.Millisecond, outage: 0.34, hot: 0.3},
+	{name: "part", causes: 1, copies: 1, interval: 500 * time.Millisecond, crashAfter: 100 * time.Millisecond, inParts: true, share: 0.3},
+	{name: "part, rare", causes: 1, copies: 1, interval: 500 * time.Millisecond, crashAfter: 100 * time.Millisecond, inParts: true, share: 0.01},
+	{name: "part, fast", causes: 1, copies: 6, interval: 500 * time.Millisecond, crashAfter: 100 * time.Millisecond, inParts: true, share: 0.1},
+	{name: "part, lossy", causes: 1, copies: 1, interval: 500 * time.Millisecond, crashAfter: 100 * time.Millisecond, inParts: true, share: 0.1, lossRate: 0.1},
+	{name: "parts, two", causes: 2, copies: 1, interval: 700 * time.Millisecond, crashAfter: 100 * time.Millisecond, inParts: true, share: 0.1},
+	{name: "part, outage", causes: 1, copies: 1, interval: 500 * time.Millisecond, crashAfter: 100 * time.Millisecond, inParts: true, share: 0.1, outage: 0.34},
+	{name: "parts, outage only", outage: 0.34, inParts: true, share: 0.1},
 }
 
 const (
@@ -58,12 +70,25 @@
 	// maxRetries is how often a caller retries a failed request, each time after retryDelay.
 	maxRetries = 3
 	retryDelay = 300 * time.Millisecond
-	// lateAfter is how long after its third crash a request may still be sent without being counted.
+	// lateAfter is how long after the last crash that it is allowed a cause may still be sent without being
+	// counted: the third by a request, the fifth by a part.
 	lateAfter = 3 * time.Second
 	// maxLateSends is how many later ones are allowed in all.
 	maxLateSends = 3
+	// allowedPartCrashes is the number of crashes by a part after which requests with it are late.
+	allowedPartCrashes = 5
+	// promptTime is the mean time in which a harmless request's prompt is read: then its answer begins.
+	promptTime = 60 * time.Millisecond
+	// causesFrom is when requests that crash endpoints are sent first.
+	causesFrom = 5 * time.Second
+	// settledFrom is when sound requests must be served as before: 2 x lateAfter after the last crash
+	// that the causes are allowed.
+	settledFrom = 20 * time.Second
 )
 
+// firstPart is the first part of the causes' prompts, which harmless requests share.
+var firstPart = crash.PartFingerprint(1)
+
 type event struct {
 	at time.Duration
 	do func()
@@ -83,6 +108,9 @@
 
 type attempt struct {
 	fp          core.Fingerprint
+	parts       []core.Fingerprint
+	begun       bool
+	first       bool // the first attempt of its caller
 	router      int
 	cause       bool
 	retriesLeft int
@@ -102,21 +130,25 @@
 	starts  []uint64
 
 	// The fields below record what became of the requests.
-	crashes    map[core.Fingerprint]int
-	thirdCrash map[core.Fingerprint]time.Duration
-	lateSends  map[core.Fingerprint]int
-	harmless   int
-	bystanders map[core.Fingerprint]bool
+	crashes map[core.Fingerprint]int
+	// countedFrom is when a cause has crashed as many endpoints as it may.
+	countedFrom map[core.Fingerprint]time.Duration
+	lateSends   map[core.Fingerprint]int
+	harmless    int
+	bystanders  map[core.Fingerprint]bool
 	// firstRefused is when a harmless request was first refused, firstPassed when it was first let
 	// through after that.
 	firstRefused map[core.Fingerprint]time.Duration
 	firstPassed  map[core.Fingerprint]time.Duration
+	// sharing counts the harmless requests that share the first part, before the causes and after
+	// settledFrom, and those of them whose answers began at the first attempt.
+	sharing, sharingBegun [2]int
 }
 
 func newFleet(pa pattern, seed uint64) *fleet {
 	fl := &fleet{
 		pattern: pa, ra: rand.New(rand.NewPCG(seed, 1)), store: map[core.Fingerprint]core.Quarantine{},
-		starts: make([]uint64, fleetEndpoints), crashes: map[core.Fingerprint]int{}, thirdCrash: map[core.Fingerprint]time.Duration{},
+		starts: make([]uint64, fleetEndpoints), crashes: map[core.Fingerprint]int{}, countedFrom: map[core.Fingerprint]time.Duration{},
 		lateSends: map[core.Fingerprint]int{}, bystanders: map[core.Fingerprint]bool{}, firstRefused: map[core.Fingerprint]time.Duration{},
 		firstPassed: map[core.Fingerprint]time.Duration{},
 	}
@@ -136,7 +168,7 @@
 func (fl *fleet) run() {
 	fl.schedule(0, fl.sendHarmless)
 	for ix := range fl.causes {
-		fl.schedule(5*time.Second, func() { fl.sendCause(core.Fingerprint{0xff, byte(ix)}) })
+		fl.schedule(causesFrom, func() { fl.sendCause(core.Fingerprint{0xff, byte(ix)}) })
 	}
 	if fl.outage > 0 {
 		fl.schedule(10*time.Second, fl.crashSome)
@@ -159,27 +191,77 @@
 	if fl.ra.Float64() < fl.hot {
 		fp = core.Fingerprint{2}
 	}
-	fl.send(&attempt{fp: fp, retriesLeft: maxRetries})
+	at := &attempt{fp: fp, retriesLeft: maxRetries, first: true}
+	if fl.inParts {
+		at.parts = fl.harmlessParts()
+	}
+	fl.countSharing(at, &fl.sharing)
+	fl.send(at)
+}
+
+// harmlessParts draws the shared parts of a harmless prompt: one of a few first parts, and one of a session.
+func (fl *fleet) harmlessParts() []core.Fingerprint {
+	first := firstPart
+	if fl.ra.Float64() >= fl.share {
+		first = crash.PartFingerprint(uint64(2 + fl.ra.IntN(20)))
+	}
+	return []core.Fingerprint{first, crash.PartFingerprint(uint64(1000 + fl.ra.IntN(300)))}
+}
+
+// countSharing counts a first attempt that shares the first part with the causes' requests.
+func (fl *fleet) countSharing(at *attempt, counts *[2]int) {
+	if !at.first || len(at.parts) == 0 || at.parts[0] != firstPart {
+		return
+	}
+	if fl.now < causesFrom {
+		counts[0]++
+	} else if fl.now > settledFrom {
+		counts[1]++
+	}
 }
 
 // sendCause sends a crashing request, again and again until the fleet ends.
 func (fl *fleet) sendCause(fp core.Fingerprint) {
 	fl.schedule(fl.interval, func() { fl.sendCause(fp) })
 	for range fl.copies {
-		fl.send(&attempt{fp: fp, cause: true})
+		if !fl.inParts {
+			fl.send(&attempt{fp: fp, cause: true})
+			continue
+		}
+		fl.harmless++
+		deadly := crash.PartFingerprint(0xdead<<16 | uint64(fp[1]))
+		fl.send(&attempt{fp: core.Fingerprint{3, byte(fl.harmless), byte(fl.harmless >> 8), byte(fl.harmless >> 16)}, parts: []core.Fingerprint{firstPart, deadly}, cause: true})
+	}
+}
+
+// culprit returns what crashes the endpoints that run a cause.
+func (at *attempt) culprit() core.Fingerprint {
+	if len(at.parts) > 0 {
+		return at.parts[len(at.parts)-1]
+	}
+	return at.fp
+}
+
+// begin records that an answer has begun and goes on.
+func (fl *fleet) begin(at *attempt) {
+	if at.finished || at.begun {
+		return
 	}
+	at.begun = true
+	fl.countSharing(at, &fl.sharingBegun)
+	fl.apply(at.router, fl.routers[at.router].Succeeded(fl.time(), at.parts...))
 }
 
 // send sends an attempt to a router, and on to an endpoint if the router lets it through.
 func (fl *fleet) send(at *attempt) {
 	at.router = fl.ra.IntN(fleetRouters)
-	ve := fl.routers[at.router].Check(fl.time(), at.fp)
+	ve := fl.routers[at.router].Check(fl.time(), append([]core.Fingerprint{at.fp}, at.parts...)...)
 	if ve.Quarantined && !(ve.Trial && fl.winTrial(at.router, ve.Entry)) {
 		if !at.cause && fl.firstRefused[at.fp] == 0 {
 			fl.firstRefused[at.fp] = fl.now
 		}
 		if !at.cause {
-			fl.schedule(ve.RetryAfter+time.Second, func() { fl.send(&attempt{fp: at.fp, retriesLeft: at.retriesLeft}) })
+			fl.schedule(ve.RetryAfter+time.Second, func() { fl.send(&attempt{fp: at.fp, parts: at.parts, retriesLeft: at.retriesLeft}) })
 		}
 		return
 	}
@@ -193,13 +275,17 @@
 		}
 		endpoint = fl.ra.IntN(fleetEndpoints)
 	}
-	if third, known := fl.thirdCrash[at.fp]; known && fl.now > third+lateAfter {
-		fl.lateSends[at.fp]++
+	if from, known := fl.countedFrom[at.culprit()]; known && at.cause && fl.now > from+lateAfter {
+		fl.lateSends[at.culprit()]++
 	}
 	fl.running[endpoint] = append(fl.running[endpoint], at)
 	duration := time.Duration(fl.ra.ExpFloat64() * float64(500*time.Millisecond))
 	if at.cause {
 		duration = fl.crashAfter
+	} else if len(at.parts) > 0 {
+		prompt := time.Duration(fl.ra.ExpFloat64() * float64(promptTime))
+		fl.schedule(prompt, func() { fl.begin(at) })
+		duration += prompt
 	}
 	fl.schedule(duration, func() { fl.finish(endpoint, at) })
 }
@@ -240,7 +326,7 @@
 				break
 			}
 		}
-		fl.apply(at.router, fl.routers[at.router].Succeeded(fl.time(), at.fp))
+		fl.apply(at.router, fl.routers[at.router].Succeeded(fl.time(), append([]core.Fingerprint{at.fp}, at.parts...)...))
 	}
 }
 
@@ -267,18 +353,16 @@
 	for _, at := range ran {
 		at.finished = true
 		byRouter[at.router] = append(byRouter[at.router], at.fp)
+		if !at.begun {
+			byRouter[at.router] = append(byRouter[at.router], at.parts...)
+		}
 		if at.cause {
-			if !once[at.fp] {
-				once[at.fp] = true
-				if fl.crashes[at.fp]++; fl.crashes[at.fp] == 3 {
-					fl.thirdCrash[at.fp] = fl.now
-				}
-			}
+			fl.countCrash(at, once)
 			continue
 		}
 		fl.bystanders[at.fp] = true
 		if at.retriesLeft > 0 {
-			fl.schedule(retryDelay, func() { fl.send(&attempt{fp: at.fp, retriesLeft: at.retriesLeft - 1}) })
+			fl.schedule(retryDelay, func() { fl.send(&attempt{fp: at.fp, parts: at.parts, retriesLeft: at.retriesLeft - 1}) })
 		}
 	}
 	for router := range fleetRouters {
@@ -290,6 +374,21 @@
 	}
 }
 
+// countCrash counts a crash for its culprit, once.
+func (fl *fleet) countCrash(at *attempt, once map[core.Fingerprint]bool) {
+	culprit, allowed := at.culprit(), 3
+	if len(at.parts) > 0 {
+		allowed = allowedPartCrashes
+	}
+	if once[culprit] {
+		return
+	}
+	once[culprit] = true
+	if fl.crashes[culprit]++; fl.crashes[culprit] == allowed {
+		fl.countedFrom[culprit] = fl.now
+	}
+}
+
 // apply sends and stores what follows from a change at a router.
 func (fl *fleet) apply(router int, ef crash.Effects) {
 	for _, no := range ef.ToOwners {
@@ -352,7 +451,8 @@
 	for _, pa := range patterns {
 		t.Run(pa.name, func(t *testing.T) {
 			t.Parallel()
-			bystanders, refused, lasting := 0, 0, 0
+			bystanders, refused, lasting, most := 0, 0, 0, 0
+			var sharing, begun [2]int
 			var longest time.Duration
 			for seed := range uint64(20 + *explore) {
 				fl := newFleet(pa, seed)
@@ -362,6 +462,13 @@
 						t.Errorf("seed %d: %s was sent %d times too late, %d crashes", seed, fp, count, fl.crashes[fp])
 					}
 				}
+				for _, count := range fl.crashes {
+					most = max(most, count)
+				}
+				for ix := range sharing {
+					sharing[ix] += fl.sharing[ix]
+					begun[ix] += fl.sharingBegun[ix]
+				}
 				bystanders += len(fl.bystanders)
 				refused += len(fl.firstRefused)
 				for fp, at := range fl.firstRefused {
@@ -377,6 +484,13 @@
 			}
 			t.Logf("%d bystanders of a crash, %d refused wrongly, %d of them for longer than %s, %s at most",
 				bystanders, refused, lasting, callerTimeout, longest.Round(time.Millisecond))
+			if fl := pa; fl.inParts {
+				before, after := float64(begun[0])/float64(sharing[0]), float64(begun[1])/float64(sharing[1])
+				t.Logf("%d crashes by one cause at most; %.3f of the sound requests began before, %.3f after", most, before, after)
+				if after < before/2 {
+					t.Errorf("%.3f of the requests that share a part with the cause begin, %.3f did before", after, before)
+				}
+			}
 			if part := float64(lasting) / math.Max(1, float64(bystanders)); part > maxLasting {
 				t.Errorf("%.5f of the bystanders are refused for longer than their callers wait, at most %.5f allowed", part, maxLasting)
 			}
--- a/core/crash/interruptions.go
+++ b/core/crash/interruptions.go
@@ -44,8 +44,10 @@
 // Attempt is an attempt to run a request at an endpoint. The endpoint is named by the hash of its
 // ID and incarnation.
 type Attempt struct {
-	Endpoint  uint64
-	Request   core.Fingerprint
+	Endpoint uint64
+	Request  core.Fingerprint
+	// Parts are the shared parts of the prompt, if the answer had not begun.
+	Parts     []core.Fingerprint
 	StartedAt time.Time
 }
 
@@ -67,6 +69,7 @@
 
 type interruptedAttempt struct {
 	request                  core.Fingerprint
+	parts                    []core.Fingerprint
 	startedAt, interruptedAt time.Time
 }
 
@@ -80,13 +83,13 @@
 		return at.StartedAt.Before(re.crashedAt) && now.Sub(re.goneAt) <= refusedWindow
 	}
 	if len(re.attempts) < maxAttempts {
-		re.attempts = append(re.attempts, interruptedAttempt{at.Request, at.StartedAt, now})
+		re.attempts = append(re.attempts, interruptedAttempt{at.Request, at.Parts, at.StartedAt, now})
 	}
 	return false
 }
 
 // EndpointGone records that an endpoint is gone and returns the requests that were running there
-// when it crashed.
+// when it crashed, and the parts of those whose answers had not begun.
 //
 // Failure: half of the endpoints crash at once, and within milliseconds a request is sent from one
 // to the next of them over kept-alive connections. It was not running at an endpoint that it
@@ -106,8 +109,13 @@
 	var crashed []core.Fingerprint
 	for _, at := range re.attempts {
 		// attempts[0] is the one that was interrupted first.
-		if at.startedAt.Before(re.attempts[0].interruptedAt) && !slices.Contains(crashed, at.request) {
-			crashed = append(crashed, at.request)
+		if !at.startedAt.Before(re.attempts[0].interruptedAt) {
+			continue
+		}
+		for _, fp := range at.identities() {
+			if !slices.Contains(crashed, fp) {
+				crashed = append(crashed, fp)
+			}
 		}
 	}
 	re.goneAt, re.crashedAt = now, now
@@ -118,6 +126,11 @@
 	return crashed
 }
 
+// identities returns what may have caused a crash of the attempt's endpoint.
+func (at *interruptedAttempt) identities() []core.Fingerprint {
+	return append([]core.Fingerprint{at.request}, at.parts...)
+}
+
 // crashStart returns the time from which on interruptions belong to a crash discovered now.
 // Earlier ones, such as a lost response, are unrelated to it.
 func (re *endpointRecord) crashStart(now time.Time) time.Time {
--- a/core/crash/quarantine.go
+++ b/core/crash/quarantine.go
@@ -13,7 +13,9 @@
 // after the delay; one that is the cause costs an endpoint each time. Where it is uncertain whether
 // the request is the cause, the first trial comes before its caller gives up.
 var (
-	trialDelays          = [maxTrials]time.Duration{20 * time.Second, 2 * time.Minute}
+	trialDelays = [maxTrials]time.Duration{20 * time.Second, 2 * time.Minute}
+	// partTrialDelays apply to parts: a wrong quarantine refuses all requests that share the part.
+	partTrialDelays      = [maxTrials]time.Duration{4 * time.Second, 30 * time.Second}
 	uncertainTrialDelays = [maxTrials]time.Duration{time.Second, 20 * time.Second}
 )
 
@@ -29,6 +31,11 @@
 	// outageWindow is the time within which several endpoints may crash for one common reason,
 	// such as a rack that loses power.
 	outageWindow = 2 * time.Second
+	// latePartTrialDelay applies to a part that has no other trial left. Requests that share it go on coming,
+	// so that its quarantine would not expire, and the part may have become harmless by a release.
+	latePartTrialDelay = 5 * time.Minute
+	// jointTrialDelay is how much later a request is tried that holds something else that is suspected.
+	jointTrialDelay = 4 * time.Second
 	// maxTrialTurns bounds how many requests that share crashes are tried one after the other.
 	maxTrialTurns = 4
 )
@@ -130,10 +137,12 @@
 // none.
 func (ta *Table) trialDelay(fp core.Fingerprint, qu *quarantine) (time.Duration, bool) {
 	if qu.trials >= maxTrials || qu.crashCount() > maxCrashesForTrial {
-		return 0, false
+		return latePartTrialDelay, IsPart(fp)
 	}
 	turn, unsure := ta.uncertain(fp, qu)
 	switch {
+	case !unsure && IsPart(fp):
+		return partTrialDelays[qu.trials], true
 	case !unsure:
 		return trialDelays[qu.trials], true
 	case qu.trials == 0:
--- a/core/crash/table.go
+++ b/core/crash/table.go
@@ -78,13 +78,14 @@
 	attributed map[uint64]attribution
 }
 
-// EndpointCrashed records that an endpoint crashed while it ran requests of this router.
-func (ta *Table) EndpointCrashed(now time.Time, endpoint uint64, requests []core.Fingerprint) Effects {
+// EndpointCrashed records that an endpoint crashed while it ran requests of this router, given with the
+// parts under which no answer had begun.
+func (ta *Table) EndpointCrashed(now time.Time, endpoint uint64, suspects []core.Fingerprint) Effects {
 	ta.mu.Lock()
 	defer ta.mu.Unlock()
 	var ef Effects
 	cr := core.Crash{Endpoint: endpoint, At: now}
-	for _, fp := range requests {
+	for _, fp := range suspects {
 		if ta.successes.succeededSince(fp, now.Add(-successWindow)) {
 			continue
 		}
@@ -94,12 +95,17 @@
 	return ef
 }
 
-// Succeeded records that an attempt succeeded, which shows that the request crashes no endpoint.
-func (ta *Table) Succeeded(now time.Time, fp core.Fingerprint) Effects {
+// Succeeded records that an attempt succeeded, or that an answer went on under parts of its prompt, which
+// shows that these crash no endpoint.
+func (ta *Table) Succeeded(now time.Time, fps ...core.Fingerprint) Effects {
 	ta.mu.Lock()
 	defer ta.mu.Unlock()
-	ta.successes.record(fp, now)
-	return ta.clear(fp)
+	var ef Effects
+	for _, fp := range fps {
+		ta.successes.record(fp, now)
+		ta.clear(fp, &ef)
+	}
+	return ef
 }
 
 // Lift ends the quarantine of a request and returns false if there was none.
@@ -107,24 +113,24 @@
 	ta.mu.Lock()
 	defer ta.mu.Unlock()
 	_, was := ta.quarantined[fp]
-	return ta.clear(fp), was
+	var ef Effects
+	ta.clear(fp, &ef)
+	return ef, was
 }
 
 // clear drops all suspicion against a request, and its quarantine.
-func (ta *Table) clear(fp core.Fingerprint) Effects {
-	var ef Effects
+func (ta *Table) clear(fp core.Fingerprint, ef *Effects) {
 	cleared := core.CrashNotice{Kind: core.NoticeCleared, Request: fp}
 	if qu := ta.quarantined[fp]; qu != nil {
 		ef.ToAll = append(ef.ToAll, cleared)
 		if qu.rev != 0 {
 			ef.Remove = append(ef.Remove, qu.entry(fp))
 		}
-		ta.release(fp, &ef)
+		ta.release(fp, ef)
 	} else if ta.suspects[fp] != nil {
 		ef.ToOwners = append(ef.ToOwners, cleared)
 	}
 	delete(ta.suspects, fp)
-	return ef
 }
 
 // ApplyNotice applies a peer's notice.
--- a/core/crash/verdict.go
+++ b/core/crash/verdict.go
@@ -8,21 +8,56 @@
 	"almondrill/core"
 )
 
-// Check decides whether a request may be sent to an endpoint.
-func (ta *Table) Check(now time.Time, fp core.Fingerprint) Verdict {
+// Check decides whether a request, given with the parts that it may share, may be sent to an endpoint.
+//
+// Failure: a part that crashes endpoints and a sound one that its requests hold too are quarantined together.
+// A request with both shows nothing in favor of the sound one, and costs an endpoint; one with the sound
+// part alone is tried first, and one with several only after jointTrialDelay, as none may come without the
+// others.
+func (ta *Table) Check(now time.Time, fps ...core.Fingerprint) Verdict {
 	if ta.quarantineCount.Load() == 0 {
 		return Verdict{}
 	}
 	ta.mu.Lock()
 	defer ta.mu.Unlock()
-	qu := ta.quarantined[fp]
-	if qu == nil || qu.expired(now) {
-		return Verdict{}
+	var all Verdict
+	for _, fp := range fps {
+		qu := ta.quarantined[fp]
+		if qu == nil || qu.expired(now) {
+			continue
+		}
+		var extra time.Duration
+		if ta.suspectBeside(fp, fps) {
+			extra = jointTrialDelay
+		}
+		ve := ta.checkOne(now, fp, qu, extra)
+		if all.Quarantined {
+			ve.Trial = ve.Trial && all.Trial
+			ve.RetryAfter = max(ve.RetryAfter, all.RetryAfter)
+		}
+		if all.Renew {
+			ve.Renew, ve.Entry = true, all.Entry
+		}
+		all = ve
 	}
+	return all
+}
+
+// suspectBeside reports whether a request holds something else that is suspected or quarantined, so that its
+// trial would not tell which of them crashes endpoints.
+func (ta *Table) suspectBeside(fp core.Fingerprint, fps []core.Fingerprint) bool {
+	return slices.ContainsFunc(fps, func(other core.Fingerprint) bool {
+		return other != fp && (ta.quarantined[other] != nil || IsPart(fp) && ta.suspects[other] != nil)
+	})
+}
+
+// checkOne decides whether a quarantined request, or one with a quarantined part, may be sent to an endpoint.
+// Its trial is due later by extra.
+func (ta *Table) checkOne(now time.Time, fp core.Fingerprint, qu *quarantine, extra time.Duration) Verdict {
 	ve := Verdict{Quarantined: true, Renew: qu.entryLost, Entry: qu.entry(fp)}
 	age := now.Sub(qu.since)
 	if delay, allowed := ta.trialDelay(fp, qu); allowed {
-		ve.RetryAfter = max(0, delay-age)
+		ve.RetryAfter = max(0, delay+extra-age)
 		ve.Trial = ve.RetryAfter == 0 && qu.rev != 0
 		return ve
 	}
@@ -36,7 +71,8 @@
 	ta.mu.Lock()
 	defer ta.mu.Unlock()
 	var ef Effects
-	if en.Trials == 0 && ta.successes.succeededSince(en.Request, now.Add(-unstoredTTL)) {
+	known := ta.quarantined[en.Request] != nil // then earlier successes were weighed with the notice
+	if en.Trials == 0 && !known && ta.successes.succeededSince(en.Request, now.Add(-unstoredTTL)) {
 		// The entry was written while a peer or this router cleared the request.
 		ef.Remove = append(ef.Remove, en)
 		return ef
--- a/io/deny/deny.go
+++ b/io/deny/deny.go
@@ -28,6 +28,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -65,13 +66,13 @@
 var _ core.CrashDetector = (*Detector)(nil)
 
 // Interrupted implements core.CrashDetector.
-func (de *Detector) Interrupted(en core.EndpointRef, began time.Time, fp core.Fingerprint) {
+func (de *Detector) Interrupted(en core.EndpointRef, began time.Time, request core.Fingerprint, parts ...core.Fingerprint) {
 	if de.Placer.Draining(en.Hash) {
 		return // a planned shutdown, not a crash
 	}
 	now := time.Now()
-	if de.interruptions.Add(now, crash.Attempt{Endpoint: en.Hash, Request: fp, StartedAt: began}) {
-		de.crashed(now, en, crash.Refused, []core.Fingerprint{fp})
+	if de.interruptions.Add(now, crash.Attempt{Endpoint: en.Hash, Request: request, Parts: parts, StartedAt: began}) {
+		de.crashed(now, en, crash.Refused, append([]core.Fingerprint{request}, parts...))
 		return
 	}
 	if de.beginProbe(en.Hash) {
@@ -88,15 +89,17 @@
 
 func (de *Detector) endpointGone(en core.EndpointRef, ev crash.Evidence) {
 	now := time.Now()
-	if requests := de.interruptions.EndpointGone(now, en.Hash, ev); len(requests) > 0 {
-		de.crashed(now, en, ev, requests)
+	if suspects := de.interruptions.EndpointGone(now, en.Hash, ev); len(suspects) > 0 {
+		de.crashed(now, en, ev, suspects)
 	}
 }
 
-func (de *Detector) crashed(now time.Time, en core.EndpointRef, ev crash.Evidence, requests []core.Fingerprint) {
+func (de *Detector) crashed(now time.Time, en core.EndpointRef, ev crash.Evidence, suspects []core.Fingerprint) {
+	requests := slices.DeleteFunc(slices.Clone(suspects), crash.IsPart)
+	parts := slices.DeleteFunc(slices.Clone(suspects), func(fp core.Fingerprint) bool { return !crash.IsPart(fp) })
 	de.Log.Warn("An endpoint crashed.", zap.String("Endpoint", string(en.ID)), zap.String("Addr", en.Addr),
-		zap.Stringer("Evidence", ev), zap.Stringers("Ran", requests))
-	de.Tracker.crashed(now, en.Hash, requests)
+		zap.Stringer("Evidence", ev), zap.Stringers("Ran", requests), zap.Stringers("Parts", parts))
+	de.Tracker.crashed(now, en.Hash, suspects)
 }
 
 // probe checks by connecting whether an endpoint where an attempt was interrupted has crashed. If
--- a/io/deny/tracker.go
+++ b/io/deny/tracker.go
@@ -130,21 +130,36 @@
 	return batch
 }
 
+// Blocked implements core.CrashTracker.
+func (tr *Tracker) Blocked(fps ...core.Fingerprint) (bool, time.Duration) {
+	ve := tr.table.Check(time.Now(), fps...)
+	if !ve.Quarantined || ve.Trial {
+		return false, 0
+	}
+	return true, tr.deny(ve)
+}
+
 // Allowed implements core.CrashTracker.
-func (tr *Tracker) Allowed(ctx context.Context, fp core.Fingerprint) (bool, time.Duration) {
-	ve := tr.table.Check(time.Now(), fp)
+func (tr *Tracker) Allowed(ctx context.Context, fps ...core.Fingerprint) (bool, time.Duration) {
+	ve := tr.table.Check(time.Now(), fps...)
 	if !ve.Quarantined {
 		return true, 0
 	}
 	if ve.Trial && tr.claimTrial(ctx, ve.Entry) {
 		return true, 0
 	}
+	return false, tr.deny(ve)
+}
+
+// deny returns the time after which a quarantined request may come again, and renews its entry if that is
+// due.
+func (tr *Tracker) deny(ve crash.Verdict) time.Duration {
 	if ve.Renew {
 		go func() {
 			_ = tr.put(context.Background(), ve.Entry, storeTimeout) // put logs errors; the caller's next retry tries again
 		}()
 	}
-	return false, max(minRetryAfter, ve.RetryAfter)
+	return max(minRetryAfter, ve.RetryAfter)
 }
 
 // claimTrial claims the trial of a quarantined request in the store. It fails if another router has
@@ -204,9 +219,9 @@
 }
 
 // Succeeded implements core.CrashTracker.
-func (tr *Tracker) Succeeded(fp core.Fingerprint) {
+func (tr *Tracker) Succeeded(fps ...core.Fingerprint) {
 	now := time.Now()
-	tr.apply(now, tr.table.Succeeded(now, fp))
+	tr.apply(now, tr.table.Succeeded(now, fps...))
 }
 
 // Crashed implements core.CrashTracker.
@@ -214,19 +229,32 @@
 	tr.crashed(time.Now(), endpoint, []core.Fingerprint{fp})
 }
 
-// crashed records that an endpoint crashed while it executed the requests.
-func (tr *Tracker) crashed(now time.Time, endpoint uint64, requests []core.Fingerprint) {
-	tr.Stats.Add(stats.CrashedUnder, int64(len(requests)))
-	tr.apply(now, tr.table.EndpointCrashed(now, endpoint, requests))
+// crashed records that an endpoint crashed while it executed the requests, and had not begun to answer under
+// the parts.
+func (tr *Tracker) crashed(now time.Time, endpoint uint64, suspects []core.Fingerprint) {
+	for _, fp := range suspects {
+		if !crash.IsPart(fp) {
+			tr.Stats.Add(stats.CrashedUnder, 1)
+		}
+	}
+	tr.apply(now, tr.table.EndpointCrashed(now, endpoint, suspects))
 }
 
 // apply logs the effects of a change of the table, notifies peers and updates the store.
 func (tr *Tracker) apply(now time.Time, ef crash.Effects) {
 	for _, fp := range ef.Quarantined {
-		tr.Log.Warn("A request is quarantined.", zap.Stringer("Fingerprint", fp))
+		message := "A request is quarantined."
+		if crash.IsPart(fp) {
+			message = "A part of prompts is quarantined."
+		}
+		tr.Log.Warn(message, zap.Stringer("Fingerprint", fp))
 	}
 	for _, fp := range ef.Released {
-		tr.Log.Info("The quarantine of a request has ended.", zap.Stringer("Fingerprint", fp))
+		message := "The quarantine of a request has ended."
+		if crash.IsPart(fp) {
+			message = "The quarantine of a part of prompts has ended."
+		}
+		tr.Log.Info(message, zap.Stringer("Fingerprint", fp))
 	}
 	for _, no := range ef.ToOwners {
 		tr.Peers.NotifyOwners(now, no)
--- a/io/relay/attempt.go
+++ b/io/relay/attempt.go
@@ -34,6 +34,8 @@
 	handedOver bool
 	// connRefused is set if the connection was refused: nothing listens at the address.
 	connRefused bool
+	// events counts those forwarded from this endpoint.
+	events int
 	// began is when the attempt began.
 	began time.Time
 	// answered is when the response was read completely, zero before.
--- a/io/relay/crash.go
+++ b/io/relay/crash.go
@@ -38,25 +38,63 @@
 	return fps
 }
 
-// checkQuarantine refuses a request that appears to crash the endpoints that run it. It is called
-// before each send, since callers retry such a request through any router and each execution costs
-// an endpoint with all of its other requests. The refusal has a Retry-After, since it is only
-// inferred that the request is the cause.
+// identities are what of the request may crash endpoints: the request as a whole, and the parts of its prompt
+// that others share.
+func (rq *request) identities() []core.Fingerprint {
+	return append([]core.Fingerprint{rq.fingerprint}, rq.sharedParts...)
+}
+
+// checkBlocked refuses a request that appears to crash the endpoints that run it, as soon as that is known:
+// before it waits for anything.
+func (rq *request) checkBlocked() *core.Refusal {
+	if rq.re.Crashes == nil {
+		return nil
+	}
+	if blocked, after := rq.re.Crashes.Blocked(rq.identities()...); blocked {
+		return rq.quarantined(after)
+	}
+	return nil
+}
+
+// checkQuarantine is checkBlocked for the attempt whose endpoint has been chosen, and claims a trial if it is
+// one: not earlier, as a trial that finds no endpoint tells nothing. It is called before each send, since
+// callers retry such a request through any router and each execution costs an endpoint with all of its other
+// requests. The refusal has a Retry-After, since it is only inferred that the request is the cause.
 func (rq *request) checkQuarantine(ctx context.Context) *core.Refusal {
 	if rq.re.Crashes == nil {
 		return nil
 	}
-	allowed, after := rq.re.Crashes.Allowed(ctx, rq.fingerprint)
+	allowed, after := rq.re.Crashes.Allowed(ctx, rq.identities()...)
 	if allowed {
 		return nil
 	}
-	rf := rq.notRun(core.ReasonQuarantined, "place", "endpoints crashed when they ran this request")
+	if rq.continuation == nil {
+		rq.ticket.Done(time.Now(), place.Neutral)
+	}
+	return rq.quarantined(after)
+}
+
+func (rq *request) quarantined(after time.Duration) *core.Refusal {
+	rf := rq.notRun(core.ReasonQuarantined, "place", "endpoints crashed when they ran this request, or others that share a part of its prompt")
 	rf.RetryAfter = after
 	return rf
 }
 
-// reportOutcome reports to the crash detection how the attempt ended. A success clears the request
-// of suspicion; a failure response does not, as endpoints also fail requests that they have barely
+// provenEvents is how many events of an answer show that the parts of its prompt crash no endpoint: one may
+// still be on its way when the endpoint crashes.
+const provenEvents = 2
+
+// forwardedEvents records that events of the answer were forwarded.
+func (ex *exchange) forwardedEvents(count int) {
+	before := ex.events
+	ex.events += count
+	if cd := ex.rq.re.Crashes; cd != nil && before < provenEvents && ex.events >= provenEvents && len(ex.rq.sharedParts) > 0 {
+		cd.Succeeded(ex.rq.sharedParts...)
+	}
+}
+
+// reportOutcome reports to the crash detection how the attempt ended. A success clears the request and its
+// parts of suspicion; a failure response does not, as endpoints also fail requests that they have barely
 // started, and neither does a plain response of which nothing says that it is whole.
 func (ex *exchange) reportOutcome(began time.Time, rf *core.Refusal) {
 	cd := ex.rq.re.Crashes
@@ -69,12 +107,16 @@
 	case rf == nil:
 		known := ex.rq.framing != byClose || isEventStream(ex.rs)
 		if known && ex.rq.status < http.StatusMultipleChoices {
-			cd.Succeeded(ex.rq.fingerprint)
+			cd.Succeeded(ex.rq.identities()...)
 		}
 	case ex.connRefused:
 		cd.ConnRefused(en)
 	case rf.Outcome == core.Unknown && possibleCrash[rf.Reason]:
-		cd.Interrupted(en, began, ex.rq.fingerprint)
+		var unproven []core.Fingerprint
+		if ex.events < provenEvents {
+			unproven = ex.rq.sharedParts
+		}
+		cd.Interrupted(en, began, ex.rq.fingerprint, unproven...)
 	}
 }
 
--- a/io/relay/crash_test.go
+++ b/io/relay/crash_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"almondrill/core"
+	"almondrill/core/place"
 	"almondrill/core/route"
 )
 
@@ -22,25 +23,34 @@
 	interrupted []core.EndpointID
 	refused     []core.EndpointID
 	succeeded   []core.Fingerprint
+	// parts are those reported with interruptions.
+	parts []core.Fingerprint
 }
 
-func (cd *fakeCrashDetector) Allowed(context.Context, core.Fingerprint) (bool, time.Duration) {
+func (cd *fakeCrashDetector) Blocked(...core.Fingerprint) (bool, time.Duration) {
+	cd.mu.Lock()
+	defer cd.mu.Unlock()
+	return cd.allowed <= 0, cd.retryAfter
+}
+
+func (cd *fakeCrashDetector) Allowed(context.Context, ...core.Fingerprint) (bool, time.Duration) {
 	cd.mu.Lock()
 	defer cd.mu.Unlock()
 	cd.allowed--
 	return cd.allowed >= 0, cd.retryAfter
 }
 
-func (cd *fakeCrashDetector) Succeeded(fp core.Fingerprint) {
+func (cd *fakeCrashDetector) Succeeded(fps ...core.Fingerprint) {
 	cd.mu.Lock()
 	defer cd.mu.Unlock()
-	cd.succeeded = append(cd.succeeded, fp)
+	cd.succeeded = append(cd.succeeded, fps...)
 }
 
-func (cd *fakeCrashDetector) Interrupted(en core.EndpointRef, _ time.Time, _ core.Fingerprint) {
+func (cd *fakeCrashDetector) Interrupted(en core.EndpointRef, _ time.Time, _ core.Fingerprint, parts ...core.Fingerprint) {
 	cd.mu.Lock()
 	defer cd.mu.Unlock()
 	cd.interrupted = append(cd.interrupted, en.ID)
+	cd.parts = append(cd.parts, parts...)
 }
 
 func (cd *fakeCrashDetector) ConnRefused(en core.EndpointRef) {
@@ -138,3 +148,23 @@
 		t.Errorf("%d panics while it was served", got)
 	}
 }
+
+// An engine breaks off an answer. The parts of its prompt must be suspected of a crash unless the answer had
+// gone on, which clears them at once and not only at its end; the last part belongs to the request alone.
+func TestPartsAreSuspectedUntilTheAnswerGoesOn(t *testing.T) {
+	for events, wantSuspected := range map[int]int{0: 2, 1: 2, 2: 0, 5: 0} {
+		fl := newFleet(t, func(se *received, co net.Conn) bool {
+			writeEvents(se, co, 1, events)
+			return false
+		}).configure(route.Route{Kind: route.Stream, Sticky: true})
+		fl.re.Dialect.Prompt = func(http.Header) []place.Part { return []place.Part{{Hash: 1}, {Hash: 2}, {Hash: 3}} }
+		cd := &fakeCrashDetector{allowed: 9}
+		fl.re.Crashes = cd
+		_, _, _ = fl.send("POST", "/r/x", "b")
+		cd.mu.Lock()
+		if len(cd.interrupted) != 1 || len(cd.parts) != wantSuspected || len(cd.succeeded) != 2-wantSuspected {
+			t.Errorf("%d events: %d interruptions with %d parts, %d cleared; want 1, %d, %d", events, len(cd.interrupted), len(cd.parts), len(cd.succeeded), wantSuspected, 2-wantSuspected)
+		}
+		cd.mu.Unlock()
+	}
+}
--- a/io/relay/request.go
+++ b/io/relay/request.go
@@ -114,6 +114,10 @@
 // serve makes attempts until one succeeds or no other is allowed.
 func (rq *request) serve(ctx context.Context) {
 	defer rq.endTurn()
+	if rf := rq.checkBlocked(); rf != nil {
+		rq.finishFailed(rf)
+		return
+	}
 	if rf := rq.awaitTurn(ctx); rf != nil {
 		rq.finishFailed(rf)
 		return
@@ -125,10 +129,13 @@
 	defer rq.stream.end()
 	header := rq.forwardedHeader()
 	for dials := 0; ; dials++ {
-		rf := rq.checkQuarantine(ctx)
+		rf := rq.checkBlocked()
 		if rf == nil {
 			rf = rq.chooseEndpoint(ctx)
 		}
+		if rf == nil {
+			rf = rq.checkQuarantine(ctx)
+		}
 		if rf != nil {
 			rq.finishFailed(rf)
 			return
--- a/io/relay/stream.go
+++ b/io/relay/stream.go
@@ -139,7 +139,9 @@
 		rq.longestGap = max(rq.longestGap, now.Sub(rq.lastWrite))
 	}
 	rq.lastWrite = now
-	rq.countEvents(events.Count(data))
+	count := events.Count(data)
+	ex.forwardedEvents(count)
+	rq.countEvents(count)
 	if _, werr := rq.wr.Write(data); werr != nil {
 		return werr
 	}
--- a/io/trace/trace.go
+++ b/io/trace/trace.go
@@ -141,7 +141,8 @@
 		if li.Request != "" {
 			continue
 		}
-		named := slices.ContainsFunc(li.listField("Ran"), func(fp string) bool { return fingerprints[fp] })
+		listed := append(li.listField("Ran"), li.listField("Parts")...)
+		named := slices.ContainsFunc(listed, func(fp string) bool { return fingerprints[fp] })
 		if named || fingerprints[li.stringField("Fingerprint")] {
 			out = append(out, li)
 		}
