core/place: a router is held to its share of connections only when they are in use

Cause: each router was held to MaxConns / routers calls at an endpoint, made for even routers; only a share below two calls had the exception that the connections must be in use. Why it holds: the share protects an endpoint's connections, of which half are kept back for idle ones and calls that are not known yet; below half in use there is nothing to protect.

--- a/core/place/pool_stats.go
+++ b/core/place/pool_stats.go
@@ -284,15 +284,10 @@
 	return false
 }
 
-const (
-	// minShare is the least even share of an endpoint's connections, in calls, that is meaningful.
-	// Below it, the limit is based on all calls that the endpoint is known to have.
-	minShare = 2
-	// sharedConnsFraction is the fraction of the connections that must then be in use before a
-	// router is held to its share. The rest covers idle connections and calls that are not known
-	// yet.
-	sharedConnsFraction = 0.5
-)
+// sharedConnsFraction is the fraction of an endpoint's connections that must be in use before a router is held
+// to its even share of them: a load balancer may send most callers to one router. The rest covers idle
+// connections and calls that are not known yet.
+const sharedConnsFraction = 0.5
 
 // limits holds the numbers of calls at which an endpoint gets no more.
 type limits struct {
@@ -307,9 +302,7 @@
 	li := &limits{ownCalls: math.MaxInt, slotFactor: plainSlotFactor, loadCap: math.MaxInt, exactCap: math.MaxInt}
 	if ch.rq.MaxConns > 0 {
 		li.ownCalls = max(1, ch.rq.MaxConns/ch.routers)
-		if li.ownCalls < minShare {
-			li.sharedConns = int(sharedConnsFraction * float64(ch.rq.MaxConns))
-		}
+		li.sharedConns = int(sharedConnsFraction * float64(ch.rq.MaxConns))
 	}
 	if !ch.rq.Engine {
 		return li
--- a/core/place/share_test.go
+++ b/core/place/share_test.go
@@ -43,3 +43,18 @@
 		t.Error("a call beyond the share was placed on an endpoint with half of its connections in use")
 	}
 }
+
+// Guards against refusals at one of 30 routers that gets nearly all requests, while the others have none: its
+// even share of an endpoint's connections is 10, and the endpoints have 48 slots.
+func TestShareFollowsDemand(t *testing.T) {
+	for _, engine := range []bool{true, false} {
+		pl := newPlacer(30)
+		register(pl, 2)
+		rq := &place.Request{Pool: pool, Engine: engine, MaxConns: 300}
+		for ix := range 2 * 40 {
+			if _, rf := pl.Pick(begin, rq); rf != nil {
+				t.Fatalf("engine %v: call %d was refused: %v", engine, ix, rf)
+			}
+		}
+	}
+}
