io/relay: a trial that did not run is sent on

Callers would see: a quarantine that is wrong lasts for another 20 to 30 s, as its trial met a full endpoint, which after crashes is likely. Cause: the trial was claimed for one attempt, and the next attempt of the same request was refused. Why it holds: what was allowed and provably did not run may be sent again; an attempt that may have run ends it, which TestQuarantineDuringMigration and TestQuarantineAppliesBetweenAttempts check.

--- a/io/relay/crash.go
+++ b/io/relay/crash.go
@@ -47,7 +47,7 @@
 // checkBlocked refuses a request that appears to crash the endpoints that run it, as soon as that is known:
 // before it waits for anything.
 func (rq *request) checkBlocked() *core.Refusal {
-	if rq.re.Crashes == nil {
+	if rq.re.Crashes == nil || rq.allowed {
 		return nil
 	}
 	if blocked, after := rq.re.Crashes.Blocked(rq.identities()...); blocked {
@@ -61,11 +61,11 @@
 // callers retry such a request through any router and each execution costs an endpoint with all of its other
 // requests. The refusal has a Retry-After, since it is only inferred that the request is the cause.
 func (rq *request) checkQuarantine(ctx context.Context) *core.Refusal {
-	if rq.re.Crashes == nil {
+	if rq.re.Crashes == nil || rq.allowed {
 		return nil
 	}
-	allowed, after := rq.re.Crashes.Allowed(ctx, rq.identities()...)
-	if allowed {
+	var after time.Duration
+	if rq.allowed, after = rq.re.Crashes.Allowed(ctx, rq.identities()...); rq.allowed {
 		return nil
 	}
 	if rq.continuation == nil {
--- a/io/relay/crash_test.go
+++ b/io/relay/crash_test.go
@@ -168,3 +168,19 @@
 		cd.mu.Unlock()
 	}
 }
+
+// The trial of a quarantined request is refused by an endpoint that is full. It must go on to another one: the
+// next trial would come many seconds later, and until then a wrong quarantine would last.
+func TestTrialThatDidNotRunIsSentOn(t *testing.T) {
+	full := respondWith(func(se *received) string {
+		return "HTTP/1.1 503 X\r\nX-Id: " + se.request.Header.Get("X-Id") + "\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"
+	})
+	fl := newFleet(t, full, full)
+	fl.re.Crashes = &fakeCrashDetector{allowed: 1}
+	fl.configure(route.Route{Kind: route.OnceOnly, MaxAttempts: 2})
+	rs, _, err := fl.send("POST", "/r/x", "b")
+	fl.expect(rs, err, http.StatusServiceUnavailable, 2)
+	if refusals := fl.re.Stats.Refusals(core.ReasonQuarantined); refusals > 0 {
+		t.Errorf("%d refusals as quarantined, want none", refusals)
+	}
+}
--- a/io/relay/request.go
+++ b/io/relay/request.go
@@ -43,6 +43,8 @@
 	// sharedParts identifies the parts of the prompt that other requests may share.
 	sharedParts []core.Fingerprint
 
+	// allowed is set while the crash detection has allowed an attempt that has not run yet.
+	allowed bool
 	// tried are the endpoints that have failed or refused the request.
 	tried []core.EndpointID
 	// sends counts how often the request was sent to an endpoint.
@@ -145,6 +147,7 @@
 			rq.finishServed()
 			return
 		}
+		rq.allowed = rf.Outcome == core.NotRun
 		if rq.nextContinuation(rf) {
 			dials--
 			continue
