io/relay: another response after a stream without framing is not forwarded

Callers would see: bytes of another request's answer at the end of their stream (MIXED). Cause: without length and chunks, all up to the end of the connection is the body. With framing, what follows is left on the connection, which is closed. Why it holds: no event begins with an HTTP status line; what does ends the stream there, as broken off, since nothing says that it was whole.

--- a/io/relay/framing_test.go
+++ b/io/relay/framing_test.go
@@ -177,6 +177,25 @@
 	}
 }
 
+// Another response follows a stream without framing, where the end of the connection is expected. Nothing of
+// it may reach the caller, who must see that the stream is cut: nothing else says that it is whole.
+func TestOtherResponseAfterUnframedStreamIsNotForwarded(t *testing.T) {
+	other := "HTTP/1.1 200 OK\r\nX-Id: id-0\r\nX-Stamp: s0\r\nContent-Length: 7\r\n\r\nid: 9\n\n"
+	fl := newFleet(t, byClose.answer(http.StatusOK, eventStream, other, false, false)).configure(stream)
+	rs, _, err := fl.send("POST", "/r/x", "")
+	fl.expect(rs, err, http.StatusBadGateway, 1)
+	for _, lineEnd := range []string{"\n", "\r\n", "\r"} {
+		whole := strings.ReplaceAll(eventText(1, 3), "\n", lineEnd)
+		for _, fr := range []framing{byClose, byHTTP1_0} {
+			fl := newFleet(t, fr.answer(http.StatusOK, eventStream, whole+other, false, false)).configure(stream)
+			_, body, err := fl.send("POST", "/r/x", "")
+			if err == nil || body != whole {
+				t.Errorf("%q, %s: got %q, error %v", lineEnd, fr, body, err)
+			}
+		}
+	}
+}
+
 // A stream breaks off and what should continue it is no event stream. The caller must see that the stream is
 // cut, and must get nothing else.
 func TestStreamIsNotContinuedByAnotherAnswer(t *testing.T) {
--- a/io/relay/stream.go
+++ b/io/relay/stream.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -11,6 +12,7 @@
 
 	"almondrill/core"
 	"almondrill/core/place"
+	"almondrill/io/conns"
 	"almondrill/io/events"
 )
 
@@ -26,9 +28,12 @@
 
 var (
 	readBuffers = sync.Pool{New: func() any { return new([readSize]byte) }}
+	// statusLine is how a response begins.
+	statusLine = []byte("HTTP/1.")
 
 	errEventTooLarge  = errors.New("an event is larger than a megabyte")
 	errCutInsideEvent = fmt.Errorf("the stream ended inside an event: %w", io.ErrUnexpectedEOF)
+	errOtherResponse  = fmt.Errorf("another response follows on the connection: %w", conns.ErrStray)
 	errNoEvents       = fmt.Errorf("the connection ended before the first event: %w", io.ErrUnexpectedEOF)
 )
 
@@ -57,8 +62,14 @@
 			if end > 0 {
 				// Before the events are written: a caller that reads slowly must not make the endpoint look slow.
 				ex.tk.RecordEvents(waitingSince, arrived, ended)
-				if werr := ex.rq.forwardEvents(ex, pending[:end]); werr != nil {
-					return ex.forwardFailed(werr)
+				own := ex.ownLength(pending[:end])
+				if own > 0 {
+					if werr := ex.rq.forwardEvents(ex, pending[:own]); werr != nil {
+						return ex.forwardFailed(werr)
+					}
+				}
+				if own < end {
+					return ex.classifyError(ctx, "read", errOtherResponse)
 				}
 				pending = pending[:copy(pending, pending[end:])]
 				waitingSince = time.Now()
@@ -79,6 +90,21 @@
 	}
 }
 
+// ownLength returns the length of whole blocks up to the start of another response, if the end of the
+// connection is what ends this one.
+func (ex *exchange) ownLength(blocks []byte) int {
+	if ex.rq.framing != byClose {
+		return len(blocks)
+	}
+	for rest := blocks; len(rest) > 0; {
+		if bytes.HasPrefix(rest, statusLine) {
+			return len(blocks) - len(rest)
+		}
+		_, rest = events.Cut(rest)
+	}
+	return len(blocks)
+}
+
 // streamFailed returns the refusal for a stream whose read failed. It may continue from a copy.
 func (ex *exchange) streamFailed(ctx context.Context, err error) (*core.Refusal, place.Result) {
 	co := ex.rq.stream.takeOver(ctx, err)
