--- a/core/crash/successes.go
+++ b/core/crash/successes.go
@@ -7,11 +7,11 @@
 	"almondrill/core"
 )
 
-// successSlots is how many successful requests are remembered, in 64 KB: those of the last minute
-// at 60 a second. A later request overwrites an earlier one of the same slot.
+// successSlots is how many successful requests and parts are remembered, in 64 KB: those of the last 20 s
+// at 60 requests a second with two shared parts each. A later one overwrites an earlier one of the same slot.
 const successSlots = 4096
 
-// recentSuccesses remembers which requests succeeded recently, and when.
+// recentSuccesses remembers which requests and parts succeeded recently, and when.
 type recentSuccesses struct{ slots []successSlot }
 
 type successSlot struct {
