--- a/io/stats/stats.go
+++ b/io/stats/stats.go
@@ -66,7 +66,7 @@
 	ItemsFailed = "ItemsFailed"
 	// CrashedUnder counts requests that were running at an endpoint when it crashed.
 	CrashedUnder = "CrashedUnder"
-	// RequestsQuarantined is the number of requests that are not sent to endpoints because they
+	// RequestsQuarantined is the number of requests and parts of prompts that are not sent to endpoints because they
 	// crash them. QuarantineTrials counts the trials in which one is sent all the same.
 	RequestsQuarantined = "RequestsQuarantined"
 	QuarantineTrials    = "QuarantineTrials"
