io/relay: a comment is no event of a stream without framing

Callers would see: a stream without framing that broke off after a comment, before its first event, ended like a whole one. Cause: whether the head was sent stood for whether an event was. Evidence: the new case of TestUnframedStreamWithoutEventsIsNotComplete failed before; found when reading the diff. Why it holds: events are counted, and comments are none.

--- a/io/relay/framing_test.go
+++ b/io/relay/framing_test.go
@@ -149,6 +149,10 @@
 		rs, _, err := fl.send("POST", "/r/x", "")
 		fl.expect(rs, err, http.StatusBadGateway, 1)
 	}
+	fl := newFleet(t, byClose.answer(http.StatusOK, eventStream, ": hello\n\n", false, false)).configure(stream)
+	if _, body, err := fl.send("POST", "/r/x", ""); err == nil {
+		t.Errorf("got %q as complete, after a comment", body)
+	}
 }
 
 // A resumable stream breaks off inside an event. It must continue at another endpoint after the last whole
--- a/io/relay/stream.go
+++ b/io/relay/stream.go
@@ -133,7 +133,7 @@
 	switch {
 	case sc.Open():
 		return ex.streamFailed(ctx, errCutInsideEvent)
-	case ex.rq.framing == byClose && !ex.rq.headSent:
+	case ex.rq.framing == byClose && ex.rq.events == 0:
 		return ex.streamFailed(ctx, errNoEvents)
 	}
 	if len(rest) > 0 || !ex.rq.headSent {
