io/relay: streams without framing have chunks for their callers

Cause: a stream without length and chunks was forwarded so, to claim no more than the endpoint did. But then the end of the router's own process ends the caller's stream like a whole one. Why it holds: the caller has the router's chunks, whose last one a killed router does not send. That a stream which ends between events is whole is what the format says; inside one it is cut, as before. Plain answers stay without framing: they are written at once.

--- a/io/relay/response.go
+++ b/io/relay/response.go
@@ -15,9 +15,9 @@
 // writeGrace is how long after the request's deadline its response may still be written.
 const writeGrace = time.Second
 
-// writeHead writes the head of an endpoint's response to the caller. The length is -1 if unknown. Where
-// the response ends with the endpoint's connection, the caller's does so, too: a length or a last chunk
-// would tell the caller that it is whole.
+// writeHead writes the head of an endpoint's response to the caller. The length is -1 if unknown. With
+// byClose, the response ends with the caller's connection: where nothing says that an endpoint's response is
+// whole, a length or a last chunk would tell the caller that it is.
 func (rq *request) writeHead(status int, from http.Header, fr framing, length int64) {
 	rq.headSent = true
 	rq.status = status
--- a/io/relay/stream.go
+++ b/io/relay/stream.go
@@ -155,7 +155,8 @@
 	}
 	if !rq.headSent {
 		rq.beginStream(ex.tk.Build)
-		rq.writeHead(ex.rs.StatusCode, ex.rs.Header, rq.framing, -1)
+		// In chunks, also where the endpoint sent none: otherwise the stream would look whole if this process ended.
+		rq.writeHead(ex.rs.StatusCode, ex.rs.Header, byChunks, -1)
 	}
 	if id := events.LastID(data); id != "" {
 		rq.lastEvent = id
