io/relay: a stream without framing of a crashed engine is not complete

Callers would see: a stream without framing that ended as whole when its engine crashed between two events. Cause: the engine's system closes the connection, which ends such a stream. Why it holds: after the end the router connects to the engine, as it does after an interruption; one that refuses the connection and was not draining has crashed. The connection is used by the next request. Where the engine still takes connections for a moment, the stream passes as whole.

--- a/io/relay/framing_test.go
+++ b/io/relay/framing_test.go
@@ -12,7 +12,9 @@
 	"testing"
 	"time"
 
+	"almondrill/core/place"
 	"almondrill/core/route"
+	"almondrill/io/fakes/local"
 )
 
 // framing is how a scripted endpoint marks the end of its response.
@@ -257,6 +259,35 @@
 	}
 }
 
+// An engine's process ends between two events of a stream without framing, which its system closes like a
+// whole one. The engine takes no connection any more: the caller must not get the stream as complete.
+func TestUnframedStreamOfACrashedEngineIsNotComplete(t *testing.T) {
+	for _, draining := range []bool{false, true} {
+		fl := newFleet(t).configure(stream)
+		li := local.Listen(t)
+		ep := place.Endpoint{ID: "e0", Addr: li.Addr().String(), Pool: "pool", Zone: "a", Slots: 8}
+		fl.re.Placer.Register(time.Now(), ep)
+		go func() {
+			co, err := li.Accept()
+			if err != nil {
+				return
+			}
+			defer co.Close()
+			se := <-fl.readRequests(0, co)
+			if draining { // it ends as planned, after its last answer
+				ep.Draining = true
+				fl.re.Placer.Register(time.Now(), ep)
+			}
+			_ = li.Close()
+			byClose.write(se, co, http.StatusOK, eventStream, eventText(1, 3), false)
+		}()
+		_, body, err := fl.send("POST", "/r/x", "")
+		if body != eventText(1, 3) || (err == nil) != draining {
+			t.Errorf("draining %t: got %q, error %v", draining, body, err)
+		}
+	}
+}
+
 // A router ends in the middle of a stream, by a kill. Its caller must see that, also where the endpoint's stream
 // ends with its connection: the caller's must have chunks, of which the last one is missing then.
 func TestStreamsHaveChunksForTheirCallers(t *testing.T) {
--- a/io/relay/stream.go
+++ b/io/relay/stream.go
@@ -34,6 +34,7 @@
 	errEventTooLarge  = errors.New("an event is larger than a megabyte")
 	errCutInsideEvent = fmt.Errorf("the stream ended inside an event: %w", io.ErrUnexpectedEOF)
 	errOtherResponse  = fmt.Errorf("another response follows on the connection: %w", conns.ErrStray)
+	errEndpointGone   = fmt.Errorf("the endpoint was gone when its connection ended: %w", io.ErrUnexpectedEOF)
 	errNoEvents       = fmt.Errorf("the connection ended before the first event: %w", io.ErrUnexpectedEOF)
 )
 
@@ -135,6 +136,8 @@
 		return ex.streamFailed(ctx, errCutInsideEvent)
 	case ex.rq.framing == byClose && ex.rq.events == 0:
 		return ex.streamFailed(ctx, errNoEvents)
+	case ex.rq.framing == byClose && ex.endpointGone(ctx):
+		return ex.streamFailed(ctx, errEndpointGone)
 	}
 	if len(rest) > 0 || !ex.rq.headSent {
 		if err := ex.rq.forwardEvents(ex, rest); err != nil {
@@ -147,6 +150,16 @@
 	return nil, place.Served
 }
 
+// endpointGone reports whether the endpoint's process has ended, unless that was planned: then its system has
+// closed the connections of all streams, also of those that had more to send. The connection stays for the
+// next request, as that of the stream does not.
+func (ex *exchange) endpointGone(ctx context.Context) bool {
+	if ex.rq.re.Placer.Draining(ex.tk.Hash) {
+		return false
+	}
+	return isConnRefused(ex.rq.re.Conns.Connect(ctx, ex.tk.Endpoint.Addr))
+}
+
 // forwardEvents writes complete events to the caller and flushes them.
 func (rq *request) forwardEvents(ex *exchange, data []byte) error {
 	data, err := rq.stream.sequence(data, rq.continuation != nil)
