--- a/core/place/memory.go
+++ b/core/place/memory.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"math"
-	"net/http"
 	"time"
 
 	"almondrill/core"
@@ -19,6 +18,9 @@
 // hundreds has ten calls in progress, so that the current ones alone are too few.
 const memoryMeanSpan = 5 * time.Second
 
+// statusTooLarge is the status of a refusal of a request that no engine has memory for: 413, as in HTTP.
+const statusTooLarge = 413
+
 // engineMemory is what this router's calls in progress hold of an engine's memory.
 type engineMemory struct {
 	// tokens counts parts that several calls share once.
@@ -244,7 +246,7 @@
 func (ch *choice) refuseForMemory(pl *Placer, re *core.Refusal) {
 	need := ch.memory.prompt + ch.memory.output
 	if ch.memory.tooLarge() {
-		re.Reason, re.Status, re.RetryAfter = core.ReasonTooLarge, http.StatusRequestEntityTooLarge, 0
+		re.Reason, re.Status, re.RetryAfter = core.ReasonTooLarge, statusTooLarge, 0
 		re.Detail = "the request needs more memory than an engine has"
 		re.Basis = fmt.Sprintf("needs %d tokens, engines have %d", need, ch.rq.EngineMemory)
 		return
