io/demo: failing test of answers without framing behind agents

Cause to be mended: an agent refuses a plain answer that ends with its connection, as if it were cut.

--- a/io/fakes/plain/plain.go
+++ b/io/fakes/plain/plain.go
@@ -24,6 +24,8 @@
 	Status int
 	// CutShort closes the connection after the call has run, without a response.
 	CutShort bool
+	// Unframed answers without length and chunks: the answer ends with its connection.
+	Unframed bool
 }
 
 // Service is the fake service. Set the exported fields before use.
@@ -82,5 +84,8 @@
 	}
 	wr.Header().Set("Content-Type", "application/json")
 	wr.Header().Set("X-Request-Id", rq.Header.Get("X-Request-Id"))
+	if fa.Unframed {
+		wr.Header().Set("Transfer-Encoding", "identity")
+	}
 	_, _ = wr.Write(answer)
 }
