io/back: plain answers without framing are forwarded behind agents

Callers saw: 502 CutShort for each plain answer that a service had sent without length and chunks, though it may be whole; such answers are usual now. Cause: the agent could not tell its router that nothing marks the end, so that it refused them. Why it holds: a part carries the mark through the agent, the record of a key and the router; the caller's answer has neither length nor chunks, and it clears no request of suspicion. Streams there are whole with their end mark only, as before.

--- a/core/call.go
+++ b/core/call.go
@@ -47,7 +47,10 @@
 	// Status and ContentType are set on the first part only.
 	Status      int
 	ContentType string
-	Data        []byte
+	// Unmarked is set on the first part, too, if the endpoint's answer ends with its connection: nothing says
+	// that it is whole.
+	Unmarked bool
+	Data     []byte
 	// End marks the last part of a complete answer.
 	End bool
 }
--- a/core/router/router.go
+++ b/core/router/router.go
@@ -151,7 +151,7 @@
 	as.attempt = ca.Attempt
 	rep, err := at.ro.Peers.Serve(ctx, as.vm, &ca, as)
 	at.applyReport(ix, rep, err)
-	at.reportResult(as.vm, err)
+	at.reportResult(as, err)
 	if err != nil {
 		return rep, core.AsRefusal(err, "serve", string(as.vm))
 	}
@@ -182,17 +182,20 @@
 
 // reportResult reports to Crashes that an attempt succeeded or crashed its endpoint. Other failures
 // are not reported: endpoints also fail requests that they have hardly started, so a failure
-// neither clears the request nor counts against it.
-func (at *attempts) reportResult(vm core.VMID, err error) {
+// neither clears the request nor counts against it. An answer of which nothing says that it is whole does
+// not clear it either.
+func (at *attempts) reportResult(as *attemptSink, err error) {
 	if at.ro.Crashes == nil {
 		return
 	}
 	if err == nil {
-		at.ro.Crashes.Succeeded(at.fingerprint)
+		if !as.unmarked {
+			at.ro.Crashes.Succeeded(at.fingerprint)
+		}
 		return
 	}
-	if re := core.AsRefusal(err, "serve", string(vm)); re.Reason == core.ReasonCrashed {
-		at.ro.Crashes.Crashed(ring.Mix(decl.HashName(string(vm)), decl.HashName(re.Peer)), at.fingerprint)
+	if re := core.AsRefusal(err, "serve", string(as.vm)); re.Reason == core.ReasonCrashed {
+		at.ro.Crashes.Crashed(ring.Mix(decl.HashName(string(as.vm)), decl.HashName(re.Peer)), at.fingerprint)
 	}
 }
 
@@ -335,6 +338,8 @@
 	dropped   func()
 	forwarded bool
 	ended     bool
+	// unmarked is set if nothing says that the answer is whole.
+	unmarked bool
 }
 
 // Send forwards a part.
@@ -355,5 +360,6 @@
 		return err
 	}
 	as.ended = as.ended || pa.End
+	as.unmarked = as.unmarked || pa.Unmarked
 	return nil
 }
--- a/io/back/forward.go
+++ b/io/back/forward.go
@@ -37,8 +37,6 @@
 	dataField  = []byte("data:")
 )
 
-var errUnframedBody = errors.New("the answer has neither length nor chunks, so its end cannot be told")
-
 func (fw *forwarder) forward(ctx context.Context) error {
 	media, _, _ := mime.ParseMediaType(fw.part.ContentType)
 	if media == "text/event-stream" {
@@ -49,9 +47,7 @@
 
 // forwardPlain forwards a body that is not an event stream.
 func (fw *forwarder) forwardPlain(ctx context.Context) error {
-	if fw.rs.ContentLength < 0 && len(fw.rs.TransferEncoding) == 0 && fw.rs.ProtoMajor == 1 {
-		return fw.ep.refusal(core.Unknown, core.ReasonCutShort, errUnframedBody)
-	}
+	fw.part.Unmarked = fw.rs.ContentLength < 0 && len(fw.rs.TransferEncoding) == 0 && fw.rs.ProtoMajor == 1
 	left := fw.rs.ContentLength
 	err := fw.readBody(ctx, func(data []byte) error {
 		if fw.ep.Engine && len(fw.buffered)+len(data) <= maxBuffered {
@@ -193,6 +189,7 @@
 	err := fw.sink.Send(&fw.part)
 	fw.part.Status = 0
 	fw.part.ContentType = ""
+	fw.part.Unmarked = false
 	return err
 }
 
--- a/io/front/response.go
+++ b/io/front/response.go
@@ -34,6 +34,9 @@
 		if pa.ContentType != "" {
 			wt.wr.Header().Set("Content-Type", pa.ContentType)
 		}
+		if pa.Unmarked {
+			wt.wr.Header().Set("Transfer-Encoding", "identity") // package http closes the connection at the end, and does not send the field
+		}
 		if pa.Status != 0 {
 			wt.wr.WriteHeader(pa.Status)
 		}
--- a/io/rpc/convert.go
+++ b/io/rpc/convert.go
@@ -47,12 +47,13 @@
 	out.ContentType = pa.ContentType
 	out.Data = pa.Data
 	out.End = pa.End
+	out.Unmarked = pa.Unmarked
 }
 
 func partFromWire(pa *wire.Part, out *core.Part) {
 	*out = core.Part{
 		Attempt: core.AttemptID(pa.Attempt), Position: pa.Position, Status: int(pa.Status),
-		ContentType: pa.ContentType, Data: pa.Data, End: pa.End,
+		ContentType: pa.ContentType, Data: pa.Data, End: pa.End, Unmarked: pa.Unmarked,
 	}
 }
 
