--- a/core/crash/fleet_test.go
+++ b/core/crash/fleet_test.go
@@ -138,6 +138,8 @@
 	// sharing counts the harmless requests that share the first part, before the causes and after
 	// settledFrom, and those of them whose answers began at the first attempt.
 	sharing, sharingBegun [2]int
+	// ended counts the crashes of endpoints, ownerNotices the notices to owners.
+	ended, ownerNotices int
 }
 
 func newFleet(pa pattern, seed uint64) *fleet {
@@ -341,6 +343,7 @@
 	}
 	fl.running[endpoint] = nil
 	fl.starts[endpoint]++
+	fl.ended++
 	id := uint64(endpoint)<<32 | fl.starts[endpoint]
 	fl.schedule(endpointRestart, func() { fl.running[endpoint] = []*attempt{} })
 	byRouter := map[int][]core.Fingerprint{}
@@ -387,6 +390,7 @@
 // apply sends and stores what follows from a change at a router.
 func (fl *fleet) apply(router int, ef crash.Effects) {
 	for _, no := range ef.ToOwners {
+		fl.ownerNotices += 2
 		owner := int(no.Request[1]) % fleetRouters
 		fl.sendNotice(router, owner, no)
 		fl.sendNotice(router, (owner+1)%fleetRouters, no)
--- a/core/crash/randomfleet_test.go
+++ b/core/crash/randomfleet_test.go
@@ -17,6 +17,7 @@
 		t.Run(pa.name, func(t *testing.T) {
 			t.Parallel()
 			bystanders, refused, lasting, most := 0, 0, 0, 0
+			ended, notices := 0, 0
 			var sharing, begun [2]int
 			var longest time.Duration
 			for seed := range uint64(20 + *explore) {
@@ -34,6 +35,8 @@
 					sharing[ix] += fl.sharing[ix]
 					begun[ix] += fl.sharingBegun[ix]
 				}
+				ended += fl.ended
+				notices += fl.ownerNotices
 				bystanders += len(fl.bystanders)
 				refused += len(fl.firstRefused)
 				for fp, at := range fl.firstRefused {
@@ -47,6 +50,7 @@
 					}
 				}
 			}
+			t.Logf("%d crashes of endpoints, %.1f notices to owners for each", ended, float64(notices)/math.Max(1, float64(ended)))
 			t.Logf("%d bystanders of a crash, %d refused wrongly, %d of them for longer than %s, %s at most",
 				bystanders, refused, lasting, callerTimeout, longest.Round(time.Millisecond))
 			if fl := pa; fl.inParts {
