--- a/core/crash/verdict.go
+++ b/core/crash/verdict.go
@@ -44,7 +44,7 @@
 }
 
 // suspectBeside reports whether a request holds something else that is suspected or quarantined, so that its
-// trial would not tell which of them crashes endpoints.
+// trial would not show which of them crashes endpoints.
 func (ta *Table) suspectBeside(fp core.Fingerprint, fps []core.Fingerprint) bool {
 	return slices.ContainsFunc(fps, func(other core.Fingerprint) bool {
 		return other != fp && (ta.quarantined[other] != nil || IsPart(fp) && ta.suspects[other] != nil)
--- a/io/abort/abort.go
+++ b/io/abort/abort.go
@@ -3,7 +3,7 @@
 // # Concepts
 //
 // A client detects a cut response by its missing length or last chunk. A response with neither ends with
-// its connection: there, only a reset tells a cut one from a whole one.
+// its connection: there, only a reset distinguishes a cut one from a whole one.
 //
 // # Usage
 //
--- a/io/relay/crash.go
+++ b/io/relay/crash.go
@@ -57,7 +57,7 @@
 }
 
 // checkQuarantine is checkBlocked for the attempt whose endpoint has been chosen, and claims a trial if it is
-// one: not earlier, as a trial that finds no endpoint tells nothing. It is called before each send, since
+// one: not earlier, as a trial that finds no endpoint shows nothing. It is called before each send, since
 // callers retry such a request through any router and each execution costs an endpoint with all of its other
 // requests. The refusal has a Retry-After, since it is only inferred that the request is the cause.
 func (rq *request) checkQuarantine(ctx context.Context) *core.Refusal {
--- a/io/relay/framing_test.go
+++ b/io/relay/framing_test.go
@@ -144,7 +144,7 @@
 }
 
 // A stream without framing ends before its first event. Nothing says that it is whole: the caller must
-// be told that the request may have run.
+// learn that the request may have run.
 func TestUnframedStreamWithoutEventsIsNotComplete(t *testing.T) {
 	for _, start := range []string{"", ": hello\n", "id: 1\nda"} {
 		fl := newFleet(t, byClose.answer(http.StatusOK, eventStream, start, false, false)).configure(stream)
@@ -301,7 +301,7 @@
 }
 
 // A response that was begun is broken off. Where the caller's ends with its connection, the caller can
-// tell only by a reset.
+// notice that only by a reset.
 func TestCutAnswerIsResetWhereNothingMarksItsEnd(t *testing.T) {
 	cutStream := eventText(1, 3) + "id: 4\nda"
 	long := strings.Repeat("x", 3<<20)
--- a/io/relay/response.go
+++ b/io/relay/response.go
@@ -17,7 +17,7 @@
 
 // writeHead writes the head of an endpoint's response to the caller. The length is -1 if unknown. With
 // byClose, the response ends with the caller's connection: where nothing says that an endpoint's response is
-// whole, a length or a last chunk would tell the caller that it is.
+// whole, a length or a last chunk would claim that it is.
 func (rq *request) writeHead(status int, from http.Header, fr framing, length int64) {
 	rq.headSent = true
 	rq.status = status
--- a/io/stats/stats.go
+++ b/io/stats/stats.go
@@ -93,8 +93,8 @@
 	MemoryWaited  = "MemoryWaited"
 	// StreamsResumed counts requests that continue a stream of an earlier attempt of the caller.
 	StreamsResumed = "StreamsResumed"
-	// UnmarkedEnds counts answers that were forwarded whole as far as can be told: only the end of the
-	// endpoint's connection ended them.
+	// UnmarkedEnds counts answers that were forwarded as whole although only the end of the
+	// endpoint's connection marks their end.
 	UnmarkedEnds = "UnmarkedEnds"
 )
 
