io/deny: the list of quarantines says which are parts of prompts

On-call saw: fingerprints in almondrill quarantine and /debug/quarantine without whether they are a request or a part, and a help text that speaks of requests only. Cause: the list was not extended with parts. Change: the field Part, the word in the command's lines.

--- a/cmd/almondrill/quarantine.go
+++ b/cmd/almondrill/quarantine.go
@@ -24,21 +24,24 @@
 	lift   string
 }
 
-func (*quarantineCommand) Name() string     { return "quarantine" }
-func (*quarantineCommand) Synopsis() string { return "list or lift quarantines of requests" }
+func (*quarantineCommand) Name() string { return "quarantine" }
+func (*quarantineCommand) Synopsis() string {
+	return "list or lift quarantines of requests and parts of prompts"
+}
 
 func (*quarantineCommand) Usage() string {
 	return `quarantine -router ADDR [-lift FINGERPRINT]
-  Lists the requests that the routers of the relay command do not send to endpoints because
-  they crash them, or lifts the quarantine of one request on all routers. ADDR is the
-  AdminAddr of any such router. FINGERPRINT is given in full or as log lines show it.
+  Lists the requests, and the parts of prompts, that the routers of the relay command do not
+  send to endpoints because they crash them, or lifts the quarantine of one of them on all
+  routers. ADDR is the AdminAddr of any such router. FINGERPRINT is given in full or as log
+  lines show it.
   Exits with 0 on success, 1 otherwise.
 `
 }
 
 func (qc *quarantineCommand) SetFlags(fs *flag.FlagSet) {
 	fs.StringVar(&qc.router, "router", "", "AdminAddr of a router of the relay command")
-	fs.StringVar(&qc.lift, "lift", "", "fingerprint of the request whose quarantine to lift")
+	fs.StringVar(&qc.lift, "lift", "", "fingerprint of the request or part whose quarantine to lift")
 }
 
 func (qc *quarantineCommand) Execute(ctx context.Context, fs *flag.FlagSet, _ ...any) subcommands.ExitStatus {
@@ -63,8 +66,12 @@
 		return fail(oops.In("read the response").With("peer", qc.router).Wrap(err))
 	}
 	for _, qu := range all {
-		fmt.Printf("%s  for %s, %d crashes, %d trials, stored %v\n",
-			qu.Fingerprint, (time.Duration(qu.SinceMs) * time.Millisecond).Round(time.Second), qu.Crashes, qu.Trials, qu.Stored)
+		kind := "request"
+		if qu.Part {
+			kind = "part"
+		}
+		fmt.Printf("%s  %s, for %s, %d crashes, %d trials, stored %v\n",
+			qu.Fingerprint, kind, (time.Duration(qu.SinceMs) * time.Millisecond).Round(time.Second), qu.Crashes, qu.Trials, qu.Stored)
 	}
 	fmt.Printf("%d quarantined\n", len(all))
 	return subcommands.ExitSuccess
--- a/io/deny/report.go
+++ b/io/deny/report.go
@@ -19,6 +19,8 @@
 type Quarantined struct {
 	// Fingerprint is the complete fingerprint; log lines contain its first half.
 	Fingerprint string
+	// Part is set if it identifies a part of prompts, and not a request.
+	Part bool
 	// SinceMs is how many milliseconds ago this router learned of the quarantine, or of its last
 	// trial.
 	SinceMs int64
@@ -54,7 +56,7 @@
 	all := []Quarantined{}
 	for _, re := range tr.table.Reports() {
 		all = append(all, Quarantined{
-			Fingerprint: crash.EntryName(re.Request), SinceMs: now.Sub(re.Since).Milliseconds(),
+			Fingerprint: crash.EntryName(re.Request), Part: crash.IsPart(re.Request), SinceMs: now.Sub(re.Since).Milliseconds(),
 			Crashes: re.Crashes, Trials: re.Trials, Stored: re.Stored,
 		})
 	}
