review: requesters try once more only; modes for further findings

The stand-in also plays findings that are no cases: spot (streams without framing at a worker that is taken away), takenup (streams taken up after a kill of all routers, while both versions serve), and MODELS for the case of the parts.

--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -48,6 +48,7 @@
 
 var cases = map[string]func(ru *run) (int, error){
 	"parts":    playParts,
+	"spot":     playSpot,
 	"takenup":  playTakenUp,
 	"unframed": playUnframed,
 	"versions": playVersions,
@@ -58,8 +59,8 @@
 }
 
 func play() int {
-	if len(os.Args) == 3 && os.Args[1] == workerCommand {
-		return serveWorker(os.Args[2])
+	if len(os.Args) == 4 && os.Args[1] == workerCommand {
+		return serveWorker(os.Args[2], os.Args[3])
 	}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: standin CASE RECORD")
--- a/review/standin/parts.go
+++ b/review/standin/parts.go
@@ -105,12 +105,24 @@
 	return wo.start(workerHost)
 }
 
-// partCount is how many parts a prompt has.
-func partCount() int {
-	if count, err := strconv.Atoi(os.Getenv("PARTS")); err == nil {
-		return count
+// partCount is how many parts a prompt has, modelCount how many models the requests name in turn.
+func partCount() int  { return setting("PARTS", defaultParts) }
+func modelCount() int { return setting("MODELS", 1) }
+
+// modelName is the model that a request names.
+func modelName(number int) string {
+	if number %= modelCount(); number > 0 {
+		return fmt.Sprint("m", number)
+	}
+	return "m"
+}
+
+// setting returns a number from the environment.
+func setting(name string, other int) int {
+	if number, err := strconv.Atoi(os.Getenv(name)); err == nil && number > 0 {
+		return number
 	}
-	return defaultParts
+	return other
 }
 
 // prompt lists the parts. All are shared but the last one; in a bad prompt, the one before it is the bad part.
@@ -140,7 +152,7 @@
 			rq := &request{
 				id: fmt.Sprintf("9c41d07be2%06x", first+number), method: http.MethodPost, path: streamPath + "2f", key: tenantKey,
 				body: fmt.Sprintf("prompt %s %d", kind, number), deadline: requestTimeout, header: map[string]string{
-					"X-Almondrill-Model": "m", "X-Almondrill-Token-Counts": "821,60", "X-Almondrill-Prefix-Hash": prompt(first+number, bad),
+					"X-Almondrill-Model": modelName(number), "X-Almondrill-Token-Counts": "821,60", "X-Almondrill-Prefix-Hash": prompt(first+number, bad),
 				},
 			}
 			pc.mu.Lock()
--- a/review/standin/process.go
+++ b/review/standin/process.go
@@ -21,10 +21,10 @@
 	cmd *exec.Cmd
 }
 
-// startProcess starts a worker process.
-func (ru *run) startProcess(id, service, zone string, slots int) (*processWorker, error) {
+// startProcess starts a worker process that answers in the given way.
+func (ru *run) startProcess(id, service, zone, way string, slots int) (*processWorker, error) {
 	pw := &processWorker{worker: &worker{id: id, service: service, zone: zone, version: "v1", slots: slots, sto: ru.sto, rec: ru.rec, state: "ready"}}
-	pw.cmd = exec.Command(os.Args[0], workerCommand, id)
+	pw.cmd = exec.Command(os.Args[0], workerCommand, id, way)
 	pw.cmd.Stderr = os.Stderr
 	pw.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	out, err := pw.cmd.StdoutPipe()
@@ -57,9 +57,18 @@
 	time.AfterFunc(3*heartbeat, func() { pw.sto.remove("servers/" + pw.id) })
 }
 
+// ways are how worker processes answer: with neither a length nor chunks.
+var ways = map[string]func(wo *worker, wr http.ResponseWriter, rq *http.Request){
+	"plain":  serveUnframed,
+	"stream": serveUnframedStream,
+}
+
 // serveWorker is the main function of a worker process.
-func serveWorker(id string) int {
-	wo := &worker{id: id, state: "ready", slots: plainSlots, serve: serveUnframed, rec: &record{began: time.Now(), out: os.Stdout}}
+func serveWorker(id, way string) int {
+	wo := &worker{id: id, state: "ready", slots: workerSlots, serve: ways[way], rec: &record{began: time.Now(), out: os.Stdout}}
+	if wo.serve == nil {
+		return failed
+	}
 	if err := wo.listen(workerHost); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return failed
@@ -72,6 +81,9 @@
 	plainSize = 800
 	plainWork = 60 * time.Millisecond
 	plainEnd  = "-the-end"
+	// A stream has so many events, and so much time between them.
+	unframedEvents = 60
+	unframedGap    = 100 * time.Millisecond
 )
 
 // plainBody is the whole body of an answer.
@@ -92,3 +104,9 @@
 	time.Sleep(plainWork)
 	_, _ = wr.Write([]byte(body[plainSize/2:]))
 }
+
+// serveUnframedStream writes a stream that ends with its channel.
+func serveUnframedStream(wo *worker, wr http.ResponseWriter, rq *http.Request) {
+	wr.Header().Set("Transfer-Encoding", "identity")
+	serveStream(unframedEvents, unframedGap)(wo, wr, rq)
+}
--- a/review/standin/unframed.go
+++ b/review/standin/unframed.go
@@ -87,7 +87,7 @@
 	pw.mu.Lock()
 	defer pw.mu.Unlock()
 	pw.started++
-	wo, err := pw.ru.startProcess(fmt.Sprintf("i-%04d", pw.started), plainPool, zones[pw.started%3], plainSlots)
+	wo, err := pw.ru.startProcess(fmt.Sprintf("i-%04d", pw.started), plainPool, zones[pw.started%3], "plain", plainSlots)
 	if err == nil {
 		pw.alive = append(pw.alive, wo)
 	}
--- a/review/standin/versions.go
+++ b/review/standin/versions.go
@@ -16,10 +16,10 @@
 	streamDeadline = 15 * time.Second
 	ofEachVersion  = 2
 	releaseGap     = time.Second
-	// A requester tries again after firstPause, and after nextPause from then on, or later if it is told so. It
-	// abandons a stream that has brought no event for longestGap.
-	firstPause = time.Second
-	nextPause  = 1500 * time.Millisecond
+	// A requester tries once more, after onePause; longPause is longer than routers take to start and to be in
+	// touch again. It abandons a stream that has brought no event for longestGap.
+	onePause   = time.Second
+	longPause  = 4 * time.Second
 	longestGap = 8 * gapGoalMs * time.Millisecond
 	gapGoalMs  = 600
 	maxMixed   = 2
@@ -66,7 +66,7 @@
 		return failed, err
 	}
 	defer fl.stop()
-	streams, group := ru.startStreams(fl, "begun")
+	streams, group := ru.startStreams(fl, "begun", onePause)
 	time.Sleep(time.Second)
 	for ix, wo := range old {
 		if _, err = ru.startWorkers("v2", ofEachVersion+ix, 1); err != nil {
@@ -106,13 +106,13 @@
 		return failed, err
 	}
 	defer fl.stop()
-	streams, group := ru.startStreams(fl, "begun")
+	streams, group := ru.startStreams(fl, "begun", longPause)
 	time.Sleep(2 * time.Second)
 	if ru.trouble {
 		fl.killAll()
 	}
 	time.Sleep(restartDelay + contact + readyInterval)
-	fresh, freshGroup := ru.startStreams(fl, "fresh")
+	fresh, freshGroup := ru.startStreams(fl, "fresh", longPause)
 	group.Wait()
 	freshGroup.Wait()
 	takenUp, wentOn, begun := 0, 0, 0
@@ -164,10 +164,10 @@
 }
 
 // startStreams sends requests for streams. The group waits for their ends.
-func (ru *run) startStreams(fl *fleet, kind string) ([]*takenStream, *sync.WaitGroup) {
+func (ru *run) startStreams(fl *fleet, kind string, pause time.Duration) ([]*takenStream, *sync.WaitGroup) {
 	streams, group := make([]*takenStream, streamCount), new(sync.WaitGroup)
 	for ix := range streams {
-		streams[ix] = &takenStream{name: fmt.Sprintf("%s%02d", kind, ix), number: ix, fl: fl, rec: ru.rec}
+		streams[ix] = &takenStream{name: fmt.Sprintf("%s%02d", kind, ix), number: ix, fl: fl, rec: ru.rec, pause: pause}
 		group.Go(streams[ix].play)
 		time.Sleep(20 * time.Millisecond)
 	}
@@ -180,6 +180,8 @@
 	number int
 	fl     *fleet
 	rec    *record
+	// pause is how long the requester waits before it tries again, unless it is told a longer time.
+	pause time.Duration
 
 	events   []event
 	attempts int
@@ -190,16 +192,12 @@
 
 // play sends the request, and sends it again until the stream is whole or its deadline has passed.
 func (ts *takenStream) play() {
-	began, lastEvent, firstID, pause := time.Now(), time.Now(), "", firstPause
+	began, lastEvent, firstID := time.Now(), time.Now(), ""
 	for left := streamDeadline; left > 0 && !ts.whole && time.Since(lastEvent) < longestGap; left = streamDeadline - time.Since(began) {
 		ro := ts.fl.pick(ts.number + ts.attempts)
 		ts.attempts++
-		rq := &request{
-			id: fmt.Sprintf("9c41%s%02d%02d", ts.name[:1], ts.number, ts.attempts), method: http.MethodPost, path: streamPath + "2f", key: tenantKey,
-			body: "prompt " + ts.name, deadline: left, header: map[string]string{
-				"X-Almondrill-Model": "m", "X-Almondrill-Token-Counts": "760,200", "X-Almondrill-Prefix-Hash": fmt.Sprintf("5c1e07a2:119,91bd%04x:580,%s%02x:61", ts.number%7, "e440", ts.number),
-			},
-		}
+		rq := modelRequest(fmt.Sprintf("9c41%s%02d%02d", ts.name[:1], ts.number, ts.attempts), "prompt "+ts.name, ts.number)
+		rq.deadline = left
 		before := len(ts.events)
 		if before > 0 {
 			rq.header["Last-Event-Id"] = strconv.Itoa(ts.events[before-1].id)
@@ -219,12 +217,21 @@
 			}
 		}
 		if !ts.whole {
-			time.Sleep(max(pause, an.retryAfter(0)))
-			pause = nextPause
+			time.Sleep(max(ts.pause, an.retryAfter(0)))
 		}
 	}
 }
 
+// modelRequest is a request for a stream. Its prompt has two parts that others share.
+func modelRequest(id, body string, number int) *request {
+	return &request{
+		id: id, method: http.MethodPost, path: streamPath + "2f", key: tenantKey, body: body, deadline: streamDeadline, header: map[string]string{
+			"X-Almondrill-Model": "m", "X-Almondrill-Token-Counts": "760,200",
+			"X-Almondrill-Prefix-Hash": fmt.Sprintf("5c1e07a2:119,91bd%04x:580,e440%02x:61", number%7, number),
+		},
+	}
+}
+
 // versions returns the software versions whose events the requester has got.
 func (ts *takenStream) versions() []string {
 	var all []string
