--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -48,6 +48,7 @@
 
 var cases = map[string]func(ru *run) (int, error){
 	"parts":    playParts,
+	"slow":     playSlow,
 	"spot":     playSpot,
 	"takenup":  playTakenUp,
 	"unframed": playUnframed,
