--- a/review/standin/fleet.go
+++ b/review/standin/fleet.go
@@ -20,6 +20,7 @@
 const (
 	contact       = 3 * time.Second
 	drainTime     = 2 * time.Second
+	graceTime     = 8 * time.Second
 	heartbeat     = 1200 * time.Millisecond
 	restartDelay  = 500 * time.Millisecond
 	kvCapacity    = 573973
@@ -52,10 +53,11 @@
 	name, host string
 	zone       string
 
-	mu        sync.Mutex // guards all below
-	process   *exec.Cmd
-	startedAt time.Time
-	stopping  bool
+	mu      sync.Mutex // guards all below
+	process *exec.Cmd
+	// disturbedAt is when the process was last started, or told to stop.
+	disturbedAt time.Time
+	stopping    bool
 	// misses counts the checks in a row at which the router was not ready.
 	misses int
 }
@@ -152,7 +154,7 @@
 		"Listen.Front": fmt.Sprintf("%s:%d", ro.host, fl.ports["Front"]), "Listen.ReadyAddr": fmt.Sprintf("%s:%d", ro.host, fl.ports["ReadyAddr"]),
 		"Listen.Control": fmt.Sprintf("%s:%d", ro.host, fl.ports["Control"]), "Ip": ro.host, "InternalPorts.0": fl.ports["Internal"],
 		"Platform.Address": fl.sto.addr, "Seeds": seeds, "Bounds.CapFactor": 2, "Bounds.ColdOverrun": "", "Bounds.ColdSlack": "", "Bounds.EvacuateMs": "",
-		"Bounds.RetryRatio": 0.2, "Bounds.RetrySlack": 52, "Bounds.BudgetWindowS": 10, "Bounds.GraceS": 8, "Bounds.DrainMs": drainTime.Milliseconds(), "Limits.MemoryMb": 284,
+		"Bounds.RetryRatio": 0.2, "Bounds.RetrySlack": 52, "Bounds.BudgetWindowS": 10, "Bounds.GraceS": graceTime.Seconds(), "Bounds.DrainMs": drainTime.Milliseconds(), "Limits.MemoryMb": 284,
 	}
 	filled := string(text)
 	for name, value := range fields {
@@ -193,7 +195,7 @@
 	}
 	ro.mu.Lock()
 	defer ro.mu.Unlock()
-	ro.process, ro.startedAt = cmd, time.Now()
+	ro.process, ro.disturbedAt = cmd, time.Now()
 	ro.fl.rec.add("router %s starts", ro.name)
 	go ro.watch(cmd)
 	return nil
@@ -220,15 +222,16 @@
 	ro.mu.Lock()
 	defer ro.mu.Unlock()
 	_ = ro.process.Process.Signal(sig)
+	ro.disturbedAt = time.Now()
 }
 
 func (ro *router) front() string { return fmt.Sprintf("%s:%d", ro.host, ro.fl.ports["Front"]) }
 
-// inTouch reports whether the router's process has run for as long as the rules ask.
+// inTouch reports whether the router's process has run undisturbed for as long as the rules ask.
 func (ro *router) inTouch(at time.Time) bool {
 	ro.mu.Lock()
 	defer ro.mu.Unlock()
-	return at.Sub(ro.startedAt) >= contact
+	return at.Sub(ro.disturbedAt) >= contact
 }
 
 // checkReady asks the router whether it is ready.
@@ -266,6 +269,19 @@
 	fl.rec.add("all routers are killed")
 }
 
+// roll stops the routers one after the other, as the platform does: SIGTERM, and SIGKILL after GraceS.
+func (fl *fleet) roll(gap time.Duration) {
+	for _, ro := range fl.routers {
+		ro.mu.Lock()
+		cmd := ro.process
+		ro.mu.Unlock()
+		ro.signal(syscall.SIGTERM)
+		fl.rec.add("router %s is told to stop", ro.name)
+		time.AfterFunc(graceTime, func() { _ = cmd.Process.Signal(syscall.SIGKILL) })
+		time.Sleep(gap)
+	}
+}
+
 // stop ends the processes of all routers.
 func (fl *fleet) stop() {
 	fl.stopped.Store(true)
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -48,6 +48,8 @@
 
 var cases = map[string]func(ru *run) (int, error){
 	"parts":    playParts,
+	"planned":  playPlanned,
+	"rolling":  playRolling,
 	"slow":     playSlow,
 	"spot":     playSpot,
 	"takenup":  playTakenUp,
--- a/review/standin/versions.go
+++ b/review/standin/versions.go
@@ -16,14 +16,20 @@
 	streamDeadline = 15 * time.Second
 	ofEachVersion  = 2
 	releaseGap     = time.Second
-	// A requester tries once more, after onePause; longPause is longer than routers take to start and to be in
+	// A requester has one retry, which a channel that cannot be opened does not use up. It waits for onePause; longPause is longer than routers take to start and to be in
 	// touch again. It abandons a stream that has brought no event for longestGap.
-	onePause   = time.Second
-	longPause  = 4 * time.Second
-	longestGap = 8 * gapGoalMs * time.Millisecond
-	gapGoalMs  = 600
-	maxMixed   = 2
-	minTakenUp = 12
+	maxRetries    = 1
+	onePause      = time.Second
+	longPause     = 4 * time.Second
+	longestGap    = 8 * gapGoalMs * time.Millisecond
+	gapGoalMs     = 600
+	maxMixed      = 2
+	removedAfter  = 4 * time.Second
+	rollingPlayed = 25 * time.Second
+	rollingFrom   = 6 * time.Second
+	rollingGap    = 2 * time.Second
+	rollingEvery  = 125 * time.Millisecond
+	minTakenUp    = 12
 )
 
 // modelRoute is the route of streams that may be resumed.
@@ -130,14 +136,112 @@
 			begun++
 		}
 	}
-	ru.rec.add("%d streams were taken up at machines in touch, %d of them went on; %d of %d new streams began; the rule asks for half of that share from %d streams on",
-		takenUp, wentOn, begun, len(fresh), minTakenUp)
-	if takenUp >= minTakenUp && 2*wentOn*len(fresh) < begun*takenUp {
+	return ru.judgeTakenUp(takenUp, wentOn, len(fresh), begun), nil
+}
+
+// playRolling stops and starts the routers in turn while workers of two software versions serve side by side. The
+// requesters take streams up again that a router breaks off when it stops.
+func playRolling(ru *run) (int, error) {
+	fl, _, err := ru.startVersions()
+	if err != nil {
+		return failed, err
+	}
+	defer fl.stop()
+	var mu sync.Mutex
+	var streams []*takenStream
+	var group sync.WaitGroup
+	end := time.Now().Add(rollingPlayed)
+	time.AfterFunc(rollingFrom, func() {
+		if ru.trouble {
+			fl.roll(rollingGap)
+		}
+	})
+	for number := 0; time.Now().Before(end); number++ {
+		ts := &takenStream{name: fmt.Sprintf("r%03d", number), number: number, fl: fl, rec: ru.rec, pause: onePause}
+		mu.Lock()
+		streams = append(streams, ts)
+		mu.Unlock()
+		group.Go(ts.play)
+		time.Sleep(rollingEvery)
+	}
+	group.Wait()
+	var fresh, begun, takenUp, wentOn int
+	for _, ts := range streams {
+		ru.rec.add("stream %s: %d events of %v, whole %t, attempts %d; began in touch %t; taken up in touch %t, went on %t",
+			ts.name, len(ts.events), ts.versions(), ts.whole, ts.attempts, ts.beganInTouch, ts.takenUp, ts.wentOn)
+		if ts.beganInTouch {
+			fresh++
+			begun += min(1, len(ts.events))
+		}
+		if ts.takenUp {
+			takenUp++
+		}
+		if ts.takenUp && ts.wentOn {
+			wentOn++
+		}
+	}
+	return ru.judgeTakenUp(takenUp, wentOn, fresh, begun), nil
+}
+
+// playPlanned stops and starts the routers in turn, and meanwhile takes the workers of the old software version
+// away. These never report that they drain: their entries are removed, and they go on serving.
+func playPlanned(ru *run) (int, error) {
+	fl, old, err := ru.startVersions()
+	if err != nil {
+		return failed, err
+	}
+	defer fl.stop()
+	var mu sync.Mutex
+	var streams []*takenStream
+	var group sync.WaitGroup
+	end := time.Now().Add(rollingPlayed)
+	time.AfterFunc(rollingFrom, func() {
+		if ru.trouble {
+			fl.roll(rollingGap)
+		}
+	})
+	for ix, wo := range old {
+		time.AfterFunc(rollingFrom+removedAfter+time.Duration(ix)*releaseGap, wo.removeEntry)
+	}
+	for number := 0; time.Now().Before(end); number++ {
+		ts := &takenStream{name: fmt.Sprintf("p%03d", number), number: number, fl: fl, rec: ru.rec, pause: onePause}
+		mu.Lock()
+		streams = append(streams, ts)
+		mu.Unlock()
+		group.Go(ts.play)
+		time.Sleep(rollingEvery)
+	}
+	group.Wait()
+	mixed := 0
+	for _, ts := range streams {
+		ru.rec.add("stream %s: %d events of %v, whole %t, attempts %d", ts.name, len(ts.events), ts.versions(), ts.whole, ts.attempts)
+		if len(ts.versions()) > 1 {
+			mixed++
+		}
+	}
+	ru.rec.add("%d of %d streams hold events of two versions; the rule allows %d", mixed, len(streams), maxMixed)
+	if mixed > maxMixed {
 		return broken, nil
 	}
 	return held, nil
 }
 
+// removeEntry takes a worker away that never reports that it drains.
+func (wo *worker) removeEntry() {
+	wo.sto.remove("servers/" + wo.id)
+	wo.rec.add("the entry of worker %s is removed; it goes on serving", wo.id)
+}
+
+// judgeTakenUp compares the share of streams that went on with that of new streams that began.
+func (ru *run) judgeTakenUp(takenUp, wentOn, fresh, begun int) int {
+	ru.rec.add("%d streams were taken up at machines in touch, %d of them went on; %d of %d new streams began; the rule asks for half of that share from %d streams on",
+		takenUp, wentOn, begun, fresh, minTakenUp)
+	if takenUp >= minTakenUp && 2*wentOn*fresh < begun*takenUp {
+		return broken
+	}
+	return held
+}
+
 // startWorkers starts model workers of a software version.
 func (ru *run) startWorkers(version string, from, count int) ([]*worker, error) {
 	var all []*worker
@@ -186,19 +290,21 @@
 	events   []event
 	attempts int
 	whole    bool
+	// beganInTouch is set if the first attempt was made at a router in touch.
+	beganInTouch bool
 	// takenUp is set once the stream was taken up at a router in touch, wentOn once it went on then.
 	takenUp, wentOn bool
 }
 
 // play sends the request, and sends it again until the stream is whole or its deadline has passed.
 func (ts *takenStream) play() {
-	began, lastEvent, firstID := time.Now(), time.Now(), ""
-	for left := streamDeadline; left > 0 && !ts.whole && time.Since(lastEvent) < longestGap; left = streamDeadline - time.Since(began) {
+	began, lastEvent, firstID, sent := time.Now(), time.Now(), "", 0
+	for left := streamDeadline; left > 0 && !ts.whole && sent <= maxRetries && time.Since(lastEvent) < longestGap; left = streamDeadline - time.Since(began) {
 		ro := ts.fl.pick(ts.number + ts.attempts)
 		ts.attempts++
 		rq := modelRequest(fmt.Sprintf("9c41%s%02d%02d", ts.name[:1], ts.number, ts.attempts), "prompt "+ts.name, ts.number)
 		rq.deadline = left
-		before := len(ts.events)
+		before, inTouch := len(ts.events), ro.inTouch(time.Now())
 		if before > 0 {
 			rq.header["Last-Event-Id"] = strconv.Itoa(ts.events[before-1].id)
 			rq.header["Resumes"] = firstID
@@ -209,9 +315,12 @@
 		}
 		ts.whole = an.whole && an.status == http.StatusOK
 		if !an.sentAt.IsZero() {
-			inTouch := ro.inTouch(an.sentAt)
+			sent++
 			ts.rec.add("stream %s, attempt %d at %s (in touch %t): sent with Last-Event-Id %q, got %d, %d events, whole %t %s", ts.name, ts.attempts, ro.name,
 				inTouch, rq.header["Last-Event-Id"], an.status, len(an.events), an.whole, an.body)
+			if ts.attempts == 1 {
+				ts.beganInTouch = inTouch
+			}
 			if before > 0 && inTouch {
 				ts.takenUp, ts.wentOn = true, ts.wentOn || len(an.events) > 0
 			}
