--- a/review/standin/caller.go
+++ b/review/standin/caller.go
@@ -53,15 +53,15 @@
 	_ = co.SetDeadline(time.Now().Add(rq.deadline))
 	var head strings.Builder
 	fmt.Fprintf(&head, "%s %s HTTP/1.1\r\nHost: %s\r\nContent-Length: %d\r\n", rq.method, rq.path, requesterHost, len(rq.body))
-	names := make([]string, 0, len(rq.header))
+	fields := make([]string, 0, len(rq.header))
 	for name := range rq.header {
-		names = append(names, name)
+		fields = append(fields, name)
 	}
-	sort.Strings(names)
-	for _, name := range names {
+	sort.Strings(fields)
+	for _, name := range fields {
 		fmt.Fprintf(&head, "%s: %s\r\n", name, rq.header[name])
 	}
-	fmt.Fprintf(&head, "X-Almondrill-Request-Id: %s\r\nX-Almondrill-Deadline-Ms: %d\r\nX-Almondrill-Credential: %s\r\n\r\n", rq.id, rq.deadline.Milliseconds(), rq.key)
+	fmt.Fprintf(&head, "%s: %s\r\n%s: %d\r\n%s: %s\r\n\r\n", names.RequestID, rq.id, names.Deadline, rq.deadline.Milliseconds(), names.Credential, rq.key)
 	an.sentAt = time.Now()
 	if _, err = io.WriteString(co, head.String()+rq.body); err != nil {
 		an.err = err
--- a/review/standin/fleet.go
+++ b/review/standin/fleet.go
@@ -187,7 +187,7 @@
 	}
 	defer out.Close()
 	cmd := exec.Command("target/almondrill", "relay")
-	cmd.Env = []string{"ALMONDRILL_NODE_FILE=" + file, "PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME")}
+	cmd.Env = []string{names.SettingsVariable + "=" + file, "PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME")}
 	cmd.Stdout, cmd.Stderr = out, out
 	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err = cmd.Start(); err != nil {
@@ -237,7 +237,7 @@
 // checkReady asks the router whether it is ready.
 func (ro *router) checkReady() bool {
 	client := http.Client{Timeout: readyInterval}
-	rs, err := client.Get(fmt.Sprintf("http://%s:%d/almondrill/ready", ro.host, ro.fl.ports["ReadyAddr"]))
+	rs, err := client.Get(fmt.Sprintf("http://%s:%d%s", ro.host, ro.fl.ports["ReadyAddr"], names.ReadyPath))
 	if err != nil {
 		return false
 	}
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -47,14 +47,15 @@
 }
 
 var cases = map[string]func(ru *run) (int, error){
-	"parts":    playParts,
-	"planned":  playPlanned,
-	"rolling":  playRolling,
-	"slow":     playSlow,
-	"spot":     playSpot,
-	"takenup":  playTakenUp,
-	"unframed": playUnframed,
-	"versions": playVersions,
+	"forgotten": playForgotten,
+	"parts":     playParts,
+	"planned":   playPlanned,
+	"rolling":   playRolling,
+	"slow":      playSlow,
+	"spot":      playSpot,
+	"takenup":   playTakenUp,
+	"unframed":  playUnframed,
+	"versions":  playVersions,
 }
 
 func main() {
--- a/review/standin/manifest.go
+++ b/review/standin/manifest.go
@@ -38,7 +38,7 @@
 
 // putManifest writes the operator's first manifest.
 func (ru *run) putManifest(routes []routeSpec, services []serviceSpec) {
-	ru.sto.put("op/config", map[string]any{
+	ru.sto.put(names.ConfigKey, map[string]any{
 		"Version": 7, "Routes": routes, "Services": services,
 		"Limits":  map[string]int{"MaxHeaderBytes": 16384, "MaxBodyBytes": 4194304, "HeaderTimeoutMs": 3000, "IdleTimeoutMs": 15000},
 		"Tenants": []any{map[string]any{"Name": tenant, "ApiKeys": []string{tenantKey}, "Priority": 1}},
--- a/review/standin/parts.go
+++ b/review/standin/parts.go
@@ -80,13 +80,13 @@
 	pc.mu.Unlock()
 	answer := serveStream(3, 20*time.Millisecond)
 	wo.serve = func(wo *worker, wr http.ResponseWriter, rq *http.Request) {
-		if !strings.Contains(rq.Header.Get("X-Almondrill-Prefix-Hash"), badPart) {
+		if !strings.Contains(rq.Header.Get(names.Prefix), badPart) {
 			answer(wo, wr, rq)
 			return
 		}
 		now := time.Now()
 		pc.mu.Lock()
-		pc.reached = append(pc.reached, badSend{rq.Header.Get("X-Almondrill-Request-Id"), now})
+		pc.reached = append(pc.reached, badSend{rq.Header.Get(names.RequestID), now})
 		if pc.ru.trouble {
 			pc.crashes = append(pc.crashes, now)
 		}
@@ -95,7 +95,7 @@
 			answer(wo, wr, rq)
 			return
 		}
-		wo.crash("it begins to answer " + rq.Header.Get("X-Almondrill-Request-Id") + ", whose prompt has the bad part")
+		wo.crash("it begins to answer " + rq.Header.Get(names.RequestID) + ", whose prompt has the bad part")
 		time.AfterFunc(workerBack, func() {
 			if err := pc.startWorker(); err != nil {
 				pc.ru.rec.add("a worker cannot be started: %v", err)
@@ -152,7 +152,7 @@
 			rq := &request{
 				id: fmt.Sprintf("9c41d07be2%06x", first+number), method: http.MethodPost, path: streamPath + "2f", key: tenantKey,
 				body: fmt.Sprintf("prompt %s %d", kind, number), deadline: requestTimeout, header: map[string]string{
-					"X-Almondrill-Model": modelName(number), "X-Almondrill-Token-Counts": "821,60", "X-Almondrill-Prefix-Hash": prompt(first+number, bad),
+					names.Model: modelName(number), names.Tokens: "821,60", names.Prefix: prompt(first+number, bad),
 				},
 			}
 			pc.mu.Lock()
--- a/review/standin/process.go
+++ b/review/standin/process.go
@@ -54,7 +54,7 @@
 func (pw *processWorker) kill() {
 	_ = pw.cmd.Process.Signal(syscall.SIGKILL)
 	pw.rec.add("worker %s is killed", pw.id)
-	time.AfterFunc(3*heartbeat, func() { pw.sto.remove("servers/" + pw.id) })
+	time.AfterFunc(3*heartbeat, func() { pw.sto.remove(names.ServersPrefix + pw.id) })
 }
 
 // ways are how worker processes answer: with neither a length nor chunks.
@@ -94,7 +94,7 @@
 // serveUnframed writes the first half of the answer, works, and writes the rest. The answer has neither a length
 // nor chunks, and ends with its channel.
 func serveUnframed(_ *worker, wr http.ResponseWriter, rq *http.Request) {
-	id := rq.Header.Get("X-Almondrill-Request-Id")
+	id := rq.Header.Get(names.RequestID)
 	fmt.Println("runs", id)
 	wr.Header().Set("Transfer-Encoding", "identity") // package http closes the channel at the end, and does not send the field
 	wr.Header().Set("Content-Type", "application/octet-stream")
--- a/review/standin/slow.go
+++ b/review/standin/slow.go
@@ -80,11 +80,11 @@
 
 // serveBig answers with neither a length nor chunks.
 func serveBig(wo *worker, wr http.ResponseWriter, rq *http.Request) {
-	wo.rec.add("worker %s runs %s", wo.id, rq.Header.Get("X-Almondrill-Request-Id"))
+	wo.rec.add("worker %s runs %s", wo.id, rq.Header.Get(names.RequestID))
 	wr.Header().Set("Transfer-Encoding", "identity") // package http closes the channel at the end, and does not send the field
 	wr.Header().Set("Content-Type", "application/octet-stream")
 	_, err := wr.Write(make([]byte, bigSize))
-	wo.rec.add("worker %s has answered %s whole: %t", wo.id, rq.Header.Get("X-Almondrill-Request-Id"), err == nil)
+	wo.rec.add("worker %s has answered %s whole: %t", wo.id, rq.Header.Get(names.RequestID), err == nil)
 }
 
 // readSlowly returns the length of the answer. The error is nil if it ends as complete.
@@ -104,8 +104,8 @@
 		return 0, 0, err
 	}
 	defer co.Close()
-	_, err = fmt.Fprintf(co, "GET %s2f HTTP/1.1\r\nHost: %s\r\nX-Almondrill-Request-Id: %s\r\nX-Almondrill-Deadline-Ms: %d\r\nX-Almondrill-Credential: %s\r\n\r\n",
-		plainPath, requesterHost, id, bigDeadline.Milliseconds(), tenantKey)
+	_, err = fmt.Fprintf(co, "GET %s2f HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: %d\r\n%s: %s\r\n\r\n",
+		plainPath, requesterHost, names.RequestID, id, names.Deadline, bigDeadline.Milliseconds(), names.Credential, tenantKey)
 	if err != nil {
 		return 0, 0, err
 	}
--- a/review/standin/spot.go
+++ b/review/standin/spot.go
@@ -51,7 +51,7 @@
 			mu.Lock()
 			defer mu.Unlock()
 			ru.rec.add("stream %s at %s got %d with the stamp %q, %d of %d events, ends as complete: %t", rq.id, ro.name, an.status,
-				an.header.Get("X-Almondrill-Server-Stamp"), len(an.events), unframedEvents, an.whole)
+				an.header.Get(names.Stamp), len(an.events), unframedEvents, an.whole)
 			switch {
 			case an.status == http.StatusOK && an.whole && len(an.events) < unframedEvents:
 				cut++
--- a/review/standin/store.go
+++ b/review/standin/store.go
@@ -22,6 +22,8 @@
 	history   []storeItem
 	leases    map[uint64]*storeLease
 	changed   chan struct{}
+	// downUntil is the end of an outage.
+	downUntil time.Time
 }
 
 // storeLease ends, and removes its keys, when its timer fires.
@@ -55,23 +57,42 @@
 	}
 	st := &store{addr: li.Addr().String(), items: map[string]storeItem{}, leases: map[uint64]*storeLease{}, changed: make(chan struct{})}
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET /almondrill/kv-key", st.handleKey)
-	mux.HandleFunc("GET /almondrill/kv-range", st.handleRange)
-	mux.HandleFunc("GET /almondrill/kv-watch", st.handleWatch)
-	mux.HandleFunc("POST /almondrill/kv-txn", st.handleTxn)
-	mux.HandleFunc("POST /almondrill/kv-lease", st.handleLease)
-	mux.HandleFunc("POST /almondrill/kv-keep/{id}", st.handleKeep)
-	mux.HandleFunc("DELETE /almondrill/kv-lease-end/{id}", st.handleLeaseEnd)
+	mux.HandleFunc("GET "+names.StorePath+"key", st.handleKey)
+	mux.HandleFunc("GET "+names.StorePath+"range", st.handleRange)
+	mux.HandleFunc("GET "+names.StorePath+"watch", st.handleWatch)
+	mux.HandleFunc("POST "+names.StorePath+"txn", st.handleTxn)
+	mux.HandleFunc("POST "+names.StorePath+"lease", st.handleLease)
+	mux.HandleFunc("POST "+names.StorePath+"keep/{id}", st.handleKeep)
+	mux.HandleFunc("DELETE "+names.StorePath+"lease-end/{id}", st.handleLeaseEnd)
 	go func() {
 		_ = http.Serve(li, http.HandlerFunc(func(wr http.ResponseWriter, rq *http.Request) {
 			time.Sleep(storeAnswerTime)
 			wr.Header().Set("Store-Era", "1")
+			if st.isDown() {
+				wr.WriteHeader(http.StatusServiceUnavailable)
+				return
+			}
 			mux.ServeHTTP(wr, rq)
 		}))
 	}()
 	return st, nil
 }
 
+// goDown makes the store answer all calls with 503 for a while. It loses nothing.
+func (st *store) goDown(lasts time.Duration) {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	st.downUntil = time.Now().Add(lasts)
+	close(st.changed) // calls that wait end
+	st.changed = make(chan struct{})
+}
+
+func (st *store) isDown() bool {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	return time.Now().Before(st.downUntil)
+}
+
 // put writes a value as JSON, as the operator and the workers do.
 func (st *store) put(key string, value any) {
 	data, err := json.Marshal(value)
@@ -213,7 +234,7 @@
 			wr.WriteHeader(http.StatusNotFound)
 			return
 		}
-		if strings.HasPrefix(se.Key, "op/") || strings.HasPrefix(se.Key, "servers/") {
+		if strings.HasPrefix(se.Key, "op/") || strings.HasPrefix(se.Key, names.ServersPrefix) {
 			wr.WriteHeader(http.StatusForbidden)
 			return
 		}
--- a/review/standin/unframed.go
+++ b/review/standin/unframed.go
@@ -54,7 +54,7 @@
 			an := rq.send(ro.front(), nil)
 			isCut := an.status == http.StatusOK && an.whole && an.body != plainBody(rq.id)
 			ru.rec.add("request %s at %s got %d with the stamp %q, %d of %d bytes, ends as complete: %t, %v", rq.id, ro.name, an.status,
-				an.header.Get("X-Almondrill-Server-Stamp"), len(an.body), plainSize, an.whole, an.err)
+				an.header.Get(names.Stamp), len(an.body), plainSize, an.whole, an.err)
 			mu.Lock()
 			defer mu.Unlock()
 			byStatus[an.status]++
--- a/review/standin/versions.go
+++ b/review/standin/versions.go
@@ -228,7 +228,7 @@
 
 // removeEntry takes a worker away that never reports that it drains.
 func (wo *worker) removeEntry() {
-	wo.sto.remove("servers/" + wo.id)
+	wo.sto.remove(names.ServersPrefix + wo.id)
 	wo.rec.add("the entry of worker %s is removed; it goes on serving", wo.id)
 }
 
@@ -335,8 +335,8 @@
 func modelRequest(id, body string, number int) *request {
 	return &request{
 		id: id, method: http.MethodPost, path: streamPath + "2f", key: tenantKey, body: body, deadline: streamDeadline, header: map[string]string{
-			"X-Almondrill-Model": "m", "X-Almondrill-Token-Counts": "760,200",
-			"X-Almondrill-Prefix-Hash": fmt.Sprintf("5c1e07a2:119,91bd%04x:580,e440%02x:61", number%7, number),
+			names.Model: "m", names.Tokens: "760,200",
+			names.Prefix: fmt.Sprintf("5c1e07a2:119,91bd%04x:580,e440%02x:61", number%7, number),
 		},
 	}
 }
--- a/review/standin/worker.go
+++ b/review/standin/worker.go
@@ -73,7 +73,7 @@
 		"ColdLeftMs": 0, "Stage": "colocated", "Models": []any{map[string]any{"Name": "m", "Version": 1, "Adapters": []any{}}}, "SeqNo": wo.seqNo,
 	}
 	wo.mu.Unlock()
-	wo.sto.put("servers/"+wo.id, entry)
+	wo.sto.put(names.ServersPrefix+wo.id, entry)
 }
 
 // drain announces that the worker leaves.
@@ -87,7 +87,7 @@
 
 // leave ends a worker that has announced it: it removes its entry and exits.
 func (wo *worker) leave() {
-	wo.sto.remove("servers/" + wo.id)
+	wo.sto.remove(names.ServersPrefix + wo.id)
 	wo.mu.Lock()
 	wo.ended = true
 	running := wo.running
@@ -115,7 +115,7 @@
 	}
 	_ = wo.server.Close()
 	wo.rec.add("worker %s crashes: %s", wo.id, why)
-	time.AfterFunc(3*heartbeat, func() { wo.sto.remove("servers/" + wo.id) })
+	time.AfterFunc(3*heartbeat, func() { wo.sto.remove(names.ServersPrefix + wo.id) })
 }
 
 func (wo *worker) atWork() int {
@@ -126,18 +126,18 @@
 
 func (wo *worker) handle(wr http.ResponseWriter, rq *http.Request) {
 	hd := wr.Header()
-	hd.Set("X-Almondrill-Instance-Id", wo.id)
+	hd.Set(names.Instance, wo.id)
 	wo.mu.Lock()
 	draining, running := wo.state == "draining", wo.running
 	wo.mu.Unlock()
-	hd.Set("X-Almondrill-Server-Load", fmt.Sprintf("%d,0,%d", running, wo.slots))
+	hd.Set(names.Load, fmt.Sprintf("%d,0,%d", running, wo.slots))
 	switch {
 	case rq.URL.Path == "/healthz" && draining:
 		wr.WriteHeader(http.StatusServiceUnavailable)
 		return
 	case rq.URL.Path == "/healthz":
 		return
-	case rq.URL.Path == "/almondrill/report":
+	case rq.URL.Path == names.ReportPath:
 		hd.Set("Content-Type", "application/json")
 		_ = json.NewEncoder(wr).Encode(map[string]any{
 			"Stage": "colocated", "Models": []any{map[string]any{"Name": "m", "Version": 1, "Adapters": []any{}}},
@@ -148,8 +148,8 @@
 		wr.WriteHeader(http.StatusNotFound)
 		return
 	}
-	hd.Set("X-Almondrill-Request-Id", rq.Header.Get("X-Almondrill-Request-Id"))
-	if expect := rq.Header.Get("X-Almondrill-Expect-Instance"); expect != "" && expect != wo.id {
+	hd.Set(names.RequestID, rq.Header.Get(names.RequestID))
+	if expect := rq.Header.Get(names.Expect); expect != "" && expect != wo.id {
 		wr.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
@@ -164,7 +164,7 @@
 		defer wo.mu.Unlock()
 		wo.running--
 	}()
-	hd.Set("X-Almondrill-Server-Stamp", wo.id+"."+rq.Header.Get("X-Almondrill-Request-Id"))
+	hd.Set(names.Stamp, wo.id+"."+rq.Header.Get(names.RequestID))
 	wo.serve(wo, wr, rq)
 }
 
@@ -172,13 +172,13 @@
 func serveStream(count int, every time.Duration) func(wo *worker, wr http.ResponseWriter, rq *http.Request) {
 	return func(wo *worker, wr http.ResponseWriter, rq *http.Request) {
 		after, _ := strconv.Atoi(rq.Header.Get("Last-Event-Id"))
-		wo.rec.add("worker %s (%s) runs %s from event %d", wo.id, wo.version, rq.Header.Get("X-Almondrill-Request-Id"), after+1)
+		wo.rec.add("worker %s (%s) runs %s from event %d", wo.id, wo.version, rq.Header.Get(names.RequestID), after+1)
 		wr.Header().Set("Content-Type", "text/event-stream")
 		for number := after + 1; number <= count; number++ {
 			select {
 			case <-time.After(every):
 			case <-rq.Context().Done():
-				wo.rec.add("worker %s drops %s: its channel was closed", wo.id, rq.Header.Get("X-Almondrill-Request-Id"))
+				wo.rec.add("worker %s drops %s: its channel was closed", wo.id, rq.Header.Get(names.RequestID))
 				return
 			}
 			last := ""
