io/relay: log what peers know of other builds when a stream is resumed

A line 'A caller resumes a stream.' with Basis OneBuild did not say whether peers had seen another build, did not know, or did not answer. StreamOrigins.OthersSeen now returns which of these it was, and the line has it as PeersSaw. What is decided is unchanged.

That peers' 'unknown' counts as an answer is not the cause by itself: the case 'started, no peer' of TestOneBuildIsCheckedWithPeers continues at the only build without any answer, as the view is fresh.

--- a/core/platform.go
+++ b/core/platform.go
@@ -86,9 +86,27 @@
 	End(stream StreamKey)
 	// Find returns the build at which a stream began, 0 if no router that answers knows.
 	Find(ctx context.Context, stream StreamKey) Build
-	// OthersSeen asks peers whether other builds than this one have served its pool recently. answered
-	// is false if no peer has answered.
-	OthersSeen(ctx context.Context, build Build) (seen, answered bool)
+	// OthersSeen asks peers whether other builds than this one have served its pool recently.
+	OthersSeen(ctx context.Context, build Build) OtherBuilds
+}
+
+// OtherBuilds is what peers know of other builds of a pool, the sum of their answers.
+type OtherBuilds uint8
+
+const (
+	// OthersNotAnswered: no peer has answered.
+	OthersNotAnswered OtherBuilds = iota
+	// OthersUnknown: the peers that answered have started too recently to know.
+	OthersUnknown
+	// OthersNone: a peer that would know has seen no other build.
+	OthersNone
+	// OthersServed: a peer has seen another build.
+	OthersServed
+)
+
+// String returns the name used in logs.
+func (ob OtherBuilds) String() string {
+	return [...]string{"NotAnswered", "Unknown", "None", "Served"}[ob]
 }
 
 // VMState is a VM's state in the platform's list.
--- a/io/gossip/origins.go
+++ b/io/gossip/origins.go
@@ -112,26 +112,45 @@
 	if build, _ := gr.origins.Get(time.Now(), stream); build != 0 {
 		return build
 	}
-	value, _ := gr.askPeers(ctx, gr.originPeers(stream, originAsked), countMessage{Kind: countOriginQuery, Endpoint: uint64(stream)}, knownValue)
-	if !knownValue(value) {
-		return 0
-	}
-	return core.Build(value)
+	var build core.Build
+	gr.askPeers(ctx, gr.originPeers(stream, originAsked), countMessage{Kind: countOriginQuery, Endpoint: uint64(stream)},
+		func(value uint32) bool {
+			if knownValue(value) {
+				build = core.Build(value)
+			}
+			return build != 0
+		})
+	return build
 }
 
 func knownValue(value uint32) bool { return value != unknownCalls }
 
+// Replies to a query for other builds; a peer that cannot know replies unknownCalls.
+const (
+	noOthers     = 0
+	othersServed = 1
+)
+
 // OthersSeen implements core.StreamOrigins.
-func (gr *Group) OthersSeen(ctx context.Context, build core.Build) (seen, answered bool) {
-	const others = 1
-	value, answered := gr.askPeers(ctx, gr.originPeers(core.StreamKey(build), originAsked), countMessage{Kind: countOthersQuery, Calls: uint32(build)},
-		func(value uint32) bool { return value == others })
-	return answered && value == others, answered
+func (gr *Group) OthersSeen(ctx context.Context, build core.Build) core.OtherBuilds {
+	result := core.OthersNotAnswered
+	gr.askPeers(ctx, gr.originPeers(core.StreamKey(build), originAsked), countMessage{Kind: countOthersQuery, Calls: uint32(build)},
+		func(value uint32) bool {
+			switch value {
+			case othersServed:
+				result = core.OthersServed
+			case noOthers:
+				result = max(result, core.OthersNone)
+			default:
+				result = max(result, core.OthersUnknown)
+			}
+			return result == core.OthersServed
+		})
+	return result
 }
 
-// askPeers sends a query to peers and returns the first reply that decides, or else the last of those
-// that arrive in time; answered is false if there is none.
-func (gr *Group) askPeers(ctx context.Context, peers []candidate, cm countMessage, decides func(value uint32) bool) (value uint32, answered bool) {
+// askPeers sends a query to peers and passes on their replies until one decides, or no more arrive in time.
+func (gr *Group) askPeers(ctx context.Context, peers []candidate, cm countMessage, decides func(value uint32) bool) {
 	ctx, cancel := context.WithTimeout(ctx, originTimeout)
 	defer cancel()
 	replies := make(chan uint32, len(peers))
@@ -144,16 +163,15 @@
 	}
 	for range peers {
 		select {
-		case value = <-replies:
-			if answered = true; decides(value) {
-				return value, true
+		case value := <-replies:
+			if decides(value) {
+				return
 			}
 		case <-ctx.Done():
 			gr.Log.Info("Peers did not answer in time at which build a stream began.", zap.Int("Asked", len(peers)))
-			return value, answered
+			return
 		}
 	}
-	return value, answered
 }
 
 // handleOriginQuery answers a query for the build of a stream.
@@ -169,9 +187,9 @@
 func (gr *Group) handleOthersQuery(now time.Time, build core.Build) uint32 {
 	switch {
 	case gr.Builds.Others(now, build):
-		return 1
+		return othersServed
 	case gr.Builds.Complete(now):
-		return 0
+		return noOthers
 	}
 	return unknownCalls
 }
--- a/io/gossip/origins_test.go
+++ b/io/gossip/origins_test.go
@@ -115,19 +115,19 @@
 	for _, ro := range all {
 		ro.Builds.Register(time.Now(), "e2", "pool", "v2")
 	}
-	if seen, answered := all[0].OthersSeen(context.Background(), v2); seen || !answered {
-		t.Errorf("seen %t, answered %t before another build was there", seen, answered)
+	if got := all[0].OthersSeen(context.Background(), v2); got != core.OthersUnknown {
+		t.Errorf("%s of peers that have just started, want Unknown", got)
 	}
 	all[2].Builds.Register(time.Now(), "e1", "pool", "v1")
 	all[2].Builds.Remove(time.Now(), "e1")
-	if seen, answered := all[0].OthersSeen(context.Background(), v2); !seen || !answered {
-		t.Errorf("seen %t, answered %t after another build was there", seen, answered)
+	if got := all[0].OthersSeen(context.Background(), v2); got != core.OthersServed {
+		t.Errorf("%s after another build was there, want Served", got)
 	}
 	for _, ro := range all[1:] {
 		ro.stop()
 	}
-	if _, answered := all[0].OthersSeen(context.Background(), v2); answered {
-		t.Error("answered though no peer is left")
+	if got := all[0].OthersSeen(context.Background(), v2); got != core.OthersNotAnswered {
+		t.Errorf("%s though no peer is left, want NotAnswered", got)
 	}
 }
 
--- a/io/relay/resume_test.go
+++ b/io/relay/resume_test.go
@@ -51,8 +51,7 @@
 	// begun counts the calls of Begin, shared those with share set; found counts the calls of Find.
 	begun, shared, found int
 	ttl                  time.Duration
-	// othersSeen and answered are the result of OthersSeen.
-	othersSeen, answered bool
+	others               core.OtherBuilds // the result of OthersSeen
 }
 
 func (fo *fakeOrigins) Begin(stream core.StreamKey, build core.Build, ttl time.Duration, share bool) {
@@ -74,9 +73,7 @@
 	return build
 }
 
-func (fo *fakeOrigins) OthersSeen(context.Context, core.Build) (seen, answered bool) {
-	return fo.othersSeen, fo.answered
-}
+func (fo *fakeOrigins) OthersSeen(context.Context, core.Build) core.OtherBuilds { return fo.others }
 
 // withOrigins gives the router a record of streams and a history of the builds of its endpoints, which
 // began that long ago.
@@ -154,21 +151,21 @@
 // and peers may have seen others. With a history of its own, it asks nobody.
 func TestOneBuildIsCheckedWithPeers(t *testing.T) {
 	for name, ca := range map[string]struct {
-		age, viewAge         time.Duration
-		othersSeen, answered bool
-		status, asked        int
+		age, viewAge  time.Duration
+		others        core.OtherBuilds
+		status, asked int
 	}{
 		"its history is complete":                   {age: builds.Retention, status: 200},
 		"started, no peer":                          {status: 200, asked: 1},
-		"started, peers saw one build":              {answered: true, status: 200, asked: 1},
-		"started, a peer saw another build":         {answered: true, othersSeen: true, status: 503, asked: 1},
+		"started, peers saw one build":              {others: core.OthersNone, status: 200, asked: 1},
+		"started, a peer saw another build":         {others: core.OthersServed, status: 503, asked: 1},
 		"cut off, no peer":                          {age: builds.Retention, viewAge: time.Minute, status: 503, asked: 1},
-		"cut off from the store, peers saw one":     {age: builds.Retention, viewAge: time.Minute, answered: true, status: 200, asked: 1},
-		"cut off from the store, a peer saw others": {age: builds.Retention, viewAge: time.Minute, answered: true, othersSeen: true, status: 503, asked: 1},
+		"cut off from the store, peers saw one":     {age: builds.Retention, viewAge: time.Minute, others: core.OthersNone, status: 200, asked: 1},
+		"cut off from the store, a peer saw others": {age: builds.Retention, viewAge: time.Minute, others: core.OthersServed, status: 503, asked: 1},
 	} {
 		fl := newFleet(t, breaksAfterThree).configure(resumable)
 		fo := fl.withOrigins(ca.age, "v1")
-		fo.othersSeen, fo.answered, fl.viewAge = ca.othersSeen, ca.answered, ca.viewAge
+		fo.others, fl.viewAge = ca.others, ca.viewAge
 		rs, body, err := fl.send("POST", "/r/x", "hello", "X-Resumes", "id-0", "Last-Event-Id", "3")
 		if err != nil || rs.StatusCode != ca.status || ca.status == 503 && !strings.Contains(body, string(core.ReasonVersionUnknown)) {
 			t.Errorf("%s: %d %q, %v", name, rs.StatusCode, body, err)
