platform, core/builds: builds that have served outlive all routers

Cause: which builds a pool has had was in the memory of routers only. A router that has just started took the only build that it sees for the only one that there was. Its peers had just started, too; their 'unknown' was taken for an answer, but the stream also continues if nobody answers.

A router that starts counts the builds on record as if it had seen them, so that a stream which is not on record is refused as not run.

--- a/core/builds/builds.go
+++ b/core/builds/builds.go
@@ -7,12 +7,16 @@
 // each pool. While a pool has one build, all its streams began there. Otherwise the build of each stream
 // is recorded, in the Origins of the router that forwards it and of some of its peers.
 //
+// A History ends with its router. The platform's store therefore has a record of each build, from its first
+// endpoint until well after its last one, from which a router that starts learns of the builds before.
+//
 // # Invariants
 //
 //   - A build counts for a pool until Retention after its last endpoint was removed: streams that broke
 //     off there may be resumed until then.
 //   - Origins hold at most MaxOrigins streams. The oldest are dropped first: their resumptions are
 //     refused, and none continues at another build.
+//   - A record is removed later than the build stops counting at any router that has seen an endpoint of it.
 //
 // # Usage
 //
@@ -22,6 +26,7 @@
 package builds
 
 import (
+	"cmp"
 	"slices"
 	"sync"
 	"time"
@@ -50,12 +55,20 @@
 	changes   uint64
 }
 
+// recordRetention is how long the record of a build is kept in the store after its last endpoint was
+// removed: a router that still counts the build may have seen that later.
+const recordRetention = 2 * Retention
+
 // served is what is known of a build.
 type served struct {
-	pool core.PoolID
-	// endpoints counts those registered, goneAt is when the last one was removed.
+	pool    core.PoolID
+	version core.SoftwareVersion
+	// endpoints counts those registered. goneAt is when the last one was removed, or, if this router has
+	// seen none, when it read the record.
 	endpoints int
 	goneAt    time.Time
+	seen      bool
+	recorded  core.Version // of the record in the store, 0 if there is none
 }
 
 // Register records that an endpoint is registered with a version of its software.
@@ -63,20 +76,77 @@
 	hi.mu.Lock()
 	defer hi.mu.Unlock()
 	if hi.endpoints == nil {
-		hi.began, hi.endpoints, hi.builds = now, map[core.EndpointID]core.Build{}, map[core.Build]*served{}
+		hi.began, hi.endpoints = now, map[core.EndpointID]core.Build{}
 	}
 	build := Of(pool, version)
 	if hi.endpoints[id] == build {
 		return
 	}
 	hi.remove(now, id)
+	se := hi.ensure(now, build, pool, version)
+	hi.endpoints[id] = build
+	se.endpoints++
+	se.seen = true
+}
+
+// ensure returns what is known of a build, which is made if nothing is.
+func (hi *History) ensure(now time.Time, build core.Build, pool core.PoolID, version core.SoftwareVersion) *served {
+	if hi.builds == nil {
+		hi.builds = map[core.Build]*served{}
+	}
 	if hi.builds[build] == nil {
 		hi.dropForgotten(now)
-		hi.builds[build] = &served{pool: pool}
+		hi.builds[build] = &served{pool: pool, version: version, goneAt: now}
 		hi.changes++
 	}
-	hi.endpoints[id] = build
-	hi.builds[build].endpoints++
+	return hi.builds[build]
+}
+
+// RecordStored applies the record of a build in the store.
+func (hi *History) RecordStored(now time.Time, br core.BuildRecord) {
+	hi.mu.Lock()
+	defer hi.mu.Unlock()
+	hi.ensure(now, br.Build, br.Pool, br.Version).recorded = br.Rev
+}
+
+// RecordRemoved applies the removal of a build's record, as of a version of the store.
+func (hi *History) RecordRemoved(build core.Build, rev core.Version) {
+	hi.mu.Lock()
+	defer hi.mu.Unlock()
+	se := hi.builds[build]
+	if se == nil || se.recorded > rev {
+		return
+	}
+	if se.recorded = 0; !se.seen {
+		delete(hi.builds, build)
+	}
+}
+
+// Unrecorded returns the builds that count and have no record in the store, among those of which this router
+// has seen endpoints.
+func (hi *History) Unrecorded(now time.Time) []core.BuildRecord {
+	return hi.records(func(se *served) bool { return se.recorded == 0 && se.seen && se.recent(now) })
+}
+
+// Obsolete returns the builds whose records are not needed any more.
+func (hi *History) Obsolete(now time.Time) []core.BuildRecord {
+	return hi.records(func(se *served) bool {
+		return se.recorded != 0 && se.endpoints == 0 && now.Sub(se.goneAt) >= recordRetention
+	})
+}
+
+// records returns the records of the builds that accept, in ascending order.
+func (hi *History) records(accept func(se *served) bool) []core.BuildRecord {
+	hi.mu.Lock()
+	defer hi.mu.Unlock()
+	var all []core.BuildRecord
+	for build, se := range hi.builds {
+		if accept(se) {
+			all = append(all, core.BuildRecord{Build: build, Pool: se.pool, Version: se.version, Rev: se.recorded})
+		}
+	}
+	slices.SortFunc(all, func(a, b core.BuildRecord) int { return cmp.Compare(a.Build, b.Build) })
+	return all
 }
 
 // Remove records that an endpoint is not registered any more.
@@ -97,7 +167,7 @@
 
 func (hi *History) dropForgotten(now time.Time) {
 	for build, se := range hi.builds {
-		if !se.recent(now) {
+		if !se.recent(now) && se.recorded == 0 {
 			delete(hi.builds, build)
 		}
 	}
--- a/core/builds/builds_test.go
+++ b/core/builds/builds_test.go
@@ -57,6 +57,85 @@
 	}
 }
 
+// Guards against a router that has just started and does not know of a build that left before: it learns of it
+// from its record, until that is removed.
+func TestRecordOutlivesTheHistory(t *testing.T) {
+	old := &builds.History{}
+	old.Register(begin, "e1", "pool", "v1")
+	old.Register(begin, "e2", "pool", "v2")
+	records := old.Unrecorded(begin)
+	if len(records) != 2 {
+		t.Fatalf("%d builds without a record, want 2", len(records))
+	}
+	started := begin.Add(time.Second)
+	hi := &builds.History{}
+	for ix, br := range records {
+		value, err := builds.EncodeRecord(br)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if br, err = builds.DecodeRecord(builds.RecordName(br.Build), value, core.Version(ix+1)); err != nil {
+			t.Fatal(err)
+		}
+		hi.RecordStored(started, br)
+		old.RecordStored(started, br)
+	}
+	hi.Register(started, "e2", "pool", "v2")
+	v2 := builds.Of("pool", "v2")
+	if !hi.Others(started.Add(builds.Retention-1), v2) || hi.Others(started.Add(builds.Retention), v2) {
+		t.Error("the build that left does not count for the retention")
+	}
+	if len(hi.Unrecorded(started))+len(old.Unrecorded(started)) != 0 {
+		t.Error("recorded builds are to be recorded again")
+	}
+	old.Remove(started, "e1")
+	if got := old.Obsolete(started.Add(2*builds.Retention - 1)); len(got) != 0 {
+		t.Errorf("%v obsolete before routers that started meanwhile have dropped it", got)
+	}
+	obsolete := old.Obsolete(started.Add(2 * builds.Retention))
+	if len(obsolete) != 1 || obsolete[0].Version != "v1" || obsolete[0].Rev == 0 {
+		t.Fatalf("%v obsolete, want v1", obsolete)
+	}
+	hi.RecordRemoved(obsolete[0].Build, 3)
+	if hi.Others(started, v2) {
+		t.Error("a build that is known by its record only counts after its removal")
+	}
+}
+
+// Guards against a build that is not recorded any more since the store was restored from a backup: a router
+// that has seen it records it again.
+func TestLostRecordIsWrittenAgain(t *testing.T) {
+	hi := &builds.History{}
+	hi.Register(begin, "e1", "pool", "v1")
+	br := hi.Unrecorded(begin)[0]
+	br.Rev = core.VersionOf(0, 9)
+	hi.RecordStored(begin, br)
+	hi.Remove(begin, "e1")
+	hi.RecordRemoved(br.Build, core.VersionOf(0, 8))
+	if got := hi.Unrecorded(begin); len(got) != 0 {
+		t.Errorf("%v after a removal that is older than the record", got)
+	}
+	hi.RecordRemoved(br.Build, core.VersionOf(1, 3))
+	if got := hi.Unrecorded(begin.Add(builds.Retention - 1)); len(got) != 1 {
+		t.Errorf("%d builds to be recorded, want 1", len(got))
+	}
+	if got := hi.Unrecorded(begin.Add(builds.Retention)); len(got) != 0 {
+		t.Errorf("%d builds to be recorded after the retention, want none", len(got))
+	}
+}
+
+// Guards against records that count for a pool that their build never served.
+func TestDamagedRecordIsRejected(t *testing.T) {
+	name := builds.RecordName(builds.Of("pool", "v1"))
+	for _, ca := range []struct{ name, value string }{
+		{"", "{}"}, {"zz", "{}"}, {name, ""}, {name, "{}"}, {name, `{"Pool":"pool","Version":"v2"}`}, {"0" + name, `{"Pool":"pool","Version":"v1"}`},
+	} {
+		if _, err := builds.DecodeRecord(ca.name, []byte(ca.value), 1); err == nil {
+			t.Errorf("%q with %q is accepted", ca.name, ca.value)
+		}
+	}
+}
+
 // Guards against a memory that grows with the number of streams, and against records that outlive their
 // time.
 func TestOriginsAreBounded(t *testing.T) {
--- a/core/platform.go
+++ b/core/platform.go
@@ -109,6 +109,24 @@
 	return [...]string{"NotAnswered", "Unknown", "None", "Served"}[ob]
 }
 
+// BuildRecord is an entry of the platform's store for a build that serves its pool, or has served it until
+// recently. It outlives the routers, and the registrations of the build's endpoints.
+type BuildRecord struct {
+	Build   Build
+	Pool    PoolID
+	Version SoftwareVersion
+	// Rev is the entry's version; 0 if the entry does not exist yet.
+	Rev Version
+}
+
+// BuildStore writes BuildRecord entries to the platform's store.
+type BuildStore interface {
+	// PutBuild creates the entry. It returns ErrConflict if there is one.
+	PutBuild(ctx context.Context, br BuildRecord) error
+	// DeleteBuild removes the entry if it still has version Rev, or returns ErrConflict.
+	DeleteBuild(ctx context.Context, br BuildRecord) error
+}
+
 // VMState is a VM's state in the platform's list.
 type VMState uint8
 
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -56,9 +56,10 @@
 type Platform interface {
 	core.ChangeFeed
 	core.QuarantineStore
+	core.BuildStore
 	// Decode converts an item of the store to a *route.Document, place.Endpoint, Deregistration,
-	// InvalidRegistration, Evacuation, PeerAddr, core.Quarantine or QuarantineRemoval. It returns
-	// nil for an item that does not concern routers.
+	// InvalidRegistration, Evacuation, PeerAddr, core.Quarantine, QuarantineRemoval, core.BuildRecord or
+	// BuildRemoval. It returns nil for an item that does not concern routers.
 	Decode(it core.Item) (any, error)
 	Dialect() relay.Dialect
 	// Outranks reports whether an item of the store is newer than another of the same key by its
@@ -92,6 +93,12 @@
 	Rev     core.Version
 }
 
+// BuildRemoval reports that the record of a build was removed.
+type BuildRemoval struct {
+	Build core.Build
+	Rev   core.Version
+}
+
 // PeerAddr is the address of a peer router.
 type PeerAddr string
 
@@ -144,6 +151,7 @@
 	defer cancel()
 	for _, loop := range []func(context.Context) error{
 		pr.reader.Run, pr.peers.Run, pr.view.settle, pr.crashes.Run, pr.closeIdleConns, pr.watchSettings, pr.announce, pr.relay.RunMigrations,
+		(&buildRecorder{pr: pr, log: pr.Logs.Part("builds")}).run,
 	} {
 		go func() {
 			if err := loop(control); err != nil && control.Err() == nil {
--- a/io/entry/view.go
+++ b/io/entry/view.go
@@ -81,6 +81,10 @@
 		vi.pr.crashes.EntryStored(decoded)
 	case QuarantineRemoval:
 		vi.pr.crashes.EntryRemoved(decoded.Request, decoded.Rev)
+	case core.BuildRecord:
+		vi.pr.builds.RecordStored(time.Now(), decoded)
+	case BuildRemoval:
+		vi.pr.builds.RecordRemoved(decoded.Build, decoded.Rev)
 	case PeerAddr:
 		vi.pr.peers.Add(string(decoded))
 	}
--- a/io/entry/view_test.go
+++ b/io/entry/view_test.go
@@ -40,6 +40,10 @@
 
 func (faulty) Outranks(core.Item, core.Item) bool { return false }
 
+func (faulty) PutBuild(context.Context, core.BuildRecord) error { return nil }
+
+func (faulty) DeleteBuild(context.Context, core.BuildRecord) error { return nil }
+
 func (faulty) Announce(context.Context, core.VMID, string, *zap.Logger) {}
 
 func (fa faulty) Decode(it core.Item) (any, error) {
