io/relay: peers that do not know deny no other build

A router that is cut off from the store sees one build and asks its peers for others before it continues a resumed stream. Peers that have just started answered 'unknown', which counted like 'none': its view may be old by minutes, and another build may have begun the stream meanwhile.

Cause: of the answers of peers, only 'seen' and 'no answer' were told apart. With an old view the stream now continues only if a peer that has watched for long enough says that there was no other.

Evidence: TestOneBuildIsCheckedWithPeers now has all cells of own history, age of the view, answers of peers and records; the two with an old view and 'unknown' fail before ('200, want 503').

--- a/io/relay/resume.go
+++ b/io/relay/resume.go
@@ -123,9 +123,10 @@
 	if len(recent) > 1 {
 		return 0, basisNone, others
 	}
-	// A router that has just started, or is cut off, may have missed other builds.
+	// A router that has just started, or is cut off, may have missed other builds. A fresh view holds those
+	// that are on record in the store; with an old one, a peer that does not know denies nothing.
 	others = re.Origins.OthersSeen(ctx, recent[0])
-	if others == core.OthersServed || others == core.OthersNotAnswered && !fresh {
+	if others == core.OthersServed || others != core.OthersNone && !fresh {
 		return 0, basisNone, others
 	}
 	return recent[0], basisOneBuild, others
--- a/io/relay/resume_test.go
+++ b/io/relay/resume_test.go
@@ -147,31 +147,41 @@
 	}
 }
 
-// Guards against guesses where a router cannot know: it has just started or is cut off, sees one build,
-// and peers may have seen others. With a history of its own, it asks nobody.
+// Guards against guesses where a router sees one build and cannot know whether there was another: its view of
+// the store is old and no peer says that there was none, or a peer has seen another. With a history of its
+// own and a fresh view it asks nobody; with a fresh view, it counts the builds on record in the store.
 func TestOneBuildIsCheckedWithPeers(t *testing.T) {
-	for name, ca := range map[string]struct {
-		age, viewAge  time.Duration
-		others        core.OtherBuilds
-		status, asked int
-	}{
-		"its history is complete":                   {age: builds.Retention, status: 200},
-		"started, no peer":                          {status: 200, asked: 1},
-		"started, peers saw one build":              {others: core.OthersNone, status: 200, asked: 1},
-		"started, a peer saw another build":         {others: core.OthersServed, status: 503, asked: 1},
-		"cut off, no peer":                          {age: builds.Retention, viewAge: time.Minute, status: 503, asked: 1},
-		"cut off from the store, peers saw one":     {age: builds.Retention, viewAge: time.Minute, others: core.OthersNone, status: 200, asked: 1},
-		"cut off from the store, a peer saw others": {age: builds.Retention, viewAge: time.Minute, others: core.OthersServed, status: 503, asked: 1},
-	} {
-		fl := newFleet(t, breaksAfterThree).configure(resumable)
-		fo := fl.withOrigins(ca.age, "v1")
-		fo.others, fl.viewAge = ca.others, ca.viewAge
-		rs, body, err := fl.send("POST", "/r/x", "hello", "X-Resumes", "id-0", "Last-Event-Id", "3")
-		if err != nil || rs.StatusCode != ca.status || ca.status == 503 && !strings.Contains(body, string(core.ReasonVersionUnknown)) {
-			t.Errorf("%s: %d %q, %v", name, rs.StatusCode, body, err)
-		}
-		if fo.found != ca.asked {
-			t.Errorf("%s: the record was asked %d times, want %d", name, fo.found, ca.asked)
+	for _, age := range []time.Duration{0, builds.Retention} {
+		for _, viewAge := range []time.Duration{0, time.Minute} {
+			for _, others := range []core.OtherBuilds{core.OthersNotAnswered, core.OthersUnknown, core.OthersNone, core.OthersServed} {
+				for _, recorded := range []bool{false, true} {
+					stale := viewAge > 0
+					status, asked := http.StatusOK, 1
+					switch {
+					case age > 0 && !stale && !recorded:
+						asked = 0
+					case recorded, others == core.OthersServed, stale && others != core.OthersNone:
+						status = http.StatusServiceUnavailable
+					}
+					name := fmt.Sprintf("history of %s, view of %s, peers %s, another build on record %t", age, viewAge, others, recorded)
+					t.Run(name, func(t *testing.T) {
+						t.Parallel()
+						fl := newFleet(t, breaksAfterThree).configure(resumable)
+						fo := fl.withOrigins(age, "v1")
+						fo.others, fl.viewAge = others, viewAge
+						if recorded {
+							fl.re.Builds.RecordStored(time.Now(), core.BuildRecord{Build: builds.Of("pool", "v0"), Pool: "pool", Version: "v0", Rev: 1})
+						}
+						rs, body, err := fl.send("POST", "/r/x", "hello", "X-Resumes", "id-0", "Last-Event-Id", "3")
+						if err != nil || rs.StatusCode != status || status != http.StatusOK && !strings.Contains(body, string(core.ReasonVersionUnknown)) {
+							t.Errorf("%d %q, %v, want %d", rs.StatusCode, body, err, status)
+						}
+						if fo.found != asked {
+							t.Errorf("the record was asked %d times, want %d", fo.found, asked)
+						}
+					})
+				}
+			}
 		}
 	}
 }
