io/relay: log how many peers were asked for a stream's build, and answered

A resumption refused with VersionUnknown did not tell whether no peer was asked, none answered, or none of those that answered knew. StreamOrigins.Find returns both numbers. What is decided is unchanged.

--- a/core/platform.go
+++ b/core/platform.go
@@ -84,12 +84,21 @@
 	Begin(stream StreamKey, build Build, ttl time.Duration, share bool)
 	// End records that a stream was forwarded completely.
 	End(stream StreamKey)
-	// Find returns the build at which a stream began, 0 if no router that answers knows.
-	Find(ctx context.Context, stream StreamKey) Build
+	// Find searches for the build at which a stream began, here and then at peers.
+	Find(ctx context.Context, stream StreamKey) OriginSearch
 	// OthersSeen asks peers whether other builds than this one have served its pool recently.
 	OthersSeen(ctx context.Context, build Build) OtherBuilds
 }
 
+// OriginSearch is the result of a search for the build at which a stream began.
+type OriginSearch struct {
+	// Build is 0 if no router that answered knows it.
+	Build Build
+	// Asked and Answered are how many peers were asked, and how many of them answered before one knew
+	// the build or the time was up.
+	Asked, Answered int
+}
+
 // OtherBuilds is what peers know of other builds of a pool, the sum of their answers.
 type OtherBuilds uint8
 
--- a/io/gossip/origins.go
+++ b/io/gossip/origins.go
@@ -108,19 +108,21 @@
 }
 
 // Find implements core.StreamOrigins.
-func (gr *Group) Find(ctx context.Context, stream core.StreamKey) core.Build {
-	if build, _ := gr.origins.Get(time.Now(), stream); build != 0 {
-		return build
+func (gr *Group) Find(ctx context.Context, stream core.StreamKey) core.OriginSearch {
+	var found core.OriginSearch
+	if found.Build, _ = gr.origins.Get(time.Now(), stream); found.Build != 0 {
+		return found
 	}
-	var build core.Build
-	gr.askPeers(ctx, gr.originPeers(stream, originAsked), countMessage{Kind: countOriginQuery, Endpoint: uint64(stream)},
-		func(value uint32) bool {
-			if knownValue(value) {
-				build = core.Build(value)
-			}
-			return build != 0
-		})
-	return build
+	peers := gr.originPeers(stream, originAsked)
+	found.Asked = len(peers)
+	gr.askPeers(ctx, peers, countMessage{Kind: countOriginQuery, Endpoint: uint64(stream)}, func(value uint32) bool {
+		found.Answered++
+		if knownValue(value) {
+			found.Build = core.Build(value)
+		}
+		return found.Build != 0
+	})
+	return found
 }
 
 func knownValue(value uint32) bool { return value != unknownCalls }
--- a/io/gossip/origins_test.go
+++ b/io/gossip/origins_test.go
@@ -27,13 +27,13 @@
 	for stream := range core.StreamKey(streams) {
 		all[0].Begin(stream, originBuild, originTTL, true)
 	}
-	eventually(t, "the owners have the last stream", func() bool { return all[5].Find(context.Background(), streams-1) == originBuild })
+	eventually(t, "the owners have the last stream", func() bool { return all[5].Find(context.Background(), streams-1).Build == originBuild })
 	for _, ro := range all[:3] {
 		ro.stop()
 	}
 	for ix, ro := range all[3:] {
 		for stream := range core.StreamKey(streams) {
-			if got := ro.Find(context.Background(), stream); got != originBuild {
+			if got := ro.Find(context.Background(), stream).Build; got != originBuild {
 				t.Errorf("router %d finds build %d of stream %d", ix+3, got, stream)
 			}
 		}
@@ -44,11 +44,11 @@
 // that knows no peer, and one whose peers do not know the stream, must not find a build.
 func TestUnknownOriginIsNotGuessed(t *testing.T) {
 	alone := start(t, 7)
-	if got := alone.Find(context.Background(), 1); got != 0 {
+	if got := alone.Find(context.Background(), 1).Build; got != 0 {
 		t.Errorf("found build %d without peers", got)
 	}
 	all := meet(t, 3)
-	if got := all[0].Find(context.Background(), 1); got != 0 {
+	if got := all[0].Find(context.Background(), 1).Build; got != 0 {
 		t.Errorf("found build %d of a stream that never began", got)
 	}
 }
@@ -70,10 +70,10 @@
 	time.Sleep(2 * tickInterval)
 	all[1].Begin(1, originBuild, originTTL, false)
 	began := time.Now()
-	if got := all[0].Find(context.Background(), 1); got != originBuild {
+	if got := all[0].Find(context.Background(), 1).Build; got != originBuild {
 		t.Errorf("found build %d", got)
 	}
-	if got := all[0].Find(context.Background(), 2); got != 0 {
+	if got := all[0].Find(context.Background(), 2).Build; got != 0 {
 		t.Errorf("found build %d of a stream that never began", got)
 	}
 	if took := time.Since(began); took > time.Second {
@@ -101,7 +101,7 @@
 		if stream == 0 {
 			want = 0
 		}
-		if got := all[1].Find(context.Background(), stream); got != want {
+		if got := all[1].Find(context.Background(), stream).Build; got != want {
 			t.Errorf("stream %d has build %d, want %d", stream, got, want)
 		}
 	}
--- a/io/relay/resume.go
+++ b/io/relay/resume.go
@@ -67,10 +67,11 @@
 		return nil
 	}
 	rq.re.Stats.Add(stats.StreamsResumed, 1)
-	build, basis, others := rq.findBuild(ctx)
+	found, basis, others := rq.findBuild(ctx)
+	build := found.Build
 	rq.re.Log.Info("A caller resumes a stream.", zap.String("Request", rq.id), zap.String("Resumes", rq.resumes()),
 		zap.String("After", after), zap.String("Route", rq.route.Name), zap.String("Build", fmt.Sprintf("%08x", uint32(build))),
-		zap.String("Basis", basis), zap.Stringer("PeersSaw", others), zap.Duration("Took", time.Since(rq.began)), zap.Duration("Age", rq.re.ViewAge()))
+		zap.String("Basis", basis), zap.Int("Asked", found.Asked), zap.Int("Answered", found.Answered), zap.Stringer("PeersSaw", others), zap.Duration("Took", time.Since(rq.began)), zap.Duration("Age", rq.re.ViewAge()))
 	switch {
 	case basis == basisNone:
 		rf := rq.notRun(core.ReasonVersionUnknown, "resume", "no router knows the software version that began the stream")
@@ -101,35 +102,36 @@
 
 // findBuild returns the build at which the caller's stream began, and the basis; 0 with basisOneBuild if
 // any build will do. others is what peers said, if they were asked for other builds of the pool.
-func (rq *request) findBuild(ctx context.Context) (build core.Build, basis string, others core.OtherBuilds) {
+func (rq *request) findBuild(ctx context.Context) (found core.OriginSearch, basis string, others core.OtherBuilds) {
 	re := rq.re
 	if re.Origins == nil {
-		return 0, basisOneBuild, others
+		return found, basisOneBuild, others
 	}
 	now := time.Now()
 	recent := re.Builds.Recent(now, rq.pools()...)
 	fresh := re.ViewAge() <= staleAfter
 	if len(recent) == 0 {
-		return 0, basisOneBuild, others // there is no endpoint either
+		return found, basisOneBuild, others // there is no endpoint either
 	}
 	if len(recent) == 1 && fresh && re.Builds.Complete(now) {
-		return recent[0], basisOneBuild, others
+		return core.OriginSearch{Build: recent[0]}, basisOneBuild, others
 	}
 	if named := rq.resumes(); named != "" {
-		if build = re.Origins.Find(ctx, rq.streamKey(named)); build != 0 {
-			return build, basisRecord, others
+		if found = re.Origins.Find(ctx, rq.streamKey(named)); found.Build != 0 {
+			return found, basisRecord, others
 		}
 	}
 	if len(recent) > 1 {
-		return 0, basisNone, others
+		return found, basisNone, others
 	}
 	// A router that has just started, or is cut off, may have missed other builds. A fresh view holds those
 	// that are on record in the store; with an old one, a peer that does not know denies nothing.
 	others = re.Origins.OthersSeen(ctx, recent[0])
 	if others == core.OthersServed || others != core.OthersNone && !fresh {
-		return 0, basisNone, others
+		return found, basisNone, others
 	}
-	return recent[0], basisOneBuild, others
+	found.Build = recent[0]
+	return found, basisOneBuild, others
 }
 
 // beginStream records the build at which a resumable stream begins, before its first event is forwarded.
--- a/io/relay/resume_test.go
+++ b/io/relay/resume_test.go
@@ -65,12 +65,12 @@
 	fo.Put(time.Now(), stream, build, ttl)
 }
 
-func (fo *fakeOrigins) Find(_ context.Context, stream core.StreamKey) core.Build {
+func (fo *fakeOrigins) Find(_ context.Context, stream core.StreamKey) core.OriginSearch {
 	fo.mu.Lock()
 	defer fo.mu.Unlock()
 	fo.found++
 	build, _ := fo.Get(time.Now(), stream)
-	return build
+	return core.OriginSearch{Build: build}
 }
 
 func (fo *fakeOrigins) OthersSeen(context.Context, core.Build) core.OtherBuilds { return fo.others }
