io/gossip: records of streams outlive the restart of their owners

Cause: the build at which a stream began is sent to at most three peers, once. In a rolling restart they all end while the stream goes on, and nobody sends the record again.

Fix: a router that has just started asks its peers for the records that it owns, and each that knows a stream sends its record. Where a router is gone, the owner that takes its place gets them.

Before, TestOriginsOutliveARollingRestart does not find 300 of 300 streams at each of three routers; TestOriginsMoveToOtherOwners and the case 'all others are replaced in turn' of TestCallersResumeAtTheirVersion fail.

--- a/core/builds/origins.go
+++ b/core/builds/origins.go
@@ -27,6 +27,8 @@
 	stream core.StreamKey
 	build  core.Build
 	until  time.Time
+	// ended is set once this router has forwarded the stream completely.
+	ended bool
 }
 
 // Put records that a stream began at a build, for ttl.
@@ -71,6 +73,20 @@
 	return known.build, known.until.Sub(now)
 }
 
+// All returns the streams on record that have not ended, and the builds at which they began.
+func (or *Origins) All(now time.Time) map[core.StreamKey]core.Build {
+	or.mu.Lock()
+	defer or.mu.Unlock()
+	or.dropOld(now)
+	all := make(map[core.StreamKey]core.Build, len(or.streams))
+	for stream, el := range or.streams {
+		if known := el.Value.(*origin); now.Before(known.until) && !known.ended {
+			all[stream] = known.build
+		}
+	}
+	return all
+}
+
 // Unshare marks a stream in progress as known to this router only.
 func (or *Origins) Unshare(stream core.StreamKey) {
 	or.mu.Lock()
@@ -85,6 +101,9 @@
 	or.mu.Lock()
 	defer or.mu.Unlock()
 	delete(or.unshared, stream)
+	if el := or.streams[stream]; el != nil {
+		el.Value.(*origin).ended = true
+	}
 }
 
 // Unshared returns the streams that only this router knows and that share accepts, and marks them as
--- a/io/gossip/counts.go
+++ b/io/gossip/counts.go
@@ -57,10 +57,12 @@
 	// countReachable says that the owner can connect to the endpoint again.
 	countReachable
 	// countOrigin records the build Calls of the stream Endpoint for Ask ms. countOriginQuery asks for
-	// it, countOthersQuery whether the pool of the build Calls has others.
+	// it, countOthersQuery whether the pool of the build Calls has others. countOriginsRequest asks for the
+	// records that the sender, which has just started, owns.
 	countOrigin
 	countOriginQuery
 	countOthersQuery
+	countOriginsRequest
 )
 
 // countMessage queries or reports the calls of an endpoint, or a change of its state.
@@ -307,6 +309,8 @@
 	case countOthersQuery:
 		value := gr.handleOthersQuery(now, core.Build(cm.Calls))
 		gr.sendCount(from, &countMessage{Kind: countReply, Endpoint: cm.Endpoint, Calls: value, Ask: cm.Ask})
+	case countOriginsRequest:
+		gr.copies.request(from)
 	case countDraining:
 		gr.handleDraining(cm.Endpoint, from.String())
 	case countGrantRequest:
--- a/io/gossip/gossip.go
+++ b/io/gossip/gossip.go
@@ -186,6 +186,7 @@
 	// be shared. Only Run uses them.
 	buildChanges uint64
 	toShare      []core.StreamKey
+	copies       originCopies
 	demand       exchange
 	settled      atomic.Bool
 	mu           sync.Mutex // guards all below
@@ -330,6 +331,7 @@
 			gr.broadcast(pc, now, false)
 			gr.exchangePeers(pc, now)
 			gr.shareUnshared(now)
+			gr.copyOrigins(now)
 			gr.fetchUpdates(ctx)
 		}
 	}
--- a/io/gossip/gossip_test.go
+++ b/io/gossip/gossip_test.go
@@ -17,6 +17,7 @@
 	"almondrill/core/mirror"
 	"almondrill/core/place"
 	"almondrill/io/clock"
+	"almondrill/io/fakes/local"
 	"almondrill/io/gossip"
 )
 
@@ -45,6 +46,7 @@
 type router struct {
 	*gossip.Group
 	feed *fakeFeed
+	srv  *httptest.Server
 	// cancel ends Run.
 	cancel  context.CancelFunc
 	done    chan struct{}
@@ -65,6 +67,26 @@
 
 // startWith lets the caller set fields before the router runs.
 func startWith(t *testing.T, ix int, set func(gr *gossip.Group)) *router {
+	t.Helper()
+	return startAt(t, ix, local.Listen(t), set)
+}
+
+// restart stops the router and starts another process at its address, which knows one peer.
+func (ro *router) restart(t *testing.T, ix int, peer *router) *router {
+	t.Helper()
+	ro.stop()
+	ro.srv.Close()
+	li, err := net.Listen("tcp", ro.Addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	again := startAt(t, ix, li, func(*gossip.Group) {})
+	again.Add(peer.Addr)
+	return again
+}
+
+// startAt starts a router at the listener's address.
+func startAt(t *testing.T, ix int, li net.Listener, set func(gr *gossip.Group)) *router {
 	t.Helper()
 	fe := &fakeFeed{}
 	fe.Confirm(0)
@@ -76,6 +98,8 @@
 	}
 	gr.Placer.Register(time.Now(), place.Endpoint{ID: "e", Addr: "127.0.0.1:1", Pool: "pool", Slots: 8})
 	srv := httptest.NewUnstartedServer(gr.Handler())
+	_ = srv.Listener.Close()
+	srv.Listener = li
 	gr.Addr = srv.Listener.Addr().String()
 	mux := http.NewServeMux()
 	mux.Handle(gossip.ItemsPath, gr.Handler())
@@ -95,7 +119,7 @@
 		<-done
 		srv.Close()
 	})
-	return &router{Group: gr, feed: fe, cancel: cancel, done: done}
+	return &router{Group: gr, feed: fe, srv: srv, cancel: cancel, done: done}
 }
 
 func eventually(t *testing.T, what string, is func() bool) {
--- a/io/gossip/origins.go
+++ b/io/gossip/origins.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"slices"
 	"time"
 
@@ -14,7 +15,8 @@
 // The build at which a stream began is recorded at the router that forwards it and, while several
 // builds serve the pool, at some peers, its owners, by rendezvous hashing of the stream over the
 // routers that are alive. The records leave before the stream's first event does. A router that a
-// caller resumes the stream at asks the owners.
+// caller resumes the stream at asks the owners. Where owners change, those that know a stream send its
+// record to the new ones.
 //
 // A lost record costs a refused resumption; no stream continues at another build for it.
 
@@ -53,16 +55,29 @@
 // shareOrigin sends the build of a stream to its owners. In a large fleet the bytes count as those of
 // load reports, which come rarely there.
 func (gr *Group) shareOrigin(stream core.StreamKey, build core.Build, ttl time.Duration) {
-	count, all := originOwners, gr.counts.candidates.Load()
-	if all != nil && len(*all) <= fewRouters {
-		count = originOwnersOfFew
+	all := gr.counts.candidates.Load()
+	if all == nil {
+		return // the process has just started, and no peer is known
 	}
-	for _, to := range gr.originPeers(stream, count) {
-		cm := &countMessage{Kind: countOrigin, Endpoint: uint64(stream), Calls: uint32(build), Ask: uint32(min(maxAgeMs, ttl.Milliseconds()))}
-		sent := gr.sendCount(to.udpAddr, cm)
-		if count == originOwnersOfFew {
-			gr.counts.sentBytes.Add(-int64(sent))
-		}
+	for _, to := range gr.originPeers(stream, ownerCount(*all)) {
+		gr.sendOrigin(to.udpAddr, stream, build, ttl)
+	}
+}
+
+// ownerCount is how many owners a stream has.
+func ownerCount(all []candidate) int {
+	if len(all) <= fewRouters {
+		return originOwnersOfFew
+	}
+	return originOwners
+}
+
+// sendOrigin sends the build of a stream to a peer.
+func (gr *Group) sendOrigin(to net.Addr, stream core.StreamKey, build core.Build, ttl time.Duration) {
+	cm := &countMessage{Kind: countOrigin, Endpoint: uint64(stream), Calls: uint32(build), Ask: uint32(min(maxAgeMs, ttl.Milliseconds()))}
+	sent := gr.sendCount(to, cm)
+	if all := gr.counts.candidates.Load(); all != nil && len(*all) <= fewRouters {
+		gr.counts.sentBytes.Add(-int64(sent))
 	}
 }
 
@@ -89,7 +104,7 @@
 	if all == nil {
 		return nil // the process has just started, and no peer is known
 	}
-	score := func(ca candidate) uint64 { return ring.Mix(ca.hash, uint64(stream)) }
+	score := func(ca candidate) uint64 { return originScore(&ca, stream) }
 	best := make([]candidate, 0, count+1)
 	for _, ca := range *all {
 		if ca.udpAddr == nil || len(best) == count && score(ca) < score(best[count-1]) {
@@ -107,6 +122,11 @@
 	return best
 }
 
+// originScore ranks the routers that may own a stream.
+func originScore(ca *candidate, stream core.StreamKey) uint64 {
+	return ring.Mix(ca.hash, uint64(stream))
+}
+
 // Find implements core.StreamOrigins.
 func (gr *Group) Find(ctx context.Context, stream core.StreamKey) core.OriginSearch {
 	var found core.OriginSearch
--- a/io/gossip/origins_test.go
+++ b/io/gossip/origins_test.go
@@ -40,6 +40,71 @@
 	}
 }
 
+// Guards against refused resumptions after a rolling restart: the owners of a stream restart one after the
+// other while it runs, each at its address, and then the router that forwards it ends. Each must find every
+// stream.
+func TestOriginsOutliveARollingRestart(t *testing.T) {
+	all := meet(t, 4)
+	v1 := builds.Of("pool", "v1")
+	twoBuilds := func(ro *router) {
+		ro.Builds.Register(time.Now(), "e1", "pool", "v1")
+		ro.Builds.Register(time.Now(), "e2", "pool", "v2")
+	}
+	for _, ro := range all {
+		twoBuilds(ro)
+	}
+	const streams = 300
+	for stream := range core.StreamKey(streams) {
+		all[0].Begin(stream, v1, originTTL, true)
+	}
+	for ix := range all[1:] {
+		all[1+ix] = all[1+ix].restart(t, 1+ix, all[0])
+		twoBuilds(all[1+ix])
+		eventually(t, "the peers are alive", func() bool { return all[1+ix].Live() == 3 && all[0].Live() == 3 })
+		time.Sleep(8 * tickInterval)
+	}
+	all[0].stop()
+	for ix, ro := range all[1:] {
+		missing := 0
+		for stream := range core.StreamKey(streams) {
+			if ro.Find(context.Background(), stream).Build != v1 {
+				missing++
+			}
+		}
+		if missing > 0 {
+			t.Errorf("router %d does not find %d of %d streams", 1+ix, missing, streams)
+		}
+	}
+}
+
+// Guards against streams whose owners end one after the other without being replaced, until nobody knows
+// them: with each loss another router takes the record over.
+func TestOriginsMoveToOtherOwners(t *testing.T) {
+	all := meet(t, 6)
+	v1 := builds.Of("pool", "v1")
+	for _, ro := range all {
+		ro.Builds.Register(time.Now(), "e1", "pool", "v1")
+		ro.Builds.Register(time.Now(), "e2", "pool", "v2")
+	}
+	const streams = 200
+	for stream := range core.StreamKey(streams) {
+		all[0].Begin(stream, v1, originTTL, true)
+	}
+	time.Sleep(2 * tickInterval)
+	for ix, ro := range all[:4] {
+		ro.stop()
+		eventually(t, "its peers know that it is gone", func() bool { return all[4].Live() == 4-ix && all[5].Live() == 4-ix })
+		time.Sleep(8 * tickInterval)
+	}
+	for ix, ro := range all[4:] {
+		for stream := range core.StreamKey(streams) {
+			if got := ro.Find(context.Background(), stream).Build; got != v1 {
+				t.Errorf("router %d finds build %d of stream %d", 4+ix, got, stream)
+			}
+		}
+	}
+}
+
 // Guards against a stream that is taken for one of another build because its record is missing: a router
 // that knows no peer, and one whose peers do not know the stream, must not find a build.
 func TestUnknownOriginIsNotGuessed(t *testing.T) {
