io/relay, io/deny: log how many parts a prompt has

The lines of requests and 'An endpoint crashed.' listed the parts that are suspected, and did not say whether the prompt had more. PartCount does. A request's line lists the first and the last eight parts of a long prompt, the line of a crash 128 suspected parts at most.

--- a/io/deny/deny.go
+++ b/io/deny/deny.go
@@ -48,6 +48,8 @@
 	secondProbeDelay = 250 * time.Millisecond
 	// probeTimeout bounds both probes of an endpoint together.
 	probeTimeout = time.Second
+	// maxLoggedParts bounds the suspected parts in the log line of a crash.
+	maxLoggedParts = 128
 )
 
 // Detector detects crashes for the Tracker of a router that calls endpoints itself. Set the
@@ -98,7 +100,7 @@
 	requests := slices.DeleteFunc(slices.Clone(suspects), crash.IsPart)
 	parts := slices.DeleteFunc(slices.Clone(suspects), func(fp core.Fingerprint) bool { return !crash.IsPart(fp) })
 	de.Log.Warn("An endpoint crashed.", zap.String("Endpoint", string(en.ID)), zap.String("Addr", en.Addr),
-		zap.Stringer("Evidence", ev), zap.Stringers("Ran", requests), zap.Stringers("Parts", parts))
+		zap.Stringer("Evidence", ev), zap.Stringers("Ran", requests), zap.Stringers("Parts", parts[:min(len(parts), maxLoggedParts)]), zap.Int("PartCount", len(parts)))
 	de.Tracker.crashed(now, en.Hash, suspects)
 }
 
--- a/io/relay/crash.go
+++ b/io/relay/crash.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"slices"
 	"syscall"
 	"time"
 
@@ -38,6 +39,17 @@
 	return fps
 }
 
+// maxLoggedParts bounds the parts in a request's log line.
+const maxLoggedParts = 16
+
+// loggedParts are the first and the last parts of a long prompt, or all.
+func loggedParts(parts []core.Fingerprint) []core.Fingerprint {
+	if len(parts) <= maxLoggedParts {
+		return parts
+	}
+	return slices.Concat(parts[:maxLoggedParts/2], parts[len(parts)-maxLoggedParts/2:])
+}
+
 // identities are what of the request may crash endpoints: the request as a whole, and the parts of its prompt
 // that others share.
 func (rq *request) identities() []core.Fingerprint {
--- a/io/relay/request.go
+++ b/io/relay/request.go
@@ -375,7 +375,7 @@
 		fields = append(fields, zap.String("Framing", string(rq.framing)), zap.Int("Unfinished", rq.unfinished))
 	}
 	if len(rq.sharedParts) > 0 {
-		fields = append(fields, zap.Stringers("Parts", rq.sharedParts), zap.Int("Events", rq.events))
+		fields = append(fields, zap.Stringers("Parts", loggedParts(rq.sharedParts)), zap.Int("PartCount", len(rq.sharedParts)), zap.Int("Events", rq.events))
 	}
 	fields = append(append(fields, rq.output.fields()...), rq.memoryWait.fields()...)
 	if rq.notice != (Notice{}) {
