io/relay, core/crash: every part of a prompt may crash endpoints, whatever its place and model

Cause: only the first 16 parts of a prompt were suspects, and a part's identity held the model, as engines cache it. So the evidence against the part was cut out, or divided.

Fix: all parts but the last are suspects, by their content. What followed from 16 parts is sized for a hundred: successes that are remembered, suspects and quarantines of parts, with bounds of their own beside those of requests, and eviction that keeps the suspects of the latest crash. Suspected and cleared parts are sent to their owners many at a time, so that a long prompt does not cost hundreds of messages.

--- a/core/crash/fingerprint.go
+++ b/core/crash/fingerprint.go
@@ -29,8 +29,8 @@
 // partTag is the second half of a part's fingerprint.
 var partTag = []byte("part of ")
 
-// PartFingerprint identifies a part of prompts, by the hash under which engines cache it. It is the same
-// for all customers and pools.
+// PartFingerprint identifies a part of prompts, by the hash of its content. It is the same for all customers,
+// pools and models.
 func PartFingerprint(hash uint64) core.Fingerprint {
 	return core.Fingerprint(append(binary.BigEndian.AppendUint64(nil, hash), partTag...))
 }
--- a/core/crash/fleet_test.go
+++ b/core/crash/fleet_test.go
@@ -3,6 +3,7 @@
 import (
 	"container/heap"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"almondrill/core"
@@ -33,6 +34,9 @@
 	// causes' requests.
 	inParts bool
 	share   float64
+	// length is the number of parts in all prompts, 0 for two. The causes' stand anywhere in theirs, among
+	// the parts of a session that harmless requests have.
+	length int
 }
 
 var patterns = []pattern{
@@ -50,6 +54,8 @@
 	{name: "part, lossy", causes: 1, copies: 1, interval: 500 * time.Millisecond, crashAfter: 100 * time.Millisecond, inParts: true, share: 0.1, lossRate: 0.1},
 	{name: "parts, two", causes: 2, copies: 1, interval: 700 * time.Millisecond, crashAfter: 100 * time.Millisecond, inParts: true, share: 0.1},
 	{name: "part, outage", causes: 1, copies: 1, interval: 500 * time.Millisecond, crashAfter: 100 * time.Millisecond, inParts: true, share: 0.1, outage: 0.34},
+	{name: "part, long", causes: 1, copies: 1, interval: 500 * time.Millisecond, crashAfter: 100 * time.Millisecond, inParts: true, share: 0.3, length: 20},
+	{name: "part, very long", causes: 1, copies: 1, interval: 700 * time.Millisecond, crashAfter: 100 * time.Millisecond, inParts: true, share: 0.3, length: 99},
 	{name: "parts, outage only", outage: 0.34, inParts: true, share: 0.1},
 }
 
@@ -104,6 +110,7 @@
 type attempt struct {
 	fp          core.Fingerprint
 	parts       []core.Fingerprint
+	deadly      core.Fingerprint // the one of a cause's parts that crashes endpoints
 	begun       bool
 	first       bool // the first attempt of its caller
 	router      int
@@ -202,7 +209,26 @@
 	if fl.ra.Float64() >= fl.share {
 		first = crash.PartFingerprint(uint64(2 + fl.ra.IntN(20)))
 	}
-	return []core.Fingerprint{first, crash.PartFingerprint(uint64(1000 + fl.ra.IntN(300)))}
+	return append([]core.Fingerprint{first}, fl.sessionParts(max(1, fl.length-1))...)
+}
+
+// sessionParts draws a session and returns its first parts.
+func (fl *fleet) sessionParts(count int) []core.Fingerprint {
+	session := fl.ra.IntN(300)
+	var parts []core.Fingerprint
+	for ix := range count {
+		parts = append(parts, crash.PartFingerprint(uint64(1000+session)|uint64(ix)<<32))
+	}
+	return parts
+}
+
+// causeParts returns the parts of a cause's prompt.
+func (fl *fleet) causeParts(deadly core.Fingerprint) []core.Fingerprint {
+	if fl.length <= 2 {
+		return []core.Fingerprint{firstPart, deadly}
+	}
+	parts := append([]core.Fingerprint{firstPart}, fl.sessionParts(fl.length-2)...)
+	return slices.Insert(parts, 1+fl.ra.IntN(len(parts)), deadly)
 }
 
 // countSharing counts a first attempt that shares the first part with the causes' requests.
@@ -227,14 +253,14 @@
 		}
 		fl.harmless++
 		deadly := crash.PartFingerprint(0xdead<<16 | uint64(fp[1]))
-		fl.send(&attempt{fp: core.Fingerprint{3, byte(fl.harmless), byte(fl.harmless >> 8), byte(fl.harmless >> 16)}, parts: []core.Fingerprint{firstPart, deadly}, cause: true})
+		fl.send(&attempt{fp: core.Fingerprint{3, byte(fl.harmless), byte(fl.harmless >> 8), byte(fl.harmless >> 16)}, parts: fl.causeParts(deadly), cause: true, deadly: deadly})
 	}
 }
 
 // culprit returns what crashes the endpoints that run a cause.
 func (at *attempt) culprit() core.Fingerprint {
 	if len(at.parts) > 0 {
-		return at.parts[len(at.parts)-1]
+		return at.deadly
 	}
 	return at.fp
 }
--- a/core/crash/quarantine.go
+++ b/core/crash/quarantine.go
@@ -83,7 +83,7 @@
 	if ta.quarantined == nil {
 		ta.quarantined = map[core.Fingerprint]*quarantine{}
 	}
-	if len(ta.quarantined) >= maxQuarantined {
+	if ta.full(fp) {
 		return nil
 	}
 	qu := &quarantine{since: now, notifiedAt: now}
@@ -93,6 +93,23 @@
 	return qu
 }
 
+// full reports whether there is no room for the quarantine of one more request, or of one more part.
+func (ta *Table) full(fp core.Fingerprint) bool {
+	if len(ta.quarantined) < maxQuarantined {
+		return false
+	}
+	limit, count := maxQuarantined, 0
+	if IsPart(fp) {
+		limit = maxQuarantinedParts
+	}
+	for other := range ta.quarantined {
+		if IsPart(other) == IsPart(fp) {
+			count++
+		}
+	}
+	return count >= limit
+}
+
 func (ta *Table) release(fp core.Fingerprint, ef *Effects) {
 	if ta.quarantined[fp] != nil {
 		delete(ta.quarantined, fp)
--- a/core/crash/successes.go
+++ b/core/crash/successes.go
@@ -7,9 +7,10 @@
 	"almondrill/core"
 )
 
-// successSlots is how many successful requests and parts are remembered, in 64 KB: those of the last 20 s
-// at 60 requests a second with two shared parts each. A later one overwrites an earlier one of the same slot.
-const successSlots = 4096
+// successSlots is how many successful requests and parts are remembered, in a megabyte: those of the last
+// ten seconds at 60 requests a second with a hundred shared parts each. A later one overwrites an earlier one
+// of the same slot.
+const successSlots = 1 << 16
 
 // recentSuccesses remembers which requests and parts succeeded recently, and when.
 type recentSuccesses struct{ slots []successSlot }
--- a/core/crash/suspect.go
+++ b/core/crash/suspect.go
@@ -1,6 +1,7 @@
 package crash
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -17,35 +18,52 @@
 // suspect is a request that was running at endpoints when they crashed.
 type suspect struct{ crashes []core.Crash }
 
-// ensureSuspect returns the record of a suspected request, which it makes if there is none. Crashes
-// older than recordTTL are dropped from it.
+// suspectsLike returns the suspects among which a request or a part is recorded.
+func (ta *Table) suspectsLike(fp core.Fingerprint) map[core.Fingerprint]*suspect {
+	if IsPart(fp) {
+		return ta.parts
+	}
+	return ta.suspects
+}
+
+// ensureSuspect returns the record of a suspect, which it makes if there is none. Crashes older than
+// recordTTL are dropped from it.
 func (ta *Table) ensureSuspect(now time.Time, fp core.Fingerprint) *suspect {
-	su := ta.suspects[fp]
+	if ta.suspects == nil {
+		ta.suspects, ta.parts = map[core.Fingerprint]*suspect{}, map[core.Fingerprint]*suspect{}
+	}
+	all, limit := ta.suspectsLike(fp), maxSuspects
+	if IsPart(fp) {
+		limit = maxSuspectParts
+	}
+	su := all[fp]
 	if su != nil {
 		su.crashes = slices.DeleteFunc(su.crashes, func(cr core.Crash) bool { return now.Sub(cr.At) > recordTTL })
 		return su
 	}
-	if ta.suspects == nil {
-		ta.suspects = map[core.Fingerprint]*suspect{}
-	}
-	if len(ta.suspects) >= maxSuspects {
-		ta.evictSuspects()
+	if len(all) >= limit {
+		evictSuspects(now, all, limit)
 	}
 	su = &suspect{}
-	ta.suspects[fp] = su
+	all[fp] = su
 	return su
 }
 
-// evictSuspects frees capacity: first the suspects with a single crash, then all if necessary.
-func (ta *Table) evictSuspects() {
-	for fp, su := range ta.suspects {
-		if len(su.crashes) < 2 {
-			delete(ta.suspects, fp)
+// evictSuspects frees capacity: first the suspects with a single crash, of those the ones of the latest crash
+// last, and all if necessary. The cause of a crash is among the suspects that are being recorded.
+func evictSuspects(now time.Time, all map[core.Fingerprint]*suspect, limit int) {
+	single := func(_ core.Fingerprint, su *suspect) bool { return len(su.crashes) < 2 }
+	for _, evict := range []func(fp core.Fingerprint, su *suspect) bool{
+		func(fp core.Fingerprint, su *suspect) bool {
+			return single(fp, su) && (len(su.crashes) == 0 || now.Sub(su.crashes[0].At) >= sameCrashWindow)
+		},
+		single,
+		func(core.Fingerprint, *suspect) bool { return true },
+	} {
+		if len(all) >= limit {
+			maps.DeleteFunc(all, evict)
 		}
 	}
-	if len(ta.suspects) >= maxSuspects {
-		ta.suspects = map[core.Fingerprint]*suspect{}
-	}
 }
 
 // containsCrash reports whether the crash is among the given ones, perhaps as reported by another
--- a/core/crash/table.go
+++ b/core/crash/table.go
@@ -28,10 +28,14 @@
 	// unstoredTTL is how long a router keeps a quarantine that it knows only from a peer. The
 	// peer repeats it every second until the store has it.
 	unstoredTTL = 30 * time.Second
-	// maxSuspects and maxQuarantined bound the records, to 0.5 MB and 50 KB. A crash makes some 20
-	// requests suspects; at most one request is quarantined for every three crashes.
+	// maxSuspects and maxQuarantined bound the records of requests, to 0.5 MB and 50 KB. A crash makes some
+	// 20 requests suspects; at most one request is quarantined for every three crashes.
 	maxSuspects    = 4096
 	maxQuarantined = 256
+	// maxSuspectParts and maxQuarantinedParts bound those of parts, to 1 MB and 200 KB. A request has as many
+	// as a hundred, and those that only come together are quarantined together.
+	maxSuspectParts     = 8192
+	maxQuarantinedParts = 1024
 	// maxListedCrashes bounds the crashes that are kept, and sent to peers, for one request.
 	maxListedCrashes = 8
 	// maxAttributed bounds the crashes that are remembered as attributed.
@@ -72,7 +76,8 @@
 
 	mu          sync.Mutex // guards all below
 	successes   recentSuccesses
-	suspects    map[core.Fingerprint]*suspect
+	suspects    map[core.Fingerprint]*suspect // requests
+	parts       map[core.Fingerprint]*suspect // parts of prompts that are suspects
 	quarantined map[core.Fingerprint]*quarantine
 	// attributed holds the latest crash attributed to a quarantined request, by endpoint.
 	attributed map[uint64]attribution
@@ -127,10 +132,10 @@
 			ef.Remove = append(ef.Remove, qu.entry(fp))
 		}
 		ta.release(fp, ef)
-	} else if ta.suspects[fp] != nil {
+	} else if ta.suspectsLike(fp)[fp] != nil {
 		ef.ToOwners = append(ef.ToOwners, cleared)
 	}
-	delete(ta.suspects, fp)
+	delete(ta.suspectsLike(fp), fp)
 }
 
 // ApplyNotice applies a peer's notice.
@@ -145,7 +150,7 @@
 		}
 	case core.NoticeCleared:
 		ta.successes.record(no.Request, now)
-		delete(ta.suspects, no.Request)
+		delete(ta.suspectsLike(no.Request), no.Request)
 		ta.release(no.Request, &ef)
 	case core.NoticeQuarantined:
 		if ta.clearedBySuccess(no) {
@@ -201,7 +206,7 @@
 		return
 	}
 	qu.decidedHere, qu.crashes = true, su.crashes
-	delete(ta.suspects, fp)
+	delete(ta.suspectsLike(fp), fp)
 	ta.attribute(qu.crashes)
 	ef.ToAll = append(ef.ToAll, qu.notice(fp))
 }
--- a/core/crash/verdict.go
+++ b/core/crash/verdict.go
@@ -47,7 +47,7 @@
 // trial would not show which of them crashes endpoints.
 func (ta *Table) suspectBeside(fp core.Fingerprint, fps []core.Fingerprint) bool {
 	return slices.ContainsFunc(fps, func(other core.Fingerprint) bool {
-		return other != fp && (ta.quarantined[other] != nil || IsPart(fp) && ta.suspects[other] != nil)
+		return other != fp && (ta.quarantined[other] != nil || IsPart(fp) && ta.suspectsLike(other)[other] != nil)
 	})
 }
 
@@ -105,7 +105,7 @@
 		return ef
 	}
 	ta.release(fp, &ef)
-	delete(ta.suspects, fp)
+	delete(ta.suspectsLike(fp), fp)
 	return ef
 }
 
@@ -163,5 +163,5 @@
 func (ta *Table) Len() (quarantined, suspected int) {
 	ta.mu.Lock()
 	defer ta.mu.Unlock()
-	return len(ta.quarantined), len(ta.suspects)
+	return len(ta.quarantined), len(ta.suspects) + len(ta.parts)
 }
--- a/core/place/place.go
+++ b/core/place/place.go
@@ -72,8 +72,11 @@
 
 // Part is a part of a prompt. Requests may share leading parts.
 type Part struct {
-	Hash   uint64
-	Tokens core.Tokens
+	// Hash identifies the part as engines cache it, for one model. Content identifies its content for all
+	// models; 0 if there is no other identity than Hash.
+	Hash    uint64
+	Content uint64
+	Tokens  core.Tokens
 }
 
 // Request is a request to place.
--- a/io/deny/deny_test.go
+++ b/io/deny/deny_test.go
@@ -68,11 +68,15 @@
 // group delivers notices to other routers' detectors directly.
 type group struct{ others []*deny.Detector }
 
-func (gr *group) NotifyOwners(now time.Time, no core.CrashNotice) { gr.NotifyAll(now, no) }
+func (gr *group) NotifyOwners(now time.Time, nos ...core.CrashNotice) {
+	gr.NotifyAll(now, nos...)
+}
 
-func (gr *group) NotifyAll(now time.Time, no core.CrashNotice) {
+func (gr *group) NotifyAll(now time.Time, nos ...core.CrashNotice) {
 	for _, other := range gr.others {
-		other.ApplyNotice(now, "peer", no)
+		for _, no := range nos {
+			other.ApplyNotice(now, "peer", no)
+		}
 	}
 }
 
@@ -236,7 +240,7 @@
 // noOwners is a group in which the router that reports a crash is the only one that counts it.
 type noOwners struct{ group }
 
-func (*noOwners) NotifyOwners(time.Time, core.CrashNotice) {}
+func (*noOwners) NotifyOwners(time.Time, ...core.CrashNotice) {}
 
 // The store does not answer while forty requests are quarantined. The router that decided this must
 // keep sending notices of each to its peers: a peer that receives none for 30 s forgets the
--- a/io/deny/peers.go
+++ b/io/deny/peers.go
@@ -39,7 +39,13 @@
 
 // NotifyOwners implements Peers. The owners of a request are the routers that rendezvous hashing
 // ranks highest for it.
-func (bp *BoardPeers) NotifyOwners(_ time.Time, no core.CrashNotice) {
+func (bp *BoardPeers) NotifyOwners(_ time.Time, nos ...core.CrashNotice) {
+	for _, no := range nos {
+		bp.notifyOwners(no)
+	}
+}
+
+func (bp *BoardPeers) notifyOwners(no core.CrashNotice) {
 	key := binary.BigEndian.Uint64(no.Request[:])
 	self := bp.Board.Self.ID
 	var best [ownerCount]struct {
@@ -63,12 +69,14 @@
 }
 
 // NotifyAll implements Peers. It notifies at most maxNotified routers, chosen at random.
-func (bp *BoardPeers) NotifyAll(_ time.Time, no core.CrashNotice) {
+func (bp *BoardPeers) NotifyAll(_ time.Time, nos ...core.CrashNotice) {
 	all := bp.others()
 	for ix := range min(maxNotified, len(all)) {
 		other := ix + int(bp.Rand.Uint64()%uint64(len(all)-ix))
 		all[ix], all[other] = all[other], all[ix]
-		bp.notify(all[ix], no)
+		for _, no := range nos {
+			bp.notify(all[ix], no)
+		}
 	}
 }
 
--- a/io/deny/tracker.go
+++ b/io/deny/tracker.go
@@ -38,10 +38,10 @@
 
 // Peers are the other routers.
 type Peers interface {
-	// NotifyOwners sends a notice to the owners of its request, the routers that count its crashes.
-	NotifyOwners(now time.Time, no core.CrashNotice)
-	// NotifyAll sends a notice to the other routers.
-	NotifyAll(now time.Time, no core.CrashNotice)
+	// NotifyOwners sends each notice to the owners of its request, the routers that count its crashes.
+	NotifyOwners(now time.Time, nos ...core.CrashNotice)
+	// NotifyAll sends notices to the other routers.
+	NotifyAll(now time.Time, nos ...core.CrashNotice)
 }
 
 // Tracker holds one router's records of requests that may crash endpoints, and decides whether a
@@ -105,10 +105,12 @@
 	unstored, ef := tr.table.Tick(now)
 	tr.apply(now, ef)
 	batch := tr.nextBatch(unstored)
-	for _, de := range batch {
-		if again {
-			tr.Peers.NotifyAll(now, de.Notice)
+	if again && len(batch) > 0 {
+		var notices []core.CrashNotice
+		for _, de := range batch {
+			notices = append(notices, de.Notice)
 		}
+		tr.Peers.NotifyAll(now, notices...)
 	}
 	for _, de := range batch {
 		err := tr.put(ctx, de.Entry, storeTimeout)
@@ -256,11 +258,13 @@
 		}
 		tr.Log.Info(message, zap.Stringer("Fingerprint", fp))
 	}
-	for _, no := range ef.ToOwners {
-		tr.Peers.NotifyOwners(now, no)
+	if len(ef.ToOwners) > 0 {
+		tr.Peers.NotifyOwners(now, ef.ToOwners...)
+	}
+	if len(ef.ToAll) > 0 {
+		tr.Peers.NotifyAll(now, ef.ToAll...)
 	}
 	for _, no := range ef.ToAll {
-		tr.Peers.NotifyAll(now, no)
 		if no.Kind == core.NoticeQuarantined {
 			tr.wake()
 		}
--- a/io/gossip/crash_test.go
+++ b/io/gossip/crash_test.go
@@ -9,6 +9,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"almondrill/core"
+	"almondrill/core/crash"
 	"almondrill/io/gossip"
 )
 
@@ -87,6 +88,66 @@
 	}
 }
 
+// Guards against crashes that nobody counts because a long prompt's parts are too many for a message: each reaches
+// the same two owners from all routers, its suspicion and its acquittal, and a quarantine reaches all.
+func TestPartsOfALongPromptReachTheirOwners(t *testing.T) {
+	all, received := meetCollecting(t, 5)
+	now := time.Now()
+	const parts = 400
+	notices := func(kind core.CrashNoticeKind, crashes ...core.Crash) []core.CrashNotice {
+		var nos []core.CrashNotice
+		for part := range uint64(parts) {
+			nos = append(nos, core.CrashNotice{Kind: kind, Request: crash.PartFingerprint(part * 0x9e3779b97f4a7c15), Crashes: crashes})
+		}
+		return nos
+	}
+	cr := core.Crash{Endpoint: 7, At: now.Add(-50 * time.Millisecond)}
+	for _, ro := range all {
+		ro.NotifyOwners(now, notices(core.NoticeSuspected, cr)...)
+	}
+	eventually(t, "each part has two owners, which the four others notify", func() bool {
+		for _, no := range notices(core.NoticeSuspected) {
+			owners := 0
+			for _, re := range received {
+				if re.count(no.Request) == len(all)-1 {
+					owners++
+				}
+			}
+			if owners != 2 {
+				return false
+			}
+		}
+		return true
+	})
+	suspected := 0
+	for _, re := range received {
+		re.mu.Lock()
+		suspected += len(re.all)
+		for _, no := range re.all {
+			if no.Kind != core.NoticeSuspected || len(no.Crashes) != 1 || no.Crashes[0].Endpoint != 7 || time.Since(no.Crashes[0].At) < 50*time.Millisecond {
+				t.Fatalf("received as %+v", no)
+			}
+		}
+		re.mu.Unlock()
+	}
+	all[0].NotifyAll(now, notices(core.NoticeQuarantined, cr, cr, cr)...)
+	all[1].NotifyOwners(now, notices(core.NoticeCleared)...)
+	eventually(t, "all others know of the quarantines, and the owners of the acquittals", func() bool {
+		total, quarantines := 0, 0
+		for _, re := range received {
+			re.mu.Lock()
+			total += len(re.all)
+			for _, no := range re.all {
+				if no.Kind == core.NoticeQuarantined && len(no.Crashes) == 3 {
+					quarantines++
+				}
+			}
+			re.mu.Unlock()
+		}
+		return quarantines == parts*(len(all)-1) && total > suspected+quarantines
+	})
+}
+
 // Invalid notices, from a router of another version or something else that sends to the port, must
 // be dropped, and later valid ones handled.
 func TestInvalidCrashNoticesAreDropped(t *testing.T) {
@@ -102,6 +163,9 @@
 		map[int]any{11: []any{0, make([]byte, 16), nil}},
 		map[int]any{11: []any{1}},
 		map[int]any{11: "text"},
+		map[int]any{23: []any{1, []any{}, []byte{1, 2}}},
+		map[int]any{23: []any{9, []any{}, make([]byte, 8)}},
+		map[int]any{23: []any{1, []any{}}},
 	} {
 		data, err := cbor.Marshal(body)
 		if err != nil {
--- a/io/gossip/gossip.go
+++ b/io/gossip/gossip.go
@@ -124,6 +124,8 @@
 	Count *countMessage `cbor:"10,keyasint,omitempty"`
 	// Crash is set in messages about a request that crashes endpoints, which hold nothing else.
 	Crash *crashNotice `cbor:"11,keyasint,omitempty"`
+	// Parts is set in messages about parts of prompts that crash endpoints, which hold nothing else.
+	Parts *partsNotice `cbor:"23,keyasint,omitempty"`
 	// Probe is set in messages that probe a peer, which otherwise hold only Rumors and Incarnation.
 	// Incarnation is the sender's.
 	Probe       *probeMessage    `cbor:"15,keyasint,omitempty"`
@@ -368,6 +370,8 @@
 		gr.handleProbe(now, from, &ms)
 	case ms.Count != nil:
 		gr.handleCount(now, from, ms.Count)
+	case ms.Parts != nil:
+		gr.handlePartsNotice(now, from.String(), ms.Parts)
 	case ms.Crash != nil:
 		gr.handleCrashNotice(now, from.String(), ms.Crash)
 	default:
--- a/io/relay/crash.go
+++ b/io/relay/crash.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"net/http"
@@ -23,18 +24,17 @@
 	return crash.Fingerprint(customer, rq.hr.Method, rq.hr.Host, rq.hr.URL.RequestURI(), rq.body)
 }
 
-// maxSharedParts bounds the parts of a prompt that are suspected of crashes.
-const maxSharedParts = 16
-
-// fingerprintsOf identifies the parts of a prompt that other requests may share: all but the last one.
+// fingerprintsOf identifies the parts of a prompt that other requests may share: all but the last one, by
+// their content, as requests for several models may share it. Each of them may crash endpoints; how many
+// there are is bounded by the size of the header.
 func fingerprintsOf(parts []place.Part) []core.Fingerprint {
 	if len(parts) < 2 {
 		return nil
 	}
-	shared := parts[:min(len(parts)-1, maxSharedParts)]
+	shared := parts[:len(parts)-1]
 	fps := make([]core.Fingerprint, 0, len(shared))
 	for _, pa := range shared {
-		fps = append(fps, crash.PartFingerprint(pa.Hash))
+		fps = append(fps, crash.PartFingerprint(cmp.Or(pa.Content, pa.Hash)))
 	}
 	return fps
 }
--- a/io/relay/crash_test.go
+++ b/io/relay/crash_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -11,6 +12,7 @@
 	"time"
 
 	"almondrill/core"
+	"almondrill/core/crash"
 	"almondrill/core/place"
 	"almondrill/core/route"
 )
@@ -169,6 +171,34 @@
 	}
 }
 
+// Guards against a part that crashes engines and is never suspected because of where it stands in the prompt:
+// each part but the last is, in prompts of any length.
+func TestEachSharedPartIsSuspected(t *testing.T) {
+	for _, count := range []int{2, 16, 17, 20, 100} {
+		fl := newFleet(t, func(*received, net.Conn) bool { return false }).configure(route.Route{Kind: route.Stream, Sticky: true})
+		fl.re.Dialect.Prompt = func(http.Header) []place.Part {
+			parts := make([]place.Part, count)
+			for ix := range parts {
+				parts[ix] = place.Part{Hash: uint64(100 + ix), Content: uint64(1000 + ix)}
+			}
+			return parts
+		}
+		cd := &fakeCrashDetector{allowed: 9}
+		fl.re.Crashes = cd
+		_, _, _ = fl.send("POST", "/r/x", "b")
+		cd.mu.Lock()
+		for ix := range count - 1 {
+			if !slices.Contains(cd.parts, crash.PartFingerprint(uint64(1000+ix))) {
+				t.Errorf("part %d of %d is not suspected", ix+1, count)
+			}
+		}
+		if len(cd.parts) != count-1 {
+			t.Errorf("%d of %d parts are suspected", len(cd.parts), count)
+		}
+		cd.mu.Unlock()
+	}
+}
+
 // The trial of a quarantined request is refused by an endpoint that is full. It must go on to another one: the
 // next trial would come many seconds later, and until then a wrong quarantine would last.
 func TestTrialThatDidNotRunIsSentOn(t *testing.T) {
