io/deny, io/relay: a request is sent on after its last crash counts

A request that crashes endpoints reached four plain workers within 5 ms, and crashed five before it was quarantined; three crashes suffice. With each, all other requests of the endpoint are broken off.

Cause: an interrupted attempt is sent on at once, while a probe finds out in the background whether its endpoint has crashed, and before the owners of the request, who know of crashes at other routers, can answer.

Fix: the router waits until the endpoint has been probed once, 20 ms at most, and, if it has crashed, 10 ms for the owners' verdict.

--- a/core/crash.go
+++ b/core/crash.go
@@ -95,4 +95,7 @@
 	Interrupted(en EndpointRef, began time.Time, request Fingerprint, parts ...Fingerprint)
 	// ConnRefused records that the endpoint refused a connection.
 	ConnRefused(en EndpointRef)
+	// Settle waits until it should be known whether an endpoint at which an attempt was interrupted has
+	// crashed, and what peers conclude from that. The wait is bounded to some milliseconds.
+	Settle(ctx context.Context, en EndpointRef)
 }
--- a/core/crash/interruptions.go
+++ b/core/crash/interruptions.go
@@ -143,6 +143,14 @@
 	return since
 }
 
+// RecentlyGone reports whether an endpoint was just found to be gone.
+func (in *Interruptions) RecentlyGone(now time.Time, endpoint uint64) bool {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	re := in.endpoints[endpoint]
+	return re != nil && !re.goneAt.IsZero() && now.Sub(re.goneAt) <= refusedWindow
+}
+
 // Pending reports whether an endpoint has interrupted attempts of which it is not yet known
 // whether the endpoint crashed.
 func (in *Interruptions) Pending(endpoint uint64) bool {
--- a/io/deny/deny.go
+++ b/io/deny/deny.go
@@ -48,6 +48,12 @@
 	secondProbeDelay = 250 * time.Millisecond
 	// probeTimeout bounds both probes of an endpoint together.
 	probeTimeout = time.Second
+	// settleTimeout bounds the wait for the first probe: a connection to an endpoint that is well, or has
+	// crashed, takes a transit delay or two.
+	settleTimeout = 20 * time.Millisecond
+	// ownersDelay is the wait for the owners of a suspect, who learn of a crash and notify all of a
+	// quarantine: a few transit delays, and the scheduling delay on busy peers.
+	ownersDelay = 10 * time.Millisecond
 	// maxLoggedParts bounds the suspected parts in the log line of a crash.
 	maxLoggedParts = 128
 )
@@ -62,7 +68,8 @@
 	interruptions crash.Interruptions
 
 	probeMu sync.Mutex // guards probing
-	probing map[uint64]bool
+	// probing holds, for each endpoint that is being probed, a channel that is closed after the first probe.
+	probing map[uint64]chan struct{}
 }
 
 var _ core.CrashDetector = (*Detector)(nil)
@@ -77,8 +84,30 @@
 		de.crashed(now, en, crash.Refused, append([]core.Fingerprint{request}, parts...))
 		return
 	}
-	if de.beginProbe(en.Hash) {
-		go de.probe(en)
+	if first, began := de.beginProbe(en.Hash); began {
+		go de.probe(en, first)
+	}
+}
+
+// Settle implements core.CrashDetector. A request that crashes endpoints is sent to the next one within a
+// millisecond otherwise, before its last crash counts.
+func (de *Detector) Settle(ctx context.Context, en core.EndpointRef) {
+	de.probeMu.Lock()
+	first := de.probing[en.Hash]
+	de.probeMu.Unlock()
+	if first != nil {
+		select {
+		case <-first:
+		case <-time.After(settleTimeout):
+		case <-ctx.Done():
+		}
+	}
+	if !de.interruptions.RecentlyGone(time.Now(), en.Hash) {
+		return
+	}
+	select {
+	case <-time.After(ownersDelay):
+	case <-ctx.Done():
 	}
 }
 
@@ -106,8 +135,10 @@
 
 // probe checks by connecting whether an endpoint where an attempt was interrupted has crashed. If
 // it has not, the connection stays in the pool for the next request.
-func (de *Detector) probe(en core.EndpointRef) {
+func (de *Detector) probe(en core.EndpointRef, first chan struct{}) {
 	defer de.endProbe(en.Hash)
+	done := sync.OnceFunc(func() { close(first) })
+	defer done()
 	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
 	defer cancel()
 	for range 2 {
@@ -115,6 +146,7 @@
 			de.endpointGone(en, crash.Refused)
 			return
 		}
+		done()
 		select {
 		case <-time.After(secondProbeDelay):
 		case <-ctx.Done():
@@ -126,18 +158,20 @@
 	}
 }
 
-// beginProbe marks the endpoint as being probed. It returns false if it already is.
-func (de *Detector) beginProbe(endpoint uint64) bool {
+// beginProbe marks the endpoint as being probed, and returns the channel to be closed after the first probe.
+// It returns false if it already is.
+func (de *Detector) beginProbe(endpoint uint64) (first chan struct{}, began bool) {
 	de.probeMu.Lock()
 	defer de.probeMu.Unlock()
-	if de.probing[endpoint] {
-		return false
+	if de.probing[endpoint] != nil {
+		return nil, false
 	}
 	if de.probing == nil {
-		de.probing = map[uint64]bool{}
+		de.probing = map[uint64]chan struct{}{}
 	}
-	de.probing[endpoint] = true
-	return true
+	first = make(chan struct{})
+	de.probing[endpoint] = first
+	return first, true
 }
 
 func (de *Detector) endProbe(endpoint uint64) {
--- a/io/relay/crash.go
+++ b/io/relay/crash.go
@@ -57,11 +57,15 @@
 }
 
 // checkBlocked refuses a request that appears to crash the endpoints that run it, as soon as that is known:
-// before it waits for anything.
-func (rq *request) checkBlocked() *core.Refusal {
+// before it waits for anything but the evidence of its own last attempt.
+func (rq *request) checkBlocked(ctx context.Context) *core.Refusal {
 	if rq.re.Crashes == nil || rq.allowed {
 		return nil
 	}
+	if rq.interruptedAt != nil {
+		rq.re.Crashes.Settle(ctx, *rq.interruptedAt)
+		rq.interruptedAt = nil
+	}
 	if blocked, after := rq.re.Crashes.Blocked(rq.identities()...); blocked {
 		return rq.quarantined(after)
 	}
@@ -129,6 +133,7 @@
 			unproven = ex.rq.sharedParts
 		}
 		cd.Interrupted(en, began, ex.rq.fingerprint, unproven...)
+		ex.rq.interruptedAt = &en
 	}
 }
 
--- a/io/relay/request.go
+++ b/io/relay/request.go
@@ -40,6 +40,9 @@
 	heldBytes int64
 	// fingerprint is the same for all of the caller's attempts of a request.
 	fingerprint core.Fingerprint
+	// interruptedAt is where the last attempt was interrupted, until it was waited for whether that endpoint
+	// has crashed.
+	interruptedAt *core.EndpointRef
 	// sharedParts identifies the parts of the prompt that other requests may share.
 	sharedParts []core.Fingerprint
 
@@ -116,7 +119,7 @@
 // serve makes attempts until one succeeds or no other is allowed.
 func (rq *request) serve(ctx context.Context) {
 	defer rq.endTurn()
-	if rf := rq.checkBlocked(); rf != nil {
+	if rf := rq.checkBlocked(ctx); rf != nil {
 		rq.finishFailed(rf)
 		return
 	}
@@ -131,7 +134,7 @@
 	defer rq.stream.end()
 	header := rq.forwardedHeader()
 	for dials := 0; ; dials++ {
-		rf := rq.checkBlocked()
+		rf := rq.checkBlocked(ctx)
 		if rf == nil {
 			rf = rq.chooseEndpoint(ctx)
 		}
