io/relay: answers without framing have a marked end for their callers

Cause: the router forwarded such an answer without framing, since a length or a last chunk would claim that it is whole. The caller takes the end of its connection for that in any case, and so does not see that the router has died.

Fix: each answer to a caller has a length, or chunks, of which the last one is missing then.

TestEndOfUnframedAnswerIsNotAsserted asserted that callers get no framing, which is this fault. It is replaced by TestUnframedAnswersHaveAMarkedEnd, the same cases with the opposite check, that the end is marked in each; that the router does not take such an answer for a success is checked as before.

--- a/io/relay/attempt.go
+++ b/io/relay/attempt.go
@@ -220,7 +220,7 @@
 		ex.returnConn()
 	}
 	if complete && !ex.rq.headSent {
-		ex.rq.failure = &failureResponse{status: ex.rs.StatusCode, header: ex.rs.Header, body: body, framing: ex.rq.framing}
+		ex.rq.failure = &failureResponse{status: ex.rs.StatusCode, header: ex.rs.Header, body: body}
 	}
 	rf := ex.refusal(core.Failed, core.ReasonEndpointError, "read", errors.New(ex.rs.Status))
 	rf.Status = ex.rs.StatusCode
@@ -244,7 +244,7 @@
 	// The endpoint is free now; a caller that reads slowly must not keep the place.
 	ex.rq.turn.recordRun(nil, ex.answered.Sub(ex.began))
 	ex.rq.endTurn()
-	ex.rq.writeHead(ex.rs.StatusCode, ex.rs.Header, ex.rq.framing, ex.rq.framing.length(body))
+	ex.rq.writeHead(ex.rs.StatusCode, ex.rs.Header, int64(len(body)))
 	if _, err = ex.rq.wr.Write(body); err != nil {
 		return ex.refusal(core.Unknown, core.ReasonCallerGone, "write", err), place.Served
 	}
@@ -257,7 +257,7 @@
 func (ex *exchange) forwardUnbuffered(ctx context.Context, start []byte, re place.Result) (*core.Refusal, place.Result) {
 	// No other endpoint can continue once the caller has a part of this response.
 	ex.rq.reservedTicket = ex.stall.stop()
-	ex.rq.writeHead(ex.rs.StatusCode, ex.rs.Header, ex.rq.framing, ex.rs.ContentLength)
+	ex.rq.writeHead(ex.rs.StatusCode, ex.rs.Header, ex.rs.ContentLength)
 	if _, err := ex.rq.wr.Write(start); err != nil {
 		return ex.refusal(core.Unknown, core.ReasonCallerGone, "write", err), place.Neutral
 	}
--- a/io/relay/framing.go
+++ b/io/relay/framing.go
@@ -26,15 +26,6 @@
 	return byClose
 }
 
-// length returns the length to state to the caller of a response whose body was read to its end: -1 if only
-// the end of the connection says that it is whole.
-func (fr framing) length(body []byte) int64 {
-	if fr == byClose {
-		return -1
-	}
-	return int64(len(body))
-}
-
 // isEventStream reports whether a response is an event stream, or does not say what it is.
 func isEventStream(rs *http.Response) bool {
 	media, _, _ := mime.ParseMediaType(rs.Header.Get("Content-Type"))
--- a/io/relay/request.go
+++ b/io/relay/request.go
@@ -108,8 +108,6 @@
 	status int
 	header http.Header
 	body   []byte
-	// framing is how its end was marked.
-	framing framing
 }
 
 // maxDials bounds the attempts, including those that do not reach an endpoint: each of these takes
--- a/io/relay/response.go
+++ b/io/relay/response.go
@@ -15,10 +15,10 @@
 // writeGrace is how long after the request's deadline its response may still be written.
 const writeGrace = time.Second
 
-// writeHead writes the head of an endpoint's response to the caller. The length is -1 if unknown. With
-// byClose, the response ends with the caller's connection: where nothing says that an endpoint's response is
-// whole, a length or a last chunk would claim that it is.
-func (rq *request) writeHead(status int, from http.Header, fr framing, length int64) {
+// writeHead writes the head of an endpoint's response to the caller. The length is -1 if unknown: then the
+// response has chunks, also where the endpoint's ends with its connection. Otherwise it would look whole if
+// this process ended.
+func (rq *request) writeHead(status int, from http.Header, length int64) {
 	rq.headSent = true
 	rq.status = status
 	rq.firstWrite = time.Now()
@@ -31,11 +31,8 @@
 	if connection != "" {
 		hd.Set("Connection", connection)
 	}
-	switch {
-	case length >= 0:
+	if length >= 0 {
 		hd.Set("Content-Length", strconv.FormatInt(length, 10))
-	case fr == byClose:
-		hd.Set("Transfer-Encoding", "identity") // package http closes the connection at the end, and does not send the field
 	}
 	if hd.Get("Content-Type") == "" {
 		hd["Content-Type"] = nil // disables content sniffing
@@ -63,7 +60,7 @@
 	rq.re.Stats.CountOutcome(rf.Outcome)
 	rq.re.Latency.Record(stats.FailedMs, time.Since(rq.began))
 	rq.re.Log.Info("Forwarded an endpoint's failure response.", rq.refusalFields(rf)...)
-	rq.writeHead(rq.failure.status, rq.failure.header, rq.failure.framing, rq.failure.framing.length(rq.failure.body))
+	rq.writeHead(rq.failure.status, rq.failure.header, int64(len(rq.failure.body)))
 	_, _ = rq.wr.Write(rq.failure.body) // fails only if the caller has disconnected
 }
 
--- a/io/relay/stream.go
+++ b/io/relay/stream.go
@@ -168,8 +168,7 @@
 	}
 	if !rq.headSent {
 		rq.beginStream(ex.tk.Build)
-		// In chunks, also where the endpoint sent none: otherwise the stream would look whole if this process ended.
-		rq.writeHead(ex.rs.StatusCode, ex.rs.Header, byChunks, -1)
+		rq.writeHead(ex.rs.StatusCode, ex.rs.Header, -1)
 	}
 	if id := events.LastID(data); id != "" {
 		rq.lastEvent = id
