io/relay: a plain answer without framing is whole only if its endpoint goes on

Cause: the system closes the connections of a process that ends, and nothing tells such an end from that of the answer. For streams the router connects to the endpoint to find out; plain answers lacked that.

Fix: they have the same check. If the endpoint refuses the connection, the answer was cut: the request is tried again where it may be, and otherwise fails. If it accepts, the answer is a success for the crash detection, too.

--- a/io/relay/attempt.go
+++ b/io/relay/attempt.go
@@ -240,6 +240,9 @@
 	if !complete {
 		return ex.forwardUnbuffered(ctx, body, place.Served)
 	}
+	if ex.brokenOff(ctx) {
+		return ex.classifyError(ctx, "read", errEndpointGone)
+	}
 	ex.returnConn()
 	// The endpoint is free now; a caller that reads slowly must not keep the place.
 	ex.rq.turn.recordRun(nil, ex.answered.Sub(ex.began))
@@ -274,6 +277,8 @@
 		switch {
 		case err == nil:
 			continue
+		case errors.Is(err, io.EOF) && ex.brokenOff(ctx):
+			err = errEndpointGone
 		case errors.Is(err, io.EOF):
 			ex.returnConn()
 			return nil, re
--- a/io/relay/crash.go
+++ b/io/relay/crash.go
@@ -111,7 +111,7 @@
 
 // reportOutcome reports to the crash detection how the attempt ended. A success clears the request and its
 // parts of suspicion; a failure response does not, as endpoints also fail requests that they have barely
-// started, and neither does a plain response of which nothing says that it is whole.
+// started. A response that ended with its connection was a success only if the endpoint went on.
 func (ex *exchange) reportOutcome(began time.Time, rf *core.Refusal) {
 	cd := ex.rq.re.Crashes
 	if cd == nil {
@@ -121,8 +121,7 @@
 	switch {
 	case ex.handedOver:
 	case rf == nil:
-		known := ex.rq.framing != byClose || isEventStream(ex.rs)
-		if known && ex.rq.status < http.StatusMultipleChoices {
+		if ex.rq.status < http.StatusMultipleChoices {
 			cd.Succeeded(ex.rq.identities()...)
 		}
 	case ex.connRefused:
--- a/io/relay/stream.go
+++ b/io/relay/stream.go
@@ -136,7 +136,7 @@
 		return ex.streamFailed(ctx, errCutInsideEvent)
 	case ex.rq.framing == byClose && ex.rq.events == 0:
 		return ex.streamFailed(ctx, errNoEvents)
-	case ex.rq.framing == byClose && ex.endpointGone(ctx):
+	case ex.brokenOff(ctx):
 		return ex.streamFailed(ctx, errEndpointGone)
 	}
 	if len(rest) > 0 || !ex.rq.headSent {
@@ -150,11 +150,12 @@
 	return nil, place.Served
 }
 
-// endpointGone reports whether the endpoint's process has ended, unless that was planned: then its system has
-// closed the connections of all streams, also of those that had more to send. The connection stays for the
-// next request, as that of the stream does not.
-func (ex *exchange) endpointGone(ctx context.Context) bool {
-	if ex.rq.re.Placer.Draining(ex.tk.Hash) {
+// brokenOff reports whether a response that ends with its connection was broken off by the end of the
+// endpoint's process, unless that was planned: then its system has closed the connections of all responses, also
+// of those that had more to send. The connection made to find out stays for the next request, as that of the
+// response does not.
+func (ex *exchange) brokenOff(ctx context.Context) bool {
+	if ex.rq.framing != byClose || ex.rq.re.Placer.Draining(ex.tk.Hash) {
 		return false
 	}
 	return isConnRefused(ex.rq.re.Conns.Connect(ctx, ex.tk.Endpoint.Addr))
