io/relay: an endpoint that drains may be taken away inside its answers

Cause: whether such an end is that of the stream was checked only for endpoints that do not drain, as the end of those that do is planned. An announced shutdown does not say that the process waits for its answers.

Fix: the check holds for all. A resumable stream goes on elsewhere, which is right in both cases; others are cut. An engine that stops listening before its last answers end, has them taken for cut, if they have no framing.

TestUnframedStreamOfACrashedEngineIsNotComplete asserted that the stream of a draining engine is whole, which is this fault; it now asserts that it is not.

--- a/io/relay/framing_test.go
+++ b/io/relay/framing_test.go
@@ -286,12 +286,13 @@
 }
 
 // An engine's process ends between two events of a stream without framing, which its system closes like a
-// whole one. The engine takes no connection any more: the caller must not get the stream as complete.
+// whole one. The engine takes no connection any more: the caller must not get the stream as complete, also where
+// the engine has announced its shutdown, which does not say that it waits for its streams.
 func TestUnframedStreamOfACrashedEngineIsNotComplete(t *testing.T) {
 	for _, draining := range []bool{false, true} {
 		fl := crashingServer(t, draining, eventStream, eventText(1, 3), stream)
 		_, body, err := fl.send("POST", "/r/x", "")
-		if body != eventText(1, 3) || (err == nil) != draining {
+		if body != eventText(1, 3) || err == nil {
 			t.Errorf("draining %t: got %q, error %v", draining, body, err)
 		}
 	}
@@ -301,17 +302,19 @@
 // answer, which has no framing, and its system closes the connection as after a whole one.
 func TestUnframedAnswerOfACrashedEndpointIsNotComplete(t *testing.T) {
 	for name, body := range map[string]string{"short": "half", "empty": "", "long": strings.Repeat("x", 3<<20)} {
-		fl := crashingServer(t, false, "text/plain", body, route.Route{Kind: route.OnceOnly})
-		cd := &fakeCrashDetector{allowed: 9}
-		fl.re.Crashes = cd
-		rs, got, err := fl.send("GET", "/r/x", "")
-		cd.mu.Lock()
-		if len(cd.succeeded) > 0 || len(cd.interrupted) != 1 {
-			t.Errorf("%s: %d successes and %d interruptions reported, want one interruption", name, len(cd.succeeded), len(cd.interrupted))
-		}
-		cd.mu.Unlock()
-		if err == nil && rs.StatusCode < http.StatusMultipleChoices {
-			t.Errorf("%s: %d bytes of a success, of %d", name, len(got), len(body))
+		for _, draining := range []bool{false, true} {
+			fl := crashingServer(t, draining, "text/plain", body, route.Route{Kind: route.OnceOnly})
+			cd := &fakeCrashDetector{allowed: 9}
+			fl.re.Crashes = cd
+			rs, got, err := fl.send("GET", "/r/x", "")
+			cd.mu.Lock()
+			if len(cd.succeeded) > 0 || len(cd.interrupted) != 1 {
+				t.Errorf("%s, draining %t: %d successes and %d interruptions reported, want one interruption", name, draining, len(cd.succeeded), len(cd.interrupted))
+			}
+			cd.mu.Unlock()
+			if err == nil && rs.StatusCode < http.StatusMultipleChoices {
+				t.Errorf("%s, draining %t: %d bytes of a success, of %d", name, draining, len(got), len(body))
+			}
 		}
 	}
 }
--- a/io/relay/stream.go
+++ b/io/relay/stream.go
@@ -150,12 +150,12 @@
 	return nil, place.Served
 }
 
-// brokenOff reports whether a response that ends with its connection was broken off by the end of the
-// endpoint's process, unless that was planned: then its system has closed the connections of all responses, also
-// of those that had more to send. The connection made to find out stays for the next request, as that of the
-// response does not.
+// brokenOff reports whether a response that ends with its connection may have been broken off by the end of the
+// endpoint's process: then its system has closed the connections of all responses, also of those that had more to
+// send. An announced shutdown does not say that the process waits for them. The connection made to find out
+// stays for the next request, as that of the response does not.
 func (ex *exchange) brokenOff(ctx context.Context) bool {
-	if ex.rq.framing != byClose || ex.rq.re.Placer.Draining(ex.tk.Hash) {
+	if ex.rq.framing != byClose {
 		return false
 	}
 	return isConnRefused(ex.rq.re.Conns.Connect(ctx, ex.tk.Endpoint.Addr))
