io/gossip, platform: streams outlive the loss of all routers in small fleets

Cause: the builds at which streams began were known to routers only. It is the same class as the rolling restart, but no router is left that could send a copy.

Fix: in a fleet of up to 16 routers, which a fault may take at once, each router writes the streams of the last second to the platform's store, in one batch, while their pool has several builds. Routers mirror the store, so that one that starts has them with its first listing. Hundreds of routers would exceed what may be written and mirrored; docs/design/software-versions.md has the figures.

--- a/core/builds/builds_test.go
+++ b/core/builds/builds_test.go
@@ -1,6 +1,7 @@
 package builds_test
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -136,6 +137,27 @@
 	}
 }
 
+// Guards against streams that continue at another build because a batch of them was damaged, or is read as another
+// one than was written.
+func TestStreamBatches(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		sb := core.StreamBatch{TTL: time.Duration(rapid.IntRange(0, 600_000).Draw(rt, "ms")) * time.Millisecond}
+		for range rapid.IntRange(0, 50).Draw(rt, "streams") {
+			sb.Streams = append(sb.Streams, core.StreamBuild{Stream: core.StreamKey(rapid.Uint64().Draw(rt, "key")), Build: core.Build(rapid.Uint32().Draw(rt, "build"))})
+		}
+		value := builds.EncodeStreams(sb)
+		got, err := builds.DecodeStreams(value)
+		if err != nil || got.TTL != sb.TTL || !slices.Equal(got.Streams, sb.Streams) {
+			rt.Fatalf("%+v, %v; want %+v", got, err, sb)
+		}
+		if cut := rapid.IntRange(1, 11).Draw(rt, "cut"); cut < len(value) {
+			if _, err = builds.DecodeStreams(value[:len(value)-cut]); err == nil {
+				rt.Fatalf("a batch that lacks %d bytes is accepted", cut)
+			}
+		}
+	})
+}
+
 // Guards against a memory that grows with the number of streams, and against records that outlive their
 // time.
 func TestOriginsAreBounded(t *testing.T) {
--- a/core/platform.go
+++ b/core/platform.go
@@ -136,6 +136,25 @@
 	DeleteBuild(ctx context.Context, br BuildRecord) error
 }
 
+// StreamBuild is the build at which a stream began.
+type StreamBuild struct {
+	Stream StreamKey
+	Build  Build
+}
+
+// StreamBatch holds streams that a router has forwarded, for TTL from then on.
+type StreamBatch struct {
+	TTL     time.Duration
+	Streams []StreamBuild
+}
+
+// StreamStore writes batches of streams to the platform's store.
+type StreamStore interface {
+	// PutStreams writes a batch in place of this router's earlier one of the same slot. It lasts for about a
+	// minute.
+	PutStreams(ctx context.Context, self VMID, slot int, sb StreamBatch) error
+}
+
 // VMState is a VM's state in the platform's list.
 type VMState uint8
 
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -57,9 +57,10 @@
 	core.ChangeFeed
 	core.QuarantineStore
 	core.BuildStore
+	core.StreamStore
 	// Decode converts an item of the store to a *route.Document, place.Endpoint, Deregistration,
-	// InvalidRegistration, Evacuation, PeerAddr, core.Quarantine, QuarantineRemoval, core.BuildRecord or
-	// BuildRemoval. It returns nil for an item that does not concern routers.
+	// InvalidRegistration, Evacuation, PeerAddr, core.Quarantine, QuarantineRemoval, core.BuildRecord,
+	// BuildRemoval or core.StreamBatch. It returns nil for an item that does not concern routers.
 	Decode(it core.Item) (any, error)
 	Dialect() relay.Dialect
 	// Outranks reports whether an item of the store is newer than another of the same key by its
@@ -151,7 +152,7 @@
 	defer cancel()
 	for _, loop := range []func(context.Context) error{
 		pr.reader.Run, pr.peers.Run, pr.view.settle, pr.crashes.Run, pr.closeIdleConns, pr.watchSettings, pr.announce, pr.relay.RunMigrations,
-		(&buildRecorder{pr: pr, log: pr.Logs.Part("builds")}).run,
+		(&buildRecorder{pr: pr, log: pr.Logs.Part("builds")}).run, pr.storeStreams,
 	} {
 		go func() {
 			if err := loop(control); err != nil && control.Err() == nil {
--- a/io/entry/view.go
+++ b/io/entry/view.go
@@ -83,6 +83,8 @@
 		vi.pr.crashes.EntryRemoved(decoded.Request, decoded.Rev)
 	case core.BuildRecord:
 		vi.pr.builds.RecordStored(time.Now(), decoded)
+	case core.StreamBatch:
+		vi.pr.peers.RecordStored(time.Now(), decoded)
 	case BuildRemoval:
 		vi.pr.builds.RecordRemoved(decoded.Build, decoded.Rev)
 	case PeerAddr:
--- a/io/entry/view_test.go
+++ b/io/entry/view_test.go
@@ -44,6 +44,8 @@
 
 func (faulty) DeleteBuild(context.Context, core.BuildRecord) error { return nil }
 
+func (faulty) PutStreams(context.Context, core.VMID, int, core.StreamBatch) error { return nil }
+
 func (faulty) Announce(context.Context, core.VMID, string, *zap.Logger) {}
 
 func (fa faulty) Decode(it core.Item) (any, error) {
--- a/io/gossip/gossip.go
+++ b/io/gossip/gossip.go
@@ -189,6 +189,7 @@
 	buildChanges uint64
 	toShare      []core.StreamKey
 	copies       originCopies
+	unstored     unstored
 	demand       exchange
 	settled      atomic.Bool
 	mu           sync.Mutex // guards all below
--- a/io/gossip/origins.go
+++ b/io/gossip/origins.go
@@ -62,6 +62,9 @@
 	for _, to := range gr.originPeers(stream, ownerCount(*all)) {
 		gr.sendOrigin(to.udpAddr, stream, build, ttl)
 	}
+	if len(*all) <= fewRouters {
+		gr.unstored.add(stream, build, ttl)
+	}
 }
 
 // ownerCount is how many owners a stream has.
