io/entry: a restarted router keeps the batches of its earlier process

A stream whose router was killed, and then all others, too, could be unknown: the router's next process numbered its batches of streams from the start again, and overwrote those of the process before. The key now names the process; earlier batches end with their leases.

Evidence: the case 'all routers are gone twice' of TestCallersResumeAtTheirVersion fails before and passes.

--- a/core/platform.go
+++ b/core/platform.go
@@ -150,9 +150,9 @@
 
 // StreamStore writes batches of streams to the platform's store.
 type StreamStore interface {
-	// PutStreams writes a batch in place of this router's earlier one of the same slot. It lasts for about a
+	// PutStreams writes a batch in place of the writer's earlier one of the same slot. It lasts for about a
 	// minute.
-	PutStreams(ctx context.Context, self VMID, slot int, sb StreamBatch) error
+	PutStreams(ctx context.Context, writer VMID, slot int, sb StreamBatch) error
 }
 
 // VMState is a VM's state in the platform's list.
--- a/io/entry/streams.go
+++ b/io/entry/streams.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"go.uber.org/zap"
 
+	"almondrill/core"
 	"almondrill/io/logs"
 )
 
@@ -22,7 +24,8 @@
 func (pr *Process) storeStreams(ctx context.Context) error {
 	tick := time.NewTicker(storeStreamsInterval)
 	defer tick.Stop()
-	slot := 0
+	// The batches of an earlier process of this router stay, until their leases end.
+	writer, slot := core.VMID(fmt.Sprintf("%s-%x", pr.Settings.Name, pr.rand.Uint64())), 0
 	for {
 		select {
 		case <-ctx.Done():
@@ -35,7 +38,7 @@
 		}
 		slot = (slot + 1) % streamSlots
 		calling, cancel := context.WithTimeout(ctx, recordTimeout)
-		if err := pr.Platform.PutStreams(calling, pr.Settings.Name, slot, batch); err != nil && ctx.Err() == nil {
+		if err := pr.Platform.PutStreams(calling, writer, slot, batch); err != nil && ctx.Err() == nil {
 			pr.peers.ReturnUnstored(batch)
 			pr.log.Warn("Writing streams to the store failed.", append(logs.ErrorFields(err), zap.Int("Streams", len(batch.Streams)))...)
 		}
