--- a/core/builds/builds.go
+++ b/core/builds/builds.go
@@ -207,6 +207,20 @@
 	return pool != "" && len(hi.Recent(now, pool)) > 1
 }
 
+// Several reports whether any pool has several builds.
+func (hi *History) Several(now time.Time) bool {
+	hi.mu.Lock()
+	defer hi.mu.Unlock()
+	pools := map[core.PoolID]bool{}
+	for _, se := range hi.builds {
+		if se.recent(now) && pools[se.pool] {
+			return true
+		}
+		pools[se.pool] = pools[se.pool] || se.recent(now)
+	}
+	return false
+}
+
 // Complete reports whether the history is long enough to contain each build that may have begun a
 // stream that is resumed now.
 func (hi *History) Complete(now time.Time) bool {
--- a/core/builds/builds_test.go
+++ b/core/builds/builds_test.go
@@ -34,6 +34,9 @@
 	if got := hi.Recent(begin, "pool", "other"); len(got) != 3 {
 		t.Errorf("%d builds of two pools, want 3", len(got))
 	}
+	if !hi.Several(left) || hi.Several(left.Add(builds.Retention)) {
+		t.Error("one pool has several builds until the end of the retention, and none afterwards")
+	}
 }
 
 // Guards against an endpoint that restarts at another version and keeps its former build alive.
--- a/io/gossip/copies.go
+++ b/io/gossip/copies.go
@@ -92,10 +92,10 @@
 }
 
 // requestOrigins asks each peer for the records that this router owns, until it has served for as long as
-// records last.
+// records last. There are none to ask for while each pool has one build.
 func (gr *Group) requestOrigins(now time.Time) {
 	oc := &gr.copies
-	if now.Sub(gr.started) > builds.Retention {
+	if now.Sub(gr.started) > builds.Retention || !gr.Builds.Several(now) {
 		return
 	}
 	if oc.asked == nil {
