io/gossip: streams are not looked through for new owners while no pool has several builds

Each peer that went had all records copied and looked through, at up to 16,384 streams, also where none of them is shared. The look at the builds is made once for each, too.

--- a/io/gossip/copies.go
+++ b/io/gossip/copies.go
@@ -112,8 +112,15 @@
 // queueCopies queues the records of the streams that owner owns, among the candidates, for the addresses that
 // to returns.
 func (gr *Group) queueCopies(now time.Time, owner candidate, all []candidate, to func(stream core.StreamKey) []net.Addr) {
+	if !gr.Builds.Several(now) {
+		return
+	}
+	others := map[core.Build]bool{}
 	for stream, build := range gr.origins.All(now) {
-		if !gr.Builds.Others(now, build) || !owns(&owner, all, stream) {
+		if _, known := others[build]; !known {
+			others[build] = gr.Builds.Others(now, build)
+		}
+		if !others[build] || !owns(&owner, all, stream) {
 			continue
 		}
 		for _, addr := range to(stream) {
