io/conns, io/relay: a listener may close after the connections of its process

Cause: the system of a process that ends closes its connections and its listener in no certain order. The connection that the router made to find out whether the endpoint goes on was accepted by a listener about to close.

Fix: that connection must still be open 25 ms later; if it was reset, which a full endpoint does as well, another one must be accepted.

--- a/io/conns/conns.go
+++ b/io/conns/conns.go
@@ -117,6 +117,30 @@
 	return nil
 }
 
+// listenerGrace is how long after its connections a process that ends may close its listener: its system does so
+// in no certain order.
+const listenerGrace = 25 * time.Millisecond
+
+// Gone reports whether nothing listens at the address any more. A connection that is made still may be
+// reset when the listener closes, but also by a process that takes no more of them. The connection stays in the
+// pool.
+func (po *Pool) Gone(ctx context.Context, addr string) bool {
+	co, err := po.dial(ctx, addr)
+	if err == nil {
+		select {
+		case <-time.After(listenerGrace):
+		case <-ctx.Done():
+		}
+		if co.usable() {
+			po.PutUnused(co)
+			return false
+		}
+		co.Close()
+		err = po.Connect(ctx, addr)
+	}
+	return errors.Is(err, syscall.ECONNREFUSED)
+}
+
 // popIdle returns the most recently used idle connection, so that the others can expire.
 func (po *Pool) popIdle(addr string) *Conn {
 	po.mu.Lock()
--- a/io/relay/framing_test.go
+++ b/io/relay/framing_test.go
@@ -285,6 +285,33 @@
 	return fl
 }
 
+// Guards against a part of an answer that is taken for the whole because its endpoint's system closes the listener a
+// moment after the connections: a connection that is made in between does not show that the endpoint goes on.
+func TestListenerMayCloseAfterTheAnswer(t *testing.T) {
+	for _, ca := range []struct {
+		media, body string
+		ro          route.Route
+	}{{"text/plain", "half", route.Route{Kind: route.OnceOnly}}, {eventStream, eventText(1, 3), stream}} {
+		fl := newFleet(t).configure(ca.ro)
+		li := local.Listen(t)
+		fl.re.Placer.Register(time.Now(), place.Endpoint{ID: "e0", Addr: li.Addr().String(), Pool: "pool", Zone: "a", Slots: 8})
+		go func() {
+			co, err := li.Accept()
+			if err != nil {
+				return
+			}
+			byClose.write(<-fl.readRequests(0, co), co, http.StatusOK, ca.media, ca.body, false)
+			_ = co.Close()
+			time.Sleep(10 * time.Millisecond)
+			_ = li.Close()
+		}()
+		rs, body, err := fl.send("POST", "/r/x", "")
+		if err == nil && rs.StatusCode < http.StatusMultipleChoices {
+			t.Errorf("%s: got %q as a whole answer", ca.media, body)
+		}
+	}
+}
+
 // An engine's process ends between two events of a stream without framing, which its system closes like a
 // whole one. The engine takes no connection any more: the caller must not get the stream as complete, also where
 // the engine has announced its shutdown, which does not say that it waits for its streams.
--- a/io/relay/stream.go
+++ b/io/relay/stream.go
@@ -158,7 +158,7 @@
 	if ex.rq.framing != byClose {
 		return false
 	}
-	return isConnRefused(ex.rq.re.Conns.Connect(ctx, ex.tk.Endpoint.Addr))
+	return ex.rq.re.Conns.Gone(ctx, ex.tk.Endpoint.Addr)
 }
 
 // forwardEvents writes complete events to the caller and flushes them.
