io/conns: a connection that is reset does not show that its endpoint goes on

Cause: the connection that tells whether an endpoint goes on may be reset while it is made, or a second one, as the listener closes in that moment. Only a refusal counted as the end, and a reset as a full endpoint.

Fix: after a reset another connection is made, four at most, until one is refused or stays open.

--- a/io/conns/conns.go
+++ b/io/conns/conns.go
@@ -117,28 +117,41 @@
 	return nil
 }
 
-// listenerGrace is how long after its connections a process that ends may close its listener: its system does so
-// in no certain order.
-const listenerGrace = 25 * time.Millisecond
+const (
+	// listenerGrace is how long after its connections a process that ends may close its listener: its system
+	// does so in no certain order.
+	listenerGrace = 25 * time.Millisecond
+	// goneProbes is how many connections are made to find out whether a process has ended. One that was reset
+	// shows nothing: its listener may have closed, or the process takes no more of them.
+	goneProbes = 4
+)
 
-// Gone reports whether nothing listens at the address any more. A connection that is made still may be
-// reset when the listener closes, but also by a process that takes no more of them. The connection stays in the
-// pool.
+// Gone reports whether nothing listens at the address any more, or will not in a moment. A connection that stays
+// open is kept in the pool.
 func (po *Pool) Gone(ctx context.Context, addr string) bool {
-	co, err := po.dial(ctx, addr)
-	if err == nil {
+	for range goneProbes {
+		co, err := po.dial(ctx, addr)
+		if errors.Is(err, syscall.ECONNREFUSED) {
+			return true
+		}
 		select {
 		case <-time.After(listenerGrace):
 		case <-ctx.Done():
+			if err == nil {
+				co.Close()
+			}
+			return false
 		}
-		if co.usable() {
+		switch {
+		case err != nil:
+		case co.usable():
 			po.PutUnused(co)
 			return false
+		default:
+			co.Close()
 		}
-		co.Close()
-		err = po.Connect(ctx, addr)
 	}
-	return errors.Is(err, syscall.ECONNREFUSED)
+	return false
 }
 
 // popIdle returns the most recently used idle connection, so that the others can expire.
