--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -44,7 +44,8 @@
 
 // cases returns whether the rule was broken.
 var cases = map[string]func(sc *scene) (bool, error){
-	"stray": stray,
+	"upgrade": upgrade,
+	"stray":   stray,
 }
 
 func main() {
