--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -44,6 +44,7 @@
 
 // cases returns whether the rule was broken.
 var cases = map[string]func(sc *scene) (bool, error){
+	"leave":   leave,
 	"upgrade": upgrade,
 	"stray":   stray,
 }
