--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -46,6 +46,7 @@
 var cases = map[string]func(sc *scene) (bool, error){
 	"leave":   leave,
 	"upgrade": upgrade,
+	"rollout": rollout,
 	"stray":   stray,
 }
 
