--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -45,6 +45,7 @@
 // cases returns whether the rule was broken.
 var cases = map[string]func(sc *scene) (bool, error){
 	"leave":   leave,
+	"poison":  poison,
 	"upgrade": upgrade,
 	"rollout": rollout,
 	"stray":   stray,
