io/conns, io/relay: an endpoint that shuts down gracefully ends its unframed answers whole

Cause: a refused connection after such an answer was taken for the end of the endpoint's process. A graceful shutdown closes the listener first.

Why it works: a process that ends takes all its connections along, one that finishes its work leaves those in progress open. Where an endpoint refuses connections, the answer is whole only if another connection, which was open when the answer ended, is still open 250 ms later. An idle one is kept beside unframed answers, so that the last one has a witness.

--- a/io/conns/conns.go
+++ b/io/conns/conns.go
@@ -13,6 +13,8 @@
 //   - A connection is reused only if the response was read to its end, the request was written
 //     completely, and nothing else has arrived on the connection since.
 //   - A connection holds a read buffer from Do until Put; no buffer belongs to two connections.
+//   - An endpoint that takes no connections counts as gone unless another connection to it, which was open when
+//     the one in question ended, stays open.
 //
 // # Usage
 //
@@ -67,9 +69,11 @@
 
 // Pool keeps idle connections by address. The zero value is ready to use.
 type Pool struct {
-	mu   sync.Mutex // guards idle and open
+	mu   sync.Mutex // guards all below
 	idle map[string][]*Conn
-	open map[string]int
+	// open holds all connections, idle or in use.
+	open    map[string]map[*Conn]bool
+	watches map[string]*watch
 }
 
 // Conn is a connection to an endpoint.
@@ -117,43 +121,6 @@
 	return nil
 }
 
-const (
-	// listenerGrace is how long after its connections a process that ends may close its listener: its system
-	// does so in no certain order.
-	listenerGrace = 25 * time.Millisecond
-	// goneProbes is how many connections are made to find out whether a process has ended. One that was reset
-	// shows nothing: its listener may have closed, or the process takes no more of them.
-	goneProbes = 4
-)
-
-// Gone reports whether nothing listens at the address any more, or will not in a moment. A connection that stays
-// open is kept in the pool.
-func (po *Pool) Gone(ctx context.Context, addr string) bool {
-	for range goneProbes {
-		co, err := po.dial(ctx, addr)
-		if errors.Is(err, syscall.ECONNREFUSED) {
-			return true
-		}
-		select {
-		case <-time.After(listenerGrace):
-		case <-ctx.Done():
-			if err == nil {
-				co.Close()
-			}
-			return false
-		}
-		switch {
-		case err != nil:
-		case co.usable():
-			po.PutUnused(co)
-			return false
-		default:
-			co.Close()
-		}
-	}
-	return false
-}
-
 // popIdle returns the most recently used idle connection, so that the others can expire.
 func (po *Pool) popIdle(addr string) *Conn {
 	po.mu.Lock()
@@ -171,7 +138,7 @@
 func (po *Pool) OpenCount(addr string) int {
 	po.mu.Lock()
 	defer po.mu.Unlock()
-	return po.open[addr]
+	return len(po.open[addr])
 }
 
 func (po *Pool) dial(ctx context.Context, addr string) (*Conn, error) {
@@ -180,22 +147,32 @@
 	if err != nil {
 		return nil, fmt.Errorf("connect to %s: %w", addr, err)
 	}
-	po.addOpen(addr, 1)
-	return &Conn{
+	co := &Conn{
 		Addr: addr, po: po, raw: raw, idleTimeout: defaultIdleTimeout,
 		expires: time.Now().Add(defaultIdleTimeout - idleMargin),
-	}, nil
+	}
+	po.addOpen(co)
+	return co, nil
 }
 
-func (po *Pool) addOpen(addr string, by int) {
+func (po *Pool) addOpen(co *Conn) {
 	po.mu.Lock()
 	defer po.mu.Unlock()
 	if po.open == nil {
-		po.open = map[string]int{}
+		po.open = map[string]map[*Conn]bool{}
+	}
+	if po.open[co.Addr] == nil {
+		po.open[co.Addr] = map[*Conn]bool{}
 	}
-	po.open[addr] += by
-	if po.open[addr] == 0 {
-		delete(po.open, addr)
+	po.open[co.Addr][co] = true
+}
+
+func (po *Pool) removeOpen(co *Conn) {
+	po.mu.Lock()
+	defer po.mu.Unlock()
+	delete(po.open[co.Addr], co)
+	if len(po.open[co.Addr]) == 0 {
+		delete(po.open, co.Addr)
 	}
 }
 
@@ -251,7 +228,8 @@
 	}
 }
 
-// CloseExpired closes connections that have exceeded their idle timeout. Call it periodically.
+// CloseExpired closes connections that have exceeded their idle timeout, and replaces those of watches that the
+// endpoint has closed. Call it periodically.
 func (po *Pool) CloseExpired(now time.Time) {
 	po.mu.Lock()
 	var expired []*Conn
@@ -274,6 +252,7 @@
 	for _, co := range expired {
 		co.Close()
 	}
+	po.renewWatches()
 }
 
 // keepAliveTimeout returns the timeout in the response's Keep-Alive header, 0 if there is none.
@@ -333,7 +312,7 @@
 func (co *Conn) Close() {
 	co.closeOnce.Do(func() {
 		_ = co.raw.Close() // an error leaves nothing to clean up
-		co.po.addOpen(co.Addr, -1)
+		co.po.removeOpen(co)
 	})
 }
 
--- a/io/relay/attempt.go
+++ b/io/relay/attempt.go
@@ -100,6 +100,9 @@
 		return ex.classifyError(ctx, "send", err)
 	}
 	ex.rq.framing, ex.rq.unfinished = framingOf(ex.rs), 0
+	if ex.rq.framing == byClose {
+		defer ex.rq.re.Conns.Watch(ex.tk.Endpoint.Addr)()
+	}
 	ex.received()
 	ex.handleNotice()
 	if lo, reported := ex.rq.re.Dialect.Load(ex.rs.Header); reported {
--- a/io/relay/stream.go
+++ b/io/relay/stream.go
@@ -10,6 +10,8 @@
 	"sync"
 	"time"
 
+	"go.uber.org/zap"
+
 	"almondrill/core"
 	"almondrill/core/place"
 	"almondrill/io/conns"
@@ -152,13 +154,18 @@
 
 // brokenOff reports whether a response that ends with its connection may have been broken off by the end of the
 // endpoint's process: then its system has closed the connections of all responses, also of those that had more to
-// send. An announced shutdown does not say that the process waits for them. The connection made to find out
-// stays for the next request, as that of the response does not.
+// send. An announced shutdown does not say that the process waits for them.
 func (ex *exchange) brokenOff(ctx context.Context) bool {
 	if ex.rq.framing != byClose {
 		return false
 	}
-	return ex.rq.re.Conns.Gone(ctx, ex.tk.Endpoint.Addr)
+	su := ex.rq.re.Conns.Survey(ctx, ex.co)
+	if su.Refused {
+		ex.rq.re.Log.Info("An endpoint that takes no more connections has ended an answer.", zap.String("Request", ex.rq.id),
+			zap.String("Endpoint", string(ex.tk.Endpoint.ID)), zap.String("Addr", ex.tk.Endpoint.Addr), zap.Bool("Whole", !su.Gone),
+			zap.Int("Others", su.Others), zap.Int("Open", su.Open), zap.Bool("EndpointLeaves", ex.rq.notice.Draining), zap.Duration("Age", ex.rq.re.ViewAge()))
+	}
+	return su.Gone
 }
 
 // forwardEvents writes complete events to the caller and flushes them.
