io/relay: endpoints of a test serve connections side by side

An endpoint of TestUnframedAnswerOfACrashedEndpointIsTriedAgain served one connection at a time, and waited for a request on whichever it accepted first. Endpoints serve as many connections as they accept; what the test checks is unchanged.

--- a/io/relay/framing_test.go
+++ b/io/relay/framing_test.go
@@ -358,9 +358,12 @@
 			if err != nil {
 				return
 			}
-			se := <-fl.readRequests(1, co)
-			byClose.write(se, co, http.StatusOK, "text/plain", "whole", false)
-			_ = co.Close()
+			go func() {
+				defer co.Close()
+				if se, sent := <-fl.readRequests(1, co); sent {
+					byClose.write(se, co, http.StatusOK, "text/plain", "whole", false)
+				}
+			}()
 		}
 	}()
 	fl.re.Placer.Register(time.Now(), place.Endpoint{ID: "e1", Addr: li.Addr().String(), Pool: "pool", Zone: "a", Slots: 8})
@@ -492,26 +495,27 @@
 		ls.mu.Unlock()
 		go func() {
 			defer co.Close()
-			for se := range fl.readRequests(0, co) {
-				ls.mu.Lock()
-				ls.conns[co] = true
-				ls.mu.Unlock()
-				byClose.write(se, co, http.StatusOK, media, start, false)
-				ls.begun.Done()
-				<-ls.end
-				if sh.killed {
-					return
-				}
-				ls.mu.Lock()
-				ls.ended++
-				last := ls.ended == sh.answers
-				ls.mu.Unlock()
-				if last {
-					time.Sleep(600 * time.Millisecond)
-				}
-				_, _ = io.WriteString(co, rest)
+			se, sent := <-fl.readRequests(0, co)
+			if !sent {
 				return
 			}
+			ls.mu.Lock()
+			ls.conns[co] = true
+			ls.mu.Unlock()
+			byClose.write(se, co, http.StatusOK, media, start, false)
+			ls.begun.Done()
+			<-ls.end
+			if sh.killed {
+				return
+			}
+			ls.mu.Lock()
+			ls.ended++
+			last := ls.ended == sh.answers
+			ls.mu.Unlock()
+			if last {
+				time.Sleep(600 * time.Millisecond)
+			}
+			_, _ = io.WriteString(co, rest)
 		}()
 	}
 }
