core/builds, io/gossip: a stream without a record continues at the pool's first build

What callers saw: a router is lost, and half a second later the first endpoint of another software version registers.

Cause: while a pool has one build, only the router that forwards a stream knows its build. It dies before it can tell anybody.

Why it works: a router that knows the second build records each stream at its owners before its first event, so an owner without a record says that the stream began at the first. It counts only if it knows which build was alone, ranks first among all routers of the last minute, the lost ones included, and has received its messages without a gap.

Histories of the tests' routers are marked as listed, as those of routers that have read the store are: until then each stream is recorded.

--- a/core/builds/builds.go
+++ b/core/builds/builds.go
@@ -10,6 +10,9 @@
 // A History ends with its router. The platform's store therefore has a record of each build, from its first
 // endpoint until well after its last one, from which a router that starts learns of the builds before.
 //
+// Streams that began before a second build registered may be on record nowhere, if their router is gone. As
+// all others are, a stream without a record began at the first build. See First.
+//
 // # Invariants
 //
 //   - A build counts for a pool until Retention after its last endpoint was removed: streams that broke
@@ -53,6 +56,16 @@
 	endpoints map[core.EndpointID]core.Build
 	builds    map[core.Build]*served
 	changes   uint64
+	// listed is set once all endpoints and records of the store are known. first holds, of pools that have had
+	// one build since, which it was when another one began to serve.
+	listed bool
+	first  map[core.PoolID]firstBuild
+}
+
+// firstBuild is the only build of a pool until another one began to serve it.
+type firstBuild struct {
+	build core.Build
+	until time.Time
 }
 
 // recordRetention is how long the record of a build is kept in the store after its last endpoint was
@@ -83,7 +96,11 @@
 		return
 	}
 	hi.remove(now, id)
-	se := hi.ensure(now, build, pool, version)
+	se := hi.builds[build]
+	if se != nil && !se.recent(now) {
+		hi.recordChange(now, pool)
+	}
+	se = hi.ensure(now, build, pool, version)
 	hi.endpoints[id] = build
 	se.endpoints++
 	se.seen = true
@@ -96,12 +113,60 @@
 	}
 	if hi.builds[build] == nil {
 		hi.dropForgotten(now)
+		hi.recordChange(now, pool)
 		hi.builds[build] = &served{pool: pool, version: version, goneAt: now}
-		hi.changes++
 	}
 	return hi.builds[build]
 }
 
+// recordChange records that another build is about to count for the pool.
+func (hi *History) recordChange(now time.Time, pool core.PoolID) {
+	hi.changes++
+	before := hi.recent(now, pool)
+	switch {
+	case !hi.listed || len(before) == 0:
+		delete(hi.first, pool)
+	case len(before) == 1:
+		if hi.first == nil {
+			hi.first = map[core.PoolID]firstBuild{}
+		}
+		hi.first[pool] = firstBuild{before[0], now}
+	}
+}
+
+// MarkListed records that all endpoints and records of the store are known.
+func (hi *History) MarkListed() {
+	hi.mu.Lock()
+	defer hi.mu.Unlock()
+	hi.listed = true
+}
+
+// Listed reports whether all endpoints and records of the store are known.
+func (hi *History) Listed() bool {
+	hi.mu.Lock()
+	defer hi.mu.Unlock()
+	return hi.listed
+}
+
+// First returns the only build of the pool, or the one that was the only one until others registered: streams that
+// began then are not on record at the owners. It returns 0 if this router does not know it, and once such a stream
+// cannot be resumed any more.
+func (hi *History) First(now time.Time, pool core.PoolID) core.Build {
+	hi.mu.Lock()
+	defer hi.mu.Unlock()
+	recent := hi.recent(now, pool)
+	fi, known := hi.first[pool]
+	switch {
+	case !hi.listed:
+		return 0
+	case len(recent) == 1:
+		return recent[0]
+	case known && now.Sub(fi.until) < Retention && slices.Contains(recent, fi.build):
+		return fi.build
+	}
+	return 0
+}
+
 // RecordStored applies the record of a build in the store.
 func (hi *History) RecordStored(now time.Time, br core.BuildRecord) {
 	hi.mu.Lock()
@@ -181,6 +246,10 @@
 func (hi *History) Recent(now time.Time, pools ...core.PoolID) []core.Build {
 	hi.mu.Lock()
 	defer hi.mu.Unlock()
+	return hi.recent(now, pools...)
+}
+
+func (hi *History) recent(now time.Time, pools ...core.PoolID) []core.Build {
 	var all []core.Build
 	for build, se := range hi.builds {
 		if se.recent(now) && slices.Contains(pools, se.pool) {
--- a/core/platform.go
+++ b/core/platform.go
@@ -86,13 +86,16 @@
 	End(stream StreamKey)
 	// Find searches for the build at which a stream began, here and then at peers.
 	Find(ctx context.Context, stream StreamKey) OriginSearch
+	// FindFirst searches for the only build at which a stream of the build's pool that is on record nowhere can have
+	// begun: that which was alone until others registered. The routers that would have the record are asked.
+	FindFirst(ctx context.Context, stream StreamKey, build Build) OriginSearch
 	// OthersSeen asks peers whether other builds than this one have served its pool recently.
 	OthersSeen(ctx context.Context, build Build) OtherBuilds
 }
 
 // OriginSearch is the result of a search for the build at which a stream began.
 type OriginSearch struct {
-	// Build is 0 if no router that answered knows it.
+	// Build is 0 if the routers that answered do not know it.
 	Build Build
 	// Asked and Answered are how many peers were asked, and how many of them answered before one knew
 	// the build or the time was up.
--- a/core/swim/swim.go
+++ b/core/swim/swim.go
@@ -268,6 +268,12 @@
 	return count
 }
 
+// AliveWithin reports whether a peer is alive, or was until less than within ago.
+func (ta *Table) AliveWithin(now time.Time, addr string, within time.Duration) bool {
+	me := ta.members[addr]
+	return me != nil && (me.state.live() || now.Sub(me.since) < within)
+}
+
 // LastReceived returns when the last message from a peer arrived; zero if none did.
 func (ta *Table) LastReceived(addr string) time.Time {
 	if me := ta.members[addr]; me != nil {
--- a/io/gossip/copies.go
+++ b/io/gossip/copies.go
@@ -27,7 +27,7 @@
 // originCopies keeps the records of streams at their owners while routers come and go. A router that has
 // just started, which may have the address of an earlier process, asks its peers for the records that it
 // owns. Where a router is gone, those that know a stream that it owned send the record to the owner that
-// takes its place.
+// takes its place; where one joins, or is found only now, they send it what it owns.
 type originCopies struct {
 	// Only Run uses these: the candidates of the last tick, how often each peer was asked for records, and
 	// the records to be sent.
@@ -82,6 +82,11 @@
 		}
 		gr.queueCopies(now, ca, before, gr.originAddrs)
 	}
+	for _, ca := range oc.candidates {
+		if ca.udpAddr != nil && before != nil && !slices.ContainsFunc(before, func(other candidate) bool { return other.addr == ca.addr }) {
+			gr.queueCopies(now, ca, oc.candidates, func(core.StreamKey) []net.Addr { return []net.Addr{ca.udpAddr} })
+		}
+	}
 	count := min(maxCopiesPerTick, len(oc.queue))
 	for _, co := range oc.queue[:count] {
 		if build, left := gr.origins.Get(now, co.stream); build != 0 {
--- a/io/gossip/counts.go
+++ b/io/gossip/counts.go
@@ -58,11 +58,13 @@
 	countReachable
 	// countOrigin records the build Calls of the stream Endpoint for Ask ms. countOriginQuery asks for
 	// it, countOthersQuery whether the pool of the build Calls has others. countOriginsRequest asks for the
-	// records that the sender, which has just started, owns.
+	// records that the sender, which has just started, owns. countFirstQuery asks at which build of the pool of
+	// Calls the stream Endpoint can have begun if it is not on record.
 	countOrigin
 	countOriginQuery
 	countOthersQuery
 	countOriginsRequest
+	countFirstQuery
 )
 
 // countMessage queries or reports the calls of an endpoint, or a change of its state.
@@ -309,6 +311,9 @@
 	case countOthersQuery:
 		value := gr.handleOthersQuery(now, core.Build(cm.Calls))
 		gr.sendCount(from, &countMessage{Kind: countReply, Endpoint: cm.Endpoint, Calls: value, Ask: cm.Ask})
+	case countFirstQuery:
+		value := gr.handleFirstQuery(now, core.StreamKey(cm.Endpoint), core.Build(cm.Calls))
+		gr.sendCount(from, &countMessage{Kind: countReply, Endpoint: cm.Endpoint, Calls: value, Ask: cm.Ask})
 	case countOriginsRequest:
 		gr.copies.request(from)
 	case countDraining:
--- a/io/gossip/gossip.go
+++ b/io/gossip/gossip.go
@@ -190,6 +190,7 @@
 	toShare      []core.StreamKey
 	copies       originCopies
 	unstored     unstored
+	gaps         gaps
 	demand       exchange
 	settled      atomic.Bool
 	mu           sync.Mutex // guards all below
@@ -327,6 +328,7 @@
 			gr.broadcast(pc, time.Now(), true)
 			return nil
 		case now := <-ticker.C:
+			gr.updateGaps(now)
 			gr.probePeers(pc, now)
 			gr.dropForgotten()
 			gr.updateSettled(now)
--- a/io/gossip/gossip_test.go
+++ b/io/gossip/gossip_test.go
@@ -90,8 +90,10 @@
 	t.Helper()
 	fe := &fakeFeed{}
 	fe.Confirm(0)
+	hi := &builds.History{}
+	hi.MarkListed()
 	gr := &gossip.Group{
-		Builds: &builds.History{},
+		Builds: hi,
 		Self:   core.VMID(fmt.Sprint("r", ix)), Mirror: &mirror.Mirror{}, Feed: fe, Rand: clock.NewRand(uint64(ix)), Log: zap.NewNop(),
 		Placer:     &place.Placer{Zone: "a", Rand: clock.NewRand(1), RouterCount: func() int { return 1 }},
 		AskTimeout: time.Second, // on a busy machine, a reply may take long
--- a/io/gossip/origins.go
+++ b/io/gossip/origins.go
@@ -18,7 +18,8 @@
 // caller resumes the stream at asks the owners. Where owners change, those that know a stream send its
 // record to the new ones.
 //
-// A lost record costs a refused resumption; no stream continues at another build for it.
+// A stream that is on record nowhere began at the build that was alone in its pool until others registered,
+// where enough routers can tell, see first.go. Otherwise its resumption is refused.
 
 const (
 	// A stream has originOwners owners, and originOwnersOfFew in a fleet of at most fewRouters, of which
@@ -42,7 +43,8 @@
 	gr.origins.Put(now, stream, build, ttl)
 	if !share {
 		gr.origins.Unshare(stream)
-		share = gr.Builds.Others(now, build) // another build may just have registered
+		// Another build may just have registered, or not be listed yet.
+		share = gr.Builds.Others(now, build) || !gr.Builds.Listed()
 	}
 	if share {
 		gr.shareOrigin(stream, build, ttl)
--- a/io/relay/resume.go
+++ b/io/relay/resume.go
@@ -16,7 +16,8 @@
 
 // A caller whose stream broke off may resume it at any router, which has to continue it at the build that
 // began it. Where the pool has had one build only, that is the one. Otherwise it is the one on record
-// here or at peers, and without a record the request is refused.
+// here or at peers. Without a record it is the build that was the only one before the others, if the routers that
+// would have the record can tell; otherwise the request is refused.
 
 // originTTLFactor is how long the build of a stream is kept, in multiples of the longest time that the
 // caller or the route allows: one for the attempt that began the stream, and one for those that resume it.
@@ -26,6 +27,7 @@
 const (
 	basisOneBuild = "OneBuild" // its pools have no other
 	basisRecord   = "Record"   // it is on record
+	basisFirst    = "First"    // it is not on record, as all streams of the pool's other builds are
 	basisNone     = "None"     // it is unknown
 )
 
@@ -120,6 +122,11 @@
 		if found = re.Origins.Find(ctx, rq.streamKey(named)); found.Build != 0 {
 			return found, basisRecord, others
 		}
+		if pools := rq.pools(); len(recent) > 1 && len(pools) == 1 {
+			if first := re.Origins.FindFirst(ctx, rq.streamKey(named), recent[0]); first.Build != 0 {
+				return first, basisFirst, others
+			}
+		}
 	}
 	if len(recent) > 1 {
 		return found, basisNone, others
--- a/io/relay/resume_test.go
+++ b/io/relay/resume_test.go
@@ -73,6 +73,10 @@
 	return core.OriginSearch{Build: build}
 }
 
+func (fo *fakeOrigins) FindFirst(context.Context, core.StreamKey, core.Build) core.OriginSearch {
+	return core.OriginSearch{}
+}
+
 func (fo *fakeOrigins) OthersSeen(context.Context, core.Build) core.OtherBuilds { return fo.others }
 
 // withOrigins gives the router a record of streams and a history of the builds of its endpoints, which
