io/conns, io/relay: heads and events of endpoints are bounded

What callers saw: an endpoint that sends without end where a head is due fills the router's memory, 0.9 to 2.0 GB allocated for 256 MB offered, and the request lasts until its deadline. A router's VM has some hundred MB: its process would end, and with it all requests on it.

Cause: net/http's parser reads a response's head without a limit, and a stray answer's body was read to its end. Incomplete events were bounded each, but not together, and not counted as memory for bodies.

Why it works: a head is read from a reader that ends after 64 KB, a stray body after 1 MB, and the connection is closed. What an event needs beyond 8 KB is reserved like a body. Reports of engines and the list of VMs, which agents and commands read, have limits too.

--- a/io/back/orders.go
+++ b/io/back/orders.go
@@ -21,6 +21,8 @@
 	ordersPath = "/orders"
 	// maxErrorText bounds how many bytes of an engine's error text are kept.
 	maxErrorText = 512
+	// maxReport bounds an engine's reports of its state, in bytes: one that fails may send without end.
+	maxReport = 4 << 20
 )
 
 // State returns what the engine has loaded. An engine without the path does not support orders.
@@ -42,7 +44,7 @@
 		return nil, oops.In("state").With("peer", ep.ID).Errorf("status %d", rs.StatusCode)
 	}
 	var st core.EngineState
-	if err = json.NewDecoder(rs.Body).Decode(&st); err != nil {
+	if err = json.NewDecoder(io.LimitReader(rs.Body, maxReport)).Decode(&st); err != nil {
 		return nil, oops.In("state").With("peer", ep.ID).Wrap(err)
 	}
 	return &st, nil
--- a/io/back/poll.go
+++ b/io/back/poll.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"io"
 	"net/http"
 	"slices"
 	"strconv"
@@ -138,5 +139,5 @@
 	if rs.StatusCode != http.StatusOK {
 		return oo.Errorf("%s: status %s", path, rs.Status)
 	}
-	return oo.Wrap(json.NewDecoder(rs.Body).Decode(out))
+	return oo.Wrap(json.NewDecoder(io.LimitReader(rs.Body, maxReport)).Decode(out))
 }
--- a/io/conns/conns.go
+++ b/io/conns/conns.go
@@ -62,10 +62,18 @@
 	// maxSyncWrite is the largest body, in bytes, that is written synchronously, before the
 	// response is read: it fits into the kernel's socket buffers.
 	maxSyncWrite = 16 << 10
+	// maxHeadSize bounds the head of a response, in bytes, and maxStraySize the body of one that belongs to another
+	// request: a faulty endpoint may send either without end.
+	maxHeadSize  = 64 << 10
+	maxStraySize = 1 << 20
 )
 
-// ErrStray is returned if the endpoint's responses belong to other requests.
-var ErrStray = errors.New("the answer is for another request")
+var (
+	// ErrStray is returned if the endpoint's responses belong to other requests.
+	ErrStray = errors.New("the answer is for another request")
+	// ErrHeadTooLong is returned if the head of a response does not end within maxHeadSize.
+	ErrHeadTooLong = errors.New("the head of the answer is too long")
+)
 
 // Pool keeps idle connections by address. The zero value is ready to use.
 type Pool struct {
@@ -83,8 +91,9 @@
 
 	po  *Pool
 	raw net.Conn
-	// rd holds the read buffer; nil while the connection is idle. Responses read from it.
+	// rd holds the read buffer; nil while the connection is idle. Responses read from it, and it reads from in.
 	rd          *bufio.Reader
+	in          headReader
 	idleTimeout time.Duration
 	expires     time.Time
 	sent        bool
@@ -274,7 +283,39 @@
 // acquireReader gives the connection an empty read buffer.
 func (co *Conn) acquireReader() {
 	co.rd = readers.Get().(*bufio.Reader)
-	co.rd.Reset(co.raw)
+	co.in = headReader{raw: co.raw}
+	co.rd.Reset(&co.in)
+}
+
+// headReader reads from a connection, while a head is read no more than left bytes.
+type headReader struct {
+	raw    net.Conn
+	inHead bool
+	left   int
+}
+
+// Read implements io.Reader.
+func (hr *headReader) Read(buffer []byte) (int, error) {
+	if !hr.inHead {
+		return hr.raw.Read(buffer)
+	}
+	if hr.left == 0 {
+		return 0, ErrHeadTooLong
+	}
+	count, err := hr.raw.Read(buffer[:min(len(buffer), hr.left)])
+	hr.left -= count
+	return count, err
+}
+
+// readHead reads the head of a response.
+func (co *Conn) readHead(rq *http.Request) (*http.Response, error) {
+	co.in.inHead, co.in.left = true, maxHeadSize
+	defer func() { co.in.inHead = false }()
+	rs, err := http.ReadResponse(co.rd, rq)
+	if err != nil && co.in.left == 0 {
+		return nil, fmt.Errorf("%w: %w", ErrHeadTooLong, err) // the parser may see a line that was cut there
+	}
+	return rs, err
 }
 
 // releaseReader returns the read buffer for use by other connections. Only Put calls it, after the
@@ -338,7 +379,7 @@
 	co.acquireReader()
 	rq := &http.Request{Method: method}
 	for range maxStray {
-		rs, err := http.ReadResponse(co.rd, rq)
+		rs, err := co.readHead(rq)
 		if err != nil {
 			return nil, fmt.Errorf("read answer of %s: %w", co.Addr, err)
 		}
@@ -351,9 +392,13 @@
 		if rs.ContentLength < 0 && len(rs.TransferEncoding) == 0 {
 			break // the body ends with the connection
 		}
-		if _, err = io.Copy(io.Discard, rs.Body); err != nil {
+		size, err := io.Copy(io.Discard, io.LimitReader(rs.Body, maxStraySize+1))
+		if err != nil {
 			return nil, fmt.Errorf("read stray answer of %s: %w", co.Addr, err)
 		}
+		if size > maxStraySize {
+			break
+		}
 	}
 	return nil, fmt.Errorf("read answer of %s: %w", co.Addr, ErrStray)
 }
--- a/io/conns/conns_test.go
+++ b/io/conns/conns_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"runtime"
 	"strings"
 	"sync/atomic"
 	"syscall"
@@ -331,3 +332,70 @@
 		t.Errorf("got %d bytes that are not the response to request a", len(body))
 	}
 }
+
+// endless are responses that never end, each as what comes first and what is repeated after it.
+var endless = map[string][2]string{
+	"bytes that are no response": {"", "x"},
+	"empty lines":                {"", "\r\n"},
+	"a status line":              {"HTTP/1.1 200 ", "x"},
+	"a header":                   {"HTTP/1.1 200 OK\r\nId: 1\r\nX-A: ", "x"},
+	"headers":                    {"HTTP/1.1 200 OK\r\nId: 1\r\n", "X-A: b\r\n"},
+	"a continued header":         {"HTTP/1.1 200 OK\r\nId: 1\r\nX-A: b\r\n", " c\r\n"},
+	"interim responses":          {"", "HTTP/1.1 100 Continue\r\n\r\n"},
+	"an interim response":        {"HTTP/1.1 103 Early Hints\r\n", "Link: a\r\n"},
+	"other responses":            {"", "HTTP/1.1 200 OK\r\nId: other\r\nContent-Length: 1\r\n\r\nx"},
+	"another response":           {"HTTP/1.1 200 OK\r\nId: other\r\nTransfer-Encoding: chunked\r\n\r\n", "1\r\nx\r\n"},
+	"a chunk's size":             {"HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n", "0"},
+	"a chunk's extension":        {"HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n1;", "x"},
+	"a trailer":                  {"HTTP/1.1 200 OK\r\nId: 1\r\nTrailer: X-A\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nX-A: ", "x"},
+	"trailers":                   {"HTTP/1.1 200 OK\r\nId: 1\r\nTrailer: X-A\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", "X-A: b\r\n"},
+}
+
+// Guards against a router that runs out of memory, or reads for as long as the request may take, because an endpoint
+// sends without end where a head, a chunk's size or a trailer is due.
+func TestEndlessResponsesAreCutOff(t *testing.T) {
+	const (
+		offered = 256 << 20
+		// maxTaken is more than the limits and the buffers of both sockets.
+		maxTaken = 32 << 20
+		limit    = 5 * time.Second
+	)
+	for name, ca := range endless {
+		t.Run(name, func(t *testing.T) {
+			taken := make(chan int, 1)
+			addr := startServer(t, func(co net.Conn, rd *bufio.Reader) {
+				_, _ = readRequest(rd)
+				count, _ := io.WriteString(co, ca[0])
+				block := []byte(strings.Repeat(ca[1], 1+(64<<10)/len(ca[1])))
+				for count < offered {
+					written, err := co.Write(block)
+					if count += written; err != nil {
+						break
+					}
+				}
+				taken <- count
+			})
+			po := &conns.Pool{}
+			co := get(t, po, addr)
+			co.SetDeadline(time.Now().Add(limit))
+			began := time.Now()
+			var before, after runtime.MemStats
+			runtime.ReadMemStats(&before)
+			body, _, err := send(co, "1", nil)
+			runtime.ReadMemStats(&after)
+			co.Close()
+			if err == nil {
+				t.Errorf("got a response of %d bytes", len(body))
+			}
+			if took := time.Since(began); took >= limit {
+				t.Errorf("took %s", took)
+			}
+			if allocated := after.TotalAlloc - before.TotalAlloc; allocated > maxTaken {
+				t.Errorf("allocated %d bytes", allocated)
+			}
+			if count := <-taken; count > maxTaken {
+				t.Errorf("the endpoint could send %d bytes", count)
+			}
+		})
+	}
+}
--- a/io/relay/attempt.go
+++ b/io/relay/attempt.go
@@ -346,6 +346,9 @@
 		return ex.refusal(core.NotRun, core.ReasonEndpointDown, step, err), place.Failed
 	case ex.stall.stop() != nil:
 		return ex.refusal(core.Unknown, core.ReasonStalled, step, err), place.TimedOut
+	case errors.Is(err, conns.ErrHeadTooLong):
+		ex.rq.re.Stats.Add(stats.OversizedAnswers, 1)
+		return ex.refusal(core.Unknown, core.ReasonEndpointError, step, err), place.Failed
 	case errors.Is(err, conns.ErrStray):
 		return ex.refusal(core.Unknown, core.ReasonCrossed, step, err), place.Failed
 	}
--- a/io/relay/stream.go
+++ b/io/relay/stream.go
@@ -16,6 +16,7 @@
 	"almondrill/core/place"
 	"almondrill/io/conns"
 	"almondrill/io/events"
+	"almondrill/io/stats"
 )
 
 const (
@@ -51,7 +52,11 @@
 	waitingSince := time.Now()
 	for {
 		if len(pending) == cap(pending) {
-			pending = slices.Grow(pending, cap(pending))
+			grown, ok := ex.rq.growPending(pending)
+			if !ok {
+				return ex.oversized(errNoMemory)
+			}
+			pending = grown
 		}
 		count, err := ex.rs.Body.Read(pending[len(pending):cap(pending)])
 		filled := len(pending)+count == cap(pending)
@@ -83,7 +88,7 @@
 		}
 		switch {
 		case err == nil && len(pending) > maxEventSize:
-			return ex.refusal(core.Failed, core.ReasonEndpointError, "read", errEventTooLarge), place.Failed
+			return ex.oversized(errEventTooLarge)
 		case err == nil:
 			continue
 		case errors.Is(err, io.EOF):
@@ -93,6 +98,25 @@
 	}
 }
 
+// growPending doubles the read buffer of a stream. One that holds an incomplete event beyond readSize is at the
+// expense of Relay.Memory.
+func (rq *request) growPending(pending []byte) ([]byte, bool) {
+	more := int64(cap(pending))
+	if cap(pending) >= readSize {
+		if !rq.re.Memory.reserve(more) {
+			return nil, false
+		}
+		rq.heldBytes += more
+	}
+	return append(make([]byte, 0, 2*cap(pending)), pending...), true
+}
+
+// oversized returns the refusal for a stream with an event for which there is no room.
+func (ex *exchange) oversized(err error) (*core.Refusal, place.Result) {
+	ex.rq.re.Stats.Add(stats.OversizedAnswers, 1)
+	return ex.refusal(core.Failed, core.ReasonEndpointError, "read", err), place.Failed
+}
+
 // ownLength returns the length of whole blocks up to the start of another response, if the end of the
 // connection is what ends this one.
 func (ex *exchange) ownLength(blocks []byte) int {
--- a/io/stats/stats.go
+++ b/io/stats/stats.go
@@ -93,6 +93,8 @@
 	MemoryWaited  = "MemoryWaited"
 	// StreamsResumed counts requests that continue a stream of an earlier attempt of the caller.
 	StreamsResumed = "StreamsResumed"
+	// OversizedAnswers counts answers of which a head or an event did not end within what may be buffered.
+	OversizedAnswers = "OversizedAnswers"
 	// UnmarkedEnds counts answers that were forwarded as whole although only the end of the
 	// endpoint's connection marks their end.
 	UnmarkedEnds = "UnmarkedEnds"
--- a/io/vmnet/vmnet.go
+++ b/io/vmnet/vmnet.go
@@ -10,6 +10,7 @@
 import (
 	"context"
 	"encoding/json"
+	"io"
 	"net/http"
 	"strconv"
 	"time"
@@ -24,7 +25,11 @@
 	VMs  []core.VM
 }
 
-const requestTimeout = 3 * time.Second
+const (
+	requestTimeout = 3 * time.Second
+	// maxReply bounds the list in bytes; thousands of VMs need some hundred each.
+	maxReply = 16 << 20
+)
 
 // Client reads the list from the server at Addr.
 type Client struct {
@@ -52,7 +57,7 @@
 		return nil, mark, oo.Errorf("status %s", rs.Status)
 	}
 	var reply changesReply
-	if err = json.NewDecoder(rs.Body).Decode(&reply); err != nil {
+	if err = json.NewDecoder(io.LimitReader(rs.Body, maxReply)).Decode(&reply); err != nil {
 		return nil, mark, oo.Wrap(err)
 	}
 	return reply.VMs, reply.Mark, nil
