io/entry: records of builds are trusted only in a marked era of the store

What callers saw: nothing yet.

Cause: the restore takes the records of builds and of streams away, and a router that starts takes what is left for all that was.

In an era without its mark, a router that has just started asks peers, and refuses if none has seen enough. Histories of the relay's tests are marked as listed, as those of routers that have read a store in such an era.

--- a/core/builds/builds.go
+++ b/core/builds/builds.go
@@ -56,7 +56,7 @@
 	endpoints map[core.EndpointID]core.Build
 	builds    map[core.Build]*served
 	changes   uint64
-	// listed is set once all endpoints and records of the store are known. first holds, of pools that have had
+	// listed is set once all endpoints and records of the store are known, and no restore may have taken one. first holds, of pools that have had
 	// one build since, which it was when another one began to serve.
 	listed bool
 	first  map[core.PoolID]firstBuild
@@ -134,14 +134,15 @@
 	}
 }
 
-// MarkListed records that all endpoints and records of the store are known.
+// MarkListed records that all endpoints and records of the store are known, and that a build that has served
+// recently is among them.
 func (hi *History) MarkListed() {
 	hi.mu.Lock()
 	defer hi.mu.Unlock()
 	hi.listed = true
 }
 
-// Listed reports whether all endpoints and records of the store are known.
+// Listed reports whether MarkListed was called.
 func (hi *History) Listed() bool {
 	hi.mu.Lock()
 	defer hi.mu.Unlock()
--- a/core/platform.go
+++ b/core/platform.go
@@ -139,6 +139,13 @@
 	DeleteBuild(ctx context.Context, br BuildRecord) error
 }
 
+// EraStore marks eras of the platform's store: the first one, and those that have lasted for so long that what was
+// lost by the restore that began them matters no more.
+type EraStore interface {
+	// PutEra marks the era. It returns ErrConflict if it is marked.
+	PutEra(ctx context.Context, er Era) error
+}
+
 // StreamBuild is the build at which a stream began.
 type StreamBuild struct {
 	Stream StreamKey
--- a/io/entry/builds.go
+++ b/io/entry/builds.go
@@ -44,7 +44,6 @@
 			return nil
 		case now := <-tick.C:
 			if br.pr.mirror.AsOf() > 0 {
-				br.pr.builds.MarkListed()
 				br.check(ctx, now)
 			}
 		}
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -57,10 +57,11 @@
 	core.ChangeFeed
 	core.QuarantineStore
 	core.BuildStore
+	core.EraStore
 	core.StreamStore
 	// Decode converts an item of the store to a *route.Document, place.Endpoint, Deregistration,
 	// InvalidRegistration, Evacuation, PeerAddr, core.Quarantine, QuarantineRemoval, core.BuildRecord,
-	// BuildRemoval or core.StreamBatch. It returns nil for an item that does not concern routers.
+	// BuildRemoval, LastingEra or core.StreamBatch. It returns nil for an item that does not concern routers.
 	Decode(it core.Item) (any, error)
 	Dialect() relay.Dialect
 	// Outranks reports whether an item of the store is newer than another of the same key by its
@@ -72,6 +73,9 @@
 	Announce(ctx context.Context, self core.VMID, addr string, log *zap.Logger)
 }
 
+// LastingEra reports that an era of the store is marked: it is the first one, or has lasted for long.
+type LastingEra core.Era
+
 // Deregistration reports that an endpoint's registration was removed.
 type Deregistration struct{ ID core.EndpointID }
 
@@ -128,6 +132,7 @@
 	crashes      *deny.Detector
 	view         *view
 	builds       builds.History
+	lastingEra   markedEra
 	timeouts     callerTimeouts
 	shuttingDown atomic.Bool
 	app          atomic.Pointer[kratos.App]
@@ -152,7 +157,7 @@
 	defer cancel()
 	for _, loop := range []func(context.Context) error{
 		pr.reader.Run, pr.peers.Run, pr.view.settle, pr.crashes.Run, pr.closeIdleConns, pr.watchSettings, pr.announce, pr.relay.RunMigrations,
-		(&buildRecorder{pr: pr, log: pr.Logs.Part("builds")}).run, pr.storeStreams,
+		(&buildRecorder{pr: pr, log: pr.Logs.Part("builds")}).run, (&eraRecorder{pr: pr, log: pr.Logs.Part("builds")}).run, pr.storeStreams,
 	} {
 		go func() {
 			if err := loop(control); err != nil && control.Err() == nil {
--- a/io/entry/view.go
+++ b/io/entry/view.go
@@ -83,6 +83,8 @@
 		vi.pr.crashes.EntryRemoved(decoded.Request, decoded.Rev)
 	case core.BuildRecord:
 		vi.pr.builds.RecordStored(time.Now(), decoded)
+	case LastingEra:
+		vi.pr.lastingEra.set(core.Era(decoded))
 	case core.StreamBatch:
 		vi.pr.peers.RecordStored(time.Now(), decoded)
 	case BuildRemoval:
--- a/io/relay/resume.go
+++ b/io/relay/resume.go
@@ -132,9 +132,9 @@
 		return found, basisNone, others
 	}
 	// A router that has just started, or is cut off, may have missed other builds. A fresh view holds those
-	// that are on record in the store; with an old one, a peer that does not know denies nothing.
+	// that are on record in the store, if all of it was listed; otherwise a peer that does not know denies nothing.
 	others = re.Origins.OthersSeen(ctx, recent[0])
-	if others == core.OthersServed || others != core.OthersNone && !fresh {
+	if others == core.OthersServed || others != core.OthersNone && !(fresh && re.Builds.Listed()) {
 		return found, basisNone, others
 	}
 	found.Build = recent[0]
--- a/io/relay/resume_test.go
+++ b/io/relay/resume_test.go
@@ -84,6 +84,7 @@
 func (fl *fleet) withOrigins(age time.Duration, versions ...core.SoftwareVersion) *fakeOrigins {
 	fo := &fakeOrigins{}
 	fl.re.Origins, fl.re.Builds = fo, &builds.History{}
+	fl.re.Builds.MarkListed()
 	fl.setSoftware(versions...)
 	for ix, version := range versions {
 		fl.re.Builds.Register(time.Now().Add(-age), core.EndpointID(fmt.Sprint("e", ix)), "pool", version)
