io/relay: a response that names no request is skipped where others name theirs

Cause: bytes after a complete response, which look like a rejection without an id, count as the response to the connection's next request.

Why it works: endpoints echo the id in their responses. On a connection on which one had it, one without belongs to no request.

--- a/io/conns/conns.go
+++ b/io/conns/conns.go
@@ -88,6 +88,8 @@
 type Conn struct {
 	Addr   string
 	Reused bool
+	// EchoesIDs is set by the caller once a response on the connection has named its request.
+	EchoesIDs bool
 
 	po  *Pool
 	raw net.Conn
--- a/io/relay/attempt.go
+++ b/io/relay/attempt.go
@@ -129,10 +129,18 @@
 	}
 }
 
-// isOwn reports whether a response belongs to this request.
+// isOwn reports whether a response belongs to this request. One without an id follows another response if those
+// before it on the connection had one: a rejection among such bytes would say that this request did not run.
 func (ex *exchange) isOwn(hd http.Header) bool {
 	echoed := hd.Get(ex.rq.re.Dialect.RequestID)
-	return echoed == "" || echoed == ex.rq.id
+	if echoed == "" {
+		if ex.co.EchoesIDs {
+			ex.rq.re.Stats.Add(stats.UnnamedAnswers, 1)
+		}
+		return !ex.co.EchoesIDs
+	}
+	ex.co.EchoesIDs = true
+	return echoed == ex.rq.id
 }
 
 // head returns the request head for this endpoint.
--- a/io/relay/refused_test.go
+++ b/io/relay/refused_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"strings"
@@ -162,3 +163,42 @@
 		t.Errorf("status %d, want 503 for a request that has not run", rs.StatusCode)
 	}
 }
+
+// Guards against requests that run and are reported as not run: bytes that follow a complete response, and look like
+// a rejection without an id, arrive where the response to the connection's next request is due.
+func TestRejectionThatNamesNoRequestIsSkipped(t *testing.T) {
+	for _, rejection := range []string{
+		"HTTP/1.1 503 X\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n",
+		"HTTP/1.1 421 X\r\nContent-Length: 0\r\n\r\n",
+		"HTTP/1.1 429 X\r\nX-Not-Run: 1\r\nContent-Length: 4\r\n\r\nbusy",
+		"HTTP/1.1 200 X\r\nX-Stamp: s0\r\nContent-Length: 4\r\n\r\nelse",
+	} {
+		fl := newFleet(t, func(se *received, co net.Conn) bool {
+			text := formatResponse(se, http.StatusOK, "own")
+			if se.request.Header.Get("X-Again") != "" {
+				text = rejection + text
+			}
+			_, _ = io.WriteString(co, text)
+			return true
+		}).configure(route.Route{Kind: route.OnceOnly, MaxAttempts: 2})
+		for _, again := range []string{"", "1", "1"} {
+			rs, body, err := fl.send("POST", "/r/x", "", "X-Again", again)
+			if err != nil || rs.StatusCode != http.StatusOK || body != "own" {
+				t.Errorf("%q: got status %d, %q, error %v", rejection, rs.StatusCode, body, err)
+			}
+		}
+		if got := len(fl.requests()); got != 3 {
+			t.Errorf("%q: %d requests reached the endpoint, want 3", rejection, got)
+		}
+	}
+	// An endpoint that names no requests is understood.
+	fl := newFleet(t, func(se *received, co net.Conn) bool {
+		_, _ = io.WriteString(co, "HTTP/1.1 503 X\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n")
+		return true
+	}).configure(route.Route{Kind: route.OnceOnly})
+	for range 2 {
+		if rs, _, err := fl.send("POST", "/r/x", ""); err != nil || rs.StatusCode != http.StatusServiceUnavailable {
+			t.Errorf("got status %d, error %v", rs.StatusCode, err)
+		}
+	}
+}
--- a/io/stats/stats.go
+++ b/io/stats/stats.go
@@ -95,6 +95,8 @@
 	StreamsResumed = "StreamsResumed"
 	// OversizedAnswers counts answers of which a head or an event did not end within what may be buffered.
 	OversizedAnswers = "OversizedAnswers"
+	// UnnamedAnswers counts responses that were skipped as they name no request, on connections where others do.
+	UnnamedAnswers = "UnnamedAnswers"
 	// UnmarkedEnds counts answers that were forwarded as whole although only the end of the
 	// endpoint's connection marks their end.
 	UnmarkedEnds = "UnmarkedEnds"
