core/place, io/entry: a process that has not registered continues no stream

Cause: routers know an endpoint's version from its registration, and believe it of the next process at the address.

Why it works: a process that is replaced is gone for a moment, and whichever router is refused a connection tells all others through the owner of the endpoint's count. Until a registration arrives, the endpoint has a build of its own. Its streams are on record under that, and a router that sees one build looks for a record for a minute after. Where a store that answers holds no other registration after 6 s, the endpoint has its build back.

--- a/core/builds/builds.go
+++ b/core/builds/builds.go
@@ -49,6 +49,12 @@
 	return 1 + core.Build(ring.Mix(decl.HashName(string(pool)), decl.HashName(string(version)))%(1<<32-2))
 }
 
+// OfProcess returns a build that stands for the unknown version of a process, which has taken the place of the endpoint
+// with that hash and has not registered yet. No history knows it.
+func OfProcess(endpoint uint64) core.Build {
+	return 1 + core.Build(ring.Mix(endpoint, decl.HashName("process"))%(1<<32-2))
+}
+
 // History holds the builds that have served each pool. The zero value is ready for use.
 type History struct {
 	mu        sync.Mutex // guards all below
@@ -60,6 +66,8 @@
 	// one build since, which it was when another one began to serve.
 	listed bool
 	first  map[core.PoolID]firstBuild
+	// uncertainSince is when an endpoint of each pool was last found to run an unknown version.
+	uncertainSince map[core.PoolID]time.Time
 }
 
 // firstBuild is the only build of a pool until another one began to serve it.
@@ -277,6 +285,27 @@
 	return pool != "" && len(hi.Recent(now, pool)) > 1
 }
 
+// MarkUncertain records that an endpoint of the pool may run a version that it has not registered. Streams that
+// begin there are on record under OfProcess.
+func (hi *History) MarkUncertain(now time.Time, pool core.PoolID) {
+	hi.mu.Lock()
+	defer hi.mu.Unlock()
+	if hi.uncertainSince == nil {
+		hi.uncertainSince = map[core.PoolID]time.Time{}
+	}
+	hi.uncertainSince[pool] = now
+}
+
+// Uncertain reports whether a stream of the pools may have begun at a version that was not registered.
+func (hi *History) Uncertain(now time.Time, pools ...core.PoolID) bool {
+	hi.mu.Lock()
+	defer hi.mu.Unlock()
+	return slices.ContainsFunc(pools, func(pool core.PoolID) bool {
+		since, was := hi.uncertainSince[pool]
+		return was && now.Sub(since) < Retention
+	})
+}
+
 // Several reports whether any pool has several builds.
 func (hi *History) Several(now time.Time) bool {
 	hi.mu.Lock()
--- a/core/place/place.go
+++ b/core/place/place.go
@@ -235,7 +235,7 @@
 	st.markChanged()
 	st.sameZone, st.evacuated = ep.Zone == pl.Zone, pl.evacuations[ep.Zone]
 	ep.Draining = ep.Draining || st.Draining || drained
-	st.Endpoint, st.build = ep, builds.Of(ep.Pool, ep.Software)
+	st.Endpoint, st.build, st.endedAt = ep, builds.Of(ep.Pool, ep.Software), time.Time{}
 	st.noteDraining(now)
 	st.missing = false
 	pl.addToPool(st)
--- a/core/place/state.go
+++ b/core/place/state.go
@@ -48,7 +48,10 @@
 	pauses pauses
 	Endpoint
 
-	build core.Build
+	// build is that of the process that has registered. Once it has ended, it stands for an unknown version, from
+	// endedAt on.
+	build   core.Build
+	endedAt time.Time
 	// hash is that of the ID and incarnation. It names the endpoint to peers, so that their reports
 	// about an earlier incarnation are not applied to this one.
 	hash    uint64
--- a/io/deny/deny.go
+++ b/io/deny/deny.go
@@ -64,6 +64,8 @@
 	*Tracker
 	Conns  *conns.Pool
 	Placer *place.Placer
+	// Ended is told of endpoints that refuse connections, whose processes have ended; may be nil.
+	Ended func(now time.Time, endpoint uint64)
 
 	interruptions crash.Interruptions
 
@@ -120,6 +122,9 @@
 
 func (de *Detector) endpointGone(en core.EndpointRef, ev crash.Evidence) {
 	now := time.Now()
+	if ev == crash.Refused && de.Ended != nil {
+		de.Ended(now, en.Hash)
+	}
 	if suspects := de.interruptions.EndpointGone(now, en.Hash, ev); len(suspects) > 0 {
 		de.crashed(now, en, ev, suspects)
 	}
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -205,6 +205,12 @@
 		Conns:   pr.pool, Placer: pr.placer,
 	}
 	pr.peers.Blamed, pr.peers.Reach = pr.crashes.ApplyNotice, pr.probe
+	pr.peers.Ended = func(now time.Time, endpoint uint64) bool { return pr.view.processEnded(now, endpoint) }
+	pr.crashes.Ended = func(now time.Time, endpoint uint64) {
+		if pr.view.processEnded(now, endpoint) {
+			pr.peers.ReportEnded(now, endpoint)
+		}
+	}
 	pr.relay = &relay.Relay{
 		Dialect: pr.Platform.Dialect(), Self: se.Name, Placer: pr.placer, Counts: pr.peers, Grants: pr.peers, Origins: pr.peers, Builds: &pr.builds, Crashes: pr.crashes, Budget: pr.budget, Conns: pr.pool,
 		Stats: pr.Stats, Latency: &pr.latency, Rand: pr.rand, Log: pr.Logs.Part("relay"),
--- a/io/entry/view.go
+++ b/io/entry/view.go
@@ -236,6 +236,26 @@
 		zap.String("Addr", addr), zap.Duration("Age", vi.pr.reader.Age()))
 }
 
+// processEnded records that the process of an endpoint has ended, and returns true if that is new. Another one may
+// answer at its address, of another version of the software, before its registration arrives.
+func (vi *view) processEnded(now time.Time, endpoint uint64) bool {
+	id, pool, changed := vi.pr.placer.MarkEnded(now, endpoint)
+	if changed {
+		vi.pr.builds.MarkUncertain(now, pool)
+		vi.log.Info("The process of an endpoint has ended; no stream continues there until it has registered.",
+			zap.String("Endpoint", string(id)), zap.Duration("Age", vi.pr.reader.Age()))
+	}
+	return changed
+}
+
+// confirmBuilds takes endpoints for the versions that they have registered if their processes seemed to have ended, and
+// no other has registered since in a store that answers.
+func (vi *view) confirmBuilds(now time.Time) {
+	for _, id := range vi.pr.placer.ConfirmBuilds(now.Add(-registrationLapse)) {
+		vi.log.Info("Endpoint has not registered another process.", zap.String("Endpoint", string(id)))
+	}
+}
+
 // reportReplaced reports that the process of an endpoint is gone, unless the endpoint was draining.
 func (vi *view) reportReplaced(id core.EndpointID, old registration) {
 	if !old.draining {
@@ -266,6 +286,9 @@
 	// propagationMargin covers the time from an endpoint's return in the store to its arrival here.
 	propagationMargin = 300 * time.Millisecond
 	settleInterval    = 100 * time.Millisecond
+	// registrationLapse is longer than the registration of a silent endpoint stays, and than one that starts
+	// takes to register.
+	registrationLapse = 6 * time.Second
 )
 
 // deregister removes an endpoint whose registration is gone. Registrations expire while endpoints
@@ -317,6 +340,7 @@
 		case <-tick.C:
 			if !vi.pr.reader.Uncertain() {
 				vi.removeMissing()
+				vi.confirmBuilds(time.Now())
 			}
 			if !vi.pr.reader.RecentlyRestored() {
 				vi.acceptReappeared()
--- a/io/gossip/counts.go
+++ b/io/gossip/counts.go
@@ -65,6 +65,9 @@
 	countOthersQuery
 	countOriginsRequest
 	countFirstQuery
+	// countEndedReport tells the owner that the process of the endpoint has ended, countEnded tells all routers.
+	countEndedReport
+	countEnded
 )
 
 // countMessage queries or reports the calls of an endpoint, or a change of its state.
@@ -311,6 +314,10 @@
 	case countOthersQuery:
 		value := gr.handleOthersQuery(now, core.Build(cm.Calls))
 		gr.sendCount(from, &countMessage{Kind: countReply, Endpoint: cm.Endpoint, Calls: value, Ask: cm.Ask})
+	case countEndedReport:
+		gr.handleEndedReport(now, cm.Endpoint)
+	case countEnded:
+		gr.applyEnded(now, cm.Endpoint)
 	case countFirstQuery:
 		value := gr.handleFirstQuery(now, core.StreamKey(cm.Endpoint), core.Build(cm.Calls))
 		gr.sendCount(from, &countMessage{Kind: countReply, Endpoint: cm.Endpoint, Calls: value, Ask: cm.Ask})
--- a/io/gossip/first_test.go
+++ b/io/gossip/first_test.go
@@ -4,11 +4,13 @@
 	"context"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"almondrill/core"
 	"almondrill/core/builds"
+	"almondrill/io/gossip"
 )
 
 var (
@@ -166,3 +168,35 @@
 		})
 	}
 }
+
+// Guards against routers that go on using a process under the version of the one before it: whichever router finds that
+// an endpoint's process has ended, all are told, once.
+func TestAllRoutersAreToldOfAnEndedProcess(t *testing.T) {
+	const routers = 5
+	var told [routers]atomic.Int64
+	all := make([]*router, 0, routers)
+	for ix := range routers {
+		all = append(all, startWith(t, ix, func(gr *gossip.Group) {
+			gr.Ended = func(time.Time, uint64) bool { return told[ix].Add(1) == 1 }
+		}))
+	}
+	for _, ro := range all {
+		for _, other := range all {
+			ro.Add(other.Addr)
+		}
+	}
+	for _, ro := range all {
+		eventually(t, "all routers are alive to each other", func() bool { return ro.Live() == routers-1 })
+	}
+	time.Sleep(2 * tickInterval)
+	for endpoint := range uint64(routers) {
+		for ix := range told {
+			told[ix].Store(0)
+		}
+		told[endpoint].Store(1) // it has applied what it reports
+		all[endpoint].ReportEnded(time.Now(), endpoint)
+		for ix := range told {
+			eventually(t, fmt.Sprint("router ", ix, " is told"), func() bool { return told[ix].Load() > 0 })
+		}
+	}
+}
--- a/io/gossip/gossip.go
+++ b/io/gossip/gossip.go
@@ -168,6 +168,8 @@
 	Feed Feed
 	// Blamed handles peers' notices of requests that crash endpoints; may be nil.
 	Blamed func(now time.Time, from string, no core.CrashNotice)
+	// Ended records that the process of an endpoint has ended, and returns true if that is new; may be nil.
+	Ended func(now time.Time, endpoint uint64) bool
 	// InForce returns the version of the configuration in force here; nil if there is none.
 	InForce func() route.Version
 	// Reach reports whether a connection to an endpoint, given by its hash, can be made; known is
--- a/io/relay/resume.go
+++ b/io/relay/resume.go
@@ -115,7 +115,7 @@
 	if len(recent) == 0 {
 		return found, basisOneBuild, others // there is no endpoint either
 	}
-	if len(recent) == 1 && fresh && re.Builds.Complete(now) {
+	if len(recent) == 1 && fresh && re.Builds.Complete(now) && !re.Builds.Uncertain(now, rq.pools()...) {
 		return core.OriginSearch{Build: recent[0]}, basisOneBuild, others
 	}
 	if named := rq.resumes(); named != "" {
@@ -155,6 +155,7 @@
 		return // the caller cannot name the stream
 	}
 	rq.originKey = rq.streamKey(attempt)
-	share := len(rq.re.Builds.Recent(time.Now(), rq.pools()...)) > 1
+	// A build that is in no history is that of a process which has not registered.
+	share := len(rq.re.Builds.Recent(time.Now(), rq.pools()...)) > 1 || rq.re.Builds.PoolOf(build) == ""
 	rq.re.Origins.Begin(rq.originKey, build, originTTLFactor*max(rq.budget, rq.route.Timeout), share)
 }
