core/crash, io/deny: crashes of suspects outlive all routers

Cause: crashes before a quarantine are in memory only, and those of workers that run the request at the moment of the kill are seen by nobody.

Why it works: runs of suspects, that is requests which were running at a crash before, are written to the store, with their crashes and before they are sent. A router that starts counts both, the latter once their endpoint is gone.

--- a/core/crash.go
+++ b/core/crash.go
@@ -62,6 +62,21 @@
 	Rev Version
 }
 
+// SuspectRun is a run of a request that was running at a crash before and is not quarantined: its crash, or, without
+// one, that it was sent to the endpoint.
+type SuspectRun struct {
+	Request  Fingerprint
+	Endpoint uint64
+	At       time.Time
+	Crashed  bool
+}
+
+// SuspectStore writes runs of suspects to the platform's store, so that their crashes count on if all routers are lost.
+type SuspectStore interface {
+	// PutSuspectRuns writes runs in place of the writer's earlier ones of the same slot. They last for some minutes.
+	PutSuspectRuns(ctx context.Context, writer VMID, slot int, runs []SuspectRun) error
+}
+
 // QuarantineStore reads and writes Quarantine entries in the platform's store.
 type QuarantineStore interface {
 	// PutQuarantine writes the entry if the stored one still has version Rev, and returns the new
@@ -90,6 +105,8 @@
 // CrashDetector is a CrashTracker that detects by itself whether endpoints crashed.
 type CrashDetector interface {
 	CrashTracker
+	// Sending records that the request is about to be sent to the endpoint.
+	Sending(en EndpointRef, request Fingerprint)
 	// Interrupted records that an attempt begun at the given time was interrupted or timed out. Of the
 	// parts, only those are given under which no answer has begun.
 	Interrupted(en EndpointRef, began time.Time, request Fingerprint, parts ...Fingerprint)
--- a/core/crash/table.go
+++ b/core/crash/table.go
@@ -50,6 +50,8 @@
 	ToAll    []core.CrashNotice
 	// Remove are entries of the platform's store that are no longer valid.
 	Remove []core.Quarantine
+	// Runs are to be written to the store.
+	Runs []core.SuspectRun
 	// Quarantined are the newly quarantined requests, Released those whose quarantine has ended.
 	Quarantined, Released []core.Fingerprint
 }
@@ -79,6 +81,10 @@
 	suspects    map[core.Fingerprint]*suspect // requests
 	parts       map[core.Fingerprint]*suspect // parts of prompts that are suspects
 	quarantined map[core.Fingerprint]*quarantine
+	// unresolved are runs of suspects that routers have written which may be gone, until it is known whether their
+	// endpoints crashed; unresolvedCount is their number.
+	unresolved      []core.SuspectRun
+	unresolvedCount atomic.Int32
 	// attributed holds the latest crash attributed to a quarantined request, by endpoint.
 	attributed map[uint64]attribution
 }
@@ -95,7 +101,9 @@
 			continue
 		}
 		ef.ToOwners = append(ef.ToOwners, core.CrashNotice{Kind: core.NoticeSuspected, Request: fp, Crashes: []core.Crash{cr}})
-		ta.recordCrash(now, fp, cr, &ef)
+		if ta.recordCrash(now, fp, cr, &ef); ta.suspects[fp] != nil {
+			ef.Runs = append(ef.Runs, core.SuspectRun{Request: fp, Endpoint: endpoint, At: now, Crashed: true})
+		}
 	}
 	return ef
 }
--- a/core/place/build.go
+++ b/core/place/build.go
@@ -11,6 +11,13 @@
 // Endpoints of several software versions may serve in one pool, and streams that one version began
 // cannot be continued by another. The versions have no order.
 
+// Knows reports whether an endpoint with the hash is registered.
+func (pl *Placer) Knows(endpoint uint64) bool {
+	pl.mu.Lock()
+	defer pl.mu.Unlock()
+	return pl.byHash[endpoint] != nil
+}
+
 // MarkEnded records that the process of an endpoint has ended. What answers at its address from then on is another one,
 // of an unknown version, until it registers: no stream that began elsewhere may continue there. It returns the
 // endpoint's ID and pool, and false if the endpoint is unknown or known to have ended.
--- a/io/deny/deny.go
+++ b/io/deny/deny.go
@@ -15,8 +15,8 @@
 //
 //   - A request waits only for the store's answer to the claim of a trial, never for a Detector.
 //   - A Detector makes at most one connection at a time to an endpoint.
-//   - The store is written when a quarantine begins, ends, is tried or renewed, and never for a
-//     suspect.
+//   - The store is written when a quarantine begins, ends, is tried or renewed. Runs of suspects are written many at
+//     a time, and by all routers together at a bounded rate.
 //
 // # Usage
 //
--- a/io/deny/tracker.go
+++ b/io/deny/tracker.go
@@ -49,6 +49,13 @@
 type Tracker struct {
 	Peers Peers
 	Store core.QuarantineStore
+	// Runs stores the runs of suspects, Writer names this process there, and Routers returns the number of routers; Runs
+	// may be nil.
+	Runs    core.SuspectStore
+	Writer  core.VMID
+	Routers func() int
+	// Known reports whether an endpoint is registered, true while that is not known. It is used if Runs is set.
+	Known func(endpoint uint64) bool
 	Stats *stats.Set
 	Log   *zap.Logger
 
@@ -60,9 +67,15 @@
 	// cursor is where the next round begins among the entries not in the store. Only Run uses it.
 	cursor int
 
-	mu sync.Mutex // guards writing
+	// runSlot is the slot of the last batch of runs, runsStored when it was written. Only Run uses them.
+	runSlot    int
+	runsStored time.Time
+
+	mu sync.Mutex // guards all below
 	// writing is the set of requests whose entries this router is writing.
 	writing map[core.Fingerprint]bool
+	// runs wait to be written.
+	runs []core.SuspectRun
 }
 
 var _ core.CrashTracker = (*Tracker)(nil)
@@ -90,8 +103,11 @@
 			return nil
 		case <-tr.wakeups:
 			time.Sleep(storeDelay)
+			tr.storeRuns(ctx)
 			tr.storePending(ctx, false)
 		case <-tick.C:
+			tr.resolveRuns()
+			tr.storeRuns(ctx)
 			tr.storePending(ctx, true)
 		}
 	}
@@ -134,6 +150,7 @@
 
 // Blocked implements core.CrashTracker.
 func (tr *Tracker) Blocked(fps ...core.Fingerprint) (bool, time.Duration) {
+	tr.resolveRuns()
 	ve := tr.table.Check(time.Now(), fps...)
 	if !ve.Quarantined || ve.Trial {
 		return false, 0
@@ -272,6 +289,7 @@
 	for _, en := range ef.Remove {
 		go tr.remove(en)
 	}
+	tr.addRuns(ef.Runs...)
 }
 
 func (tr *Tracker) wake() {
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -56,12 +56,13 @@
 type Platform interface {
 	core.ChangeFeed
 	core.QuarantineStore
+	core.SuspectStore
 	core.BuildStore
 	core.EraStore
 	core.StreamStore
 	// Decode converts an item of the store to a *route.Document, place.Endpoint, Deregistration,
 	// InvalidRegistration, Evacuation, PeerAddr, core.Quarantine, QuarantineRemoval, core.BuildRecord,
-	// BuildRemoval, LastingEra or core.StreamBatch. It returns nil for an item that does not concern routers.
+	// BuildRemoval, LastingEra, []core.SuspectRun or core.StreamBatch. It returns nil for an item that does not concern routers.
 	Decode(it core.Item) (any, error)
 	Dialect() relay.Dialect
 	// Outranks reports whether an item of the store is newer than another of the same key by its
@@ -133,6 +134,7 @@
 	view         *view
 	builds       builds.History
 	lastingEra   markedEra
+	listed       atomic.Bool // set once all of the store was read
 	timeouts     callerTimeouts
 	shuttingDown atomic.Bool
 	app          atomic.Pointer[kratos.App]
@@ -204,6 +206,8 @@
 		Tracker: &deny.Tracker{Peers: pr.peers, Store: pr.Platform, Stats: pr.Stats, Log: pr.Logs.Part("guard")},
 		Conns:   pr.pool, Placer: pr.placer,
 	}
+	pr.crashes.Runs, pr.crashes.Writer, pr.crashes.Routers = pr.Platform, core.VMID(fmt.Sprintf("%s-%x", se.Name, pr.rand.Uint64())), pr.peers.Routers
+	pr.crashes.Known = func(endpoint uint64) bool { return !pr.listed.Load() || pr.placer.Knows(endpoint) }
 	pr.peers.Blamed, pr.peers.Reach = pr.crashes.ApplyNotice, pr.probe
 	pr.peers.Ended = func(now time.Time, endpoint uint64) bool { return pr.view.processEnded(now, endpoint) }
 	pr.crashes.Ended = func(now time.Time, endpoint uint64) {
--- a/io/entry/eras.go
+++ b/io/entry/eras.go
@@ -45,6 +45,7 @@
 			return nil
 		case now := <-tick.C:
 			if asOf := er.pr.mirror.AsOf(); asOf > 0 {
+				er.pr.listed.Store(true)
 				er.check(ctx, now, asOf.Era())
 			}
 		}
--- a/io/entry/view.go
+++ b/io/entry/view.go
@@ -81,6 +81,8 @@
 		vi.pr.crashes.EntryStored(decoded)
 	case QuarantineRemoval:
 		vi.pr.crashes.EntryRemoved(decoded.Request, decoded.Rev)
+	case []core.SuspectRun:
+		vi.pr.crashes.RunsStored(decoded, !vi.pr.listed.Load())
 	case core.BuildRecord:
 		vi.pr.builds.RecordStored(time.Now(), decoded)
 	case LastingEra:
--- a/io/relay/attempt.go
+++ b/io/relay/attempt.go
@@ -86,6 +86,7 @@
 	if ex.rq.sends == 1 {
 		ex.rq.re.Latency.Record(stats.SentMs, time.Since(ex.rq.began))
 	}
+	ex.reportSending()
 	co.SetDeadline(ex.rq.deadline)
 	ex.stopInterrupt = context.AfterFunc(ctx, co.Interrupt)
 	ex.stall.start(ex)
--- a/io/relay/crash.go
+++ b/io/relay/crash.go
@@ -109,6 +109,18 @@
 	}
 }
 
+// endpointRef identifies the exchange's endpoint to the crash detection.
+func (ex *exchange) endpointRef() core.EndpointRef {
+	return core.EndpointRef{ID: ex.tk.Endpoint.ID, Addr: ex.tk.Endpoint.Addr, Hash: ex.tk.Hash}
+}
+
+// reportSending reports to the crash detection that the request is about to be sent.
+func (ex *exchange) reportSending() {
+	if cd := ex.rq.re.Crashes; cd != nil {
+		cd.Sending(ex.endpointRef(), ex.rq.fingerprint)
+	}
+}
+
 // reportOutcome reports to the crash detection how the attempt ended. A success clears the request and its
 // parts of suspicion; a failure response does not, as endpoints also fail requests that they have barely
 // started. A response that ended with its connection was a success only if the endpoint went on.
@@ -117,7 +129,7 @@
 	if cd == nil {
 		return
 	}
-	en := core.EndpointRef{ID: ex.tk.Endpoint.ID, Addr: ex.tk.Endpoint.Addr, Hash: ex.tk.Hash}
+	en := ex.endpointRef()
 	switch {
 	case ex.handedOver:
 	case rf == nil:
--- a/io/relay/crash_test.go
+++ b/io/relay/crash_test.go
@@ -42,6 +42,8 @@
 	return cd.allowed >= 0, cd.retryAfter
 }
 
+func (cd *fakeCrashDetector) Sending(core.EndpointRef, core.Fingerprint) {}
+
 func (cd *fakeCrashDetector) Settle(context.Context, core.EndpointRef) {}
 
 func (cd *fakeCrashDetector) Succeeded(fps ...core.Fingerprint) {
