--- a/io/entry/view_test.go
+++ b/io/entry/view_test.go
@@ -40,7 +40,8 @@
 
 func (faulty) Outranks(core.Item, core.Item) bool { return false }
 
-func (faulty) PutBuild(context.Context, core.BuildRecord) error                        { return nil }
+func (faulty) PutBuild(context.Context, core.BuildRecord) error { return nil }
+
 func (faulty) PutSuspectRuns(context.Context, core.VMID, int, []core.SuspectRun) error { return nil }
 
 func (faulty) PutEra(context.Context, core.Era) error { return nil }
