io/relay: a failure response that its endpoint's end breaks off is not forwarded

Cause: the end of a response without framing was checked for successes only. Evidence: TestUnframedFailureOfACrashedEndpointIsNotForwarded got the half with status 500 before, and gets the router's 502 now. Why it works: the same check, before the response is kept to be forwarded.

--- a/io/relay/attempt.go
+++ b/io/relay/attempt.go
@@ -228,6 +228,9 @@
 	if !complete && !ex.rq.headSent && !notRunStatuses[ex.rs.StatusCode] {
 		return ex.forwardUnbuffered(ctx, body, place.Failed)
 	}
+	if complete && ex.brokenOff(ctx) {
+		return ex.classifyError(ctx, "read", errEndpointGone)
+	}
 	if complete {
 		ex.returnConn()
 	}
--- a/io/relay/framing_test.go
+++ b/io/relay/framing_test.go
@@ -348,6 +348,27 @@
 	}
 }
 
+// Guards against a part of a failure response that looks whole because its endpoint's process ended in it.
+func TestUnframedFailureOfACrashedEndpointIsNotForwarded(t *testing.T) {
+	fl := newFleet(t).configure(route.Route{Kind: route.OnceOnly})
+	li := local.Listen(t)
+	fl.re.Placer.Register(time.Now(), place.Endpoint{ID: "e0", Addr: li.Addr().String(), Pool: "pool", Zone: "a", Slots: 8})
+	go func() {
+		co, err := li.Accept()
+		if err != nil {
+			return
+		}
+		defer co.Close()
+		se := <-fl.readRequests(0, co)
+		_ = li.Close()
+		byClose.write(se, co, http.StatusInternalServerError, "text/plain", "half of", false)
+	}()
+	rs, body, err := fl.send("POST", "/r/x", "")
+	if err != nil || rs.StatusCode != http.StatusBadGateway || strings.Contains(body, "half of") {
+		t.Errorf("got %v, %q, error %v, want the router's own 502", rs, body, err)
+	}
+}
+
 // An answer without framing whose endpoint has crashed in it is tried again where the request may be.
 func TestUnframedAnswerOfACrashedEndpointIsTriedAgain(t *testing.T) {
 	fl := crashingServer(t, false, "text/plain", "half", route.Route{Kind: route.Idempotent, MaxAttempts: 2})
