--- a/core/builds/builds.go
+++ b/core/builds/builds.go
@@ -62,8 +62,8 @@
 	endpoints map[core.EndpointID]core.Build
 	builds    map[core.Build]*served
 	changes   uint64
-	// listed is set once all endpoints and records of the store are known, and no restore may have taken one. first holds, of pools that have had
-	// one build since, which it was when another one began to serve.
+	// listed is set once all endpoints and records of the store are known, and no restore may have taken one. first
+	// holds the build of each pool that was the only one until another began to serve, where that is known.
 	listed bool
 	first  map[core.PoolID]firstBuild
 	// uncertainSince is when an endpoint of each pool was last found to run an unknown version.
--- a/io/conns/conns.go
+++ b/io/conns/conns.go
@@ -289,7 +289,7 @@
 	co.rd.Reset(&co.in)
 }
 
-// headReader reads from a connection, while a head is read no more than left bytes.
+// headReader reads from a connection, and no more than left bytes while inHead is set.
 type headReader struct {
 	raw    net.Conn
 	inHead bool
--- a/io/gossip/first.go
+++ b/io/gossip/first.go
@@ -15,8 +15,8 @@
 // A stream of a pool's first build may be known to its router only, see core/builds. All others are recorded at
 // their owners before their first events. So an owner that has no record says that the stream began at the first
 // build, if it has been an owner all along: it knows which build was alone, it has received messages
-// without a gap since, and it ranks first among all routers that there have been meanwhile, those that
-// are gone included. Where one has taken the place of an owner that is lost, its word counts for nothing.
+// without a gap since, and it ranks first among all routers that were alive meanwhile, including
+// those that are gone. A router that took the place of a lost owner is not asked: it may lack the record.
 
 const (
 	// maxTickDelay is the longest time between two ticks of a process that receives its messages: a longer one
