io/gossip: owners that come or go are found with two passes over the peers

The tick compared each peer of the last one with each of this one, twice since owners that are found later get records, too: 420 x 420 comparisons each tenth of a second at 420 routers, also while no pool has several builds. It is two passes now, and none without several builds. Found by reading, not measured; what is sent is the same (TestOrigins..., TestMissingRecords...).

--- a/io/gossip/copies.go
+++ b/io/gossip/copies.go
@@ -2,7 +2,6 @@
 
 import (
 	"net"
-	"slices"
 	"sync"
 	"time"
 
@@ -76,16 +75,8 @@
 	for addr, to := range oc.takeRequesters() {
 		gr.queueCopies(now, candidate{addr: addr, hash: xxhash.Sum64String(addr)}, oc.candidates, func(core.StreamKey) []net.Addr { return []net.Addr{to} })
 	}
-	for _, ca := range before {
-		if ca.udpAddr == nil || slices.ContainsFunc(oc.candidates, func(other candidate) bool { return other.addr == ca.addr }) {
-			continue
-		}
-		gr.queueCopies(now, ca, before, gr.originAddrs)
-	}
-	for _, ca := range oc.candidates {
-		if ca.udpAddr != nil && before != nil && !slices.ContainsFunc(before, func(other candidate) bool { return other.addr == ca.addr }) {
-			gr.queueCopies(now, ca, oc.candidates, func(core.StreamKey) []net.Addr { return []net.Addr{ca.udpAddr} })
-		}
+	if gr.Builds.Several(now) {
+		gr.copyToChanged(now, before)
 	}
 	count := min(maxCopiesPerTick, len(oc.queue))
 	for _, co := range oc.queue[:count] {
@@ -96,6 +87,36 @@
 	oc.queue = oc.queue[count:]
 }
 
+// copyToChanged queues the records that owners which are gone since the last tick owned, for those that take their
+// places, and those that owners own which are new.
+func (gr *Group) copyToChanged(now time.Time, before []candidate) {
+	all := gr.copies.candidates
+	for _, ca := range without(before, all) {
+		gr.queueCopies(now, ca, before, gr.originAddrs)
+	}
+	if before == nil {
+		return
+	}
+	for _, ca := range without(all, before) {
+		gr.queueCopies(now, ca, all, func(core.StreamKey) []net.Addr { return []net.Addr{ca.udpAddr} })
+	}
+}
+
+// without returns the peers among the candidates that are not among others.
+func without(all, others []candidate) []candidate {
+	addrs := make(map[string]bool, len(others))
+	for _, ca := range others {
+		addrs[ca.addr] = true
+	}
+	var left []candidate
+	for _, ca := range all {
+		if ca.udpAddr != nil && !addrs[ca.addr] {
+			left = append(left, ca)
+		}
+	}
+	return left
+}
+
 // requestOrigins asks each peer for the records that this router owns, until it has served for as long as
 // records last. There are none to ask for while each pool has one build.
 func (gr *Group) requestOrigins(now time.Time) {
--- a/io/gossip/first.go
+++ b/io/gossip/first.go
@@ -104,10 +104,13 @@
 		alive = *current
 	}
 	all := slices.Clone(alive)
+	listed := make(map[string]bool, len(alive))
+	for _, ca := range alive {
+		listed[ca.addr] = true
+	}
 	gr.mu.Lock()
 	for addr, me := range gr.members {
-		listed := slices.ContainsFunc(alive, func(ca candidate) bool { return ca.addr == addr })
-		if !listed && gr.membership.AliveWithin(now, addr, builds.Retention) {
+		if !listed[addr] && gr.membership.AliveWithin(now, addr, builds.Retention) {
 			all = append(all, candidate{addr: addr, hash: me.hash})
 		}
 	}
