io/conns: a connection is kept beside requests whose answers will have no framing

What callers saw: a whole plain answer of a leaving endpoint is replaced by a 502, as the endpoint stopped listening before the answer began. Found by TestSoakLeavingWorkers in a race run at a load of 20: one answer lost, none received, as too few workers left while they answered.

Cause: the connection that shows that the process goes on was made when the answer began. Evidence: TestUnframedAnswerThatBeginsAfterItsEndpointStoppedListening fails before. Why it works: endpoints whose answers ended with their connections within a minute get it when a request is sent to them.

--- a/io/conns/conns.go
+++ b/io/conns/conns.go
@@ -82,6 +82,8 @@
 	// open holds all connections, idle or in use.
 	open    map[string]map[*Conn]bool
 	watches map[string]*watch
+	// unframed is when a response from each address last ended with its connection.
+	unframed map[string]time.Time
 }
 
 // Conn is a connection to an endpoint.
--- a/io/conns/survey.go
+++ b/io/conns/survey.go
@@ -144,11 +144,34 @@
 	dialing bool
 }
 
-// Watch keeps an idle connection to the address open, for Survey, until release is called. It takes effect in
-// the background.
+// unframedTTL is how long after a response that ended with its connection others of the endpoint are expected to.
+const unframedTTL = time.Minute
+
+// Watch keeps an idle connection to the address open, for Survey, until release is called: a response from there ends
+// with its connection. It takes effect in the background.
 func (po *Pool) Watch(addr string) (release func()) {
 	po.mu.Lock()
 	defer po.mu.Unlock()
+	if po.unframed == nil {
+		po.unframed = map[string]time.Time{}
+	}
+	po.unframed[addr] = time.Now()
+	return po.watch(addr)
+}
+
+// WatchExpected is Watch before the response has begun: the endpoint may have stopped listening by then. It does nothing
+// if the endpoint's responses have not ended with their connections recently.
+func (po *Pool) WatchExpected(addr string) (release func()) {
+	po.mu.Lock()
+	defer po.mu.Unlock()
+	if at, was := po.unframed[addr]; !was || time.Since(at) > unframedTTL {
+		return func() {}
+	}
+	return po.watch(addr)
+}
+
+// watch adds a user to the watch of the address. The pool is locked.
+func (po *Pool) watch(addr string) (release func()) {
 	if po.watches == nil {
 		po.watches = map[string]*watch{}
 	}
@@ -198,6 +221,11 @@
 func (po *Pool) renewWatches() {
 	var closed []*Conn
 	po.mu.Lock()
+	for addr, at := range po.unframed {
+		if time.Since(at) > unframedTTL {
+			delete(po.unframed, addr)
+		}
+	}
 	for addr, wa := range po.watches {
 		if wa.dialing || wa.co != nil && wa.co.usable() {
 			continue
--- a/io/relay/attempt.go
+++ b/io/relay/attempt.go
@@ -87,6 +87,7 @@
 		ex.rq.re.Latency.Record(stats.SentMs, time.Since(ex.rq.began))
 	}
 	ex.reportSending()
+	defer ex.rq.re.Conns.WatchExpected(ex.tk.Endpoint.Addr)()
 	co.SetDeadline(ex.rq.deadline)
 	ex.stopInterrupt = context.AfterFunc(ctx, co.Interrupt)
 	ex.stall.start(ex)
--- a/io/relay/framing_test.go
+++ b/io/relay/framing_test.go
@@ -369,6 +369,42 @@
 	}
 }
 
+// Guards against a whole answer that is lost because its endpoint stopped listening before the answer began, so that no
+// connection could be made beside it any more.
+func TestUnframedAnswerThatBeginsAfterItsEndpointStoppedListening(t *testing.T) {
+	fl := newFleet(t).configure(route.Route{Kind: route.OnceOnly})
+	li := local.Listen(t)
+	fl.re.Placer.Register(time.Now(), place.Endpoint{ID: "e0", Addr: li.Addr().String(), Pool: "pool", Zone: "a", Slots: 8})
+	var requests atomic.Int64
+	go func() {
+		for {
+			co, err := li.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer co.Close()
+				se, sent := <-fl.readRequests(0, co)
+				if !sent {
+					return
+				}
+				if requests.Add(1) == 2 {
+					time.Sleep(100 * time.Millisecond)
+					_ = li.Close()
+					time.Sleep(100 * time.Millisecond)
+				}
+				byClose.write(se, co, http.StatusOK, "text/plain", "whole", false)
+			}()
+		}
+	}()
+	for range 2 {
+		if rs, body, err := fl.send("POST", "/r/x", ""); err != nil || rs.StatusCode != http.StatusOK || body != "whole" {
+			t.Errorf("got %q, error %v", body, err)
+		}
+		fl.re.Conns.CloseIdle(li.Addr().String())
+	}
+}
+
 // An answer without framing whose endpoint has crashed in it is tried again where the request may be.
 func TestUnframedAnswerOfACrashedEndpointIsTriedAgain(t *testing.T) {
 	fl := crashingServer(t, false, "text/plain", "half", route.Route{Kind: route.Idempotent, MaxAttempts: 2})
