--- a/io/conns/conns.go
+++ b/io/conns/conns.go
@@ -65,7 +65,7 @@
 	// maxHeadSize bounds the head of a response, in bytes, and maxStraySize the body of one that belongs to another
 	// request: a faulty endpoint may send either without end.
 	maxHeadSize  = 64 << 10
-	maxStraySize = 1 << 20
+	maxStraySize = 128 << 10
 )
 
 var (
