--- a/core/crash/runs.go
+++ b/core/crash/runs.go
@@ -40,7 +40,7 @@
 }
 
 // RunStored applies a run in the store. Those without a crash matter to a router that has just started, initial, only:
-// others see the crash themselves, or are told.
+// others see the crash themselves, or get a notice.
 func (ta *Table) RunStored(now time.Time, run core.SuspectRun, initial bool) Effects {
 	ta.mu.Lock()
 	defer ta.mu.Unlock()
--- a/core/place/ended_test.go
+++ b/core/place/ended_test.go
@@ -10,7 +10,7 @@
 )
 
 // Guards against a stream that continues at a process which has taken the place of an endpoint of its version, and against
-// a version that is doubted for good.
+// a version that stays unknown for good.
 func TestEndedProcessContinuesNoStream(t *testing.T) {
 	now := time.Unix(1_700_000_000, 0)
 	pl := &place.Placer{Zone: "a", Rand: newRand(1), RouterCount: func() int { return 1 }}
--- a/io/deny/deny.go
+++ b/io/deny/deny.go
@@ -64,7 +64,7 @@
 	*Tracker
 	Conns  *conns.Pool
 	Placer *place.Placer
-	// Ended is told of endpoints that refuse connections, whose processes have ended; may be nil.
+	// Ended is called for endpoints that refuse connections, whose processes have ended; may be nil.
 	Ended func(now time.Time, endpoint uint64)
 
 	interruptions crash.Interruptions
--- a/io/gossip/counts.go
+++ b/io/gossip/counts.go
@@ -65,7 +65,7 @@
 	countOthersQuery
 	countOriginsRequest
 	countFirstQuery
-	// countEndedReport tells the owner that the process of the endpoint has ended, countEnded tells all routers.
+	// countEndedReport reports to the owner that the process of the endpoint has ended, countEnded notifies all routers.
 	countEndedReport
 	countEnded
 )
--- a/io/gossip/first_test.go
+++ b/io/gossip/first_test.go
@@ -174,7 +174,7 @@
 }
 
 // Guards against routers that go on using a process under the version of the one before it: whichever router finds that
-// an endpoint's process has ended, all are told, once.
+// an endpoint's process has ended, all are notified, once.
 func TestAllRoutersAreToldOfAnEndedProcess(t *testing.T) {
 	const routers = 5
 	var told [routers]atomic.Int64
--- a/io/gossip/origins.go
+++ b/io/gossip/origins.go
@@ -19,7 +19,7 @@
 // record to the new ones.
 //
 // A stream that is on record nowhere began at the build that was alone in its pool until others registered,
-// where enough routers can tell, see first.go. Otherwise its resumption is refused.
+// where enough routers know it, see first.go. Otherwise its resumption is refused.
 
 const (
 	// A stream has originOwners owners, and originOwnersOfFew in a fleet of at most fewRouters, of which
--- a/io/relay/resume.go
+++ b/io/relay/resume.go
@@ -17,7 +17,7 @@
 // A caller whose stream broke off may resume it at any router, which has to continue it at the build that
 // began it. Where the pool has had one build only, that is the one. Otherwise it is the one on record
 // here or at peers. Without a record it is the build that was the only one before the others, if the routers that
-// would have the record can tell; otherwise the request is refused.
+// would have the record know it; otherwise the request is refused.
 
 // originTTLFactor is how long the build of a stream is kept, in multiples of the longest time that the
 // caller or the route allows: one for the attempt that began the stream, and one for those that resume it.
