core/ledger, io/accept: what callers make a router hold is bounded for the process

Callers saw a router end, out of memory, with all requests on it, when clients sent heads far over the limit or without end, or bodies that lacked their last bytes.

Cause: each caller had an allowance of its own, a head of 1 MB in place of the configuration's limit, a body, and what the kernel buffers, and nothing added them up but for bodies. A head is counted only once it was parsed, and takes many times its size then.

Fix: a ledger of bytes for the process, from MemoryMB, with shares for connections, heads and bodies, so that none of them takes the room of another. A listener counts a head as it arrives and reserves what it costs once parsed; one beyond the largest limit of any configuration so far is refused with 431, one for which there is no memory, or before the first configuration, with 503, both read on for a moment so that the refusal arrives. Receive buffers of 16 KB bound the unread bytes. Where there is no room for another connection, the one that is worth least is closed: late heads, then idle connections, late bodies, responses that nobody reads; never one whose request was forwarded and whose response is being read.

Tests changed: io/relay's set the ledger's limit in place of Memory.Limit; io/entry's three of callers' connections moved to io/accept.

--- a/io/entry/caller_test.go
+++ b/io/accept/conn_test.go
@@ -1,4 +1,4 @@
-package entry_test
+package accept_test
 
 import (
 	"io"
@@ -6,17 +6,21 @@
 	"testing"
 	"time"
 
-	"almondrill/io/entry"
+	"go.uber.org/zap"
+
+	"almondrill/io/accept"
+	"almondrill/io/stats"
 )
 
 // connPair returns both ends of a caller's connection, the caller's first, and a function that
 // reports whether the router's end is closed.
 func connPair(t *testing.T) (*net.TCPConn, net.Conn, func() bool) {
 	t.Helper()
-	li, err := net.Listen("tcp", "127.0.0.1:0")
+	raw, err := accept.Listen("127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
+	li := newListener(raw)
 	defer li.Close()
 	caller, err := net.Dial("tcp", li.Addr().String())
 	if err != nil {
@@ -30,10 +34,19 @@
 		_ = caller.Close()
 		_ = co.Close()
 	})
-	own, closed := entry.WrapCallerConn(co)
-	return caller.(*net.TCPConn), own, closed
+	return caller.(*net.TCPConn), co, co.(*accept.Conn).Closed
 }
 
+// newListener returns a listener without limits but that of heads.
+func newListener(raw net.Listener) *accept.Listener {
+	return &accept.Listener{
+		Listener: raw, Name: "Test", Timeouts: &accept.Timeouts{}, Stats: stats.New(), Log: zap.NewNop(),
+		MaxHead: func() accept.HeadLimit { return accept.HeadLimit{Bytes: maxHead, Refusal: accept.TooLarge} },
+	}
+}
+
+const maxHead = 16 << 10
+
 // Guards against an overloaded router that forwards requests of callers who have closed their
 // connections while the requests waited for a processor: the server has not read the close yet, and
 // endpoints would execute hundreds of requests whose responses no caller receives.
--- a/io/conf/relay.go
+++ b/io/conf/relay.go
@@ -31,7 +31,7 @@
 	DrainTimeout    time.Duration `yaml:"DrainTimeout" doc:"Time from the order to stop to the end; work still in progress is cut then. Default 10m."`
 	EngineDrainTime time.Duration `yaml:"EngineDrainTime" doc:"How long engines serve at least after they announced their shutdown, without the 1.5 s that all of them add. Default 3s."`
 	ReturnDelay     time.Duration `yaml:"ReturnDelay" doc:"How long after an outage of the store registrations that lapsed in it may be missing. Default 2s."`
-	MemoryMB        int           `yaml:"MemoryMB" doc:"Memory of the process in megabytes; 0 means no bound."`
+	MemoryMB        int           `yaml:"MemoryMB" doc:"Memory of the process in megabytes; 0 means no bound. Callers may take 0.6 of what is above 32 MB: half of that for connections, 0.15 for heads, 0.35 for bodies and responses."`
 	LogLevel        string        `yaml:"LogLevel" doc:"debug, info, warn or error. Default info."`
 }
 
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -36,11 +36,13 @@
 
 	"almondrill/core"
 	"almondrill/core/builds"
+	"almondrill/core/ledger"
 	"almondrill/core/migr"
 	"almondrill/core/mirror"
 	"almondrill/core/place"
 	"almondrill/core/retry"
 	"almondrill/core/route"
+	"almondrill/io/accept"
 	"almondrill/io/clock"
 	"almondrill/io/conf"
 	"almondrill/io/conns"
@@ -135,14 +137,13 @@
 	builds       builds.History
 	lastingEras  markedEras
 	listed       atomic.Bool // set once all of the store was read
-	timeouts     callerTimeouts
+	timeouts     accept.Timeouts
+	bytes        ledger.Ledger
+	headLimit    headLimit
 	shuttingDown atomic.Bool
 	app          atomic.Pointer[kratos.App]
 }
 
-// bufferShare is the share of the process's memory that buffered requests and responses may take.
-const bufferShare = 0.25
-
 // evacuationWindow returns the time within which an evacuation must be in force after the store has
 // accepted it.
 func (pr *Process) evacuationWindow() time.Duration {
@@ -187,8 +188,9 @@
 	}
 	pr.log = pr.Logs.Part("entry")
 	pr.rand = clock.NewRand(clock.RandomSeed())
+	pr.bytes.Shares = ledger.Bytes
+	pr.bytes.SetLimit(ledger.ClientBytes(int64(se.MemoryMB) << 20))
 	pr.pool = &conns.Pool{}
-	pr.timeouts.set(0, 0)
 	pr.mirror = &mirror.Mirror{Outranks: pr.Platform.Outranks}
 	pr.peers = &gossip.Group{Self: se.Name, Addr: se.PeersAddr, Mirror: pr.mirror, Rand: pr.rand, Log: pr.Logs.Part("gossip")}
 	pr.placer = &place.Placer{
@@ -226,7 +228,7 @@
 	pr.relay.NewPlanner = func() relay.Planner {
 		return &migr.Planner{Source: pr.placer.MigrationSource, DrainTime: se.EngineDrainTime}
 	}
-	pr.relay.Memory.Limit = int64(bufferShare * float64(se.MemoryMB) * (1 << 20))
+	pr.relay.Memory = &pr.bytes
 	pr.view = &view{pr: pr, log: pr.Logs.Part("view"), evacuations: newEvacuations()}
 	pr.mirror.Changed, pr.mirror.Restored = pr.view.applyItem, pr.reader.NoteRestore
 	pr.addSeeds()
@@ -273,7 +275,7 @@
 	pr.latency.Publish(pr.Stats)
 	pr.Stats.SetFunc(stats.ConfigRevision, func() int64 { return int64(pr.configVersion()) })
 	pr.Stats.SetFunc(stats.StoreLed, func() int64 { return boolCount(pr.peers.IsWatcher()) })
-	pr.Stats.SetFunc(stats.BytesHeld, pr.relay.Memory.Held)
+	pr.Stats.SetFunc(stats.BytesHeld, pr.bytes.Total)
 	pr.Stats.SetFunc(stats.MemoryWaiting, func() int64 { return int64(pr.placer.MemoryWaits()) })
 	pr.Stats.SetFunc(stats.OutputErrorP50, func() int64 { return pr.relay.Output.ErrorPercent(0.5) })
 	pr.Stats.SetFunc(stats.OutputErrorP90, func() int64 { return pr.relay.Output.ErrorPercent(0.9) })
@@ -386,7 +388,7 @@
 }
 
 func listen(key, addr string) (net.Listener, error) {
-	li, err := net.Listen("tcp", addr)
+	li, err := accept.Listen(addr)
 	if err != nil {
 		return nil, oops.In("listen").With("setting", key).With("peer", addr).Wrap(err)
 	}
--- a/io/entry/export_test.go
+++ b/io/entry/export_test.go
@@ -1,19 +1,12 @@
 package entry
 
 import (
-	"net"
 	"time"
 
 	"almondrill/core"
 	"almondrill/core/place"
 )
 
-// WrapCallerConn wraps a connection as a caller's, and returns its closed method.
-func WrapCallerConn(co net.Conn) (net.Conn, func() bool) {
-	cc := &callerConn{TCPConn: co.(*net.TCPConn), timeouts: &callerTimeouts{}}
-	return cc, cc.closed
-}
-
 // ApplyItem applies an item that is new to the mirror.
 func (pr *Process) ApplyItem(it core.Item) { pr.view.applyItem(it) }
 
--- a/io/entry/serve.go
+++ b/io/entry/serve.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"net"
 	"net/http"
 	"net/url"
@@ -13,6 +14,7 @@
 	kratoshttp "github.com/go-kratos/kratos/v2/transport/http"
 	"go.uber.org/zap"
 
+	"almondrill/io/accept"
 	"almondrill/io/deny"
 	"almondrill/io/gossip"
 	"almondrill/io/logs"
@@ -20,12 +22,10 @@
 )
 
 const (
-	// maxHeaderBytes bounds the size of a header that is read, whatever the configuration says, so
-	// that headers cannot exhaust the memory. It is the default of net/http.
+	// maxHeaderBytes bounds the size of a head on the addresses that callers do not use, and headerTimeout the time to
+	// read it.
 	maxHeaderBytes = http.DefaultMaxHeaderBytes
-	// headerTimeout bounds the time to read a header on the addresses that callers do not use; on
-	// theirs the configuration sets it.
-	headerTimeout = 10 * time.Second
+	headerTimeout  = 10 * time.Second
 	// stopMargin is the time between closing the connections that are still in use and the end of
 	// DrainTimeout; it is for cleanup and the last log lines.
 	stopMargin = 400 * time.Millisecond
@@ -98,15 +98,14 @@
 			return nil, err
 		}
 		if on.key == "CallersAddr" {
-			li = &callerListener{Listener: li, timeouts: &pr.timeouts}
-		}
-		srv := pr.httpServer(li, on.handler)
-		if on.key == "CallersAddr" {
+			srv := pr.httpServer(pr.callersListener(li), on.handler)
 			srv.ConnContext = callerContext
-			srv.IdleTimeout = idleSentinel
-			srv.ReadHeaderTimeout = headerSentinel
+			srv.ReadHeaderTimeout, srv.IdleTimeout = accept.HeaderSentinel, accept.IdleSentinel
+			srv.MaxHeaderBytes = math.MaxInt32 // the listener bounds heads
+			servers = append(servers, srv)
+			continue
 		}
-		servers = append(servers, srv)
+		servers = append(servers, pr.httpServer(li, on.handler))
 	}
 	if se.MetricsAddr != "" {
 		servers = append(servers, pr.metrics()...)
@@ -127,6 +126,13 @@
 	return []transport.Server{pr.httpServer(li, mux)}
 }
 
+func (pr *Process) callersListener(li net.Listener) *accept.Listener {
+	return &accept.Listener{
+		Listener: callerListener{li}, Name: "CallersAddr", Bytes: &pr.bytes,
+		MaxHead: pr.headLimit.get, Timeouts: &pr.timeouts, Stats: pr.Stats, Log: pr.Logs.Part("accept"),
+	}
+}
+
 // httpServer creates a kratos HTTP server that uses the handler in place of kratos' own router,
 // which redirects paths that are not clean. It passes the endpoint's URL explicitly because the
 // library would list the machine's interfaces to find it.
--- a/io/entry/view.go
+++ b/io/entry/view.go
@@ -125,7 +125,8 @@
 		return
 	}
 	vi.pr.relay.SetTable(ta)
-	vi.pr.timeouts.set(ta.Limits.IdleTimeout, ta.Limits.HeaderTimeout)
+	vi.pr.timeouts.Set(ta.Limits.IdleTimeout, ta.Limits.HeaderTimeout)
+	vi.pr.headLimit.adopt(ta)
 	routes, customers := ta.Counts()
 	vi.log.Info("Adopted a configuration.", zap.Uint64("Version", uint64(ta.Version)), zap.Stringer("Rev", rev),
 		zap.Int("Routes", routes), zap.Int("Customers", customers), zap.Duration("Age", vi.pr.reader.Age()))
--- a/io/relay/attempt.go
+++ b/io/relay/attempt.go
@@ -11,6 +11,7 @@
 	"almondrill/core"
 	"almondrill/core/place"
 	"almondrill/core/route"
+	"almondrill/io/accept"
 	"almondrill/io/conns"
 	"almondrill/io/stats"
 )
@@ -307,7 +308,7 @@
 // complete reports whether the response ended there.
 func (ex *exchange) readBuffered() (body []byte, complete bool, err error) {
 	body, err = ex.rq.readBounded(io.LimitReader(ex.rs.Body, maxBuffered+1), ex.bodyLength())
-	if errors.Is(err, errNoMemory) {
+	if errors.Is(err, accept.ErrNoMemory) {
 		return body, false, nil
 	}
 	return body, len(body) <= maxBuffered, err
--- a/io/relay/endless_test.go
+++ b/io/relay/endless_test.go
@@ -44,7 +44,7 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			fl := newFleet(t, sendEndless(ca.start, ca.block)).configure(ca.ro)
-			fl.re.Memory.Limit = 8 << 20
+			fl.re.Memory.SetLimit(8 << 20)
 			began := time.Now()
 			rs, body, err := fl.send("POST", "/r/x", "")
 			if took := time.Since(began); took > time.Second {
@@ -53,7 +53,7 @@
 			if err == nil && rs.StatusCode < http.StatusMultipleChoices {
 				t.Errorf("got %d bytes of a success", len(body))
 			}
-			if held := fl.re.Memory.Held(); held != 0 {
+			if held := fl.re.Memory.Total(); held != 0 {
 				t.Errorf("%d bytes are still held", held)
 			}
 			if open := fl.re.Conns.OpenCount(fl.addrs[0]); open > 1 { // the idle one beside an answer without framing
@@ -87,7 +87,7 @@
 		return false
 	}
 	fl := newFleet(t, slow).configure(stream)
-	fl.re.Memory.Limit = limit
+	fl.re.Memory.SetLimit(limit)
 	ended := make(chan bool, streams)
 	for range streams {
 		go func() {
@@ -103,11 +103,11 @@
 				t.Error("a stream with an endless event is whole")
 			}
 		case <-time.After(time.Millisecond):
-			most = max(most, fl.re.Memory.Held())
+			most = max(most, fl.re.Memory.Total())
 		}
 	}
-	if most == 0 || most > limit || fl.re.Memory.Held() != 0 {
-		t.Errorf("held %d bytes at most, %d afterwards; the limit is %d", most, fl.re.Memory.Held(), int64(limit))
+	if most == 0 || most > limit || fl.re.Memory.Total() != 0 {
+		t.Errorf("held %d bytes at most, %d afterwards; the limit is %d", most, fl.re.Memory.Total(), int64(limit))
 	}
 }
 
--- a/io/relay/harness_test.go
+++ b/io/relay/harness_test.go
@@ -17,6 +17,7 @@
 	"go.uber.org/zap"
 
 	"almondrill/core"
+	"almondrill/core/ledger"
 	"almondrill/core/place"
 	"almondrill/core/retry"
 	"almondrill/core/route"
@@ -94,7 +95,7 @@
 	ra := clock.NewRand(1)
 	one := func() int { return 1 }
 	fl.re = &relay.Relay{
-		Dialect: dialect, Self: "router", Conns: &conns.Pool{}, Stats: stats.New(), Latency: &stats.Latencies{}, Rand: ra, Log: zap.NewNop(),
+		Dialect: dialect, Self: "router", Conns: &conns.Pool{}, Memory: &ledger.Ledger{}, Stats: stats.New(), Latency: &stats.Latencies{}, Rand: ra, Log: zap.NewNop(),
 		Placer:       &place.Placer{Zone: "a", Rand: ra, RouterCount: one},
 		Budget:       &retry.Window{Ratio: 0.2, Slack: 200, Span: 10 * time.Second, Routers: one},
 		ViewAge:      func() time.Duration { return fl.viewAge },
--- a/io/relay/memory_test.go
+++ b/io/relay/memory_test.go
@@ -45,13 +45,13 @@
 func TestSlowSendersStayWithinMemoryLimit(t *testing.T) {
 	const most, sent, callers = 1 << 20, 200 << 10, 30
 	fl := newFleet(t, respond(200, "ok")).configure(onceOnly)
-	fl.re.Memory.Limit = most
+	fl.re.Memory.SetLimit(most)
 	head := "POST /r/x HTTP/1.1\r\nHost: 127.0.0.1\r\nX-Key: k\r\nX-Wait: 60000\r\nContent-Length: %d\r\n\r\n"
 	for range callers {
 		fl.slowCaller(fmt.Sprintf(head, 1<<20))
 	}
 	waitFor(t, "all requests are in progress", func() bool { return fl.re.Stats.Value("InProgress") == callers })
-	if held := fl.re.Memory.Held(); held > callers*4<<10 {
+	if held := fl.re.Memory.Total(); held > callers*4<<10 {
 		t.Errorf("%d bytes in use for %d bodies that have not arrived", held, callers)
 	}
 	var slow []net.Conn
@@ -59,13 +59,13 @@
 		slow = append(slow, fl.slowCaller(fmt.Sprintf(head, 1<<20)+strings.Repeat("x", sent)))
 	}
 	waitFor(t, "half of the callers are refused", func() bool { return fl.re.Stats.Refusals(core.ReasonMemory) > callers/2 })
-	if held := fl.re.Memory.Held(); held > most {
+	if held := fl.re.Memory.Total(); held > most {
 		t.Errorf("%d bytes in use, want at most %d", held, most)
 	}
 	for _, co := range slow {
 		_ = co.Close()
 	}
-	waitFor(t, "the memory is released", func() bool { return fl.re.Memory.Held() <= callers*4<<10 })
+	waitFor(t, "the memory is released", func() bool { return fl.re.Memory.Total() <= callers*4<<10 })
 	rs, _, err := fl.send("POST", "/r/x", strings.Repeat("x", 100<<10))
 	fl.expect(rs, err, http.StatusOK, 1)
 }
@@ -74,13 +74,13 @@
 // guarantee that the request has not run, or that has no Retry-After.
 func TestRefusalOnMemoryLimit(t *testing.T) {
 	fl := newFleet(t, respond(200, "ok")).configure(onceOnly)
-	fl.re.Memory.Limit = 64 << 10
+	fl.re.Memory.SetLimit(64 << 10)
 	rs, _, err := fl.send("POST", "/r/x", strings.Repeat("x", 100<<10))
 	fl.expect(rs, err, http.StatusServiceUnavailable, 0)
 	if rs.Header.Get("Retry-After") == "" {
 		t.Error("no Retry-After")
 	}
-	if held := fl.re.Memory.Held(); held != 0 {
+	if held := fl.re.Memory.Total(); held != 0 {
 		t.Errorf("%d bytes in use after the request", held)
 	}
 	rs, _, err = fl.send("POST", "/r/x", "short")
@@ -92,13 +92,13 @@
 func TestSlowReadersStayWithinMemoryLimit(t *testing.T) {
 	const most, long, callers = 256 << 10, 900 << 10, 12
 	fl := newFleet(t, respond(200, strings.Repeat("y", long))).configure(onceOnly)
-	fl.re.Memory.Limit = most
+	fl.re.Memory.SetLimit(most)
 	var slow []net.Conn
 	for range callers {
 		slow = append(slow, fl.slowCaller("GET /r/x HTTP/1.1\r\nHost: 127.0.0.1\r\nX-Key: k\r\nConnection: close\r\n\r\n"))
 	}
 	waitFor(t, "all requests have reached the endpoint", func() bool { return len(fl.requests()) == callers })
-	if held := fl.re.Memory.Held(); held > most {
+	if held := fl.re.Memory.Total(); held > most {
 		t.Errorf("%d bytes in use, want at most %d", held, most)
 	}
 	for ix, co := range slow {
@@ -107,7 +107,7 @@
 			t.Errorf("response %d: %d bytes, %v", ix, len(data), err)
 		}
 	}
-	waitFor(t, "the memory is released", func() bool { return fl.re.Memory.Held() == 0 })
+	waitFor(t, "the memory is released", func() bool { return fl.re.Memory.Total() == 0 })
 }
 
 // Guards against streams that hold their requests' bodies for seconds although these cannot be sent
@@ -132,10 +132,10 @@
 			}
 		}()
 		waitFor(t, "the endpoint has the request", func() bool { return len(fl.requests()) == 1 })
-		waitFor(t, name, func() bool { return fl.re.Memory.Held() == want.held })
+		waitFor(t, name, func() bool { return fl.re.Memory.Total() == want.held })
 		close(goOn)
 		<-done
-		waitFor(t, "the memory is released", func() bool { return fl.re.Memory.Held() == 0 })
+		waitFor(t, "the memory is released", func() bool { return fl.re.Memory.Total() == 0 })
 		if got := fl.requests()[0].body; got != strings.Repeat("b", 10000) {
 			t.Errorf("%s: the endpoint received %d bytes", name, len(got))
 		}
--- a/io/relay/migrate_test.go
+++ b/io/relay/migrate_test.go
@@ -220,7 +220,7 @@
 		"not declared": func(en *engines, _ *planner) { en.fl.configurePool(moving, route.Pool{ID: "pool", Engine: true}) },
 		"shuts down":   func(en *engines, _ *planner) { en.fl.shuttingDown = true },
 		"budget":       func(en *engines, _ *planner) { en.fl.re.Budget.SetBound(0, 0) },
-		"memory":       func(en *engines, _ *planner) { en.fl.re.Memory.Limit = 10 },
+		"memory":       func(en *engines, _ *planner) { en.fl.re.Memory.SetLimit(10) },
 		"excluded":     func(_ *engines, pl *planner) { pl.avoid["e0"], pl.avoid["e1"] = true, true },
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -43,10 +43,12 @@
 	"almondrill/core"
 	"almondrill/core/builds"
 	"almondrill/core/demand"
+	"almondrill/core/ledger"
 	"almondrill/core/outlen"
 	"almondrill/core/place"
 	"almondrill/core/retry"
 	"almondrill/core/route"
+	"almondrill/io/accept"
 	"almondrill/io/conns"
 	"almondrill/io/stats"
 )
@@ -160,8 +162,8 @@
 	Crashes core.CrashDetector
 	Budget  *retry.Window
 	Conns   *conns.Pool
-	// Memory bounds the buffers of request and response bodies.
-	Memory Memory
+	// Memory is the process's account of bytes; buffers of request and response bodies are ledger.Buffers.
+	Memory *ledger.Ledger
 	// Output estimates the lengths of streams.
 	Output  outlen.Estimator
 	Stats   *stats.Set
@@ -290,7 +292,7 @@
 		rf.RetryAfter = noConfigRetryAfter
 		return rf
 	}
-	if limit := rq.maxHead(); headSize(rq.hr) > limit {
+	if limit := MaxHead(rq.table); usualHeadSize(rq.hr) > limit {
 		return rq.tooLarge(http.StatusRequestHeaderFieldsTooLarge, "head", limit)
 	}
 	rq.route = rq.table.Find(rq.hr.Host, rq.hr.URL.Path)
@@ -363,7 +365,10 @@
 	}
 	var large *http.MaxBytesError
 	switch {
-	case errors.Is(err, errNoMemory):
+	case errors.Is(err, accept.ErrNoMemory):
+		if co := accept.FromContext(hr.Context()); co != nil {
+			co.MakeRoom()
+		}
 		rf := rq.notRun(core.ReasonMemory, "read", "bodies and answers of other requests take the memory that there is for them")
 		rf.RetryAfter = memoryRetryAfter
 		return rf
@@ -388,17 +393,17 @@
 	return rf
 }
 
-// maxHead returns the size limit of request heads, in bytes.
-func (rq *request) maxHead() int64 {
-	if limit := int64(rq.table.Limits.MaxHeader); limit > 0 {
-		return limit
+// MaxHead returns the size limit of request heads, in bytes; the default if there is no configuration.
+func MaxHead(ta *route.Table) int64 {
+	if ta != nil && ta.Limits.MaxHeader > 0 {
+		return int64(ta.Limits.MaxHeader)
 	}
 	return defaultMaxHead
 }
 
-// headSize returns the size of a request's head as received, in bytes: the request line, and each
+// usualHeadSize returns the size of a request's head, in bytes, as usually formatted: the request line, and each
 // header field with its colon, space and line end.
-func headSize(hr *http.Request) int64 {
+func usualHeadSize(hr *http.Request) int64 {
 	const separators = len(": ") + len("\r\n")
 	size := len(hr.Method) + len(hr.RequestURI) + len(hr.Proto) + separators
 	size += len("Host") + len(hr.Host) + separators
--- a/io/relay/runstream.go
+++ b/io/relay/runstream.go
@@ -11,6 +11,7 @@
 	"syscall"
 	"time"
 
+	"almondrill/core/ledger"
 	"almondrill/core/migr"
 	"almondrill/core/place"
 	"almondrill/core/route"
@@ -83,8 +84,9 @@
 	if ru == nil || ru.fixed {
 		return false
 	}
-	me := &ru.rq.re.Memory
-	ru.fixed = me.Limit > 0 && float64(me.Held()) > keptBodiesShare*float64(me.Limit)
+	me := ru.rq.re.Memory
+	most := me.Most(ledger.Buffers)
+	ru.fixed = most > 0 && float64(me.Held(ledger.Buffers)) > keptBodiesShare*float64(most)
 	return !ru.fixed
 }
 
--- a/io/relay/stream.go
+++ b/io/relay/stream.go
@@ -13,7 +13,9 @@
 	"go.uber.org/zap"
 
 	"almondrill/core"
+	"almondrill/core/ledger"
 	"almondrill/core/place"
+	"almondrill/io/accept"
 	"almondrill/io/conns"
 	"almondrill/io/events"
 	"almondrill/io/stats"
@@ -54,7 +56,7 @@
 		if len(pending) == cap(pending) {
 			grown, ok := ex.rq.growPending(pending)
 			if !ok {
-				return ex.oversized(errNoMemory)
+				return ex.oversized(accept.ErrNoMemory)
 			}
 			pending = grown
 		}
@@ -103,7 +105,7 @@
 func (rq *request) growPending(pending []byte) ([]byte, bool) {
 	more := int64(cap(pending))
 	if cap(pending) >= readSize {
-		if !rq.re.Memory.reserve(more) {
+		if !rq.re.Memory.Reserve(ledger.Buffers, more) {
 			return nil, false
 		}
 		rq.heldBytes += more
--- a/io/stats/stats.go
+++ b/io/stats/stats.go
@@ -58,8 +58,13 @@
 	RegistrationsUnusable = "RegistrationsUnusable"
 	// StoreLed is 1 in a router that watches the platform's store on behalf of all.
 	StoreLed = "StoreLed"
-	// BytesHeld is the number of bytes buffered of request and response bodies.
+	// BytesHeld is the number of bytes that callers make the process hold.
 	BytesHeld = "BytesHeld"
+	// ConnsEvicted counts connections that were closed for lack of room, ConnsRefused new ones that were, and
+	// HeadsRefused heads that were refused as they arrived.
+	ConnsEvicted = "ConnsEvicted"
+	ConnsRefused = "ConnsRefused"
+	HeadsRefused = "HeadsRefused"
 	// EndpointsDisplaced counts endpoints with whose address another endpoint registered.
 	EndpointsDisplaced = "EndpointsDisplaced"
 	// ItemsFailed counts items of the store that triggered a fault of this program.
