io/relay: a head's size is that which arrived

Callers with a head of 3,800 fields 'a:', 15.4 KB of the 16 KB allowed, got 431, in the one direction; in the other, padding between a field's name and value did not count.

Cause: the size was computed from the parsed fields, with a space for each, and not counted.

Fix: the size is the number of bytes that arrived, where none of them can have arrived with an earlier request; else the smaller of both, so that a request within the limit is never refused.

--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -292,7 +292,7 @@
 		rf.RetryAfter = noConfigRetryAfter
 		return rf
 	}
-	if limit := MaxHead(rq.table); usualHeadSize(rq.hr) > limit {
+	if limit := MaxHead(rq.table); rq.headSize() > limit {
 		return rq.tooLarge(http.StatusRequestHeaderFieldsTooLarge, "head", limit)
 	}
 	rq.route = rq.table.Find(rq.hr.Host, rq.hr.URL.Path)
@@ -401,6 +401,19 @@
 	return defaultMaxHead
 }
 
+// headSize returns the size of the request's head in bytes, as it arrived. If that is not known for certain, it is at
+// most the usual size of the fields.
+func (rq *request) headSize() int64 {
+	if co := accept.FromContext(rq.hr.Context()); co != nil {
+		size, exact := co.HeadSize()
+		if exact {
+			return size
+		}
+		return min(size, usualHeadSize(rq.hr))
+	}
+	return usualHeadSize(rq.hr)
+}
+
 // usualHeadSize returns the size of a request's head, in bytes, as usually formatted: the request line, and each
 // header field with its colon, space and line end.
 func usualHeadSize(hr *http.Request) int64 {
