io/accept, io/conns: what callers hold in descriptors is bounded for the process

Callers were not answered while others held more connections than the process may have descriptors: by sending nothing, by not reading long responses, by requests without end on one connection, by bodies of refused requests that never come.

Cause: no setting said how many descriptors the process has, and callers could take all of them. What the store, peers and endpoints need failed then with EMFILE, and an endpoint that could not be connected to for lack of a descriptor counted as down.

Fix: MaxDescriptors, which the platform's template fills, less FileDescriptors, is an account like that of bytes. An eighth, 48 to 256, is for the process's own work; callers' connections may take two thirds of the rest, connections to endpoints a third, so that accepted requests can be forwarded. Beyond its part, a new connection of a caller takes the place of the one that is worth least, a connection to an endpoint that of the idle one that expires first; else the request is refused with reason Descriptors, has not run, and the endpoint is not blamed. Without the setting, the system's limit is divided.

--- a/core/outcome.go
+++ b/core/outcome.go
@@ -65,6 +65,7 @@
 	ReasonNoHome         Reason = "NoHome"         // the pool has no endpoint in the request's home regions
 	ReasonColdLimit      Reason = "ColdLimit"      // the cold endpoint is at its request rate limit
 	ReasonMemory         Reason = "Memory"         // the router is at its memory limit for bodies and answers
+	ReasonDescriptors    Reason = "Descriptors"    // the router has no descriptor left for a connection
 	ReasonMemoryFull     Reason = "MemoryFull"     // no engine of the pool has memory for the request
 	ReasonBackoff        Reason = "Backoff"        // the endpoint asked for a pause in requests
 	ReasonVersionGone    Reason = "VersionGone"    // no endpoint of the stream's software version is left
@@ -83,7 +84,7 @@
 	ReasonDeadline, ReasonCallerGone, ReasonKVDown, ReasonClaimLost, ReasonKeyReused, ReasonAnswerGone,
 	ReasonUnreachable, ReasonPeerLost, ReasonEndpointDown, ReasonEndpointError, ReasonCrashed,
 	ReasonCutShort, ReasonCrossed, ReasonStalled, ReasonRetryBudget, ReasonQuarantined,
-	ReasonEvacuated, ReasonNoHome, ReasonColdLimit, ReasonBackoff, ReasonMemory, ReasonMemoryFull, ReasonVersionGone, ReasonVersionUnknown, ReasonReloading, ReasonOldFence, ReasonOrderBusy, ReasonWeightsBusy,
+	ReasonEvacuated, ReasonNoHome, ReasonColdLimit, ReasonBackoff, ReasonMemory, ReasonDescriptors, ReasonMemoryFull, ReasonVersionGone, ReasonVersionUnknown, ReasonReloading, ReasonOldFence, ReasonOrderBusy, ReasonWeightsBusy,
 }
 
 // Refusal is the error of an attempt whose Outcome is not Whole.
--- a/io/conf/relay.go
+++ b/io/conf/relay.go
@@ -32,6 +32,8 @@
 	EngineDrainTime time.Duration `yaml:"EngineDrainTime" doc:"How long engines serve at least after they announced their shutdown, without the 1.5 s that all of them add. Default 3s."`
 	ReturnDelay     time.Duration `yaml:"ReturnDelay" doc:"How long after an outage of the store registrations that lapsed in it may be missing. Default 2s."`
 	MemoryMB        int           `yaml:"MemoryMB" doc:"Memory of the process in megabytes; 0 means no bound. Callers may take 0.6 of what is above 32 MB: half of that for connections, 0.15 for heads, 0.35 for bodies and responses."`
+	MaxDescriptors  int           `yaml:"MaxDescriptors" doc:"Descriptors that the process may have open. Default: the system's limit for the process. An eighth, 48 to 256, is for the process's own work; callers' connections may take two thirds of the rest, connections to endpoints one third."`
+	FileDescriptors int           `yaml:"FileDescriptors" doc:"How many of MaxDescriptors are kept for files. Default 0."`
 	LogLevel        string        `yaml:"LogLevel" doc:"debug, info, warn or error. Default info."`
 }
 
@@ -74,6 +76,7 @@
 		"RetryRatio": se.RetryRatio, "RetrySlack": se.RetrySlack,
 		"RetrySpan": float64(se.RetrySpan), "DrainDelay": float64(se.DrainDelay),
 		"DrainTimeout": float64(se.DrainTimeout), "ReturnDelay": float64(se.ReturnDelay), "EngineDrainTime": float64(se.EngineDrainTime), "MemoryMB": float64(se.MemoryMB),
+		"MaxDescriptors": float64(se.MaxDescriptors), "FileDescriptors": float64(se.FileDescriptors),
 	} {
 		if value < 0 {
 			ch.addProblem(ch.keyLines[key], "%s must not be negative", key)
--- a/io/conns/conns.go
+++ b/io/conns/conns.go
@@ -34,11 +34,14 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
 	"syscall"
 	"time"
+
+	"almondrill/core/ledger"
 )
 
 const (
@@ -72,12 +75,17 @@
 var (
 	// ErrStray is returned if the endpoint's responses belong to other requests.
 	ErrStray = errors.New("the answer is for another request")
+	// ErrNoDescriptors is returned if the process has no descriptor left for a connection.
+	ErrNoDescriptors = errors.New("no descriptor is left for a connection")
 	// ErrHeadTooLong is returned if the head of a response does not end within maxHeadSize.
 	ErrHeadTooLong = errors.New("the head of the answer is too long")
 )
 
 // Pool keeps idle connections by address. The zero value is ready to use.
 type Pool struct {
+	// Descriptors is the process's account; connections are ledger.Endpoints. nil if they are not limited.
+	Descriptors *ledger.Ledger
+
 	mu   sync.Mutex // guards all below
 	idle map[string][]*Conn
 	// open holds all connections, idle or in use.
@@ -159,8 +167,12 @@
 
 func (po *Pool) dial(ctx context.Context, addr string) (*Conn, error) {
 	di := net.Dialer{Timeout: dialTimeout, KeepAlive: keepAliveInterval, Control: control}
+	if !po.reserve() {
+		return nil, fmt.Errorf("connect to %s: %w", addr, ErrNoDescriptors)
+	}
 	raw, err := di.DialContext(ctx, "tcp", addr)
 	if err != nil {
+		po.Descriptors.Release(ledger.Endpoints, 1)
 		return nil, fmt.Errorf("connect to %s: %w", addr, err)
 	}
 	now := time.Now()
@@ -172,6 +184,37 @@
 	return co, nil
 }
 
+// reserve reserves the descriptor of a connection. If there is none, it closes the idle connection that expires first.
+func (po *Pool) reserve() bool {
+	if po.Descriptors.Reserve(ledger.Endpoints, 1) {
+		return true
+	}
+	co := po.popExpiring()
+	if co == nil {
+		return false
+	}
+	co.Close()
+	return po.Descriptors.Reserve(ledger.Endpoints, 1)
+}
+
+// popExpiring returns the idle connection that expires first, nil if none is idle.
+func (po *Pool) popExpiring() *Conn {
+	po.mu.Lock()
+	defer po.mu.Unlock()
+	var first *Conn
+	for _, list := range po.idle {
+		for _, co := range list {
+			if first == nil || co.expires.Before(first.expires) {
+				first = co
+			}
+		}
+	}
+	if first != nil {
+		po.idle[first.Addr] = slices.DeleteFunc(po.idle[first.Addr], func(co *Conn) bool { return co == first })
+	}
+	return first
+}
+
 func (po *Pool) addOpen(co *Conn) {
 	po.mu.Lock()
 	defer po.mu.Unlock()
@@ -362,6 +405,7 @@
 	co.closeOnce.Do(func() {
 		_ = co.raw.Close() // an error leaves nothing to clean up
 		co.po.removeOpen(co)
+		co.po.Descriptors.Release(ledger.Endpoints, 1)
 	})
 }
 
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -23,6 +23,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"math"
 	"net"
@@ -36,7 +37,6 @@
 
 	"almondrill/core"
 	"almondrill/core/builds"
-	"almondrill/core/ledger"
 	"almondrill/core/migr"
 	"almondrill/core/mirror"
 	"almondrill/core/place"
@@ -138,7 +138,7 @@
 	lastingEras  markedEras
 	listed       atomic.Bool // set once all of the store was read
 	timeouts     accept.Timeouts
-	bytes        ledger.Ledger
+	accounts     *accounts
 	headLimit    headLimit
 	shuttingDown atomic.Bool
 	app          atomic.Pointer[kratos.App]
@@ -188,9 +188,8 @@
 	}
 	pr.log = pr.Logs.Part("entry")
 	pr.rand = clock.NewRand(clock.RandomSeed())
-	pr.bytes.Shares = ledger.Bytes
-	pr.bytes.SetLimit(ledger.ClientBytes(int64(se.MemoryMB) << 20))
-	pr.pool = &conns.Pool{}
+	pr.accounts = newAccounts(se)
+	pr.pool = &conns.Pool{Descriptors: pr.accounts.descriptors}
 	pr.mirror = &mirror.Mirror{Outranks: pr.Platform.Outranks}
 	pr.peers = &gossip.Group{Self: se.Name, Addr: se.PeersAddr, Mirror: pr.mirror, Rand: pr.rand, Log: pr.Logs.Part("gossip")}
 	pr.placer = &place.Placer{
@@ -228,7 +227,7 @@
 	pr.relay.NewPlanner = func() relay.Planner {
 		return &migr.Planner{Source: pr.placer.MigrationSource, DrainTime: se.EngineDrainTime}
 	}
-	pr.relay.Memory = &pr.bytes
+	pr.relay.Memory = pr.accounts.bytes
 	pr.view = &view{pr: pr, log: pr.Logs.Part("view"), evacuations: newEvacuations()}
 	pr.mirror.Changed, pr.mirror.Restored = pr.view.applyItem, pr.reader.NoteRestore
 	pr.addSeeds()
@@ -236,10 +235,14 @@
 }
 
 // probe reports whether a connection to an endpoint can be made; known is false for an endpoint
-// that was removed.
+// that was removed. That this process has no descriptor for one says nothing against the endpoint.
 func (pr *Process) probe(ctx context.Context, endpoint uint64) (reached, known bool) {
 	addr, known := pr.placer.AddrOf(endpoint)
-	return known && pr.pool.Connect(ctx, addr) == nil, known
+	if !known {
+		return false, false
+	}
+	err := pr.pool.Connect(ctx, addr)
+	return err == nil || errors.Is(err, conns.ErrNoDescriptors), true
 }
 
 // engineSpeeds returns the endpoints that are slower than usual, for operators.
@@ -275,7 +278,8 @@
 	pr.latency.Publish(pr.Stats)
 	pr.Stats.SetFunc(stats.ConfigRevision, func() int64 { return int64(pr.configVersion()) })
 	pr.Stats.SetFunc(stats.StoreLed, func() int64 { return boolCount(pr.peers.IsWatcher()) })
-	pr.Stats.SetFunc(stats.BytesHeld, pr.bytes.Total)
+	pr.Stats.SetFunc(stats.BytesHeld, pr.accounts.bytes.Total)
+	pr.Stats.SetFunc(stats.DescriptorsHeld, pr.accounts.descriptors.Total)
 	pr.Stats.SetFunc(stats.MemoryWaiting, func() int64 { return int64(pr.placer.MemoryWaits()) })
 	pr.Stats.SetFunc(stats.OutputErrorP50, func() int64 { return pr.relay.Output.ErrorPercent(0.5) })
 	pr.Stats.SetFunc(stats.OutputErrorP90, func() int64 { return pr.relay.Output.ErrorPercent(0.9) })
--- a/io/entry/serve.go
+++ b/io/entry/serve.go
@@ -128,7 +128,7 @@
 
 func (pr *Process) callersListener(li net.Listener) *accept.Listener {
 	return &accept.Listener{
-		Listener: callerListener{li}, Name: "CallersAddr", Bytes: &pr.bytes,
+		Listener: callerListener{li}, Name: "CallersAddr", Bytes: pr.accounts.bytes, Descriptors: pr.accounts.descriptors,
 		MaxHead: pr.headLimit.get, Timeouts: &pr.timeouts, Stats: pr.Stats, Log: pr.Logs.Part("accept"),
 	}
 }
--- a/io/relay/attempt.go
+++ b/io/relay/attempt.go
@@ -66,6 +66,11 @@
 func (ex *exchange) run(ctx context.Context, header http.Header) (*core.Refusal, place.Result) {
 	ex.rq.framing = ""
 	co, err := ex.rq.re.Conns.Get(ctx, ex.tk.Endpoint.Addr)
+	if errors.Is(err, conns.ErrNoDescriptors) {
+		rf := ex.refusal(core.NotRun, core.ReasonDescriptors, "connect", err)
+		rf.RetryAfter = memoryRetryAfter
+		return rf, place.Neutral
+	}
 	if err != nil {
 		ex.connRefused = isConnRefused(err)
 		return ex.refusal(core.NotRun, core.ReasonEndpointDown, "connect", err), ex.unlessCallerGone(place.Unreachable)
--- a/io/stats/stats.go
+++ b/io/stats/stats.go
@@ -58,8 +58,10 @@
 	RegistrationsUnusable = "RegistrationsUnusable"
 	// StoreLed is 1 in a router that watches the platform's store on behalf of all.
 	StoreLed = "StoreLed"
-	// BytesHeld is the number of bytes that callers make the process hold.
-	BytesHeld = "BytesHeld"
+	// BytesHeld is the number of bytes that callers make the process hold, DescriptorsHeld the number of descriptors
+	// of connections of callers and to endpoints.
+	BytesHeld       = "BytesHeld"
+	DescriptorsHeld = "DescriptorsHeld"
 	// ConnsEvicted counts connections that were closed for lack of room, ConnsRefused new ones that were, and
 	// HeadsRefused heads that were refused as they arrived.
 	ConnsEvicted = "ConnsEvicted"
