io/relay: a refusal does not wait for a body that never comes

Callers whose requests were refused before their bodies had arrived, with an unknown route or key, got no answer. Their connections, and a goroutine each, were held for good.

Cause: the server reads the rest of a short body before it writes the response, and no deadline applied to that.

Fix: a refusal of a request whose body has not arrived gives the rest half a second. The response then closes the connection, so that the rest is not read as the next request.

--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -360,7 +360,7 @@
 	body, err := rq.readBounded(http.MaxBytesReader(rq.wr, hr.Body, limit), hr.ContentLength)
 	if err == nil {
 		_ = rq.control.SetReadDeadline(time.Time{})
-		rq.body = body
+		rq.body, rq.bodyRead = body, true
 		return nil
 	}
 	var large *http.MaxBytesError
--- a/io/relay/request.go
+++ b/io/relay/request.go
@@ -36,6 +36,8 @@
 	pool        core.PoolID
 	promptParts []place.Part
 	body        []byte
+	// bodyRead is set once all of the body has arrived.
+	bodyRead bool
 	// heldBytes is how much of Relay.Memory the request has reserved.
 	heldBytes int64
 	// fingerprint is the same for all of the caller's attempts of a request.
--- a/io/relay/response.go
+++ b/io/relay/response.go
@@ -67,6 +67,7 @@
 // refuse writes the router's own error response.
 func (rq *request) refuse(rf *core.Refusal) {
 	status := statusOf(rf)
+	rq.endBody()
 	rq.re.Stats.CountRefusal(rf.Reason)
 	rq.re.Stats.CountOutcome(rf.Outcome)
 	if rf.Outcome == core.NotRun {
@@ -92,6 +93,17 @@
 	_, _ = rq.wr.Write(body) // fails only if the caller has disconnected
 }
 
+// refusedBodyTimeout bounds the time to read on a body that is not used: the server reads the rest of a short one
+// before it writes the response.
+const refusedBodyTimeout = 500 * time.Millisecond
+
+// endBody bounds the time for the rest of a body, if the request is refused before all of it has arrived.
+func (rq *request) endBody() {
+	if !rq.bodyRead && rq.hr.Body != nil && rq.hr.Body != http.NoBody {
+		_ = rq.control.SetReadDeadline(time.Now().Add(refusedBodyTimeout))
+	}
+}
+
 // retryAfter returns the Retry-After value in seconds, with jitter, so that callers that were
 // refused at the same time do not retry at the same time. A reserved time has no jitter; where none
 // could be reserved before the caller's deadline, or a retry cannot succeed, it returns "".
