io/entry: the listeners that callers do not use are bounded as well

Operators and the balancer saw a router end, out of memory, or stay unanswered, when clients sent heads of a megabyte to the listener of health checks, peers, operators or metrics, or held connections to it.

Cause: heads there had net/http's bound of 1 MB each, idle connections no bound in time, and connections none in number; a response that nobody read had no bound in time either.

Fix: the same Listener as for callers, with heads of 8 KB and, of the descriptors for the process's own work, an eighth each, a quarter for peers; a request takes at most 10 s there, its response 30 s, and an idle connection a minute. Where there is no room, the connection that is worth least is closed, so that a health check that is sent at once is answered.

--- a/io/entry/serve.go
+++ b/io/entry/serve.go
@@ -22,10 +22,16 @@
 )
 
 const (
-	// maxHeaderBytes bounds the size of a head on the addresses that callers do not use, and headerTimeout the time to
-	// read it.
-	maxHeaderBytes = http.DefaultMaxHeaderBytes
-	headerTimeout  = 10 * time.Second
+	// ownMaxHead bounds the size of a head, in bytes, on the addresses that callers do not use; on theirs
+	// the configuration sets it.
+	ownMaxHead = 8 << 10
+	// ownReadTimeout and ownWriteTimeout bound the time to read a request there, and to write its response.
+	ownReadTimeout  = 10 * time.Second
+	ownWriteTimeout = 30 * time.Second
+	// ownListenerShare and peersShare are the shares of the process's own descriptors that connections to one of these
+	// addresses may take.
+	ownListenerShare = 0.125
+	peersShare       = 0.25
 	// stopMargin is the time between closing the connections that are still in use and the end of
 	// DrainTimeout; it is for cleanup and the last log lines.
 	stopMargin = 400 * time.Millisecond
@@ -100,12 +106,10 @@
 		if on.key == "CallersAddr" {
 			srv := pr.httpServer(pr.callersListener(li), on.handler)
 			srv.ConnContext = callerContext
-			srv.ReadHeaderTimeout, srv.IdleTimeout = accept.HeaderSentinel, accept.IdleSentinel
-			srv.MaxHeaderBytes = math.MaxInt32 // the listener bounds heads
 			servers = append(servers, srv)
 			continue
 		}
-		servers = append(servers, pr.httpServer(li, on.handler))
+		servers = append(servers, pr.ownServer(on.key, li, on.handler))
 	}
 	if se.MetricsAddr != "" {
 		servers = append(servers, pr.metrics()...)
@@ -123,7 +127,7 @@
 	}
 	mux := http.NewServeMux()
 	mux.Handle("/metrics", pr.Stats.TextHandler())
-	return []transport.Server{pr.httpServer(li, mux)}
+	return []transport.Server{pr.ownServer("MetricsAddr", li, mux)}
 }
 
 func (pr *Process) callersListener(li net.Listener) *accept.Listener {
@@ -133,6 +137,22 @@
 	}
 }
 
+// ownServer serves an address that callers do not use. Its connections take a part of the process's own descriptors, and
+// their bytes do not depend on what callers hold.
+func (pr *Process) ownServer(key string, li net.Listener, handler http.Handler) *kratoshttp.Server {
+	share := ownListenerShare
+	if key == "PeersAddr" {
+		share = peersShare
+	}
+	srv := pr.httpServer(&accept.Listener{
+		Listener: li, Name: key, Most: max(1, int(share*float64(pr.accounts.own))),
+		MaxHead:  func() accept.HeadLimit { return accept.HeadLimit{Bytes: ownMaxHead, Refusal: accept.TooLarge} },
+		Timeouts: &accept.Timeouts{}, Stats: pr.Stats, Log: pr.Logs.Part("accept"),
+	}, handler)
+	srv.ReadTimeout, srv.WriteTimeout = ownReadTimeout, ownWriteTimeout
+	return srv
+}
+
 // httpServer creates a kratos HTTP server that uses the handler in place of kratos' own router,
 // which redirects paths that are not clean. It passes the endpoint's URL explicitly because the
 // library would list the machine's interfaces to find it.
@@ -140,8 +160,9 @@
 	own := &url.URL{Scheme: "http", Host: li.Addr().String()}
 	srv := kratoshttp.NewServer(kratoshttp.Listener(li), kratoshttp.Endpoint(own), kratoshttp.Timeout(0))
 	srv.Handler = handler
-	srv.ReadHeaderTimeout = headerTimeout
-	srv.MaxHeaderBytes = maxHeaderBytes
+	srv.ConnContext = accept.ConnContext
+	srv.ReadHeaderTimeout, srv.IdleTimeout = accept.HeaderSentinel, accept.IdleSentinel
+	srv.MaxHeaderBytes = math.MaxInt32 // the listener bounds heads
 	srv.ErrorLog = nil
 	return srv
 }
