io/relay: log lines do not grow with what callers send

A router's log queue holds 1,024 lines, of some 300 bytes as its comment has it, but a line held request ids, names of streams and paths as the caller sent them, up to a head's limit each.

Cause: these texts were logged whole.

Fix: a text of a client is cut to 256 bytes in log lines.

Tables whose keys callers make up were read through: prompt parts, homes, moved chats, streams' origins, suspects and quarantines, customers' names and peers each have a bound in number already.

--- a/io/logs/logs.go
+++ b/io/logs/logs.go
@@ -9,6 +9,7 @@
 import (
 	"errors"
 	"io"
+	"strings"
 	"sync"
 
 	kratoslog "github.com/go-kratos/kratos/v2/log"
@@ -77,3 +78,14 @@
 	}
 	return fields
 }
+
+// maxText is the length in bytes up to which a text of a client is logged.
+const maxText = 256
+
+// Short returns a text that a client has sent, cut for a log line.
+func Short(text string) string {
+	if len(text) <= maxText {
+		return text
+	}
+	return strings.ToValidUTF8(text[:maxText], "") + "..."
+}
--- a/io/relay/log_test.go
+++ b/io/relay/log_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strings"
 	"testing"
 
 	"go.uber.org/zap"
@@ -33,3 +34,29 @@
 		t.Errorf("chat id logged as %v, want a string of hexadecimal digits", served[0].ContextMap()["Chat"])
 	}
 }
+
+// Guards against log lines as long as what callers make up: many of them wait for a slow reader of the output.
+func TestLogLinesDoNotGrowWithWhatCallersSend(t *testing.T) {
+	fl := newFleet(t, respond(200, "ok")).configure(onceOnly)
+	logged, lines := observer.New(zapcore.DebugLevel)
+	fl.re.Log = zap.New(logged)
+	long := strings.Repeat("x", 9000)
+	for _, path := range []string{"/r/x", "/" + long} {
+		_, _, _ = fl.send("POST", path, "hello", "X-Id", long, "Last-Event-Id", "1", "X-Resumes", long)
+		_, _, _ = fl.send("POST", path, "hello", "X-Id", long, "X-Wait", long)
+		_, _, _ = fl.send("POST", path, "hello", "X-Id", long, "X-Key", long)
+	}
+	if lines.Len() == 0 {
+		t.Fatal("nothing was logged")
+	}
+	encoder := zapcore.NewJSONEncoder(zapcore.EncoderConfig{MessageKey: "Message"})
+	for _, line := range lines.All() {
+		text, err := encoder.EncodeEntry(line.Entry, line.Context)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if text.Len() > 2<<10 {
+			t.Errorf("a line of %d bytes: %.300s", text.Len(), text)
+		}
+	}
+}
--- a/io/relay/notice.go
+++ b/io/relay/notice.go
@@ -6,6 +6,7 @@
 
 	"go.uber.org/zap"
 
+	"almondrill/io/logs"
 	"almondrill/io/stats"
 )
 
@@ -34,7 +35,7 @@
 		return
 	}
 	ex.rq.re.Log.Info("An endpoint announced its shutdown.", zap.String("Endpoint", string(ex.tk.Endpoint.ID)),
-		zap.String("Addr", ex.tk.Endpoint.Addr), zap.String("Request", ex.rq.id), zap.Int("Status", ex.rs.StatusCode),
+		zap.String("Addr", ex.tk.Endpoint.Addr), zap.String("Request", logs.Short(ex.rq.id)), zap.Int("Status", ex.rs.StatusCode),
 		zap.Duration("Age", ex.rq.re.ViewAge()))
 	if counts := ex.rq.re.Counts; counts != nil {
 		counts.ReportDraining(ex.tk.Hash)
@@ -48,6 +49,6 @@
 		return
 	}
 	ex.rq.re.Log.Info("An endpoint asked for a pause in requests.", zap.String("Endpoint", string(ex.tk.Endpoint.ID)),
-		zap.String("Addr", ex.tk.Endpoint.Addr), zap.String("Request", ex.rq.id), zap.Duration("For", backoff),
+		zap.String("Addr", ex.tk.Endpoint.Addr), zap.String("Request", logs.Short(ex.rq.id)), zap.Duration("For", backoff),
 		zap.Duration("Age", ex.rq.re.ViewAge()))
 }
--- a/io/relay/request.go
+++ b/io/relay/request.go
@@ -14,6 +14,7 @@
 	"almondrill/core/place"
 	"almondrill/core/route"
 	"almondrill/io/abort"
+	"almondrill/io/logs"
 	"almondrill/io/stats"
 )
 
@@ -366,7 +367,7 @@
 // logFields returns the fields that identify the request and explain the choice of its endpoint.
 func (rq *request) logFields(more ...zap.Field) []zap.Field {
 	fields := append(make([]zap.Field, 0, maxLogFields), more...)
-	fields = append(fields, zap.String("Request", rq.id))
+	fields = append(fields, zap.String("Request", logs.Short(rq.id)))
 	if rq.route != nil {
 		fields = append(fields, zap.String("Route", rq.route.Name), zap.Uint64("Version", uint64(rq.table.Version)))
 	}
@@ -377,7 +378,7 @@
 		fields = append(fields, zap.Stringer("Fingerprint", rq.fingerprint))
 	}
 	if after := rq.resumedAfter(); after != "" {
-		fields = append(fields, zap.String("Resumes", rq.resumes()), zap.String("After", after))
+		fields = append(fields, zap.String("Resumes", logs.Short(rq.resumes())), zap.String("After", logs.Short(after)))
 	}
 	if rq.sends > 0 {
 		fields = append(fields, zap.Int("Sends", rq.sends), zap.Bool("Asked", rq.countAsked))
@@ -412,7 +413,7 @@
 		basis = zap.String("Basis", rf.Basis)
 	}
 	return rq.logFields(basis, zap.String("Outcome", rf.Outcome.String()), zap.String("Reason", string(rf.Reason)),
-		zap.String("Step", rf.Step), zap.String("Peer", rf.Peer), zap.String("Detail", rf.Detail),
+		zap.String("Step", rf.Step), zap.String("Peer", rf.Peer), zap.String("Detail", logs.Short(rf.Detail)),
 		zap.Duration("Took", time.Since(rq.began)))
 }
 
--- a/io/relay/resume.go
+++ b/io/relay/resume.go
@@ -75,8 +75,8 @@
 	rq.re.Stats.Add(stats.StreamsResumed, 1)
 	found, basis, others := rq.findBuild(ctx)
 	build := found.Build
-	rq.re.Log.Info("A caller resumes a stream.", zap.String("Request", rq.id), zap.String("Resumes", rq.resumes()),
-		zap.String("After", after), zap.String("Route", rq.route.Name), zap.String("Build", fmt.Sprintf("%08x", uint32(build))),
+	rq.re.Log.Info("A caller resumes a stream.", zap.String("Request", logs.Short(rq.id)), zap.String("Resumes", logs.Short(rq.resumes())),
+		zap.String("After", logs.Short(after)), zap.String("Route", rq.route.Name), zap.String("Build", fmt.Sprintf("%08x", uint32(build))),
 		zap.String("Basis", basis), zap.Int("Asked", found.Asked), zap.Int("Answered", found.Answered), zap.Stringer("PeersSaw", others), zap.Duration("Took", time.Since(rq.began)), zap.Duration("Age", rq.re.ViewAge()))
 	switch {
 	case basis == basisNone:
@@ -155,7 +155,7 @@
 	}
 	if err := rq.re.VerifyView(ctx); err != nil {
 		rq.re.Stats.Add(stats.ViewsNotVerified, 1)
-		rq.re.Log.Info("The view could not be verified.", append(logs.ErrorFields(err), zap.String("Request", rq.id), zap.Duration("Age", rq.re.ViewAge()))...)
+		rq.re.Log.Info("The view could not be verified.", append(logs.ErrorFields(err), zap.String("Request", logs.Short(rq.id)), zap.Duration("Age", rq.re.ViewAge()))...)
 		return false
 	}
 	return true
--- a/io/relay/running.go
+++ b/io/relay/running.go
@@ -6,6 +6,7 @@
 	"go.uber.org/zap"
 
 	"almondrill/core/place"
+	"almondrill/io/logs"
 )
 
 // Failure: a router loses power. Its requests end at their callers' deadlines, and since the log line
@@ -35,7 +36,7 @@
 // logRunning runs concurrently with the request's own goroutine: it reads only atomics and fields
 // that do not change after prepare.
 func (rq *request) logRunning() {
-	fields := []zap.Field{zap.String("Request", rq.id), zap.String("Route", rq.route.Name), zap.Uint64("Version", uint64(rq.table.Version))}
+	fields := []zap.Field{zap.String("Request", logs.Short(rq.id)), zap.String("Route", rq.route.Name), zap.Uint64("Version", uint64(rq.table.Version))}
 	if rq.customer != nil {
 		fields = append(fields, zap.String("Customer", string(rq.customer.ID)))
 	}
--- a/io/relay/stream.go
+++ b/io/relay/stream.go
@@ -18,6 +18,7 @@
 	"almondrill/io/accept"
 	"almondrill/io/conns"
 	"almondrill/io/events"
+	"almondrill/io/logs"
 	"almondrill/io/stats"
 )
 
@@ -187,12 +188,12 @@
 	}
 	su := ex.rq.re.Conns.Survey(ctx, ex.co)
 	if !su.Refused && (su.Gone || su.MayBeGone) {
-		ex.rq.re.Log.Info("An endpoint has closed an answer's connection and all others.", zap.String("Request", ex.rq.id),
+		ex.rq.re.Log.Info("An endpoint has closed an answer's connection and all others.", zap.String("Request", logs.Short(ex.rq.id)),
 			zap.String("Endpoint", string(ex.tk.Endpoint.ID)), zap.String("Addr", ex.tk.Endpoint.Addr), zap.Bool("Certain", su.Gone),
 			zap.Int("Others", su.Others))
 	}
 	if su.Refused {
-		ex.rq.re.Log.Info("An endpoint that takes no more connections has ended an answer.", zap.String("Request", ex.rq.id),
+		ex.rq.re.Log.Info("An endpoint that takes no more connections has ended an answer.", zap.String("Request", logs.Short(ex.rq.id)),
 			zap.String("Endpoint", string(ex.tk.Endpoint.ID)), zap.String("Addr", ex.tk.Endpoint.Addr), zap.Bool("Whole", !su.Gone),
 			zap.Int("Others", su.Others), zap.Int("Open", su.Open), zap.Bool("EndpointLeaves", ex.rq.notice.Draining), zap.Duration("Age", ex.rq.re.ViewAge()))
 	}
