io/front: a chat's messages are decoded one after the other

Callers saw a router that uses agents take 5 GB, when a hundred of them sent chats of 7.9 MB whose messages were all empty: each of three bytes became a string and a slice.

Cause: all messages of a body were decoded into a list, though routing needs their number and a hash of the first ones.

Fix: they are decoded one after the other, into the same variable. A body that was refused is refused still.

--- a/io/front/request.go
+++ b/io/front/request.go
@@ -1,8 +1,10 @@
 package front
 
 import (
+	"bytes"
 	"encoding/base64"
 	"encoding/json"
+	"errors"
 	"net/http"
 	"strconv"
 
@@ -24,24 +26,58 @@
 
 // chatBody holds the fields of a chat request that routing needs.
 type chatBody struct {
-	Model               string        `json:"model"`
-	Stream              bool          `json:"stream"`
-	MaxTokens           core.Tokens   `json:"max_tokens"`
-	MaxCompletionTokens core.Tokens   `json:"max_completion_tokens"`
-	Messages            []chatMessage `json:"messages"`
+	Model               string      `json:"model"`
+	Stream              bool        `json:"stream"`
+	MaxTokens           core.Tokens `json:"max_tokens"`
+	MaxCompletionTokens core.Tokens `json:"max_completion_tokens"`
+	Messages            messages    `json:"messages"`
 }
 
-type chatMessage struct {
-	Role    string          `json:"role"`
-	Content json.RawMessage `json:"content"`
+// messages is what routing needs of a chat's messages. It is as small for very many of them as for one.
+type messages struct {
+	count int
+	// prefix is the hash of the messages up to the first one of the user.
+	prefix uint64
 }
 
+// UnmarshalJSON implements json.Unmarshaler. It decodes one message after the other.
+func (me *messages) UnmarshalJSON(data []byte) error {
+	de := json.NewDecoder(bytes.NewReader(data))
+	if to, err := de.Token(); err != nil || to != json.Delim('[') {
+		if to == nil && err == nil {
+			return nil // null
+		}
+		return errNoList
+	}
+	hash, user := xxhash.New(), false
+	var one struct {
+		Role    string          `json:"role"`
+		Content json.RawMessage `json:"content"`
+	}
+	for ; de.More(); me.count++ {
+		one.Role, one.Content = "", one.Content[:0] // not allocated anew for each message
+		if err := de.Decode(&one); err != nil {
+			return err
+		}
+		if user {
+			continue
+		}
+		_, _ = hash.WriteString(one.Role)
+		_, _ = hash.Write(one.Content)
+		user = one.Role == "user"
+	}
+	me.prefix = hash.Sum64()
+	return nil
+}
+
+var errNoList = errors.New("messages is not a list")
+
 func (fr *Front) parseChat(rq *http.Request, cfg *decl.Config, cu *decl.Customer, body []byte) (*router.Request, error) {
 	var in chatBody
 	if err := json.Unmarshal(body, &in); err != nil {
 		return nil, badRequest(http.StatusBadRequest, "the body is not a chat request: "+err.Error())
 	}
-	if len(in.Messages) == 0 {
+	if in.Messages.count == 0 {
 		return nil, badRequest(http.StatusBadRequest, "the body has no messages")
 	}
 	gr := cfg.PoolForModel(cu, in.Model)
@@ -52,7 +88,7 @@
 	}
 	chat := core.ChatID(rq.Header.Get(HeaderChat))
 	if chat == "" {
-		chat = derivedChat(in.Messages)
+		chat = derivedChat(&in.Messages)
 	}
 	return &router.Request{
 		Group: gr,
@@ -75,16 +111,8 @@
 
 // derivedChat derives a chat id from the messages up to the first one of the user. They are the
 // same in every turn, so a chat returns to its cached context even if the client sends no chat id.
-func derivedChat(messages []chatMessage) core.ChatID {
-	hash := xxhash.New()
-	for _, me := range messages {
-		_, _ = hash.WriteString(me.Role)
-		_, _ = hash.Write(me.Content)
-		if me.Role == "user" {
-			break
-		}
-	}
-	return core.ChatID("derived-" + strconv.FormatUint(hash.Sum64(), 16))
+func derivedChat(me *messages) core.ChatID {
+	return core.ChatID("derived-" + strconv.FormatUint(me.prefix, 16))
 }
 
 func (fr *Front) parseService(rq *http.Request, cfg *decl.Config, cu *decl.Customer, body []byte) (*router.Request, error) {
