io/accept, io/rpc: messages that are not whole are bounded for the process

Callers' requests were lost with an agent that ran out of memory, or whose descriptors were used up, when clients of its peers' address sent long messages but their last bytes, many on each connection, or held connections to it. Anyone may connect there.

Cause: gRPC takes up to 16 MB a message, for any number of calls on a connection, and nothing added them up; nor calls, nor connections. Header fields had a bound of 16 MB a call.

Fix: MemoryMB, MaxDescriptors and FileDescriptors, as routers without agents have them; the defaults are 1,024 MB and the system's limit. Bytes that arrive on a connection are reserved until none of its messages is incomplete; a call in progress holds 16 KB. Where there is no memory, the connection that holds most is closed. A call whose body finds no memory at the agent is refused as not run. A call has header fields of 16 KB, a connection 4,096 calls. Connections of peers have a share of the descriptors; where there is none left, the one that never sent anything is closed first, then one without calls.

TestWholeMessagesAreReleased and TestLargestMessagesMakeRoom, with the race detector three times: nothing stays reserved after whole messages, unknown methods and closed connections.

--- a/cmd/almondrill/process.go
+++ b/cmd/almondrill/process.go
@@ -6,6 +6,7 @@
 	"flag"
 	"fmt"
 	"os"
+	"runtime/debug"
 
 	"github.com/google/subcommands"
 	"github.com/samber/oops"
@@ -50,6 +51,7 @@
 	if err != nil {
 		return fail(err)
 	}
+	debug.SetMemoryLimit(int64(heapFraction * float64(se.MemoryMB) * (1 << 20)))
 	pr := &node.Process{Role: roles[pc.role], Settings: se, Logs: logs.New(os.Stderr, se.LogLevel), Signals: true}
 	if err = pr.Run(ctx); err != nil {
 		return fail(err)
--- a/core/ledger/ledger.go
+++ b/core/ledger/ledger.go
@@ -39,8 +39,10 @@
 const (
 	// Callers is for accepted connections of callers.
 	Callers Class = iota + classCount
-	// Endpoints is for connections to endpoints.
+	// Endpoints is for connections to endpoints, or to the agents beside them.
 	Endpoints
+	// Peers is for accepted connections of other processes of the fleet.
+	Peers
 	allClasses
 )
 
@@ -52,6 +54,9 @@
 	Bytes = Shares{Conns: 0.5, Heads: 0.15, Buffers: 0.35}
 	// Descriptors are the shares of a process's descriptors.
 	Descriptors = Shares{Callers: 2. / 3, Endpoints: 1. / 3}
+	// RouterDescriptors and AgentDescriptors are those of routers that use agents, and of agents.
+	RouterDescriptors = Shares{Callers: 1. / 2, Endpoints: 1. / 4, Peers: 1. / 4}
+	AgentDescriptors  = Shares{Endpoints: 1. / 4, Peers: 3. / 4}
 )
 
 // Ledger is one account. The zero value has no limit, and nil neither a limit nor a count. Set Shares before use.
--- a/io/accept/accept.go
+++ b/io/accept/accept.go
@@ -55,11 +55,16 @@
 	Name string
 	// Bytes and Descriptors are the process's accounts. Descriptors is nil if Most bounds the connections.
 	Bytes, Descriptors *ledger.Ledger
+	// Class is that of the connections in Descriptors.
+	Class ledger.Class
 	// Most bounds the connections, which then are a part of the process's own descriptors.
 	Most int
-	// MaxHead returns the limit of heads.
+	// MaxHead returns the limit of heads, and Timeouts holds the timeouts. A gRPC server has its own.
 	MaxHead  func() HeadLimit
 	Timeouts *Timeouts
+	// Messages is set if the server is one of gRPC, of which the Listener then is a stats.Handler. In place of heads, the
+	// messages that are not whole are counted.
+	Messages bool
 	Stats    *stats.Set
 	Log      *zap.Logger
 
@@ -67,6 +72,8 @@
 	// open are the connections that hold reservations, evicted counts those that do not and are being closed.
 	open    map[*Conn]bool
 	evicted map[*Conn]bool
+	// byPeer finds connections with messages by their peers' addresses.
+	byPeer map[string]*Conn
 }
 
 // HeadLimit is the size limit of heads, in bytes, and the refusal of those beyond it.
@@ -188,9 +195,12 @@
 		}
 	}
 	if li.open == nil {
-		li.open = map[*Conn]bool{}
+		li.open, li.byPeer = map[*Conn]bool{}, map[string]*Conn{}
 	}
 	li.open[co] = true
+	if li.Messages {
+		li.byPeer[co.RemoteAddr().String()] = co
+	}
 	return co
 }
 
@@ -199,7 +209,7 @@
 	if li.Most > 0 && len(li.open) >= li.Most || !li.Bytes.Reserve(ledger.Conns, ConnBytes) {
 		return false
 	}
-	if !li.Descriptors.Reserve(ledger.Callers, 1) {
+	if !li.Descriptors.Reserve(li.Class, 1) {
 		li.Bytes.Release(ledger.Conns, ConnBytes)
 		return false
 	}
@@ -208,7 +218,7 @@
 
 func (li *Listener) release() {
 	li.Bytes.Release(ledger.Conns, ConnBytes)
-	li.Descriptors.Release(ledger.Callers, 1)
+	li.Descriptors.Release(li.Class, 1)
 }
 
 // remove gives back what a connection holds.
@@ -216,6 +226,9 @@
 	li.mu.Lock()
 	defer li.mu.Unlock()
 	delete(li.evicted, co)
+	if peer := co.RemoteAddr().String(); li.byPeer[peer] == co {
+		delete(li.byPeer, peer)
+	}
 	if li.open[co] {
 		delete(li.open, co)
 		li.release()
--- a/io/accept/accept_test.go
+++ b/io/accept/accept_test.go
@@ -296,7 +296,7 @@
 	bytes, fds := &ledger.Ledger{Shares: ledger.Bytes}, &ledger.Ledger{Shares: ledger.Descriptors}
 	bytes.SetLimit(20 * accept.ConnBytes)
 	fds.SetLimit(60)
-	se := newServer(t, func(li *accept.Listener) { li.Bytes, li.Descriptors = bytes, fds })
+	se := newServer(t, func(li *accept.Listener) { li.Bytes, li.Descriptors, li.Class = bytes, fds, ledger.Callers })
 	for range 200 {
 		co := se.dial()
 		if status := exchange(co, get); status != http.StatusOK {
--- a/io/accept/conn.go
+++ b/io/accept/conn.go
@@ -3,7 +3,6 @@
 import (
 	"errors"
 	"fmt"
-	"math"
 	"net"
 	"net/http"
 	"sync"
@@ -64,10 +63,14 @@
 	heldHead int64
 	// blockedSince is when a write began that has not ended, zero if there is none.
 	blockedSince time.Time
+	messages     messages
 }
 
 // SetReadDeadline replaces a sentinel by the timeout in force.
 func (co *Conn) SetReadDeadline(at time.Time) error {
+	if co.li.Messages {
+		return co.TCPConn.SetReadDeadline(at)
+	}
 	now := time.Now()
 	left := at.Sub(now)
 	switch {
@@ -134,6 +137,9 @@
 // Read reads from the connection and counts the bytes of a head. A head that is too large, or for which there is no
 // memory, is refused, and the connection ends.
 func (co *Conn) Read(buffer []byte) (int, error) {
+	if co.li.Messages {
+		return co.readMessages(buffer)
+	}
 	count, err := co.TCPConn.Read(buffer)
 	if count == 0 {
 		return count, err
@@ -199,6 +205,7 @@
 	if co.phase != closed {
 		co.phase = closed
 		co.releaseHead()
+		co.endMessages()
 	}
 	co.mu.Unlock()
 	co.li.remove(co)
@@ -257,16 +264,3 @@
 	})
 	return left || err != nil // Control fails if this side has closed the connection
 }
-
-// Descriptors returns how many descriptors a process may have open but for files, 0 if that is not limited. most is
-// the limit in its settings, 0 for that of the system.
-func Descriptors(most, files int64) int64 {
-	if most <= 0 {
-		var li syscall.Rlimit
-		if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &li); err != nil || li.Cur > math.MaxInt32 {
-			return 0
-		}
-		most = int64(li.Cur)
-	}
-	return max(1, most-files)
-}
--- a/io/accept/evict.go
+++ b/io/accept/evict.go
@@ -36,6 +36,9 @@
 func (co *Conn) worth(now time.Time) (worth, time.Time) {
 	co.mu.Lock()
 	defer co.mu.Unlock()
+	if co.li.Messages {
+		return co.messageWorth(now)
+	}
 	late := now.Sub(co.since) >= lateHead
 	switch {
 	case co.phase == closed:
@@ -81,10 +84,7 @@
 	}
 	delete(li.open, victim)
 	li.release()
-	if li.evicted == nil {
-		li.evicted = map[*Conn]bool{}
-	}
-	li.evicted[victim] = true
+	li.noteEvicted(victim)
 	if least == lateRequest {
 		victim.abandonBody() // its handler refuses the request
 	} else {
@@ -96,6 +96,14 @@
 	return true
 }
 
+// noteEvicted notes that a connection is being closed. Call it with the lock held.
+func (li *Listener) noteEvicted(co *Conn) {
+	if li.evicted == nil {
+		li.evicted = map[*Conn]bool{}
+	}
+	li.evicted[co] = true
+}
+
 // MakeRoom closes a connection of the same listener that holds a late head or body, if there is one, so that others
 // have room for theirs.
 func (co *Conn) MakeRoom() {
--- a/io/conf/conf.go
+++ b/io/conf/conf.go
@@ -56,6 +56,9 @@
 	KeepChats             time.Duration `yaml:"KeepChats" doc:"How long a chat is remembered. Default 6h."`
 	KeyWindow             time.Duration `yaml:"KeyWindow" doc:"How long idempotency keys are kept; the same everywhere. Default 15m."`
 	ClaimShards           int           `yaml:"ClaimShards" doc:"Shards of the claims; the same everywhere, never changed while running. Default 64."`
+	MemoryMB              int           `yaml:"MemoryMB" doc:"Memory of the process in megabytes. Callers and peers may take 0.6 of what is above 32 MB: half of that for connections, 0.15 for heads, 0.35 for bodies, messages and calls. Default 1024."`
+	MaxDescriptors        int           `yaml:"MaxDescriptors" doc:"Descriptors that the process may have open. Default: the system's limit for the process. An eighth, 48 to 256, is for the process's own work; of the rest, a router's callers may take half, accepted connections of peers a quarter (on an agent three quarters), and connections to peers a quarter."`
+	FileDescriptors       int           `yaml:"FileDescriptors" doc:"How many of MaxDescriptors are kept for files. Default 0."`
 	LogLevel              string        `yaml:"LogLevel" doc:"debug, info, warn or error. Default info."`
 }
 
@@ -97,6 +100,7 @@
 	defaultTo(&se.KeepChats, 6*time.Hour)
 	defaultTo(&se.KeyWindow, 15*time.Minute)
 	defaultTo(&se.ClaimShards, 64)
+	defaultTo(&se.MemoryMB, 1024)
 	defaultTo(&se.LogLevel, "info")
 }
 
@@ -185,8 +189,9 @@
 		"DrainTimeout": float64(se.DrainTimeout), "RetryRatio": se.RetryRatio,
 		"ControlBytesPerSecond": float64(se.ControlBytesPerSecond), "MaxConnections": float64(se.MaxConnections),
 		"MaxChats": float64(se.MaxChats), "KeepChats": float64(se.KeepChats),
-		"HandOverTimeout": float64(se.HandOverTimeout),
-		"KeyWindow":       float64(se.KeyWindow), "ClaimShards": float64(se.ClaimShards),
+		"HandOverTimeout": float64(se.HandOverTimeout), "MemoryMB": float64(se.MemoryMB),
+		"MaxDescriptors": float64(se.MaxDescriptors), "FileDescriptors": float64(se.FileDescriptors),
+		"KeyWindow": float64(se.KeyWindow), "ClaimShards": float64(se.ClaimShards),
 	} {
 		if value < 0 {
 			ch.addProblem(ch.keyLines[key], "%s must not be negative", key)
--- a/io/entry/caller.go
+++ b/io/entry/caller.go
@@ -6,10 +6,8 @@
 	"sync/atomic"
 	"time"
 
-	"almondrill/core/ledger"
 	"almondrill/core/route"
 	"almondrill/io/accept"
-	"almondrill/io/conf"
 	"almondrill/io/conns"
 	"almondrill/io/relay"
 )
@@ -42,27 +40,6 @@
 	return accept.ConnContext(ctx, co)
 }
 
-// accounts are what callers may make the process hold.
-type accounts struct {
-	bytes, descriptors *ledger.Ledger
-	// own is how many of the process's descriptors are for its own work.
-	own int
-}
-
-func newAccounts(se *conf.RelaySettings) *accounts {
-	ac := &accounts{bytes: &ledger.Ledger{Shares: ledger.Bytes}, descriptors: &ledger.Ledger{Shares: ledger.Descriptors}}
-	ac.own = int(ledger.OwnDescriptors(ac.apply(se)))
-	return ac
-}
-
-// apply sets the limits, and returns how many descriptors the process may have open but for files.
-func (ac *accounts) apply(se *conf.RelaySettings) int64 {
-	all := accept.Descriptors(int64(se.MaxDescriptors), int64(se.FileDescriptors))
-	ac.bytes.SetLimit(ledger.ClientBytes(int64(se.MemoryMB) << 20))
-	ac.descriptors.SetLimit(ledger.ClientDescriptors(all))
-	return all
-}
-
 // headLimit is the limit of callers' heads while they arrive. It is that of the configuration that allows most: a
 // request may be on its way since an earlier one was in force.
 type headLimit struct{ most atomic.Int64 }
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -37,6 +37,7 @@
 
 	"almondrill/core"
 	"almondrill/core/builds"
+	"almondrill/core/ledger"
 	"almondrill/core/migr"
 	"almondrill/core/mirror"
 	"almondrill/core/place"
@@ -122,26 +123,28 @@
 
 	Stats *stats.Set
 
-	latency      stats.Latencies
-	log          *zap.Logger
-	rand         *clock.Rand
-	mirror       *mirror.Mirror
-	placer       *place.Placer
-	budget       *retry.Window
-	pool         *conns.Pool
-	relay        *relay.Relay
-	reader       *watch.Reader
-	peers        *gossip.Group
-	crashes      *deny.Detector
-	view         *view
-	builds       builds.History
-	lastingEras  markedEras
-	listed       atomic.Bool // set once all of the store was read
-	timeouts     accept.Timeouts
-	accounts     *accounts
-	headLimit    headLimit
-	shuttingDown atomic.Bool
-	app          atomic.Pointer[kratos.App]
+	latency     stats.Latencies
+	log         *zap.Logger
+	rand        *clock.Rand
+	mirror      *mirror.Mirror
+	placer      *place.Placer
+	budget      *retry.Window
+	pool        *conns.Pool
+	relay       *relay.Relay
+	reader      *watch.Reader
+	peers       *gossip.Group
+	crashes     *deny.Detector
+	view        *view
+	builds      builds.History
+	lastingEras markedEras
+	listed      atomic.Bool // set once all of the store was read
+	timeouts    accept.Timeouts
+	accounts    *accept.Accounts
+	// ownDescriptors is how many descriptors are for the process's own work.
+	ownDescriptors int
+	headLimit      headLimit
+	shuttingDown   atomic.Bool
+	app            atomic.Pointer[kratos.App]
 }
 
 // evacuationWindow returns the time within which an evacuation must be in force after the store has
@@ -188,8 +191,9 @@
 	}
 	pr.log = pr.Logs.Part("entry")
 	pr.rand = clock.NewRand(clock.RandomSeed())
-	pr.accounts = newAccounts(se)
-	pr.pool = &conns.Pool{Descriptors: pr.accounts.descriptors}
+	pr.accounts = accept.NewAccounts(ledger.Descriptors)
+	pr.ownDescriptors = pr.accounts.SetLimits(se.MemoryMB, se.MaxDescriptors, se.FileDescriptors)
+	pr.pool = &conns.Pool{Descriptors: &pr.accounts.Descriptors}
 	pr.mirror = &mirror.Mirror{Outranks: pr.Platform.Outranks}
 	pr.peers = &gossip.Group{Self: se.Name, Addr: se.PeersAddr, Mirror: pr.mirror, Rand: pr.rand, Log: pr.Logs.Part("gossip")}
 	pr.placer = &place.Placer{
@@ -227,7 +231,7 @@
 	pr.relay.NewPlanner = func() relay.Planner {
 		return &migr.Planner{Source: pr.placer.MigrationSource, DrainTime: se.EngineDrainTime}
 	}
-	pr.relay.Memory = pr.accounts.bytes
+	pr.relay.Memory = &pr.accounts.Bytes
 	pr.view = &view{pr: pr, log: pr.Logs.Part("view"), evacuations: newEvacuations()}
 	pr.mirror.Changed, pr.mirror.Restored = pr.view.applyItem, pr.reader.NoteRestore
 	pr.addSeeds()
@@ -278,8 +282,8 @@
 	pr.latency.Publish(pr.Stats)
 	pr.Stats.SetFunc(stats.ConfigRevision, func() int64 { return int64(pr.configVersion()) })
 	pr.Stats.SetFunc(stats.StoreLed, func() int64 { return boolCount(pr.peers.IsWatcher()) })
-	pr.Stats.SetFunc(stats.BytesHeld, pr.accounts.bytes.Total)
-	pr.Stats.SetFunc(stats.DescriptorsHeld, pr.accounts.descriptors.Total)
+	pr.Stats.SetFunc(stats.BytesHeld, pr.accounts.Bytes.Total)
+	pr.Stats.SetFunc(stats.DescriptorsHeld, pr.accounts.Descriptors.Total)
 	pr.Stats.SetFunc(stats.MemoryWaiting, func() int64 { return int64(pr.placer.MemoryWaits()) })
 	pr.Stats.SetFunc(stats.OutputErrorP50, func() int64 { return pr.relay.Output.ErrorPercent(0.5) })
 	pr.Stats.SetFunc(stats.OutputErrorP90, func() int64 { return pr.relay.Output.ErrorPercent(0.9) })
--- a/io/entry/reload.go
+++ b/io/entry/reload.go
@@ -54,7 +54,7 @@
 func (pr *Process) applySettings(se *conf.RelaySettings) {
 	pr.placer.SetBounds(se.CapFactor, place.ColdLimits{Overrun: se.ColdOverrun, Slack: se.ColdSlack})
 	pr.budget.SetBound(se.RetryRatio, se.RetrySlack)
-	pr.accounts.apply(se)
+	pr.accounts.SetLimits(se.MemoryMB, se.MaxDescriptors, se.FileDescriptors)
 	fixed := se.CallersAddr == pr.Settings.CallersAddr && se.PeersAddr == pr.Settings.PeersAddr &&
 		se.KVAddr == pr.Settings.KVAddr && se.ReadyAddr == pr.Settings.ReadyAddr && se.AdminAddr == pr.Settings.AdminAddr
 	pr.log.Info("Reloaded the settings.", zap.Float64("CapFactor", se.CapFactor), zap.Float64("RetryRatio", se.RetryRatio),
--- a/io/entry/serve.go
+++ b/io/entry/serve.go
@@ -14,6 +14,7 @@
 	kratoshttp "github.com/go-kratos/kratos/v2/transport/http"
 	"go.uber.org/zap"
 
+	"almondrill/core/ledger"
 	"almondrill/io/accept"
 	"almondrill/io/deny"
 	"almondrill/io/gossip"
@@ -132,7 +133,7 @@
 
 func (pr *Process) callersListener(li net.Listener) *accept.Listener {
 	return &accept.Listener{
-		Listener: callerListener{li}, Name: "CallersAddr", Bytes: pr.accounts.bytes, Descriptors: pr.accounts.descriptors,
+		Listener: callerListener{li}, Name: "CallersAddr", Bytes: &pr.accounts.Bytes, Descriptors: &pr.accounts.Descriptors, Class: ledger.Callers,
 		MaxHead: pr.headLimit.get, Timeouts: &pr.timeouts, Stats: pr.Stats, Log: pr.Logs.Part("accept"),
 	}
 }
@@ -145,7 +146,7 @@
 		share = peersShare
 	}
 	srv := pr.httpServer(&accept.Listener{
-		Listener: li, Name: key, Most: max(1, int(share*float64(pr.accounts.own))),
+		Listener: li, Name: key, Most: max(1, int(share*float64(pr.ownDescriptors))),
 		MaxHead:  func() accept.HeadLimit { return accept.HeadLimit{Bytes: ownMaxHead, Refusal: accept.TooLarge} },
 		Timeouts: &accept.Timeouts{}, Stats: pr.Stats, Log: pr.Logs.Part("accept"),
 	}, handler)
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -45,6 +45,7 @@
 	"almondrill/core/revlog"
 	"almondrill/core/router"
 	"almondrill/core/syncer"
+	"almondrill/io/accept"
 	"almondrill/io/back"
 	"almondrill/io/clock"
 	"almondrill/io/conf"
@@ -87,7 +88,11 @@
 	app             *kratos.App
 	logger          *zap.Logger
 	listeners       listeners
-	draining        atomic.Bool
+	accounts        *accept.Accounts
+	// ownDescriptors is how many descriptors are for the process's own work.
+	ownDescriptors int
+	peerConns      *accept.Listener
+	draining       atomic.Bool
 }
 
 type listeners struct{ peers, callers, admin net.Listener }
@@ -130,7 +135,7 @@
 }
 
 func listen(key, addr string) (net.Listener, error) {
-	li, err := net.Listen("tcp", addr)
+	li, err := accept.Listen(addr)
 	if err != nil {
 		return nil, oops.In("listen").With("setting", key).With("peer", addr).Wrap(err)
 	}
@@ -178,6 +183,7 @@
 	pr.rand = clock.NewRand(pr.Seed)
 	pr.incarnation = core.Incarnation(pr.rand.Uint64() | 1)
 	pr.logger = pr.Logs.Part(string(pr.Role))
+	pr.buildAccounts()
 	var err error
 	if pr.kv, err = kvrpc.Dial(se.KVAddr); err != nil {
 		return err
@@ -185,7 +191,7 @@
 	pr.controlBucket = &bucket.Bucket{Clock: pr.clock, PerSecond: se.ControlBytesPerSecond}
 	pr.board = &board.Board{Clock: pr.clock, Rand: pr.rand, Self: pr.self(), OlderConfig: pr.olderConfigRefused}
 	pr.board.Init()
-	pr.peers = &rpc.Client{MaxConns: se.MaxConnections, Addr: func(vm core.VMID) string {
+	pr.peers = &rpc.Client{MaxConns: pr.maxPeerConns(), Addr: func(vm core.VMID) string {
 		return pr.board.Snapshot().Addrs[vm]
 	}}
 	pr.buildConfig()
@@ -212,7 +218,7 @@
 
 func (pr *Process) buildRole() {
 	pr.server = &rpc.Server{
-		Listener: pr.listeners.peers, Exchange: pr.answerDigest, Fetch: pr.configLog.ChangesSince,
+		Listener: pr.peerConns, StatsHandler: pr.peerConns, Exchange: pr.answerDigest, Fetch: pr.configLog.ChangesSince,
 		RevisionSeen: pr.syncer.NotePeerRevision, Revision: pr.configLog.Revision,
 	}
 	if pr.Role == core.RoleRouter {
--- a/io/node/roles.go
+++ b/io/node/roles.go
@@ -11,6 +11,7 @@
 	"almondrill/core/agent"
 	"almondrill/core/claim"
 	"almondrill/core/ctxdir"
+	"almondrill/core/ledger"
 	"almondrill/io/back"
 	"almondrill/io/conf"
 	"almondrill/io/front"
@@ -110,7 +111,7 @@
 	pr.Stats.Add(stats.Requests, 1)
 	pr.Stats.Add(stats.InProgress, 1)
 	defer pr.Stats.Add(stats.InProgress, -1)
-	rep, err := pr.agent.Serve(ctx, ca, si)
+	rep, err := pr.serveWithinMemory(ctx, ca, si)
 	if err == nil {
 		pr.Stats.CountOutcome(core.Whole)
 		return rep, nil
@@ -121,6 +122,19 @@
 	return rep, re
 }
 
+// serveWithinMemory runs a call if there is memory for its body until it ends.
+func (pr *Process) serveWithinMemory(ctx context.Context, ca *core.Call, si core.Sink) (*core.Report, error) {
+	size := int64(len(ca.Body))
+	if !pr.accounts.Bytes.Reserve(ledger.Buffers, size) {
+		return &core.Report{VM: pr.Settings.Name}, &core.Refusal{
+			Outcome: core.NotRun, Reason: core.ReasonMemory, Step: "serve", Peer: string(pr.Settings.Name),
+			Detail: "bodies of other calls take the memory that there is for them", RetryAfter: time.Second,
+		}
+	}
+	defer pr.accounts.Bytes.Release(ledger.Buffers, size)
+	return pr.agent.Serve(ctx, ca, si)
+}
+
 // registerStats registers the counters whose values components maintain themselves.
 func (pr *Process) registerStats() {
 	st := pr.Stats
--- a/io/rpc/server.go
+++ b/io/rpc/server.go
@@ -11,6 +11,7 @@
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/keepalive"
+	"google.golang.org/grpc/stats"
 	"google.golang.org/grpc/status"
 
 	"almondrill/core"
@@ -20,7 +21,9 @@
 // Server serves calls from peers. A method whose handler is nil returns Unimplemented. Set the
 // exported fields before Start.
 type Server struct {
-	Listener         net.Listener
+	Listener net.Listener
+	// StatsHandler, if set, is notified of connections, calls and messages.
+	StatsHandler     stats.Handler
 	Serve            func(ctx context.Context, ca *core.Call, si core.Sink) (*core.Report, error)
 	Exchange         func(di *core.Digest) *core.Digest
 	Claim            func(ctx context.Context, cl *core.Claim) (*core.ClaimReply, error)
@@ -41,17 +44,33 @@
 	grpc     *grpc.Server
 }
 
+const (
+	// maxHeaderList bounds the header fields of a call, in bytes; peers send few.
+	maxHeaderList = 16 << 10
+	// maxStreams bounds the calls in progress on a connection.
+	maxStreams = 4096
+	// handshakeTimeout bounds the time until a new connection is set up.
+	handshakeTimeout = 10 * time.Second
+)
+
 // Init creates the gRPC server. Start and Stop, which may run concurrently, call it if necessary.
 func (se *Server) Init() { se.initOnce.Do(se.create) }
 
 func (se *Server) create() {
-	se.grpc = grpc.NewServer(
+	options := []grpc.ServerOption{
 		grpc.MaxRecvMsgSize(maxMessage),
 		grpc.ReadBufferSize(bufferSize),
 		grpc.WriteBufferSize(bufferSize),
 		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: keepaliveInterval / 2}),
 		grpc.KeepaliveParams(keepalive.ServerParameters{Time: keepaliveInterval, Timeout: keepaliveTimeout}),
-	)
+		grpc.MaxHeaderListSize(maxHeaderList),
+		grpc.MaxConcurrentStreams(maxStreams),
+		grpc.ConnectionTimeout(handshakeTimeout),
+	}
+	if se.StatsHandler != nil {
+		options = append(options, grpc.StatsHandler(se.StatsHandler))
+	}
+	se.grpc = grpc.NewServer(options...)
 	wire.RegisterNodeServer(se.grpc, &handler{se: se})
 	if se.Register != nil {
 		se.Register(se.grpc)
