io/node, io/front: what callers make a router with agents hold is bounded for the process

Callers saw such a router end, out of memory or descriptors, when clients with a key sent bodies of 7.9 of the 8 MB allowed and waited, or anyone sent heads of many fields or held connections; the same at the operators' listener, agents' too. A request that was refused before its body had arrived got no answer.

Cause: a body had a bound of its own, a head one of 32 KB whose parsed fields take ten times that, connections none, and nothing added them up; where a request was refused before its body was read, no deadline applied to the rest of it.

BodyTimeout applies to a body whether it is used or not.

--- a/io/demo/fleet.go
+++ b/io/demo/fleet.go
@@ -220,9 +220,13 @@
 		Name: core.VMID(name), Zone: zones[ix%len(zones)], Region: region,
 		PeersAddr: "127.0.0.1:0", AdminAddr: "127.0.0.1:0", KVAddr: fl.kvAddr, VMsAddr: fl.vmsAddr,
 		DrainDelay: 200 * time.Millisecond, DrainTimeout: 30 * time.Second, BodyTimeout: 2 * time.Second,
+		MemoryMB: processMemoryMB,
 	}
 }
 
+// processMemoryMB is MemoryMB of each process; clients may take half of it.
+const processMemoryMB = 192
+
 // addProcess creates a process and adds its VM to those that Start lists. launch runs it.
 func (fl *Fleet) addProcess(ro core.Role, se *conf.Settings, pools []core.PoolID) error {
 	pr := &node.Process{Role: ro, Settings: se, Logs: fl.Logs}
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -25,7 +25,6 @@
 	"crypto/sha256"
 	"encoding/json"
 	"errors"
-	"io"
 	"net/http"
 	"os"
 	"strconv"
@@ -37,7 +36,9 @@
 	"almondrill/core"
 	"almondrill/core/board"
 	"almondrill/core/decl"
+	"almondrill/core/ledger"
 	"almondrill/core/router"
+	"almondrill/io/accept"
 	"almondrill/io/stats"
 )
 
@@ -48,6 +49,8 @@
 	Stats  *stats.Set
 	Log    *zap.Logger
 
+	// Memory is the process's account of bytes; bodies are ledger.Buffers.
+	Memory          *ledger.Ledger
 	MaxBody         core.Bytes
 	BodyTimeout     time.Duration
 	WriteTimeout    time.Duration
@@ -76,7 +79,13 @@
 	mux.HandleFunc("/", func(wr http.ResponseWriter, rq *http.Request) {
 		fr.writeError(wr, badRequest(http.StatusNotFound, "no such path: "+rq.Method+" "+rq.URL.Path))
 	})
-	return mux
+	return http.HandlerFunc(func(wr http.ResponseWriter, rq *http.Request) {
+		if rq.Body != http.NoBody {
+			// Also applies to the rest of the body of a request that is refused before it was read.
+			_ = http.NewResponseController(wr).SetReadDeadline(time.Now().Add(fr.BodyTimeout))
+		}
+		mux.ServeHTTP(wr, rq)
+	})
 }
 
 // requestParser turns an HTTP request into one that can be routed.
@@ -94,7 +103,8 @@
 			fr.writeError(wr, err)
 			return
 		}
-		body, err := fr.readBody(wr, rq)
+		body, held, err := fr.readBody(wr, rq)
+		defer func() { fr.Memory.Release(ledger.Buffers, held) }()
 		if err != nil {
 			fr.writeError(wr, err)
 			return
@@ -149,15 +159,23 @@
 	return cfg, cu, nil
 }
 
-// readBody reads the request's body, within MaxBody and BodyTimeout. Otherwise a caller that sends
-// a byte now and then could hold a connection and its memory indefinitely.
-func (fr *Front) readBody(wr http.ResponseWriter, rq *http.Request) ([]byte, error) {
-	control := http.NewResponseController(wr)
-	_ = control.SetReadDeadline(time.Now().Add(fr.BodyTimeout))
-	body, err := io.ReadAll(http.MaxBytesReader(wr, rq.Body, int64(fr.MaxBody)))
+// readBody reads the request's body, within MaxBody and the BodyTimeout that Handler has set. Otherwise a caller that sends
+// a byte now and then could hold a connection and its memory indefinitely. It returns how many bytes it has reserved: the body,
+// and as many for the message to the agent.
+func (fr *Front) readBody(wr http.ResponseWriter, rq *http.Request) ([]byte, int64, error) {
+	body, held, err := accept.ReadBody(http.MaxBytesReader(wr, rq.Body, int64(fr.MaxBody)), rq.ContentLength, fr.Memory)
 	if err == nil {
-		_ = control.SetReadDeadline(time.Time{})
-		return body, nil
+		_ = http.NewResponseController(wr).SetReadDeadline(time.Time{})
+		if !fr.Memory.Reserve(ledger.Buffers, int64(len(body))) {
+			return nil, held, fr.noMemory()
+		}
+		return body, held + int64(len(body)), nil
+	}
+	if errors.Is(err, accept.ErrNoMemory) {
+		if co := accept.FromContext(rq.Context()); co != nil {
+			co.MakeRoom()
+		}
+		return nil, held, fr.noMemory()
 	}
 	re := badRequest(http.StatusBadRequest, "reading the body: "+err.Error())
 	var large *http.MaxBytesError
@@ -169,7 +187,14 @@
 		re.Reason, re.Status = core.ReasonSlowCaller, http.StatusRequestTimeout
 		re.Detail = "the body did not come within " + fr.BodyTimeout.String()
 	}
-	return nil, re
+	return nil, held, re
+}
+
+func (fr *Front) noMemory() *core.Refusal {
+	return &core.Refusal{
+		Outcome: core.NotRun, Reason: core.ReasonMemory, Step: "read", Peer: string(fr.Board.Self.ID),
+		Detail: "bodies of other requests take the memory that there is for them", RetryAfter: time.Second,
+	}
 }
 
 // fillCommon sets the fields that are common to chats and service calls.
--- a/io/node/accounts.go
+++ b/io/node/accounts.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"time"
 
 	"almondrill/core"
 	"almondrill/core/ledger"
@@ -9,6 +10,18 @@
 	"almondrill/io/stats"
 )
 
+const (
+	maxHead           = 32 << 10
+	callerIdleTimeout = 2 * time.Minute
+	// adminMaxHead bounds the size of a head, in bytes, at the listener for operators and health checks, and
+	// adminReadTimeout and adminWriteTimeout the time to read a request there and to write its response.
+	adminMaxHead      = 8 << 10
+	adminReadTimeout  = 10 * time.Second
+	adminWriteTimeout = 30 * time.Second
+	// adminShare is the share of the process's own descriptors that connections to that listener may take.
+	adminShare = 0.25
+)
+
 // buildAccounts creates the accounts of what clients may make the process hold.
 func (pr *Process) buildAccounts() {
 	se := pr.Settings
@@ -40,3 +53,17 @@
 		Timeouts: &accept.Timeouts{}, Stats: pr.Stats, Log: pr.Logs.Part("accept"),
 	}
 }
+
+func (pr *Process) callersListener() *accept.Listener {
+	li := pr.listener("CallersAddr", pr.listeners.callers, maxHead)
+	li.Class, li.Descriptors = ledger.Callers, &pr.accounts.Descriptors
+	li.Timeouts.Set(callerIdleTimeout, pr.Settings.BodyTimeout)
+	return li
+}
+
+// adminListener returns the listener for operators and health checks, whose bytes do not depend on what clients hold.
+func (pr *Process) adminListener() *accept.Listener {
+	li := pr.listener("AdminAddr", pr.listeners.admin, adminMaxHead)
+	li.Bytes, li.Most = nil, max(1, int(adminShare*float64(pr.ownDescriptors)))
+	return li
+}
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -22,12 +22,12 @@
 import (
 	"context"
 	"fmt"
+	"math"
 	"net"
 	"net/http"
 	"os"
 	"sync/atomic"
 	"syscall"
-	"time"
 
 	"github.com/go-kratos/kratos/v2"
 	"github.com/go-kratos/kratos/v2/transport"
@@ -358,7 +358,7 @@
 // httpServer creates a kratos HTTP server. By default kratos passes unknown paths to
 // http.DefaultServeMux, on which expvar and other packages register handlers: on the callers' port
 // that would expose the counters to anyone.
-func (pr *Process) httpServer(li net.Listener, handler http.Handler) *kratoshttp.Server {
+func (pr *Process) httpServer(li *accept.Listener, handler http.Handler) *kratoshttp.Server {
 	srv := kratoshttp.NewServer(
 		kratoshttp.Listener(li),
 		kratoshttp.Timeout(0),
@@ -367,17 +367,12 @@
 		kratoshttp.MethodNotAllowedHandler(http.NotFoundHandler()),
 	)
 	srv.HandlePrefix("/", handler)
-	srv.ReadHeaderTimeout = pr.Settings.BodyTimeout
-	srv.MaxHeaderBytes = maxHeaderBytes
-	srv.IdleTimeout = callerIdleTimeout
+	srv.ConnContext = accept.ConnContext
+	srv.ReadHeaderTimeout, srv.IdleTimeout = accept.HeaderSentinel, accept.IdleSentinel
+	srv.MaxHeaderBytes = math.MaxInt32 // the listener bounds heads
 	return srv
 }
 
-const (
-	maxHeaderBytes    = 32 << 10
-	callerIdleTimeout = 2 * time.Minute
-)
-
 func (pr *Process) adminServer() transport.Server {
 	mux := http.NewServeMux()
 	mux.HandleFunc("/healthz", func(wr http.ResponseWriter, _ *http.Request) { fmt.Fprintln(wr, "ok") })
@@ -387,7 +382,9 @@
 		mux.Handle(deny.Path, pr.crashTracker.Handler())
 		mux.Handle(deny.Path+"/", pr.crashTracker.Handler())
 	}
-	return pr.httpServer(pr.listeners.admin, mux)
+	srv := pr.httpServer(pr.adminListener(), mux)
+	srv.ReadTimeout, srv.WriteTimeout = adminReadTimeout, adminWriteTimeout
+	return srv
 }
 
 // readyz reports to the load balancer whether to send callers here.
--- a/io/node/roles.go
+++ b/io/node/roles.go
@@ -24,10 +24,10 @@
 	se := pr.Settings
 	fr := &front.Front{
 		Board: pr.board, Router: pr.router, Stats: pr.Stats, Log: pr.logger,
-		MaxBody: se.MaxBodyBytes, BodyTimeout: se.BodyTimeout, WriteTimeout: se.WriteTimeout,
+		Memory: &pr.accounts.Bytes, MaxBody: se.MaxBodyBytes, BodyTimeout: se.BodyTimeout, WriteTimeout: se.WriteTimeout,
 		DefaultDeadline: se.DefaultDeadline,
 	}
-	return pr.httpServer(pr.listeners.callers, fr.Handler())
+	return pr.httpServer(pr.callersListener(), fr.Handler())
 }
 
 // registerOperators registers the operators' API on a router's gRPC server for peers.
