--- a/cmd/almondrill/relay.go
+++ b/cmd/almondrill/relay.go
@@ -88,5 +88,9 @@
 	if err != nil {
 		return nil, err
 	}
-	return conf.ReadRelaySettings(rc.settingsFile, data)
+	se, err := conf.ReadRelaySettings(rc.settingsFile, data)
+	if err == nil && se.MaxDescriptors == 0 {
+		se.MaxDescriptors = platform.MaxDescriptors()
+	}
+	return se, err
 }
--- a/io/conf/relay.go
+++ b/io/conf/relay.go
@@ -32,7 +32,7 @@
 	EngineDrainTime time.Duration `yaml:"EngineDrainTime" doc:"How long engines serve at least after they announced their shutdown, without the 1.5 s that all of them add. Default 3s."`
 	ReturnDelay     time.Duration `yaml:"ReturnDelay" doc:"How long after an outage of the store registrations that lapsed in it may be missing. Default 2s."`
 	MemoryMB        int           `yaml:"MemoryMB" doc:"Memory of the process in megabytes; 0 means no bound. Callers may take 0.6 of what is above 32 MB: half of that for connections, 0.15 for heads, 0.35 for bodies and responses."`
-	MaxDescriptors  int           `yaml:"MaxDescriptors" doc:"Descriptors that the process may have open. Default: the system's limit for the process. An eighth, 48 to 256, is for the process's own work; callers' connections may take two thirds of the rest, connections to endpoints one third."`
+	MaxDescriptors  int           `yaml:"MaxDescriptors" doc:"Descriptors that the process may have open. Default: the platform's limit, in ALMONDRILL_MAX_DESCRIPTORS, or else the system's. An eighth, 48 to 256, is for the process's own work; callers' connections may take two thirds of the rest, connections to endpoints one third."`
 	FileDescriptors int           `yaml:"FileDescriptors" doc:"How many of MaxDescriptors are kept for files. Default 0."`
 	LogLevel        string        `yaml:"LogLevel" doc:"debug, info, warn or error. Default info."`
 }
