io/entry: a displaced endpoint is used again once its address is free

Cause, from the routers' logs: an engine crashed behind a cut, and its successor registered at the address under another id. When the cut ended, the registration of the dead one arrived late and took the address; the successor was marked as missing. The dead one's registration lapsed 3.6 s later, but the successor's is not written again while only its heartbeat changes, so that it stayed missing for good.

Fix: when the holder of an address is deregistered, the endpoint that was displaced there last is used again. Its registration has outlived the holder's, so that it is the one that lives; requests name the endpoint that may run them in any case.

TestDisplacedEndpointGetsNoRequests has three more cases, of which 'the last of three is deregistered' fails without the fix; in the others no other endpoint is left, and a missing one is used all the same.

--- a/io/entry/view.go
+++ b/io/entry/view.go
@@ -48,12 +48,14 @@
 	incarnation core.Incarnation
 	draining    bool
 	rev         core.Version
+	// endpoint is what was registered. displaced is set while another endpoint has the address.
+	endpoint  *place.Endpoint
+	displaced bool
 }
 
-// equalIgnoringRev reports whether two registrations differ at most in their versions.
-func (re registration) equalIgnoringRev(other registration) bool {
-	other.rev = re.rev
-	return re == other
+// sameAs reports whether two registrations have the same address, incarnation and state.
+func (re registration) sameAs(other registration) bool {
+	return re.addr == other.addr && re.incarnation == other.incarnation && re.draining == other.draining
 }
 
 // applyItem applies an item that is new to the mirror. A panic that the item causes must not end
@@ -151,7 +153,7 @@
 		vi.registered = map[core.EndpointID]registration{}
 	}
 	old, was := vi.registered[ep.ID]
-	now := registration{ep.Addr, ep.Incarnation, ep.Draining, rev}
+	now := registration{addr: ep.Addr, incarnation: ep.Incarnation, draining: ep.Draining, rev: rev, endpoint: &ep}
 	vi.registered[ep.ID] = now
 	switch {
 	case was && old.incarnation != ep.Incarnation:
@@ -160,7 +162,7 @@
 		vi.pr.pool.CloseIdle(old.addr)
 		vi.reportReplaced(ep.ID, old)
 		vi.log.Info("Endpoint restarted.", fields...)
-	case !was || !old.equalIgnoringRev(now):
+	case !was || !old.sameAs(now):
 		vi.log.Info("Endpoint.", fields...)
 	}
 	vi.claimAddress(&ep, rev)
@@ -231,7 +233,10 @@
 // displace handles an endpoint whose address belongs to another one now. The endpoint is only
 // marked as missing: its registration will be removed or renewed.
 func (vi *view) displace(id, by core.EndpointID) {
-	addr := vi.registered[id].addr
+	re := vi.registered[id]
+	re.displaced = true
+	vi.registered[id] = re
+	addr := re.addr
 	vi.pr.placer.MarkMissing(id)
 	vi.pr.pool.CloseIdle(addr)
 	vi.pr.Stats.Add(stats.EndpointsDisplaced, 1)
@@ -239,6 +244,29 @@
 		zap.String("Addr", addr), zap.Duration("Age", vi.pr.reader.Age()))
 }
 
+// restoreDisplaced uses the endpoint again that was displaced last at an address whose holder is deregistered. Its
+// registration has outlived that of the holder, which may have arrived late: the endpoint then lives. Nothing is registered
+// again while only the heartbeat changes.
+func (vi *view) restoreDisplaced(addr string) {
+	var last registration
+	for _, re := range vi.registered {
+		if re.displaced && re.addr == addr && re.rev > last.rev {
+			last = re
+		}
+	}
+	if last.endpoint == nil {
+		return
+	}
+	id := last.endpoint.ID
+	last.displaced = false
+	vi.registered[id], vi.byAddr[addr] = last, id
+	if !vi.missing[id] {
+		vi.pr.placer.Register(time.Now(), *last.endpoint)
+	}
+	vi.log.Info("Endpoint is used again; the one that had taken its address is deregistered.", zap.String("Endpoint", string(id)),
+		zap.String("Addr", addr), zap.Stringer("Rev", last.rev), zap.Duration("Age", vi.pr.reader.Age()))
+}
+
 // processEnded records that the process of an endpoint has ended, and returns true if that is new. Another one may
 // answer at its address, of another version of the software, before its registration arrives.
 func (vi *view) processEnded(now time.Time, endpoint uint64) bool {
@@ -324,10 +352,12 @@
 func (vi *view) remove(id core.EndpointID) {
 	vi.pr.placer.Remove(id)
 	vi.pr.builds.Remove(time.Now(), id)
-	if addr := vi.registered[id].addr; vi.byAddr[addr] == id {
+	addr := vi.registered[id].addr
+	delete(vi.registered, id)
+	if vi.byAddr[addr] == id {
 		delete(vi.byAddr, addr)
+		vi.restoreDisplaced(addr)
 	}
-	delete(vi.registered, id)
 	delete(vi.missing, id)
 	delete(vi.reappeared, id)
 }
--- a/io/entry/view_test.go
+++ b/io/entry/view_test.go
@@ -120,6 +120,9 @@
 		"for a pool that is not configured": {[]core.Item{item("a", 2, ""), item("b", 3, "other pool")}, "a"},
 		"three in succession":               {[]core.Item{item("a", 2, ""), item("b", 3, ""), item("c", 4, "")}, "c"},
 		"the earlier one is deregistered":   {[]core.Item{item("a", 2, ""), item("b", 3, ""), {Key: "a", Rev: 4, Deleted: true}}, "b"},
+		"the later one is deregistered":     {[]core.Item{item("a", 2, ""), item("b", 3, ""), {Key: "b", Rev: 4, Deleted: true}}, "a"},
+		"the last of three is deregistered": {[]core.Item{item("a", 2, ""), item("b", 3, ""), item("c", 4, ""), {Key: "c", Rev: 5, Deleted: true}}, "b"},
+		"two of three are deregistered":     {[]core.Item{item("a", 2, ""), item("b", 3, ""), item("c", 4, ""), {Key: "c", Rev: 5, Deleted: true}, {Key: "b", Rev: 6, Deleted: true}}, "a"},
 	} {
 		t.Run(name, func(t *testing.T) {
 			pr := newProcess(faulty{"127.0.0.1:1"})
