io/accept: a connection counts as used once a request is served on it

A connection whose requests arrive several at once, pipelined, ranked as one on which no request has ever arrived, and its log line said so, when another had to be closed for lack of room.

Cause: a head that has arrived with an earlier request is not counted, so that its end was not seen.

Fix: it is the server that says that a head was read. Found by reading; io/accept's tests pass with the race detector.

--- a/cmd/almondrill/hostile_test.go
+++ b/cmd/almondrill/hostile_test.go
@@ -201,8 +201,12 @@
 		id := 2*ix + 1
 		head.Reset()
 		for _, fi := range [][2]string{
-			{":method", "POST"}, {":scheme", "http"}, {":path", "/almondrill.wire.Node/Serve"}, {":authority", "a"},
-			{"content-type", "application/grpc"}, {"te", "trailers"},
+			{":method", "POST"},
+			{":scheme", "http"},
+			{":path", "/almondrill.wire.Node/Serve"},
+			{":authority", "a"},
+			{"content-type", "application/grpc"},
+			{"te", "trailers"},
 		} {
 			_ = en.WriteField(hpack.HeaderField{Name: fi[0], Value: fi[1]})
 		}
--- a/io/accept/conn.go
+++ b/io/accept/conn.go
@@ -118,6 +118,7 @@
 	co.mu.Lock()
 	defer co.mu.Unlock()
 	if co.headDue {
+		co.served = true // a head that has arrived with an earlier request is not counted
 		co.enter(serving)
 	}
 }
