io/accept: a call counts what may arrive after its message, and control frames are released

A client of a peers' listener could send more data on a call whose message was whole, up to the stream's window of 64 KB, and it was released with the next message of another call; bytes of control frames stayed reserved on a connection without calls.

Cause: bytes were released once no message was incomplete, whatever had arrived for calls in progress, and only by calls.

Fix: a call in progress counts 80 KB in place of 16, so that the window is in it, and what has arrived while no message is incomplete is released at the next read.

--- a/io/accept/message.go
+++ b/io/accept/message.go
@@ -12,16 +12,15 @@
 	counters "almondrill/io/stats"
 )
 
-// callBytes is what a call in progress costs: its goroutine and buffers.
-const callBytes = 16 << 10
+// callBytes is what a call in progress costs: its goroutine and buffers, and what its stream's window lets arrive after
+// its message.
+const callBytes = 16<<10 + 64<<10
 
 // messages is what is known of the messages that arrive on a connection of a gRPC server.
 type messages struct {
 	// calls are those in progress, incomplete those of them whose message has not arrived whole.
 	calls, incomplete int
-	// pending are the bytes that have arrived and may belong to messages that are not whole.
-	pending int64
-	// held is what is reserved for pending bytes and calls.
+	// held is what is reserved for calls, and for bytes that have arrived and may belong to messages that are not whole.
 	held int64
 }
 
@@ -33,7 +32,9 @@
 	}
 	co.mu.Lock()
 	co.served = true
-	co.messages.pending += int64(count)
+	if co.messages.incomplete <= 0 && co.phase != closed {
+		co.letGo() // what arrived before were control frames
+	}
 	co.mu.Unlock()
 	if !co.hold(int64(count)) {
 		return 0, &net.OpError{Op: "read", Net: "tcp", Addr: co.RemoteAddr(), Err: errRefused}
@@ -67,7 +68,6 @@
 // letGo releases what the connection holds but for its calls, as none of its messages is incomplete. Call it with the
 // lock held.
 func (co *Conn) letGo() {
-	co.messages.pending = 0
 	kept := callBytes * int64(co.messages.calls)
 	if co.messages.held > kept {
 		co.li.Bytes.Release(ledger.Buffers, co.messages.held-kept)
