core/swim, io/gossip: the peers that datagrams name are bounded

What callers saw: nothing yet; a router's memory and processor time grew with each address that a datagram at PeersAddr named, or came from, until it ended or answered nobody.

Cause: each address in a peer exchange, in a rumor and as a sender became a member of the group, and was kept for ten minutes. Nothing bounded their number. Inserting one among n costs n, so that a larger table is also slower.

Why this fix works: the table has MaxPeers members (2048 by default; the largest fleets have some 400). An address that is only named takes nobody's place, one that a message comes from takes that of a member that is dead or has sent nothing. A live peer that has sent a message is never forgotten for another. Members are listed for replacement once a period at most, so the cost of a flood is bounded too.

--- a/core/swim/rumor.go
+++ b/core/swim/rumor.go
@@ -34,7 +34,7 @@
 	if ta.members[ru.Addr] == nil && !ru.State.live() {
 		return
 	}
-	me := ta.member(now, ru.Addr)
+	me := ta.namedMember(now, ru.Addr)
 	switch {
 	case me == nil:
 		return
--- a/core/swim/swim.go
+++ b/core/swim/swim.go
@@ -17,6 +17,7 @@
 //   - A peer from which a message came within directContactWindow is not declared dead by a rumor of
 //     the same incarnation.
 //   - A router that receives no messages spreads no suspicion: it is isolated itself.
+//   - No more than MaxMembers peers are known. A peer that is alive and has sent a message is not forgotten for another.
 //
 // # Usage
 //
@@ -32,6 +33,7 @@
 package swim
 
 import (
+	"cmp"
 	"math/bits"
 	"slices"
 	"time"
@@ -108,6 +110,8 @@
 type Table struct {
 	Self string
 	Rand core.Rand
+	// MaxMembers bounds the peers that are known, 0 if it does not: messages may name any address.
+	MaxMembers int
 
 	members     map[string]*member
 	incarnation Incarnation
@@ -124,6 +128,11 @@
 	notices []Probe
 	// live counts the members that are alive or suspected.
 	live int
+	// replaceable are members in whose place others may be added, as of the first addition to the full table since
+	// the last Tick; nil if there was none.
+	replaceable []string
+	// rejected counts the addresses that were not added as the table is full.
+	rejected int64
 }
 
 type member struct {
@@ -149,12 +158,20 @@
 	sent int
 }
 
-// Add adds an address at which there may be no peer.
-func (ta *Table) Add(now time.Time, addr string) { ta.member(now, addr) }
+// Add adds an address at which there may be no peer. It returns false if there is no room for it.
+func (ta *Table) Add(now time.Time, addr string) bool { return ta.member(now, addr) != nil }
+
+// AddNamed is Add for an address that another peer has named. It takes nobody's place.
+func (ta *Table) AddNamed(now time.Time, addr string) bool { return ta.namedMember(now, addr) != nil }
+
+func (ta *Table) full() bool { return ta.MaxMembers > 0 && len(ta.members) >= ta.MaxMembers }
+
+// Rejected returns how many addresses were not added as the table was full.
+func (ta *Table) Rejected() int64 { return ta.rejected }
 
 // Join adds a peer that another one reports as alive.
 func (ta *Table) Join(now time.Time, addr string) {
-	me := ta.member(now, addr)
+	me := ta.namedMember(now, addr)
 	if me != nil && (me.state == Unverified || me.deadByIsolation) {
 		ta.setState(now, me, Alive)
 	}
@@ -169,6 +186,10 @@
 	}
 	me := ta.members[addr]
 	if me == nil {
+		if ta.full() && !ta.replace() {
+			ta.rejected++
+			return nil
+		}
 		me = &member{addr: addr, since: now}
 		ta.members[addr] = me
 		ta.scheduleProbe(addr)
@@ -176,6 +197,74 @@
 	return me
 }
 
+// namedMember is member for an address that another peer has named.
+func (ta *Table) namedMember(now time.Time, addr string) *member {
+	if ta.members[addr] == nil && addr != ta.Self && ta.full() {
+		ta.rejected++
+		return nil
+	}
+	return ta.member(now, addr)
+}
+
+// replace removes a member that is not alive or from which no message has come. It returns false if there is none.
+func (ta *Table) replace() bool {
+	if ta.replaceable == nil {
+		ta.replaceable = ta.listReplaceable()
+	}
+	for len(ta.replaceable) > 0 {
+		last := len(ta.replaceable) - 1
+		addr := ta.replaceable[last]
+		ta.replaceable = ta.replaceable[:last]
+		if me := ta.members[addr]; me != nil && me.replaceable() {
+			ta.remove(me)
+			return true
+		}
+	}
+	return false
+}
+
+func (me *member) replaceable() bool { return !me.state.live() || me.lastReceived.IsZero() }
+
+// listReplaceable lists the replaceable members, those last that are to be replaced first: the ones that are not alive, and
+// of these and the others the ones with the oldest state.
+func (ta *Table) listReplaceable() []string {
+	all := []*member{}
+	for _, me := range ta.members {
+		if me.replaceable() {
+			all = append(all, me)
+		}
+	}
+	slices.SortFunc(all, func(a, b *member) int {
+		if a.state.live() != b.state.live() {
+			if a.state.live() {
+				return -1
+			}
+			return 1
+		}
+		return cmp.Or(b.since.Compare(a.since), cmp.Compare(a.addr, b.addr))
+	})
+	addrs := make([]string, len(all))
+	for ix, me := range all {
+		addrs[ix] = me.addr
+	}
+	return addrs
+}
+
+// remove removes a member with all that refers to it.
+func (ta *Table) remove(me *member) {
+	if me.state.live() {
+		ta.live--
+	}
+	delete(ta.members, me.addr)
+	if at := slices.Index(ta.order, me.addr); at >= 0 {
+		ta.order = slices.Delete(ta.order, at, at+1)
+		if at < ta.next {
+			ta.next--
+		}
+	}
+	ta.rumors = slices.DeleteFunc(ta.rumors, func(qu *queuedRumor) bool { return qu.Addr == me.addr })
+}
+
 // scheduleProbe inserts a new peer at a random position among those still to be probed.
 func (ta *Table) scheduleProbe(addr string) {
 	at := ta.next + ta.draw(len(ta.order)-ta.next+1)
@@ -309,6 +398,7 @@
 		ta.startedAt = now
 	}
 	ta.periods++
+	ta.replaceable = nil
 	ta.expireStates(now)
 	out := append(ta.notices, ta.checkProbes(now)...)
 	ta.notices = nil
--- a/io/conf/relay.go
+++ b/io/conf/relay.go
@@ -34,9 +34,13 @@
 	MemoryMB        int           `yaml:"MemoryMB" doc:"Memory of the process in megabytes; 0 means no bound. Callers may take 0.6 of what is above 32 MB: half of that for connections, 0.15 for heads, 0.35 for bodies and responses."`
 	MaxDescriptors  int           `yaml:"MaxDescriptors" doc:"Descriptors that the process may have open. Default: the platform's limit, in ALMONDRILL_MAX_DESCRIPTORS, or else the system's. An eighth, 48 to 256, is for the process's own work; callers' connections may take two thirds of the rest, connections to endpoints one third."`
 	FileDescriptors int           `yaml:"FileDescriptors" doc:"How many of MaxDescriptors are kept for files. Default 0."`
+	MaxPeers        int           `yaml:"MaxPeers" doc:"Other routers that this one knows at most; addresses beyond that are ignored unless a message comes from there and a known router is gone. Default 2048."`
 	LogLevel        string        `yaml:"LogLevel" doc:"debug, info, warn or error. Default info."`
 }
 
+// defaultMaxPeers is several times as many as the largest fleets have.
+const defaultMaxPeers = 2048
+
 // Defaults sets the settings that were left out to their defaults.
 func (se *RelaySettings) Defaults() {
 	defaultTo(&se.CapFactor, 2)
@@ -48,6 +52,7 @@
 	defaultTo(&se.DrainTimeout, 10*time.Minute)
 	defaultTo(&se.EngineDrainTime, 3*time.Second)
 	defaultTo(&se.ReturnDelay, 2*time.Second)
+	defaultTo(&se.MaxPeers, defaultMaxPeers)
 	defaultTo(&se.LogLevel, "info")
 }
 
@@ -76,7 +81,7 @@
 		"RetryRatio": se.RetryRatio, "RetrySlack": se.RetrySlack,
 		"RetrySpan": float64(se.RetrySpan), "DrainDelay": float64(se.DrainDelay),
 		"DrainTimeout": float64(se.DrainTimeout), "ReturnDelay": float64(se.ReturnDelay), "EngineDrainTime": float64(se.EngineDrainTime), "MemoryMB": float64(se.MemoryMB),
-		"MaxDescriptors": float64(se.MaxDescriptors), "FileDescriptors": float64(se.FileDescriptors),
+		"MaxDescriptors": float64(se.MaxDescriptors), "FileDescriptors": float64(se.FileDescriptors), "MaxPeers": float64(se.MaxPeers),
 	} {
 		if value < 0 {
 			ch.addProblem(ch.keyLines[key], "%s must not be negative", key)
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -195,7 +195,7 @@
 	pr.ownDescriptors = pr.accounts.SetLimits(se.MemoryMB, se.MaxDescriptors, se.FileDescriptors)
 	pr.pool = &conns.Pool{Descriptors: &pr.accounts.Descriptors}
 	pr.mirror = &mirror.Mirror{Outranks: pr.Platform.Outranks}
-	pr.peers = &gossip.Group{Self: se.Name, Addr: se.PeersAddr, Mirror: pr.mirror, Rand: pr.rand, Log: pr.Logs.Part("gossip")}
+	pr.peers = &gossip.Group{Self: se.Name, Addr: se.PeersAddr, Mirror: pr.mirror, Rand: pr.rand, Log: pr.Logs.Part("gossip"), MaxPeers: se.MaxPeers}
 	pr.placer = &place.Placer{
 		Zone: se.Zone, Regions: se.Zones, Rand: pr.rand, CapFactor: se.CapFactor, RouterCount: pr.peers.Routers,
 		ColdLimits: place.ColdLimits{Overrun: se.ColdOverrun, Slack: se.ColdSlack},
@@ -290,6 +290,7 @@
 	pr.Stats.SetFunc(stats.ViewAgeMs, func() int64 { return pr.reader.Age().Milliseconds() })
 	pr.Stats.SetFunc(stats.StoreEra, func() int64 { return int64(pr.mirror.AsOf().Era()) })
 	pr.Stats.SetFunc(stats.PeersLive, func() int64 { return int64(pr.peers.Live()) })
+	pr.Stats.SetFunc(stats.PeersRejected, pr.peers.Rejected)
 	pr.Stats.SetFunc(stats.EndpointsKnown, func() int64 { return int64(pr.servingEndpoints()) })
 	pr.Stats.SetFunc(stats.ZonesEvacuated, func() int64 { return int64(len(pr.placer.EvacuatedZones())) })
 	if pr.Dropped != nil {
--- a/io/gossip/gossip.go
+++ b/io/gossip/gossip.go
@@ -179,6 +179,8 @@
 	AskTimeout time.Duration
 	// Builds holds the builds that have served each pool.
 	Builds *builds.History
+	// MaxPeers bounds the peers that are known, 0 if it does not.
+	MaxPeers int
 	// Demand is this router's demand for pools; nil if it takes no part in dividing their capacity.
 	Demand Demand
 
@@ -210,6 +212,9 @@
 	broadcastRev core.Version
 	// joining are peers that know fewer others than this router, and get a join reply.
 	joining []string
+
+	// loggedRejected is what Rejected returned when it was last logged. Only Run uses it.
+	loggedRejected int64
 }
 
 // member is what is known of a peer.
@@ -243,24 +248,55 @@
 	gr.getOrAddMember(addr)
 }
 
+// getOrAddMember returns nil for this router's address, and if there is no room for another peer.
 func (gr *Group) getOrAddMember(addr string) *member {
 	if gr.members == nil {
 		gr.members = map[string]*member{}
-		gr.membership.Self, gr.membership.Rand = gr.Addr, gr.Rand
+		gr.membership.Self, gr.membership.Rand, gr.membership.MaxMembers = gr.Addr, gr.Rand, gr.MaxPeers
 	}
 	if addr == gr.Addr || addr == "" {
 		return nil
 	}
 	me := gr.members[addr]
 	if me == nil {
+		now := time.Now()
+		if !gr.membership.Add(now, addr) {
+			return nil
+		}
 		me = &member{hash: xxhash.Sum64String(addr)}
 		gr.members[addr] = me
-		gr.lastAdded = time.Now()
-		gr.membership.Add(gr.lastAdded, addr)
+		gr.lastAdded = now
 	}
 	return me
 }
 
+// addNamed adds a peer that another one has named. It returns false for this router's address, and if there is no room.
+func (gr *Group) addNamed(now time.Time, addr string) bool {
+	if gr.members[addr] == nil && !gr.membership.AddNamed(now, addr) {
+		return false
+	}
+	return gr.getOrAddMember(addr) != nil
+}
+
+// Rejected returns how many addresses of peers were ignored as too many are known.
+func (gr *Group) Rejected() int64 {
+	gr.mu.Lock()
+	defer gr.mu.Unlock()
+	return gr.membership.Rejected()
+}
+
+// rejectedLogTicks is how often, in ticks, ignored addresses are logged.
+const rejectedLogTicks = 50
+
+// logRejected logs how many addresses were ignored since it last did.
+func (gr *Group) logRejected() {
+	rejected := gr.Rejected()
+	if gr.ticks%rejectedLogTicks == 0 && rejected > gr.loggedRejected {
+		gr.Log.Warn("Ignored addresses of peers, as too many are known.", zap.Int64("Addresses", rejected-gr.loggedRejected), zap.Int("Known", gr.MaxPeers))
+		gr.loggedRejected = rejected
+	}
+}
+
 // Live is how many peers are alive, including suspected ones.
 func (gr *Group) Live() int {
 	gr.mu.Lock()
@@ -333,6 +369,7 @@
 			gr.updateGaps(ctx, now)
 			gr.probePeers(pc, now)
 			gr.dropForgotten()
+			gr.logRejected()
 			gr.updateSettled(now)
 			gr.exchangeDemand(now)
 			gr.broadcast(pc, now, false)
@@ -415,14 +452,14 @@
 	}
 	if ms.From != "" {
 		me.id, me.livePeers, me.config = ms.From, ms.LivePeers, ms.Config
-		if gr.membership.KnowsMore(int(ms.LivePeers)) {
+		if gr.membership.KnowsMore(int(ms.LivePeers)) && len(gr.joining) < maxJoinReplies {
 			gr.joining = append(gr.joining, from)
 		}
 	}
 	me.asOf, me.leaving, me.failing, me.confirmed = ms.AsOf, ms.Leaving, ms.Failing, confirmed
 	gr.watchers.Apply(now, unpackWatchers(now, ms.Watchers))
 	for _, pa := range ms.Peers {
-		if addr, ok := pa.unpack(); ok && gr.getOrAddMember(addr) != nil {
+		if addr, ok := pa.unpack(); ok && gr.addNamed(now, addr) {
 			gr.membership.Join(now, addr)
 		}
 	}
--- a/io/gossip/probe.go
+++ b/io/gossip/probe.go
@@ -118,7 +118,7 @@
 			continue
 		}
 		if ru.State == swim.Alive {
-			gr.getOrAddMember(addr)
+			gr.addNamed(now, addr)
 		}
 		rumors = append(rumors, swim.Rumor{Addr: addr, State: ru.State, Incarnation: ru.Incarnation})
 	}
@@ -127,13 +127,12 @@
 
 func (gr *Group) handleProbe(now time.Time, from net.Addr, ms *message) {
 	gr.mu.Lock()
-	known := gr.getOrAddMember(from.String()) != nil
-	if known {
+	if gr.getOrAddMember(from.String()) != nil {
 		gr.applyRumors(now, from.String(), ms)
 	}
 	gr.mu.Unlock()
 	socket := gr.counts.socket.Load()
-	if !known || socket == nil {
+	if from.String() == gr.Addr || socket == nil {
 		return
 	}
 	pm := ms.Probe
--- a/io/stats/stats.go
+++ b/io/stats/stats.go
@@ -67,6 +67,8 @@
 	ConnsEvicted = "ConnsEvicted"
 	ConnsRefused = "ConnsRefused"
 	HeadsRefused = "HeadsRefused"
+	// PeersRejected counts addresses of peers that were ignored as too many are known.
+	PeersRejected = "PeersRejected"
 	// EndpointsDisplaced counts endpoints with whose address another endpoint registered.
 	EndpointsDisplaced = "EndpointsDisplaced"
 	// ItemsFailed counts items of the store that triggered a fault of this program.
