io/rpc: names in messages of peers are bounded

What callers saw: nothing yet; an agent kept whatever names a message at its PeersAddr held, up to 16 MB each, and ended with all calls on it once they filled its memory.

Cause: chats, customers, pools and VMs in placements, calls and claims had no bound in size of their own. An agent keeps up to 20,000 placements and 20,000 cached contexts by name, and the owner of a shard each claimant.

A call beyond the bound is refused before it reaches a handler, as not run. Refused messages are counted (MessagesRejected) and logged.

--- a/io/node/accounts.go
+++ b/io/node/accounts.go
@@ -4,6 +4,8 @@
 	"net"
 	"time"
 
+	"go.uber.org/zap"
+
 	"almondrill/core"
 	"almondrill/core/ledger"
 	"almondrill/io/accept"
@@ -67,3 +69,9 @@
 	li.Bytes, li.Most = nil, max(1, int(adminShare*float64(pr.ownDescriptors)))
 	return li
 }
+
+// messageRejected counts and logs a message of a peer that was refused.
+func (pr *Process) messageRejected(step string, err error) {
+	pr.Stats.Add(stats.MessagesRejected, 1)
+	pr.logger.Warn("Refused a message of a peer.", zap.String("Step", step), zap.Error(err))
+}
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -219,7 +219,7 @@
 func (pr *Process) buildRole() {
 	pr.server = &rpc.Server{
 		Listener: pr.peerConns, StatsHandler: pr.peerConns, Exchange: pr.answerDigest, Fetch: pr.configLog.ChangesSince,
-		RevisionSeen: pr.syncer.NotePeerRevision, Revision: pr.configLog.Revision,
+		RevisionSeen: pr.syncer.NotePeerRevision, Revision: pr.configLog.Revision, Rejected: pr.messageRejected,
 	}
 	if pr.Role == core.RoleRouter {
 		pr.server.Register = pr.registerOperators
--- a/io/rpc/handover.go
+++ b/io/rpc/handover.go
@@ -81,6 +81,9 @@
 	if first.Placement == nil {
 		return status.Error(codes.InvalidArgument, "the first part names no chat")
 	}
+	if err = checkPlacement(first.Placement); err != nil {
+		return ha.reject("hand", err)
+	}
 	pl := placementsFromWire(&wire.PlaceCall{Placements: []*wire.Placement{first.Placement}})[0]
 	re := &wire.HandReply{Revision: ha.revision()}
 	if err = ha.se.HandOver(st.Context(), &core.Handover{Placement: pl, Tokens: core.Tokens(first.Tokens)}, &handoverReader{st: st}); err != nil {
--- a/io/rpc/server.go
+++ b/io/rpc/server.go
@@ -37,6 +37,8 @@
 	RevisionSeen func(from core.VMID, rev core.Revision)
 	// Revision returns this process's configuration revision, which replies carry.
 	Revision func() core.Revision
+	// Rejected, if set, is called for each message that is refused for a name or text that is too long.
+	Rejected func(step string, err error)
 	// Register, if set, registers other services on the same gRPC server.
 	Register func(sr grpc.ServiceRegistrar)
 
@@ -110,6 +112,10 @@
 	if ha.se.Serve == nil {
 		return status.Error(codes.Unimplemented, "this process runs no calls")
 	}
+	if err := checkCall(in); err != nil {
+		ha.noteRejected("serve", err)
+		return st.SendMsg(&wire.Part{Attempt: in.Attempt, Told: reportToWire(&core.Report{}), Refused: refusalToWire(core.AsRefusal(err, "serve", ""))})
+	}
 	ca := callFromWire(in, time.Now())
 	ctx := st.Context()
 	if !ca.Deadline.IsZero() {
@@ -156,6 +162,9 @@
 	if ha.se.Exchange == nil {
 		return nil, status.Error(codes.Unimplemented, "this process keeps no loads")
 	}
+	if err := checkDigest(in); err != nil {
+		return nil, ha.reject("exchange", err)
+	}
 	ha.revisionSeen(core.VMID(in.From), in.Revision)
 	return digestToWire(ha.se.Exchange(digestFromWire(in))), nil
 }
@@ -165,6 +174,9 @@
 	if ha.se.Claim == nil {
 		return nil, status.Error(codes.Unimplemented, "this process keeps no claims")
 	}
+	if err := checkNames(in.VM); err != nil {
+		return nil, ha.reject("claim", err)
+	}
 	ve, err := ha.se.Claim(ctx, claimFromWire(in))
 	if err != nil {
 		return nil, status.Error(codes.Unavailable, err.Error())
@@ -189,6 +201,9 @@
 	if ha.se.UpdatePlacements == nil {
 		return nil, status.Error(codes.Unimplemented, "this process keeps no chats")
 	}
+	if err := checkPlacements(in); err != nil {
+		return nil, ha.reject("place", err)
+	}
 	ha.se.UpdatePlacements(placementsFromWire(in))
 	return &wire.PlaceReply{Revision: ha.revision()}, nil
 }
--- a/io/stats/stats.go
+++ b/io/stats/stats.go
@@ -67,6 +67,8 @@
 	ConnsEvicted = "ConnsEvicted"
 	ConnsRefused = "ConnsRefused"
 	HeadsRefused = "HeadsRefused"
+	// MessagesRejected counts messages of peers that were refused for a name or text that is too long.
+	MessagesRejected = "MessagesRejected"
 	// PeersRejected counts addresses of peers that were ignored as too many are known.
 	PeersRejected = "PeersRejected"
 	// EndpointsDisplaced counts endpoints with whose address another endpoint registered.
