core/claim: idempotency keys and claims are bounded by the agent's memory

What callers saw: nothing yet; an agent kept each idempotency key, also of calls that were refused, for KeyWindow (15 min), and the owner of a shard each claim and, for good, each claimant. Their number had no bound.

Cause: the tables were sized by the rate of keys alone. Stored outcomes had a bound of bytes, keys and claims had none.

Evidence, virtual time: of 4,000 keys in a window 4,000 were kept (claim.Keys.Size), and as many claims with as many claimants; there was nothing to set. A small crowd of real processes does not reach such numbers in 5 s: no such test.

Why this fix works: keys, outcomes and claims have a class of their own in the agent's account of bytes, a tenth, taken from that of connections; they compete with no body. Owners of idle shards drop claims of two windows at once, and claimants with the last of their claims.

--- a/core/claim/chain.go
+++ b/core/claim/chain.go
@@ -9,6 +9,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"almondrill/core"
+	"almondrill/core/ledger"
 )
 
 // head is the value of a shard's head entry: the claims since the last segment.
@@ -126,6 +127,7 @@
 		by := ba.Claimants[cl.Claimant]
 		claimant := core.Claimant{VM: core.VMID(by.VM), Incarnation: core.Incarnation(by.Incarnation)}
 		sh.recent[hash] = heldClaim{by: sh.indexOf(claimant), at: at}
+		sh.writer.Memory.Add(ledger.Kept, claimCost)
 	}
 }
 
--- a/core/claim/keys.go
+++ b/core/claim/keys.go
@@ -9,10 +9,15 @@
 
 	"almondrill/core"
 	"almondrill/core/agent"
+	"almondrill/core/ledger"
 )
 
-// maxStoredResponse bounds a response that is kept for replay.
-const maxStoredResponse = 256 << 10
+const (
+	// maxStoredResponse bounds a response that is kept for replay.
+	maxStoredResponse = 256 << 10
+	// recordBytes is what the record of a key costs.
+	recordBytes = 512
+)
 
 // Keys is an agent's table of the idempotency keys that it accepted. Set the exported
 // fields before use.
@@ -22,6 +27,8 @@
 	// Window is how long a key is kept; MaxBytes bounds the responses kept.
 	Window   time.Duration
 	MaxBytes core.Bytes
+	// Memory is the process's account of bytes; records are ledger.Kept. nil bounds nothing.
+	Memory *ledger.Ledger
 	// ClaimTimeout bounds the time that a claim may take.
 	ClaimTimeout time.Duration
 	// Ask sends a claim to the owner of the key's shard.
@@ -79,6 +86,8 @@
 	for {
 		re, wait := ke.acquire(hash, fp)
 		switch {
+		case re == nil:
+			return nil, ke.noMemory()
 		case re.fingerprint != fp:
 			return nil, ke.refuse(core.NotRun, core.ReasonKeyReused, "the key was used for another request")
 		case wait == nil && re.state == done:
@@ -97,7 +106,8 @@
 
 // acquire finds or creates the key's record. If the returned channel is not nil, another call with
 // the key is running. If it is nil, the caller replays the outcome of a record in state done, and
-// executes the call of a record in state running. The caller has to compare the fingerprint first.
+// executes the call of a record in state running. The caller has to compare the fingerprint first. The record is nil if
+// there is no memory for it.
 func (ke *Keys) acquire(hash core.KeyHash, fp uint64) (*record, chan struct{}) {
 	ke.mu.Lock()
 	defer ke.mu.Unlock()
@@ -107,6 +117,9 @@
 	}
 	re := ke.records[hash]
 	if re == nil {
+		if !ke.Memory.Reserve(ledger.Kept, recordBytes) {
+			return nil, nil
+		}
 		re = &record{hash: hash, fingerprint: fp, acceptedAt: ke.Clock.Now()}
 		ke.records[hash] = re
 		ke.byAge = append(ke.byAge, re)
@@ -132,7 +145,8 @@
 			return
 		}
 		ke.byAge = ke.byAge[1:]
-		ke.storedBytes -= re.bytes
+		ke.release(re)
+		ke.Memory.Release(ledger.Kept, recordBytes)
 		delete(ke.records, re.hash)
 	}
 }
@@ -254,12 +268,29 @@
 	rec.refusal = re
 	rec.responseDropped = ex.tooLarge
 	if re == nil && !ex.tooLarge {
-		rec.parts, rec.bytes = ex.parts, ex.bytes
-		ke.storedBytes += ex.bytes
-		ke.evictResponses()
+		rec.responseDropped = !ke.Memory.Reserve(ledger.Kept, int64(ex.bytes))
+		if !rec.responseDropped {
+			rec.parts, rec.bytes = ex.parts, ex.bytes
+			ke.storedBytes += ex.bytes
+			ke.evictResponses()
+		}
 	}
 }
 
+// release drops the stored response of a record. Call it with the lock held.
+func (ke *Keys) release(re *record) {
+	ke.storedBytes -= re.bytes
+	ke.Memory.Release(ledger.Kept, int64(re.bytes))
+	re.parts, re.bytes = nil, 0
+}
+
+// noMemory refuses a call as the keys of others take the memory that there is for them.
+func (ke *Keys) noMemory() *core.Refusal {
+	re := ke.refuse(core.NotRun, core.ReasonMemory, "idempotency keys of other calls take the memory that there is for them")
+	re.RetryAfter = time.Second
+	return re
+}
+
 // evictResponses drops the oldest responses while all together exceed MaxBytes.
 func (ke *Keys) evictResponses() {
 	for _, re := range ke.byAge {
@@ -267,8 +298,8 @@
 			return
 		}
 		if re.bytes > 0 {
-			ke.storedBytes -= re.bytes
-			re.parts, re.bytes, re.responseDropped = nil, 0, true
+			ke.release(re)
+			re.responseDropped = true
 		}
 	}
 }
--- a/core/claim/writer.go
+++ b/core/claim/writer.go
@@ -39,6 +39,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"almondrill/core"
+	"almondrill/core/ledger"
 	"almondrill/core/retry"
 )
 
@@ -58,6 +59,15 @@
 // ErrUnsettled means that the KV did not confirm in time whether the claim was made.
 var ErrUnsettled = errors.New("the key-value service did not settle the claim in time")
 
+// ErrNoMemory means that the claim was not made, as others take the memory that there is for them.
+var ErrNoMemory = errors.New("claims of other keys take the memory that there is for them")
+
+// claimCost and claimantCost are what a claim and a claimant in memory cost, in bytes.
+const (
+	claimCost    = 80
+	claimantCost = 400
+)
+
 // Hash is the hash that identifies a customer's key in claims.
 func Hash(cu core.CustomerID, key core.IdemKey) core.KeyHash {
 	var hash core.KeyHash
@@ -83,6 +93,8 @@
 	Shards int
 	// Window is how long claims are kept.
 	Window time.Duration
+	// Memory is the process's account of bytes; claims in memory are ledger.Kept. nil bounds nothing.
+	Memory *ledger.Ledger
 	// WriteInterval is the shortest mean time between writes to a shard, whether to its head or to a
 	// segment. It bounds the KV's load to Shards/WriteInterval writes, however many claims there are.
 	WriteInterval time.Duration
@@ -93,7 +105,7 @@
 	leasedAt time.Time
 }
 
-// Claim claims a key and waits for the reply. It fails with ErrUnsettled, or when ctx ends.
+// Claim claims a key and waits for the reply. It fails with ErrUnsettled or ErrNoMemory, or when ctx ends.
 func (wr *Writer) Claim(ctx context.Context, cl *core.Claim) (*core.ClaimReply, error) {
 	return wr.shard(ShardOf(cl.Hash, wr.Shards)).claim(ctx, cl)
 }
@@ -203,6 +215,11 @@
 		sh.mu.Unlock()
 		return rp, nil
 	}
+	sh.rotate() // the worker does not while no claim is queued
+	if !sh.writer.Memory.HasRoom(ledger.Kept, claimCost+claimantCost) {
+		sh.mu.Unlock()
+		return nil, ErrNoMemory
+	}
 	pc := &pendingClaim{claim: cl, done: make(chan result, 1)}
 	sh.queue = append(sh.queue, pc)
 	if !sh.busy {
@@ -246,6 +263,7 @@
 		ix = uint32(len(sh.claimants))
 		sh.claimants = append(sh.claimants, by)
 		sh.claimantIndex[by] = ix
+		sh.writer.Memory.Add(ledger.Kept, claimantCost)
 	}
 	return ix
 }
@@ -298,12 +316,31 @@
 // The caller holds mu.
 func (sh *shard) rotate() {
 	now := sh.writer.Clock.Now()
-	if now.Sub(sh.rotatedAt) <= sh.writer.Window {
+	age := now.Sub(sh.rotatedAt)
+	if age <= sh.writer.Window {
 		return
 	}
 	sh.rotatedAt = now
+	sh.writer.Memory.Release(ledger.Kept, claimCost*int64(len(sh.previous)))
 	sh.previous = sh.recent
+	// A batch rotates before it adds claims: the last one did within Window.
+	if age > 2*(sh.writer.Window+batchTimeout) {
+		sh.writer.Memory.Release(ledger.Kept, claimCost*int64(len(sh.previous)))
+		sh.previous = nil
+	}
 	sh.recent = map[core.KeyHash]heldClaim{}
+	sh.forgetClaimants()
+}
+
+// forgetClaimants drops the claimants whose claims were all dropped. The caller holds mu.
+func (sh *shard) forgetClaimants() {
+	all := sh.claimants
+	sh.writer.Memory.Release(ledger.Kept, claimantCost*int64(len(all)))
+	sh.claimants, sh.claimantIndex = nil, map[core.Claimant]uint32{}
+	for hash, he := range sh.previous {
+		he.by = sh.indexOf(all[he.by])
+		sh.previous[hash] = he
+	}
 }
 
 // processBatch completes each claim of a batch. It reads the shard if needed, replies to the claims
--- a/core/ledger/ledger.go
+++ b/core/ledger/ledger.go
@@ -8,7 +8,7 @@
 //
 // # Invariants
 //
-//   - No class holds more than its share of the limit, unless the limit was lowered meanwhile.
+//   - No class holds more than its share of the limit, unless the limit was lowered meanwhile or Add was used.
 //   - A reservation that fails changes nothing.
 //
 // # Usage
@@ -32,6 +32,8 @@
 	Heads
 	// Buffers is for bodies of requests and responses.
 	Buffers
+	// Kept is for what stays when a request has ended: idempotency keys, their claims and outcomes.
+	Kept
 	classCount
 )
 
@@ -50,8 +52,9 @@
 type Shares map[Class]float64
 
 var (
-	// Bytes are the shares of a process's memory.
-	Bytes = Shares{Conns: 0.5, Heads: 0.15, Buffers: 0.35}
+	// Bytes are the shares of a router's memory, AgentBytes those of an agent's.
+	Bytes      = Shares{Conns: 0.5, Heads: 0.15, Buffers: 0.35}
+	AgentBytes = Shares{Conns: 0.4, Heads: 0.15, Buffers: 0.35, Kept: 0.1}
 	// Descriptors are the shares of a process's descriptors.
 	Descriptors = Shares{Callers: 2. / 3, Endpoints: 1. / 3}
 	// RouterDescriptors and AgentDescriptors are those of routers that use agents, and of agents.
@@ -95,6 +98,19 @@
 	return true
 }
 
+// Add adds what is held already, such as what another process has decided on, to what a class holds.
+func (le *Ledger) Add(cl Class, count int64) {
+	if le != nil {
+		le.held[cl].Add(count)
+	}
+}
+
+// HasRoom reports whether a reservation would succeed now.
+func (le *Ledger) HasRoom(cl Class, count int64) bool {
+	most := le.Most(cl)
+	return most <= 0 || le.Held(cl)+count <= most
+}
+
 // Release gives back what was reserved.
 func (le *Ledger) Release(cl Class, count int64) {
 	if le != nil {
--- a/io/accept/accounts.go
+++ b/io/accept/accounts.go
@@ -13,9 +13,9 @@
 }
 
 // NewAccounts returns accounts without limits.
-func NewAccounts(descriptors ledger.Shares) *Accounts {
+func NewAccounts(bytes, descriptors ledger.Shares) *Accounts {
 	ac := &Accounts{}
-	ac.Bytes.Shares, ac.Descriptors.Shares = ledger.Bytes, descriptors
+	ac.Bytes.Shares, ac.Descriptors.Shares = bytes, descriptors
 	return ac
 }
 
--- a/io/conf/conf.go
+++ b/io/conf/conf.go
@@ -56,7 +56,7 @@
 	KeepChats             time.Duration `yaml:"KeepChats" doc:"How long a chat is remembered. Default 6h."`
 	KeyWindow             time.Duration `yaml:"KeyWindow" doc:"How long idempotency keys are kept; the same everywhere. Default 15m."`
 	ClaimShards           int           `yaml:"ClaimShards" doc:"Shards of the claims; the same everywhere, never changed while running. Default 64."`
-	MemoryMB              int           `yaml:"MemoryMB" doc:"Memory of the process in megabytes. Callers and peers may take 0.6 of what is above 32 MB: half of that for connections, 0.15 for heads, 0.35 for bodies, messages and calls. Default 1024."`
+	MemoryMB              int           `yaml:"MemoryMB" doc:"Memory of the process in megabytes. Callers and peers may take 0.6 of what is above 32 MB: half of that for connections, 0.15 for heads, 0.35 for bodies, messages and calls; on an agent 0.4 for connections, and 0.1 for idempotency keys, their claims and outcomes. Default 1024."`
 	MaxDescriptors        int           `yaml:"MaxDescriptors" doc:"Descriptors that the process may have open. Default: the system's limit for the process. An eighth, 48 to 256, is for the process's own work; of the rest, a router's callers may take half, accepted connections of peers a quarter (on an agent three quarters), and connections to peers a quarter."`
 	FileDescriptors       int           `yaml:"FileDescriptors" doc:"How many of MaxDescriptors are kept for files. Default 0."`
 	LogLevel              string        `yaml:"LogLevel" doc:"debug, info, warn or error. Default info."`
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -191,7 +191,7 @@
 	}
 	pr.log = pr.Logs.Part("entry")
 	pr.rand = clock.NewRand(clock.RandomSeed())
-	pr.accounts = accept.NewAccounts(ledger.Descriptors)
+	pr.accounts = accept.NewAccounts(ledger.Bytes, ledger.Descriptors)
 	pr.ownDescriptors = pr.accounts.SetLimits(se.MemoryMB, se.MaxDescriptors, se.FileDescriptors)
 	pr.pool = &conns.Pool{Descriptors: &pr.accounts.Descriptors}
 	pr.mirror = &mirror.Mirror{Outranks: pr.Platform.Outranks}
--- a/io/node/accounts.go
+++ b/io/node/accounts.go
@@ -27,11 +27,11 @@
 // buildAccounts creates the accounts of what clients may make the process hold.
 func (pr *Process) buildAccounts() {
 	se := pr.Settings
-	shares := ledger.RouterDescriptors
+	bytes, descriptors := ledger.Bytes, ledger.RouterDescriptors
 	if pr.Role == core.RoleAgent {
-		shares = ledger.AgentDescriptors
+		bytes, descriptors = ledger.AgentBytes, ledger.AgentDescriptors
 	}
-	pr.accounts = accept.NewAccounts(shares)
+	pr.accounts = accept.NewAccounts(bytes, descriptors)
 	pr.ownDescriptors = pr.accounts.SetLimits(se.MemoryMB, se.MaxDescriptors, se.FileDescriptors)
 	pr.Stats.SetFunc(stats.BytesHeld, pr.accounts.Bytes.Total)
 	pr.Stats.SetFunc(stats.DescriptorsHeld, pr.accounts.Descriptors.Total)
--- a/io/node/roles.go
+++ b/io/node/roles.go
@@ -84,13 +84,14 @@
 	self := core.Claimant{VM: se.Name, Incarnation: pr.incarnation}
 	writer := &claim.Writer{
 		KV: pr.kv, Clock: pr.clock, Rand: pr.rand, Shards: se.ClaimShards, Window: se.KeyWindow,
-		WriteInterval: time.Second * time.Duration(se.ClaimShards) / claimWritesPerSecond,
+		WriteInterval: time.Second * time.Duration(se.ClaimShards) / claimWritesPerSecond, Memory: &pr.accounts.Bytes,
 	}
 	dispatcher := &claim.Dispatcher{Board: pr.board, Peers: pr.peers, Clock: pr.clock, Writer: writer, Self: self}
 	pr.server.Claim = writer.Claim
 	return &claim.Keys{
 		Clock: pr.clock, Self: self, Window: se.KeyWindow, MaxBytes: maxReplayBytes, ClaimTimeout: claimTimeout,
-		Ask: dispatcher.Claim, Alive: dispatcher.Alive,
+		Memory: &pr.accounts.Bytes,
+		Ask:    dispatcher.Claim, Alive: dispatcher.Alive,
 		Replayed: func() { pr.Stats.Add(stats.KeyReplays, 1) },
 	}
 }
