core/claim: stored responses make room for keys

What callers would see: on an agent with little memory, 8 MB of stored responses take the whole class of memory for keys (5.8 MB at MemoryMB 128), and each call with another key is refused for KeyWindow.

Cause: counts keys and responses in one class, and only the responses' own bound evicted them.

Why this fix works: the oldest responses are dropped for a record, as they are for newer responses. A shard drops both windows only once the last batch is older than Window whatever the time that it took.

--- a/core/claim/keys.go
+++ b/core/claim/keys.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -117,7 +118,7 @@
 	}
 	re := ke.records[hash]
 	if re == nil {
-		if !ke.Memory.Reserve(ledger.Kept, recordBytes) {
+		if !ke.reserveRecord() {
 			return nil, nil
 		}
 		re = &record{hash: hash, fingerprint: fp, acceptedAt: ke.Clock.Now()}
@@ -277,6 +278,20 @@
 	}
 }
 
+// reserveRecord reserves memory for a record, in place of the oldest responses if there is no other. Call it with the lock
+// held.
+func (ke *Keys) reserveRecord() bool {
+	for !ke.Memory.Reserve(ledger.Kept, recordBytes) {
+		at := slices.IndexFunc(ke.byAge, func(re *record) bool { return re.bytes > 0 })
+		if at < 0 {
+			return false
+		}
+		ke.release(ke.byAge[at])
+		ke.byAge[at].responseDropped = true
+	}
+	return true
+}
+
 // release drops the stored response of a record. Call it with the lock held.
 func (ke *Keys) release(re *record) {
 	ke.storedBytes -= re.bytes
--- a/core/claim/writer.go
+++ b/core/claim/writer.go
@@ -323,8 +323,8 @@
 	sh.rotatedAt = now
 	sh.writer.Memory.Release(ledger.Kept, claimCost*int64(len(sh.previous)))
 	sh.previous = sh.recent
-	// A batch rotates before it adds claims: the last one did within Window.
-	if age > 2*(sh.writer.Window+batchTimeout) {
+	// A batch rotates before it adds claims, so that the last one is older than Window.
+	if age > 3*sh.writer.Window {
 		sh.writer.Memory.Release(ledger.Kept, claimCost*int64(len(sh.previous)))
 		sh.previous = nil
 	}
--- a/io/conf/relay.go
+++ b/io/conf/relay.go
@@ -38,7 +38,7 @@
 	LogLevel        string        `yaml:"LogLevel" doc:"debug, info, warn or error. Default info."`
 }
 
-// defaultMaxPeers is several times as many as the largest fleets have.
+// defaultMaxPeers is far above the number of routers in a fleet.
 const defaultMaxPeers = 2048
 
 // Defaults sets the settings that were left out to their defaults.
