io/gossip, core/swim: senders that answer no probe count as routers

Cause: whoever sends a datagram was alive at once, and so was whatever it named, and peers passed it on. Made-up routers owned records of streams and counts until each was found dead, and for a minute after that counted among the owners that have to know of a stream (AliveWithin).

Evidence: TestStrangersAreNoPeers, three routers and 20 senders of 10 datagrams: on 9,312 peers are alive (peer exchanges), 9,212 (rumors) and 222 (replies on behalf of others) to the router they are sent to, 12 to 137 to the other two, and made-up addresses own streams; now 2 and 2, and the owners are the three routers.

An unverified sender is probed at once, 16 times in 200 ms at most, and becomes a peer by its reply; what it says of others counts from then on. A peer that is named by one that is alive needs no probe, so a router still meets a fleet by one reply.

Not mended: replies carry no token, and datagrams are not authenticated (docs/design/client-bounds.md, What remains).

--- a/core/swim/swim.go
+++ b/core/swim/swim.go
@@ -17,6 +17,8 @@
 //   - A peer from which a message came within directContactWindow is not declared dead by a rumor of
 //     the same incarnation.
 //   - A router that receives no messages spreads no suspicion: it is isolated itself.
+//   - An address whose messages arrive is alive only once it has replied to a probe, or a peer that is alive says so: what
+//     strangers send shows nothing but that somebody can send.
 //   - No more than MaxMembers peers are known. A peer that is alive and has sent a message is not forgotten for another.
 //
 // # Usage
@@ -27,8 +29,10 @@
 //	ta := &swim.Table{Self: addr, Rand: rand}
 //	ta.Add(now, seed)
 //	for _, pr := range ta.Tick(now) { ... }    // send a probe
-//	ta.MessageReceived(now, from, incarnation) // for each message
-//	ta.ApplyRumors(now, rumors)                // the rumors in it
+//	ta.ReplyReceived(now, from, incarnation)   // for each reply to a probe
+//	ta.Contact(now, from, incarnation)         // for each other message
+//	if ta.Challenge(now, from) { ... }         // send it a probe
+//	if ta.Alive(from) { ta.ApplyRumors(now, rumors) } // the rumors in it
 //	rumors := ta.Rumors(limit)                 // to be sent with a message
 package swim
 
@@ -132,6 +136,8 @@
 	replaceable []string
 	// rejected counts the addresses that were not added as the table is full.
 	rejected int64
+	// challenged counts the challenges since the last Tick.
+	challenged int
 }
 
 type member struct {
@@ -143,6 +149,10 @@
 	since, suspectedUntil time.Time
 	// deadByIsolation is set if it was declared dead because this router was isolated.
 	deadByIsolation bool
+	// stranger is set if it is known from its own messages alone.
+	stranger bool
+	// probedAt is when the last probe of this router was sent to it.
+	probedAt time.Time
 }
 
 type probe struct {
@@ -158,7 +168,13 @@
 }
 
 // Add adds an address at which there may be no peer. It returns false if there is no room for it.
-func (ta *Table) Add(now time.Time, addr string) bool { return ta.member(now, addr) != nil }
+func (ta *Table) Add(now time.Time, addr string) bool {
+	me := ta.member(now, addr)
+	if me != nil {
+		me.stranger = false
+	}
+	return me != nil
+}
 
 // Join adds a peer that another one reports as alive.
 func (ta *Table) Join(now time.Time, addr string) {
@@ -269,11 +285,12 @@
 // Known reports whether the peer is remembered.
 func (ta *Table) Known(addr string) bool { return ta.members[addr] != nil }
 
-// CountNotLongDead returns the number of peers that are not dead, or have been for less than within.
+// CountNotLongDead returns the number of peers that are not dead, or have been for less than within, without strangers that
+// have not replied to a probe.
 func (ta *Table) CountNotLongDead(now time.Time, within time.Duration) int {
 	count := 0
 	for _, me := range ta.members {
-		if me.state <= Suspect || me.state == Dead && now.Sub(me.since) < within {
+		if !me.unproven() && (me.state <= Suspect || me.state == Dead && now.Sub(me.since) < within) {
 			count++
 		}
 	}
@@ -283,7 +300,7 @@
 // AliveWithin reports whether a peer is alive, or was until less than within ago.
 func (ta *Table) AliveWithin(now time.Time, addr string, within time.Duration) bool {
 	me := ta.members[addr]
-	return me != nil && (me.state.live() || now.Sub(me.since) < within)
+	return me != nil && !me.unproven() && (me.state.live() || now.Sub(me.since) < within)
 }
 
 // LastReceived returns when the last message from a peer arrived; zero if none did.
@@ -321,7 +338,7 @@
 		ta.startedAt = now
 	}
 	ta.periods++
-	ta.replaceable = nil
+	ta.replaceable, ta.challenged = nil, 0
 	ta.expireStates(now)
 	out := append(ta.notices, ta.checkProbes(now)...)
 	ta.notices = nil
@@ -334,6 +351,11 @@
 			out = append(out, Probe{To: to})
 		}
 	}
+	for _, pr := range out {
+		if me := ta.members[pr.To]; me != nil && pr.Target == "" {
+			me.probedAt = now
+		}
+	}
 	return out
 }
 
--- a/io/gossip/gossip.go
+++ b/io/gossip/gossip.go
@@ -245,7 +245,9 @@
 	if addr == gr.Addr && gr.announced.IsZero() {
 		gr.announced = time.Now()
 	}
-	gr.getOrAddMember(addr)
+	if gr.getOrAddMember(addr) != nil {
+		gr.membership.Add(time.Now(), addr)
+	}
 }
 
 // getOrAddMember returns nil for this router's address, and if there is no room for another peer.
@@ -260,7 +262,7 @@
 	me := gr.members[addr]
 	if me == nil {
 		now := time.Now()
-		if !gr.membership.Add(now, addr) {
+		if !gr.membership.AddSender(now, addr) {
 			return nil
 		}
 		me = &member{hash: xxhash.Sum64String(addr)}
@@ -428,6 +430,7 @@
 	if !gr.recordSender(now, confirmed, from, ms) {
 		return
 	}
+	gr.challenge(now, from)
 	if ms.AsOf <= gr.Mirror.AsOf() {
 		gr.Feed.Confirm(now.Sub(confirmed))
 	}
@@ -446,7 +449,7 @@
 	if me == nil {
 		return false
 	}
-	gr.applyRumors(now, from, ms)
+	gr.applyRumors(now, from, ms, gr.membership.Contact)
 	if ms.Leaving && !me.leaving {
 		gr.Log.Info("A peer is shutting down.", zap.String("Peer", string(me.id)), zap.String("Addr", from))
 	}
@@ -458,6 +461,9 @@
 	}
 	me.asOf, me.leaving, me.failing, me.confirmed = ms.AsOf, ms.Leaving, ms.Failing, confirmed
 	gr.watchers.Apply(now, unpackWatchers(now, ms.Watchers))
+	if !gr.membership.Alive(from) {
+		return true
+	}
 	for _, pa := range ms.Peers {
 		if addr, ok := pa.unpack(); ok && gr.addNamed(now, addr) {
 			gr.membership.Join(now, addr)
--- a/io/gossip/probe.go
+++ b/io/gossip/probe.go
@@ -104,17 +104,28 @@
 	}
 }
 
-// applyRumors records that a message of a peer arrived, and its rumors about others. The lock is
-// held.
-func (gr *Group) applyRumors(now time.Time, from string, ms *message) {
-	if gr.membership.MessageReceived(now, from, ms.Incarnation) {
+// challenge probes the sender of a message if it may be no peer.
+func (gr *Group) challenge(now time.Time, from string) {
+	gr.mu.Lock()
+	due := gr.membership.Challenge(now, from)
+	gr.mu.Unlock()
+	if socket := gr.counts.socket.Load(); due && socket != nil {
+		gr.sendProbe(socket, from, &probeMessage{Kind: probeRequest}, swim.Rumor{})
+	}
+}
+
+// applyRumors records with the function that a message of a peer arrived, and its rumors about others. Of one that may be no
+// peer, only rumors about this router count, which it refutes. The lock is held.
+func (gr *Group) applyRumors(now time.Time, from string, ms *message, received func(time.Time, string, swim.Incarnation) bool) {
+	if received(now, from, ms.Incarnation) {
 		gr.updateCandidates()
 		gr.Log.Info("A peer is alive.", zap.String("Peer", string(ms.From)), zap.String("Addr", from))
 	}
+	believed := gr.membership.Alive(from)
 	rumors := make([]swim.Rumor, 0, len(ms.Rumors))
 	for _, ru := range ms.Rumors {
 		addr, ok := ru.Addr.unpack()
-		if !ok {
+		if !ok || !believed && addr != gr.Addr {
 			continue
 		}
 		if ru.State == swim.Alive {
@@ -127,10 +138,15 @@
 
 func (gr *Group) handleProbe(now time.Time, from net.Addr, ms *message) {
 	gr.mu.Lock()
+	received := gr.membership.Contact
+	if ms.Probe.Kind == probeReply && ms.Probe.Target == nil {
+		received = gr.membership.ReplyReceived
+	}
 	if gr.getOrAddMember(from.String()) != nil {
-		gr.applyRumors(now, from.String(), ms)
+		gr.applyRumors(now, from.String(), ms, received)
 	}
 	gr.mu.Unlock()
+	gr.challenge(now, from.String())
 	socket := gr.counts.socket.Load()
 	if from.String() == gr.Addr || socket == nil {
 		return
@@ -147,8 +163,8 @@
 		gr.sendProbe(socket, asker, &probeMessage{Kind: probeReply, Target: packAddr(from.String())}, swim.Rumor{})
 	case pm.Kind == probeReply && hasTarget:
 		gr.mu.Lock()
-		if gr.getOrAddMember(target) != nil {
-			gr.membership.MessageReceived(now, target, 0)
+		if gr.membership.Alive(from.String()) && gr.membership.Known(target) {
+			gr.membership.Contact(now, target, 0)
 		}
 		gr.mu.Unlock()
 	}
