io/front, io/rpc: calls hold endpoints for as long as their sender says

Callers of a router with agents got no answer while others, who named deadlines of 1,000 hours in X-Request-Timeout and asked for responses without end, stayed; the same beside peers that called an agent without a deadline.

Cause: nothing bounded the time of a call but the deadline that its sender named. Bytes and descriptors were within their bounds.

MaxDeadline, one hour by default, bounds the time of a request at a router and of a call at an agent. A call beyond is not refused: it runs, and ends then. DeadlinesShortened counts them, and a line is logged.

--- a/cmd/almondrill/hostile_test.go
+++ b/cmd/almondrill/hostile_test.go
@@ -58,8 +58,9 @@
 	client                                                    *client.Client
 }
 
-// startHostileFleet starts a fleet whose router and agent may have so many descriptors.
-func startHostileFleet(t *testing.T, descriptors int) *hostileFleet {
+// startHostileFleet starts a fleet whose router and agent may have so many descriptors. Both have more settings, if any
+// are given.
+func startHostileFleet(t *testing.T, descriptors int, settings ...string) *hostileFleet {
 	t.Helper()
 	hf := &hostileFleet{fleet: &fleet{t: t, dir: t.TempDir()}, client: &client.Client{
 		Key: "key", HTTP: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: 3 * time.Second},
@@ -70,10 +71,10 @@
 	}
 	hf.kvAddr, hf.vmsAddr = local.Addr(t), local.Addr(t)
 	hf.start("standin", "-addr", hf.kvAddr, "kv")
-	engine := local.Addr(t)
+	engine, more := local.Addr(t), strings.Join(settings, "\n")+"\n"
 	hf.start("standin", "-addr", engine, "engine")
-	hf.startLimited("agent", descriptors, "Endpoints: [{Name: e, Pool: chat, Kind: Engine, URL: http://"+engine+"}]\n")
-	hf.startLimited("router", descriptors, "Operators: [{Name: me, KeyHash: "+keyHash("operator")+"}]\nBodyTimeout: 3s\n")
+	hf.startLimited("agent", descriptors, "Endpoints: [{Name: e, Pool: chat, Kind: Engine, URL: http://"+engine+"}]\n"+more)
+	hf.startLimited("router", descriptors, "Operators: [{Name: me, KeyHash: "+keyHash("operator")+"}]\nBodyTimeout: 3s\n"+more)
 	hf.vms = []core.VM{
 		{ID: "agent", Addr: hf.agentPeers, Zone: "a", Region: "north", Role: core.RoleAgent, Pools: []core.PoolID{"chat"}},
 		{ID: "router", Addr: hf.routerPeers, Zone: "a", Region: "north", Role: core.RoleRouter},
--- a/cmd/almondrill/processes_test.go
+++ b/cmd/almondrill/processes_test.go
@@ -81,7 +81,7 @@
 // depends on how long it takes.
 func (fl *fleet) eventually(what string, ok func() bool) {
 	fl.t.Helper()
-	for range 300 {
+	for began := time.Now(); time.Since(began) < 30*time.Second; {
 		if ok() {
 			return
 		}
--- a/io/conf/conf.go
+++ b/io/conf/conf.go
@@ -44,6 +44,7 @@
 	BodyTimeout           time.Duration `yaml:"BodyTimeout" doc:"Time a caller has to send headers and body. Default 10s."`
 	WriteTimeout          time.Duration `yaml:"WriteTimeout" doc:"Time a caller has to take each piece of an answer. Default 30s."`
 	DefaultDeadline       time.Duration `yaml:"DefaultDeadline" doc:"Deadline of requests that name none. Default 2m."`
+	MaxDeadline           time.Duration `yaml:"MaxDeadline" doc:"Latest deadline of a request, or on an agent of a call; a later one is shortened. Default 1h."`
 	StallTimeout          time.Duration `yaml:"StallTimeout" doc:"Longest silence of an endpoint within an answer. Default 30s."`
 	DrainDelay            time.Duration `yaml:"DrainDelay" doc:"Time between telling that it leaves and refusing new work on a router. Default 3s."`
 	DrainTimeout          time.Duration `yaml:"DrainTimeout" doc:"Longest wait for work in progress when leaving. Default 10m."`
@@ -88,6 +89,7 @@
 	defaultTo(&se.BodyTimeout, 10*time.Second)
 	defaultTo(&se.WriteTimeout, 30*time.Second)
 	defaultTo(&se.DefaultDeadline, 2*time.Minute)
+	defaultTo(&se.MaxDeadline, time.Hour)
 	defaultTo(&se.StallTimeout, 30*time.Second)
 	defaultTo(&se.DrainDelay, 3*time.Second)
 	defaultTo(&se.DrainTimeout, 10*time.Minute)
@@ -185,6 +187,7 @@
 	for key, value := range map[string]float64{
 		"MaxBodyBytes": float64(se.MaxBodyBytes), "BodyTimeout": float64(se.BodyTimeout),
 		"WriteTimeout": float64(se.WriteTimeout), "DefaultDeadline": float64(se.DefaultDeadline),
+		"MaxDeadline":  float64(se.MaxDeadline),
 		"StallTimeout": float64(se.StallTimeout), "DrainDelay": float64(se.DrainDelay),
 		"DrainTimeout": float64(se.DrainTimeout), "RetryRatio": se.RetryRatio,
 		"ControlBytesPerSecond": float64(se.ControlBytesPerSecond), "MaxConnections": float64(se.MaxConnections),
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -55,6 +55,8 @@
 	BodyTimeout     time.Duration
 	WriteTimeout    time.Duration
 	DefaultDeadline time.Duration
+	// MaxDeadline bounds the deadlines that callers name, if it is not 0.
+	MaxDeadline time.Duration
 }
 
 // Headers of callers' requests and of responses to them.
@@ -219,12 +221,23 @@
 		if err != nil || requested <= 0 {
 			return badRequest(http.StatusBadRequest, HeaderTimeout+" is not a duration such as 30s: "+text)
 		}
-		timeout = requested
+		timeout = fr.shorten(requested, cu)
 	}
 	ca.Deadline = time.Now().Add(timeout)
 	return nil
 }
 
+// shorten returns the time that a caller names, or MaxDeadline if it is longer.
+func (fr *Front) shorten(requested time.Duration, cu *decl.Customer) time.Duration {
+	if fr.MaxDeadline == 0 || requested <= fr.MaxDeadline {
+		return requested
+	}
+	fr.Stats.Add(stats.DeadlinesShortened, 1)
+	fr.Log.Info("Shortened a caller's deadline.", zap.String("Customer", string(cu.Name)), zap.Duration("Named", requested),
+		zap.Duration("Max", fr.MaxDeadline))
+	return fr.MaxDeadline
+}
+
 var priorities = map[string]core.Priority{
 	"batch": core.PriorityBatch, "normal": core.PriorityNormal,
 	"high": core.PriorityHigh, "urgent": core.PriorityUrgent,
--- a/io/node/accounts.go
+++ b/io/node/accounts.go
@@ -75,3 +75,9 @@
 	pr.Stats.Add(stats.MessagesRejected, 1)
 	pr.logger.Warn("Refused a message of a peer.", zap.String("Step", step), zap.Error(err))
 }
+
+// deadlineShortened counts and logs a call of a peer whose deadline was shortened.
+func (pr *Process) deadlineShortened(ca *core.Call) {
+	pr.Stats.Add(stats.DeadlinesShortened, 1)
+	pr.logger.Warn("Shortened the deadline of a peer's call.", zap.String("Customer", string(ca.Customer)), zap.Duration("Max", pr.Settings.MaxDeadline))
+}
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -220,6 +220,7 @@
 	pr.server = &rpc.Server{
 		Listener: pr.peerConns, StatsHandler: pr.peerConns, Exchange: pr.answerDigest, Fetch: pr.configLog.ChangesSince,
 		RevisionSeen: pr.syncer.NotePeerRevision, Revision: pr.configLog.Revision, Rejected: pr.messageRejected,
+		MaxDeadline: pr.Settings.MaxDeadline, Shortened: pr.deadlineShortened,
 	}
 	if pr.Role == core.RoleRouter {
 		pr.server.Register = pr.registerOperators
--- a/io/node/roles.go
+++ b/io/node/roles.go
@@ -25,7 +25,7 @@
 	fr := &front.Front{
 		Board: pr.board, Router: pr.router, Stats: pr.Stats, Log: pr.logger,
 		Memory: &pr.accounts.Bytes, MaxBody: se.MaxBodyBytes, BodyTimeout: se.BodyTimeout, WriteTimeout: se.WriteTimeout,
-		DefaultDeadline: se.DefaultDeadline,
+		DefaultDeadline: se.DefaultDeadline, MaxDeadline: se.MaxDeadline,
 	}
 	return pr.httpServer(pr.callersListener(), fr.Handler())
 }
--- a/io/rpc/convert.go
+++ b/io/rpc/convert.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"math"
 	"time"
 
 	"almondrill/core"
@@ -28,7 +29,7 @@
 func callFromWire(ca *wire.Call, now time.Time) *core.Call {
 	var deadline time.Time
 	if ca.BudgetMicros != noDeadlineBudget {
-		deadline = now.Add(time.Duration(ca.BudgetMicros) * time.Microsecond)
+		deadline = now.Add(time.Duration(min(ca.BudgetMicros, math.MaxInt64/int64(time.Microsecond))) * time.Microsecond)
 	}
 	return &core.Call{
 		Attempt: core.AttemptID(ca.Attempt), Customer: core.CustomerID(ca.Customer), Pool: core.PoolID(ca.Pool),
--- a/io/rpc/server.go
+++ b/io/rpc/server.go
@@ -37,6 +37,10 @@
 	RevisionSeen func(from core.VMID, rev core.Revision)
 	// Revision returns this process's configuration revision, which replies carry.
 	Revision func() core.Revision
+	// MaxDeadline bounds the time until the deadlines of calls that are served, if it is not 0.
+	MaxDeadline time.Duration
+	// Shortened, if set, is called for each call whose deadline is later, or that has none.
+	Shortened func(ca *core.Call)
 	// Rejected, if set, is called for each message that is refused for a name or text that is too long.
 	Rejected func(step string, err error)
 	// Register, if set, registers other services on the same gRPC server.
@@ -117,6 +121,12 @@
 		return st.SendMsg(&wire.Part{Attempt: in.Attempt, Told: reportToWire(&core.Report{}), Refused: refusalToWire(core.AsRefusal(err, "serve", ""))})
 	}
 	ca := callFromWire(in, time.Now())
+	if latest := time.Now().Add(ha.se.MaxDeadline); ha.se.MaxDeadline > 0 && (ca.Deadline.IsZero() || ca.Deadline.After(latest)) {
+		if ha.se.Shortened != nil {
+			ha.se.Shortened(ca)
+		}
+		ca.Deadline = latest
+	}
 	ctx := st.Context()
 	if !ca.Deadline.IsZero() {
 		var cancel context.CancelFunc
--- a/io/stats/docs.go
+++ b/io/stats/docs.go
@@ -46,6 +46,7 @@
 	{DescriptorsHeld, "descriptors of callers' connections and of connections to endpoints; bounded by MaxDescriptors, see hostile-clients.md"},
 	{ConnsEvicted, "connections that were closed because there was no room for a new one: late heads first, then idle ones"},
 	{ConnsRefused, "new connections that were closed at once because there was no room and no other connection could be closed"},
+	{DeadlinesShortened, "requests, and on agents calls, with a deadline beyond MaxDeadline, which applies to them instead"},
 	{MessagesRejected, "messages of peers that were refused for a name or text that is too long; the call has not run"},
 	{PeersRejected, "addresses of peers that were ignored, as MaxPeers are known"},
 	{HeadsRefused, "heads of requests that were refused as they arrived, since they were over the limit or there was no memory for them"},
--- a/io/stats/stats.go
+++ b/io/stats/stats.go
@@ -67,6 +67,8 @@
 	ConnsEvicted = "ConnsEvicted"
 	ConnsRefused = "ConnsRefused"
 	HeadsRefused = "HeadsRefused"
+	// DeadlinesShortened counts requests and calls with a deadline beyond MaxDeadline.
+	DeadlinesShortened = "DeadlinesShortened"
 	// MessagesRejected counts messages of peers that were refused for a name or text that is too long.
 	MessagesRejected = "MessagesRejected"
 	// PeersRejected counts addresses of peers that were ignored as too many are known.
