io/conns: an answer that ends with its connection is whole only after its request was received

Callers saw: an endpoint that answers a long upload at once, without a length, and resets the connection inside its answer while the upload is still written. The part arrived as a complete answer (plain, failure, stream, resumable stream).

Cause: the end of such an answer was judged by the read alone. Linux reports a reset once, to whichever call comes first. The goroutine that writes the upload got it, and the read then saw an ordinary end. The read of an endpoint that half-closes the connection and then resets it also sees an ordinary end, whatever becomes of the upload.

Change: the body of such an answer returns io.EOF only after the write of the request has ended without an error, the system has the acknowledgement of all of it, and the state of the connection is not that of a reset, which no other call can take away. All that read a body get it: plain answers, failures, streams, answers to copies.

--- a/io/conns/conns.go
+++ b/io/conns/conns.go
@@ -12,6 +12,8 @@
 //   - A request is written once. Sent reports whether the endpoint may have received it.
 //   - A connection is reused only if the response was read to its end, the request was written
 //     completely, and nothing else has arrived on the connection since.
+//   - A response that ends with its connection is whole only if the endpoint has received the whole request and has closed
+//     the connection in order.
 //   - A connection holds a read buffer from Do until Put; no buffer belongs to two connections.
 //   - An endpoint that takes no connections counts as gone unless another connection to it, which was open when
 //     the one in question ended, stays open. One that takes connections counts as gone if it has closed all others
@@ -41,6 +43,7 @@
 	"time"
 
 	"almondrill/core/ledger"
+	"almondrill/io/strict"
 )
 
 const (
@@ -403,14 +406,15 @@
 		if err != nil {
 			return nil, fmt.Errorf("read answer of %s: %w", co.Addr, err)
 		}
+		strict.GuardBody(rs, co.confirmEnd)
 		if rs.StatusCode >= http.StatusOK && isOwn(rs.Header) {
 			return rs, nil
 		}
 		if rs.StatusCode < http.StatusOK {
 			continue
 		}
-		if rs.ContentLength < 0 && len(rs.TransferEncoding) == 0 {
-			break // the body ends with the connection
+		if strict.EndsWithConnection(rs) {
+			break
 		}
 		size, err := io.Copy(io.Discard, io.LimitReader(rs.Body, maxStraySize+1))
 		if err != nil {
@@ -461,6 +465,22 @@
 	}
 }
 
+// confirmEnd returns nil if the end of the connection, which a read has seen, is the end of a whole response: the request
+// was received, and the connection was not reset. It waits for the rest of the request to be written.
+func (co *Conn) confirmEnd() error {
+	if co.written != nil {
+		co.writeErr, co.written = <-co.written, nil
+	}
+	if co.writeErr != nil {
+		return fmt.Errorf("write to %s: %w: %w", co.Addr, co.writeErr, io.ErrUnexpectedEOF)
+	}
+	sc, ok := co.raw.(syscall.Conn)
+	if !ok {
+		return nil
+	}
+	return strict.ConfirmEnd(sc)
+}
+
 // FormatHead returns an HTTP/1.1 request line and header, with a Content-Length where the method
 // or a body calls for one.
 func FormatHead(method, uri, host string, hd http.Header, length int) []byte {
