io/strict: responses with a status that is none are no answers

Callers saw: an endpoint in trouble answers with the status 000. Behind an agent that arrived as a 200 with its body; at routers a whole answer in its body arrived as the endpoint's own, and one without that was waited for until the deadline.

Cause: http.ReadResponse accepts any three digits as a status, and a sign. conns.Do took all below 200 for interim responses, whose body it takes for the next head. core.Part reads 0 as "no status here".

Evidence: before the change TestInvalidAnswersAreNotForwarded and TestInvalidAnswersAreTriedAgain (io/relay) failed for the statuses 000, 042, 099, +20, 101, 600 and 999, for a control byte in the reason and for HTTP/2.0 on such a connection; TestInvalidAnswersAreRefused (io/back) for the same. Both routers and agents used the connection again. Held before, by the library: the statuses -01 and 20.

Change: strict.CheckHead accepts the version 1, interim statuses but 101 (which nobody asks for) and final ones up to 599, as RFC 9110 has them, and a reason without control bytes. Routers check where a head is read, final or interim; agents and all their calls to endpoints in an http.RoundTripper. The attempt ends with an unknown outcome: it is repeated only where the request may be, counts as a failure of the endpoint, and the connection is closed. Counter: MalformedAnswers.

After: the three tests pass. TestUnusualAnswersAreForwarded (both packages) passes before and after: 204, 304, HEAD, interim and folded heads, HTTP/1.0, no framing, trailers.

--- a/io/back/back.go
+++ b/io/back/back.go
@@ -38,6 +38,7 @@
 
 	"almondrill/core"
 	"almondrill/core/ring"
+	"almondrill/io/strict"
 )
 
 const (
@@ -87,13 +88,13 @@
 
 func newClient(fresh bool) *http.Client {
 	return &http.Client{
-		Transport: &http.Transport{
+		Transport: &strict.Transport{Base: &http.Transport{
 			DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
 			MaxIdleConnsPerHost: maxIdleConns,
 			DisableKeepAlives:   fresh,
 			DisableCompression:  true,
 			ReadBufferSize:      readSize,
-		},
+		}},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
 }
--- a/io/back/stream_test.go
+++ b/io/back/stream_test.go
@@ -13,12 +13,16 @@
 
 // parts records what an endpoint's response was forwarded as.
 type parts struct {
+	status   int // of the first part
 	text     string
 	position int64
 	end      bool
 }
 
 func (pa *parts) Send(part *core.Part) error {
+	if part.Status != 0 {
+		pa.status = part.Status
+	}
 	pa.text += string(part.Data)
 	pa.position, pa.end = part.Position, part.End
 	return nil
--- a/io/conns/conns.go
+++ b/io/conns/conns.go
@@ -337,7 +337,10 @@
 	if err != nil && co.in.left == 0 {
 		return nil, fmt.Errorf("%w: %w", ErrHeadTooLong, err) // the parser may see a line that was cut there
 	}
-	return rs, err
+	if err != nil {
+		return nil, err
+	}
+	return rs, strict.CheckHead(rs)
 }
 
 // releaseReader returns the read buffer for use by other connections. Only Put calls it, after the
--- a/io/relay/attempt.go
+++ b/io/relay/attempt.go
@@ -14,6 +14,7 @@
 	"almondrill/io/accept"
 	"almondrill/io/conns"
 	"almondrill/io/stats"
+	"almondrill/io/strict"
 )
 
 // maxBuffered is how much of a response is buffered, in bytes, before any of it is forwarded: until
@@ -368,6 +369,9 @@
 	case errors.Is(err, conns.ErrHeadTooLong):
 		ex.rq.re.Stats.Add(stats.OversizedAnswers, 1)
 		return ex.refusal(core.Unknown, core.ReasonEndpointError, step, err), place.Failed
+	case errors.Is(err, strict.ErrMalformed):
+		ex.rq.re.Stats.Add(stats.MalformedAnswers, 1)
+		return ex.refusal(core.Unknown, core.ReasonEndpointError, step, err), place.Failed
 	case errors.Is(err, conns.ErrStray):
 		return ex.refusal(core.Unknown, core.ReasonCrossed, step, err), place.Failed
 	}
--- a/io/stats/docs.go
+++ b/io/stats/docs.go
@@ -67,6 +67,7 @@
 	{MemoryWaiting, "requests that wait for memory of an engine, at most a quarter of their first-byte goal"},
 	{MemoryWaited, "requests that were sent to an engine after they had waited for its memory"},
 	{OversizedAnswers, "answers with a head or an event that is longer than may be buffered, as of an endpoint that sends without end"},
+	{MalformedAnswers, "answers that are not valid HTTP, such as one with the status 000; their requests may have run"},
 	{UnnamedAnswers, "responses that were skipped as they name no request, on connections where others do"},
 	{UnmarkedEnds, "answers that only the end of the endpoint's connection ended, so that nothing says that they are whole"},
 	{StreamsResumed, "requests that continue a stream of an earlier attempt of the caller"},
--- a/io/stats/stats.go
+++ b/io/stats/stats.go
@@ -110,6 +110,8 @@
 	ViewsNotVerified = "ViewsNotVerified"
 	// OversizedAnswers counts answers of which a head or an event did not end within what may be buffered.
 	OversizedAnswers = "OversizedAnswers"
+	// MalformedAnswers counts answers that are not valid HTTP although the library parses them.
+	MalformedAnswers = "MalformedAnswers"
 	// UnnamedAnswers counts responses that were skipped as they name no request, on connections where others do.
 	UnnamedAnswers = "UnnamedAnswers"
 	// UnmarkedEnds counts answers that were forwarded as whole although only the end of the
