io/strict: responses with invalid names of fields are no answers

Callers saw: an endpoint in trouble sends a head with a blank in the name of a field. The answer arrived, without that line; with a blank after Content-Length or Transfer-Encoding behind an agent with another body, such as the sizes of chunks; as a rejection it said that the request did not run.

Cause: net/http keeps a field whose name holds a blank, under a key that no look-up finds, and removes Transfer-Encoding from an HTTP/1.0 response. Nothing checked what it lets through. So it is with interim heads, crossed answers that are skipped, and trailers.

Held before, by the library: control bytes in names and values, empty names, lines without a colon, signed or different lengths, unknown encodings, signed sizes of chunks.

--- a/io/back/invalid_test.go
+++ b/io/back/invalid_test.go
@@ -43,6 +43,18 @@
 	"status 600":                "HTTP/1.1 600 X\r\nContent-Length: 5\r\n\r\nhello",
 	"version 2.0":               "HTTP/2.0 200 OK\r\nContent-Length: 5\r\n\r\nhello",
 	"control byte, reason":      "HTTP/1.1 200 O\x01K\r\nContent-Length: 5\r\n\r\nhello",
+	"blank in a name":           "HTTP/1.1 200 OK\r\nX A: 1\r\nContent-Length: 5\r\n\r\nhello",
+	"blank, no body":            "HTTP/1.1 200 OK\r\nX A: 1\r\nContent-Length: 0\r\n\r\n",
+	"blank after a length":      "HTTP/1.1 200 OK\r\nContent-Length : 3\r\n\r\nhello",
+	"blank after an encoding":   "HTTP/1.1 200 OK\r\nTransfer-Encoding : chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n",
+	"control byte in a name":    "HTTP/1.1 200 OK\r\nX\x01A: 1\r\nContent-Length: 5\r\n\r\nhello",
+	"no name":                   "HTTP/1.1 200 OK\r\n: 1\r\nContent-Length: 5\r\n\r\nhello",
+	"control byte in a value":   "HTTP/1.1 200 OK\r\nX-A: \x01\r\nContent-Length: 5\r\n\r\nhello",
+	"blank in an interim head":  "HTTP/1.1 103 X\r\nX A: 1\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello",
+	"blank in a trailer":        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\nX A: 1\r\n\r\n",
+	"chunks in HTTP/1.0":        "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n",
+	"interim, then such chunks": "HTTP/1.1 103 X\r\n\r\nHTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n",
+	"blank in a failure":        "HTTP/1.1 429 X\r\nX A: 1\r\nContent-Length: 5\r\n\r\nhello",
 }
 
 // Guards against answers that are not HTTP and that agents pass on as answers, or as a statement that the request did
--- a/io/conns/conns.go
+++ b/io/conns/conns.go
@@ -309,11 +309,12 @@
 	co.rd.Reset(&co.in)
 }
 
-// headReader reads from a connection, and no more than left bytes while inHead is set.
+// headReader reads from a connection. While inHead is set, it reads no more than left bytes, and keeps them in head.
 type headReader struct {
 	raw    net.Conn
 	inHead bool
 	left   int
+	head   []byte
 }
 
 // Read implements io.Reader.
@@ -326,13 +327,15 @@
 	}
 	count, err := hr.raw.Read(buffer[:min(len(buffer), hr.left)])
 	hr.left -= count
+	hr.head = append(hr.head, buffer[:count]...)
 	return count, err
 }
 
 // readHead reads the head of a response.
 func (co *Conn) readHead(rq *http.Request) (*http.Response, error) {
-	co.in.inHead, co.in.left = true, maxHeadSize
-	defer func() { co.in.inHead = false }()
+	buffered, _ := co.rd.Peek(co.rd.Buffered()) // does not fail
+	co.in.inHead, co.in.left, co.in.head = true, maxHeadSize, bytes.Clone(buffered)
+	defer func() { co.in.inHead, co.in.head = false, nil }()
 	rs, err := http.ReadResponse(co.rd, rq)
 	if err != nil && co.in.left == 0 {
 		return nil, fmt.Errorf("%w: %w", ErrHeadTooLong, err) // the parser may see a line that was cut there
@@ -340,7 +343,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return rs, strict.CheckHead(rs)
+	return rs, errors.Join(strict.CheckHead(rs), strict.CheckFraming(rs, co.in.head))
 }
 
 // releaseReader returns the read buffer for use by other connections. Only Put calls it, after the
