io/strict: with agents too, an unframed answer is whole only after its upload

Callers saw: behind an agent, an endpoint that answers a long upload at once, without a length, and resets the connection while the upload is written: the part arrived as a whole answer.

The reset's error goes to the write or to the read, whichever comes first, and http.Client hides the result of the write: it returns io.EOF if the read has seen an ordinary end.

Change: strict.Transport asks for the state of the connection when a read sees its end, before the library closes it, and for the result of the write (httptrace.WroteRequest) before it lets a body end that has no other end.

An endpoint that half-closes the connection and then takes the rest of the upload is forwarded as before, and so is one that has read it.

--- a/io/back/back.go
+++ b/io/back/back.go
@@ -89,7 +89,7 @@
 func newClient(fresh bool) *http.Client {
 	return &http.Client{
 		Transport: &strict.Transport{Base: &http.Transport{
-			DialContext:         strict.RecordHeads((&net.Dialer{Timeout: dialTimeout}).DialContext),
+			DialContext:         strict.WatchConns((&net.Dialer{Timeout: dialTimeout}).DialContext),
 			MaxIdleConnsPerHost: maxIdleConns,
 			DisableKeepAlives:   fresh,
 			DisableCompression:  true,
--- a/io/strict/transport.go
+++ b/io/strict/transport.go
@@ -2,12 +2,16 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptrace"
 	"net/textproto"
 	"sync"
+	"syscall"
+	"time"
 )
 
 const (
@@ -15,10 +19,14 @@
 	maxInterim = 16
 	// maxRecorded bounds how much of a response's head is kept, in bytes.
 	maxRecorded = 64 << 10
+	// writtenTimeout bounds the wait for the result of a write whose connection has ended.
+	writtenTimeout = time.Second
 )
 
+var errNotWritten = fmt.Errorf("the response ended while its request was written: %w", io.ErrUnexpectedEOF)
+
 // Transport is an http.RoundTripper that rejects responses by CheckHead, CheckFraming and GuardBody, and closes their
-// connections. Set Base before use; its DialContext is to be one of RecordHeads.
+// connections. Set Base before use; its DialContext is to be one of WatchConns.
 type Transport struct {
 	Base *http.Transport
 }
@@ -31,6 +39,7 @@
 	rs, err := tr.Base.RoundTrip(rq.WithContext(httptrace.WithClientTrace(rq.Context(), &httptrace.ClientTrace{
 		GotConn:        ex.begin,
 		Got1xxResponse: ex.checkInterim,
+		WroteRequest:   ex.recordWrite,
 	})))
 	if err != nil {
 		return nil, err
@@ -40,7 +49,7 @@
 		_ = rs.Body.Close()
 		return nil, fmt.Errorf("read the response: %w", err)
 	}
-	GuardBody(rs, func() error { return nil })
+	GuardBody(rs, ex.awaitWritten)
 	if gb, ok := rs.Body.(*guardedBody); ok {
 		gb.rejected = ex.closeConn
 	}
@@ -51,12 +60,43 @@
 type exchange struct {
 	conn    net.Conn // nil if there was none
 	interim int
+
+	mu      sync.Mutex // guards all below
+	written chan error // receives the result of the write
 }
 
 func (ex *exchange) begin(info httptrace.GotConnInfo) {
 	ex.conn = info.Conn
-	if re, ok := ex.conn.(*recorder); ok {
-		re.begin()
+	ex.mu.Lock()
+	ex.written = make(chan error, 1)
+	ex.mu.Unlock()
+	if wa, ok := ex.conn.(*watchedConn); ok {
+		wa.begin()
+	}
+}
+
+func (ex *exchange) recordWrite(info httptrace.WroteRequestInfo) {
+	ex.mu.Lock()
+	defer ex.mu.Unlock()
+	select {
+	case ex.written <- info.Err:
+	default: // that of an earlier connection
+	}
+}
+
+// awaitWritten returns nil if the request was written completely. The connection has ended, and so the write does.
+func (ex *exchange) awaitWritten() error {
+	ex.mu.Lock()
+	written := ex.written
+	ex.mu.Unlock()
+	select {
+	case err := <-written:
+		if err != nil {
+			return fmt.Errorf("%w: %w", errNotWritten, err)
+		}
+		return nil
+	case <-time.After(writtenTimeout):
+		return errNotWritten
 	}
 }
 
@@ -78,8 +118,8 @@
 	if err := CheckHead(rs); err != nil {
 		return err
 	}
-	if re, ok := ex.conn.(*recorder); ok {
-		return CheckFraming(rs, re.end())
+	if wa, ok := ex.conn.(*watchedConn); ok {
+		return CheckFraming(rs, wa.end())
 	}
 	return nil
 }
@@ -87,19 +127,20 @@
 // DialFunc connects to an address.
 type DialFunc func(ctx context.Context, network, addr string) (net.Conn, error)
 
-// RecordHeads returns a DialFunc for the Base of a Transport.
-func RecordHeads(dial DialFunc) DialFunc {
+// WatchConns returns a DialFunc for the Base of a Transport.
+func WatchConns(dial DialFunc) DialFunc {
 	return func(ctx context.Context, network, addr string) (net.Conn, error) {
 		co, err := dial(ctx, network, addr)
 		if err != nil {
 			return nil, err
 		}
-		return &recorder{Conn: co}, nil
+		return &watchedConn{Conn: co}, nil
 	}
 }
 
-// recorder is a connection that keeps what is read until the head of a response is complete.
-type recorder struct {
+// watchedConn is a connection that keeps what is read until the head of a response is complete, and that does not return
+// io.EOF after a reset.
+type watchedConn struct {
 	net.Conn
 
 	mu        sync.Mutex // guards all below
@@ -107,28 +148,34 @@
 	head      []byte
 }
 
-func (re *recorder) begin() {
-	re.mu.Lock()
-	defer re.mu.Unlock()
-	re.recording, re.head = true, nil
+func (wa *watchedConn) begin() {
+	wa.mu.Lock()
+	defer wa.mu.Unlock()
+	wa.recording, wa.head = true, nil
 }
 
 // end returns what was read since begin.
-func (re *recorder) end() []byte {
-	re.mu.Lock()
-	defer re.mu.Unlock()
-	head := re.head
-	re.recording, re.head = false, nil
+func (wa *watchedConn) end() []byte {
+	wa.mu.Lock()
+	defer wa.mu.Unlock()
+	head := wa.head
+	wa.recording, wa.head = false, nil
 	return head
 }
 
 // Read implements io.Reader.
-func (re *recorder) Read(buffer []byte) (int, error) {
-	count, err := re.Conn.Read(buffer)
-	re.mu.Lock()
-	defer re.mu.Unlock()
-	if re.recording {
-		re.head = append(re.head, buffer[:min(count, maxRecorded-len(re.head))]...)
+func (wa *watchedConn) Read(buffer []byte) (int, error) {
+	count, err := wa.Conn.Read(buffer)
+	if sc, ok := wa.Conn.(syscall.Conn); ok && errors.Is(err, io.EOF) {
+		// The library closes the connection once it has seen the end.
+		if unconfirmed := ConfirmEnd(sc); unconfirmed != nil {
+			err = unconfirmed
+		}
+	}
+	wa.mu.Lock()
+	defer wa.mu.Unlock()
+	if wa.recording {
+		wa.head = append(wa.head, buffer[:min(count, maxRecorded-len(wa.head))]...)
 	}
 	return count, err
 }
