io/gossip: responses of peers that are not HTTP are errors

Callers saw nothing of it: a router applied the items of a response whose head, or whose interim head, has a field with a blank in its name, or that is of another version. Found while looking for the cause of broken answers elsewhere.

Cause: as for endpoints, net/http accepts these.

Held before: the status 000, and bodies that are cut at the last byte or at the first, without framing, since CBOR is self-delimiting.

Change: the client of peers uses strict.Transport; a router that gets an error fetches from another peer.

--- a/io/gossip/export_test.go
+++ b/io/gossip/export_test.go
@@ -108,3 +108,12 @@
 
 // Hear does what a message of a peer does to the membership.
 func (gr *Group) Hear(now time.Time, addr string) { gr.membership.MessageReceived(now, addr, 0) }
+
+// FetchItems fetches the items of the peer at the address, and returns how many there are.
+func FetchItems(ctx context.Context, addr string) (int, error) {
+	its, _, err := fetchItems(ctx, addr, &fetchRequest{}, nil)
+	if err != nil {
+		return 0, err
+	}
+	return len(its.Items), nil
+}
--- a/io/gossip/fetch.go
+++ b/io/gossip/fetch.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -19,6 +20,7 @@
 	"almondrill/core/mirror"
 	"almondrill/core/route"
 	"almondrill/io/delta"
+	"almondrill/io/strict"
 )
 
 // ItemsPath serves the items of the store that this router knows. The query says what the client
@@ -148,8 +150,10 @@
 }
 
 var httpClient = &http.Client{
-	Timeout:   fetchTimeout,
-	Transport: &http.Transport{DisableKeepAlives: true},
+	Timeout: fetchTimeout,
+	Transport: &strict.Transport{Base: &http.Transport{
+		DialContext: strict.WatchConns(new(net.Dialer).DialContext), DisableKeepAlives: true,
+	}},
 }
 
 // fetchUpdates fetches what a peer knows beyond this router's mirror. It does so also while the
