io/vmnet: lists of VMs that are not HTTP are errors

Callers saw nothing of it: a process with agents applied a list of VMs whose head has a field with a blank in its name, or that is of another version. Found while looking for the cause of broken answers elsewhere.

Cause: as for endpoints, net/http accepts these.

Evidence: TestBrokenListsAreErrors failed for both before the change. Held before: the status 000, and a list that is cut, which is no JSON.

Change: the client uses strict.Transport, on a transport of its own.

After: the test passes.

--- a/io/vmnet/vmnet.go
+++ b/io/vmnet/vmnet.go
@@ -11,6 +11,7 @@
 	"context"
 	"encoding/json"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"time"
@@ -18,6 +19,7 @@
 	"github.com/samber/oops"
 
 	"almondrill/core"
+	"almondrill/io/strict"
 )
 
 type changesReply struct {
@@ -29,8 +31,14 @@
 	requestTimeout = 3 * time.Second
 	// maxReply bounds the list in bytes; thousands of VMs need some hundred each.
 	maxReply = 16 << 20
+	// idleTimeout is how long a connection to the server is kept that is not used.
+	idleTimeout = 90 * time.Second
 )
 
+var client = &http.Client{Transport: &strict.Transport{Base: &http.Transport{
+	DialContext: strict.WatchConns(new(net.Dialer).DialContext), IdleConnTimeout: idleTimeout,
+}}}
+
 // Client reads the list from the server at Addr.
 type Client struct {
 	Addr string
@@ -48,7 +56,7 @@
 	if err != nil {
 		return nil, mark, oo.Wrap(err)
 	}
-	rs, err := http.DefaultClient.Do(rq)
+	rs, err := client.Do(rq)
 	if err != nil {
 		return nil, mark, oo.Wrap(err)
 	}
