io/relay: a rejection that breaks off does not say that the request did not run

Callers saw: a request that must not be repeated was sent to a second endpoint, after the first one's answer had broken off inside its body. Found while looking for the cause of broken answers elsewhere.

Cause: an answer with a rejection's head was taken at its word; what became of its body only decided whether the connection was used again.

Evidence: TestRejectionThatBreaksOffSaysNothing failed in all 8 cells of requests that must not be repeated (503 with the endpoint's statement and 421; length, chunks, chunks without their end, reset inside the upload): sent twice.

Change: an error in the body makes it a broken answer like any other, with an unknown outcome. A rejection whose body is longer than what is buffered is taken at its word as before.

After: the test passes. Requests that may be repeated go to the second endpoint, before and after.

--- a/io/relay/attempt.go
+++ b/io/relay/attempt.go
@@ -189,10 +189,14 @@
 	refused := rs.Header.Get(di.NotRun) != "" && rs.StatusCode != http.StatusBadRequest
 	switch {
 	case rs.StatusCode == http.StatusMisdirectedRequest:
-		ex.drainBody(ctx)
+		if err := ex.drainBody(ctx); err != nil {
+			return ex.classifyError(ctx, "read", err)
+		}
 		return ex.refusal(core.NotRun, core.ReasonWrongPool, "send", errAddressReused), place.Replaced
 	case refused:
-		ex.drainBody(ctx)
+		if err := ex.drainBody(ctx); err != nil {
+			return ex.classifyError(ctx, "read", err)
+		}
 		return ex.refusal(core.NotRun, core.ReasonQueueFull, "send", errors.New(rs.Status)), ex.rejected()
 	case rs.StatusCode >= http.StatusMultipleChoices:
 		return ex.handleFailure(ctx)
@@ -329,11 +333,13 @@
 }
 
 // drainBody reads the rest of a response that is not forwarded, so that its connection can be
-// reused.
-func (ex *exchange) drainBody(ctx context.Context) {
-	if _, complete, err := ex.readBuffered(); complete && err == nil && ctx.Err() == nil {
+// reused. It returns an error if the response was broken off: then its head says nothing either.
+func (ex *exchange) drainBody(ctx context.Context) error {
+	_, complete, err := ex.readBuffered()
+	if complete && err == nil && ctx.Err() == nil {
 		ex.returnConn()
 	}
+	return err
 }
 
 // returnConn returns the connection to the pool, unless it is being interrupted: that would
--- a/io/relay/broken_test.go
+++ b/io/relay/broken_test.go
@@ -215,3 +215,49 @@
 		}
 	}
 }
+
+// Guards against a request that counts as not run, and is sent again, because of a rejection that was broken off.
+func TestRejectionThatBreaksOffSaysNothing(t *testing.T) {
+	for _, status := range []string{"503 X", "421 X"} {
+		head := "HTTP/1.1 " + status + "\r\nX-Id: id-1\r\nX-Not-Run: 1\r\n"
+		for name, tc := range map[string]struct {
+			text  string
+			reset bool
+		}{
+			"length": {head + "Content-Length: 9\r\n\r\nfull", false},
+			"chunks": {head + "Transfer-Encoding: chunked\r\n\r\n9\r\nfull", false},
+			"no end": {head + "Transfer-Encoding: chunked\r\n\r\n4\r\nfull\r\n", false},
+			"reset":  {head + "\r\nfull", true},
+		} {
+			for _, ro := range []route.Route{{Kind: route.OnceOnly, MaxAttempts: 2}, idempotent} {
+				fl := newFleet(t)
+				var sends atomic.Int32
+				answer := func(_ *received, co *net.TCPConn, rest io.Reader) {
+					if sends.Add(1) > 1 {
+						_, _ = io.Copy(io.Discard, rest)
+						byLength.write(&received{}, co, http.StatusOK, "text/plain", "whole", false)
+						return
+					}
+					if !tc.reset {
+						_, _ = io.Copy(io.Discard, rest)
+					}
+					_, _ = io.WriteString(co, tc.text)
+				}
+				fl.registerEarly(answer)
+				fl.registerEarly(answer)
+				rs, body, err := fl.configure(ro).send("POST", "/r/x", strings.Repeat("u", longUpload))
+				name := fmt.Sprint(status, ", ", name, ", ", ro.Kind)
+				if ro.MayRepeat() {
+					if err != nil || rs.StatusCode != http.StatusOK || body != "whole" {
+						t.Errorf("%s: %q, error %v", name, body, err)
+					}
+					continue
+				}
+				wantBroken(t, name, rs, body, err)
+				if got := sends.Load(); got != 1 {
+					t.Errorf("%s: sent %d times, want once", name, got)
+				}
+			}
+		}
+	}
+}
