io/relay: an answer to a copy that breaks off does not say that the stream stopped

Callers could see a stream that runs at two engines: the answer to the last copy broke off inside its body, and its status 200 was taken for the statement that the source has stopped the stream. Found while looking for the cause of broken answers elsewhere.

Cause: callEngine returned the status also where the body could not be read.

Evidence: TestMigration/last_copy:_answer_broken_off failed: the stream went on at the target while its source had not stopped it. The same of the first copy held before.

Change: such a response has no status; it is not known then whether the source stops, as with one that is lost.

After: TestMigration passes, with all its cases.

--- a/io/relay/continuation.go
+++ b/io/relay/continuation.go
@@ -151,6 +151,8 @@
 	if err != nil {
 		return 0, nil, err
 	}
-	data, err = io.ReadAll(io.LimitReader(rs.Body, maxCopyResponse))
-	return rs.StatusCode, data, err
+	if data, err = io.ReadAll(io.LimitReader(rs.Body, maxCopyResponse)); err != nil {
+		return 0, nil, fmt.Errorf("read answer of %s: %w", addr, err) // a response that breaks off says nothing
+	}
+	return rs.StatusCode, data, nil
 }
--- a/io/relay/engines_test.go
+++ b/io/relay/engines_test.go
@@ -38,6 +38,8 @@
 	lostAnswer
 	// lateAnswer answers after the stream has ended.
 	lateAnswer
+	// cutAnswer breaks the answer off inside its body, and does not carry the request out.
+	cutAnswer
 )
 
 // faults are the deviations of the fake engines; the zero value has none.
@@ -142,6 +144,9 @@
 		<-se.closed
 		en.mu.Lock()
 		return false
+	case how == cutAnswer:
+		_, _ = io.WriteString(co, strings.TrimSuffix(formatResponse(se, http.StatusOK, `{"Handle":"h1"}`), `"}`))
+		return false
 	case how == lateAnswer:
 		en.mu.Unlock()
 		for en.running() {
--- a/io/relay/migrate_test.go
+++ b/io/relay/migrate_test.go
@@ -66,6 +66,8 @@
 		"last copy: no room":              {faults: faults{last: 503}, continued: atSource, done: []bool{false}},
 		"last copy: refused":              {faults: faults{last: 409, noHandle: true}, done: []bool{false}},
 		"last copy: lost":                 {faults: faults{last: noAnswer}, total: 500, done: []bool{false}},
+		"first copy: answer broken off":   {faults: faults{first: cutAnswer}, done: []bool{false}},
+		"last copy: answer broken off":    {faults: faults{last: cutAnswer}, total: 500, done: []bool{false}},
 		"last copy: answer lost":          {faults: faults{last: lostAnswer}, continued: atTarget, done: []bool{true}},
 		"last copy: lost, later a crash":  {faults: faults{last: noAnswer, cutAt: 190}, total: 300, continued: atTarget, done: []bool{true}},
 		"source crashes":                  {faults: faults{crash: true}, continued: atTarget, done: []bool{true}},
