io/back: a rejected order that breaks off does not say that it was not carried out

The process that sent the order was told that an old fencing number had kept the engine from carrying it out, although that answer broke off inside its body. Found while looking for the cause of broken answers elsewhere.

Cause: orderError took the status and ignored the error of the read.

Evidence: TestRejectedOrderThatBreaksOffSaysNothing failed: NotRun, want Unknown.

Change: an error of the read makes the outcome unknown. A whole rejection says the same as before, also in the test.

--- a/io/back/broken_test.go
+++ b/io/back/broken_test.go
@@ -69,3 +69,19 @@
 		}
 	}
 }
+
+// Guards against an order that counts as not carried out because of a rejection that was broken off.
+func TestRejectedOrderThatBreaksOffSaysNothing(t *testing.T) {
+	for length, want := range map[int]core.Outcome{4: core.NotRun, 9: core.Unknown} {
+		url := serveConns(t, func(co *net.TCPConn) {
+			if rq, err := http.ReadRequest(bufio.NewReader(co)); err == nil {
+				_, _ = io.Copy(io.Discard, rq.Body)
+				_, _ = fmt.Fprintf(co, "HTTP/1.1 409 Conflict\r\nContent-Length: %d\r\n\r\nlate", length)
+			}
+		})
+		err := (&back.Endpoint{ID: "engine", URL: url, Engine: true}).Order(context.Background(), &core.Order{})
+		if re := core.AsRefusal(err, "", ""); re.Outcome != want {
+			t.Errorf("length %d: %v, want %s", length, err, want)
+		}
+	}
+}
--- a/io/back/orders.go
+++ b/io/back/orders.go
@@ -74,12 +74,15 @@
 	if rs.StatusCode == http.StatusOK {
 		return nil
 	}
-	return ep.orderError(rs)
+	return ep.orderError(ctx, rs)
 }
 
 // orderError returns the refusal for an order that the engine did not carry out.
-func (ep *Endpoint) orderError(rs *http.Response) *core.Refusal {
-	text, _ := io.ReadAll(io.LimitReader(rs.Body, maxErrorText))
+func (ep *Endpoint) orderError(ctx context.Context, rs *http.Response) error {
+	text, err := io.ReadAll(io.LimitReader(rs.Body, maxErrorText))
+	if err != nil {
+		return ep.interrupted(ctx, core.ReasonCutShort, err)
+	}
 	re := &core.Refusal{
 		Outcome: core.Failed, Reason: core.ReasonEndpointError, Step: "order", Peer: string(ep.ID),
 		Detail: fmt.Sprintf("status %d: %s", rs.StatusCode, bytes.TrimSpace(text)), Status: rs.StatusCode,
