--- a/io/relay/broken_test.go
+++ b/io/relay/broken_test.go
@@ -24,7 +24,6 @@
 type earlyEndpoint struct {
 	id    core.EndpointID
 	heads atomic.Int32 // requests received
-	conns atomic.Int32 // connections on which a request was received
 }
 
 // registerEarly adds an endpoint to the fleet that runs answer for each request. The connection is closed after it.
--- a/io/relay/invalid_test.go
+++ b/io/relay/invalid_test.go
@@ -137,3 +137,26 @@
 		}
 	}
 }
+
+// Guards against streams that end as complete, or with bytes that are no events of theirs, because the answer by which
+// they continue is not HTTP.
+func TestInvalidAnswersDoNotContinueStreams(t *testing.T) {
+	for name, text := range invalidAnswers {
+		script := func(se *received, co net.Conn) bool {
+			if se.request.Header.Get("Last-Event-Id") == "3" {
+				_, _ = io.WriteString(co, text)
+			} else {
+				byChunks.write(se, co, http.StatusOK, eventStream, eventText(1, 3), true)
+			}
+			return false
+		}
+		fl := newFleet(t, script, script).configure(resumable)
+		rs, body, err := fl.send("POST", "/r/x", "0123456789")
+		if rs == nil || err == nil || body != eventText(1, 3) {
+			t.Errorf("%s: got %q, error %v", name, body, err)
+		}
+		if got := len(fl.requests()); got != 2 {
+			t.Errorf("%s: %d requests reached endpoints, want 2", name, got)
+		}
+	}
+}
