io/fakes/local: servers of tests that serve connections by hand; io/strict: comments

Five new tests each had a listener and its loop; these share local.Serve and local.Respond now, and check what they did. The comments say when ConfirmEnd ends, and how a Transport dials.

--- a/io/back/back.go
+++ b/io/back/back.go
@@ -11,7 +11,7 @@
 //
 //   - Do reports NotRun only if the request could not be built or no connection could be made.
 //   - A body without a length or chunks is never treated as complete: its end cannot be told from
-//     a broken connection.
+//     a broken connection. If that was reset, or ended before the request was written, it is broken off.
 //   - The HTTP library sends no non-idempotent request twice, see newRequest.
 //
 // # Usage
--- a/io/back/broken_test.go
+++ b/io/back/broken_test.go
@@ -13,6 +13,7 @@
 
 	"almondrill/core"
 	"almondrill/io/back"
+	"almondrill/io/fakes/local"
 )
 
 // Guards against a part of an answer that agents pass on as whole because its upload was reset while it was written,
@@ -46,7 +47,7 @@
 		{"upload read", true, func(_ *net.TCPConn, upload io.Reader) { _, _ = io.Copy(io.Discard, upload) }},
 	} {
 		for _, mayRepeat := range []bool{false, true} {
-			url := serveConns(t, func(co *net.TCPConn) {
+			url := "http://" + local.Serve(t, func(co *net.TCPConn) {
 				rq, err := http.ReadRequest(bufio.NewReader(co))
 				if err != nil {
 					return
@@ -73,12 +74,7 @@
 // Guards against an order that counts as not carried out because of a rejection that was broken off.
 func TestRejectedOrderThatBreaksOffSaysNothing(t *testing.T) {
 	for length, want := range map[int]core.Outcome{4: core.NotRun, 9: core.Unknown} {
-		url := serveConns(t, func(co *net.TCPConn) {
-			if rq, err := http.ReadRequest(bufio.NewReader(co)); err == nil {
-				_, _ = io.Copy(io.Discard, rq.Body)
-				_, _ = fmt.Fprintf(co, "HTTP/1.1 409 Conflict\r\nContent-Length: %d\r\n\r\nlate", length)
-			}
-		})
+		url := "http://" + local.Respond(t, fmt.Sprintf("HTTP/1.1 409 Conflict\r\nContent-Length: %d\r\n\r\nlate", length))
 		err := (&back.Endpoint{ID: "engine", URL: url, Engine: true}).Order(context.Background(), &core.Order{})
 		if re := core.AsRefusal(err, "", ""); re.Outcome != want {
 			t.Errorf("length %d: %v, want %s", length, err, want)
--- a/io/back/invalid_test.go
+++ b/io/back/invalid_test.go
@@ -15,25 +15,6 @@
 	"almondrill/io/fakes/local"
 )
 
-// serveConns starts a server that runs serve for each connection, and returns its URL.
-func serveConns(t *testing.T, serve func(co *net.TCPConn)) string {
-	t.Helper()
-	li := local.Listen(t)
-	go func() {
-		for {
-			co, err := li.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer co.Close()
-				serve(co.(*net.TCPConn))
-			}()
-		}
-	}()
-	return "http://" + li.Addr().String()
-}
-
 // invalidAnswers are not HTTP.
 var invalidAnswers = map[string]string{
 	"status 000":                "HTTP/1.1 000 X\r\nContent-Length: 5\r\n\r\nhello",
@@ -63,7 +44,7 @@
 	for name, text := range invalidAnswers {
 		for _, mayRepeat := range []bool{false, true} {
 			closed := make(chan bool, 10)
-			url := serveConns(t, func(co *net.TCPConn) {
+			url := "http://" + local.Serve(t, func(co *net.TCPConn) {
 				rd := bufio.NewReader(co)
 				rq, err := http.ReadRequest(rd)
 				if err != nil {
@@ -105,12 +86,7 @@
 		"no framing":               {"POST", "HTTP/1.1 200 OK\r\n\r\nhello", "hello", 200},
 		"trailer":                  {"POST", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nTrailer: X-A\r\n\r\n5\r\nhello\r\n0\r\nX-A: 1\r\n\r\n", "hello", 200},
 	} {
-		url := serveConns(t, func(co *net.TCPConn) {
-			if rq, err := http.ReadRequest(bufio.NewReader(co)); err == nil {
-				_, _ = io.Copy(io.Discard, rq.Body)
-				_, _ = io.WriteString(co, tc.text)
-			}
-		})
+		url := "http://" + local.Respond(t, tc.text)
 		pa := &parts{}
 		_, err := (&back.Endpoint{ID: "service", URL: url}).Do(context.Background(), &core.Call{Method: tc.method, Path: "/"}, pa)
 		if got := fmt.Sprint(pa.status, pa.text, pa.end, err); got != fmt.Sprint(tc.status, tc.body, true, nil) {
@@ -118,3 +94,21 @@
 		}
 	}
 }
+
+// Guards against an endpoint that holds a call, and memory for it, by interim responses without end.
+func TestEndlessInterimResponsesEnd(t *testing.T) {
+	url := "http://" + local.Serve(t, func(co *net.TCPConn) {
+		if _, err := http.ReadRequest(bufio.NewReader(co)); err != nil {
+			return
+		}
+		for err := error(nil); err == nil; {
+			_, err = io.WriteString(co, "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n")
+		}
+	})
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	_, err := (&back.Endpoint{ID: "service", URL: url}).Do(ctx, &core.Call{Method: http.MethodGet, Path: "/"}, &parts{})
+	if re := core.AsRefusal(err, "", ""); re.Outcome != core.Unknown || ctx.Err() != nil {
+		t.Errorf("%v", err)
+	}
+}
--- a/io/fakes/local/local.go
+++ b/io/fakes/local/local.go
@@ -11,12 +11,16 @@
 //
 //	li := local.Listen(t)       // listens until the test ends
 //	addr := local.Addr(t)       // for something that is started later
+//	addr := local.Respond(t, s) // a server that answers every request with the text s
 //	ip := local.IP(t)           // for a program that listens on several ports
 package local
 
 import (
+	"bufio"
 	"fmt"
+	"io"
 	"net"
+	"net/http"
 	"os"
 	"sync"
 	"testing"
@@ -90,3 +94,34 @@
 	tb.Cleanup(func() { _ = li.Close() })
 	return li
 }
+
+// Serve listens on an address of its own until the test ends, and calls serve for each connection, which is closed
+// afterwards. It returns the address.
+func Serve(tb testing.TB, serve func(co *net.TCPConn)) string {
+	tb.Helper()
+	li := Listen(tb)
+	go func() {
+		for {
+			co, err := li.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer co.Close()
+				serve(co.(*net.TCPConn))
+			}()
+		}
+	}()
+	return li.Addr().String()
+}
+
+// Respond is Serve with one request on each connection, whose response is text.
+func Respond(tb testing.TB, text string) string {
+	tb.Helper()
+	return Serve(tb, func(co *net.TCPConn) {
+		if rq, err := http.ReadRequest(bufio.NewReader(co)); err == nil {
+			_, _ = io.Copy(io.Discard, rq.Body)
+			_, _ = io.WriteString(co, text) // fails only if the client has closed the connection
+		}
+	})
+}
--- a/io/gossip/broken_test.go
+++ b/io/gossip/broken_test.go
@@ -1,7 +1,6 @@
 package gossip_test
 
 import (
-	"bufio"
 	"fmt"
 	"io"
 	"net/http"
@@ -39,18 +38,8 @@
 		"cut, without framing":     {"HTTP/1.1 200 OK\r\n\r\n" + string(items[:len(items)-1]), false},
 		"no byte of a body":        {"HTTP/1.1 200 OK\r\n\r\n", false},
 	} {
-		li := local.Listen(t)
-		go func() {
-			co, err := li.Accept()
-			if err != nil {
-				return
-			}
-			defer co.Close()
-			if _, err = http.ReadRequest(bufio.NewReader(co)); err == nil {
-				_, _ = io.WriteString(co, tc.text)
-			}
-		}()
-		count, err := gossip.FetchItems(t.Context(), li.Addr().String())
+		addr := local.Respond(t, tc.text)
+		count, err := gossip.FetchItems(t.Context(), addr)
 		if (err == nil) != tc.whole || tc.whole && count != 1 {
 			t.Errorf("%s: %d items, error %v", name, count, err)
 		}
--- a/io/relay/broken_test.go
+++ b/io/relay/broken_test.go
@@ -30,27 +30,14 @@
 func (fl *fleet) registerEarly(answer func(se *received, co *net.TCPConn, rest io.Reader)) *earlyEndpoint {
 	fl.t.Helper()
 	ea := &earlyEndpoint{id: core.EndpointID(fmt.Sprint("early", len(fl.addrs)))}
-	li := local.Listen(fl.t)
-	go func() {
-		for {
-			co, err := li.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer co.Close()
-				rd := bufio.NewReader(co)
-				rq, err := http.ReadRequest(rd)
-				if err != nil {
-					return
-				}
-				ea.heads.Add(1)
-				answer(&received{request: rq}, co.(*net.TCPConn), rq.Body)
-			}()
+	addr := local.Serve(fl.t, func(co *net.TCPConn) {
+		if rq, err := http.ReadRequest(bufio.NewReader(co)); err == nil {
+			ea.heads.Add(1)
+			answer(&received{request: rq}, co, rq.Body)
 		}
-	}()
-	fl.addrs = append(fl.addrs, li.Addr().String())
-	fl.re.Placer.Register(time.Now(), place.Endpoint{ID: ea.id, Addr: li.Addr().String(), Pool: "pool", Zone: "a", Slots: 8})
+	})
+	fl.addrs = append(fl.addrs, addr)
+	fl.re.Placer.Register(time.Now(), place.Endpoint{ID: ea.id, Addr: addr, Pool: "pool", Zone: "a", Slots: 8})
 	return ea
 }
 
--- a/io/strict/end.go
+++ b/io/strict/end.go
@@ -26,8 +26,8 @@
 )
 
 // ConfirmEnd returns nil if the other side has closed the connection in order and has received all that was written to
-// it. It waits for acknowledgements until the deadline of writes, or until the system gives the connection up. Call it
-// after a read has returned io.EOF, and once nothing more is written.
+// it so far. It waits for acknowledgements until the deadline of writes, until the connection is closed, or until the
+// system gives it up. Call it after a read has returned io.EOF.
 func ConfirmEnd(co syscall.Conn) error {
 	rc, err := co.SyscallConn()
 	if err != nil {
--- a/io/strict/strict.go
+++ b/io/strict/strict.go
@@ -17,7 +17,9 @@
 //
 // # Usage
 //
-//	client := &http.Client{Transport: &strict.Transport{Base: &http.Transport{}}}
+//	client := &http.Client{Transport: &strict.Transport{Base: &http.Transport{
+//		DialContext: strict.WatchConns(new(net.Dialer).DialContext),
+//	}}}
 //
 // or, where the response is read from a connection,
 //
@@ -74,8 +76,8 @@
 	return nil
 }
 
-// CheckFraming returns ErrMalformed if an HTTP/1.0 response has a Transfer-Encoding, which net/http removes: its body
-// would have chunk sizes. read is what was read from the connection, from the first head on.
+// CheckFraming returns ErrMalformed if an HTTP/1.0 response has a Transfer-Encoding, which net/http removes: the sizes of
+// chunks would be part of the body. read is what was read from the connection, from the first interim head on.
 func CheckFraming(rs *http.Response, read []byte) error {
 	if rs.ProtoAtLeast(1, 1) {
 		return nil
@@ -84,7 +86,7 @@
 	for {
 		line, err := rd.ReadLine()
 		if err != nil {
-			return nil // not kept
+			return nil // the head is longer than what was kept
 		}
 		hd, err := rd.ReadMIMEHeader()
 		if err != nil {
--- a/io/vmnet/broken_test.go
+++ b/io/vmnet/broken_test.go
@@ -1,10 +1,7 @@
 package vmnet_test
 
 import (
-	"bufio"
 	"fmt"
-	"io"
-	"net/http"
 	"testing"
 
 	"almondrill/io/fakes/local"
@@ -25,18 +22,8 @@
 		"status 000":           {"HTTP/1.1 000 X\r\n" + framed, false},
 		"cut, without framing": {"HTTP/1.1 200 OK\r\n\r\n" + list[:len(list)-1], false},
 	} {
-		li := local.Listen(t)
-		go func() {
-			co, err := li.Accept()
-			if err != nil {
-				return
-			}
-			defer co.Close()
-			if _, err = http.ReadRequest(bufio.NewReader(co)); err == nil {
-				_, _ = io.WriteString(co, tc.text)
-			}
-		}()
-		_, mark, err := (&vmnet.Client{Addr: li.Addr().String()}).Changes(t.Context(), 3)
+		addr := local.Respond(t, tc.text)
+		_, mark, err := (&vmnet.Client{Addr: addr}).Changes(t.Context(), 3)
 		if (err == nil) != tc.whole || tc.whole && mark != 9 {
 			t.Errorf("%s: mark %d, error %v", name, mark, err)
 		}
