io/strict: a Transport waits for the write of a request before a response may end with its connection

Behind an agent, a whole answer without framing could be refused whose endpoint takes the rest of the upload after its end.

Cause: the connection's end was confirmed as soon as everything written so far was acknowledged, also between two writes of one upload. The library then closed the connection, and the next write failed by that.

--- a/io/strict/transport.go
+++ b/io/strict/transport.go
@@ -61,38 +61,45 @@
 	conn    net.Conn // nil if there was none
 	interim int
 
-	mu      sync.Mutex // guards all below
-	written chan error // receives the result of the write
+	mu     sync.Mutex // guards result
+	result *writeResult
+}
+
+// writeResult is how the write of a request has ended, once done is closed.
+type writeResult struct {
+	done chan struct{}
+	once sync.Once
+	err  error
 }
 
 func (ex *exchange) begin(info httptrace.GotConnInfo) {
-	ex.conn = info.Conn
 	ex.mu.Lock()
-	ex.written = make(chan error, 1)
-	ex.mu.Unlock()
+	defer ex.mu.Unlock()
+	ex.conn, ex.result = info.Conn, &writeResult{done: make(chan struct{})}
 	if wa, ok := ex.conn.(*watchedConn); ok {
-		wa.begin()
+		wa.begin(ex.result.done)
 	}
 }
 
 func (ex *exchange) recordWrite(info httptrace.WroteRequestInfo) {
 	ex.mu.Lock()
 	defer ex.mu.Unlock()
-	select {
-	case ex.written <- info.Err:
-	default: // that of an earlier connection
-	}
+	wr := ex.result
+	wr.once.Do(func() {
+		wr.err = info.Err
+		close(wr.done)
+	})
 }
 
 // awaitWritten returns nil if the request was written completely. The connection has ended, and so the write does.
 func (ex *exchange) awaitWritten() error {
 	ex.mu.Lock()
-	written := ex.written
+	wr := ex.result
 	ex.mu.Unlock()
 	select {
-	case err := <-written:
-		if err != nil {
-			return fmt.Errorf("%w: %w", errNotWritten, err)
+	case <-wr.done:
+		if wr.err != nil {
+			return fmt.Errorf("%w: %w", errNotWritten, wr.err)
 		}
 		return nil
 	case <-time.After(writtenTimeout):
@@ -134,24 +141,27 @@
 		if err != nil {
 			return nil, err
 		}
-		return &watchedConn{Conn: co}, nil
+		return &watchedConn{Conn: co, closed: make(chan struct{})}, nil
 	}
 }
 
 // watchedConn is a connection that keeps what is read until the head of a response is complete, and that does not return
-// io.EOF after a reset.
+// io.EOF after a reset, nor before its request is written.
 type watchedConn struct {
 	net.Conn
+	closed    chan struct{}
+	closeOnce sync.Once
 
 	mu        sync.Mutex // guards all below
 	recording bool
 	head      []byte
+	written   <-chan struct{} // closed once the last request is written, nil before the first
 }
 
-func (wa *watchedConn) begin() {
+func (wa *watchedConn) begin(written <-chan struct{}) {
 	wa.mu.Lock()
 	defer wa.mu.Unlock()
-	wa.recording, wa.head = true, nil
+	wa.recording, wa.head, wa.written = true, nil, written
 }
 
 // end returns what was read since begin.
@@ -166,9 +176,9 @@
 // Read implements io.Reader.
 func (wa *watchedConn) Read(buffer []byte) (int, error) {
 	count, err := wa.Conn.Read(buffer)
-	if sc, ok := wa.Conn.(syscall.Conn); ok && errors.Is(err, io.EOF) {
+	if errors.Is(err, io.EOF) {
 		// The library closes the connection once it has seen the end.
-		if unconfirmed := ConfirmEnd(sc); unconfirmed != nil {
+		if unconfirmed := wa.confirmEnd(); unconfirmed != nil {
 			err = unconfirmed
 		}
 	}
@@ -179,3 +189,26 @@
 	}
 	return count, err
 }
+
+// confirmEnd is ConfirmEnd after the last request is written.
+func (wa *watchedConn) confirmEnd() error {
+	wa.mu.Lock()
+	written := wa.written
+	wa.mu.Unlock()
+	if written != nil {
+		select {
+		case <-written:
+		case <-wa.closed:
+		}
+	}
+	if sc, ok := wa.Conn.(syscall.Conn); ok {
+		return ConfirmEnd(sc)
+	}
+	return nil
+}
+
+// Close implements io.Closer.
+func (wa *watchedConn) Close() error {
+	wa.closeOnce.Do(func() { close(wa.closed) })
+	return wa.Conn.Close()
+}
